--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: the path, the policy and the capacity."""
--- /dev/null
+++ b/fescuekeel/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for very many LoRA adapters."""
--- /dev/null
+++ b/fescuekeel/components/__init__.py
@@ -0,0 +1,1 @@
+"""The components, each of which registers itself with the kernel."""
--- /dev/null
+++ b/fescuekeel/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the kernel and the components."""
--- /dev/null
+++ b/fescuekeel/messages.py
@@ -0,0 +1,503 @@
+"""Typed messages between components and between instances.
+
+The first part lists what crosses instances: each class has a struct of the
+same name in ``schema/peer.capnp`` with the same fields. Times on the wire are
+relative, in milliseconds, since clocks of different instances do not agree.
+The second part lists what only crosses components.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from fescuekeel.errors import Failure
+
+__all__ = [
+    "AdapterRef",
+    "CancelWork",
+    "Envelope",
+    "HandoverAnswer",
+    "HandoverOffer",
+    "Hello",
+    "HelloAnswer",
+    "InstanceState",
+    "KeyAnswer",
+    "KeyClaim",
+    "KeyCopy",
+    "KeySettle",
+    "LiveEntry",
+    "LiveList",
+    "LiveRole",
+    "Member",
+    "MemberView",
+    "News",
+    "NewsKind",
+    "PeerMessage",
+    "Ping",
+    "PingAnswer",
+    "ProbeAnswer",
+    "ProbeAsk",
+    "RunningAnswer",
+    "RunningAsk",
+    "RunningWork",
+    "Submit",
+    "SubmitAnswer",
+    "TreeAsk",
+    "TreePart",
+    "TurnAnswer",
+    "TurnAsk",
+    "TurnDone",
+    "WorkChunk",
+    "WorkEnd",
+    "WorkStarted",
+]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class AdapterRef:
+    """Name one version of one adapter; both empty for a plain service.
+
+    >>> str(AdapterRef("cups-and-balls", "3"))
+    'cups-and-balls@3'
+    """
+
+    name: str = ""
+    version: str = ""
+
+    def __str__(self) -> str:
+        """Return the reference as callers write it."""
+        return f"{self.name}@{self.version}" if self.name else ""
+
+    def __bool__(self) -> bool:
+        """Tell whether an adapter is named at all."""
+        return bool(self.name)
+
+
+# What crosses instances.
+
+
+class NewsKind(StrEnum):
+    """Name what a piece of gossip tells."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    TREE_REVISION = "tree_revision"
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """Tell one fact about an instance, an endpoint or the tree.
+
+    ``subject`` is an instance id, an endpoint id or a tree digest, and
+    ``incarnation`` orders what is told of the same subject. For the tree it
+    is the revision.
+    """
+
+    kind: NewsKind
+    subject: str
+    incarnation: int
+    address: str = ""
+    data_centre: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Open a connection: who speaks, and with which protocol version."""
+
+    version: int
+    instance: str
+    data_centre: str
+    incarnation: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class HelloAnswer:
+    """Answer a hello."""
+
+    instance: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Ask a peer for a sign of life and pass on news."""
+
+    news: tuple[News, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PingAnswer:
+    """Answer a ping, with news in return."""
+
+    news: tuple[News, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAsk:
+    """Ask a peer to ping a third instance."""
+
+    target: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAnswer:
+    """Tell whether the third instance answered."""
+
+    target: str
+    alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TreeAsk:
+    """Ask for a part of a revision; an empty name asks for the manifest.
+
+    Revision 0 asks for the highest revision that the peer holds.
+    """
+
+    revision: int
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class TreePart:
+    """Carry a part or a manifest; revision 0 says that it is not held."""
+
+    revision: int
+    name: str
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Submit:
+    """Hand a request to the owner of an endpoint.
+
+    ``attempt`` numbers the entry's tries of this request, and each event in
+    return repeats it, so that a late event of an earlier try is told apart.
+    ``urgency`` is 0 for the most urgent. ``resume_position`` is the number of
+    answer bytes that the caller already has; it is above zero only when a
+    stream is resumed.
+    """
+
+    request_id: str
+    attempt: int
+    endpoint: str
+    shop: str
+    service: str
+    adapter: AdapterRef
+    urgency: int
+    remaining_ms: int
+    repeatable: bool
+    stream: bool
+    path: str
+    body: bytes
+    max_tokens: int = 0
+    resume: bool = False
+    resume_position: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitAnswer:
+    """Say that a request is queued, or refused with a kind and never run."""
+
+    accepted: bool
+    kind: str = ""
+    detail: str = ""
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkStarted:
+    """Say that a byte of the request may have reached its endpoint."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkChunk:
+    """Carry a piece of the answer.
+
+    ``position`` is the number of the first token in ``data`` where the
+    answer is a stream of tokens, and zero otherwise.
+    """
+
+    request_id: str
+    attempt: int
+    position: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WorkEnd:
+    """End a request; an empty kind means success with ``status``.
+
+    ``stall_ms`` is how long it waited for its adapter to be loaded, and
+    ``queue_ms`` how long it waited in all before the hand-over.
+    """
+
+    request_id: str
+    attempt: int
+    kind: str = ""
+    ran: str = "yes"
+    status: int = 200
+    content_type: str = ""
+    detail: str = ""
+    retry_after_ms: int = 0
+    stall_ms: int = 0
+    queue_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CancelWork:
+    """Stop a request whose caller went away."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class TurnAsk:
+    """Ask the leader of load turns for a turn at the weight store.
+
+    ``value`` orders the asks, the highest first; ``waiting`` is how many
+    requests wait for the load. ``last`` sums up how many milliseconds the
+    previous load took, zero if unknown.
+    """
+
+    endpoint: str
+    adapter: AdapterRef
+    value: float
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class TurnAnswer:
+    """Grant a turn, or say in how many milliseconds to ask again."""
+
+    endpoint: str
+    adapter: AdapterRef
+    granted: bool
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TurnDone:
+    """Give a turn back."""
+
+    endpoint: str
+    adapter: AdapterRef
+    took_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyClaim:
+    """Claim an idempotency key for one request before it may run.
+
+    ``digest`` is that of the request's meaning, and ``lifetime_ms`` how long
+    the claim is kept after it is settled. ``copy`` marks the successor's copy
+    of the claim.
+    """
+
+    key: str
+    request_id: str
+    digest: str
+    lifetime_ms: int
+    copy: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class KeyAnswer:
+    """Grant a claim, or tell the error kind that the caller gets."""
+
+    granted: bool
+    kind: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class KeySettle:
+    """Settle a claim: released if the request did not run, else used."""
+
+    key: str
+    request_id: str
+    ran: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyCopy:
+    """Pass claims to an instance that has become their home."""
+
+    claims: tuple[KeyClaim, ...] = ()
+    settled: tuple[KeySettle, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RunningWork:
+    """Name a request that may be running on an endpoint."""
+
+    request_id: str
+    adapter: AdapterRef
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunningAsk:
+    """Ask an instance which unfinished requests it knows on an endpoint."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunningAnswer:
+    """Answer with all of them, and with the highest fencing number known."""
+
+    endpoint: str
+    fence: int
+    work: tuple[RunningWork, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverOffer:
+    """Pass an endpoint to its next owner at a graceful shutdown.
+
+    ``work`` is still running under the old owner, which keeps its streams.
+    """
+
+    endpoint: str
+    fence: int
+    work: tuple[RunningWork, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverAnswer:
+    """Say that the handover is known to the next owner."""
+
+    endpoint: str
+    accepted: bool
+
+
+WireMessage = (
+    Hello
+    | HelloAnswer
+    | Ping
+    | PingAnswer
+    | ProbeAsk
+    | ProbeAnswer
+    | TreeAsk
+    | TreePart
+    | Submit
+    | SubmitAnswer
+    | WorkStarted
+    | WorkChunk
+    | WorkEnd
+    | CancelWork
+    | TurnAsk
+    | TurnAnswer
+    | TurnDone
+    | KeyClaim
+    | KeyAnswer
+    | KeySettle
+    | KeyCopy
+    | RunningAsk
+    | RunningAnswer
+    | HandoverOffer
+    | HandoverAnswer
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Wrap one message: its number, and the number that it answers, or 0."""
+
+    number: int
+    answers: int
+    body: WireMessage
+
+
+# What only crosses components.
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """Bring a peer's message to the component that subscribed to its type.
+
+    ``number`` is zero when no answer is expected.
+    """
+
+    sender: str
+    number: int
+    body: WireMessage
+
+
+class LiveRole(StrEnum):
+    """Name what an entry of the platform's live list is."""
+
+    INSTANCE = "instance"
+    ENDPOINT = "endpoint"
+
+
+@dataclass(frozen=True, slots=True)
+class LiveEntry:
+    """One row of the platform's list of live and leaving instances.
+
+    ``incarnation`` grows each time the same id starts anew.
+    """
+
+    id: str
+    role: LiveRole
+    address: str
+    data_centre: str
+    incarnation: int
+    leaving: bool = False
+    pool: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LiveList:
+    """The platform's list as last read, which lags behind reality."""
+
+    entries_by_id: dict[str, LiveEntry] = field(default_factory=dict)
+
+
+class InstanceState(StrEnum):
+    """Name what is believed of an instance."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe one instance of the system."""
+
+    id: str
+    address: str
+    data_centre: str
+    incarnation: int
+    state: InstanceState = InstanceState.ALIVE
+
+
+@dataclass(frozen=True, slots=True)
+class MemberView:
+    """What this instance believes of all instances and endpoints.
+
+    ``members_by_id`` holds all that are not known dead or gone, this one
+    included. ``endpoints_by_id`` holds the endpoints that may get work: those
+    of the live list less those that are known to be leaving.
+    """
+
+    members_by_id: dict[str, Member] = field(default_factory=dict)
+    endpoints_by_id: dict[str, LiveEntry] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRefused:
+    """Tell that a request was refused, for counters and logs."""
+
+    request_id: str
+    failure: Failure
--- /dev/null
+++ b/fescuekeel/schema/peer.capnp
@@ -0,0 +1,140 @@
+# Messages between instances. The structs mirror fescuekeel/messages.py.
+@0xb7a1d04c52f6e913;
+
+struct AdapterRef { name @0 :Text; version @1 :Text; }
+struct News {
+  kind @0 :Text;
+  subject @1 :Text;
+  incarnation @2 :UInt64;
+  address @3 :Text;
+  dataCentre @4 :Text;
+}
+struct Hello {
+  version @0 :UInt16;
+  instance @1 :Text;
+  dataCentre @2 :Text;
+  incarnation @3 :UInt64;
+  address @4 :Text;
+}
+struct HelloAnswer { instance @0 :Text; incarnation @1 :UInt64; }
+struct Ping { news @0 :List(News); }
+struct PingAnswer { news @0 :List(News); }
+struct ProbeAsk { target @0 :Text; address @1 :Text; }
+struct ProbeAnswer { target @0 :Text; alive @1 :Bool; }
+struct TreeAsk { revision @0 :UInt64; name @1 :Text; }
+struct TreePart { revision @0 :UInt64; name @1 :Text; content @2 :Data; }
+struct Submit {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  endpoint @2 :Text;
+  shop @3 :Text;
+  service @4 :Text;
+  adapter @5 :AdapterRef;
+  urgency @6 :UInt8;
+  remainingMs @7 :UInt32;
+  repeatable @8 :Bool;
+  stream @9 :Bool;
+  path @10 :Text;
+  body @11 :Data;
+  maxTokens @12 :UInt32;
+  resume @13 :Bool;
+  resumePosition @14 :UInt32;
+}
+struct SubmitAnswer {
+  accepted @0 :Bool;
+  kind @1 :Text;
+  detail @2 :Text;
+  retryAfterMs @3 :UInt32;
+}
+struct WorkStarted { requestId @0 :Text; attempt @1 :UInt32; }
+struct WorkChunk {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  position @2 :UInt32;
+  data @3 :Data;
+}
+struct WorkEnd {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  kind @2 :Text;
+  ran @3 :Text;
+  status @4 :UInt16;
+  contentType @5 :Text;
+  detail @6 :Text;
+  retryAfterMs @7 :UInt32;
+  stallMs @8 :UInt32;
+  queueMs @9 :UInt32;
+}
+struct CancelWork { requestId @0 :Text; attempt @1 :UInt32; }
+struct TurnAsk {
+  endpoint @0 :Text;
+  adapter @1 :AdapterRef;
+  value @2 :Float64;
+  waiting @3 :UInt32;
+}
+struct TurnAnswer {
+  endpoint @0 :Text;
+  adapter @1 :AdapterRef;
+  granted @2 :Bool;
+  retryAfterMs @3 :UInt32;
+}
+struct TurnDone { endpoint @0 :Text; adapter @1 :AdapterRef; tookMs @2 :UInt32; }
+struct KeyClaim {
+  key @0 :Text;
+  requestId @1 :Text;
+  digest @2 :Text;
+  lifetimeMs @3 :UInt32;
+  copy @4 :Bool;
+}
+struct KeyAnswer { granted @0 :Bool; kind @1 :Text; }
+struct KeySettle { key @0 :Text; requestId @1 :Text; ran @2 :Text; }
+struct KeyCopy { claims @0 :List(KeyClaim); settled @1 :List(KeySettle); }
+struct RunningWork {
+  requestId @0 :Text;
+  adapter @1 :AdapterRef;
+  remainingMs @2 :UInt32;
+}
+struct RunningAsk { endpoint @0 :Text; }
+struct RunningAnswer {
+  endpoint @0 :Text;
+  fence @1 :UInt64;
+  work @2 :List(RunningWork);
+}
+struct HandoverOffer {
+  endpoint @0 :Text;
+  fence @1 :UInt64;
+  work @2 :List(RunningWork);
+}
+struct HandoverAnswer { endpoint @0 :Text; accepted @1 :Bool; }
+
+struct Envelope {
+  number @0 :UInt32;
+  answers @1 :UInt32;
+  body :union {
+    hello @2 :Hello;
+    helloAnswer @3 :HelloAnswer;
+    ping @4 :Ping;
+    pingAnswer @5 :PingAnswer;
+    probeAsk @6 :ProbeAsk;
+    probeAnswer @7 :ProbeAnswer;
+    treeAsk @8 :TreeAsk;
+    treePart @9 :TreePart;
+    submit @10 :Submit;
+    submitAnswer @11 :SubmitAnswer;
+    workStarted @12 :WorkStarted;
+    workChunk @13 :WorkChunk;
+    workEnd @14 :WorkEnd;
+    cancelWork @15 :CancelWork;
+    turnAsk @16 :TurnAsk;
+    turnAnswer @17 :TurnAnswer;
+    turnDone @18 :TurnDone;
+    keyClaim @19 :KeyClaim;
+    keyAnswer @20 :KeyAnswer;
+    keySettle @21 :KeySettle;
+    keyCopy @22 :KeyCopy;
+    runningAsk @23 :RunningAsk;
+    runningAnswer @24 :RunningAnswer;
+    handoverOffer @25 :HandoverOffer;
+    handoverAnswer @26 :HandoverAnswer;
+  }
+}
--- /dev/null
+++ b/fescuekeel/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions with no knowledge of the system."""
--- /dev/null
+++ b/tests/common.py
@@ -0,0 +1,29 @@
+"""Helpers shared by the tests."""
+
+from fescuekeel.helpers.settings import Settings, parse_settings
+
+SETTINGS = """
+[instance]
+id = {id}
+data_centre = {data_centre}
+
+[callers]
+address = 127.0.0.1:0
+
+[operators]
+address = 127.0.0.1:0
+token_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+
+[peers]
+address = 127.0.0.1:0
+keys = a-shared-secret-of-the-tests
+
+[platform]
+config_url = http://127.0.0.1:1
+live_url = http://127.0.0.1:1
+"""
+
+
+def make_settings(id: str = "i1", data_centre: str = "dc1") -> Settings:
+    """Return valid settings with free ports."""
+    return parse_settings(SETTINGS.format(id=id, data_centre=data_centre)).unwrap()
