Settle the interfaces between components and towards the platform

Cause: several components are built at once and must fit together. Conclusion: components can be written side by side.

--- /dev/null
+++ b/fescuekeel/components/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway component."""
--- /dev/null
+++ b/fescuekeel/components/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The owner component."""
--- /dev/null
+++ b/fescuekeel/components/owner/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduling of one endpoint: queue, loads, evictions and batches."""
--- /dev/null
+++ b/fescuekeel/components/tree/__init__.py
@@ -0,0 +1,1 @@
+"""The tree component."""
--- /dev/null
+++ b/fescuekeel/components/tree/model.py
@@ -0,0 +1,96 @@
+"""What the tree of settings says, resolved for one request."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from returns.result import Result
+
+from fescuekeel.errors import Failure
+from fescuekeel.messages import AdapterRef
+
+__all__ = ["Intent", "Policy", "Pool", "PoolKind", "TreeInForce"]
+
+
+class PoolKind(StrEnum):
+    """Name which driver speaks to the endpoints of a pool."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Describe a set of endpoints that can replace each other.
+
+    ``fenced`` says that its endpoints refuse orders with an old fencing
+    number. ``slots`` is how many adapters one endpoint holds, ``max_running``
+    how many requests its step uses well, ``step_s`` the duration of a step
+    and ``load_s`` that of one load at full speed, both in seconds.
+    """
+
+    name: str
+    kind: PoolKind
+    fenced: bool = False
+    slots: int = 8
+    max_running: int = 16
+    step_s: float = 0.008
+    load_s: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Everything that the tree says about one request.
+
+    Urgency 0 is the most urgent. ``answer_s`` is how long an answer may take
+    in seconds. ``retry_share`` is the retry budget as a share of the
+    service's traffic. ``rate_per_s`` and ``max_in_flight`` of zero mean no
+    limit. ``stall_weight`` and ``batch_weight`` are the operator's weights of
+    load stalls and batch efficiency.
+    """
+
+    shop: str
+    service: str
+    pool: Pool
+    urgency: int
+    answer_s: float
+    repeatable: bool
+    stall_weight: float
+    batch_weight: float
+    max_in_flight: int
+    rate_per_s: float
+    retry_share: float
+    max_tokens: int
+    adapter: AdapterRef
+
+
+class Intent(Protocol):
+    """Answer questions about one revision of the tree."""
+
+    @property
+    def revision(self) -> int:
+        """Return the revision."""
+
+    @property
+    def pools_by_name(self) -> dict[str, Pool]:
+        """Return all pools."""
+
+    def authenticate(self, token: str) -> str | None:
+        """Return the shop whose token this is."""
+
+    def resolve(
+        self, shop: str, service: str, adapter: str, version: str
+    ) -> Result[Policy, Failure]:
+        """Return the policy for a request.
+
+        An empty version asks for the adapter's current one, and an empty
+        adapter is right for plain services only. Fails with
+        ``unknown_service``, ``unknown_adapter`` or ``unknown_version``.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class TreeInForce:
+    """The snapshot on the bus: the revision that is in force here."""
+
+    intent: Intent
--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -15,6 +15,7 @@
 
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.settings import Settings
+from fescuekeel.messages import PeerMessage
 
 __all__ = [
     "REGISTRY",
@@ -29,6 +30,7 @@
 
 M = TypeVar("M")
 Handler = Callable[[Any], None]
+PeerHandler = Callable[[PeerMessage], None]
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
@@ -130,6 +132,24 @@
     def __init__(self) -> None:
         self._handlers_by_type: defaultdict[type, list[Handler]] = defaultdict(list)
         self._latest_by_type: dict[type, Any] = {}
+        self._peer_handlers_by_type: dict[type, PeerHandler] = {}
+
+    def subscribe_peer(self, kind: type, handler: PeerHandler) -> None:
+        """Receive the peers' messages with a body of this type.
+
+        Each body type has one handler, so that each question has one answer.
+        """
+        if kind in self._peer_handlers_by_type:
+            raise ValueError(f"{kind.__name__} has a handler already")
+        self._peer_handlers_by_type[kind] = handler
+
+    def publish_peer(self, message: PeerMessage) -> bool:
+        """Hand over a peer's message; return whether anyone handles it."""
+        handler = self._peer_handlers_by_type.get(type(message.body))
+        if handler is None:
+            return False
+        handler(message)
+        return True
 
     def subscribe(self, kind: type[M], handler: Callable[[M], None]) -> None:
         """Call the handler for each message of exactly this type."""
--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -39,6 +39,8 @@
     "RunningAnswer",
     "RunningAsk",
     "RunningWork",
+    "StartAnswer",
+    "StartAsk",
     "Submit",
     "SubmitAnswer",
     "TreeAsk",
@@ -209,9 +211,29 @@
     retry_after_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StartAsk:
+    """Ask the entry instance for leave to hand over a non-repeatable request.
+
+    The entry grants it to one attempt only. Until then it may safely try
+    elsewhere or tell the caller "not run", since an owner without leave never
+    hands over.
+    """
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Grant or deny the hand-over."""
+
+    granted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WorkStarted:
-    """Say that a byte of the request may have reached its endpoint."""
+    """Say that a repeatable request may have reached its endpoint."""
 
     request_id: str
     attempt: int
@@ -390,6 +412,8 @@
     | TreePart
     | Submit
     | SubmitAnswer
+    | StartAsk
+    | StartAnswer
     | WorkStarted
     | WorkChunk
     | WorkEnd
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -46,6 +46,8 @@
   detail @2 :Text;
   retryAfterMs @3 :UInt32;
 }
+struct StartAsk { requestId @0 :Text; attempt @1 :UInt32; }
+struct StartAnswer { granted @0 :Bool; }
 struct WorkStarted { requestId @0 :Text; attempt @1 :UInt32; }
 struct WorkChunk {
   requestId @0 :Text;
@@ -136,5 +138,7 @@
     runningAnswer @24 :RunningAnswer;
     handoverOffer @25 :HandoverOffer;
     handoverAnswer @26 :HandoverAnswer;
+    startAsk @27 :StartAsk;
+    startAnswer @28 :StartAnswer;
   }
 }
