Add the messages of tree gossip and of draining

Cause: membership carries revisions for the tree and the operators' port asks the daemon to stop, and neither had a message for it. Change: TreeHeld, TreeHeard and DrainRequested, between components only. Conclusion: nothing on the wire changes.

--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -14,6 +14,7 @@
 __all__ = [
     "AdapterRef",
     "CancelWork",
+    "DrainRequested",
     "Envelope",
     "HandoverAnswer",
     "HandoverOffer",
@@ -44,6 +45,8 @@
     "Submit",
     "SubmitAnswer",
     "TreeAsk",
+    "TreeHeard",
+    "TreeHeld",
     "TreePart",
     "TurnAnswer",
     "TurnAsk",
@@ -525,3 +528,33 @@
 
     request_id: str
     failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class TreeHeld:
+    """The revision of the tree that this instance holds and passes on.
+
+    ``digest`` is the manifest's SHA-256 in hex.
+    """
+
+    revision: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class TreeHeard:
+    """Tell of a revision that another instance holds.
+
+    ``holder`` is the instance that told of it, empty if it is not known.
+    """
+
+    revision: int
+    digest: str
+    holder: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainRequested:
+    """Ask this instance to shut down gracefully."""
+
+    reason: str
