Carry method, content type and key of a request to its owner

Cause: plain services need more than a path and a body. Change: three fields of Submit, at the end of the struct.

--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -182,9 +182,9 @@
 
     ``attempt`` numbers the entry's tries of this request, and each event in
     return repeats it, so that a late event of an earlier try is told apart.
-    ``urgency`` is 0 for the most urgent. ``resume_position`` is the number of
-    answer bytes that the caller already has; it is above zero only when a
-    stream is resumed.
+    ``urgency`` is 0 for the most urgent. With ``resume`` the request runs
+    already and its stream is wanted from token ``resume_position`` on; it
+    must not be run again. ``method`` and ``path`` matter to plain services.
     """
 
     request_id: str
@@ -202,6 +202,9 @@
     max_tokens: int = 0
     resume: bool = False
     resume_position: int = 0
+    method: str = "POST"
+    content_type: str = "application/json"
+    idempotency_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -39,6 +39,9 @@
   maxTokens @12 :UInt32;
   resume @13 :Bool;
   resumePosition @14 :UInt32;
+  method @15 :Text;
+  contentType @16 :Text;
+  idempotencyKey @17 :Text;
 }
 struct SubmitAnswer {
   accepted @0 :Bool;
