--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -228,6 +228,8 @@
 
     request_id: str
     attempt: int
+    stall_ms: int = 0
+    queue_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,6 +245,8 @@
 
     request_id: str
     attempt: int
+    stall_ms: int = 0
+    queue_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,13 +254,15 @@
     """Carry a piece of the answer.
 
     ``position`` is the number of the first token in ``data`` where the
-    answer is a stream of tokens, and zero otherwise.
+    answer is a stream of tokens, and zero otherwise. ``tokens`` is how many
+    tokens ``data`` holds, zero for the end mark of a stream.
     """
 
     request_id: str
     attempt: int
     position: int
     data: bytes
+    tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -49,14 +49,25 @@
   detail @2 :Text;
   retryAfterMs @3 :UInt32;
 }
-struct StartAsk { requestId @0 :Text; attempt @1 :UInt32; }
+struct StartAsk {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  stallMs @2 :UInt32;
+  queueMs @3 :UInt32;
+}
 struct StartAnswer { granted @0 :Bool; }
-struct WorkStarted { requestId @0 :Text; attempt @1 :UInt32; }
+struct WorkStarted {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  stallMs @2 :UInt32;
+  queueMs @3 :UInt32;
+}
 struct WorkChunk {
   requestId @0 :Text;
   attempt @1 :UInt32;
   position @2 :UInt32;
   data @3 :Data;
+  tokens @4 :UInt32;
 }
 struct WorkEnd {
   requestId @0 :Text;
