--- /dev/null
+++ b/tests/components/livelist/test_poller.py
@@ -0,0 +1,85 @@
+"""Tests of the livelist component."""
+
+import asyncio
+import json
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from fescuekeel.components.livelist.parse import parse_live_list
+from fescuekeel.components.livelist.poller import LiveListPoller
+from fescuekeel.core import Instance
+from fescuekeel.messages import LiveList
+from tests.common import make_settings
+
+ENTRY = {
+    "id": "e1",
+    "role": "endpoint",
+    "address": "127.0.0.1:80",
+    "data_centre": "dc1",
+    "incarnation": 1,
+}
+
+
+class TestParse:
+    @pytest.mark.parametrize(
+        "change",
+        [{"role": "other"}, {"address": "name:80"}, {"incarnation": -1}, {"id": ""}],
+    )
+    def test_a_wrong_entry_is_refused(self, change):
+        body = json.dumps({"entries": [ENTRY | change]}).encode()
+        assert "entries.0" in parse_live_list(body).failure().detail
+
+    def test_the_higher_incarnation_counts(self):
+        entries = [ENTRY | {"incarnation": 2}, ENTRY]
+        body = json.dumps({"entries": entries}).encode()
+        assert parse_live_list(body).unwrap().entries_by_id["e1"].incarnation == 2
+
+
+class TestPoller:
+    def test_a_failure_keeps_the_last_list(self):
+        """The platform's list answers once, then breaks, then redirects.
+
+        Callers would see all endpoints vanish if a failure emptied the list.
+        """
+        answers = [(200, json.dumps({"entries": [ENTRY]})), (200, "{"), (302, "")]
+        calls = []
+        published = []
+        enough = asyncio.Event()
+
+        class Live(RequestHandler):
+            def get(self):
+                status, body = answers[min(len(calls), len(answers) - 1)]
+                calls.append(self.request.path)
+                if len(calls) >= 5:
+                    enough.set()
+                self.set_status(status)
+                if status == 302:
+                    self.set_header("Location", "/elsewhere")
+                self.write(body)
+
+        async def run():
+            server = HTTPServer(Application([("/.*", Live)]))
+            sock, port = bind_unused_port()
+            server.add_socket(sock)
+            settings = make_settings()
+            platform = settings.platform.model_copy(
+                update={"live_url": f"http://127.0.0.1:{port}"}
+            )
+            instance = Instance(settings.model_copy(update={"platform": platform}))
+            instance.bus.subscribe(LiveList, published.append)
+            poller = LiveListPoller(instance, poll_s=0.01)
+            await poller.start()
+            await asyncio.wait_for(enough.wait(), timeout=10)
+            await poller.stop()
+            server.stop()
+            await server.close_all_connections()
+            return instance
+
+        instance = asyncio.run(run())
+        assert [list(live.entries_by_id) for live in published] == [["e1"]]
+        assert instance.bus.latest(LiveList) is published[0]
+        assert instance.metrics.counters_by_name["livelist.failed"] >= 2
+        assert set(calls) == {"/v1/live"}
