Decide what one endpoint dispatches, loads, evicts and refuses

Cause: the owner needs a pure scheduler to drive. Change: EndpointScheduler with a queue by adapter, a plan of loads, and decayed popularity. One load serves all that wait; urgent first, then most waiting, each eighth load for the longest wait; serving adapters are never evicted; late work is refused at once.

--- /dev/null
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -0,0 +1,410 @@
+"""The decisions of one endpoint's owner: order, loads, evictions, refusals."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from fescuekeel.components.owner.scheduling import model
+from fescuekeel.components.owner.scheduling.load_plan import LoadPlan
+from fescuekeel.components.owner.scheduling.popularity import Popularity
+from fescuekeel.components.owner.scheduling.queue import WorkQueue
+from fescuekeel.errors import ErrorKind
+from fescuekeel.messages import AdapterRef
+
+__all__ = ["EndpointScheduler"]
+
+# A report may lag this much behind the orders that were obeyed.
+REPORT_LAG_S = 5.0
+MAX_LOAD_TRIES = 3
+LOAD_RETRY_S = 0.25
+EVICT_RETRY_S = 0.5
+MAX_RETRY_AFTER_S = 60.0
+
+
+@dataclass(slots=True)
+class Holding:
+    """What is known of one adapter on the endpoint; times in seconds."""
+
+    since: float
+    serving: int = 0
+    keep_until: float = 0.0
+
+
+@dataclass(slots=True)
+class EndpointScheduler:
+    """Decide for one endpoint what to dispatch, load, evict and refuse.
+
+    It is pure: the same events at the same times give the same effects.
+    ``now`` is monotonic and in seconds. "Serving" and "loaded" are facts of
+    the endpoint's one owner, so that the promise that a serving adapter is
+    never evicted holds here and relies on no agreement.
+
+    >>> scheduler = EndpointScheduler()
+    >>> scheduler.handle(model.Configured(2, 4, 0.008, 0.5), 0.0)
+    []
+    >>> ref = AdapterRef("cups", "1")
+    >>> work = model.Work("r1", ref, "patter", 0, 0.0, 5.0)
+    >>> (effect,) = scheduler.handle(model.Arrived(work), 0.0)
+    >>> type(effect).__name__
+    'AskTurn'
+    >>> (effect,) = scheduler.handle(model.TurnGranted(ref), 0.1)
+    >>> type(effect).__name__
+    'Load'
+    >>> scheduler.handle(model.LoadEnded(ref, True, 0.5), 0.6)
+    [Dispatch(request_id='r1', stall_s=0.6, queue_s=0.6)]
+    """
+
+    popularity: Popularity = field(default_factory=Popularity)
+    config: model.Configured | None = None
+    queue: WorkQueue = field(default_factory=WorkQueue)
+    plan: LoadPlan = field(default_factory=LoadPlan)
+    _holdings_by_adapter: dict[AdapterRef, Holding] = field(default_factory=dict)
+    _running_by_id: dict[str, AdapterRef] = field(default_factory=dict)
+    _foreign_by_id: dict[str, AdapterRef] = field(default_factory=dict)
+    _evicted_by_adapter: dict[AdapterRef, float] = field(default_factory=dict)
+    _evicting: AdapterRef | None = None
+    _draining: AdapterRef | None = None
+    _effects: list[model.Effect] = field(default_factory=list)
+
+    @property
+    def queued_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self.queue)
+
+    @property
+    def running_ids(self) -> tuple[str, ...]:
+        """Return the requests handed over by this owner and not yet ended."""
+        return tuple(self._running_by_id)
+
+    @property
+    def running_count(self) -> int:
+        """Return how many requests occupy the endpoint, foreign ones too."""
+        return len(self._running_by_id) + len(self._foreign_by_id)
+
+    @property
+    def loaded(self) -> frozenset[AdapterRef]:
+        """Return the adapters that are loaded as far as is known."""
+        return frozenset(self._holdings_by_adapter)
+
+    @property
+    def loading(self) -> AdapterRef | None:
+        """Return the adapter whose load is under way."""
+        return self.plan.loading
+
+    @property
+    def asked(self) -> AdapterRef | None:
+        """Return the adapter for which a load turn is asked."""
+        return self.plan.asked
+
+    def is_queued(self, request_id: str) -> bool:
+        """Tell whether a request waits here."""
+        return request_id in self.queue
+
+    def handle(self, event: model.Event, now: float) -> list[model.Effect]:
+        """Take one event in and return what is to be done."""
+        self._effects = []
+        match event:
+            case model.Configured():
+                self.config = event
+                self.plan.set_load_time(event.load_s)
+            case model.Arrived(work):
+                self._admit(work, now)
+            case model.Cancelled(request_id):
+                self.queue.remove(request_id)
+            case model.Finished(request_id):
+                self._finish(request_id)
+            case model.TurnGranted(adapter):
+                self._take_turn(adapter, now)
+            case model.LoadEnded():
+                self._end_load(event, now)
+            case model.EvictEnded():
+                self._end_evict(event, now)
+            case model.Reported():
+                self._reconcile(event, now)
+            case model.Tick():
+                pass
+        self._drop_late(now)
+        self._move(now)
+        return self._effects
+
+    def _move(self, now: float) -> None:
+        """Dispatch and ask for what can be done now."""
+        if self.config is None or not self.config.ready:
+            return
+        self._dispatch(now)
+        self._ask(now)
+
+    # Arrival and refusal.
+
+    def _admit(self, work: model.Work, now: float) -> None:
+        if work.request_id in self.queue or work.request_id in self._running_by_id:
+            return
+        if work.adapter:
+            self.popularity.record(work.adapter, now)
+        if self.config is not None and len(self.queue) >= self.config.max_queued:
+            self._refuse(work, ErrorKind.QUEUE_FULL, self._get_drain_s())
+            return
+        self.queue.add(work)
+        wait_s = self._estimate_wait_s(work)
+        if now + wait_s + work.service_s <= work.deadline:
+            return
+        self.queue.remove(work.request_id)
+        self._refuse(work, ErrorKind.TOO_LATE, wait_s)
+
+    def _estimate_wait_s(self, work: model.Work) -> float:
+        """Estimate the seconds until this queued request can be dispatched.
+
+        While ownership is being taken over nothing is known of the endpoint,
+        so that only the deadline itself counts.
+        """
+        if self.config is None or not self.config.ready:
+            return 0.0
+        if not self._needs_load(work.adapter):
+            return self._estimate_room_s(work)
+        if work.adapter == self.plan.loading:
+            return 0.0
+        waits = self.queue.list_waits(self._needs_load)
+        ahead = self.plan.count_ahead(work.adapter, waits)
+        return self.plan.estimate_s(ahead)
+
+    def _estimate_room_s(self, work: model.Work) -> float:
+        assert self.config is not None
+        free = self.config.max_running - self.running_count
+        ahead = self.queue.count_ready_ahead(work, self._needs_load)
+        if ahead < free:
+            return 0.0
+        rounds = (ahead - free) // max(1, self.config.max_running)
+        return float(rounds * work.service_s)
+
+    def _get_drain_s(self) -> float:
+        waits = self.queue.list_waits(self._needs_load)
+        return max(1.0, self.plan.estimate_s(len(waits)))
+
+    def _refuse(self, work: model.Work, kind: ErrorKind, retry_s: float) -> None:
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(0.0, retry_s))
+        self._effects.append(model.Refuse(work.request_id, kind, retry_after_s))
+
+    def _drop_late(self, now: float) -> None:
+        """Refuse what cannot be answered in time any more.
+
+        A request is told as soon as even the best case is too late, so that
+        its caller can act on it, and it costs no load and no step.
+        """
+        for work in self.queue.list_all():
+            if now >= work.deadline:
+                self.queue.remove(work.request_id)
+                self._refuse(work, ErrorKind.EXPIRED, 0.0)
+                continue
+            least_s = work.service_s + self._get_least_load_s(work.adapter)
+            if now + least_s > work.deadline:
+                self.queue.remove(work.request_id)
+                self._refuse(work, ErrorKind.TOO_LATE, self._get_drain_s())
+
+    def _get_least_load_s(self, adapter: AdapterRef) -> float:
+        if not self._needs_load(adapter) or adapter == self.plan.loading:
+            return 0.0
+        return self.plan.load_s
+
+    # Dispatch.
+
+    def _needs_load(self, adapter: AdapterRef) -> bool:
+        return bool(adapter) and adapter not in self._holdings_by_adapter
+
+    def _can_dispatch(self, adapter: AdapterRef) -> bool:
+        if not adapter:
+            return True
+        if adapter in (self._evicting, self._draining):
+            return False
+        return adapter in self._holdings_by_adapter
+
+    def _dispatch(self, now: float) -> None:
+        assert self.config is not None
+        while self.running_count < self.config.max_running:
+            work = self.queue.pick(self._can_dispatch)
+            if work is None:
+                return
+            self.queue.remove(work.request_id)
+            self._running_by_id[work.request_id] = work.adapter
+            stall_s = self._start_serving(work)
+            self._effects.append(
+                model.Dispatch(work.request_id, stall_s, now - work.arrived)
+            )
+
+    def _start_serving(self, work: model.Work) -> float:
+        """Count one more served request; return how long its load held it."""
+        holding = self._holdings_by_adapter.get(work.adapter)
+        if holding is None:
+            return 0.0
+        holding.serving += 1
+        return max(0.0, holding.since - work.arrived)
+
+    def _finish(self, request_id: str) -> None:
+        adapter = self._running_by_id.pop(request_id, None)
+        if adapter is None:
+            return
+        holding = self._holdings_by_adapter.get(adapter)
+        if holding is not None:
+            holding.serving -= 1
+
+    # Loads and evictions.
+
+    def _ask(self, now: float) -> None:
+        """Ask for the turn of the most valuable load, or withdraw it."""
+        if self.plan.loading is not None:
+            return
+        waits = self.queue.list_waits(self._needs_load)
+        wait = self.plan.choose(waits, now)
+        if wait is None:
+            self._draining = None
+        elif not self._has_room(now):
+            wait = None
+        previous = self.plan.asked
+        if previous is not None and (wait is None or wait.adapter != previous):
+            self._effects.append(model.ReturnTurn(previous))
+            self.plan.withdraw()
+        if wait is not None and self.plan.ask(wait, now):
+            value = self.plan.get_value(wait)
+            self._effects.append(model.AskTurn(wait.adapter, value, wait.count))
+
+    def _has_room(self, now: float) -> bool:
+        """Tell whether a slot is free or can be freed.
+
+        Guards against a cold adapter that waits for ever because each slot
+        always serves something: the least popular one then gets no new work
+        until it can be evicted.
+        """
+        assert self.config is not None
+        if len(self._holdings_by_adapter) < self.config.slots:
+            self._draining = None
+            return True
+        if self._choose_victim(now) is not None:
+            return True
+        if self._draining not in self._holdings_by_adapter:
+            self._draining = self._choose_draining(now)
+        return False
+
+    def _choose_victim(self, now: float) -> AdapterRef | None:
+        """Return the idle adapter with the latest expected next use."""
+        if self._draining is not None and self._is_idle(self._draining, now):
+            return self._draining
+        waiting = self.queue.adapters
+        idle = [
+            adapter
+            for adapter in self._holdings_by_adapter
+            if adapter not in waiting and self._is_idle(adapter, now)
+        ]
+        return self._choose_coldest(idle, now)
+
+    def _choose_draining(self, now: float) -> AdapterRef | None:
+        foreign = set(self._foreign_by_id.values())
+        candidates = [
+            adapter for adapter in self._holdings_by_adapter if adapter not in foreign
+        ]
+        return self._choose_coldest(candidates, now)
+
+    def _choose_coldest(
+        self, adapters: Iterable[AdapterRef], now: float
+    ) -> AdapterRef | None:
+        return min(
+            adapters,
+            key=lambda adapter: (self.popularity.get_score(adapter, now), adapter),
+            default=None,
+        )
+
+    def _is_idle(self, adapter: AdapterRef, now: float) -> bool:
+        holding = self._holdings_by_adapter.get(adapter)
+        if holding is None or holding.serving > 0 or now < holding.keep_until:
+            return False
+        return adapter not in self._foreign_by_id.values()
+
+    def _take_turn(self, adapter: AdapterRef, now: float) -> None:
+        ready = self.config is not None and self.config.ready
+        if not ready or self.plan.asked != adapter or self.plan.loading is not None:
+            if self.plan.loading != adapter:
+                self._effects.append(model.ReturnTurn(adapter))
+            if self.plan.asked == adapter:
+                self.plan.withdraw()
+            return
+        assert self.config is not None
+        if len(self._holdings_by_adapter) < self.config.slots:
+            self.plan.begin(adapter, now)
+            self._effects.append(model.Load(adapter))
+            return
+        victim = self._choose_victim(now)
+        if victim is None:
+            self.plan.withdraw()
+            self._effects.append(model.ReturnTurn(adapter))
+            return
+        self.plan.begin(adapter, now)
+        self._evicting = victim
+        self._effects.append(model.Evict(victim))
+
+    def _end_evict(self, event: model.EvictEnded, now: float) -> None:
+        if event.adapter != self._evicting:
+            return
+        self._evicting = None
+        if self._draining == event.adapter:
+            self._draining = None
+        loading = self.plan.loading
+        if event.ok:
+            self._holdings_by_adapter.pop(event.adapter, None)
+            self._evicted_by_adapter[event.adapter] = now
+        elif event.adapter in self._holdings_by_adapter:
+            holding = self._holdings_by_adapter[event.adapter]
+            holding.keep_until = now + EVICT_RETRY_S
+        if loading is None:
+            return
+        if event.ok and self.config is not None and self.config.ready:
+            self._effects.append(model.Load(loading))
+            return
+        self.plan.abort()
+        self._effects.append(model.ReturnTurn(loading))
+
+    def _end_load(self, event: model.LoadEnded, now: float) -> None:
+        if event.adapter != self.plan.loading:
+            return
+        if event.ok:
+            self.plan.end(event.took_s, now)
+            self._holdings_by_adapter[event.adapter] = Holding(since=now)
+            self._evicted_by_adapter.pop(event.adapter, None)
+            return
+        tries = self.plan.fail(event.adapter, now, LOAD_RETRY_S)
+        if tries < MAX_LOAD_TRIES:
+            return
+        self.plan.forget_failures(event.adapter)
+        for work in self.queue.list_adapter(event.adapter):
+            self.queue.remove(work.request_id)
+            self._refuse(work, ErrorKind.LOAD_FAILED, self.plan.load_s)
+
+    # What the endpoint says.
+
+    def _reconcile(self, event: model.Reported, now: float) -> None:
+        if event.restarted:
+            self._forget_all()
+        self._foreign_by_id = dict(event.foreign_running)
+        self._evicted_by_adapter = {
+            adapter: at
+            for adapter, at in self._evicted_by_adapter.items()
+            if now - at < REPORT_LAG_S
+        }
+        for adapter in sorted(event.loaded):
+            # A report older than an eviction still lists what is gone.
+            if adapter in self._evicted_by_adapter or adapter == self.plan.loading:
+                continue
+            if adapter not in self._holdings_by_adapter:
+                self._holdings_by_adapter[adapter] = Holding(since=now)
+        for adapter, holding in list(self._holdings_by_adapter.items()):
+            # A report older than a load does not list it yet.
+            if adapter in event.loaded or now - holding.since < REPORT_LAG_S:
+                continue
+            if holding.serving == 0:
+                del self._holdings_by_adapter[adapter]
+
+    def _forget_all(self) -> None:
+        """Drop what a restart of the endpoint lost.
+
+        A load or an eviction under way ends by its own event, as a failure.
+        """
+        self._holdings_by_adapter.clear()
+        self._running_by_id.clear()
+        self._evicted_by_adapter.clear()
+        self._draining = None
--- /dev/null
+++ b/fescuekeel/components/owner/scheduling/load_plan.py
@@ -0,0 +1,133 @@
+"""Which load comes next on one endpoint and how long loads take."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from fescuekeel.components.owner.scheduling.queue import Wait
+from fescuekeel.messages import AdapterRef
+
+__all__ = ["LoadPlan"]
+
+URGENT_VALUE = 1_000_000.0
+LOWEST_URGENCY = 9
+# One load in this many goes to the request that has waited longest, so that
+# popular adapters cannot keep a rare one out for ever.
+FAIR_EVERY = 8
+SMOOTHING = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Failures:
+    """Count an adapter's failed loads in a row, and when to try again."""
+
+    count: int
+    retry_at: float
+
+
+@dataclass(slots=True)
+class LoadPlan:
+    """Order the loads of one endpoint and follow the one under way.
+
+    ``load_s`` is how long a load takes and ``cycle_s`` how much time passes
+    between two loads here while the weight store serves others in between;
+    both are in seconds and are measured as loads end.
+    """
+
+    load_s: float = 0.5
+    cycle_s: float = 0.5
+    asked: AdapterRef | None = None
+    loading: AdapterRef | None = None
+    _asked_value: float = 0.0
+    _asked_at: float = 0.0
+    _loads: int = 0
+    _failures_by_adapter: dict[AdapterRef, Failures] = field(default_factory=dict)
+
+    def set_load_time(self, load_s: float) -> None:
+        """Start from the load time that the tree states."""
+        self.load_s = load_s
+        self.cycle_s = max(self.cycle_s, load_s)
+
+    def get_value(self, wait: Wait) -> float:
+        """Return what a load is worth: urgency first, then weight waiting.
+
+        >>> plan, ref = LoadPlan(), AdapterRef("cups", "1")
+        >>> urgent = plan.get_value(Wait(ref, 0, 1, 1.0, 0.0))
+        >>> urgent > plan.get_value(Wait(ref, 1, 50, 50.0, 0.0))
+        True
+        """
+        steps = LOWEST_URGENCY - min(LOWEST_URGENCY, wait.urgency)
+        return steps * URGENT_VALUE + wait.weight
+
+    def choose(self, waits: Iterable[Wait], now: float) -> Wait | None:
+        """Return the wait to load for next."""
+        open_waits = [wait for wait in waits if self._may_try(wait.adapter, now)]
+        if self._loads % FAIR_EVERY == FAIR_EVERY - 1:
+            return min(open_waits, key=lambda wait: wait.oldest, default=None)
+        return max(open_waits, key=self._order, default=None)
+
+    def _order(self, wait: Wait) -> tuple[float, float, AdapterRef]:
+        return (self.get_value(wait), -wait.oldest, wait.adapter)
+
+    def count_ahead(self, adapter: AdapterRef, waits: Iterable[Wait]) -> int:
+        """Count the loads that come before this adapter's."""
+        order = {wait.adapter: self._order(wait) for wait in waits}
+        own = order.get(adapter)
+        if own is None:
+            return 0
+        return sum(other > own for other in order.values())
+
+    def estimate_s(self, ahead: int) -> float:
+        """Estimate the seconds until a load with so many ahead is done."""
+        busy_s = self.load_s if self.loading is not None else 0.0
+        return busy_s / 2 + ahead * self.cycle_s + self.load_s
+
+    def ask(self, wait: Wait, now: float) -> bool:
+        """Note the ask; return whether the leader must hear of it."""
+        value = self.get_value(wait)
+        if self.asked == wait.adapter and self._asked_value == value:
+            return False
+        if self.asked != wait.adapter:
+            self._asked_at = now
+        self.asked = wait.adapter
+        self._asked_value = value
+        return True
+
+    def withdraw(self) -> None:
+        """Forget the ask."""
+        self.asked = None
+
+    def begin(self, adapter: AdapterRef, now: float) -> None:
+        """Note that a turn was granted and the load begins."""
+        self.asked = None
+        self.loading = adapter
+        cycle_s = now - self._asked_at + self.load_s
+        self.cycle_s += SMOOTHING * (cycle_s - self.cycle_s)
+
+    def abort(self) -> None:
+        """Note that the load could not be ordered."""
+        self.loading = None
+
+    def end(self, took_s: float, now: float) -> None:
+        """Note that the load succeeded."""
+        assert self.loading is not None
+        self._failures_by_adapter.pop(self.loading, None)
+        self.loading = None
+        self._loads += 1
+        self.load_s += SMOOTHING * (took_s - self.load_s)
+
+    def fail(self, adapter: AdapterRef, now: float, retry_s: float) -> int:
+        """Note a failed load; return how many failed in a row."""
+        self.loading = None
+        previous = self._failures_by_adapter.get(adapter)
+        count = previous.count + 1 if previous else 1
+        retry_at = now + retry_s * 2 ** (count - 1)
+        self._failures_by_adapter[adapter] = Failures(count, retry_at)
+        return count
+
+    def forget_failures(self, adapter: AdapterRef) -> None:
+        """Let the next request try anew."""
+        self._failures_by_adapter.pop(adapter, None)
+
+    def _may_try(self, adapter: AdapterRef, now: float) -> bool:
+        failures = self._failures_by_adapter.get(adapter)
+        return failures is None or now >= failures.retry_at
--- a/fescuekeel/components/owner/scheduling/model.py
+++ b/fescuekeel/components/owner/scheduling/model.py
@@ -61,6 +61,7 @@
     step_s: float
     load_s: float
     ready: bool = True
+    max_queued: int = 512
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/fescuekeel/components/owner/scheduling/queue.py
@@ -0,0 +1,118 @@
+"""The requests that wait for one endpoint."""
+
+from collections.abc import Callable, KeysView
+from dataclasses import dataclass, field
+
+from fescuekeel.components.owner.scheduling.model import Work
+from fescuekeel.messages import AdapterRef
+
+__all__ = ["Wait", "WorkQueue"]
+
+AdapterTest = Callable[[AdapterRef], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Sum up the requests that wait for one adapter to be loaded.
+
+    ``urgency`` is that of the most urgent one and ``weight`` the sum of
+    their stall weights.
+    """
+
+    adapter: AdapterRef
+    urgency: int
+    count: int
+    weight: float
+    oldest: float
+
+
+def _order(work: Work) -> tuple[int, float, str]:
+    return (work.urgency, work.arrived, work.request_id)
+
+
+@dataclass(slots=True)
+class WorkQueue:
+    """Keep waiting requests by adapter, urgent ones first.
+
+    >>> queue = WorkQueue()
+    >>> ref = AdapterRef("cups", "1")
+    >>> queue.add(Work("lazy", ref, "plan", 1, 0.0, 9.0))
+    >>> queue.add(Work("urgent", ref, "patter", 0, 1.0, 9.0))
+    >>> queue.pick(lambda adapter: True).request_id
+    'urgent'
+    """
+
+    _work_by_id: dict[str, Work] = field(default_factory=dict)
+    _ids_by_adapter: dict[AdapterRef, dict[str, None]] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._work_by_id)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._work_by_id
+
+    @property
+    def adapters(self) -> KeysView[AdapterRef]:
+        """Return the adapters that some request waits for."""
+        return self._ids_by_adapter.keys()
+
+    def add(self, work: Work) -> None:
+        """Put a request in."""
+        self._work_by_id[work.request_id] = work
+        self._ids_by_adapter.setdefault(work.adapter, {})[work.request_id] = None
+
+    def remove(self, request_id: str) -> Work | None:
+        """Take a request out; return it, or ``None`` if it was not there."""
+        work = self._work_by_id.pop(request_id, None)
+        if work is None:
+            return None
+        ids = self._ids_by_adapter[work.adapter]
+        del ids[request_id]
+        if not ids:
+            del self._ids_by_adapter[work.adapter]
+        return work
+
+    def list_all(self) -> list[Work]:
+        """Return all requests, the oldest first."""
+        return list(self._work_by_id.values())
+
+    def list_adapter(self, adapter: AdapterRef) -> list[Work]:
+        """Return the requests of one adapter, the oldest first."""
+        return [self._work_by_id[id] for id in self._ids_by_adapter.get(adapter, ())]
+
+    def pick(self, is_ready: AdapterTest) -> Work | None:
+        """Return the first request in order whose adapter is ready."""
+        ready = (
+            self._work_by_id[id]
+            for adapter, ids in self._ids_by_adapter.items()
+            if is_ready(adapter)
+            for id in ids
+        )
+        return min(ready, key=_order, default=None)
+
+    def count_ready_ahead(self, work: Work, needs_load: AdapterTest) -> int:
+        """Count the requests that need no load and come before this one."""
+        return sum(
+            _order(other) < _order(work)
+            for adapter in self._ids_by_adapter
+            if not needs_load(adapter)
+            for other in self.list_adapter(adapter)
+        )
+
+    def list_waits(self, needs_load: AdapterTest) -> list[Wait]:
+        """Sum up the waiting requests for each adapter that needs a load."""
+        return [
+            self._sum_up(adapter)
+            for adapter in self._ids_by_adapter
+            if needs_load(adapter)
+        ]
+
+    def _sum_up(self, adapter: AdapterRef) -> Wait:
+        work = self.list_adapter(adapter)
+        return Wait(
+            adapter=adapter,
+            urgency=min(item.urgency for item in work),
+            count=len(work),
+            weight=sum(item.stall_weight for item in work),
+            oldest=min(item.arrived for item in work),
+        )
--- /dev/null
+++ b/tests/components/owner/scheduling/test_decision.py
@@ -0,0 +1,206 @@
+"""Tests of the decisions for one endpoint."""
+
+from fescuekeel.components.owner.scheduling import model
+from fescuekeel.components.owner.scheduling.decision import EndpointScheduler
+from fescuekeel.errors import ErrorKind
+from fescuekeel.messages import AdapterRef
+
+A, B, C = (AdapterRef(name, "1") for name in "abc")
+PLAIN = AdapterRef()
+CONFIG = model.Configured(slots=1, max_running=2, step_s=0.008, load_s=0.5)
+
+
+def make_work(id, adapter=A, urgency=1, arrived=0.0, answer_s=30.0, service_s=0.1):
+    deadline = arrived + answer_s
+    return model.Work(id, adapter, "s", urgency, arrived, deadline, service_s)
+
+
+def make_scheduler(config=CONFIG):
+    scheduler = EndpointScheduler()
+    scheduler.handle(config, 0.0)
+    return scheduler
+
+
+def arrive(scheduler, id, adapter=A, now=0.0, **kwargs):
+    work = make_work(id, adapter, arrived=now, **kwargs)
+    return scheduler.handle(model.Arrived(work), now)
+
+
+def load(scheduler, adapter, now):
+    """Grant a turn and let the load, and the eviction before it, succeed."""
+    effects = scheduler.handle(model.TurnGranted(adapter), now)
+    for effect in effects:
+        if isinstance(effect, model.Evict):
+            scheduler.handle(model.EvictEnded(effect.adapter, True), now)
+    return scheduler.handle(model.LoadEnded(adapter, True, 0.5), now + 0.5)
+
+
+def list_of(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+class TestLoads:
+    def test_one_load_serves_all_that_wait_for_it(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1")
+        arrive(scheduler, "r2")
+        effects = load(scheduler, A, 0.1)
+        assert [e.request_id for e in list_of(effects, model.Dispatch)] == ["r1", "r2"]
+        assert effects[0].stall_s == 0.6
+
+    def test_urgent_then_most_waiting(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", A)
+        assert arrive(scheduler, "r2", B, now=0.1) == []
+        effects = arrive(scheduler, "r3", B, now=0.2)
+        assert effects == [model.ReturnTurn(A), model.AskTurn(B, 8e6 + 2, 2)]
+        assert arrive(scheduler, "r4", C, urgency=0)[-1].adapter == C
+
+    def test_a_rare_adapter_gets_its_turn_among_popular_ones(self):
+        # A user of a rare adapter waits while popular ones, which always have
+        # more requests waiting, are loaded again and again.
+        scheduler = make_scheduler(model.Configured(1, 2, 0.008, 0.01))
+        arrive(scheduler, "rare", C, answer_s=1000.0)
+        for number in range(8):
+            now = float(number)
+            adapter = A if number % 2 else B
+            for copy in "xy":
+                arrive(scheduler, f"{number}{copy}", adapter, now)
+            asked = scheduler.asked
+            if asked == C:
+                return
+            for effect in load(scheduler, asked, now):
+                if isinstance(effect, model.Dispatch):
+                    scheduler.handle(model.Finished(effect.request_id), now + 0.5)
+        raise AssertionError("the rare adapter never got a turn")
+
+    def test_failed_loads_refuse_after_bounded_tries(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1")
+        refused = []
+        for number in range(3):
+            now = 10.0 * number
+            scheduler.handle(model.Tick(), now)
+            scheduler.handle(model.TurnGranted(A), now)
+            event = model.LoadEnded(A, False, 0.1)
+            refused += list_of(scheduler.handle(event, now), model.Refuse)
+        assert [item.kind for item in refused] == [ErrorKind.LOAD_FAILED]
+
+    def test_a_turn_not_asked_for_is_given_back(self):
+        scheduler = make_scheduler()
+        effects = scheduler.handle(model.TurnGranted(A), 0.0)
+        assert effects == [model.ReturnTurn(A)]
+
+
+class TestEvictions:
+    def test_a_serving_adapter_is_never_evicted(self):
+        # A turn that was asked for while the slot was idle arrives after new
+        # work started there: it must be given back, not used to evict.
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", A)
+        load(scheduler, A, 0.0)
+        scheduler.handle(model.Finished("r1"), 1.0)
+        arrive(scheduler, "r2", B, now=1.0)
+        assert scheduler.asked == B
+        arrive(scheduler, "r3", A, now=1.1)
+        effects = scheduler.handle(model.TurnGranted(B), 1.2)
+        assert list_of(effects, model.Evict) == []
+        assert model.ReturnTurn(B) in effects
+
+    def test_foreign_work_keeps_its_adapter(self):
+        scheduler = make_scheduler()
+        report = model.Reported(frozenset({A}), {"old": A})
+        scheduler.handle(report, 0.0)
+        assert arrive(scheduler, "r1", B) == []
+        effects = scheduler.handle(model.Reported(frozenset({A}), {}), 1.0)
+        assert [type(item) for item in effects] == [model.AskTurn]
+        assert scheduler.handle(model.TurnGranted(B), 1.1) == [model.Evict(A)]
+
+    def test_a_busy_slot_is_drained_for_a_cold_adapter(self):
+        # All slots always serve popular work; a cold adapter's request must
+        # not wait for ever, so that one of them gets no new work.
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", A)
+        load(scheduler, A, 0.0)
+        arrive(scheduler, "r2", B, now=1.0)
+        assert arrive(scheduler, "r3", A, now=1.1) == []
+        effects = scheduler.handle(model.Finished("r1"), 1.2)
+        assert [item.adapter for item in effects] == [B]
+        assert scheduler.handle(model.TurnGranted(B), 1.3) == [model.Evict(A)]
+
+    def test_a_failed_eviction_gives_the_turn_back(self):
+        scheduler = make_scheduler()
+        scheduler.handle(model.Reported(frozenset({A}), {}), 0.0)
+        arrive(scheduler, "r1", B)
+        scheduler.handle(model.TurnGranted(B), 0.1)
+        effects = scheduler.handle(model.EvictEnded(A, False), 0.2)
+        assert effects == [model.ReturnTurn(B)]
+        assert scheduler.loaded == {A}
+
+
+class TestRefusals:
+    def test_full_queue(self):
+        config = model.Configured(1, 2, 0.008, 0.5, max_queued=1)
+        scheduler = make_scheduler(config)
+        arrive(scheduler, "r1")
+        (effect,) = arrive(scheduler, "r2")
+        assert effect.kind == ErrorKind.QUEUE_FULL
+        assert effect.retry_after_s > 0
+
+    def test_too_late_is_told_at_once(self):
+        scheduler = make_scheduler()
+        (effect,) = arrive(scheduler, "r1", answer_s=0.4)
+        assert effect.kind == ErrorKind.TOO_LATE
+        assert effect.retry_after_s > 0
+
+    def test_too_late_is_told_as_soon_as_it_is_certain(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", answer_s=2.0)
+        assert list_of(scheduler.handle(model.Tick(), 1.3), model.Refuse) == []
+        (effect,) = list_of(scheduler.handle(model.Tick(), 1.5), model.Refuse)
+        assert effect.kind == ErrorKind.TOO_LATE
+
+    def test_expired_when_the_owner_was_not_awake(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", answer_s=2.0)
+        (effect,) = list_of(scheduler.handle(model.Tick(), 9.0), model.Refuse)
+        assert effect.kind == ErrorKind.EXPIRED
+
+
+class TestTakeover:
+    def test_nothing_is_ordered_while_not_ready(self):
+        config = model.Configured(1, 2, 0.008, 0.5, ready=False)
+        scheduler = make_scheduler(config)
+        scheduler.handle(model.Reported(frozenset({A}), {}), 0.0)
+        assert arrive(scheduler, "r1", A) == []
+        assert arrive(scheduler, "r2", B) == []
+        assert scheduler.handle(model.TurnGranted(B), 0.1) == [model.ReturnTurn(B)]
+        effects = scheduler.handle(CONFIG, 0.5)
+        assert [type(item) for item in effects] == [model.Dispatch]
+
+    def test_a_restart_loses_what_was_loaded(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", A)
+        load(scheduler, A, 0.0)
+        report = model.Reported(frozenset(), {}, restarted=True)
+        scheduler.handle(report, 1.0)
+        assert scheduler.loaded == frozenset()
+        assert scheduler.running_count == 0
+        assert arrive(scheduler, "r2", A, now=1.1)[-1].adapter == A
+
+    def test_an_old_report_does_not_undo_orders(self):
+        scheduler = make_scheduler()
+        arrive(scheduler, "r1", A)
+        load(scheduler, A, 0.0)
+        scheduler.handle(model.Finished("r1"), 0.6)
+        scheduler.handle(model.Reported(frozenset({B}), {}), 1.0)
+        assert A in scheduler.loaded
+
+
+class TestPlainService:
+    def test_work_without_an_adapter_needs_no_load(self):
+        scheduler = make_scheduler()
+        effects = [arrive(scheduler, f"r{n}", PLAIN)[:1] for n in range(3)]
+        assert [bool(item) for item in effects] == [True, True, False]
+        (effect,) = scheduler.handle(model.Finished("r0"), 0.5)
+        assert effect.request_id == "r2"
