Add the platform's stand-ins

Cause: nothing of the system can be run or tested without a platform. The engine's text is a pure function of adapter, prompt and position, so that a caller can check that an answer is whole and its own. Conclusion: drivers and the sample load can be built against them.

--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,223 @@
+"""Tests of the stand-in engine."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from standins.engine import Engine
+from standins.engine_http import start_engine
+from standins.engine_state import EngineSettings
+from standins.tokens import expected_text
+from standins.weight_store import start_weight_store
+from tests.standins.common import Client, run, until
+
+Story = Callable[[Engine, Client], Awaitable[None]]
+
+
+def with_engine(story: Story, **settings: Any) -> None:
+    async def work() -> None:
+        engine, server = await start_engine(EngineSettings(step_ms=1, **settings))
+        engine.control({"loaded": ["a@1"]})
+        try:
+            await story(engine, Client(server))
+        finally:
+            engine.stop()
+            await server.stop()
+
+    run(work())
+
+
+def order(request_id: str, **more: Any) -> dict[str, Any]:
+    return {
+        "request_id": request_id,
+        "model": "a@1",
+        "prompt": request_id,
+        "max_tokens": 5,
+        **more,
+    }
+
+
+class TestCompletions:
+    def test_whole_and_streamed_answers_agree(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            status, whole = await client.post("/v1/completions", **order("r"))
+            events = await client.stream("/v1/completions", **order("r", stream=True))
+            assert status == 200
+            assert whole["choices"][0]["text"] == expected_text("a@1", "r", 5)
+            text = "".join(event["choices"][0]["text"] for event in events)
+            assert text == expected_text("a@1", "r", 5)
+            assert [event["position"] for event in events] == list(range(5))
+            assert [item["tokens"] for item in engine.journal()["runs"]] == [5, 5]
+
+        with_engine(story)
+
+    def test_refuses_what_is_not_loaded_and_when_full(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            answer = await client.post("/v1/completions", **order("r", model="b@1"))
+            assert answer == (404, {"error": "not_loaded"})
+            first = asyncio.ensure_future(
+                client.post("/v1/completions", **order("r1", max_tokens=400))
+            )
+            await until(lambda: engine.running)
+            answer = await client.post("/v1/completions", **order("r2"))
+            assert answer == (503, {"error": "full"})
+            assert await client.post("/v1/cancel", request_id="r1") == (
+                200,
+                {"cancelled": True},
+            )
+            assert (await first)[0] == 500
+
+        with_engine(story, max_running=1, max_waiting=0)
+
+    def test_lowest_priority_number_runs_first(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            engine.submit("long", "a@1", "p", 50, 0)
+            engine.submit("lazy", "a@1", "p", 1, 5)
+            engine.submit("urgent", "a@1", "p", 1, 0)
+            await until(lambda: not engine.running and not engine.waiting)
+            started = {item.request_id: item.started for item in engine.runs}
+            assert started["long"] < started["urgent"] < started["lazy"]
+
+        with_engine(story, max_running=1)
+
+    def test_resumes_by_position(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            await client.post("/v1/completions", **order("r"))
+            events = await client.stream("/v1/resume", request_id="r", position=3)
+            assert [event["position"] for event in events] == [3, 4]
+            engine.restart()
+            answer = await client.post("/v1/resume", request_id="r", position=0)
+            assert answer == (404, {"error": "unknown_request"})
+
+        with_engine(story)
+
+
+class TestOrders:
+    def test_refuses_a_stale_fence(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            assert (await client.post("/v1/completions", **order("r", fence=7)))[0]
+            answer = await client.post("/v1/unload_lora_adapter", model="a@1", fence=6)
+            assert answer == (409, {"error": "stale_fence", "fence": 7})
+            assert "a@1" in engine.loaded
+            assert engine.stale_refusals == 1
+            assert (await client.get("/v1/report"))[1]["fence"] == 7
+
+        with_engine(story)
+
+    def test_an_unfenced_engine_obeys_and_the_violation_is_counted(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            running = asyncio.ensure_future(
+                client.post("/v1/completions", **order("r", max_tokens=400, fence=7))
+            )
+            await until(lambda: engine.running)
+            answer = await client.post("/v1/unload_lora_adapter", model="a@1", fence=6)
+            assert answer[0] == 200
+            assert await running == (500, {"error": "evicted"})
+            assert len(engine.evictions_while_serving) == 1
+
+        with_engine(story, fenced=False)
+
+    def test_loads_share_the_store_and_the_slots(self) -> None:
+        async def work() -> None:
+            store, store_server = await start_weight_store(20.0)
+            engine, server = await start_engine(
+                EngineSettings(slots=2), store_server.url
+            )
+            client = Client(server)
+            answers = await asyncio.gather(
+                *(
+                    client.post("/v1/load_lora_adapter", model=model)
+                    for model in ("a@1", "a@1", "b@1", "c@1")
+                )
+            )
+            assert sorted(status for status, _ in answers) == [200, 200, 200, 507]
+            assert store.counts_by_model == {"a@1": 1, "b@1": 1}
+            assert store.most_at_once == 2
+            # Two at once at 20 a second take a tenth of a second each.
+            assert all(body["took_ms"] >= 90 for code, body in answers if code == 200)
+            engine.stop()
+            await server.stop()
+            await store_server.stop()
+
+        run(work())
+
+    def test_a_failed_load_frees_its_slot(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            await client.post("/control", fail_loads=1)
+            for status in (502, 200):
+                answer = await client.post("/v1/load_lora_adapter", model="b@1")
+                assert answer[0] == status
+
+        with_engine(story, slots=2)
+
+
+class TestMisbehaviour:
+    def test_a_cold_restart_loses_everything(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            boot_id = (await client.get("/v1/report"))[1]["boot_id"]
+            running = asyncio.ensure_future(
+                client.post("/v1/completions", **order("r", max_tokens=400))
+            )
+            await until(lambda: engine.running)
+            await client.post("/control", restart=True)
+            assert (await running)[0] == 599
+            report = (await client.get("/v1/report"))[1]
+            assert report["boot_id"] != boot_id
+            assert report["loaded"] == report["running"] == []
+            assert engine.journal()["runs"][0]["outcome"] == "restarted"
+
+        with_engine(story)
+
+    def test_a_stream_goes_silent_and_a_new_connection_works(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            await client.post("/control", silent_streams=1, silent_after=2)
+            pieces: list[bytes] = []
+            body = '{"request_id": "r", "model": "a@1", "max_tokens": 5, "stream": 1}'
+            status, _ = await client.call(
+                "POST",
+                "/v1/completions",
+                body,
+                request_timeout=0.3,
+                streaming_callback=pieces.append,
+            )
+            assert status == 599
+            assert b"".join(pieces).count(b"data: ") == 2
+            events = await client.stream("/v1/resume", request_id="r", position=2)
+            assert len(events) == 3
+
+        with_engine(story)
+
+    def test_swallows_or_mutes_single_requests(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            body = '{"request_id": "r", "model": "a@1", "max_tokens": 1}'
+            for fault, runs in (("swallow", 0), ("mute", 1)):
+                await client.post("/control", **{fault: 1})
+                path = "/v1/completions"
+                answer = await client.call("POST", path, body, request_timeout=0.2)
+                assert answer[0] == 599
+                assert len(engine.runs) == runs
+                assert (await client.get("/v1/report"))[0] == 200
+
+        with_engine(story)
+
+    def test_the_report_lags(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            await client.get("/v1/report")
+            engine.loaded["b@1"] = None
+            assert (await client.get("/v1/report"))[1]["loaded"] == ["a@1"]
+            engine.settings.report_lag_s = 0.0
+            assert (await client.get("/v1/report"))[1]["loaded"] == ["a@1", "b@1"]
+
+        with_engine(story, report_lag_s=60.0)
+
+    def test_cache_events_come_with_gaps(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            for prompt in ("p0", "p1", "p2"):
+                engine.submit(prompt, "a@1", prompt, 1, 0)
+            await until(lambda: len(engine.cache.events) == 5)
+            shown = (await client.get("/v1/cache_events?since=1"))[1]
+            kinds = [(item["number"], item["kind"]) for item in shown["events"]]
+            assert kinds == [(1, "stored"), (3, "stored"), (4, "removed")]
+            assert shown["next"] == 5
+
+        with_engine(story, cached_prefixes=1, gap_every=3)
