Let an owner ask its entry instance for open requests

Cause: a new owner has to know what may still be running on an endpoint. Conclusion: owner and gateway stay apart.

--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -6,6 +6,7 @@
 The second part lists what only crosses components.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -15,6 +16,8 @@
     "AdapterRef",
     "CancelWork",
     "DrainRequested",
+    "EndpointLeaving",
+    "EntryOpenWork",
     "Envelope",
     "HandoverAnswer",
     "HandoverOffer",
@@ -32,7 +35,9 @@
     "MemberView",
     "News",
     "NewsKind",
+    "PeerLost",
     "PeerMessage",
+    "PeerMet",
     "Ping",
     "PingAnswer",
     "ProbeAnswer",
@@ -124,6 +129,8 @@
 
     instance: str
     incarnation: int
+    data_centre: str = ""
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -468,6 +475,36 @@
     body: WireMessage
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """Tell that the connection to a peer is lost and messages may be, too.
+
+    ``reachable`` is true when a new connection stands already: the peer lives
+    then, and only what was under way is in doubt.
+    """
+
+    instance_id: str
+    reachable: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMet:
+    """Tell that a peer has proved who it is on a new connection."""
+
+    instance_id: str
+    address: str
+    data_centre: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLeaving:
+    """Tell that an endpoint is leaving, as its owner has learned from it."""
+
+    endpoint: str
+    incarnation: int
+
+
 class LiveRole(StrEnum):
     """Name what an entry of the platform's live list is."""
 
@@ -567,3 +604,13 @@
     """Ask this instance to shut down gracefully."""
 
     reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EntryOpenWork:
+    """Let the owner ask which of this entry's requests may be running.
+
+    ``list_work`` takes an endpoint's id.
+    """
+
+    list_work: Callable[[str], tuple[RunningWork, ...]]
