Parse, validate and resolve the tree of settings

Cause: requests need their policy, from a tree of up to 86,000 adapters. A policy now carries the limits of each level. A wrong tree is refused whole, with part, section and key in the message.

--- a/fescuekeel/components/tree/model.py
+++ b/fescuekeel/components/tree/model.py
@@ -9,7 +9,7 @@
 from fescuekeel.errors import Failure
 from fescuekeel.messages import AdapterRef
 
-__all__ = ["Intent", "Policy", "Pool", "PoolKind", "TreeInForce"]
+__all__ = ["Intent", "Limit", "Policy", "Pool", "PoolKind", "TreeInForce"]
 
 
 class PoolKind(StrEnum):
@@ -38,6 +38,18 @@
     load_s: float = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """One level's limit, for all that it covers together.
+
+    ``scope`` names the level, such as ``shop/service``. Zero means no limit.
+    """
+
+    scope: str
+    rate_per_s: float = 0.0
+    max_in_flight: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     """Everything that the tree says about one request.
@@ -45,7 +57,8 @@
     Urgency 0 is the most urgent. ``answer_s`` is how long an answer may take
     in seconds. ``retry_share`` is the retry budget as a share of the
     service's traffic. ``rate_per_s`` and ``max_in_flight`` of zero mean no
-    limit. ``stall_weight`` and ``batch_weight`` are the operator's weights of
+    limit; ``limits`` holds those of each level that sets any, the shop's
+    first. ``stall_weight`` and ``batch_weight`` are the operator's weights of
     load stalls and batch efficiency.
     """
 
@@ -62,6 +75,7 @@
     retry_share: float
     max_tokens: int
     adapter: AdapterRef
+    limits: tuple[Limit, ...] = ()
 
 
 class Intent(Protocol):
--- /dev/null
+++ b/fescuekeel/components/tree/parts.py
@@ -0,0 +1,162 @@
+"""Parsing of one part of the tree, on its own."""
+
+import configparser
+import re
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from pydantic import BaseModel, ValidationError
+from returns.result import Failure as Err, Result, Success
+
+from fescuekeel.components.tree.const import (
+    CONF_NAMES,
+    MAX_PART_BYTES,
+    NAME_PATTERN,
+    SECTION_ADAPTER,
+    SECTION_POOL,
+    SECTION_ROSTER,
+    SECTION_SERVICE,
+    SECTION_SHOP,
+)
+from fescuekeel.components.tree.roster import Roster, RosterError, pack_roster
+from fescuekeel.components.tree.sections import (
+    Overrides,
+    PoolSection,
+    RosterSection,
+    ShopSection,
+)
+from fescuekeel.errors import ErrorKind, Failure
+
+__all__ = ["TreePartModel", "describe_place", "parse_part"]
+
+S = TypeVar("S", bound=BaseModel)
+
+# A name with a line break in it cannot be read from a file.
+NO_DEFAULT_SECTION = "\n"
+DEPTHS_BY_KIND = {
+    SECTION_SHOP: 1,
+    SECTION_POOL: 1,
+    SECTION_SERVICE: 2,
+    SECTION_ROSTER: 2,
+    SECTION_ADAPTER: 3,
+}
+SECTION_NAME = re.compile(rf"([a-z]+) ({NAME_PATTERN}(?:/{NAME_PATTERN})*)")
+LINES_PER_SLICE = 200
+SLICE_PAUSE_S = 0.0005
+
+
+@dataclass(frozen=True, slots=True)
+class TreePartModel:
+    """The validated sections of one part, by ``SHOP/SERVICE/NAME``."""
+
+    name: str
+    pools_by_name: dict[str, PoolSection] = field(default_factory=dict)
+    shops_by_name: dict[str, ShopSection] = field(default_factory=dict)
+    services_by_path: dict[str, Overrides] = field(default_factory=dict)
+    adapters_by_path: dict[str, Overrides] = field(default_factory=dict)
+    rosters_by_path: dict[str, Roster] = field(default_factory=dict)
+
+
+class _SectionError(Exception):
+    """Stop the parsing of a part with a message for the operator."""
+
+
+def describe_place(part: str, section: str, key: str = "") -> str:
+    """Name a place for an operator.
+
+    >>> describe_place("main", "shop a", "urgency")
+    'part main, section [shop a], key urgency'
+    """
+    place = f"part {part}, section [{section}]"
+    return f"{place}, key {key}" if key else place
+
+
+def _iterate_lines(text: str, pause: bool) -> Iterator[str]:
+    # The parser runs in a thread and holds the interpreter lock while it
+    # does: without pauses each turn of the event loop would wait for a whole
+    # switch interval, and streams would stutter while a tree is read.
+    for number, line in enumerate(text.splitlines(), 1):
+        if pause and number % LINES_PER_SLICE == 0:
+            time.sleep(SLICE_PAUSE_S)
+        yield line
+
+
+def parse_part(
+    name: str, content: bytes, pause: bool = False
+) -> Result[TreePartModel, Failure]:
+    """Parse and validate one part.
+
+    The error names the part, the section and the key:
+
+    >>> parse_part("main", b"[pool p]").failure().detail
+    'part main, section [pool p], key kind: Field required'
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        default_section=NO_DEFAULT_SECTION,
+        strict=True,
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    if len(content) > MAX_PART_BYTES:
+        return _refuse(f"part {name}: more than {MAX_PART_BYTES} bytes")
+    try:
+        lines = _iterate_lines(content.decode("utf-8"), pause)
+        parser.read_file(lines, source=name)
+        return Success(_read_sections(name, parser))
+    except (configparser.Error, UnicodeDecodeError) as error:
+        return _refuse(f"part {name}: {' '.join(str(error).split())}")
+    except _SectionError as error:
+        return _refuse(str(error))
+
+
+def _refuse(detail: str) -> Result[TreePartModel, Failure]:
+    return Err(Failure(ErrorKind.INVALID_TREE, detail))
+
+
+def _read_sections(name: str, parser: configparser.ConfigParser) -> TreePartModel:
+    model = TreePartModel(name)
+    for section in parser.sections():
+        kind, path = _split_section(name, section)
+        raw = dict(parser.items(section))
+        if kind == SECTION_POOL:
+            model.pools_by_name[path] = _validate(PoolSection, raw, name, section)
+        elif kind == SECTION_SHOP:
+            model.shops_by_name[path] = _validate(ShopSection, raw, name, section)
+        elif kind == SECTION_SERVICE:
+            model.services_by_path[path] = _validate(Overrides, raw, name, section)
+        elif kind == SECTION_ADAPTER:
+            model.adapters_by_path[path] = _validate(Overrides, raw, name, section)
+        else:
+            model.rosters_by_path[path] = _read_roster(raw, name, section)
+    return model
+
+
+def _split_section(name: str, section: str) -> tuple[str, str]:
+    match = SECTION_NAME.fullmatch(section)
+    depth = DEPTHS_BY_KIND.get(match[1]) if match else None
+    if match is None or depth is None or match[2].count("/") + 1 != depth:
+        place = describe_place(name, section[:80])
+        raise _SectionError(f"{place}: no such kind of section")
+    return match[1], match[2]
+
+
+def _validate(model: type[S], raw: dict[str, str], name: str, section: str) -> S:
+    try:
+        return model.model_validate(raw)
+    except ValidationError as error:
+        # The value itself is left out, since it may be a token's hash.
+        first = error.errors(include_input=False)[0]
+        key = ".".join(map(str, first["loc"]))
+        place = describe_place(name, section, key)
+        raise _SectionError(f"{place}: {first['msg']}") from error
+
+
+def _read_roster(raw: dict[str, str], name: str, section: str) -> Roster:
+    names = _validate(RosterSection, raw, name, section).names
+    try:
+        return pack_roster(line for line in names.splitlines() if line.strip())
+    except RosterError as error:
+        place = describe_place(name, section, CONF_NAMES)
+        raise _SectionError(f"{place}: {error}") from error
