Choose endpoint and owner of a request

Cause: entries need one pure place that says where a request goes. Change: rank_endpoints, find_owner and choose over rendezvous hashing with hints that fade; spreading only when waiting costs more than a load; plain pools take the less loaded of two. Conclusion: idle adapters cost nothing, since a home is computed.

--- /dev/null
+++ b/fescuekeel/components/gateway/routing.py
@@ -0,0 +1,246 @@
+"""Which endpoint and owner a request goes to; pure decisions.
+
+An adapter's home follows from hashing, so that idle adapters cost nothing.
+Hints only save time: with none at all a request goes to its home, and an
+outdated one costs a wait or a load and no more.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from fescuekeel.messages import AdapterRef, LiveEntry, Member
+from fescuekeel.util import rendezvous
+
+__all__ = [
+    "Choice",
+    "Hints",
+    "RouteReason",
+    "choose",
+    "find_owner",
+    "rank_endpoints",
+    "rank_live_endpoints",
+]
+
+HINT_S = 5.0
+MAX_HINTS = 10_000
+# How many endpoints, in order of their rank, may hold copies of one adapter.
+MAX_COPIES = 3
+PLAIN_CANDIDATES = 2
+
+
+class RouteReason(StrEnum):
+    """Name why an endpoint was chosen."""
+
+    HOME = "home"
+    COPY = "copy"
+    SPREAD = "spread"
+    LEAST_LOADED = "least_loaded"
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Say where a request goes; ``expected_wait_s`` is a guess in seconds."""
+
+    endpoint: str
+    owner: str
+    reason: RouteReason
+    expected_wait_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class TimedWait:
+    """A wait in seconds that was seen at some time."""
+
+    wait_s: float
+    seen: float
+
+
+@dataclass(slots=True)
+class Hints:
+    """What an entry instance has seen in the last seconds.
+
+    >>> hints, ref = Hints(), AdapterRef("cups", "1")
+    >>> hints.note_ended("e1", ref, wait_s=0.2, now=10.0)
+    >>> hints.has_copy("e1", ref, 12.0), hints.has_copy("e1", ref, 16.0)
+    (True, False)
+    """
+
+    in_flight_by_endpoint: dict[str, int] = field(default_factory=dict)
+    _waits_by_endpoint: dict[str, TimedWait] = field(default_factory=dict)
+    _copies_by_adapter: dict[AdapterRef, dict[str, float]] = field(default_factory=dict)
+
+    def note_sent(self, endpoint: str) -> None:
+        """Count a request that was handed to an endpoint's owner."""
+        count = self.in_flight_by_endpoint.get(endpoint, 0)
+        self.in_flight_by_endpoint[endpoint] = count + 1
+
+    def note_done(self, endpoint: str) -> None:
+        """Count its end, whatever the outcome."""
+        count = self.in_flight_by_endpoint.get(endpoint, 0)
+        if count > 1:
+            self.in_flight_by_endpoint[endpoint] = count - 1
+            return
+        self.in_flight_by_endpoint.pop(endpoint, None)
+
+    def note_ended(
+        self, endpoint: str, adapter: AdapterRef, wait_s: float, now: float
+    ) -> None:
+        """Learn from an answer: the copy, and the wait for room in seconds.
+
+        ``wait_s`` leaves out the time spent on the adapter's load.
+        """
+        self._waits_by_endpoint[endpoint] = TimedWait(wait_s, now)
+        if not adapter:
+            return
+        if len(self._copies_by_adapter) >= MAX_HINTS:
+            self._forget(now)
+        self._copies_by_adapter.setdefault(adapter, {})[endpoint] = now
+
+    def note_full(self, endpoint: str, retry_after_s: float, now: float) -> None:
+        """Learn from a refusal for want of room."""
+        wait_s = max(retry_after_s, HINT_S)
+        self._waits_by_endpoint[endpoint] = TimedWait(wait_s, now)
+
+    def get_wait_s(self, endpoint: str, now: float) -> float:
+        """Return the wait for room, what was seen fading as it ages."""
+        timed = self._waits_by_endpoint.get(endpoint)
+        if timed is None:
+            return 0.0
+        fade = max(0.0, 1.0 - (now - timed.seen) / HINT_S)
+        return timed.wait_s * fade
+
+    def has_copy(self, endpoint: str, adapter: AdapterRef, now: float) -> bool:
+        """Tell whether the adapter served there a moment ago."""
+        seen = self._copies_by_adapter.get(adapter, {}).get(endpoint)
+        return seen is not None and now - seen <= HINT_S
+
+    def _forget(self, now: float) -> None:
+        """Drop outdated hints, and the oldest ones if that is not enough."""
+        seen_by_adapter = {
+            adapter: max(copies.values())
+            for adapter, copies in self._copies_by_adapter.items()
+        }
+        for adapter in sorted(seen_by_adapter, key=seen_by_adapter.__getitem__):
+            fresh = now - seen_by_adapter[adapter] <= HINT_S
+            if fresh and len(self._copies_by_adapter) < MAX_HINTS * 3 // 4:
+                return
+            del self._copies_by_adapter[adapter]
+
+
+def rank_endpoints(
+    pool: str, adapter: AdapterRef, endpoints_by_id: Mapping[str, LiveEntry]
+) -> list[str]:
+    """Return a pool's endpoints, the adapter's home first.
+
+    >>> from fescuekeel.messages import LiveRole
+    >>> entry = LiveEntry("e1", LiveRole.ENDPOINT, "", "dc1", 1, pool="script")
+    >>> rank_endpoints("script", AdapterRef("cups", "1"), {"e1": entry})
+    ['e1']
+    """
+    ids = [id for id, entry in endpoints_by_id.items() if entry.pool == pool]
+    return rendezvous.rank(str(adapter), ids)
+
+
+def rank_live_endpoints(
+    ranked: Iterable[str],
+    endpoints_by_id: Mapping[str, LiveEntry],
+    members_by_id: Mapping[str, Member],
+) -> list[str]:
+    """Put endpoints of data centres without a live instance last.
+
+    Guards against a cut: the instances on its other side all look dead, and
+    so nobody here can reach the endpoints there, which still rank as homes.
+    """
+    live = {member.data_centre for member in members_by_id.values()}
+    return sorted(ranked, key=lambda id: endpoints_by_id[id].data_centre not in live)
+
+
+def find_owner(endpoint: LiveEntry, members_by_id: Mapping[str, Member]) -> str | None:
+    """Return the instance that owns an endpoint, if there is any instance.
+
+    It is one of the endpoint's own data centre; another's steps in only when
+    none is left there, so that a cut between data centres never makes two
+    owners that both reach the endpoint.
+
+    >>> from fescuekeel.messages import LiveRole
+    >>> entry = LiveEntry("e1", LiveRole.ENDPOINT, "", "dc1", 1)
+    >>> near, far = Member("i1", "", "dc1", 1), Member("i2", "", "dc2", 1)
+    >>> find_owner(entry, {"i1": near, "i2": far})
+    'i1'
+    >>> find_owner(entry, {"i2": far})
+    'i2'
+    """
+    near = [
+        id
+        for id, member in members_by_id.items()
+        if member.data_centre == endpoint.data_centre
+    ]
+    return rendezvous.choose(endpoint.id, near or members_by_id)
+
+
+def choose(
+    pool: str,
+    adapter: AdapterRef,
+    request_id: str,
+    endpoints_by_id: Mapping[str, LiveEntry],
+    members_by_id: Mapping[str, Member],
+    hints: Hints,
+    now: float,
+    load_s: float = 0.5,
+    tried: Collection[str] = (),
+) -> Choice | None:
+    """Return where a request goes next, or ``None`` when nothing is left.
+
+    ``tried`` are the endpoints that refused this request already. A pool
+    without adapters takes the less loaded of two endpoints that the request
+    id picks. ``load_s`` is what one load costs, in seconds.
+    """
+    key = adapter or AdapterRef(request_id)
+    ranked = rank_endpoints(pool, key, endpoints_by_id)
+    live = rank_live_endpoints(ranked, endpoints_by_id, members_by_id)
+    candidates = [id for id in live if id not in tried]
+    if not candidates:
+        return None
+    if adapter:
+        endpoint, reason, wait_s = _choose_copy(
+            candidates[:MAX_COPIES], adapter, hints, now, load_s
+        )
+    else:
+        endpoint = _choose_least_loaded(candidates[:PLAIN_CANDIDATES], hints, now)
+        reason, wait_s = RouteReason.LEAST_LOADED, hints.get_wait_s(endpoint, now)
+    owner = find_owner(endpoints_by_id[endpoint], members_by_id)
+    if owner is None:
+        return None
+    return Choice(endpoint, owner, reason, wait_s)
+
+
+def _choose_copy(
+    candidates: list[str],
+    adapter: AdapterRef,
+    hints: Hints,
+    now: float,
+    load_s: float,
+) -> tuple[str, RouteReason, float]:
+    """Stay at home unless waiting there costs more than a load elsewhere."""
+    home = candidates[0]
+    home_s = hints.get_wait_s(home, now)
+    best, best_s, best_reason = home, home_s, RouteReason.HOME
+    for endpoint in candidates[1:]:
+        wait_s = hints.get_wait_s(endpoint, now)
+        has_copy = hints.has_copy(endpoint, adapter, now)
+        cost_s = wait_s if has_copy else wait_s + load_s
+        if cost_s < best_s:
+            reason = RouteReason.COPY if has_copy else RouteReason.SPREAD
+            best, best_s, best_reason = endpoint, cost_s, reason
+    return best, best_reason, best_s
+
+
+def _choose_least_loaded(candidates: list[str], hints: Hints, now: float) -> str:
+    return min(
+        candidates,
+        key=lambda id: (
+            hints.get_wait_s(id, now),
+            hints.in_flight_by_endpoint.get(id, 0),
+        ),
+    )
