--- /dev/null
+++ b/fescuekeel/components/gateway/admission.py
@@ -0,0 +1,139 @@
+"""What a request needs before it is routed: shop, policy and limits."""
+
+from dataclasses import dataclass
+
+import xxhash
+from returns.result import Failure as Err, Result, Success
+
+from fescuekeel.components.gateway.border import (
+    check_idempotency_key,
+    parse_completion,
+    parse_model,
+)
+from fescuekeel.components.tree.model import Intent, Policy, PoolKind, TreeInForce
+from fescuekeel.core import Bus
+from fescuekeel.errors import ErrorKind, Failure
+
+__all__ = [
+    "Admission",
+    "CallerInput",
+    "admit_completion",
+    "admit_plain",
+    "get_intent",
+    "get_shop",
+]
+
+BEARER = "bearer "
+
+
+@dataclass(frozen=True, slots=True)
+class CallerInput:
+    """What a caller sent, as far as the system reads it."""
+
+    authorization: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    idempotency_key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that is known to be well-formed and allowed.
+
+    ``digest`` tells whether two requests with one idempotency key mean the
+    same.
+    """
+
+    policy: Policy
+    caller: CallerInput
+    stream: bool
+    max_tokens: int
+    digest: str
+
+
+def get_intent(bus: Bus) -> Result[Intent, Failure]:
+    """Return the tree in force."""
+    in_force = bus.latest(TreeInForce)
+    if in_force is None:
+        return Err(Failure(ErrorKind.TREE_NOT_READY, retry_after_s=1.0))
+    return Success(in_force.intent)
+
+
+def get_shop(intent: Intent, authorization: str) -> Result[str, Failure]:
+    """Return the shop that a bearer token belongs to."""
+    if not authorization.lower().startswith(BEARER):
+        return Err(Failure(ErrorKind.UNAUTHENTICATED, "a bearer token is needed"))
+    shop = intent.authenticate(authorization[len(BEARER) :].strip())
+    if shop is None:
+        return Err(Failure(ErrorKind.UNAUTHENTICATED))
+    return Success(shop)
+
+
+def _make_digest(policy: Policy, caller: CallerInput) -> str:
+    digest = xxhash.xxh3_128()
+    for part in (policy.shop, policy.service, str(policy.adapter), caller.method):
+        digest.update(part.encode() + b"\0")
+    digest.update(caller.path.encode() + b"\0" + caller.body)
+    return digest.hexdigest()
+
+
+def _check_kind(policy: Policy, kind: PoolKind) -> Result[Policy, Failure]:
+    if policy.pool.kind is kind:
+        return Success(policy)
+    detail = f"service {policy.service} is served at another path"
+    return Err(Failure(ErrorKind.UNKNOWN_SERVICE, detail))
+
+
+def admit_completion(intent: Intent, caller: CallerInput) -> Result[Admission, Failure]:
+    """Admit a request for a completion by an adapter."""
+    return get_shop(intent, caller.authorization).bind(
+        lambda shop: check_idempotency_key(caller.idempotency_key).bind(
+            lambda _: _admit_body(intent, shop, caller)
+        )
+    )
+
+
+def _admit_body(
+    intent: Intent, shop: str, caller: CallerInput
+) -> Result[Admission, Failure]:
+    parsed = parse_completion(caller.body)
+    if not isinstance(parsed, Success):
+        return Err(parsed.failure())
+    body = parsed.unwrap()
+
+    def build(policy: Policy) -> Result[Admission, Failure]:
+        if policy.max_tokens and body.max_tokens > policy.max_tokens:
+            detail = f"max_tokens is {policy.max_tokens} at most"
+            return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+        digest = _make_digest(policy, caller)
+        return Success(Admission(policy, caller, body.stream, body.max_tokens, digest))
+
+    return parse_model(body.model).bind(
+        lambda model: (
+            intent.resolve(shop, model.service, model.adapter, model.version)
+            .bind(lambda policy: _check_kind(policy, PoolKind.ENGINE))
+            .bind(build)
+        )
+    )
+
+
+def admit_plain(
+    intent: Intent, service: str, caller: CallerInput
+) -> Result[Admission, Failure]:
+    """Admit a request to a plain service."""
+
+    def build(policy: Policy) -> Result[Admission, Failure]:
+        digest = _make_digest(policy, caller)
+        return Success(Admission(policy, caller, False, 0, digest))
+
+    return get_shop(intent, caller.authorization).bind(
+        lambda shop: check_idempotency_key(caller.idempotency_key).bind(
+            lambda _: (
+                intent.resolve(shop, service, "", "")
+                .bind(lambda policy: _check_kind(policy, PoolKind.PLAIN))
+                .bind(build)
+            )
+        )
+    )
--- /dev/null
+++ b/fescuekeel/components/gateway/component.py
@@ -0,0 +1,212 @@
+"""The gateway: it owns the requests that callers have open here."""
+
+import asyncio
+
+from returns.result import Success
+
+from fescuekeel.components.gateway.admission import Admission
+from fescuekeel.components.gateway.attempts import CallerGone, RequestLife
+from fescuekeel.components.gateway.const import DRAIN_POLL_S, KEY_LIFETIME_S
+from fescuekeel.components.gateway.limits import Limits
+from fescuekeel.components.gateway.request import CallerRequest
+from fescuekeel.components.gateway.router import GatewayRouter
+from fescuekeel.components.gateway.server import CallersServer
+from fescuekeel.components.gateway.sink import CallerSink
+from fescuekeel.components.keys import get_keys
+from fescuekeel.components.tree.model import TreeInForce
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure, Ran
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.peer_link import get_peer_link
+from fescuekeel.messages import (
+    EntryOpenWork,
+    MemberView,
+    PeerLost,
+    PeerMessage,
+    RunningWork,
+    StartAnswer,
+    StartAsk,
+    WorkChunk,
+    WorkEnd,
+    WorkStarted,
+)
+
+__all__ = ["Gateway"]
+
+
+class Gateway:
+    """Serve callers: admit, claim, route and relay."""
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance = instance
+        self.limits = Limits()
+        self.router = GatewayRouter(instance, self.limits)
+        self.server = CallersServer(self, instance.settings.callers)
+        self.requests_by_id: dict[str, CallerRequest] = {}
+        self._members: frozenset[str] = frozenset()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new requests are welcome."""
+        known = self.instance.bus.latest(TreeInForce) is not None
+        return known and not self.instance.draining
+
+    async def start(self) -> None:
+        """Listen for callers and for the owners' messages."""
+        bus = self.instance.bus
+        for kind in (StartAsk, WorkStarted, WorkChunk, WorkEnd):
+            bus.subscribe_peer(kind, self._post_message)
+        bus.subscribe(PeerLost, lambda lost: self._lose_owner(lost.instance_id))
+        bus.subscribe(MemberView, self._note_members)
+        bus.publish_state(EntryOpenWork(self._list_open_work))
+        self.server.start()
+        log_event("callers_listening", address=self.server.address)
+
+    async def stop(self) -> None:
+        """Refuse new requests, let those in progress end, then close."""
+        left_s = self.instance.settings.instance.shutdown_s
+        self.server.stop_listening()
+        while self.requests_by_id and left_s > 0:
+            await asyncio.sleep(DRAIN_POLL_S)
+            left_s -= DRAIN_POLL_S
+        await self.server.close()
+
+    async def serve(
+        self, request_id: str, admission: Admission, sink: CallerSink
+    ) -> None:
+        """Serve one admitted request to its end."""
+        policy = admission.policy
+        if self.instance.draining:
+            failure = Failure(ErrorKind.DRAINING, retry_after_s=1.0)
+            await self.refuse(request_id, failure, sink)
+            return
+        limited = self.limits.admit(policy, self.instance.now())
+        if limited is not None:
+            await self.refuse(request_id, limited, sink)
+            return
+        try:
+            await self._serve_within_limits(request_id, admission, sink)
+        finally:
+            self.limits.release(policy)
+
+    async def _serve_within_limits(
+        self, request_id: str, admission: Admission, sink: CallerSink
+    ) -> None:
+        arrived = self.instance.now()
+        life = RequestLife(
+            repeatable=admission.policy.repeatable,
+            stream=admission.stream,
+            deadline=arrived + admission.policy.answer_s,
+        )
+        request = CallerRequest(
+            self.instance,
+            get_peer_link(self.instance),
+            self.router,
+            request_id,
+            admission,
+            sink,
+            life,
+            arrived,
+        )
+        self.requests_by_id[request_id] = request
+        try:
+            await self._claim_and_run(request)
+        finally:
+            del self.requests_by_id[request_id]
+
+    async def _claim_and_run(self, request: CallerRequest) -> None:
+        key = request.admission.caller.idempotency_key
+        if not key:
+            self._report(request, await request.run())
+            return
+        scoped = f"{request.admission.policy.shop}/{key}"
+        keys = get_keys(self.instance)
+        claim = await keys.claim(
+            scoped, request.request_id, request.admission.digest, KEY_LIFETIME_S
+        )
+        if not isinstance(claim, Success):
+            await self.refuse(request.request_id, claim.failure(), request.sink)
+            return
+        ran = Ran.UNKNOWN
+        try:
+            failure = await request.run()
+            ran = Ran.YES if failure is None else failure.outcome
+            self._report(request, failure)
+        finally:
+            keys.settle(scoped, request.request_id, ran)
+
+    async def refuse(self, request_id: str, failure: Failure, sink: CallerSink) -> None:
+        """Refuse a request that was never routed."""
+        self.instance.metrics.count(f"refused.{failure.kind}")
+        log_event(
+            "request_refused",
+            request_id=request_id,
+            kind=failure.kind.value,
+            ran=failure.outcome.value,
+            detail=failure.detail,
+        )
+        await sink.fail(failure)
+
+    def _report(self, request: CallerRequest, failure: Failure | None) -> None:
+        metrics = self.instance.metrics
+        took_s = self.instance.now() - request.arrived
+        metrics.observe("request", took_s)
+        metrics.observe("stall", request.head.stall_ms / 1000)
+        if failure is None:
+            metrics.count("answered")
+        else:
+            metrics.count(f"refused.{failure.kind}")
+        policy = request.admission.policy
+        log_event(
+            "request_ended",
+            request_id=request.request_id,
+            shop=policy.shop,
+            service=policy.service,
+            adapter=policy.adapter,
+            endpoint=request.placement.endpoint if request.placement else "",
+            attempts=request.life.attempt,
+            kind=failure.kind.value if failure else "answered",
+            ran=failure.outcome.value if failure else Ran.YES.value,
+            stall_ms=request.head.stall_ms,
+            took_ms=round(took_s * 1000),
+        )
+
+    def lose_caller(self, request_id: str) -> None:
+        """Stop a request whose caller closed its connection."""
+        request = self.requests_by_id.get(request_id)
+        if request is not None:
+            request.post(CallerGone())
+
+    def _post_message(self, message: PeerMessage) -> None:
+        request = self.requests_by_id.get(message.body.request_id)  # type: ignore[union-attr]
+        if request is not None:
+            request.post_message(message)
+            return
+        # The request has ended here, so an owner that asks late, such as one
+        # that was paused, must not hand it over any more.
+        if isinstance(message.body, StartAsk):
+            get_peer_link(self.instance).answer(message, StartAnswer(False))
+        self.instance.metrics.count("late_message")
+
+    def _lose_owner(self, owner: str) -> None:
+        for request in self.requests_by_id.values():
+            request.lose_owner(owner)
+
+    def _note_members(self, view: MemberView) -> None:
+        now = frozenset(view.members_by_id)
+        for lost in self._members - now:
+            self._lose_owner(lost)
+        self._members = now
+
+    def _list_open_work(self, endpoint: str) -> tuple[RunningWork, ...]:
+        return tuple(
+            RunningWork(
+                request.request_id,
+                request.admission.policy.adapter,
+                max(0, int((request.life.deadline - self.instance.now()) * 1000)),
+            )
+            for request in self.requests_by_id.values()
+            if request.placement is not None
+            and request.placement.endpoint == endpoint
+            and request.life.may_have_run
+        )
--- /dev/null
+++ b/fescuekeel/components/gateway/request.py
@@ -0,0 +1,306 @@
+"""The task of one request: it carries out what ``RequestLife`` decides."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from returns.result import Success
+
+from fescuekeel.components.gateway.admission import Admission
+from fescuekeel.components.gateway.attempts import (
+    FREE_REASONS,
+    OWNER_WORD_GRACE_S,
+    RUNNING_GRACE_S,
+    Accepted,
+    AskRetry,
+    Begin,
+    CallerGone,
+    CancelAttempt,
+    ChunkCame,
+    Deliver,
+    Ended,
+    Fail,
+    Finish,
+    GrantStart,
+    LifeEffect,
+    LifeEvent,
+    OwnerLost,
+    Phase,
+    Refused,
+    RequestLife,
+    RetryDecided,
+    SendAttempt,
+    StartAsked,
+    Started,
+    TimePassed,
+)
+from fescuekeel.components.gateway.const import SUBMIT_TIMEOUT_S
+from fescuekeel.components.gateway.sink import AnswerHead, CallerSink
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure, Ran, RetryReason
+from fescuekeel.helpers.peer_link import PeerLink
+from fescuekeel.messages import (
+    CancelWork,
+    PeerMessage,
+    StartAnswer,
+    StartAsk,
+    Submit,
+    SubmitAnswer,
+    WorkChunk,
+    WorkEnd,
+    WorkStarted,
+)
+
+__all__ = ["CallerRequest", "Placement", "Router"]
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Say to which endpoint an attempt goes, and who owns that endpoint."""
+
+    endpoint: str
+    owner: str
+
+
+class Router(Protocol):
+    """Place attempts and answer for the retry budget."""
+
+    def place(
+        self, admission: Admission, request_id: str, tried: frozenset[str]
+    ) -> Placement | None:
+        """Choose an endpoint that was not tried yet, if there is one."""
+
+    def find_owner(self, endpoint: str) -> str | None:
+        """Return who owns an endpoint now."""
+
+    def note_sent(self, placement: Placement) -> None:
+        """Count a request on its way to an endpoint."""
+
+    def note_done(self, placement: Placement) -> None:
+        """Count its end there."""
+
+    def note_answer(
+        self, placement: Placement, admission: Admission, wait_s: float
+    ) -> None:
+        """Learn from an answer; the wait in seconds is without the load."""
+
+    def note_refusal(self, placement: Placement, failure: Failure) -> None:
+        """Remember for a moment what a refusal tells of an endpoint."""
+
+    def may_retry(self, admission: Admission, reason: RetryReason) -> bool:
+        """Spend from the service's retry budget."""
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """One request in progress; its task owns this state."""
+
+    instance: Instance
+    link: PeerLink
+    router: Router
+    request_id: str
+    admission: Admission
+    sink: CallerSink
+    life: RequestLife
+    arrived: float
+    events: asyncio.Queue[LifeEvent] = field(default_factory=asyncio.Queue)
+    head: AnswerHead = field(default_factory=AnswerHead)
+    placement: Placement | None = None
+    tried: frozenset[str] = frozenset()
+    failure: Failure | None = None
+    _questions_by_attempt: dict[int, PeerMessage] = field(default_factory=dict)
+    _submits: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def post(self, event: LifeEvent) -> None:
+        """Queue an event for the task."""
+        self.events.put_nowait(event)
+
+    def post_message(self, message: PeerMessage) -> None:
+        """Turn an owner's message into an event."""
+        match message.body:
+            case StartAsk(_, attempt, stall_ms, queue_ms):
+                self._questions_by_attempt[attempt] = message
+                self._note_waits(stall_ms, queue_ms)
+                self.post(StartAsked(attempt))
+            case WorkStarted(_, attempt, stall_ms, queue_ms):
+                self._note_waits(stall_ms, queue_ms)
+                self.post(Started(attempt))
+            case WorkChunk(_, attempt, position, data, tokens):
+                self.post(ChunkCame(attempt, position, data, tokens))
+            case WorkEnd() as end:
+                self._post_end(end)
+
+    def _note_waits(self, stall_ms: int, queue_ms: int) -> None:
+        self.head.stall_ms = stall_ms
+        self.head.queue_ms = queue_ms
+
+    def _post_end(self, end: WorkEnd) -> None:
+        if end.kind:
+            self.post(Ended(end.attempt, _make_failure(end)))
+            return
+        if end.attempt == self.life.attempt:
+            self.head.status = end.status
+            self.head.content_type = end.content_type
+        self.post(Ended(end.attempt))
+
+    def lose_owner(self, owner: str) -> None:
+        """Take note that an instance is lost."""
+        if self.placement is not None and self.placement.owner == owner:
+            self.post(OwnerLost(self.life.attempt))
+
+    async def run(self) -> Failure | None:
+        """Serve the request to its end; return how it failed, if it did."""
+        loop = asyncio.get_running_loop()
+        left = self.life.deadline - self.instance.now()
+        timers = [
+            loop.call_later(left + OWNER_WORD_GRACE_S, self.post, TimePassed()),
+            loop.call_later(left + RUNNING_GRACE_S, self.post, TimePassed()),
+        ]
+        self.post(Begin())
+        try:
+            while self.life.phase is not Phase.ENDED:
+                await self._handle(await self.events.get())
+        finally:
+            for timer in timers:
+                timer.cancel()
+            for task in self._submits:
+                task.cancel()
+            if self.placement is not None:
+                self.router.note_done(self.placement)
+        return self.failure
+
+    async def _handle(self, event: LifeEvent) -> None:
+        pending: list[LifeEffect] = self.life.handle(event, self.instance.now())
+        while pending:
+            effect = pending.pop(0)
+            if isinstance(effect, AskRetry):
+                decided = RetryDecided(self._ask_retry(effect.reason))
+                pending += self.life.handle(decided, self.instance.now())
+            else:
+                await self._apply(effect)
+
+    def _ask_retry(self, reason: RetryReason) -> bool:
+        free = reason in FREE_REASONS
+        if not free and not self.router.may_retry(self.admission, reason):
+            return False
+        self.instance.metrics.count(f"retry.{reason}")
+        return True
+
+    async def _apply(self, effect: LifeEffect) -> None:
+        match effect:
+            case SendAttempt():
+                self._spawn_submit(effect)
+            case GrantStart(attempt, granted):
+                self._answer_start(attempt, granted)
+            case CancelAttempt(attempt):
+                self._cancel(attempt)
+            case Deliver(data):
+                if not await self.sink.deliver(data, self.head):
+                    self.post(CallerGone())
+            case Finish():
+                self._note_answer()
+                await self.sink.finish(self.head)
+            case Fail(failure):
+                self.failure = failure
+                await self.sink.fail(failure)
+
+    def _note_answer(self) -> None:
+        if self.placement is not None:
+            wait_s = max(0, self.head.queue_ms - self.head.stall_ms) / 1000
+            self.router.note_answer(self.placement, self.admission, wait_s)
+
+    def _answer_start(self, attempt: int, granted: bool) -> None:
+        question = self._questions_by_attempt.pop(attempt, None)
+        if question is not None:
+            self.link.answer(question, StartAnswer(granted))
+
+    def _cancel(self, attempt: int) -> None:
+        if self.placement is not None:
+            self.link.send(self.placement.owner, CancelWork(self.request_id, attempt))
+
+    def _spawn_submit(self, effect: SendAttempt) -> None:
+        task = self.instance.spawn(self._submit(effect), "submit")
+        self._submits.add(task)
+        task.add_done_callback(self._submits.discard)
+
+    async def _submit(self, effect: SendAttempt) -> None:
+        if effect.delay_s:
+            await asyncio.sleep(effect.delay_s * random.uniform(0.5, 1.0))
+        placement = self._place(effect)
+        if placement is None:
+            failure = Failure(ErrorKind.NO_ENDPOINT, retry_after_s=1.0)
+            self.post(Refused(effect.attempt, failure))
+            return
+        self._move_to(placement)
+        submit = self._make_submit(effect, placement)
+        result = await self.link.ask(placement.owner, submit, SUBMIT_TIMEOUT_S)
+        self._post_submit_result(effect.attempt, placement, result)
+
+    def _move_to(self, placement: Placement) -> None:
+        if self.placement is not None:
+            self.router.note_done(self.placement)
+        self.placement = placement
+        self.router.note_sent(placement)
+
+    def _place(self, effect: SendAttempt) -> Placement | None:
+        if not effect.resume or self.placement is None:
+            return self.router.place(self.admission, self.request_id, self.tried)
+        # The stream runs on one endpoint, whoever owns that endpoint now.
+        endpoint = self.placement.endpoint
+        owner = self.router.find_owner(endpoint)
+        return None if owner is None else Placement(endpoint, owner)
+
+    def _make_submit(self, effect: SendAttempt, placement: Placement) -> Submit:
+        policy = self.admission.policy
+        caller = self.admission.caller
+        left_s = max(0.0, self.life.deadline - self.instance.now())
+        return Submit(
+            request_id=self.request_id,
+            attempt=effect.attempt,
+            endpoint=placement.endpoint,
+            shop=policy.shop,
+            service=policy.service,
+            adapter=policy.adapter,
+            urgency=policy.urgency,
+            remaining_ms=int(left_s * 1000),
+            repeatable=policy.repeatable,
+            stream=self.admission.stream,
+            path=caller.path,
+            body=caller.body,
+            max_tokens=self.admission.max_tokens,
+            resume=effect.resume,
+            resume_position=effect.position,
+            method=caller.method,
+            content_type=caller.content_type,
+            idempotency_key=caller.idempotency_key,
+        )
+
+    def _post_submit_result(
+        self, attempt: int, placement: Placement, result: Any
+    ) -> None:
+        if not isinstance(result, Success):
+            self.post(OwnerLost(attempt))
+            return
+        answer = result.unwrap()
+        if not isinstance(answer, SubmitAnswer):
+            self.post(OwnerLost(attempt))
+            return
+        if answer.accepted:
+            self.post(Accepted(attempt))
+            return
+        failure = _make_refusal(answer)
+        self.router.note_refusal(placement, failure)
+        if failure.kind is ErrorKind.QUEUE_FULL:
+            self.tried |= {placement.endpoint}
+        self.post(Refused(attempt, failure))
+
+
+def _make_refusal(answer: SubmitAnswer) -> Failure:
+    kind = ErrorKind(answer.kind)
+    return Failure(kind, answer.detail, Ran.NO, answer.retry_after_ms / 1000)
+
+
+def _make_failure(end: WorkEnd) -> Failure:
+    retry_after_s = end.retry_after_ms / 1000
+    return Failure(ErrorKind(end.kind), end.detail, Ran(end.ran), retry_after_s)
--- /dev/null
+++ b/fescuekeel/components/gateway/server.py
@@ -0,0 +1,208 @@
+"""The callers' HTTP interface."""
+
+import asyncio
+import secrets
+import socket
+import ssl
+from typing import TYPE_CHECKING
+
+from returns.result import Result, Success
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from fescuekeel.components.gateway.admission import (
+    Admission,
+    CallerInput,
+    admit_completion,
+    admit_plain,
+    get_intent,
+)
+from fescuekeel.components.gateway.border import clean_request_id
+from fescuekeel.components.gateway.const import (
+    CALLER_BODY_TIMEOUT_S,
+    CALLER_IDLE_TIMEOUT_S,
+    COMPLETIONS_PATH,
+    JSON_CONTENT_TYPE,
+    SERVICES_PREFIX,
+)
+from fescuekeel.components.gateway.sink import HandlerSink
+from fescuekeel.const import (
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+)
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.settings import CallersSettings
+
+if TYPE_CHECKING:
+    from fescuekeel.components.gateway.component import Gateway
+
+__all__ = ["CallersServer", "split_address"]
+
+RANDOM_ID_BYTES = 8
+# A caller whose machine is gone without a word is noticed after about a
+# minute, also while nothing is written to it.
+KEEPALIVE_IDLE_S = 30
+KEEPALIVE_INTERVAL_S = 10
+KEEPALIVE_PROBES = 3
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT``.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class CallerHandler(RequestHandler):
+    """Answer one request of a caller."""
+
+    def initialize(self, gateway: "Gateway") -> None:
+        """Take the gateway that serves the request."""
+        self.gateway = gateway
+        self.request_id = ""
+
+    def prepare(self) -> None:
+        """Give the request an id that no other request has."""
+        theirs = clean_request_id(self.request.headers.get(HEADER_REQUEST_ID, ""))
+        unique = secrets.token_hex(RANDOM_ID_BYTES)
+        self.request_id = f"{theirs}.{unique}" if theirs else unique
+        self.set_header(HEADER_REQUEST_ID, theirs or unique)
+
+    def on_connection_close(self) -> None:
+        """Stop the work for a caller that is gone."""
+        self.gateway.lose_caller(self.request_id)
+
+    def read_input(self, path: str) -> CallerInput:
+        """Return the request as the admission reads it."""
+        headers = self.request.headers
+        return CallerInput(
+            authorization=headers.get("Authorization", ""),
+            method=self.request.method or "GET",
+            path=path,
+            content_type=headers.get("Content-Type", JSON_CONTENT_TYPE),
+            body=self.request.body,
+            idempotency_key=headers.get(HEADER_IDEMPOTENCY_KEY, ""),
+        )
+
+    async def answer(self, admitted: Result[Admission, Failure]) -> None:
+        """Serve an admitted request, or refuse it."""
+        if isinstance(admitted, Success):
+            admission = admitted.unwrap()
+            sink = HandlerSink(self, admission.stream)
+            await self.gateway.serve(self.request_id, admission, sink)
+            return
+        sink = HandlerSink(self, stream=False)
+        await self.gateway.refuse(self.request_id, admitted.failure(), sink)
+
+
+class CompletionHandler(CallerHandler):
+    """Answer a request for a completion."""
+
+    async def post(self) -> None:
+        """Admit and serve the request."""
+        caller = self.read_input(COMPLETIONS_PATH)
+        intent = get_intent(self.gateway.instance.bus)
+        await self.answer(intent.bind(lambda known: admit_completion(known, caller)))
+
+
+class PlainHandler(CallerHandler):
+    """Answer a request to a plain service."""
+
+    async def serve_any(self, service: str, rest: str) -> None:
+        """Admit and serve the request, whatever its method."""
+        query = f"?{self.request.query}" if self.request.query else ""
+        caller = self.read_input(f"/{rest or ''}{query}")
+        intent = get_intent(self.gateway.instance.bus)
+        await self.answer(
+            intent.bind(lambda known: admit_plain(known, service, caller))
+        )
+
+    get = post = put = delete = patch = serve_any  # type: ignore[assignment]
+
+
+class HealthHandler(RequestHandler):
+    """Tell the platform's balancer whether to send requests here."""
+
+    def initialize(self, gateway: "Gateway") -> None:
+        """Take the gateway."""
+        self.gateway = gateway
+
+    def get(self) -> None:
+        """Answer 200 once the tree is in force and until draining."""
+        self.set_status(200 if self.gateway.ready else 503)
+
+
+class UnknownPathHandler(CallerHandler):
+    """Answer every other path."""
+
+    async def prepare(self) -> None:  # type: ignore[override]
+        """Refuse the request."""
+        super().prepare()
+        await self.answer(Result.from_failure(Failure(ErrorKind.UNKNOWN_SERVICE)))
+
+
+class CallersServer:
+    """Own the callers' listening socket."""
+
+    def __init__(self, gateway: "Gateway", settings: CallersSettings) -> None:
+        self._settings = settings
+        own = {"gateway": gateway}
+        application = Application(
+            [
+                (COMPLETIONS_PATH, CompletionHandler, own),
+                (rf"{SERVICES_PREFIX}([A-Za-z0-9._-]+)(?:/(.*))?", PlainHandler, own),
+                (r"/healthz", HealthHandler, own),
+                (r".*", UnknownPathHandler, own),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(
+            application,
+            ssl_options=self._make_tls(),
+            max_buffer_size=2 * MAX_BODY_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            body_timeout=CALLER_BODY_TIMEOUT_S,
+            idle_connection_timeout=CALLER_IDLE_TIMEOUT_S,
+        )
+        self.address = settings.address
+
+    def _make_tls(self) -> ssl.SSLContext | None:
+        if not self._settings.tls_certificate:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(self._settings.tls_certificate, self._settings.tls_key)
+        return context
+
+    def start(self) -> None:
+        """Listen."""
+        host, port = split_address(self._settings.address)
+        sockets = bind_sockets(port, host)
+        for listening in sockets:
+            _set_keepalive(listening)
+        self._server.add_sockets(sockets)
+        self.address = f"{host}:{sockets[0].getsockname()[1]}"
+
+    def stop_listening(self) -> None:
+        """Take no further connections."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close what is still open."""
+        async with asyncio.timeout(1.0):
+            await self._server.close_all_connections()
+
+
+def _set_keepalive(listening: socket.socket) -> None:
+    # Accepted connections inherit these options on Linux.
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    listening.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    listening.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    listening.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
