Speak to engines and plain services through drivers

Cause: the owner of an endpoint needs one interface to all kinds of endpoints, and must know whether a request ran. Streams that break or go silent are resumed by token position. Conclusion: tested against the stand-ins; owners can build on it.

--- /dev/null
+++ b/fescuekeel/components/engine/driver.py
@@ -0,0 +1,267 @@
+"""The driver for model engines."""
+
+import asyncio
+import json
+import time
+from dataclasses import replace
+
+from tornado.httpclient import HTTPResponse
+
+from fescuekeel.components.engine.const import (
+    CANCEL_TIMEOUT_S,
+    JSON_HEADERS,
+    MAX_SILENCE_S,
+    PATH_CACHE_EVENTS,
+    PATH_CANCEL,
+    PATH_EVICT,
+    PATH_LOAD,
+    PATH_REPORT,
+    RESUME_ATTEMPTS,
+    RESUME_PAUSE_S,
+    SILENCE_S,
+    WHOLE_ANSWER_FACTOR,
+)
+from fescuekeel.components.engine.events import EventStream, assemble
+from fescuekeel.components.engine.leg import (
+    STALE_FENCE,
+    StreamLeg,
+    cut,
+    read_refusal,
+)
+from fescuekeel.components.engine.model import (
+    CacheEventsBody,
+    ErrorBody,
+    LoadBody,
+    ReportBody,
+    compose_completion,
+    parse_body,
+)
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure, Ran, RetryReason
+from fescuekeel.helpers.driver import (
+    CacheHints,
+    Call,
+    OnChunk,
+    OrderOutcome,
+    Outcome,
+    Report,
+)
+from fescuekeel.helpers.endpoint_http import (
+    BrokenError,
+    ConnectError,
+    EndpointClient,
+    Exchange,
+    SilenceWatch,
+)
+from fescuekeel.messages import AdapterRef
+
+__all__ = ["EngineDriver"]
+
+JSON_TYPE = "application/json"
+CANCELLED = Outcome(Failure(ErrorKind.CANCELLED, ran=Ran.UNKNOWN), 499)
+
+
+class EngineDriver:
+    """Speak to one model engine."""
+
+    def __init__(self, instance: Instance, address: str) -> None:
+        self.instance = instance
+        self.client = EndpointClient(address)
+        self.exchanges_by_request: dict[str, Exchange] = {}
+        self.cancelled: set[str] = set()
+        self.silence_s = SILENCE_S
+
+    async def dispatch(self, call: Call, on_chunk: OnChunk) -> Outcome:
+        """Hand over a request and wait for its end."""
+        try:
+            if not call.stream:
+                return await self._complete(call, on_chunk)
+            return await self._stream(call, EventStream(), on_chunk, resume=False)
+        finally:
+            self.cancelled.discard(call.request_id)
+
+    async def resume(self, call: Call, position: int, on_chunk: OnChunk) -> Outcome:
+        """Take up a stream that runs, from a token on."""
+        stream = EventStream(position)
+        try:
+            return await self._stream(call, stream, on_chunk, resume=True)
+        finally:
+            self.cancelled.discard(call.request_id)
+
+    async def cancel(self, request_id: str) -> None:
+        """Stop a request and free its connection."""
+        self.cancelled.add(request_id)
+        body: dict[str, object] = {"request_id": request_id}
+        await self._order(PATH_CANCEL, body, CANCEL_TIMEOUT_S)
+        exchange = self.exchanges_by_request.get(request_id)
+        if exchange is None:
+            self.cancelled.discard(request_id)
+            return
+        exchange.close()
+
+    async def load(
+        self, adapter: AdapterRef, fence: int, timeout_s: float
+    ) -> OrderOutcome:
+        """Order a load and wait until it ended."""
+        return await self._order_adapter(PATH_LOAD, adapter, fence, timeout_s)
+
+    async def evict(
+        self, adapter: AdapterRef, fence: int, timeout_s: float
+    ) -> OrderOutcome:
+        """Order an eviction and wait until it ended."""
+        return await self._order_adapter(PATH_EVICT, adapter, fence, timeout_s)
+
+    async def report(self, timeout_s: float) -> Report | None:
+        """Return the engine's report, or ``None`` when it can't be had."""
+        response = await self._get(PATH_REPORT, timeout_s)
+        if response is None or response.code != 200:
+            return None
+        body = parse_body(ReportBody, response.body)
+        return None if body is None else body.to_report()
+
+    async def read_cache_hints(self, since: int, timeout_s: float) -> CacheHints:
+        """Return cache events from a number on."""
+        response = await self._get(f"{PATH_CACHE_EVENTS}?since={since}", timeout_s)
+        if response is None or response.code != 200:
+            return CacheHints((), since)
+        body = parse_body(CacheEventsBody, response.body)
+        return CacheHints((), since) if body is None else body.to_hints()
+
+    def close(self) -> None:
+        """Drop every connection."""
+        self.client.close()
+
+    async def _complete(self, call: Call, on_chunk: OnChunk) -> Outcome:
+        """Run a request whose answer comes in one piece.
+
+        Guards against an answer that is lost with its connection: the tokens
+        are then asked for as a stream, and put together here.
+        """
+        deadline = time.monotonic() + call.remaining_s
+        outcome = await self._ask_whole(call, on_chunk)
+        if outcome is not None:
+            return outcome
+        if call.request_id in self.cancelled:
+            return CANCELLED
+        remaining_s = deadline - time.monotonic()
+        if remaining_s <= 0:
+            return Outcome.unknown("no answer in time")
+        self.instance.metrics.count(f"retry.{RetryReason.STREAM_RESUMED}")
+        pieces: list[bytes] = []
+        outcome = await self._stream(
+            replace(call, remaining_s=remaining_s),
+            EventStream(),
+            lambda position, data: pieces.append(data),
+            resume=True,
+        )
+        if outcome.failure is not None:
+            return Outcome.unknown(outcome.failure.detail)
+        on_chunk(0, assemble(b"".join(pieces)))
+        return Outcome(content_type=JSON_TYPE)
+
+    async def _ask_whole(self, call: Call, on_chunk: OnChunk) -> Outcome | None:
+        path, body = compose_completion(call)
+        exchange = Exchange()
+        watch = SilenceWatch(exchange, self.silence_s * WHOLE_ANSWER_FACTOR)
+        self.exchanges_by_request[call.request_id] = exchange
+        watch.start()
+        try:
+            response = await self.client.fetch(
+                "POST",
+                path,
+                body=body,
+                headers=JSON_HEADERS,
+                timeout_s=call.remaining_s,
+                exchange=exchange,
+            )
+        except ConnectError as error:
+            return Outcome.refused(str(error))
+        except BrokenError:
+            return None
+        finally:
+            watch.stop()
+            self.exchanges_by_request.pop(call.request_id, None)
+        if response.code != 200:
+            return read_refusal(response.code, response.body)
+        on_chunk(0, response.body)
+        return Outcome(content_type=response.headers.get("Content-Type", JSON_TYPE))
+
+    async def _stream(
+        self, call: Call, stream: EventStream, on_chunk: OnChunk, resume: bool
+    ) -> Outcome:
+        """Read a stream to its end over as many connections as it takes.
+
+        Guards against connections that break or go silent for good: what is
+        missing is asked for by position on a new one. The request itself is
+        sent once; ``resume`` never makes an engine run it again. A silence
+        may also mean that the request waits inside the engine, so that it is
+        not counted as a failure, and the next one is waited out longer.
+        """
+        deadline = time.monotonic() + call.remaining_s
+        silence_s = self.silence_s
+        failures = 0
+        while True:
+            position = stream.position
+            leg = StreamLeg(self, call, stream, on_chunk, deadline, silence_s)
+            outcome = await leg.run(resume)
+            if outcome is not None:
+                return outcome
+            if call.request_id in self.cancelled:
+                return CANCELLED
+            if stream.position > position:
+                failures, silence_s = 0, self.silence_s
+            elif leg.watch.silent:
+                silence_s = min(2 * silence_s, MAX_SILENCE_S)
+            else:
+                failures += 1
+            if failures > RESUME_ATTEMPTS or time.monotonic() >= deadline:
+                return cut(stream, leg.detail)
+            self._count_resume(leg.watch.silent)
+            await asyncio.sleep(RESUME_PAUSE_S * 2**failures)
+            stream.restart()
+            resume = True
+
+    def _count_resume(self, silent: bool) -> None:
+        self.instance.metrics.count(f"retry.{RetryReason.STREAM_RESUMED}")
+        if silent:
+            self.instance.metrics.count("engine.silent_stream")
+
+    async def _order_adapter(
+        self, path: str, adapter: AdapterRef, fence: int, timeout_s: float
+    ) -> OrderOutcome:
+        started = time.monotonic()
+        body: dict[str, object] = {"model": str(adapter)}
+        if fence:
+            body["fence"] = fence
+        response = await self._order(path, body, timeout_s)
+        took_s = time.monotonic() - started
+        if response is None:
+            return OrderOutcome(False, took_s, "no answer")
+        if response.code != 200:
+            error = parse_body(ErrorBody, response.body) or ErrorBody()
+            stale = error.fence if error.error == STALE_FENCE else 0
+            return OrderOutcome(False, took_s, error.error, stale)
+        answer = parse_body(LoadBody, response.body)
+        if answer is not None and answer.took_ms:
+            took_s = answer.took_ms / 1000
+        return OrderOutcome(True, took_s)
+
+    async def _order(
+        self, path: str, body: dict[str, object], timeout_s: float
+    ) -> HTTPResponse | None:
+        try:
+            return await self.client.fetch(
+                "POST",
+                path,
+                body=json.dumps(body).encode(),
+                headers=JSON_HEADERS,
+                timeout_s=timeout_s,
+            )
+        except (ConnectError, BrokenError):
+            return None
+
+    async def _get(self, path: str, timeout_s: float) -> HTTPResponse | None:
+        try:
+            return await self.client.fetch("GET", path, timeout_s=timeout_s)
+        except (ConnectError, BrokenError):
+            return None
--- /dev/null
+++ b/fescuekeel/components/plain/driver.py
@@ -0,0 +1,156 @@
+"""The driver for plain services."""
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from tornado.httpclient import HTTPResponse
+
+from fescuekeel.components.plain.const import (
+    DEFAULT_CONTENT_TYPE,
+    HEADER_NOT_RUN,
+    PATH_REPORT,
+)
+from fescuekeel.const import HEADER_IDEMPOTENCY_KEY, HEADER_REQUEST_ID
+from fescuekeel.core import Instance
+from fescuekeel.helpers.driver import (
+    CacheHints,
+    Call,
+    OnChunk,
+    OrderOutcome,
+    Outcome,
+    Report,
+    RunningCall,
+)
+from fescuekeel.helpers.endpoint_http import (
+    BrokenError,
+    ConnectError,
+    EndpointClient,
+    Exchange,
+)
+from fescuekeel.messages import AdapterRef
+
+__all__ = ["PlainDriver"]
+
+DEFAULT_METHOD = "POST"
+
+
+class RunningBody(BaseModel):
+    """One request that runs on the service."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    request_id: str
+
+
+class ReportBody(BaseModel):
+    """A plain service's report of itself."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    boot_id: str
+    running: tuple[RunningBody, ...] = ()
+    max_running: int = 0
+
+
+def split_path(path: str) -> tuple[str, str]:
+    """Return method and path.
+
+    >>> split_path("GET /stock"), split_path("/orders")
+    (('GET', '/stock'), ('POST', '/orders'))
+    """
+    method, separator, rest = path.partition(" ")
+    return (method, rest) if separator else (DEFAULT_METHOD, path)
+
+
+class PlainDriver:
+    """Speak to one plain service, which holds no adapters."""
+
+    def __init__(self, instance: Instance, address: str) -> None:
+        self.instance = instance
+        self.client = EndpointClient(address)
+        self.exchanges_by_request: dict[str, Exchange] = {}
+
+    async def dispatch(self, call: Call, on_chunk: OnChunk) -> Outcome:
+        """Hand over a request and wait for its end."""
+        try:
+            response = await self._send(call)
+        except ConnectError as error:
+            return Outcome.refused(str(error))
+        except BrokenError as error:
+            return Outcome.unknown(str(error))
+        if response.code == 503 and response.headers.get(HEADER_NOT_RUN) == "1":
+            return Outcome.refused("refused by the service")
+        if response.body:
+            on_chunk(0, response.body)
+        return Outcome(
+            status=response.code,
+            content_type=response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
+        )
+
+    async def resume(self, call: Call, position: int, on_chunk: OnChunk) -> Outcome:
+        """Say that nothing can be taken up."""
+        return Outcome.unknown("plain services keep no answers")
+
+    async def cancel(self, request_id: str) -> None:
+        """Close the request's connection."""
+        exchange = self.exchanges_by_request.get(request_id)
+        if exchange is not None:
+            exchange.close()
+
+    async def load(
+        self, adapter: AdapterRef, fence: int, timeout_s: float
+    ) -> OrderOutcome:
+        """Say that there is nothing to load."""
+        return OrderOutcome(False, detail="plain services hold no adapters")
+
+    async def evict(
+        self, adapter: AdapterRef, fence: int, timeout_s: float
+    ) -> OrderOutcome:
+        """Say that there is nothing to evict."""
+        return OrderOutcome(False, detail="plain services hold no adapters")
+
+    async def report(self, timeout_s: float) -> Report | None:
+        """Return the service's report, or ``None`` when it can't be had."""
+        try:
+            response = await self.client.fetch("GET", PATH_REPORT, timeout_s=timeout_s)
+            body = ReportBody.model_validate_json(response.body)
+        except (ConnectError, BrokenError, ValidationError):
+            return None
+        return Report(
+            boot_id=body.boot_id,
+            fence=0,
+            max_running=body.max_running,
+            loaded=frozenset(),
+            running=tuple(
+                RunningCall(item.request_id, AdapterRef()) for item in body.running
+            ),
+        )
+
+    async def read_cache_hints(self, since: int, timeout_s: float) -> CacheHints:
+        """Return nothing: plain services cache nothing that is of use here."""
+        return CacheHints((), since)
+
+    def close(self) -> None:
+        """Drop every connection."""
+        self.client.close()
+
+    async def _send(self, call: Call) -> HTTPResponse:
+        method, path = split_path(call.path)
+        has_body = bool(call.body) or method in ("POST", "PUT", "PATCH")
+        exchange = Exchange()
+        self.exchanges_by_request[call.request_id] = exchange
+        headers = {
+            HEADER_REQUEST_ID: call.request_id,
+            HEADER_IDEMPOTENCY_KEY: call.request_id,
+        }
+        if has_body:
+            headers["Content-Type"] = "application/json"
+        try:
+            return await self.client.fetch(
+                method,
+                path,
+                body=call.body if has_body else None,
+                headers=headers,
+                timeout_s=call.remaining_s,
+                exchange=exchange,
+            )
+        finally:
+            self.exchanges_by_request.pop(call.request_id, None)
--- /dev/null
+++ b/fescuekeel/helpers/endpoint_http.py
@@ -0,0 +1,213 @@
+"""The HTTP client towards endpoints, which never repeats a request."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from contextvars import ContextVar
+from typing import Any
+
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.iostream import IOStream
+from tornado.netutil import Resolver, is_valid_ip
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.tcpclient import TCPClient
+
+__all__ = ["BrokenError", "ConnectError", "EndpointClient", "Exchange", "SilenceWatch"]
+
+# Far above what one instance can have open, so that no request ever waits in
+# the client's own queue, unseen by the deadlines.
+MAX_CLIENTS = 1_000_000
+CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class ConnectError(Exception):
+    """Say that no connection was made, so that not one byte was sent."""
+
+
+class BrokenError(Exception):
+    """Say that a connection broke or timed out after it had been made."""
+
+
+class Exchange:
+    """One request and what is needed to abandon it."""
+
+    def __init__(self) -> None:
+        self.stream: IOStream | None = None
+        self.closed = False
+
+    def close(self) -> None:
+        """Close the connection, now or as soon as it is made."""
+        self.closed = True
+        if self.stream is not None:
+            self.stream.close()
+
+
+class SilenceWatch:
+    """Close a connection on which nothing came for too long.
+
+    Guards against a connection that one side has lost track of: it stays open
+    for good and no error ever shows. Once it is closed, what is missing can
+    be asked for on a new one. ``silent`` tells that this happened.
+    """
+
+    def __init__(self, exchange: Exchange, silence_s: float) -> None:
+        self.exchange = exchange
+        self.silence_s = silence_s
+        self.silent = False
+        self._heard = time.monotonic()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._heard = time.monotonic()
+        self._check()
+
+    def hear(self) -> None:
+        """Note that something came."""
+        self._heard = time.monotonic()
+
+    def stop(self) -> None:
+        """End the watch."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check(self) -> None:
+        left_s = self._heard + self.silence_s - time.monotonic()
+        if left_s > 0:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(left_s, self._check)
+            return
+        self.silent = True
+        self.exchange.close()
+
+
+CURRENT_EXCHANGE: ContextVar[Exchange | None] = ContextVar("exchange", default=None)
+
+
+class NumericResolver(Resolver):
+    """Resolve IP numbers in line, without the thread that names need."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        """Return the address itself."""
+        if not is_valid_ip(host):
+            raise OSError(f"{host} is no IP number")
+        if ":" in host:
+            return [(socket.AF_INET6, (host, port, 0, 0))]
+        return [(socket.AF_INET, (host, port))]
+
+    def close(self) -> None:
+        """Free nothing, as nothing is held."""
+
+
+class ConnectingClient(TCPClient):
+    """Tell a connection that was never made from one that broke.
+
+    Guards against a false "not run": the HTTP client reports both as an
+    ``OSError`` or a timeout. Only a failure inside ``connect``, before the
+    HTTP client holds a stream that it could write to, becomes
+    ``ConnectError``; whatever else happens counts as "may have run".
+    """
+
+    async def connect(self, *args: Any, **kwargs: Any) -> IOStream:
+        """Connect, and note the stream in the exchange under way."""
+        try:
+            stream = await super().connect(*args, **kwargs)
+        except Exception as error:
+            raise ConnectError(str(error)) from error
+        exchange = CURRENT_EXCHANGE.get()
+        if exchange is None:
+            return stream
+        if exchange.closed:
+            stream.close()
+            raise ConnectError("abandoned")
+        exchange.stream = stream
+        return stream
+
+
+class NoRepeatClient(SimpleAsyncHTTPClient):
+    """Use ``ConnectingClient`` below the library's HTTP client."""
+
+    def initialize(self, **kwargs: Any) -> None:  # type: ignore[override]
+        """Set up the client."""
+        super().initialize(**kwargs)
+        self.tcp_client.close()
+        self.tcp_client = ConnectingClient(resolver=NumericResolver())
+
+
+class EndpointClient:
+    """Send requests to one endpoint.
+
+    Redirects are not followed, since that would send a body twice, and the
+    library's timeouts are set from the deadline of each request.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.base_url = f"http://{address}"
+        self.client = NoRepeatClient(
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+            max_body_size=MAX_ANSWER_BYTES,
+            max_buffer_size=MAX_ANSWER_BYTES,
+        )
+        self.exchanges: set[Exchange] = set()
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        exchange: Exchange | None = None,
+        on_data: Callable[[bytes], None] | None = None,
+        on_header: Callable[[str], None] | None = None,
+    ) -> HTTPResponse:
+        """Send one request once and return the response, whatever its status.
+
+        Raises ``ConnectError`` when nothing was sent, and ``BrokenError``
+        when the connection failed later.
+        """
+        exchange = exchange or Exchange()
+        if exchange.closed:
+            raise ConnectError("abandoned")
+        request = HTTPRequest(
+            self.base_url + path,
+            method=method,
+            body=body,
+            headers=headers,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=max(timeout_s, 0.001),
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            streaming_callback=on_data,
+            header_callback=on_header,
+        )
+        self.exchanges.add(exchange)
+        token = CURRENT_EXCHANGE.set(exchange)
+        try:
+            future = self.client.fetch(request, raise_error=False)
+        finally:
+            CURRENT_EXCHANGE.reset(token)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            exchange.close()
+            raise
+        except ConnectError:
+            raise
+        except Exception as error:
+            raise BrokenError(str(error) or repr(error)) from error
+        finally:
+            self.exchanges.discard(exchange)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for exchange in list(self.exchanges):
+            exchange.close()
+        self.client.close()
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,5 +1,8 @@
 """Helpers shared by the tests."""
 
+import asyncio
+from collections.abc import Callable
+
 from fescuekeel.helpers.settings import Settings, parse_settings
 
 SETTINGS = """
@@ -27,3 +30,16 @@
 def make_settings(id: str = "i1", data_centre: str = "dc1") -> Settings:
     """Return valid settings with free ports."""
     return parse_settings(SETTINGS.format(id=id, data_centre=data_centre)).unwrap()
+
+
+POLL_S = 0.005
+PATIENCE_S = 15.0
+
+
+async def eventually(condition: Callable[[], object]) -> None:
+    """Wait until something holds; fail when it never does."""
+    for _ in range(int(PATIENCE_S / POLL_S)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    raise AssertionError("it never came to hold")
--- /dev/null
+++ b/tests/components/plain/test_driver.py
@@ -0,0 +1,110 @@
+"""Tests of the driver for plain services against their stand-in."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from fescuekeel.components.plain.driver import PlainDriver
+from fescuekeel.core import Instance
+from fescuekeel.errors import Ran
+from fescuekeel.helpers.driver import Call
+from fescuekeel.messages import AdapterRef
+from standins.plain import PlainService, start_plain
+from tests.common import eventually, make_settings
+
+Deliver = Callable[[PlainDriver, PlainService, list[bytes]], Awaitable[None]]
+
+
+def run(story: Deliver) -> None:
+    async def main() -> None:
+        service, server = await start_plain()
+        driver = PlainDriver(Instance(make_settings()), server.address)
+        try:
+            async with asyncio.timeout(20):
+                await story(driver, service, [])
+        finally:
+            driver.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+def make_call(path: str = "/orders", body: bytes = b"{}") -> Call:
+    return Call("r1", AdapterRef(), 0, 5.0, False, path, body)
+
+
+class TestDispatch:
+    def test_answer_and_method_are_passed_on(self) -> None:
+        async def story(
+            driver: PlainDriver, service: PlainService, got: list[bytes]
+        ) -> None:
+            call = make_call("GET /stock?x=1", b"")
+            outcome = await driver.dispatch(call, lambda at, data: got.append(data))
+            assert outcome.failure is None
+            assert outcome.content_type.startswith("application/json")
+            assert len(got) == 1
+            (seen,) = service.calls
+            assert (seen.method, seen.path) == ("GET", "/stock?x=1")
+            assert seen.request_id == "r1"
+
+        run(story)
+
+    def test_error_of_the_service_is_its_answer(self) -> None:
+        async def story(
+            driver: PlainDriver, service: PlainService, got: list[bytes]
+        ) -> None:
+            service.control({"fail": 1})
+            outcome = await driver.dispatch(
+                make_call(), lambda at, data: got.append(data)
+            )
+            assert (outcome.status, outcome.ran) == (500, Ran.YES)
+
+        run(story)
+
+    def test_explicit_refusal_means_not_run(self) -> None:
+        async def story(
+            driver: PlainDriver, service: PlainService, got: list[bytes]
+        ) -> None:
+            service.control({"refuse": 1})
+            outcome = await driver.dispatch(
+                make_call(), lambda at, data: got.append(data)
+            )
+            assert outcome.ran is Ran.NO
+            assert not got
+            assert not service.calls
+
+        run(story)
+
+    def test_broken_connection_is_sent_once_and_unknown(self) -> None:
+        """A charge runs, and the connection closes before its answer.
+
+        A client that repeats by itself would charge twice; one that says
+        "not run" would make the caller do so.
+        """
+
+        async def story(
+            driver: PlainDriver, service: PlainService, got: list[bytes]
+        ) -> None:
+            service.control({"break_after": 1})
+            outcome = await driver.dispatch(
+                make_call(), lambda at, data: got.append(data)
+            )
+            assert outcome.ran is Ran.UNKNOWN
+            assert len(service.calls) == 1
+
+        run(story)
+
+    def test_report_names_running_calls(self) -> None:
+        async def story(
+            driver: PlainDriver, service: PlainService, got: list[bytes]
+        ) -> None:
+            service.control({"delay_s": 0.2})
+            task = asyncio.create_task(
+                driver.dispatch(make_call(), lambda at, data: got.append(data))
+            )
+            await eventually(lambda: service.running)
+            report = await driver.report(1.0)
+            assert report is not None
+            assert [item.request_id for item in report.running] == ["r1"]
+            assert (await task).failure is None
+
+        run(story)
