Connect instances by signed frames over TCP

Cause: components need PeerLink to reach other instances. Change: add the peers component. Frames are bounded and signed over both sides' nonces, direction and number; a stranger, another version or a damaged frame ends only its own connection and is counted. Silent and lost connections are replaced before a peer is told lost (PeerLost), queues are bounded, and what is sent in one turn of the loop is one write.

--- /dev/null
+++ b/fescuekeel/components/peers/const.py
@@ -0,0 +1,31 @@
+"""Constants of the peers component."""
+
+from typing import Final
+
+from fescuekeel.helpers.peer_link import PEERS_DOMAIN
+
+DOMAIN: Final = PEERS_DOMAIN
+
+NONCE_BYTES: Final = 16
+# A stranger may make us hold no more than this before it has signed.
+MAX_HELLO_BYTES: Final = 4096
+READ_BYTES: Final = 64 * 1024
+MAX_QUEUE_BYTES: Final = 16 * 1024 * 1024
+MAX_INCOMING: Final = 2048
+MAX_QUESTIONS: Final = 50_000
+MAX_ADDRESSES: Final = 4096
+
+CONNECT_TIMEOUT_S: Final = 1.0
+HELLO_TIMEOUT_S: Final = 2.0
+RETRY_S: Final = 0.1
+GOODBYE_TIMEOUT_S: Final = 1.0
+IDLE_S: Final = 60.0
+CHECK_PERIOD_S: Final = 0.2
+HEARTBEAT_S: Final = 0.3
+SILENT_S: Final = 1.0
+SEED_PERIOD_S: Final = 1.0
+
+# Payloads of one byte are the link's own; those of pycapnp are longer.
+HEARTBEAT: Final = b"\x01"
+HEARTBEAT_ANSWER: Final = b"\x02"
+GOODBYE: Final = b"\x03"
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -16,7 +16,12 @@
   incarnation @3 :UInt64;
   address @4 :Text;
 }
-struct HelloAnswer { instance @0 :Text; incarnation @1 :UInt64; }
+struct HelloAnswer {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  address @3 :Text;
+}
 struct Ping { news @0 :List(News); }
 struct PingAnswer { news @0 :List(News); }
 struct ProbeAsk { target @0 :Text; address @1 :Text; }
--- /dev/null
+++ b/tests/components/peers/test_link.py
@@ -0,0 +1,316 @@
+"""Tests of the link between instances, over real sockets."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from itertools import pairwise
+
+import pytest
+from returns.pipeline import is_successful
+
+from fescuekeel.components.peers import Peers, link as link_module
+from fescuekeel.components.peers.connection import Connection
+from fescuekeel.components.peers.frames import Direction, FrameWriter
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind
+from fescuekeel.helpers.wire import encode
+from fescuekeel.messages import (
+    Envelope,
+    Hello,
+    LiveEntry,
+    LiveList,
+    LiveRole,
+    PeerLost,
+    Ping,
+    StartAnswer,
+    StartAsk,
+    WorkChunk,
+)
+from tests.common import make_settings
+
+KEY = "a-shared-secret-of-the-tests"
+NEW_KEY = "the-next-shared-secret"
+
+
+def make_instance(id, keys=(KEY,), seeds=()):
+    settings = make_settings(id)
+    peers = settings.peers.model_copy(update={"keys": keys, "seeds": seeds})
+    return Instance(settings.model_copy(update={"peers": peers}))
+
+
+def tell_addresses(*instances, address_by_id=None):
+    entries = {}
+    for instance in instances:
+        address = (address_by_id or {}).get(
+            instance.id, instance.components_by_domain["peers"].address
+        )
+        entries[instance.id] = LiveEntry(
+            instance.id, LiveRole.INSTANCE, address, "dc1", 1
+        )
+    for instance in instances:
+        instance.bus.publish_state(LiveList(entries))
+
+
+@asynccontextmanager
+async def running(*instances):
+    for instance in instances:
+        instance.components_by_domain["peers"] = Peers(instance)
+        await instance.components_by_domain["peers"].start()
+    tell_addresses(*instances)
+    try:
+        yield [instance.components_by_domain["peers"] for instance in instances]
+    finally:
+        for instance in instances:
+            await instance.stop()
+
+
+def answer_starts(instance, granted=True):
+    """Grant each attempt that an instance is asked for."""
+    peers = instance.components_by_domain["peers"]
+    instance.bus.subscribe_peer(
+        StartAsk, lambda question: peers.answer(question, StartAnswer(granted))
+    )
+
+
+async def wait_for(condition):
+    async with asyncio.timeout(10):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+class Silence:
+    """Relay connections, and on request lose track of those that are open."""
+
+    def __init__(self, target):
+        self.target = target
+        self.silent = []
+        self.opened = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def serve(self, reader, writer):
+        self.opened += 1
+        state = {"silent": False}
+        self.silent.append(state)
+        host, port = self.target.rsplit(":", 1)
+        other_reader, other_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            self.copy(reader, other_writer, state),
+            self.copy(other_reader, writer, state),
+        )
+
+    async def copy(self, reader, writer, state):
+        while data := await reader.read(65536):
+            if not state["silent"]:
+                writer.write(data)
+        if not state["silent"]:
+            writer.close()
+
+
+class TestPeers:
+    def test_messages_and_answers_keep_their_order(self):
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            async with running(one, two) as (link, _):
+                seen = []
+                two.bus.subscribe_peer(WorkChunk, lambda m: seen.append(m.body))
+                answer_starts(two)
+                chunks = [WorkChunk("r", 1, n, b"x" * n) for n in range(200)]
+                for chunk in chunks:
+                    assert link.send("i2", chunk)
+                answer = await link.ask("i2", StartAsk("r", 1), 5)
+                assert answer.unwrap() == StartAnswer(True)
+                assert seen == chunks
+                assert one.metrics.counters_by_name["peers.connected"] == 1
+
+        asyncio.run(run())
+
+    def test_one_reaches_oneself_without_sockets(self):
+        async def run():
+            one = make_instance("i1")
+            async with running(one) as (link,):
+                answer_starts(one)
+                answer = await link.ask("i1", StartAsk("r", 1), 5)
+                assert answer.unwrap() == StartAnswer(True)
+                assert "peers.connected" not in one.metrics.counters_by_name
+
+        asyncio.run(run())
+
+    def test_a_seed_is_met_without_a_live_list(self):
+        async def run():
+            one = make_instance("i1")
+            async with running(one) as (first,):
+                two = make_instance("i2", seeds=(first.address,))
+                async with running(two) as (second,):
+                    two.bus.publish_state(LiveList())
+                    answer_starts(one)
+                    await wait_for(lambda: second.send("i1", Ping()))
+                    answer = await second.ask("i1", StartAsk("r", 1), 5)
+                    assert is_successful(answer)
+
+        asyncio.run(run())
+
+    def test_an_unknown_peer_is_unreachable_at_once(self):
+        async def run():
+            one = make_instance("i1")
+            async with running(one) as (link,):
+                assert not link.send("i9", Ping())
+                failure = (await link.ask("i9", Ping(), 60)).failure()
+                assert failure.kind is ErrorKind.PEER_UNREACHABLE
+
+        asyncio.run(run())
+
+
+class TestLostConnections:
+    def test_questions_fail_at_once_when_the_peer_dies(self):
+        # A caller would wait for its whole answer time: the owner is killed
+        # while a question to it is open, and nobody tells the entry.
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            lost = []
+            one.bus.subscribe(PeerLost, lost.append)
+            async with running(one) as (link,):
+                async with running(two):
+                    tell_addresses(one, two)
+                    two.bus.subscribe_peer(StartAsk, lambda question: None)
+                    asked = asyncio.ensure_future(link.ask("i2", StartAsk("r", 1), 600))
+                    await wait_for(lambda: one.metrics.counters_by_name)
+                    await asyncio.sleep(2 * link_module.RETRY_S)
+                async with asyncio.timeout(30):
+                    failure = (await asked).failure()
+                assert failure.kind is ErrorKind.PEER_UNREACHABLE
+                await wait_for(lambda: PeerLost("i2", reachable=False) in lost)
+
+        asyncio.run(run())
+
+    def test_a_silent_connection_is_replaced_before_the_peer_is_given_up(self):
+        # Requests would fail for minutes although the peer is well: something
+        # between the two has lost track of the open connection, and neither
+        # a reset nor a byte comes, while new connections work.
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            lost = []
+            one.bus.subscribe(PeerLost, lost.append)
+            async with running(one, two) as (link, other):
+                relay = Silence(other.address)
+                address = await relay.start()
+                tell_addresses(one, address_by_id={"i1": address})
+                one.bus.publish_state(
+                    LiveList({"i2": LiveEntry("i2", LiveRole.INSTANCE, address, "", 1)})
+                )
+                answer_starts(two)
+                assert is_successful(await link.ask("i2", StartAsk("r", 1), 5))
+                relay.silent[0]["silent"] = True
+                failure = (await link.ask("i2", StartAsk("r", 2), 60)).failure()
+                assert failure.detail == "silent"
+                await wait_for(lambda: lost == [PeerLost("i2", reachable=True)])
+                assert is_successful(await link.ask("i2", StartAsk("r", 3), 5))
+                assert relay.opened == 2
+                relay.server.close()
+
+        asyncio.run(run())
+
+    def test_a_slow_peer_does_not_grow_the_memory(self, monkeypatch):
+        # The daemon would be killed for its memory: a peer stops to read its
+        # connection, and all that is sent to it piles up here.
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            async with running(one, two) as (link, _):
+                answer_starts(two)
+                await link.ask("i2", StartAsk("r", 1), 5)
+                monkeypatch.setattr(
+                    "fescuekeel.components.peers.connection.MAX_QUEUE_BYTES", 10_000
+                )
+                chunk = WorkChunk("r", 1, 0, b"x" * 1000)
+                sent = [link.send("i2", chunk) for _ in range(20)]
+                assert sent.index(False) < 10
+                assert one.metrics.counters_by_name["peers.lost.slow"] == 1
+
+        asyncio.run(run())
+
+
+class TestStrangers:
+    @pytest.mark.parametrize(
+        ("version", "key", "junk", "reason"),
+        [
+            (1, b"a-key-of-a-stranger", b"", "stranger"),
+            (2, KEY.encode(), b"", "version"),
+            (1, KEY.encode(), b"\xff" * 8, "bad_frame"),
+        ],
+    )
+    def test_they_are_refused_and_nothing_else_is_harmed(
+        self, version, key, junk, reason
+    ):
+        # Someone who can reach the port sends a frame of the right form but
+        # without the key, of another version, or with damage after a hello.
+        # Only that connection ends; the peers go on to talk.
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            async with running(one, two) as (link, other):
+                answer_starts(two)
+                host, port = other.address.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                own, nonce = b"n" * 16, await reader.readexactly(16)
+                frames = FrameWriter(key, own + nonce, Direction.CONNECTING)
+                hello = Hello(version, "i3", "dc1", 1, "127.0.0.1:1")
+                writer.write(own + frames.seal(encode(Envelope(1, 0, hello))))
+                if junk:
+                    await reader.readexactly(4)
+                    writer.write(frames.seal(junk))
+                async with asyncio.timeout(10):
+                    await reader.read()
+                writer.close()
+                name = f"peers.refused.{reason}"
+                await wait_for(lambda: two.metrics.counters_by_name[name] == 1)
+                assert is_successful(await link.ask("i2", StartAsk("r", 1), 5))
+
+        asyncio.run(run())
+
+    def test_a_key_is_changed_without_a_stop(self):
+        # Operators change the key on one instance after the other. Each pair
+        # of neighbours in this order has to understand the other's frames.
+        async def run(one_keys, two_keys):
+            one, two = make_instance("i1", one_keys), make_instance("i2", two_keys)
+            async with running(one, two) as (link, other):
+                answer_starts(one)
+                answer_starts(two)
+                results = [
+                    await link.ask("i2", StartAsk("r", 1), 5),
+                    await other.ask("i1", StartAsk("r", 1), 5),
+                ]
+                return all(map(is_successful, results))
+
+        steps = [(KEY,), (KEY, NEW_KEY), (NEW_KEY, KEY), (NEW_KEY,)]
+        for before, after in pairwise(steps):
+            assert asyncio.run(run(before, after))
+        assert not asyncio.run(run(steps[0], steps[-1]))
+
+
+class TestConnection:
+    def test_what_is_sent_in_one_turn_goes_out_in_one_write(self):
+        class Stream:
+            def __init__(self):
+                self.writes = []
+
+            def closed(self):
+                return False
+
+            def write(self, data):
+                self.writes.append(data)
+                future = asyncio.get_running_loop().create_future()
+                future.set_result(None)
+                return future
+
+        async def run():
+            stream = Stream()
+            connection = Connection(stream, (b"k",), Direction.CONNECTING, lambda: 0.0)
+            connection._writer = FrameWriter(b"k", b"", Direction.CONNECTING)
+            for payload in (b"one", b"two", b"three"):
+                connection.send(payload)
+            await asyncio.sleep(0)
+            assert len(stream.writes) == 1
+            assert connection.queued_bytes == 0
+
+        asyncio.run(run())
