Number the tokens of each piece that a driver delivers

Cause: entries match pieces by position and count and want the end mark of a stream as a piece without tokens. Change: drivers pass on position, bytes and number of tokens, and the method, content type and idempotency key of plain calls. Conclusion: a stream that lacks its end mark can't be taken for whole.

--- a/fescuekeel/components/engine/driver.py
+++ b/fescuekeel/components/engine/driver.py
@@ -151,12 +151,12 @@
         outcome = await self._stream(
             replace(call, remaining_s=remaining_s),
             EventStream(),
-            lambda position, data: pieces.append(data),
+            lambda position, data, tokens: pieces.append(data if tokens else b""),
             resume=True,
         )
         if outcome.failure is not None:
             return Outcome.unknown(outcome.failure.detail)
-        on_chunk(0, assemble(b"".join(pieces)))
+        on_chunk(0, assemble(b"".join(pieces)), 1)
         return Outcome(content_type=JSON_TYPE)
 
     async def _ask_whole(self, call: Call, on_chunk: OnChunk) -> Outcome | None:
@@ -183,7 +183,7 @@
             self.exchanges_by_request.pop(call.request_id, None)
         if response.code != 200:
             return read_refusal(response.code, response.body)
-        on_chunk(0, response.body)
+        on_chunk(0, response.body, 1)
         return Outcome(content_type=response.headers.get("Content-Type", JSON_TYPE))
 
     async def _stream(
--- a/fescuekeel/components/engine/events.py
+++ b/fescuekeel/components/engine/events.py
@@ -3,9 +3,10 @@
 import json
 from dataclasses import dataclass, field
 
-__all__ = ["EventStream", "Piece", "assemble"]
+__all__ = ["END_MARK", "EventStream", "Piece", "assemble"]
 
 EVENT_END = b"\n\n"
+END_MARK = b"data: [DONE]\n\n"
 DATA_PREFIX = b"data:"
 DONE = b"[DONE]"
 
@@ -16,6 +17,7 @@
 
     position: int
     data: bytes
+    tokens: int
 
 
 @dataclass(slots=True)
@@ -31,7 +33,7 @@
 
     >>> stream = EventStream(position=1)
     >>> stream.feed(b'data: {"position": 0}\n\ndata: {"position": 1}\n\n')
-    Piece(position=1, data=b'data: {"position": 1}\n\n')
+    Piece(position=1, data=b'data: {"position": 1}\n\n', tokens=1)
     >>> stream.feed(b"data: [DONE]\n\n")
     >>> stream.position, stream.done
     (2, True)
@@ -50,7 +52,7 @@
         taken = [event for event in events if self._take(event)]
         if not taken:
             return None
-        return Piece(first, EVENT_END.join(taken) + EVENT_END)
+        return Piece(first, EVENT_END.join(taken) + EVENT_END, len(taken))
 
     def restart(self) -> None:
         """Forget the half event of a connection that is gone."""
--- a/fescuekeel/components/engine/leg.py
+++ b/fescuekeel/components/engine/leg.py
@@ -7,7 +7,7 @@
 from tornado.httpclient import HTTPResponse
 
 from fescuekeel.components.engine.const import JSON_HEADERS, PATH_RESUME
-from fescuekeel.components.engine.events import EventStream
+from fescuekeel.components.engine.events import END_MARK, EventStream
 from fescuekeel.components.engine.model import (
     ErrorBody,
     compose_completion,
@@ -126,9 +126,13 @@
         if self.status != 200:
             self.refusal += data
             return
+        if self.stream.done:
+            return
         piece = self.stream.feed(data)
         if piece is not None:
-            self.on_chunk(piece.position, piece.data)
+            self.on_chunk(piece.position, piece.data, piece.tokens)
+        if self.stream.done:
+            self.on_chunk(self.stream.position, END_MARK, 0)
         if self.stream.done or self.stream.gap:
             self.exchange.close()
 
--- a/fescuekeel/components/engine/model.py
+++ b/fescuekeel/components/engine/model.py
@@ -68,6 +68,7 @@
     steps: int = 0
     step_ms: float = 0.0
     batch_fill: float = 0.0
+    leaving: bool = False
 
     def to_report(self) -> Report:
         """Return the report as the rest of the system knows it."""
@@ -85,6 +86,7 @@
             steps=self.steps,
             step_s=self.step_ms / MS_PER_S,
             batch_fill=self.batch_fill,
+            leaving=self.leaving,
         )
 
 
--- a/fescuekeel/components/plain/driver.py
+++ b/fescuekeel/components/plain/driver.py
@@ -29,7 +29,7 @@
 
 __all__ = ["PlainDriver"]
 
-DEFAULT_METHOD = "POST"
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
 
 class RunningBody(BaseModel):
@@ -50,16 +50,6 @@
     max_running: int = 0
 
 
-def split_path(path: str) -> tuple[str, str]:
-    """Return method and path.
-
-    >>> split_path("GET /stock"), split_path("/orders")
-    (('GET', '/stock'), ('POST', '/orders'))
-    """
-    method, separator, rest = path.partition(" ")
-    return (method, rest) if separator else (DEFAULT_METHOD, path)
-
-
 class PlainDriver:
     """Speak to one plain service, which holds no adapters."""
 
@@ -79,7 +69,7 @@
         if response.code == 503 and response.headers.get(HEADER_NOT_RUN) == "1":
             return Outcome.refused("refused by the service")
         if response.body:
-            on_chunk(0, response.body)
+            on_chunk(0, response.body, 1)
         return Outcome(
             status=response.code,
             content_type=response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
@@ -133,20 +123,18 @@
         self.client.close()
 
     async def _send(self, call: Call) -> HTTPResponse:
-        method, path = split_path(call.path)
-        has_body = bool(call.body) or method in ("POST", "PUT", "PATCH")
+        has_body = bool(call.body) or call.method in BODY_METHODS
         exchange = Exchange()
         self.exchanges_by_request[call.request_id] = exchange
-        headers = {
-            HEADER_REQUEST_ID: call.request_id,
-            HEADER_IDEMPOTENCY_KEY: call.request_id,
-        }
+        headers = {HEADER_REQUEST_ID: call.request_id}
+        if call.idempotency_key:
+            headers[HEADER_IDEMPOTENCY_KEY] = call.idempotency_key
         if has_body:
-            headers["Content-Type"] = "application/json"
+            headers["Content-Type"] = call.content_type
         try:
             return await self.client.fetch(
-                method,
-                path,
+                call.method,
+                call.path,
                 body=call.body if has_body else None,
                 headers=headers,
                 timeout_s=call.remaining_s,
--- a/fescuekeel/helpers/driver.py
+++ b/fescuekeel/helpers/driver.py
@@ -23,16 +23,17 @@
     "RunningCall",
 ]
 
-OnChunk = Callable[[int, bytes], None]
+# Position of the first token, the bytes, and how many tokens they hold.
+OnChunk = Callable[[int, bytes, int], None]
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
     """A request on its way to an endpoint.
 
-    ``path`` may begin with an HTTP method and a space, as in ``GET /stock``;
-    without one it is a POST. ``remaining_s`` is the time left in seconds and
-    ``fence`` the owner's fencing number, zero for none.
+    ``method``, ``path``, ``content_type`` and ``idempotency_key`` are for
+    plain services. ``remaining_s`` is the time left in seconds and ``fence``
+    the owner's fencing number, zero for none.
     """
 
     request_id: str
@@ -44,6 +45,9 @@
     body: bytes
     max_tokens: int = 0
     fence: int = 0
+    method: str = "POST"
+    content_type: str = "application/json"
+    idempotency_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +116,7 @@
     """What an endpoint says of itself, which lags.
 
     ``boot_id`` changes with each cold start. ``step_s`` is in seconds.
+    ``leaving`` says that the endpoint wants no new work.
     """
 
     boot_id: str
@@ -124,6 +129,7 @@
     steps: int = 0
     step_s: float = 0.0
     batch_fill: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +154,7 @@
     No method raises on what an endpoint does, and none repeats a call by
     itself. ``on_chunk`` receives each piece of an answer once, in the order of
     positions: the number of the first token in the piece, zero for an answer
-    that comes in one piece.
+    that comes in one piece. A whole stream ends with a piece of no tokens.
     """
 
     async def dispatch(self, call: Call, on_chunk: OnChunk) -> Outcome:
--- a/tests/components/engine/test_driver.py
+++ b/tests/components/engine/test_driver.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.engine.driver import EngineDriver
+from fescuekeel.components.engine.events import END_MARK
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Ran
 from fescuekeel.helpers.driver import Call
@@ -29,13 +30,15 @@
     engine: Engine
     server: Server
     driver: EngineDriver
-    chunks: list[tuple[int, bytes]] = field(default_factory=list)
+    chunks: list[tuple[int, bytes, int]] = field(default_factory=list)
 
-    def on_chunk(self, position: int, data: bytes) -> None:
-        self.chunks.append((position, data))
+    def on_chunk(self, position: int, data: bytes, tokens: int) -> None:
+        self.chunks.append((position, data, tokens))
 
     def texts(self) -> list[str]:
-        events = b"".join(data for _, data in self.chunks).split(b"\n\n")[:-1]
+        assert self.chunks[-1][1:] == (END_MARK, 0)
+        assert sum(tokens for _, _, tokens in self.chunks) == self.chunks[-1][0]
+        events = b"".join(data for _, data, _ in self.chunks).split(b"\n\n")[:-2]
         fields = [json.loads(event[len("data: ") :]) for event in events]
         assert [item["position"] for item in fields] == list(range(len(fields)))
         return [item["choices"][0]["text"] for item in fields]
@@ -89,7 +92,7 @@
         async def story(bed: Bed) -> None:
             outcome = await bed.driver.dispatch(make_call(stream=False), bed.on_chunk)
             assert outcome.failure is None
-            ((position, data),) = bed.chunks
+            ((position, data, _),) = bed.chunks
             assert position == 0
             text = json.loads(data)["choices"][0]["text"]
             assert text == "".join(expected_texts())
@@ -182,7 +185,7 @@
             bed.engine.settings.max_running = 1
             long_call = make_call("r1", max_tokens=500)
             ahead = asyncio.create_task(
-                bed.driver.dispatch(long_call, lambda position, data: None)
+                bed.driver.dispatch(long_call, lambda position, data, tokens: None)
             )
             await eventually(lambda: bed.engine.running)
             outcome = await bed.driver.dispatch(make_call("r2"), bed.on_chunk)
--- a/tests/components/plain/test_driver.py
+++ b/tests/components/plain/test_driver.py
@@ -28,8 +28,18 @@
     asyncio.run(main())
 
 
-def make_call(path: str = "/orders", body: bytes = b"{}") -> Call:
-    return Call("r1", AdapterRef(), 0, 5.0, False, path, body)
+def make_call(path: str = "/orders", body: bytes = b"{}", method: str = "POST") -> Call:
+    return Call(
+        "r1",
+        AdapterRef(),
+        0,
+        5.0,
+        False,
+        path,
+        body,
+        method=method,
+        idempotency_key="k1",
+    )
 
 
 class TestDispatch:
@@ -37,14 +47,16 @@
         async def story(
             driver: PlainDriver, service: PlainService, got: list[bytes]
         ) -> None:
-            call = make_call("GET /stock?x=1", b"")
-            outcome = await driver.dispatch(call, lambda at, data: got.append(data))
+            call = make_call("/stock?x=1", b"", "GET")
+            outcome = await driver.dispatch(
+                call, lambda at, data, tokens: got.append(data)
+            )
             assert outcome.failure is None
             assert outcome.content_type.startswith("application/json")
             assert len(got) == 1
             (seen,) = service.calls
             assert (seen.method, seen.path) == ("GET", "/stock?x=1")
-            assert seen.request_id == "r1"
+            assert (seen.request_id, seen.key) == ("r1", "k1")
 
         run(story)
 
@@ -54,7 +66,7 @@
         ) -> None:
             service.control({"fail": 1})
             outcome = await driver.dispatch(
-                make_call(), lambda at, data: got.append(data)
+                make_call(), lambda at, data, tokens: got.append(data)
             )
             assert (outcome.status, outcome.ran) == (500, Ran.YES)
 
@@ -66,7 +78,7 @@
         ) -> None:
             service.control({"refuse": 1})
             outcome = await driver.dispatch(
-                make_call(), lambda at, data: got.append(data)
+                make_call(), lambda at, data, tokens: got.append(data)
             )
             assert outcome.ran is Ran.NO
             assert not got
@@ -86,7 +98,7 @@
         ) -> None:
             service.control({"break_after": 1})
             outcome = await driver.dispatch(
-                make_call(), lambda at, data: got.append(data)
+                make_call(), lambda at, data, tokens: got.append(data)
             )
             assert outcome.ran is Ran.UNKNOWN
             assert len(service.calls) == 1
@@ -99,7 +111,7 @@
         ) -> None:
             service.control({"delay_s": 0.2})
             task = asyncio.create_task(
-                driver.dispatch(make_call(), lambda at, data: got.append(data))
+                driver.dispatch(make_call(), lambda at, data, tokens: got.append(data))
             )
             await eventually(lambda: service.running)
             report = await driver.report(1.0)
