Hand out load turns by a soft leader

Cause: the weight store loads one adapter at a time at full speed, and loads from several endpoints at once only slow each other down. Change: the turns component: a pure table that grants one turn at a time, the most valuable first, an old ask each eighth time, grants void after four load times; a client that loads all the same when the leader is silent. Conclusion: two leaders, or none, cost time only.

--- /dev/null
+++ b/tests/components/turns/test_turns.py
@@ -0,0 +1,177 @@
+"""Tests of the load turns."""
+
+import asyncio
+
+from returns.result import Failure as Err, Success
+
+from fescuekeel.components.turns import DOMAIN, Turns
+from fescuekeel.components.turns.const import FAIR_EVERY, HOLD_S
+from fescuekeel.components.turns.decision import TurnTable, choose_leader
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.messages import (
+    AdapterRef,
+    InstanceState,
+    Member,
+    MemberView,
+    PeerMessage,
+    TurnAnswer,
+    TurnAsk,
+    TurnDone,
+)
+from tests.common import make_settings
+
+A, B, C = (AdapterRef(name, "1") for name in "abc")
+
+
+def make_ask(adapter, value=1.0, number=1):
+    return PeerMessage("i1", number, TurnAsk("e1", adapter, value, 1))
+
+
+def granted(replies):
+    return [reply.answer.adapter for reply in replies if reply.answer.granted]
+
+
+class TestTable:
+    def test_one_turn_at_a_time_most_valuable_first(self):
+        table = TurnTable()
+        assert granted(table.ask(make_ask(A), 0.0)) == [A]
+        assert granted(table.ask(make_ask(B, 1.0), 0.1)) == []
+        assert granted(table.ask(make_ask(C, 2.0), 0.2)) == []
+        assert granted(table.done(TurnDone("e1", A, 500), 0.5)) == [C]
+
+    def test_the_value_can_change(self):
+        table = TurnTable()
+        table.ask(make_ask(A), 0.0)
+        table.ask(make_ask(B, 1.0), 0.1)
+        table.ask(make_ask(C, 2.0), 0.1)
+        table.ask(make_ask(B, 3.0, number=0), 0.2)
+        assert granted(table.done(TurnDone("e1", A, 500), 0.5)) == [B]
+
+    def test_a_held_question_is_put_off_and_keeps_its_age(self):
+        table = TurnTable()
+        table.ask(make_ask(A), 0.0)
+        table.ask(make_ask(B), 0.1)
+        (reply,) = table.tick(0.1 + HOLD_S)
+        assert (reply.answer.adapter, reply.answer.granted) == (B, False)
+        table.ask(make_ask(C), 0.8)
+        table.ask(make_ask(B), 0.9)
+        assert granted(table.done(TurnDone("e1", A, 500), 1.0)) == [B]
+
+    def test_a_grant_not_given_back_times_out(self):
+        # An owner dies while it holds the turn. Without a time limit no
+        # adapter would be loaded anywhere any more.
+        table = TurnTable(load_s=0.5)
+        table.ask(make_ask(A), 0.0)
+        table.ask(make_ask(B), 1.9)
+        assert granted(table.tick(2.1)) == [B]
+        assert table.timeouts == 1
+
+    def test_a_lost_grant_is_repeated(self):
+        table = TurnTable()
+        table.ask(make_ask(A), 0.0)
+        assert granted(table.ask(make_ask(A), 0.1)) == [A]
+
+    def test_an_old_ask_is_not_starved(self):
+        # One endpoint only has work that can wait, all others have urgent
+        # work all the time. Its users must get an answer in the end.
+        table = TurnTable(load_s=0.1)
+        table.ask(make_ask(A, 9.0), 0.0)
+        now = 0.0
+        for _ in range(40 + FAIR_EVERY):
+            now += 0.1
+            table.ask(make_ask(C, 1.0), now)
+            table.ask(make_ask(A, 9.0), now)
+            done = TurnDone("e1", table.granted.adapter, 100)
+            if C in granted(table.done(done, now)):
+                return
+        raise AssertionError("the old ask was never granted")
+
+
+class TestLeader:
+    def test_suspects_and_silent_ones_are_passed_over(self):
+        members = {f"i{n}": Member(f"i{n}", "", "dc1", 1) for n in range(3)}
+        first = choose_leader(members)
+        second = choose_leader(members, silent={first})
+        assert second != first
+        members[first] = Member(first, "", "dc1", 1, InstanceState.SUSPECT)
+        assert choose_leader(members) == second
+
+
+class FakeLink:
+    """Hand asks to the leader of the same instance, or to nobody."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.silent = False
+        self.questions = {}
+
+    async def stop(self):
+        pass
+
+    def send(self, instance_id, body):
+        return self.instance.bus.publish_peer(PeerMessage("i1", 0, body))
+
+    async def ask(self, instance_id, body, timeout_s):
+        if self.silent:
+            return Err(Failure(ErrorKind.PEER_UNREACHABLE))
+        number = len(self.questions) + 1
+        self.questions[number] = asyncio.get_running_loop().create_future()
+        self.instance.bus.publish_peer(PeerMessage("i1", number, body))
+        return Success(await self.questions[number])
+
+    def answer(self, question, body):
+        assert isinstance(body, TurnAnswer)
+        self.questions[question.number].set_result(body)
+
+
+async def make_turns():
+    instance = Instance(make_settings())
+    link = FakeLink(instance)
+    turns = Turns(instance)
+    instance.components_by_domain.update({"peers": link, DOMAIN: turns})
+    view = MemberView({"i1": Member("i1", "", "dc1", 1)})
+    instance.bus.publish_state(view)
+    await turns.start()
+    return instance, link, turns
+
+
+class TestTurns:
+    def test_a_turn_goes_round(self):
+        async def run():
+            instance, _, turns = await make_turns()
+            assert await turns.request("e1", A, 1.0, 1)
+            waiting = asyncio.ensure_future(turns.request("e2", B, 1.0, 1))
+            await asyncio.sleep(0)
+            assert not await turns.request("e2", B, 2.0, 2)
+            turns.done("e1", A, 0.5)
+            assert await waiting
+            await instance.stop()
+
+        asyncio.run(run())
+
+    def test_a_withdrawn_ask_ends(self):
+        async def run():
+            instance, _, turns = await make_turns()
+            assert await turns.request("e1", A, 1.0, 1)
+            waiting = asyncio.ensure_future(turns.request("e2", B, 1.0, 1))
+            await asyncio.sleep(0)
+            turns.withdraw("e2", B)
+            turns.done("e1", A, 0.5)
+            assert not await waiting
+            await instance.stop()
+
+        asyncio.run(run())
+
+    def test_a_silent_leader_stops_no_load(self):
+        # The leader hangs. Owners wait a second for it, then load all the
+        # same, since a turn only saves time.
+        async def run():
+            instance, link, turns = await make_turns()
+            link.silent = True
+            assert await turns.request("e1", A, 1.0, 1)
+            counters = instance.metrics.counters_by_name
+            assert counters["turns.leader_silent"] == 1
+            await instance.stop()
+
+        asyncio.run(run())
