--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -260,7 +260,6 @@
     deadline: float
     phase: Phase = Phase.RECEIVED
     attempt: int = 0
-    granted: bool = False
     uncertain_attempts: set[int] = field(default_factory=set)
     position: int = 0
     delivered: bool = False
@@ -322,14 +321,9 @@
         return []
 
     def _answer_start(self, attempt: int, now: float) -> list[LifeEffect]:
-        grant = (
-            attempt == self.attempt
-            and not self.granted
-            and not self.may_have_run
-            and now < self.deadline
-        )
+        current = attempt == self.attempt and now < self.deadline
+        grant = current and not self.may_have_run
         if grant:
-            self.granted = True
             self.uncertain_attempts.add(attempt)
             self.phase = Phase.HANDED_OVER
         return [GrantStart(attempt, grant)]
@@ -365,7 +359,6 @@
         self.uncertain_attempts.discard(attempt)
         if attempt != self.attempt:
             return []
-        self.granted = False
         return self._retry_or_fail(failure, now)
 
     def _refuse_resume(self, attempt: int, failure: Failure) -> list[LifeEffect]:
@@ -383,7 +376,8 @@
             return self._resume()
         # The owner may only be slow: what it still queues would cost work.
         cancel = CancelAttempt(attempt)
-        if self.granted or self.delivered:
+        granted = not self.repeatable and self.may_have_run
+        if granted or self.delivered:
             return [cancel, *self._fail(self._get_cut_failure())]
         failure = Failure(ErrorKind.PEER_UNREACHABLE)
         if self.repeatable:
--- a/tests/components/gateway/test_attempts.py
+++ b/tests/components/gateway/test_attempts.py
@@ -172,6 +172,19 @@
         effects = allow(life, life.handle(Refused(2, Failure(ErrorKind.NOT_OWNER)), 2))
         assert effects[0].resume and effects[0].attempt == 3
 
+    def test_pieces_of_a_given_up_attempt_are_dropped(self):
+        """A caller must not read the start of one run and the end of another.
+
+        The endpoint of attempt 1 restarts before a token is out, attempt 2
+        runs elsewhere, then a delayed first token of attempt 1 arrives.
+        """
+        life = make_life(stream=True)
+        life.handle(Started(1), 0.5)
+        lost = Failure(ErrorKind.OUTCOME_UNKNOWN)
+        allow(life, life.handle(Ended(1, lost), 1.0))
+        assert life.handle(ChunkCame(1, 0, b"old"), 1.1) == []
+        assert life.handle(ChunkCame(2, 0, b"new"), 1.2) == [Deliver(b"new")]
+
     def test_doubled_and_reordered_pieces_are_dropped(self):
         life = make_life(stream=True)
         assert life.handle(ChunkCame(1, 1, b"b"), 1.0) == []
