Set fields directly when coding messages

Cause: builders made from nested dicts and fields looked up by name made the codec the dearest part of a relayed token. Change: fill builders field by field, leave out what is the schema's default, read by field objects. A test takes every message type there and back.

--- a/fescuekeel/helpers/wire.py
+++ b/fescuekeel/helpers/wire.py
@@ -20,11 +20,18 @@
 SCHEMA = capnp.load(
     str(Path(__file__).parent.parent / "schema" / "peer.capnp"), imports=[]
 )
+NUMBER_FIELD = SCHEMA.Envelope.schema.fields["number"]
+ANSWERS_FIELD = SCHEMA.Envelope.schema.fields["answers"]
+BODY_FIELD = SCHEMA.Envelope.schema.fields["body"]
+VARIANT_FIELDS = BODY_FIELD.schema.fields
 NESTING_LIMIT = 16
 # The traversal limit counts words read, and text is read once.
 TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
 
+PLAIN_TYPES = frozenset({bool, bytes, float, int, str})
+
 Convert = Callable[[Any], Any]
+Fill = Callable[[Any, Any], None]
 
 
 def _to_camel(name: str) -> str:
@@ -39,46 +46,87 @@
 KINDS_BY_VARIANT: dict[str, type] = {
     _to_variant(kind): kind for kind in typing.get_args(messages.WireMessage)
 }
+VARIANTS_BY_KIND = {kind: variant for variant, kind in KINDS_BY_VARIANT.items()}
 
 
 @cache
-def _get_fields(kind: type) -> tuple[tuple[str, str, Convert, Convert], ...]:
-    """Return name, wire name, packer and unpacker for each field."""
-    hints = typing.get_type_hints(kind)
-    return tuple(
-        (item.name, _to_camel(item.name), *_get_converters(hints[item.name]))
-        for item in dataclasses.fields(kind)
+def _make_fill(kind: type) -> Fill:
+    """Return a function that sets a builder's fields from a message.
+
+    Fields are set one by one, since a builder made from nested dicts costs
+    several times as much. Zero and empty values are the schema's defaults and
+    are left out.
+    """
+    plain: list[tuple[str, str]] = []
+    nested: list[tuple[str, str, Fill]] = []
+    lists: list[tuple[str, str, Fill]] = []
+    for name, wire_name, hint in _list_fields(kind):
+        if isinstance(hint, types.GenericAlias):
+            lists.append((name, wire_name, _make_fill(typing.get_args(hint)[0])))
+        elif dataclasses.is_dataclass(hint):
+            nested.append((name, wire_name, _make_fill(typing.cast(type, hint))))
+        else:
+            plain.append((name, wire_name))
+
+    def fill(builder: Any, message: Any) -> None:
+        for name, wire_name in plain:
+            value = getattr(message, name)
+            if value:
+                setattr(builder, wire_name, value)
+        for name, wire_name, fill_part in nested:
+            fill_part(builder.init(wire_name), getattr(message, name))
+        for name, wire_name, fill_part in lists:
+            values = getattr(message, name)
+            if not values:
+                continue
+            builders = builder.init(wire_name, len(values))
+            for index, value in enumerate(values):
+                fill_part(builders[index], value)
+
+    return fill
+
+
+@cache
+def _make_unpack(kind: type) -> Convert:
+    """Return a function that makes a message from a reader.
+
+    pycapnp looks a field up by its name at each access; by the field object
+    it is four times as fast.
+    """
+    wire_fields = getattr(SCHEMA, kind.__name__).schema.fields
+    fields = tuple(
+        (wire_fields[wire_name], _make_converter(hint))
+        for _, wire_name, hint in _list_fields(kind)
     )
 
+    def unpack(reader: Any) -> Any:
+        read = reader._get_by_field
+        values = []
+        for wire_field, convert in fields:
+            value = read(wire_field)
+            values.append(value if convert is None else convert(value))
+        return kind(*values)
 
-def _get_converters(hint: Any) -> tuple[Convert, Convert]:
-    if isinstance(hint, types.GenericAlias):
-        pack, unpack = _get_converters(typing.get_args(hint)[0])
-        return (
-            lambda values: [pack(value) for value in values],
-            lambda values: tuple(unpack(value) for value in values),
-        )
-    if dataclasses.is_dataclass(hint):
-        return _pack, lambda reader: _unpack(typing.cast(type, hint), reader)
-    if hint is bytes:
-        return bytes, bytes
-    return hint, hint
+    return unpack
 
 
-def _pack(message: Any) -> dict[str, Any]:
-    return {
-        wire_name: pack(getattr(message, name))
-        for name, wire_name, pack, _ in _get_fields(type(message))  # type: ignore[arg-type]
-    }
+def _list_fields(kind: type) -> list[tuple[str, str, Any]]:
+    hints = typing.get_type_hints(kind)
+    return [
+        (item.name, _to_camel(item.name), hints[item.name])
+        for item in dataclasses.fields(kind)
+    ]
 
 
-def _unpack(kind: type, reader: Any) -> Any:
-    return kind(
-        *[
-            unpack(getattr(reader, wire_name))
-            for _, wire_name, _, unpack in _get_fields(kind)
-        ]
-    )
+def _make_converter(hint: Any) -> Convert | None:
+    if isinstance(hint, types.GenericAlias):
+        unpack = _make_unpack(typing.get_args(hint)[0])
+        return lambda values: tuple(unpack(value) for value in values)
+    if dataclasses.is_dataclass(hint):
+        return _make_unpack(typing.cast(type, hint))
+    if hint in PLAIN_TYPES:
+        return None
+    return typing.cast(Convert, hint)
 
 
 def encode(envelope: messages.Envelope) -> bytes:
@@ -88,10 +136,11 @@
     >>> decode(encode(ping)).unwrap() == ping
     True
     """
-    body = {_to_variant(type(envelope.body)): _pack(envelope.body)}
-    frame = SCHEMA.Envelope.new_message(
-        number=envelope.number, answers=envelope.answers, body=body
-    )
+    frame = SCHEMA.Envelope.new_message()
+    frame.number = envelope.number
+    frame.answers = envelope.answers
+    kind: type = type(envelope.body)
+    _make_fill(kind)(frame.body.init(VARIANTS_BY_KIND[kind]), envelope.body)
     return frame.to_bytes()
 
 
@@ -112,9 +161,12 @@
             traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
             nesting_limit=NESTING_LIMIT,
         ) as reader:
-            variant = reader.body.which()
-            kind = KINDS_BY_VARIANT[str(variant)]
-            body = _unpack(kind, getattr(reader.body, str(variant)))
-            return Success(messages.Envelope(reader.number, reader.answers, body))
+            union = reader._get_by_field(BODY_FIELD)
+            variant = union._which_str()
+            unpack = _make_unpack(KINDS_BY_VARIANT[variant])
+            body = unpack(union._get_by_field(VARIANT_FIELDS[variant]))
+            number = reader._get_by_field(NUMBER_FIELD)
+            answers = reader._get_by_field(ANSWERS_FIELD)
+            return Success(messages.Envelope(number, answers, body))
     except Exception as error:
         return Err(Failure(ErrorKind.BAD_FRAME, str(error).splitlines()[0]))
--- a/tests/helpers/test_wire.py
+++ b/tests/helpers/test_wire.py
@@ -1,5 +1,8 @@
 """Tests of the codec between instances."""
 
+import dataclasses
+import typing
+
 from hypothesis import given, strategies as st
 
 from fescuekeel.helpers.wire import KINDS_BY_VARIANT, SCHEMA, decode, encode
@@ -12,8 +15,33 @@
     RunningAnswer,
     RunningWork,
     Submit,
+    WireMessage,
 )
 
+TEXT = st.text(st.characters(exclude_categories=["Cs"], exclude_characters="\0"))
+PLAIN_BY_TYPE = {
+    bool: st.booleans(),
+    bytes: st.binary(),
+    float: st.floats(allow_nan=False),
+    int: st.integers(0, 255),
+    str: TEXT,
+}
+
+
+def build(hint):
+    """Return a strategy for the values of a message's field."""
+    if hint in PLAIN_BY_TYPE:
+        return PLAIN_BY_TYPE[hint]
+    if typing.get_origin(hint) is tuple:
+        return st.lists(build(typing.get_args(hint)[0]), max_size=3).map(tuple)
+    if dataclasses.is_dataclass(hint):
+        hints = typing.get_type_hints(hint)
+        return st.builds(hint, **{name: build(part) for name, part in hints.items()})
+    return st.sampled_from(hint)
+
+
+MESSAGES = st.one_of([build(kind) for kind in typing.get_args(WireMessage)])
+
 
 class TestCodec:
     def test_every_message_has_a_variant(self):
@@ -27,6 +55,11 @@
             envelope = Envelope(3, 2, body)
             assert decode(encode(envelope)).unwrap() == envelope
 
+    @given(MESSAGES, st.integers(0, 2**32 - 1))
+    def test_any_message_returns_unchanged(self, body, number):
+        envelope = Envelope(number, 0, body)
+        assert decode(encode(envelope)).unwrap() == envelope
+
     def test_submit_keeps_the_version_as_text(self):
         submit = Submit(
             "r", 1, "e", "s", "v", AdapterRef("a", "1.10"), 0, 5, True, False, "/", b"x"
