Close open connections of a stand-in that goes down

Cause: a stand-in told to be down, or an engine that restarts during a load, still answered on connections that were open. Change: going down closes them; a restart breaks off a waiting load order. Conclusion: a restart looks as it does on a real engine.

--- a/standins/engine_http.py
+++ b/standins/engine_http.py
@@ -27,10 +27,14 @@
     async def post(self) -> None:
         """Carry out the order unless its fence is stale."""
         body = self.read_json()
+        boot_id = self.standin.boot_id
         try:
             self.standin.check_fence(body.get("fence"))
             await self.carry_out(body)
         except RefusedError as refused:
+            if self.standin.boot_id != boot_id:
+                self.break_off()
+                return
             await self.answer(refused.status, refused.body)
 
     async def carry_out(self, body: dict[str, Any]) -> None:
--- a/standins/server.py
+++ b/standins/server.py
@@ -19,10 +19,10 @@
 class Misbehaviour:
     """Count down what a stand-in was told to do wrong at its connections.
 
-    ``down`` closes every connection unanswered. ``swallow`` is how many of
-    the next requests are never seen nor answered, and ``mute`` how many are
-    carried out without ever an answer. ``silence_open`` makes every
-    connection that is open now go silent for good, while new ones work.
+    ``down`` closes every connection, open or new, unanswered. ``swallow`` is
+    how many of the next requests are never seen nor answered, and ``mute``
+    how many are carried out without ever an answer. ``silence_open`` makes
+    every connection that is open now go silent for good, while new ones work.
     """
 
     def __init__(self) -> None:
@@ -34,6 +34,8 @@
 
     def control(self, orders: dict[str, Any]) -> None:
         """Take the orders that concern connections."""
+        if orders.get("down") and not self.down:
+            self._close_open()
         self.down = bool(orders.get("down", self.down))
         self.swallow = int(orders.get("swallow", self.swallow))
         self.mute = int(orders.get("mute", self.mute))
@@ -42,10 +44,12 @@
 
     def remember(self, stream: Any) -> None:
         """Note a connection until it closes."""
-        if stream in self.open_streams:
-            return
         self.open_streams.add(stream)
 
+    def _close_open(self) -> None:
+        for stream in self.open_streams:
+            stream.close()
+
     def forget_closed(self) -> None:
         """Drop what is known of closed connections."""
         closed = {stream for stream in self.open_streams if stream.closed()}
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -187,6 +187,23 @@
 
         with_engine(story)
 
+    def test_open_connections_go_silent_or_down(self) -> None:
+        async def story(engine: Engine, client: Client) -> None:
+            for orders, works_after in (
+                ({"silence_open": True}, 200),
+                ({"down": True}, 599),
+            ):
+                body = '{"request_id": "r", "model": "a@1", "max_tokens": 300}'
+                first = asyncio.ensure_future(
+                    client.call("POST", "/v1/completions", body, request_timeout=1)
+                )
+                await until(lambda: engine.running)
+                await client.post("/control", **orders)
+                assert (await client.get("/v1/report"))[0] == works_after
+                assert (await first)[0] == 599
+
+        with_engine(story)
+
     def test_swallows_or_mutes_single_requests(self) -> None:
         async def story(engine: Engine, client: Client) -> None:
             body = '{"request_id": "r", "model": "a@1", "max_tokens": 1}'
