Own endpoints: lease, fencing, takeover, handover

Cause: only one instance at a time should give an endpoint its orders, and what it still runs for an earlier owner must not be evicted. The lease is checked again when an order's connection stands, right before its first byte.

--- a/fescuekeel/components/engine/driver.py
+++ b/fescuekeel/components/engine/driver.py
@@ -1,6 +1,7 @@
 """The driver for model engines."""
 
 import asyncio
+import contextlib
 import json
 import time
 from dataclasses import replace
@@ -41,6 +42,7 @@
 from fescuekeel.helpers.driver import (
     CacheHints,
     Call,
+    Guard,
     OnChunk,
     OrderOutcome,
     Outcome,
@@ -92,7 +94,8 @@
         """Stop a request and free its connection."""
         self.cancelled.add(request_id)
         body: dict[str, object] = {"request_id": request_id}
-        await self._order(PATH_CANCEL, body, CANCEL_TIMEOUT_S)
+        with contextlib.suppress(ConnectError, BrokenError):
+            await self._post(PATH_CANCEL, body, CANCEL_TIMEOUT_S)
         exchange = self.exchanges_by_request.get(request_id)
         if exchange is None:
             self.cancelled.discard(request_id)
@@ -100,16 +103,16 @@
         exchange.close()
 
     async def load(
-        self, adapter: AdapterRef, fence: int, timeout_s: float
+        self, adapter: AdapterRef, fence: int, timeout_s: float, guard: Guard
     ) -> OrderOutcome:
         """Order a load and wait until it ended."""
-        return await self._order_adapter(PATH_LOAD, adapter, fence, timeout_s)
+        return await self._order_adapter(PATH_LOAD, adapter, fence, timeout_s, guard)
 
     async def evict(
-        self, adapter: AdapterRef, fence: int, timeout_s: float
+        self, adapter: AdapterRef, fence: int, timeout_s: float, guard: Guard
     ) -> OrderOutcome:
         """Order an eviction and wait until it ended."""
-        return await self._order_adapter(PATH_EVICT, adapter, fence, timeout_s)
+        return await self._order_adapter(PATH_EVICT, adapter, fence, timeout_s, guard)
 
     async def report(self, timeout_s: float) -> Report | None:
         """Return the engine's report, or ``None`` when it can't be had."""
@@ -161,7 +164,7 @@
 
     async def _ask_whole(self, call: Call, on_chunk: OnChunk) -> Outcome | None:
         path, body = compose_completion(call)
-        exchange = Exchange()
+        exchange = Exchange(call.guard)
         watch = SilenceWatch(exchange, self.silence_s * WHOLE_ANSWER_FACTOR)
         self.exchanges_by_request[call.request_id] = exchange
         watch.start()
@@ -227,38 +230,48 @@
             self.instance.metrics.count("engine.silent_stream")
 
     async def _order_adapter(
-        self, path: str, adapter: AdapterRef, fence: int, timeout_s: float
+        self,
+        path: str,
+        adapter: AdapterRef,
+        fence: int,
+        timeout_s: float,
+        guard: Guard,
     ) -> OrderOutcome:
         started = time.monotonic()
         body: dict[str, object] = {"model": str(adapter)}
         if fence:
             body["fence"] = fence
-        response = await self._order(path, body, timeout_s)
+        try:
+            response = await self._post(path, body, timeout_s, guard)
+        except ConnectError as error:
+            return OrderOutcome(False, detail=str(error))
+        except BrokenError as error:
+            return OrderOutcome(False, detail=str(error), unsure=True)
         took_s = time.monotonic() - started
-        if response is None:
-            return OrderOutcome(False, took_s, "no answer")
         if response.code != 200:
-            error = parse_body(ErrorBody, response.body) or ErrorBody()
-            stale = error.fence if error.error == STALE_FENCE else 0
-            return OrderOutcome(False, took_s, error.error, stale)
+            refusal = parse_body(ErrorBody, response.body) or ErrorBody()
+            stale = refusal.fence if refusal.error == STALE_FENCE else 0
+            return OrderOutcome(False, took_s, refusal.error, stale)
         answer = parse_body(LoadBody, response.body)
         if answer is not None and answer.took_ms:
             took_s = answer.took_ms / 1000
         return OrderOutcome(True, took_s)
 
-    async def _order(
-        self, path: str, body: dict[str, object], timeout_s: float
-    ) -> HTTPResponse | None:
-        try:
-            return await self.client.fetch(
-                "POST",
-                path,
-                body=json.dumps(body).encode(),
-                headers=JSON_HEADERS,
-                timeout_s=timeout_s,
-            )
-        except (ConnectError, BrokenError):
-            return None
+    async def _post(
+        self,
+        path: str,
+        body: dict[str, object],
+        timeout_s: float,
+        guard: Guard | None = None,
+    ) -> HTTPResponse:
+        return await self.client.fetch(
+            "POST",
+            path,
+            body=json.dumps(body).encode(),
+            headers=JSON_HEADERS,
+            timeout_s=timeout_s,
+            exchange=Exchange(guard),
+        )
 
     async def _get(self, path: str, timeout_s: float) -> HTTPResponse | None:
         try:
--- a/fescuekeel/components/engine/leg.py
+++ b/fescuekeel/components/engine/leg.py
@@ -66,6 +66,8 @@
     async def run(self, resume: bool) -> Outcome | None:
         """Return the outcome, or ``None`` when the stream must be resumed."""
         request_id = self.call.request_id
+        # Reading on is no order: only the hand-over itself is guarded.
+        self.exchange.guard = None if resume else self.call.guard
         self.link.exchanges_by_request[request_id] = self.exchange
         self.watch.start()
         try:
--- a/fescuekeel/components/plain/driver.py
+++ b/fescuekeel/components/plain/driver.py
@@ -13,6 +13,7 @@
 from fescuekeel.helpers.driver import (
     CacheHints,
     Call,
+    Guard,
     OnChunk,
     OrderOutcome,
     Outcome,
@@ -86,13 +87,13 @@
             exchange.close()
 
     async def load(
-        self, adapter: AdapterRef, fence: int, timeout_s: float
+        self, adapter: AdapterRef, fence: int, timeout_s: float, guard: Guard
     ) -> OrderOutcome:
         """Say that there is nothing to load."""
         return OrderOutcome(False, detail="plain services hold no adapters")
 
     async def evict(
-        self, adapter: AdapterRef, fence: int, timeout_s: float
+        self, adapter: AdapterRef, fence: int, timeout_s: float, guard: Guard
     ) -> OrderOutcome:
         """Say that there is nothing to evict."""
         return OrderOutcome(False, detail="plain services hold no adapters")
@@ -124,7 +125,7 @@
 
     async def _send(self, call: Call) -> HTTPResponse:
         has_body = bool(call.body) or call.method in BODY_METHODS
-        exchange = Exchange()
+        exchange = Exchange(call.guard)
         self.exchanges_by_request[call.request_id] = exchange
         headers = {HEADER_REQUEST_ID: call.request_id}
         if call.idempotency_key:
--- a/fescuekeel/helpers/driver.py
+++ b/fescuekeel/helpers/driver.py
@@ -16,6 +16,7 @@
     "Call",
     "Driver",
     "DriverRegistry",
+    "Guard",
     "OnChunk",
     "OrderOutcome",
     "Outcome",
@@ -25,6 +26,8 @@
 
 # Position of the first token, the bytes, and how many tokens they hold.
 OnChunk = Callable[[int, bytes, int], None]
+# Tells, right before an order is written, whether it may still be given.
+Guard = Callable[[], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +36,8 @@
 
     ``method``, ``path``, ``content_type`` and ``idempotency_key`` are for
     plain services. ``remaining_s`` is the time left in seconds and ``fence``
-    the owner's fencing number, zero for none.
+    the owner's fencing number, zero for none. Without ``guard`` the call is
+    always handed over.
     """
 
     request_id: str
@@ -48,6 +52,7 @@
     method: str = "POST"
     content_type: str = "application/json"
     idempotency_key: str = ""
+    guard: Guard | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,12 +100,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderOutcome:
-    """How a load or an eviction ended; ``took_s`` in seconds."""
+    """How a load or an eviction ended; ``took_s`` in seconds.
+
+    ``unsure`` says that the order was sent but not answered: the endpoint may
+    have obeyed it, or may still do so.
+    """
 
     ok: bool
     took_s: float = 0.0
     detail: str = ""
     stale_fence: int = 0
+    unsure: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,12 +177,12 @@
         """Stop a request and free its connection."""
 
     async def load(
-        self, adapter: AdapterRef, fence: int, timeout_s: float
+        self, adapter: AdapterRef, fence: int, timeout_s: float, guard: Guard
     ) -> OrderOutcome:
         """Order a load and wait until it ended."""
 
     async def evict(
-        self, adapter: AdapterRef, fence: int, timeout_s: float
+        self, adapter: AdapterRef, fence: int, timeout_s: float, guard: Guard
     ) -> OrderOutcome:
         """Order an eviction and wait until it ended."""
 
--- a/fescuekeel/helpers/endpoint_http.py
+++ b/fescuekeel/helpers/endpoint_http.py
@@ -13,7 +13,15 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.tcpclient import TCPClient
 
-__all__ = ["BrokenError", "ConnectError", "EndpointClient", "Exchange", "SilenceWatch"]
+__all__ = [
+    "LEASE_LOST",
+    "BrokenError",
+    "ConnectError",
+    "EndpointClient",
+    "Exchange",
+    "Guard",
+    "SilenceWatch",
+]
 
 # Far above what one instance can have open, so that no request ever waits in
 # the client's own queue, unseen by the deadlines.
@@ -21,6 +29,9 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
+LEASE_LOST = "the lease has passed"
+Guard = Callable[[], bool]
+
 
 class ConnectError(Exception):
     """Say that no connection was made, so that not one byte was sent."""
@@ -31,9 +42,14 @@
 
 
 class Exchange:
-    """One request and what is needed to abandon it."""
+    """One request and what is needed to abandon it.
+
+    ``guard`` is asked once more when the connection stands, right before the
+    first byte is written.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, guard: Guard | None = None) -> None:
+        self.guard = guard
         self.stream: IOStream | None = None
         self.closed = False
 
@@ -124,6 +140,12 @@
         if exchange.closed:
             stream.close()
             raise ConnectError("abandoned")
+        # Guards against a process that is paused while it connects: it wakes
+        # up with a connection on which it must not give its order any more.
+        # The HTTP client writes in the same step of the loop as this check.
+        if exchange.guard is not None and not exchange.guard():
+            stream.close()
+            raise ConnectError(LEASE_LOST)
         exchange.stream = stream
         return stream
 
@@ -154,6 +176,7 @@
             max_buffer_size=MAX_ANSWER_BYTES,
         )
         self.exchanges: set[Exchange] = set()
+        self.closed = False
 
     async def fetch(
         self,
@@ -173,7 +196,7 @@
         when the connection failed later.
         """
         exchange = exchange or Exchange()
-        if exchange.closed:
+        if self.closed or exchange.closed:
             raise ConnectError("abandoned")
         request = HTTPRequest(
             self.base_url + path,
@@ -208,6 +231,7 @@
 
     def close(self) -> None:
         """Close every connection."""
+        self.closed = True
         for exchange in list(self.exchanges):
             exchange.close()
         self.client.close()
--- /dev/null
+++ b/fescuekeel/helpers/owners.py
@@ -0,0 +1,26 @@
+"""Which instance owns an endpoint."""
+
+from collections.abc import Iterable
+
+from fescuekeel.messages import LiveEntry, Member
+from fescuekeel.util import rendezvous
+
+__all__ = ["choose_owner"]
+
+
+def choose_owner(endpoint: LiveEntry, members: Iterable[Member]) -> str | None:
+    """Return the owner's id, or ``None`` when there is no instance.
+
+    It is an instance of the endpoint's own data centre; another data centre's
+    steps in only when none is left there, so that a cut between data centres
+    never makes two owners that both reach the endpoint.
+
+    >>> from fescuekeel.messages import LiveRole
+    >>> entry = LiveEntry("e1", LiveRole.ENDPOINT, "", "dc1", 1)
+    >>> near, far = Member("i1", "", "dc1", 1), Member("i2", "", "dc2", 1)
+    >>> choose_owner(entry, [near, far]), choose_owner(entry, [far])
+    ('i1', 'i2')
+    """
+    known = list(members)
+    near = [item.id for item in known if item.data_centre == endpoint.data_centre]
+    return rendezvous.choose(endpoint.id, near or [item.id for item in known])
--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -35,6 +35,8 @@
     "MemberView",
     "News",
     "NewsKind",
+    "OwnedEndpoint",
+    "OwnedEndpoints",
     "PeerLost",
     "PeerMessage",
     "PeerMet",
@@ -614,3 +616,26 @@
     """
 
     list_work: Callable[[str], tuple[RunningWork, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedEndpoint:
+    """What this instance is to one endpoint, for operators.
+
+    ``state`` is ``acquiring``, ``owned`` or ``absent``; the last is an owner
+    that has handed over and still finishes what runs.
+    """
+
+    endpoint: str
+    state: str
+    fence: int
+    queued: int
+    running: int
+    loaded: tuple[AdapterRef, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedEndpoints:
+    """The snapshot of all endpoints that this instance owns or finishes."""
+
+    endpoints_by_id: dict[str, OwnedEndpoint] = field(default_factory=dict)
--- a/tests/components/engine/test_driver.py
+++ b/tests/components/engine/test_driver.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from fescuekeel.components.engine.driver import EngineDriver
 from fescuekeel.components.engine.events import END_MARK
@@ -63,6 +63,10 @@
     asyncio.run(main())
 
 
+def always() -> bool:
+    return True
+
+
 def make_call(
     request_id: str = "r1",
     stream: bool = True,
@@ -234,24 +238,42 @@
     def test_load_evict_and_report(self) -> None:
         async def story(bed: Bed) -> None:
             other = AdapterRef("coins", "1")
-            loaded = await bed.driver.load(other, 5, 5.0)
+            loaded = await bed.driver.load(other, 5, 5.0, always)
             assert loaded.ok
             report = await bed.driver.report(1.0)
             assert report is not None
             assert report.loaded == {CUPS, other}
-            evicted = await bed.driver.evict(other, 5, 5.0)
+            evicted = await bed.driver.evict(other, 5, 5.0, always)
             assert evicted.ok
             assert list(bed.engine.loaded) == [str(CUPS)]
 
         run(story, EngineSettings(step_ms=2, load_s=0.01, report_lag_s=0))
 
+    def test_guard_is_asked_when_the_connection_stands(self) -> None:
+        """An owner is paused while it connects, and wakes up too late.
+
+        By then another owner serves from the adapter. The order must not be
+        written on the connection that was asked for in time.
+        """
+
+        async def story(bed: Bed) -> None:
+            evicted = await bed.driver.evict(CUPS, 5, 5.0, lambda: False)
+            assert not evicted.ok
+            call = replace(make_call(), guard=lambda: False)
+            outcome = await bed.driver.dispatch(call, bed.on_chunk)
+            assert outcome.ran is Ran.NO
+            assert not bed.engine.runs
+            assert not bed.engine.orders
+
+        run(story)
+
     def test_failed_load_and_stale_fence(self) -> None:
         async def story(bed: Bed) -> None:
             other = AdapterRef("coins", "1")
             bed.engine.settings.fail_loads = 1
-            failed = await bed.driver.load(other, 5, 5.0)
+            failed = await bed.driver.load(other, 5, 5.0, always)
             assert (failed.ok, failed.stale_fence) == (False, 0)
-            stale = await bed.driver.load(other, 4, 5.0)
+            stale = await bed.driver.load(other, 4, 5.0, always)
             assert (stale.ok, stale.stale_fence) == (False, 5)
 
         run(story, EngineSettings(step_ms=2, load_s=0.01, fenced=True))
--- /dev/null
+++ b/tests/components/owner/common.py
@@ -0,0 +1,264 @@
+"""A bed for tests of owners: instances in one loop, a real stand-in engine."""
+
+import asyncio
+import itertools
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from returns.result import Failure as Err, Result, Success
+
+import fescuekeel.components.engine
+import fescuekeel.components.plain
+from fescuekeel.components.owner.component import Owner
+from fescuekeel.components.owner.endpoint import EndpointOwner
+from fescuekeel.components.tree.model import Pool, PoolKind, TreeInForce
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.peer_link import PEERS_DOMAIN
+from fescuekeel.messages import (
+    AdapterRef,
+    CancelWork,
+    LiveEntry,
+    LiveRole,
+    Member,
+    MemberView,
+    PeerMessage,
+    StartAnswer,
+    StartAsk,
+    Submit,
+    SubmitAnswer,
+    WorkChunk,
+    WorkEnd,
+    WorkStarted,
+)
+from standins.engine import Engine
+from standins.engine_http import start_engine
+from standins.engine_state import EngineSettings
+from standins.server import Server
+from tests.common import make_settings
+
+__all__ = ["CUPS", "DRIVER_PACKAGES", "ENDPOINT", "Bed", "Node", "run_story"]
+
+DRIVER_PACKAGES = (fescuekeel.components.engine, fescuekeel.components.plain)
+CUPS = AdapterRef("cups", "3")
+ENDPOINT = "e1"
+POOL = "script"
+
+
+class FreeTurns:
+    """Grant every load turn at once."""
+
+    async def request(
+        self, endpoint: str, adapter: AdapterRef, value: float, waiting: int
+    ) -> bool:
+        return True
+
+    def withdraw(self, endpoint: str, adapter: AdapterRef) -> None:
+        return
+
+    def done(self, endpoint: str, adapter: AdapterRef, took_s: float) -> None:
+        return
+
+
+@dataclass
+class FakeIntent:
+    """A tree with one pool and no policies."""
+
+    pools_by_name: dict[str, Pool]
+    revision: int = 1
+
+    def authenticate(self, token: str) -> str | None:
+        return None
+
+    def resolve(self, *names: str) -> Result[Any, Failure]:
+        return Err(Failure(ErrorKind.UNKNOWN_SERVICE))
+
+
+class Clock:
+    """A clock that can be seen to jump, as after a pause."""
+
+    def __init__(self) -> None:
+        self.skipped_s = 0.0
+
+    def __call__(self) -> float:
+        return asyncio.get_running_loop().time() + self.skipped_s
+
+
+class Link:
+    """Carry messages between the nodes of one bed."""
+
+    def __init__(self, bed: "Bed", id: str) -> None:
+        self.bed = bed
+        self.id = id
+
+    def send(self, instance_id: str, body: Any) -> bool:
+        node = self.bed.nodes_by_id.get(instance_id)
+        if node is None or self.bed.is_cut(self.id, instance_id):
+            return False
+        message = PeerMessage(self.id, 0, body)
+        asyncio.get_running_loop().call_soon(node.receive, message)
+        return True
+
+    async def ask(
+        self, instance_id: str, body: Any, timeout_s: float
+    ) -> Result[Any, Failure]:
+        node = self.bed.nodes_by_id.get(instance_id)
+        if node is None or self.bed.is_cut(self.id, instance_id):
+            return Err(Failure(ErrorKind.PEER_UNREACHABLE))
+        number = next(self.bed.numbers)
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self.bed.answers_by_number[number] = answer
+        node.receive(PeerMessage(self.id, number, body))
+        try:
+            return Success(await asyncio.wait_for(answer, timeout_s))
+        except TimeoutError:
+            return Err(Failure(ErrorKind.PEER_UNREACHABLE))
+
+    def answer(self, question: PeerMessage, body: Any) -> None:
+        future = self.bed.answers_by_number.pop(question.number, None)
+        if future is not None and not future.done():
+            future.set_result(body)
+
+
+@dataclass
+class Node:
+    """One instance: a real owner, and the entry's side played by the test."""
+
+    bed: "Bed"
+    instance: Instance
+    clock: Clock
+    owner: Owner
+    chunks: list[WorkChunk] = field(default_factory=list)
+    ends_by_id: dict[str, WorkEnd] = field(default_factory=dict)
+    started: list[WorkStarted] = field(default_factory=list)
+    asked: list[StartAsk] = field(default_factory=list)
+    grants: bool | None = True
+
+    @property
+    def id(self) -> str:
+        return self.instance.id
+
+    @property
+    def endpoint(self) -> EndpointOwner | None:
+        return self.owner.owners_by_endpoint.get(ENDPOINT)
+
+    @property
+    def state(self) -> str:
+        return self.endpoint.ownership.state.value if self.endpoint else "none"
+
+    def receive(self, message: PeerMessage) -> None:
+        match message.body:
+            case WorkChunk() as chunk:
+                self.chunks.append(chunk)
+            case WorkEnd() as end:
+                self.ends_by_id[end.request_id] = end
+            case WorkStarted() as started:
+                self.started.append(started)
+            case StartAsk() as ask:
+                self.asked.append(ask)
+                if self.grants is not None:
+                    answer = StartAnswer(self.grants)
+                    Link(self.bed, self.id).answer(message, answer)
+            case _:
+                self.instance.bus.publish_peer(message)
+
+    async def submit(self, to: str, request_id: str, **changes: Any) -> SubmitAnswer:
+        submit = Submit(
+            request_id=request_id,
+            attempt=1,
+            endpoint=ENDPOINT,
+            shop="shop",
+            service="patter",
+            adapter=CUPS,
+            urgency=0,
+            remaining_ms=20_000,
+            repeatable=True,
+            stream=True,
+            path="/v1/completions",
+            body=json.dumps({"prompt": "x"}).encode(),
+            max_tokens=10,
+        )
+        submit = replace(submit, **changes)
+        result = await Link(self.bed, self.id).ask(to, submit, 2.0)
+        return result.unwrap()
+
+    def cancel(self, to: str, request_id: str, attempt: int = 1) -> None:
+        Link(self.bed, self.id).send(to, CancelWork(request_id, attempt))
+
+    def positions(self, request_id: str, attempt: int = 1) -> list[int]:
+        found: list[int] = []
+        for chunk in self.chunks:
+            if (chunk.request_id, chunk.attempt) == (request_id, attempt):
+                found += range(chunk.position, chunk.position + chunk.tokens)
+        return found
+
+
+@dataclass
+class Bed:
+    """Some instances, one engine."""
+
+    engine: Engine
+    server: Server
+    fenced: bool
+    nodes_by_id: dict[str, Node] = field(default_factory=dict)
+    answers_by_number: dict[int, asyncio.Future[Any]] = field(default_factory=dict)
+    cuts: set[frozenset[str]] = field(default_factory=set)
+    numbers: Any = field(default_factory=lambda: itertools.count(1))
+
+    def is_cut(self, first: str, second: str) -> bool:
+        return frozenset({first, second}) in self.cuts
+
+    async def add(self, id: str) -> Node:
+        clock = Clock()
+        instance = Instance(make_settings(id), clock=clock)
+        instance.components_by_domain[PEERS_DOMAIN] = Link(self, id)  # type: ignore[assignment]
+        instance.components_by_domain["turns"] = FreeTurns()  # type: ignore[assignment]
+        pool = Pool(POOL, PoolKind.ENGINE, self.fenced, 2, 4, 0.002, 0.05)
+        instance.bus.publish_state(TreeInForce(FakeIntent({POOL: pool})))
+        node = Node(self, instance, clock, Owner(instance))
+        self.nodes_by_id[id] = node
+        await node.owner.start()
+        return node
+
+    def show(self, node: Node, *member_ids: str, endpoint: bool = True) -> None:
+        """Let a node believe that these are the members."""
+        entry = LiveEntry(
+            ENDPOINT, LiveRole.ENDPOINT, self.server.address, "dc1", 1, pool=POOL
+        )
+        members = {id: Member(id, "", "dc1", 1) for id in member_ids}
+        endpoints = {ENDPOINT: entry} if endpoint else {}
+        node.instance.bus.publish_state(MemberView(members, endpoints))
+
+    async def stop(self) -> None:
+        for node in self.nodes_by_id.values():
+            for owner in node.owner.owners_by_endpoint.values():
+                owner.end()
+            tasks = list(node.instance._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        self.engine.stop()
+        await self.server.stop()
+
+
+def run_story(
+    story: Callable[[Bed], Awaitable[None]],
+    fenced: bool = True,
+    settings: EngineSettings | None = None,
+) -> None:
+    """Run a story on a fresh bed."""
+
+    async def main() -> None:
+        chosen = settings or EngineSettings(step_ms=2, slots=2, load_s=0.01)
+        chosen.fenced = fenced
+        engine, server = await start_engine(chosen)
+        bed = Bed(engine, server, fenced)
+        try:
+            async with asyncio.timeout(40):
+                await story(bed)
+        finally:
+            await bed.stop()
+
+    asyncio.run(main())
