Test the callers' interface with a fake owner

Cause: each refusal a caller can meet at the gateway needs a test. Change: fakes at the gateway's borders; tests of answers, streams, leave, cancelled callers, lost owners and refusals; a body above the limit is refused by name (tornado alone would close with a bare 400), one above twice the limit is not read; the gateway sees the keys through a protocol.

--- a/fescuekeel/components/gateway/admission.py
+++ b/fescuekeel/components/gateway/admission.py
@@ -11,6 +11,7 @@
     parse_model,
 )
 from fescuekeel.components.tree.model import Intent, Policy, PoolKind, TreeInForce
+from fescuekeel.const import MAX_BODY_BYTES
 from fescuekeel.core import Bus
 from fescuekeel.errors import ErrorKind, Failure
 
@@ -71,6 +72,13 @@
     return Success(shop)
 
 
+def _check_size(caller: CallerInput) -> Result[str, Failure]:
+    if len(caller.body) <= MAX_BODY_BYTES:
+        return check_idempotency_key(caller.idempotency_key)
+    detail = f"a body has {MAX_BODY_BYTES} bytes at most"
+    return Err(Failure(ErrorKind.BODY_TOO_LARGE, detail))
+
+
 def _make_digest(policy: Policy, caller: CallerInput) -> str:
     digest = xxhash.xxh3_128()
     for part in (policy.shop, policy.service, str(policy.adapter), caller.method):
@@ -89,7 +97,7 @@
 def admit_completion(intent: Intent, caller: CallerInput) -> Result[Admission, Failure]:
     """Admit a request for a completion by an adapter."""
     return get_shop(intent, caller.authorization).bind(
-        lambda shop: check_idempotency_key(caller.idempotency_key).bind(
+        lambda shop: _check_size(caller).bind(
             lambda _: _admit_body(intent, shop, caller)
         )
     )
@@ -129,7 +137,7 @@
         return Success(Admission(policy, caller, False, 0, digest))
 
     return get_shop(intent, caller.authorization).bind(
-        lambda shop: check_idempotency_key(caller.idempotency_key).bind(
+        lambda shop: _check_size(caller).bind(
             lambda _: (
                 intent.resolve(shop, service, "", "")
                 .bind(lambda policy: _check_kind(policy, PoolKind.PLAIN))
--- a/fescuekeel/components/gateway/component.py
+++ b/fescuekeel/components/gateway/component.py
@@ -12,10 +12,10 @@
 from fescuekeel.components.gateway.router import GatewayRouter
 from fescuekeel.components.gateway.server import CallersServer
 from fescuekeel.components.gateway.sink import CallerSink
-from fescuekeel.components.keys import get_keys
 from fescuekeel.components.tree.model import TreeInForce
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure, Ran
+from fescuekeel.helpers.key_link import get_key_link
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.messages import (
@@ -120,7 +120,7 @@
             self._report(request, await request.run())
             return
         scoped = f"{request.admission.policy.shop}/{key}"
-        keys = get_keys(self.instance)
+        keys = get_key_link(self.instance)
         claim = await keys.claim(
             scoped, request.request_id, request.admission.digest, KEY_LIFETIME_S
         )
--- a/fescuekeel/components/gateway/server.py
+++ b/fescuekeel/components/gateway/server.py
@@ -42,6 +42,9 @@
 __all__ = ["CallersServer", "split_address"]
 
 RANDOM_ID_BYTES = 8
+# A body above the limit is refused by name; one far above it is not even read
+# and its connection is closed.
+HARD_BODY_FACTOR = 2
 # A caller whose machine is gone without a word is noticed after about a
 # minute, also while nothing is written to it.
 KEEPALIVE_IDLE_S = 30
@@ -123,7 +126,7 @@
             intent.bind(lambda known: admit_plain(known, service, caller))
         )
 
-    get = post = put = delete = patch = serve_any  # type: ignore[assignment]
+    get = post = put = delete = patch = serve_any
 
 
 class HealthHandler(RequestHandler):
@@ -165,8 +168,8 @@
         self._server = HTTPServer(
             application,
             ssl_options=self._make_tls(),
-            max_buffer_size=2 * MAX_BODY_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=4 * MAX_BODY_BYTES,
+            max_body_size=HARD_BODY_FACTOR * MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
             body_timeout=CALLER_BODY_TIMEOUT_S,
             idle_connection_timeout=CALLER_IDLE_TIMEOUT_S,
--- /dev/null
+++ b/tests/components/gateway/test_server.py
@@ -0,0 +1,261 @@
+"""Tests of the callers' HTTP interface with a fake owner behind it."""
+
+import asyncio
+import json
+
+import pytest
+
+from fescuekeel.components.gateway.server import split_address
+from fescuekeel.components.tree.model import TreeInForce
+from fescuekeel.const import MAX_BODY_BYTES
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.messages import CancelWork, PeerLost
+from tests.common import eventually
+from tests.components.gateway.fakes import open_bench
+
+
+def get_error(response):
+    return json.loads(response.body)["error"]
+
+
+class TestAnswers:
+    def test_a_whole_answer_passes_through(self):
+        async def run():
+            async with open_bench() as bench:
+                response = await bench.complete(X_Request_Id="order 7")
+                assert response.code == 200
+                assert response.body == b'{"text": "ab"}'
+                assert response.headers["X-Request-Id"] == "order_7"
+                assert response.headers["X-Stall-Ms"] == "3"
+                assert bench.owner.submits[0].request_id.startswith("order_7.")
+                assert bench.owner.submits[0].adapter.version == "1.10"
+
+        asyncio.run(run())
+
+    def test_a_stream_passes_through(self):
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.answer_stream
+                response = await bench.complete(stream="true")
+                assert response.headers["Content-Type"] == "text/event-stream"
+                assert response.body == b"data: a\n\ndata: [DONE]\n\n"
+
+        asyncio.run(run())
+
+    def test_a_plain_service_sees_method_path_and_query(self):
+        async def run():
+            async with open_bench() as bench:
+                response = await bench.fetch("/services/stock/kits?size=2", "GET")
+                assert response.code == 200
+                submit = bench.owner.submits[0]
+                assert (submit.method, submit.path) == ("GET", "/kits?size=2")
+
+        asyncio.run(run())
+
+    def test_a_charge_asks_for_leave(self):
+        async def run():
+            async with open_bench() as bench:
+                response = await bench.fetch("/services/charge/new", body=b"{}")
+                assert response.code == 200
+                assert bench.owner.leave == [True]
+
+        asyncio.run(run())
+
+    def test_a_caller_that_goes_away_stops_the_work(self):
+        """An engine must not go on writing for a caller that hung up."""
+
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.hang
+                host, port = split_address(bench.gateway.server.address)
+                _, writer = await asyncio.open_connection(host, port)
+                body = b'{"model": "patter/cups", "prompt": "p"}'
+                writer.write(
+                    b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                    b"Authorization: Bearer magic\r\n"
+                    + f"Content-Length: {len(body)}\r\n\r\n".encode()
+                    + body
+                )
+                await eventually(lambda: bench.owner.submits)
+                writer.close()
+                await eventually(lambda: bench.owner.sent)
+                submit = bench.owner.submits[0]
+                assert bench.owner.sent == [CancelWork(submit.request_id, 1)]
+
+        asyncio.run(run())
+
+    def test_a_lost_owner_is_replaced(self):
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.hang
+                task = asyncio.create_task(bench.complete())
+                await eventually(lambda: bench.owner.submits)
+                await asyncio.sleep(0)
+                bench.owner.play = bench.owner.answer_whole
+                owner = next(iter(bench.gateway.requests_by_id.values()))
+                await eventually(lambda: owner.placement is not None)
+                bench.instance.bus.publish(PeerLost(owner.placement.owner))
+                assert (await task).code == 200
+                assert [submit.attempt for submit in bench.owner.submits] == [1, 2]
+
+        asyncio.run(run())
+
+
+REFUSED_BY_OWNER = [
+    (ErrorKind.TOO_LATE, 503),
+    (ErrorKind.EXPIRED, 504),
+]
+NOT_RUN_AFTER_RETRIES = [
+    ErrorKind.QUEUE_FULL,
+    ErrorKind.LOAD_FAILED,
+    ErrorKind.ENDPOINT_REFUSED,
+]
+ENDED_BY_OWNER = [
+    (ErrorKind.ANSWER_CUT, "yes", 502),
+    (ErrorKind.INTERNAL, "unknown", 500),
+]
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("path", "body", "token", "kind"),
+        [
+            ("/v1/completions", "{", "magic", ErrorKind.BAD_REQUEST),
+            ("/v1/completions", "{}", "other", ErrorKind.UNAUTHENTICATED),
+            ("/v1/completions", "{}", "", ErrorKind.UNAUTHENTICATED),
+            ("/services/none/x", "", "magic", ErrorKind.UNKNOWN_SERVICE),
+            ("/services/patter/x", "", "magic", ErrorKind.UNKNOWN_SERVICE),
+            ("/elsewhere", "", "magic", ErrorKind.UNKNOWN_SERVICE),
+        ],
+    )
+    def test_what_is_wrong_is_named(self, path, body, token, kind):
+        async def run():
+            async with open_bench() as bench:
+                response = await bench.fetch(path, body=body, token=token)
+                assert get_error(response)["kind"] == kind
+                assert response.headers["X-Request-Ran"] == "no"
+                counters = bench.instance.metrics.counters_by_name
+                assert counters[f"refused.{kind}"] == 1
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        ("model", "kind"),
+        [
+            ("patter/other", ErrorKind.UNKNOWN_ADAPTER),
+            ("patter/cups@2", ErrorKind.UNKNOWN_VERSION),
+            ("stock/cups", ErrorKind.UNKNOWN_SERVICE),
+            ("cups", ErrorKind.BAD_REQUEST),
+        ],
+    )
+    def test_what_is_not_in_the_tree_is_named(self, model, kind):
+        async def run():
+            async with open_bench() as bench:
+                assert get_error(await bench.complete(model))["kind"] == kind
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(("kind", "status"), REFUSED_BY_OWNER)
+    def test_an_owners_refusal_is_told_at_once(self, kind, status):
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.refuse(kind, 2500)
+                response = await bench.complete()
+                error = get_error(response)
+                assert (response.code, error["kind"]) == (status, kind)
+                assert (error["ran"], error["retry_after_s"]) == ("no", 2.5)
+                assert len(bench.owner.submits) == 1
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("kind", NOT_RUN_AFTER_RETRIES)
+    def test_costly_retries_end_with_the_budget(self, kind):
+        async def run():
+            async with open_bench(retry_share=0.0) as bench:
+                bench.owner.play = bench.owner.refuse(kind)
+                error = get_error(await bench.complete())
+                spent = (ErrorKind.RETRY_BUDGET_SPENT, ErrorKind.NO_ENDPOINT)
+                assert error["kind"] in (kind, *spent)
+                assert error["ran"] == "no"
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(("kind", "ran", "status"), ENDED_BY_OWNER)
+    def test_a_failed_run_is_told_truthfully(self, kind, ran, status):
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.end(kind, ran)
+                response = await bench.complete()
+                error = get_error(response)
+                assert (response.code, error["ran"]) == (status, ran)
+
+        asyncio.run(run())
+
+    def test_a_key_that_cannot_be_claimed_refuses_before_any_owner(self):
+        async def run():
+            async with open_bench() as bench:
+                for kind in (
+                    ErrorKind.KEY_HOME_UNREACHABLE,
+                    ErrorKind.KEY_IN_PROGRESS,
+                    ErrorKind.KEY_USED,
+                    ErrorKind.KEY_MISMATCH,
+                ):
+                    bench.keys.failure = Failure(kind)
+                    response = await bench.complete(Idempotency_Key="k1")
+                    assert get_error(response)["kind"] == kind
+                assert bench.owner.submits == []
+
+        asyncio.run(run())
+
+    def test_a_key_is_settled_with_the_outcome(self):
+        async def run():
+            async with open_bench() as bench:
+                await bench.complete(Idempotency_Key="k1")
+                bench.owner.play = bench.owner.refuse(ErrorKind.TOO_LATE)
+                await bench.complete(Idempotency_Key="k2")
+                assert bench.keys.settled == [("tricks/k1", "yes"), ("tricks/k2", "no")]
+
+        asyncio.run(run())
+
+    def test_limits_and_readiness(self):
+        async def run():
+            async with open_bench() as bench:
+                bench.instance.bus.publish_state(TreeInForce(None))
+                bench.instance.bus._latest_by_type.pop(TreeInForce)
+                error = get_error(await bench.complete())
+                assert error["kind"] == ErrorKind.TREE_NOT_READY
+                assert (await bench.fetch("/healthz", "GET")).code == 503
+
+        asyncio.run(run())
+
+    def test_a_draining_instance_takes_no_more(self):
+        async def run():
+            async with open_bench() as bench:
+                bench.instance.draining = True
+                error = get_error(await bench.complete())
+                assert error["kind"] == ErrorKind.DRAINING
+
+        asyncio.run(run())
+
+    def test_a_body_that_is_too_large_is_named(self):
+        async def run():
+            async with open_bench() as bench:
+                body = b" " * (MAX_BODY_BYTES + 1)
+                response = await bench.fetch("/v1/completions", body=body)
+                assert response.code == 413
+                assert get_error(response)["kind"] == ErrorKind.BODY_TOO_LARGE
+
+        asyncio.run(run())
+
+    def test_a_body_far_too_large_is_not_read(self):
+        async def run():
+            async with open_bench() as bench:
+                host, port = split_address(bench.gateway.server.address)
+                reader, writer = await asyncio.open_connection(host, port)
+                head = f"POST /v1/completions HTTP/1.1\r\nContent-Length: {10**9}"
+                writer.write(head.encode() + b"\r\nHost: x\r\n\r\n")
+                answer = await reader.read()
+                assert answer.startswith(b"HTTP/1.1 400")
+                writer.close()
+
+        asyncio.run(run())
