Probe instances and pass on news of them

Cause: the live list lags, and owners are chosen from a view of who lives. Change: add the membership component. It takes the list as a hint only. What was begun before a pause of the process is dropped.

--- /dev/null
+++ b/fescuekeel/components/membership/const.py
@@ -0,0 +1,31 @@
+"""Constants of the membership component."""
+
+from typing import Final
+
+DOMAIN: Final = "membership"
+
+TICK_S: Final = 0.25
+PROBE_PERIOD_S: Final = 0.5
+PROBE_TIMEOUT_S: Final = 0.4
+# A helper needs its own probe's time and the way there and back.
+INDIRECT_TIMEOUT_S: Final = 0.7
+HELPERS: Final = 3
+SUSPECT_S: Final = 1.2
+# Of so many probe periods, one goes to an instance believed dead.
+DEAD_PROBE_EVERY: Final = 4
+# Longer without a tick than this means that the process was paused.
+PAUSE_S: Final = 1.0
+
+# Each piece of news is passed on this many times the logarithm of the fleet.
+RETRANSMIT_FACTOR: Final = 3
+MAX_NEWS: Final = 10
+PUSH_FANOUT: Final = 3
+PUSH_PERIOD_S: Final = 0.2
+TREE_HEARD_PERIOD_S: Final = 1.0
+
+DEAD_KEPT_S: Final = 7200.0
+LEFT_KEPT_S: Final = 120.0
+LEAVING_KEPT_S: Final = 3600.0
+MAX_MEMBERS: Final = 4096
+MAX_LEAVING: Final = 8192
+PRUNE_PERIOD_S: Final = 10.0
--- /dev/null
+++ b/tests/components/membership/test_fuzz.py
@@ -0,0 +1,91 @@
+"""Stateful fuzzing of the membership decision."""
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from fescuekeel.messages import EndpointLeaving, LiveEntry, LiveRole
+from tests.components.membership.network import Network, make_live
+
+IDS = ["i1", "i2", "i3", "i4", "i5"]
+ENDPOINT = LiveEntry("e1", LiveRole.ENDPOINT, "e1:1", "dc1", 1)
+HEAL_S = 25.0
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Lose, cut, pause, kill and replace; then let it heal and look."""
+
+    def __init__(self):
+        super().__init__()
+        self.network = Network(IDS)
+        self.incarnation = 1
+        self.told = set()
+        for id in IDS:
+            self.network.give(id, make_live(IDS, [ENDPOINT]))
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 6.0]))
+    def run_on(self, seconds):
+        self.network.run(seconds)
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.5]))
+    def lose(self, loss):
+        self.network.loss = loss
+
+    @rule(side=st.sets(st.sampled_from(IDS)))
+    def cut(self, side):
+        self.network.cut = side
+
+    @rule(id=st.sampled_from(IDS))
+    def pause(self, id):
+        self.network.paused.add(id)
+
+    @rule(id=st.sampled_from(IDS))
+    def resume(self, id):
+        others_dead = self.network.sees(id) - self.network.dead
+        self.network.resume(id)
+        assert others_dead <= self.network.sees(id)
+
+    @rule(id=st.sampled_from(IDS))
+    def kill(self, id):
+        self.network.dead.add(id)
+
+    @rule(id=st.sampled_from(IDS))
+    def replace(self, id):
+        self.incarnation += 100
+        self.network.paused.discard(id)
+        self.network.held_back.pop(id, None)
+        self.network.add(id, self.incarnation)
+        self.told.discard(id)
+        self.network.give(id, make_live(IDS, [ENDPOINT]))
+
+    @rule(id=st.sampled_from(IDS))
+    def endpoint_leaves(self, id):
+        if id not in self.network.dead | self.network.paused:
+            self.network.give(id, EndpointLeaving("e1", 1))
+            self.told.add(id)
+
+    @invariant()
+    def one_is_in_ones_own_view(self):
+        assert all(id in self.network.sees(id) for id in IDS)
+
+    @invariant()
+    def leaving_is_not_forgotten(self):
+        for id in self.told:
+            assert not self.network.views[id].endpoints_by_id
+
+    def teardown(self):
+        network = self.network
+        network.loss, network.cut = 0.0, set()
+        for id in IDS:
+            network.resume(id)
+        network.run(HEAL_S)
+        alive = set(IDS) - network.dead
+        for id in alive:
+            assert network.sees(id) == alive
+        if self.told - network.dead:
+            assert not any(network.views[id].endpoints_by_id for id in alive)
+
+
+TestMembershipFuzz = MembershipMachine.TestCase
+TestMembershipFuzz.settings = settings(
+    max_examples=100, stateful_step_count=25, derandomize=True, deadline=None
+)
