Let key messages carry homes, records and pulls

Cause: a home has to compare homes with the claiming instance, and a new home has to ask for the claims that others hold. Change: KeyClaim names its homes, KeyRecord and KeyPull are new, KeyCopy carries records; the codec takes lists of plain values.

--- a/fescuekeel/helpers/wire.py
+++ b/fescuekeel/helpers/wire.py
@@ -62,7 +62,11 @@
     lists: list[tuple[str, str, Fill]] = []
     for name, wire_name, hint in _list_fields(kind):
         if isinstance(hint, types.GenericAlias):
-            lists.append((name, wire_name, _make_fill(typing.get_args(hint)[0])))
+            part = typing.get_args(hint)[0]
+            if part in PLAIN_TYPES:
+                plain.append((name, wire_name))
+            else:
+                lists.append((name, wire_name, _make_fill(part)))
         elif dataclasses.is_dataclass(hint):
             nested.append((name, wire_name, _make_fill(typing.cast(type, hint))))
         else:
@@ -120,7 +124,10 @@
 
 def _make_converter(hint: Any) -> Convert | None:
     if isinstance(hint, types.GenericAlias):
-        unpack = _make_unpack(typing.get_args(hint)[0])
+        part = typing.get_args(hint)[0]
+        if part in PLAIN_TYPES:
+            return tuple
+        unpack = _make_unpack(part)
         return lambda values: tuple(unpack(value) for value in values)
     if dataclasses.is_dataclass(hint):
         return _make_unpack(typing.cast(type, hint))
--- a/fescuekeel/messages.py
+++ b/fescuekeel/messages.py
@@ -27,6 +27,8 @@
     "KeyAnswer",
     "KeyClaim",
     "KeyCopy",
+    "KeyPull",
+    "KeyRecord",
     "KeySettle",
     "LiveEntry",
     "LiveList",
@@ -341,15 +343,15 @@
     """Claim an idempotency key for one request before it may run.
 
     ``digest`` is that of the request's meaning, and ``lifetime_ms`` how long
-    the claim is kept after it is settled. ``copy`` marks the successor's copy
-    of the claim.
+    the claim is kept after it is settled. ``homes`` are the key's homes as
+    the claiming instance sees them; a home that sees others refuses.
     """
 
     key: str
     request_id: str
     digest: str
     lifetime_ms: int
-    copy: bool = False
+    homes: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -369,12 +371,40 @@
     ran: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """One claim as a home holds it; ``used`` is false while it runs."""
+
+    key: str
+    request_id: str
+    digest: str
+    used: bool
+    remaining_ms: int
+    lifetime_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyPull:
+    """Ask for the claims that the asking instance has to know as a home.
+
+    It tells that the asking instance is a home from now on. Claims come in
+    the order of their keys, from above ``after`` on.
+    """
+
+    data_centre: str
+    after: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyCopy:
-    """Pass claims to an instance that has become their home."""
+    """Pass on claims; ``more`` tells that others follow.
 
-    claims: tuple[KeyClaim, ...] = ()
-    settled: tuple[KeySettle, ...] = ()
+    ``leaving`` tells that the sender is no home any more.
+    """
+
+    records: tuple[KeyRecord, ...] = ()
+    more: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -395,11 +425,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningAnswer:
-    """Answer with all of them, and with the highest fencing number known."""
+    """Answer with all of them, and with the highest fencing number known.
+
+    ``given`` says that the instance owned the endpoint until a moment ago and
+    gave it up in favour of the one that asks.
+    """
 
     endpoint: str
     fence: int
     work: tuple[RunningWork, ...] = ()
+    given: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -446,6 +481,7 @@
     | KeyAnswer
     | KeySettle
     | KeyCopy
+    | KeyPull
     | RunningAsk
     | RunningAnswer
     | HandoverOffer
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -105,11 +105,20 @@
   requestId @1 :Text;
   digest @2 :Text;
   lifetimeMs @3 :UInt32;
-  copy @4 :Bool;
+  homes @4 :List(Text);
 }
 struct KeyAnswer { granted @0 :Bool; kind @1 :Text; }
 struct KeySettle { key @0 :Text; requestId @1 :Text; ran @2 :Text; }
-struct KeyCopy { claims @0 :List(KeyClaim); settled @1 :List(KeySettle); }
+struct KeyRecord {
+  key @0 :Text;
+  requestId @1 :Text;
+  digest @2 :Text;
+  used @3 :Bool;
+  remainingMs @4 :UInt32;
+  lifetimeMs @5 :UInt32;
+}
+struct KeyPull { dataCentre @0 :Text; after @1 :Text; }
+struct KeyCopy { records @0 :List(KeyRecord); more @1 :Bool; leaving @2 :Bool; }
 struct RunningWork {
   requestId @0 :Text;
   adapter @1 :AdapterRef;
@@ -120,6 +129,7 @@
   endpoint @0 :Text;
   fence @1 :UInt64;
   work @2 :List(RunningWork);
+  given @3 :Bool;
 }
 struct HandoverOffer {
   endpoint @0 :Text;
@@ -159,5 +169,6 @@
     handoverAnswer @26 :HandoverAnswer;
     startAsk @27 :StartAsk;
     startAnswer @28 :StartAnswer;
+    keyPull @29 :KeyPull;
   }
 }
