Fuzz requests over several instances on a virtual clock

Change: tests/fuzz runs the real gateway, owner, membership and turns components of three instances, each on an event loop of its own whose clock is a fake world's, so that a paused instance is a loop that is not turned. Network, endpoints and the live list are fakes. Conclusion: a first net; which guards it notices is still to be seen.

--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of several instances on a virtual clock."""
--- /dev/null
+++ b/tests/fuzz/engines.py
@@ -0,0 +1,311 @@
+"""Fake endpoints on the virtual clock, and the driver that speaks to them."""
+
+import asyncio
+from dataclasses import dataclass
+
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.driver import (
+    CacheHints,
+    OrderOutcome,
+    Outcome,
+    Report,
+    RunningCall,
+)
+from fescuekeel.helpers.endpoint_http import LEASE_LOST
+from tests.fuzz.oracle import END, expect_token, expect_whole
+
+__all__ = ["Engine", "FakeDriver"]
+
+STEP_S = 0.1
+POLL_S = 0.1
+SILENCE_S = 2.0
+
+
+@dataclass(eq=False)
+class EngineRun:
+    """One run of a request on an endpoint."""
+
+    request_id: str
+    adapter: object
+    tokens: int
+    began: float
+    ended: float | None = None
+    broken: str = ""
+
+
+class Engine:
+    """An engine, or a plain service when it has no slots."""
+
+    def __init__(self, world, id, data_centre, pool, load_s=0.3):
+        self.world = world
+        self.id = id
+        self.data_centre = data_centre
+        self.pool = pool
+        self.load_s = load_s
+        self.incarnation = 1
+        self.leaving_since = None
+        self.fail_loads = 0
+        self.report_lag_s = 0.0
+        self.boots = 0
+        self.runs = []
+        self.restart()
+
+    def restart(self):
+        """Start cold."""
+        for run in self.runs:
+            self._break(run, "restarted")
+        self.boots += 1
+        self.fence = 0
+        self.loaded = set()
+        self.loading = {}
+        self.runs = []
+        self.runs_by_id = {}
+        self.reports = []
+
+    @property
+    def running(self):
+        """Return what is unfinished, ending what is due first."""
+        now = self.world.now
+        for run in self.runs:
+            if run.ended is None and now >= run.began + run.tokens * STEP_S:
+                run.ended = now
+        return [run for run in self.runs if run.ended is None]
+
+    def _break(self, run, reason):
+        if run.ended is None:
+            run.ended, run.broken = self.world.now, reason
+
+    def _is_stale(self, fence):
+        if not self.pool.fenced or not fence:
+            return False
+        if fence < self.fence:
+            return True
+        self.fence = fence
+        return False
+
+    def submit(self, call, written):
+        """Take a request in, or refuse it explicitly."""
+        if self._is_stale(call.fence):
+            return Outcome.refused("stale", stale_fence=self.fence)
+        if call.adapter and call.adapter not in self.loaded:
+            return Outcome.refused("not_loaded", loaded=False)
+        if len(self.running) >= 2 * self.pool.max_running:
+            return Outcome.refused("full")
+        self.world.oracle.note_run(self, call, written)
+        run = EngineRun(
+            call.request_id, call.adapter, max(1, call.max_tokens), self.world.now
+        )
+        self.runs.append(run)
+        self.runs_by_id[call.request_id] = run
+        return None
+
+    def cancel(self, request_id):
+        run = self.runs_by_id.get(request_id)
+        if run is not None:
+            self._break(run, "cancelled")
+
+    def begin_load(self, adapter, fence, reply):
+        """Load in the engine's own time."""
+        if self._is_stale(fence):
+            reply(OrderOutcome(False, stale_fence=self.fence))
+        elif adapter in self.loaded:
+            reply(OrderOutcome(True))
+        elif len(self.loaded | self.loading.keys()) >= self.pool.slots:
+            reply(OrderOutcome(False, detail="no_slot"))
+        else:
+            self.loading.setdefault(adapter, []).append(reply)
+            if len(self.loading[adapter]) == 1:
+                boot = self.boots
+                self.world.at(self.load_s, lambda: self._end_load(adapter, boot))
+
+    def _end_load(self, adapter, boot):
+        if boot != self.boots:
+            return
+        replies = self.loading.pop(adapter)
+        ok = self.fail_loads == 0
+        self.fail_loads -= 0 if ok else 1
+        if ok:
+            self.loaded.add(adapter)
+        for reply in replies:
+            reply(OrderOutcome(ok, self.load_s))
+
+    def evict(self, adapter, fence, written, owner):
+        """Obey at once, whatever that cuts."""
+        if self._is_stale(fence):
+            return OrderOutcome(False, stale_fence=self.fence)
+        hit = [run for run in self.running if run.adapter == adapter]
+        if hit:
+            self.world.oracle.note_cut_by_eviction(self, hit, written, owner)
+        for run in hit:
+            self._break(run, "evicted")
+        self.loaded.discard(adapter)
+        return OrderOutcome(True)
+
+    def report(self):
+        """Return a report that is as old as the lag."""
+        now = self.world.now
+        running = tuple(
+            RunningCall(run.request_id, run.adapter) for run in self.running
+        )
+        fresh = Report(
+            str(self.boots),
+            self.fence,
+            self.pool.max_running,
+            frozenset(self.loaded),
+            running,
+            leaving=self.leaving_since is not None,
+        )
+        if self.reports and now - self.reports[-1][0] < self.report_lag_s:
+            return self.reports[-1][1]
+        self.reports = [(now, fresh)]
+        return fresh
+
+
+class FakeDriver:
+    """Speak to one endpoint as the real drivers do.
+
+    The guard is looked at right before an order is written; a written order
+    arrives even if its process stops, and possibly late.
+    """
+
+    def __init__(self, world, node, engine):
+        self.world = world
+        self.node = node
+        self.engine = engine
+        self.incarnation = engine.incarnation
+
+    @property
+    def _cut(self):
+        # One that has come back has another address.
+        moved = self.incarnation != self.engine.incarnation
+        return self.node.dead or moved or self.world.is_cut(self.node, self.engine)
+
+    async def _exchange(self, act, timeout_s):
+        """Send something and return the reply, or ``None`` without one."""
+        future = self.node.loop.create_future()
+
+        def reply(result):
+            self.world.to_node(self.node, 0.001, lambda: set_once(future, result))
+
+        def arrive():
+            moved = self.incarnation != self.engine.incarnation
+            if not moved and not self.world.is_cut(self.node, self.engine):
+                act(reply)
+
+        self.world.at(self.world.order_delay(self.node, self.engine), arrive)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return None
+
+    async def dispatch(self, call, on_chunk):
+        if self._cut:
+            await asyncio.sleep(0.5)
+            return Outcome.refused("cannot connect")
+        if call.guard is not None and not call.guard():
+            return Outcome.refused(LEASE_LOST)
+        written = self.world.now
+        result = await self._exchange(
+            lambda reply: reply((self.engine.submit(call, written),)), SILENCE_S
+        )
+        if result is None:
+            return await self._follow(call, 0, on_chunk, lost=True)
+        if result[0] is not None:
+            return result[0]
+        return await self._follow(call, 0, on_chunk)
+
+    async def resume(self, call, position, on_chunk):
+        if not call.stream:
+            return Outcome.unknown("nothing is kept")
+        return await self._follow(call, position, on_chunk)
+
+    async def _follow(self, call, position, on_chunk, lost=False):
+        """Read a run's answer; a stream outlasts broken connections."""
+        until = self.world.now + call.remaining_s
+        silent = 0.0
+        while self.world.now < until:
+            await asyncio.sleep(POLL_S)
+            if self._cut or (lost and not call.stream):
+                silent += POLL_S
+                if not call.stream and silent > SILENCE_S:
+                    break
+                continue
+            silent = 0.0
+            run = self.engine.runs_by_id.get(call.request_id)
+            if run is None:
+                break
+            running = run in self.engine.running
+            if call.stream:
+                position = self._read(call, run, position, on_chunk)
+            if running:
+                continue
+            if run.broken:
+                break
+            if call.stream:
+                on_chunk(position, END, 0)
+            else:
+                on_chunk(0, expect_whole(call.request_id, run.adapter), 1)
+            return Outcome()
+        if call.stream and position:
+            return Outcome(Failure(ErrorKind.ANSWER_CUT), 502)
+        return Outcome.unknown("cut")
+
+    def _read(self, call, run, position, on_chunk):
+        until = self.world.now if run.ended is None else run.ended
+        made = min(run.tokens, int((until - run.began) / STEP_S + 1e-6))
+        if made > position:
+            tokens = range(position, made)
+            data = [expect_token(call.request_id, run.adapter, at) for at in tokens]
+            on_chunk(position, b"".join(data), len(tokens))
+        return max(position, made)
+
+    async def cancel(self, request_id):
+        if not self._cut:
+            self.world.at(0.001, lambda: self.engine.cancel(request_id))
+
+    async def load(self, adapter, fence, timeout_s, guard):
+        return await self._order(
+            guard,
+            timeout_s,
+            lambda reply, _: self.engine.begin_load(adapter, fence, reply),
+        )
+
+    async def evict(self, adapter, fence, timeout_s, guard):
+        return await self._order(
+            guard,
+            timeout_s,
+            lambda reply, written: reply(
+                self.engine.evict(adapter, fence, written, self.node.id)
+            ),
+        )
+
+    async def _order(self, guard, timeout_s, act):
+        if self._cut:
+            await asyncio.sleep(0.5)
+            return OrderOutcome(False, detail="cannot connect")
+        if not guard():
+            return OrderOutcome(False, detail=LEASE_LOST)
+        written = self.world.now
+        outcome = await self._exchange(lambda reply: act(reply, written), timeout_s)
+        return outcome or OrderOutcome(False, unsure=True)
+
+    async def report(self, timeout_s):
+        if self._cut:
+            await asyncio.sleep(timeout_s)
+            return None
+        return await self._exchange(
+            lambda reply: reply(self.engine.report()), timeout_s
+        )
+
+    async def read_cache_hints(self, since, timeout_s):
+        return CacheHints((), since)
+
+    def close(self):
+        pass
+
+
+def set_once(future, result):
+    """Answer a question that may have been given up."""
+    if not future.done():
+        future.set_result(result)
--- /dev/null
+++ b/tests/fuzz/oracle.py
@@ -0,0 +1,120 @@
+"""The oracle: it sees callers and endpoints only and knows the promises."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from fescuekeel.const import LEAVING_BOUND_S
+from fescuekeel.errors import ErrorKind, Ran
+
+__all__ = ["END", "Oracle", "Seen", "expect_token", "expect_whole"]
+
+END = b"."
+CUTS = frozenset({ErrorKind.ANSWER_CUT, ErrorKind.OUTCOME_UNKNOWN})
+
+
+def expect_token(request_id, adapter, position):
+    """Return one token of the one right answer."""
+    return f"<{request_id} {adapter} {position}>".encode()
+
+
+def expect_whole(request_id, adapter):
+    """Return the one right answer that comes in one piece."""
+    return f"<{request_id} {adapter}>".encode()
+
+
+@dataclass(eq=False)
+class Seen:
+    """What a caller sent and received."""
+
+    request_id: str
+    adapter: object
+    repeatable: bool
+    stream: bool
+    tokens: int
+    began: float
+    data: bytes = b""
+    ended: str = ""
+    told: Ran | None = None
+    gone: bool = False
+    runs: list = field(default_factory=list)
+
+    @property
+    def expected(self):
+        """Return the whole answer."""
+        if not self.stream:
+            return expect_whole(self.request_id, self.adapter)
+        ids = range(self.tokens)
+        tokens = [expect_token(self.request_id, self.adapter, at) for at in ids]
+        return b"".join(tokens) + END
+
+
+class Oracle:
+    """Hold what was seen, and each broken promise."""
+
+    def __init__(self, world):
+        self.world = world
+        self.seen_by_id = {}
+        self.faults = []
+        self.violations = []
+        self.unfenced_cuts = []
+        self.counts = Counter()
+
+    def check(self, holds, promise, *details):
+        """Note a broken promise; raising inside a task would be lost."""
+        if not holds:
+            self.violations.append(f"{promise}: {details} at {self.world.now:.3f}")
+
+    def note_fault(self, name):
+        """Note a fault, which excuses answers that are cut."""
+        self.faults.append((self.world.now, name))
+
+    # What endpoints show.
+
+    def note_run(self, engine, call, written):
+        seen = self.seen_by_id[call.request_id]
+        seen.runs.append(engine.id)
+        self.counts["run"] += 1
+        self.check(call.adapter == seen.adapter, "wrong adapter", seen)
+        self.check(seen.told is not Ran.NO, "ran after 'not run'", seen)
+        once = seen.repeatable or len(seen.runs) == 1
+        self.check(once, "a non-repeatable request ran twice", seen)
+        if engine.leaving_since is not None:
+            late = written - engine.leaving_since
+            bound = LEAVING_BOUND_S
+            self.check(late <= bound, "new work for a leaving endpoint", seen, late)
+
+    def note_cut_by_eviction(self, engine, runs, written, owner):
+        ids = [run.request_id for run in runs]
+        flight_s = self.world.now - written
+        if engine.pool.fenced:
+            self.check(False, "evicted while serving", engine.id, ids, owner, flight_s)
+        width = self.world.unfenced_width_s
+        self.unfenced_cuts.append((ids, flight_s))
+        self.counts["unfenced_cut"] += 1
+        late = flight_s > width
+        self.check(late, "evicted while serving, unfenced", ids, owner, flight_s)
+
+    # What callers receive.
+
+    def note_data(self, seen, data):
+        self.check(not seen.ended, "data after the end", seen)
+        seen.data += data
+        right = seen.expected.startswith(seen.data)
+        self.check(right, "not the caller's own answer, in order, once", seen)
+
+    def note_finish(self, seen):
+        self.check(not seen.ended, "ended twice", seen)
+        seen.ended = "answered"
+        self.counts["answered"] += 1
+        self.check(seen.data == seen.expected, "not the whole answer", seen)
+
+    def note_failure(self, seen, failure):
+        self.check(not seen.ended, "ended twice", seen)
+        seen.ended, seen.told = failure.kind.value, failure.outcome
+        self.counts[f"{failure.kind.value}.{failure.outcome.value}"] += 1
+        if failure.outcome is Ran.NO:
+            self.check(not seen.runs, "'not run' is untrue", seen)
+        if failure.kind in CUTS:
+            recent = any(at >= seen.began - 15.0 for at, _ in self.faults)
+            excused = recent or self.world.is_disturbed
+            self.check(excused, "an answer was cut without a fault", seen, failure)
--- /dev/null
+++ b/tests/fuzz/test_requests.py
@@ -0,0 +1,201 @@
+"""Requests over owners: several instances, their failures, and the oracle."""
+
+from collections import Counter
+from random import Random
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.fuzz.world import ADAPTERS, OLD, SCRIPT, STORE, World
+
+RUNNING_GRACE_S = 30.0
+steps = st.sampled_from([0.02, 0.3, 1.0, 2.5, 6.0])
+picks = st.integers(0, 7)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Instances in two data centres, two fenced engines, one that is not."""
+
+    totals = Counter()
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    @initialize()
+    def begin(self):
+        world = self.world
+        world.add_engine("e1", "dc1", SCRIPT)
+        world.add_engine("e2", "dc2", SCRIPT)
+        world.add_engine("u1", "dc1", OLD)
+        world.add_engine("p1", "dc1", STORE)
+        for data_centre in ("dc1", "dc1", "dc2"):
+            world.add_node(data_centre)
+        world.advance(8.0)
+
+    def node(self, pick):
+        nodes = self.world.live_nodes
+        return nodes[pick % len(nodes)]
+
+    def engine(self, pick):
+        engines = list(self.world.engines_by_id.values())
+        return engines[pick % len(engines)]
+
+    # Callers and time.
+
+    def submit(self, random):
+        """Send one request of any kind anywhere."""
+        self.world.submit(
+            random.choice(self.world.live_nodes),
+            random.choice([SCRIPT, SCRIPT, SCRIPT, OLD, OLD, STORE]),
+            random.choice(ADAPTERS),
+            repeatable=random.random() < 0.5,
+            stream=random.random() < 0.5,
+            tokens=random.choice([1, 5, 20]),
+            answer_s=random.choice([3.0, 8.0]),
+        )
+
+    @rule(pick=st.integers(0, 99))
+    def caller_leaves(self, pick):
+        open_ones = [
+            seen for seen in self.world.oracle.seen_by_id.values() if not seen.ended
+        ]
+        if open_ones:
+            self.world.leave(open_ones[pick % len(open_ones)])
+
+    @rule(seconds=steps, per_s=st.sampled_from([0, 1, 4]), seed=st.integers(0, 99))
+    def serve(self, seconds, per_s, seed):
+        """Let time pass while callers send requests."""
+        random = Random(seed)
+        count = max(1, round(seconds * per_s)) if per_s else 0
+        for _ in range(count):
+            self.submit(random)
+            self.world.advance(seconds / count)
+        if not count:
+            self.world.advance(seconds)
+
+    @rule(seconds=steps, seed=st.integers(0, 99))
+    def serve_busily(self, seconds, seed):
+        self.serve(seconds, 6, seed)
+
+    @invariant()
+    def promises_hold(self):
+        self.totals["steps"] += 1
+        assert not self.world.oracle.violations
+
+    # Processes.
+
+    @rule(pick=picks)
+    def pause(self, pick):
+        self.world.pause(self.node(pick))
+
+    @rule(pick=picks)
+    def wake(self, pick):
+        self.world.wake(self.node(pick))
+
+    @precondition(lambda self: len(self.world.live_nodes) > 1)
+    @rule(pick=picks, is_graceful=st.booleans())
+    def replace(self, pick, is_graceful):
+        node = self.node(pick)
+        self.world.add_node(node.data_centre)
+        if is_graceful:
+            self.world.drain(node)
+        else:
+            self.world.kill(node, is_fault=True)
+
+    @rule(pick=picks, skew_s=st.sampled_from([-100.0, 0.0, 50.0]))
+    def skew_clock(self, pick, skew_s):
+        self.node(pick).loop.skew_s = skew_s
+
+    # Connections.
+
+    @rule(data_centre=st.sampled_from(["dc1", "dc2"]))
+    def cut(self, data_centre):
+        self.world.cut(data_centre)
+
+    @rule(deliver=st.booleans())
+    def heal(self, deliver):
+        self.world.heal(deliver)
+
+    @rule(one=picks, two=picks)
+    def drop_connections(self, one, two):
+        self.world.drop_connections(self.node(one), self.node(two))
+
+    @rule(one=picks, two=picks, delay_s=st.sampled_from([0.001, 0.05, 0.3]))
+    def slow_link(self, one, two, delay_s):
+        self.world.delays[self.node(one).id, self.node(two).id] = delay_s
+
+    # Endpoints and the platform.
+
+    @rule(node=picks, engine=picks, seconds=st.sampled_from([0.5, 3.0, 12.0]))
+    def stall_orders(self, node, engine, seconds):
+        self.world.stall_orders(self.node(node), self.engine(engine), seconds)
+
+    @rule(pick=picks)
+    def restart_engine(self, pick):
+        self.world.oracle.note_fault("restart")
+        self.engine(pick).restart()
+
+    @rule(pick=picks, count=st.integers(1, 3))
+    def fail_loads(self, pick, count):
+        self.engine(pick).fail_loads = count
+
+    @rule(pick=picks, lag_s=st.sampled_from([0.0, 0.5, 2.0]))
+    def lag_reports(self, pick, lag_s):
+        self.engine(pick).report_lag_s = lag_s
+
+    @rule(pick=picks)
+    def endpoint_leaves_or_returns(self, pick):
+        engine = self.engine(pick)
+        if engine.leaving_since is None:
+            engine.leaving_since = self.world.now
+        elif self.world.now - engine.leaving_since > 8.0:
+            engine.leaving_since = None
+            engine.incarnation += 1
+            engine.restart()
+        self.world.update_list()
+
+    @rule(frozen=st.booleans())
+    def freeze_list(self, frozen):
+        self.world.list_frozen = frozen
+
+    def teardown(self):
+        """Heal all: each caller hears the end, and new requests are served."""
+        try:
+            if self.world.nodes_by_id:
+                self._recover()
+        finally:
+            self.world.close()
+            self.totals["runs"] += 1
+            self.totals.update(self.world.oracle.counts)
+        assert not self.world.oracle.violations
+
+    def _recover(self):
+        world = self.world
+        world.heal(deliver=True)
+        world.list_frozen = None
+        world.delays.clear()
+        for node in world.live_nodes:
+            world.wake(node)
+        for engine in world.engines_by_id.values():
+            engine.report_lag_s, engine.fail_loads = 0.0, 0
+        world.advance(8.0 + RUNNING_GRACE_S + 10.0)
+        for seen in world.oracle.seen_by_id.values():
+            heard = seen.ended or seen.gone or seen.node.dead
+            world.oracle.check(heard, "a caller never heard the end", seen)
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=20,
+    stateful_step_count=30,
+)
--- /dev/null
+++ b/tests/fuzz/world.py
@@ -0,0 +1,425 @@
+"""A fake world around the real components of several instances."""
+
+import asyncio
+import heapq
+import itertools
+from unittest.mock import patch
+
+from returns.result import Failure as Err, Success
+
+import fescuekeel.components.membership
+import fescuekeel.components.owner
+import fescuekeel.components.turns
+from fescuekeel.components.gateway.admission import Admission, CallerInput
+from fescuekeel.components.gateway.component import Gateway
+from fescuekeel.components.tree.model import Policy, Pool, PoolKind, TreeInForce
+from fescuekeel.core import REGISTRY, Instance
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.driver import DRIVERS
+from fescuekeel.messages import AdapterRef, LiveEntry, LiveList, LiveRole
+from tests.common import make_settings
+from tests.fuzz.engines import Engine, FakeDriver
+from tests.fuzz.loop import VirtualLoop
+from tests.fuzz.network import Link
+from tests.fuzz.oracle import Oracle, Seen
+
+__all__ = ["ADAPTERS", "Node", "World"]
+
+LIST_LAG_S = 4.0
+CHECK_S = 0.2
+ADAPTERS = [AdapterRef("cups", "1"), AdapterRef("cups", "2"), AdapterRef("rope", "1")]
+SCRIPT = Pool("script", PoolKind.ENGINE, True, 2, 3, 0.1, 0.3)
+OLD = Pool("old", PoolKind.ENGINE, False, 2, 3, 0.1, 0.3)
+STORE = Pool("store", PoolKind.PLAIN, False, 0, 3)
+POOLS_BY_NAME = {pool.name: pool for pool in (SCRIPT, OLD, STORE)}
+ERROR_COUNTERS = frozenset({"task_error", "owner.run_error", "stop_timeout"})
+DOMAINS = ("peers", "membership", "turns", "owner", "gateway")
+real_setups = (
+    fescuekeel.components.membership,
+    fescuekeel.components.turns,
+    fescuekeel.components.owner,
+)
+
+
+class Intent:
+    """A tree that only names pools; callers bring their policies."""
+
+    revision = 1
+    pools_by_name = POOLS_BY_NAME
+
+    def authenticate(self, token):
+        return None
+
+    def resolve(self, *names):
+        return Err(Failure(ErrorKind.UNKNOWN_SERVICE))
+
+
+class Keys:
+    """Grant each key."""
+
+    async def claim(self, key, request_id, digest, lifetime_s):
+        return Success(None)
+
+    def settle(self, key, request_id, ran):
+        pass
+
+
+class Server:
+    """Stand where the callers' port is."""
+
+    address = ""
+
+    def start(self):
+        pass
+
+    def stop_listening(self):
+        pass
+
+    async def close(self):
+        pass
+
+
+class Sink:
+    """Show the oracle what one caller receives."""
+
+    def __init__(self, oracle, seen):
+        self.oracle = oracle
+        self.seen = seen
+
+    async def deliver(self, data, head):
+        if not self.seen.gone:
+            self.oracle.note_data(self.seen, data)
+        return not self.seen.gone
+
+    async def finish(self, head):
+        if not self.seen.gone:
+            self.oracle.note_finish(self.seen)
+        return True
+
+    async def fail(self, failure):
+        if not self.seen.gone:
+            self.oracle.note_failure(self.seen, failure)
+        return True
+
+
+class Node:
+    """One process: the real components on a loop of its own."""
+
+    def __init__(self, world, id, data_centre):
+        self.world = world
+        self.id = id
+        self.data_centre = data_centre
+        self.paused = self.dead = self.draining = False
+        self.inbox = []
+        self.loop = VirtualLoop(lambda: world.now)
+        self.loop.set_exception_handler(lambda loop, context: None)
+        settings = make_settings(id, data_centre)
+        self.instance = Instance(settings, clock=lambda: world.now)
+        self.link = Link(world, self)
+        components = self.instance.components_by_domain
+        components["peers"] = self.link
+        components["keys"] = Keys()
+        self.instance.bus.publish_state(TreeInForce(Intent()))
+        self.instance.bus.publish_state(world.live_list)
+        for domain in DOMAINS[1:-1]:
+            components[domain] = REGISTRY.setups_by_domain[domain](self.instance)
+        self.gateway = components["gateway"] = Gateway(self.instance)
+        self.gateway.server = Server()
+        self.loop.create_task(self._start())
+
+    async def _start(self):
+        for domain in DOMAINS:
+            await self.instance.components_by_domain[domain].start()
+        self._check(self.world.now)
+
+    def _check(self, last):
+        """Do what the link's and the live list's own tasks do."""
+        now = self.world.now
+        if now - last > 2 * CHECK_S:
+            self.link.forgive()
+        self.link.check()
+        listed = self.world.read_list(self)
+        if listed != self.instance.bus.latest(LiveList):
+            self.instance.bus.publish_state(listed)
+        self.loop.call_later(CHECK_S, self._check, now)
+
+    async def drain(self):
+        """Shut down gracefully."""
+        self.instance.draining = True
+        for domain in reversed(DOMAINS):
+            await self.instance.components_by_domain[domain].stop()
+        self.world.at(0.0, lambda: self.world.kill(self))
+
+
+class World:
+    """Virtual time, the network, the platform and all processes."""
+
+    unfenced_width_s = 2.0
+
+    def __init__(self):
+        self.now = 0.0
+        self.oracle = Oracle(self)
+        self.events = []
+        self.numbers = itertools.count(1)
+        self.incarnations = itertools.count(1000)
+        self.nodes_by_id = {}
+        self.engines_by_id = {}
+        self.cut_off = set()
+        self.held = []
+        self.delays = {}
+        self.stalls = {}
+        self.list_frozen = None
+        self.lists = [(-100.0, LiveList())]
+        self.patches = [
+            patch.dict(
+                DRIVERS.factories_by_kind,
+                dict.fromkeys(PoolKind, self._make_driver),
+            ),
+            patch("fescuekeel.components.owner.endpoint.time", self),
+        ]
+        for item in self.patches:
+            item.start()
+
+    # Time.
+
+    def at(self, delay_s, act):
+        """Do something after a delay."""
+        entry = (self.now + delay_s, next(self.numbers), act)
+        heapq.heappush(self.events, entry)
+
+    def advance(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while True:
+            for node in list(self.nodes_by_id.values()):
+                if not node.paused and not node.dead:
+                    node.loop.run_due()
+            due = self._find_next()
+            if due > until:
+                self.now = until
+                return
+            self.now = max(self.now, due)
+            while self.events and self.events[0][0] <= self.now:
+                heapq.heappop(self.events)[2]()
+
+    def _find_next(self):
+        times = [
+            node.loop.next_time
+            for node in self.nodes_by_id.values()
+            if not node.paused and not node.dead
+        ]
+        if self.events:
+            times.append(self.events[0][0])
+        return min(times, default=float("inf"))
+
+    def time_ns(self):
+        """Return the wall clock of the process that asks."""
+        return asyncio.get_running_loop().time_ns()
+
+    # The network.
+
+    def is_cut(self, one, two):
+        return (one.data_centre in self.cut_off) != (two.data_centre in self.cut_off)
+
+    def transmit(self, connection, sender, receiver, act):
+        """Send a message over a connection, which keeps the order."""
+        delay_s = self.delays.get((sender.id, receiver.id), 0.001)
+        earliest = connection.arrivals.get(receiver.id, 0.0)
+        arrival = max(self.now + delay_s, earliest)
+        connection.arrivals[receiver.id] = arrival
+
+        def arrive():
+            if connection.lost:
+                return
+            if self.is_cut(sender, receiver):
+                self.held.append((connection, receiver, act))
+                return
+            self._put(receiver, act)
+
+        self.at(arrival - self.now, arrive)
+
+    def to_node(self, node, delay_s, act):
+        """Bring an endpoint's reply to a process."""
+        self.at(delay_s, lambda: self._put(node, act))
+
+    def _put(self, node, act):
+        if node.dead:
+            return
+        if node.paused:
+            node.inbox.append(act)
+            return
+        node.loop.call_soon(act)
+
+    def cut(self, data_centre):
+        self.cut_off.add(data_centre)
+        self.oracle.note_fault("cut")
+
+    def heal(self, deliver):
+        """End all cuts; bytes that were resent may arrive, late."""
+        if self.cut_off:
+            self.oracle.note_fault("heal")
+        self.cut_off.clear()
+        for connection, receiver, act in self.held:
+            if deliver and not connection.lost:
+                self._put(receiver, act)
+        self.held.clear()
+
+    def drop_connections(self, one, two):
+        """Lose what is under way between two processes."""
+        self.oracle.note_fault("drop")
+        for node, peer in ((one, two), (two, one)):
+            connection = node.link.connections_by_id.get(peer.id)
+            if connection is not None:
+                connection.lost = True
+                self._put(node, lambda node=node, c=connection: node.link.lose(c))
+
+    def stall_orders(self, node, engine, seconds):
+        """Hold orders on their way to an endpoint."""
+        self.oracle.note_fault("stall")
+        self.stalls[node.id, engine.id] = self.now + seconds
+
+    def order_delay(self, node, engine):
+        until = self.stalls.get((node.id, engine.id), 0.0)
+        return max(0.001, until - self.now)
+
+    # Processes.
+
+    def next_incarnation(self):
+        return next(self.incarnations)
+
+    def add_node(self, data_centre):
+        id = f"i{len(self.nodes_by_id) + 1}"
+        self.nodes_by_id[id] = Node(self, id, data_centre)
+        self.update_list()
+        return self.nodes_by_id[id]
+
+    @property
+    def live_nodes(self):
+        return [node for node in self.nodes_by_id.values() if not node.dead]
+
+    @property
+    def is_disturbed(self):
+        """Tell whether some fault lasts."""
+        paused = any(node.paused for node in self.live_nodes)
+        slow = any(delay_s > 0.01 for delay_s in self.delays.values())
+        return paused or slow or bool(self.cut_off)
+
+    def pause(self, node):
+        self.oracle.note_fault("pause")
+        node.paused = True
+
+    def wake(self, node):
+        if node.paused:
+            self.oracle.note_fault("wake")
+        node.paused = False
+        for act in node.inbox:
+            node.loop.call_soon(act)
+        node.inbox.clear()
+
+    def kill(self, node, is_fault=False):
+        if is_fault:
+            self.oracle.note_fault("kill")
+        if node.dead:
+            return
+        node.dead = True
+        self.note_errors(node)
+        node.loop.kill()
+        self.update_list()
+        for peer in self.live_nodes:
+            connection = peer.link.connections_by_id.get(node.id)
+            if connection is not None and not self.is_cut(peer, node):
+                self._put(peer, lambda p=peer, c=connection: p.link.lose(c))
+
+    def note_errors(self, node):
+        """Let the oracle see tasks that failed inside a process."""
+        for name, count in node.instance.metrics.counters_by_name.items():
+            self.oracle.counts[f"metric.{name}"] += count
+            failed = name.startswith("actor_error") or name in ERROR_COUNTERS
+            self.oracle.check(not failed, "a task failed", name)
+
+    def drain(self, node):
+        if not node.draining:
+            node.draining = True
+            node.loop.create_task(node.drain())
+
+    # The platform.
+
+    def add_engine(self, id, data_centre, pool):
+        self.engines_by_id[id] = Engine(self, id, data_centre, pool)
+        self.update_list()
+
+    def _make_driver(self, instance, address):
+        engine = self.engines_by_id[address.partition(":")[0]]
+        return FakeDriver(self, self.nodes_by_id[instance.id], engine)
+
+    def update_list(self):
+        entries = [
+            LiveEntry(node.id, LiveRole.INSTANCE, node.id, node.data_centre, 1)
+            for node in self.live_nodes
+        ]
+        for engine in self.engines_by_id.values():
+            entries.append(
+                LiveEntry(
+                    engine.id,
+                    LiveRole.ENDPOINT,
+                    f"{engine.id}:{engine.incarnation}",
+                    engine.data_centre,
+                    engine.incarnation,
+                    engine.leaving_since is not None,
+                    engine.pool.name,
+                )
+            )
+        self.lists.append((self.now, LiveList({item.id: item for item in entries})))
+
+    @property
+    def live_list(self):
+        """Return the list as it is shown now, which lags."""
+        shown = self.now - LIST_LAG_S if self.now > LIST_LAG_S else self.now
+        return [item for at, item in self.lists if at <= shown][-1]
+
+    def read_list(self, node):
+        """Return what a process reads, or its old list if it cannot read."""
+        if self.list_frozen or node.data_centre in self.cut_off:
+            return node.instance.bus.latest(LiveList)
+        return self.live_list
+
+    # Callers.
+
+    def submit(self, node, pool, adapter, repeatable, stream, tokens, answer_s):
+        """Send a request to an entry instance."""
+        number = len(self.oracle.seen_by_id) + 1
+        adapter = AdapterRef() if pool.kind is PoolKind.PLAIN else adapter
+        stream = stream and pool.kind is PoolKind.ENGINE
+        seen = Seen(f"r{number}", adapter, repeatable, stream, tokens, self.now)
+        seen.node = node
+        self.oracle.seen_by_id[seen.request_id] = seen
+        fields = ("shop", "service", pool, 0, answer_s, repeatable)
+        policy = Policy(*fields, 1.0, 1.0, 0, 0.0, 0.5, 100, adapter)
+        caller = CallerInput("", "POST", "/", "", b"")
+        admission = Admission(policy, caller, stream, tokens, "")
+        sink = Sink(self.oracle, seen)
+        self._put(node, lambda: self._serve(node, seen.request_id, admission, sink))
+        return seen
+
+    def _serve(self, node, request_id, admission, sink):
+        serving = node.gateway.serve(request_id, admission, sink)
+        task = node.loop.create_task(serving)
+        task.add_done_callback(self._note_served)
+
+    def _note_served(self, task):
+        error = None if task.cancelled() else task.exception()
+        self.oracle.check(error is None, "a request's task failed", error)
+
+    def leave(self, seen):
+        """Let a caller go away."""
+        seen.gone = True
+        if not seen.node.dead:
+            self._put(seen.node, lambda: seen.node.gateway.lose_caller(seen.request_id))
+
+    def close(self):
+        for node in self.live_nodes:
+            node.dead = True
+            self.note_errors(node)
+            node.loop.kill()
+        for item in self.patches:
+            item.stop()
