Test the whole path over four instances in two data centres

Cause: the parts have been tested apart; a request crosses all of them. Change: stand-ins and four instances in one process; right adapter and version, whole streams, one run for one idempotency key at four instances. Conclusion: the thin path stands from caller to endpoint and back.

--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,157 @@
+"""Tests of the whole path: stand-ins and several instances in one process."""
+
+import asyncio
+import hashlib
+import json
+from contextlib import asynccontextmanager
+
+from tornado.httpclient import AsyncHTTPClient
+
+from fescuekeel.components.tree.model import Pool, PoolKind, TreeInForce
+from fescuekeel.core import Instance
+from fescuekeel.messages import MemberView
+from standins.platform import Platform
+from standins.tokens import expected_text
+from tests.common import eventually, make_settings
+
+TOKEN = "magic"
+TREE = f"""
+[shop tricks]
+token_sha256 = {hashlib.sha256(TOKEN.encode()).hexdigest()}
+answer_s = 10
+
+[pool script]
+kind = engine
+slots = 4
+
+[pool store]
+kind = plain
+
+[service tricks/patter]
+pool = script
+
+[roster tricks/patter]
+names =
+    cups 3 2
+    rings 1.10
+
+[service tricks/charge]
+pool = store
+repeatable = no
+"""
+INSTANCES = 4
+
+
+class World:
+    """A platform in two data centres with two instances in each."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.instances = []
+
+    async def start(self):
+        for number in range(INSTANCES):
+            data_centre = self.platform.data_centres[number % 2]
+            settings = make_settings(f"i{number}", data_centre)
+            urls = {
+                "config_url": self.platform.config_server.url,
+                "live_url": self.platform.live_server.url,
+            }
+            changed = settings.platform.model_copy(update=urls)
+            settings = settings.model_copy(update={"platform": changed})
+            instance = Instance(settings)
+            self.instances.append(instance)
+            await instance.start()
+            address = instance.components_by_domain["peers"].address
+            self.platform.add_instance(instance.id, address, data_centre)
+        for instance in self.instances:
+            await eventually(lambda instance=instance: self.is_ready(instance))
+
+    def is_ready(self, instance):
+        view = instance.bus.latest(MemberView)
+        return (
+            instance.bus.latest(TreeInForce) is not None
+            and view is not None
+            and len(view.members_by_id) == INSTANCES
+            and len(view.endpoints_by_id) == 4
+        )
+
+    async def post(self, instance, path, body, **headers):
+        address = instance.components_by_domain["gateway"].server.address
+        headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await AsyncHTTPClient().fetch(
+            f"http://{address}{path}",
+            method="POST",
+            body=json.dumps(body),
+            headers={"Authorization": f"Bearer {TOKEN}", **headers},
+            raise_error=False,
+        )
+
+
+@asynccontextmanager
+async def open_world():
+    """Start everything and stop it in the end."""
+    platform = await Platform.start(("dc1", "dc2"), loads_per_s=50.0)
+    await platform.add_pool(Pool("script", PoolKind.ENGINE, slots=4), 2)
+    await platform.add_pool(Pool("store", PoolKind.PLAIN), 2)
+    platform.publish(1, {"main": TREE.encode()})
+    world = World(platform)
+    try:
+        await world.start()
+        yield world
+    finally:
+        await asyncio.gather(*(each.stop() for each in world.instances))
+        await platform.stop()
+
+
+class TestWholePath:
+    def test_every_instance_answers_with_the_right_adapter(self):
+        async def run():
+            async with open_world() as world:
+                for instance in world.instances:
+                    for model, runs_on in (
+                        ("patter/cups", "cups@3"),
+                        ("patter/cups@2", "cups@2"),
+                        ("patter/rings@1.10", "rings@1.10"),
+                    ):
+                        body = {"model": model, "prompt": "hi", "max_tokens": 5}
+                        answer = await world.post(instance, "/v1/completions", body)
+                        text = json.loads(answer.body)["choices"][0]["text"]
+                        assert text == expected_text(runs_on, "hi", 5)
+
+        asyncio.run(run())
+
+    def test_a_stream_comes_whole_and_in_order(self):
+        async def run():
+            async with open_world() as world:
+                body = {"model": "patter/cups", "prompt": "hi", "max_tokens": 9}
+                body["stream"] = True
+                for instance in world.instances:
+                    answer = await world.post(instance, "/v1/completions", body)
+                    *events, end = answer.body.decode().strip().split("\n\n")
+                    assert end == "data: [DONE]"
+                    pieces = [json.loads(event[6:]) for event in events]
+                    text = "".join(each["choices"][0]["text"] for each in pieces)
+                    assert text == expected_text("cups@3", "hi", 9)
+
+        asyncio.run(run())
+
+    def test_a_key_runs_once_whichever_instance_gets_it(self):
+        """A parent presses "pay" twice; the balancer picks two instances."""
+
+        async def run():
+            async with open_world() as world:
+                answers = [
+                    await world.post(
+                        instance, "/services/charge/new", {}, Idempotency_Key="k"
+                    )
+                    for instance in world.instances
+                ]
+                assert [answer.code for answer in answers] == [200, 409, 409, 409]
+                runs = [
+                    len(each.journal()["runs"])
+                    for each in world.platform.plains_by_id.values()
+                ]
+                assert sum(runs) == 1
+
+        asyncio.run(run())
