--- a/tests/components/owner/test_endpoint.py
+++ b/tests/components/owner/test_endpoint.py
@@ -157,15 +157,15 @@
         """
 
         async def story(bed: Bed) -> None:
-            self.start_stream(bed, CUPS)
-            bed.engine.loaded[str(COINS)] = None
+            self.start_stream(bed, COINS)
+            bed.engine.loaded[str(CUPS)] = None
             node = await start_owned(bed)
             await node.submit("i1", "r1", adapter=ROPES)
             await eventually(lambda: "r1" in node.ends_by_id)
             assert node.ends_by_id["r1"].kind == ""
             assert not bed.engine.evictions_while_serving
-            assert str(CUPS) in bed.engine.loaded
-            assert str(COINS) not in bed.engine.loaded
+            assert str(COINS) in bed.engine.loaded
+            assert str(CUPS) not in bed.engine.loaded
 
         with mock.patch.object(ownership, "REPORT_LAG_S", NO_WAIT_S):
             run_story(story)
@@ -178,13 +178,13 @@
 
         async def story(bed: Bed) -> None:
             await bed.add("i2")
-            known = (RunningWork("old", CUPS, 60_000),)
+            known = (RunningWork("old", COINS, 60_000),)
             bed.nodes_by_id["i2"].instance.bus.publish_state(
                 EntryOpenWork(lambda endpoint: known)
             )
             bed.engine.loaded |= {str(CUPS): None, str(COINS): None}
             bed.engine.report()
-            self.start_stream(bed, CUPS)
+            self.start_stream(bed, COINS)
             node = await start_owned(bed, "i1", "i2")
             await node.submit("i1", "r1", adapter=ROPES)
             await eventually(lambda: "r1" in node.ends_by_id)
