--- a/fescuekeel/components/tree/const.py
+++ b/fescuekeel/components/tree/const.py
@@ -35,11 +35,14 @@
 REQUEST_TIMEOUT_S: Final = 2.0
 PEER_TIMEOUT_S: Final = 1.0
 
-# A new instance asks its peers before it serves: at least until it knows who
-# they are or this long, and at most until the bound.
-SETTLE_S: Final = 2.0
+# A new instance asks its peers before it serves, at these times after it
+# started until they answer. It waits at least until the platform's list could
+# be read, and at most until the bound.
+START_ASKS_S: Final = (0.0, 0.5, 1.5)
+SETTLE_S: Final = 1.0
 START_BOUND_S: Final = 5.0
 PEERS_ASKED_AT_ONCE: Final = 32
 
+TICK_S: Final = 0.25
 RETRY_S: Final = 0.25
 MAX_RETRY_S: Final = 5.0
