Send running streams again after a reconnection to their entry

Cause: pieces lost with a connection leave a hole; the entry drops all later ones, and could take the end for that of a whole answer. Change: when an entry can be reached again, its running streams are read once more from the engine's first token, one token a message, so that the entry joins where it stands. Conclusion: a test that loses pieces gets the whole answer from one run.

--- a/fescuekeel/components/engine/driver.py
+++ b/fescuekeel/components/engine/driver.py
@@ -84,7 +84,7 @@
 
     async def resume(self, call: Call, position: int, on_chunk: OnChunk) -> Outcome:
         """Take up a stream that runs, from a token on."""
-        stream = EventStream(position)
+        stream = EventStream(position, single=True)
         try:
             return await self._stream(call, stream, on_chunk, resume=True)
         finally:
--- a/fescuekeel/components/engine/events.py
+++ b/fescuekeel/components/engine/events.py
@@ -29,30 +29,33 @@
     above it shows a gap, after which nothing more is taken from this
     connection. ``done`` is set by the end mark only, so that a connection
     that closes early is never taken for a whole answer. ``error`` is the
-    engine's word for a request that it ended early.
+    engine's word for a request that it ended early. With ``single`` each token
+    becomes a piece of its own, so that a receiver can join at any position.
 
     >>> stream = EventStream(position=1)
     >>> stream.feed(b'data: {"position": 0}\n\ndata: {"position": 1}\n\n')
-    Piece(position=1, data=b'data: {"position": 1}\n\n', tokens=1)
+    [Piece(position=1, data=b'data: {"position": 1}\n\n', tokens=1)]
     >>> stream.feed(b"data: [DONE]\n\n")
+    []
     >>> stream.position, stream.done
     (2, True)
     """
 
     position: int = 0
+    single: bool = False
     done: bool = False
     gap: bool = False
     error: str = ""
     _rest: bytes = field(default=b"")
 
-    def feed(self, data: bytes) -> Piece | None:
-        """Take bytes in and return what is new, if anything is."""
+    def feed(self, data: bytes) -> list[Piece]:
+        """Take bytes in and return what is new."""
         *events, self._rest = (self._rest + data).split(EVENT_END)
         first = self.position
-        taken = [event for event in events if self._take(event)]
-        if not taken:
-            return None
-        return Piece(first, EVENT_END.join(taken) + EVENT_END, len(taken))
+        taken = [event + EVENT_END for event in events if self._take(event)]
+        if self.single:
+            return [Piece(first + at, event, 1) for at, event in enumerate(taken)]
+        return [Piece(first, b"".join(taken), len(taken))] if taken else []
 
     def restart(self) -> None:
         """Forget the half event of a connection that is gone."""
--- a/fescuekeel/components/engine/leg.py
+++ b/fescuekeel/components/engine/leg.py
@@ -130,8 +130,7 @@
             return
         if self.stream.done:
             return
-        piece = self.stream.feed(data)
-        if piece is not None:
+        for piece in self.stream.feed(data):
             self.on_chunk(piece.position, piece.data, piece.tokens)
         if self.stream.done:
             self.on_chunk(self.stream.position, END_MARK, 0)
--- a/fescuekeel/components/owner/component.py
+++ b/fescuekeel/components/owner/component.py
@@ -230,9 +230,11 @@
         get_peer_link(self.instance).answer(message, answer)
 
     def _lose_peer(self, lost: PeerLost) -> None:
-        # A peer that can be reached again gives up its own attempts.
         if not lost.reachable:
             self._lose_entry(lost.instance_id)
+            return
+        for owner in self.owners_by_endpoint.values():
+            owner.post(model.EntryReconnected(lost.instance_id))
 
     def _note_view(self, view: MemberView) -> None:
         if view == self._view:
--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -151,6 +151,8 @@
                 # The refusals still go out: should only the connection be
                 # lost, the entry hears that its work did not run.
                 self.requests.refuse_queued(ErrorKind.NOT_OWNER, entry)
+            case model.EntryReconnected(entry):
+                self.requests.read_again(entry)
             case model.Drained(successor):
                 self.draining = True
                 self._own(own.Unnamed(successor))
--- a/fescuekeel/components/owner/model.py
+++ b/fescuekeel/components/owner/model.py
@@ -19,6 +19,7 @@
     "ConfirmDone",
     "Drained",
     "EntryLost",
+    "EntryReconnected",
     "EvictDone",
     "Item",
     "LoadDone",
@@ -100,6 +101,13 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class EntryReconnected:
+    """Messages to an instance may be lost, but it can be reached again."""
+
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class RunEnded:
     """A hand-over ended; ``outcome`` is ``None`` when it never began."""
--- a/fescuekeel/components/owner/relay.py
+++ b/fescuekeel/components/owner/relay.py
@@ -13,20 +13,27 @@
 
     An endpoint that steps a full batch wakes this process once for many
     tokens; one message for each would cost more than the relaying itself.
+    With ``whole`` false each piece is sent as it came.
     """
 
     def __init__(
-        self, link: PeerLink, entry: str, request_id: str, attempt: int
+        self,
+        link: PeerLink,
+        entry: str,
+        request_id: str,
+        attempt: int,
+        *,
+        whole: bool = True,
     ) -> None:
         self._link = link
         self._entry = entry
         self._request_id = request_id
         self._attempt = attempt
+        self._whole = whole
         self._pieces: list[bytes] = []
         self._position = 0
         self._tokens = 0
         self._scheduled = False
-        self.position = 0
 
     def add(self, position: int, data: bytes, tokens: int) -> None:
         """Take a piece; positions follow each other."""
@@ -37,8 +44,7 @@
             self._position = position
         self._pieces.append(data)
         self._tokens += tokens
-        self.position = position + tokens
-        if tokens == 0:
+        if tokens == 0 or not self._whole:
             self.flush()
             return
         if not self._scheduled:
--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -1,7 +1,7 @@
 """The requests that one endpoint's owner has queued and handed over."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from fescuekeel.components.owner import model
@@ -169,6 +169,25 @@
             self.refuse_submit(came, kind)
         self._waiting_by_id.clear()
 
+    def read_again(self, entry: str) -> None:
+        """Send an entry's running streams once more from their beginning.
+
+        Guards against pieces lost with the connection to an entry that lives:
+        it would drop all later ones, as they leave a hole. It drops what it
+        knows and joins where it stands. The request does not run again.
+        """
+        for request_id, started in list(self.runs_by_id.items()):
+            item = started.run.item
+            if item.entry != entry or not item.submit.stream:
+                continue
+            if not started.run.handed_over or not item.submit.adapter:
+                continue
+            started.task.cancel()
+            submit = replace(item.submit, resume=True, resume_position=0)
+            del self.runs_by_id[request_id]
+            self.instance.metrics.count("owner.read_again")
+            self._start(replace(item, submit=submit), started.run.waits)
+
     def dispatch(self, request_id: str, waits: Waits) -> None:
         """Hand a queued request over."""
         self._start(self.queued_by_id.pop(request_id), waits)
--- a/fescuekeel/components/owner/run.py
+++ b/fescuekeel/components/owner/run.py
@@ -49,6 +49,7 @@
     waits: Waits
     guard: Guard
     get_fence: Callable[[], int]
+    handed_over: bool = False
     _was_denied: bool = False
 
     async def run(self) -> Outcome | None:
@@ -94,7 +95,15 @@
 
     async def _relay(self, resume: bool) -> Outcome:
         item = self.item
-        relay = ChunkRelay(self.link, item.entry, item.request_id, item.submit.attempt)
+        self.handed_over = True
+        # The entry joins a resumed stream at any token.
+        relay = ChunkRelay(
+            self.link,
+            item.entry,
+            item.request_id,
+            item.submit.attempt,
+            whole=not resume,
+        )
         call = self._make_call()
         if resume:
             position = item.submit.resume_position
--- a/fescuekeel/helpers/driver.py
+++ b/fescuekeel/helpers/driver.py
@@ -173,7 +173,10 @@
         """Hand over a request and wait for its end."""
 
     async def resume(self, call: Call, position: int, on_chunk: OnChunk) -> Outcome:
-        """Take up the answer of a request that runs, from a token on."""
+        """Take up the answer of a request that runs, from a token on.
+
+        Each token comes as a piece of its own.
+        """
 
     async def cancel(self, request_id: str) -> None:
         """Stop a request and free its connection."""
--- a/tests/components/owner/test_endpoint.py
+++ b/tests/components/owner/test_endpoint.py
@@ -229,6 +229,30 @@
 
         run_story(story)
 
+    def test_pieces_lost_with_a_connection_leave_no_hole(self) -> None:
+        """The connection to an entry breaks in mid-stream and comes back.
+
+        Some pieces are lost with it. The entry takes only the next token, so
+        that the caller would wait for ever, or get half an answer as whole.
+        """
+
+        async def story(bed: Bed) -> None:
+            node = await start_owned(bed)
+            await node.submit("i1", "r1", max_tokens=300)
+            await eventually(lambda: len(node.positions("r1")) > 10)
+            del node.chunks[3:]
+            stands_at = len(node.positions("r1"))
+            node.instance.bus.publish(PeerLost("i1", reachable=True))
+            await eventually(lambda: "r1" in node.ends_by_id)
+            assert node.ends_by_id["r1"].kind == ""
+            for chunk in node.chunks[3:]:
+                if chunk.position == stands_at:
+                    stands_at += chunk.tokens
+            assert stands_at == 300
+            assert get_runs(bed) == ["r1"]
+
+        run_story(story)
+
 
 class TestEngineFailures:
     def test_cold_restart_reloads_and_tells(self) -> None:
