Show operators status, counters, the tree and where requests go

Cause: operators drive the system by the tree and by watching; both need a port of their own with its own token. Change: status, counters, tree, explain and drain over HTTP; the token is compared by its hash in constant time. The daemon listens to DrainRequested and stops as it does on SIGTERM.

--- /dev/null
+++ b/fescuekeel/components/operators/server.py
@@ -0,0 +1,156 @@
+"""The operators' HTTP interface, on a port of its own."""
+
+import hashlib
+import hmac
+
+from returns.result import Result, Success
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from fescuekeel.components.operators.const import (
+    BODY_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+)
+from fescuekeel.components.operators.views import (
+    View,
+    explain,
+    show_counters,
+    show_status,
+    show_tree,
+)
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.messages import DrainRequested
+
+__all__ = ["OperatorsServer"]
+
+BEARER = "Bearer "
+ACCEPTED = 202
+
+
+class OperatorHandler(RequestHandler):
+    """Check the operator's token before anything else."""
+
+    def initialize(self, instance: Instance) -> None:
+        """Take the instance that is shown."""
+        self.instance = instance
+
+    def prepare(self) -> None:
+        """Refuse all but the holder of the operators' token."""
+        header = self.request.headers.get("Authorization", "")
+        token = header.removeprefix(BEARER) if header.startswith(BEARER) else ""
+        given = hashlib.sha256(token.encode()).hexdigest()
+        wanted = self.instance.settings.operators.token_sha256
+        if not hmac.compare_digest(given, wanted):
+            self.instance.metrics.count("operators.unauthenticated")
+            self.fail(Failure(ErrorKind.UNAUTHENTICATED))
+
+    def fail(self, failure: Failure) -> None:
+        """Answer with a failure of the closed list."""
+        self.set_status(failure.answer.status)
+        text = failure.detail or failure.answer.text
+        self.finish({"error": {"kind": failure.kind.value, "text": text}})
+
+    def answer(self, result: Result[View, Failure]) -> None:
+        """Answer with a view or a failure."""
+        if isinstance(result, Success):
+            self.finish(result.unwrap())
+            return
+        self.fail(result.failure())
+
+    def read_asked(self) -> tuple[str, str, str, str]:
+        """Return shop, service, adapter and version, empty if not given."""
+        names = ("shop", "service", "adapter", "version")
+        shop, service, adapter, version = (
+            self.get_query_argument(name, "") for name in names
+        )
+        return shop, service, adapter, version
+
+
+class StatusHandler(OperatorHandler):
+    """Show what this instance is, believes and owns."""
+
+    def get(self) -> None:
+        """Answer with the status."""
+        self.finish(show_status(self.instance))
+
+
+class CountersHandler(OperatorHandler):
+    """Show counters and histograms."""
+
+    def get(self) -> None:
+        """Answer with the counters."""
+        self.finish(show_counters(self.instance.metrics))
+
+
+class TreeHandler(OperatorHandler):
+    """Show what is in force."""
+
+    def get(self) -> None:
+        """Answer with the revision and the policy asked for."""
+        self.answer(show_tree(self.instance, *self.read_asked()))
+
+
+class ExplainHandler(OperatorHandler):
+    """Show where a request would go."""
+
+    def get(self) -> None:
+        """Answer with the ranking and its reason."""
+        self.answer(explain(self.instance, *self.read_asked()))
+
+
+class DrainHandler(OperatorHandler):
+    """Shut this instance down gracefully."""
+
+    def post(self) -> None:
+        """Ask the daemon to stop."""
+        log_event("drain_requested", source=self.request.remote_ip)
+        self.set_status(ACCEPTED)
+        self.finish({"draining": True})
+        self.instance.bus.publish(DrainRequested("operator"))
+
+
+class OperatorsServer:
+    """Listen for operators."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._server: HTTPServer | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen at the address of the settings; port 0 takes a free one."""
+        options = {"instance": self._instance}
+        application = Application(
+            [
+                ("/status", StatusHandler, options),
+                ("/counters", CountersHandler, options),
+                ("/tree", TreeHandler, options),
+                ("/explain", ExplainHandler, options),
+                ("/drain", DrainHandler, options),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(
+            application,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+        )
+        host, _, port = self._instance.settings.operators.address.rpartition(":")
+        sockets = bind_sockets(int(port), host.strip("[]"))
+        self._server.add_sockets(sockets)
+        bound = sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        log_event("operators_listening", address=self.address)
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -11,6 +11,7 @@
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import LineDestination, log_event
 from fescuekeel.helpers.settings import Settings, read_settings
+from fescuekeel.messages import DrainRequested
 
 __all__ = ["main", "run"]
 
@@ -24,6 +25,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    instance.bus.subscribe(DrainRequested, lambda asked: stopping.set())
     await instance.start()
     log_event("instance_started", instance=instance.id)
     await stopping.wait()
