Add the operators' tool

Cause: operators check a tree before they publish it and look at instances from a shell. Conclusion: arguments are taken as text, and a test pins that version 1.10 stays 1.10.

--- /dev/null
+++ b/fescuekeel/cli.py
@@ -0,0 +1,200 @@
+"""The operators' command-line tool."""
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+from fire import decorators
+from returns.result import Success
+from tornado.httpclient import HTTPClient, HTTPClientError, HTTPRequest
+from tornado.httputil import url_concat
+
+from fescuekeel.components.tree.intent import CompactIntent, build_intent
+from fescuekeel.components.tree.parts import TreePartModel, parse_part
+from fescuekeel.components.tree.revision import format_manifest
+from fescuekeel.helpers.table import format_view
+
+__all__ = ["Tool", "ToolError", "main"]
+
+ENV_URL = "FESCUEKEEL_URL"
+ENV_TOKEN = "FESCUEKEEL_TOKEN"
+DEFAULT_URL = "http://127.0.0.1:7100"
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+TIMEOUT_S = 10.0
+PART_SUFFIX = ".ini"
+
+# The command line's library reads arguments as Python literals, so that a
+# version 1.10 would become the number 1.1 and an adapter 007 the number 7.
+as_text = decorators.SetParseFn(str)
+
+
+class ToolError(Exception):
+    """Stop a command with a message and an exit code."""
+
+    def __init__(self, text: str, code: int = EXIT_FAILED) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class Tool:
+    """Check a tree, and see what an instance does.
+
+    Commands that ask an instance take its operators' address from --url or
+    FESCUEKEEL_URL, and the operators' token from FESCUEKEEL_TOKEN only, since
+    arguments can be read by others of the same machine.
+    """
+
+    def __init__(self, url: str = "", json: bool = False) -> None:
+        self._url = url or os.environ.get(ENV_URL, DEFAULT_URL)
+        self._json = json
+
+    @as_text
+    def check(self, directory: str) -> None:
+        """Validate the tree in DIRECTORY, before it is published."""
+        contents = _read_parts(Path(directory))
+        intent = _build(contents)
+        services = {path: intent.count_adapters(path) for path in intent.service_paths}
+        view = {
+            "valid": True,
+            "parts": {name: len(content) for name, content in contents.items()},
+            "pools": list(intent.pools_by_name),
+            "adapters_by_service": services,
+        }
+        self._print(view)
+
+    @as_text
+    def manifest(self, directory: str, revision: str) -> None:
+        """Print the manifest that publishes DIRECTORY as REVISION."""
+        if not revision.isdecimal() or int(revision) < 1:
+            raise ToolError("REVISION is a number above zero", EXIT_USAGE)
+        contents = _read_parts(Path(directory))
+        _build(contents)
+        sys.stdout.write(format_manifest(int(revision), contents))
+
+    @as_text
+    def show(
+        self, shop: str = "", service: str = "", adapter: str = "", version: str = ""
+    ) -> None:
+        """Show the revision in force, and the policy for a request."""
+        self._print(self._get("/tree", shop, service, adapter, version))
+
+    @as_text
+    def explain(
+        self, shop: str, service: str, adapter: str = "", version: str = ""
+    ) -> None:
+        """Show where a request would go, and why."""
+        self._print(self._get("/explain", shop, service, adapter, version))
+
+    def status(self) -> None:
+        """Show members, endpoints, their owners and queues."""
+        self._print(self._call("GET", "/status"))
+
+    @as_text
+    def counters(self, prefix: str = "") -> None:
+        """Show counters and durations, those that begin with PREFIX."""
+        view = self._call("GET", "/counters")
+        chosen = {
+            kind: {
+                name: value for name, value in values.items() if name.startswith(prefix)
+            }
+            for kind, values in view.items()
+        }
+        self._print(chosen)
+
+    def drain(self) -> None:
+        """Shut the instance down gracefully."""
+        self._print(self._call("POST", "/drain"))
+
+    def _get(
+        self, path: str, shop: str, service: str, adapter: str, version: str
+    ) -> dict[str, Any]:
+        asked = {
+            "shop": shop,
+            "service": service,
+            "adapter": adapter,
+            "version": version,
+        }
+        given = {name: value for name, value in asked.items() if value}
+        return self._call("GET", url_concat(path, given))
+
+    def _call(self, method: str, path: str) -> dict[str, Any]:
+        token = os.environ.get(ENV_TOKEN, "")
+        if not token:
+            raise ToolError(f"{ENV_TOKEN} is not set", EXIT_USAGE)
+        request = HTTPRequest(
+            self._url.rstrip("/") + path,
+            method=method,
+            headers={"Authorization": f"Bearer {token}"},
+            body=b"" if method == "POST" else None,
+            follow_redirects=False,
+            request_timeout=TIMEOUT_S,
+        )
+        client = HTTPClient()
+        try:
+            return json.loads(client.fetch(request).body)
+        except HTTPClientError as error:
+            raise ToolError(_describe(error)) from error
+        except (OSError, ValueError) as error:
+            raise ToolError(f"{self._url}: {error}") from error
+        finally:
+            client.close()
+
+    def _print(self, view: dict[str, Any]) -> None:
+        if self._json:
+            sys.stdout.write(json.dumps(view) + "\n")
+            return
+        sys.stdout.write(format_view(view))
+
+
+def _describe(error: HTTPClientError) -> str:
+    body = error.response.body if error.response else b""
+    try:
+        failure = json.loads(body)["error"]
+        return f"{failure['kind']}: {failure['text']}"
+    except (ValueError, KeyError, TypeError):
+        return f"{error.code} {error.message}"
+
+
+def _read_parts(directory: Path) -> dict[str, bytes]:
+    paths = sorted(directory.glob(f"*{PART_SUFFIX}"))
+    if not paths:
+        raise ToolError(f"{directory}: no {PART_SUFFIX} files", EXIT_USAGE)
+    try:
+        return {path.stem: path.read_bytes() for path in paths}
+    except OSError as error:
+        raise ToolError(str(error), EXIT_USAGE) from error
+
+
+def _build(contents: dict[str, bytes]) -> CompactIntent:
+    """Build the tree, or tell of each part that is wrong."""
+    models: list[TreePartModel] = []
+    wrong: list[str] = []
+    for name, content in contents.items():
+        parsed = parse_part(name, content)
+        if isinstance(parsed, Success):
+            models.append(parsed.unwrap())
+        else:
+            wrong.append(parsed.failure().detail)
+    if wrong:
+        raise ToolError("\n".join(wrong))
+    built = build_intent(1, models)
+    if not isinstance(built, Success):
+        raise ToolError(built.failure().detail)
+    return built.unwrap()
+
+
+def main() -> None:
+    """Read the command line."""
+    try:
+        fire.Fire(Tool, name="fescuekeel")
+    except ToolError as error:
+        sys.stderr.write(f"fescuekeel: {error}\n")
+        raise SystemExit(error.code) from error
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,124 @@
+"""Tests of the operators' tool."""
+
+import asyncio
+import json
+import sys
+import threading
+
+import pytest
+
+from fescuekeel import cli
+from fescuekeel.components.operators.server import OperatorsServer
+from tests.components.operators.test_server import TOKEN, make_instance
+from tests.components.tree.common import make_contents
+
+
+def run_tool(monkeypatch, capsys, *arguments):
+    """Run the tool and return its exit code, output and messages."""
+    monkeypatch.setattr(sys, "argv", ["fescuekeel", *arguments])
+    code = 0
+    try:
+        cli.main()
+    except SystemExit as stop:
+        code = stop.code
+    captured = capsys.readouterr()
+    return code, captured.out, captured.err
+
+
+@pytest.fixture
+def run(monkeypatch, capsys):
+    return lambda *arguments: run_tool(monkeypatch, capsys, *arguments)
+
+
+@pytest.fixture
+def tree(tmp_path):
+    for name, content in make_contents().items():
+        (tmp_path / f"{name}.ini").write_bytes(content)
+    return tmp_path
+
+
+@pytest.fixture
+def served(monkeypatch):
+    """Serve an instance's operators' port from a thread of its own."""
+    loop = asyncio.new_event_loop()
+    server = OperatorsServer(make_instance())
+
+    async def call(work):
+        await work()
+
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    asyncio.run_coroutine_threadsafe(call(server.start), loop).result(10)
+    monkeypatch.setenv(cli.ENV_URL, f"http://{server.address}")
+    monkeypatch.setenv(cli.ENV_TOKEN, TOKEN)
+    yield server
+    asyncio.run_coroutine_threadsafe(call(server.stop), loop).result(10)
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join(10)
+    loop.close()
+
+
+class TestCheck:
+    def test_a_valid_tree_exits_with_zero(self, run, tree):
+        code, out, err = run("check", str(tree), "--json")
+        assert (code, err) == (0, "")
+        assert json.loads(out)["adapters_by_service"]["tricks/scripts"] == 2
+
+    def test_an_invalid_tree_names_each_wrong_part(self, run, tree):
+        (tree / "main.ini").write_text("[pool p]\nkind = other\n")
+        (tree / "roster.ini").write_text("[roster a/b]\nnames = lonely\n")
+        code, out, err = run("check", str(tree))
+        assert (code, out) == (1, "")
+        assert "part main, section [pool p], key kind" in err
+        assert "part roster, section [roster a/b], key names" in err
+
+    def test_a_directory_without_parts_is_wrong_use(self, run, tmp_path):
+        code, _, err = run("check", str(tmp_path))
+        assert code == 2
+        assert "no .ini files" in err
+
+    def test_manifest_publishes_what_was_checked(self, run, tree):
+        code, out, _ = run("manifest", str(tree), "7")
+        assert code == 0
+        assert "revision = 7" in out
+        assert run("manifest", str(tree), "zero")[0] == 2
+
+
+class TestInstance:
+    @pytest.mark.parametrize("command", ["show", "explain"])
+    def test_a_version_stays_text(self, run, served, command):
+        """The library of the command line would make 1.10 the number 1.1.
+
+        The operator would be shown another version than the one asked for.
+        """
+        asked = ("tricks", "scripts", "cups")
+        code, out, _ = run(command, *asked, "--version=1.10", "--json")
+        assert code == 0
+        assert "1.10" in out
+        code, out, _ = run(command, *asked, "1.9", "--json")
+        assert code == 0
+        assert "1.9" in out
+
+    def test_a_refusal_goes_to_the_error_stream(self, run, served):
+        code, out, err = run("explain", "tricks", "scripts", "cups", "1.1")
+        assert (code, out) == (1, "")
+        assert "unknown_version" in err
+
+    @pytest.mark.parametrize("command", ["status", "counters"])
+    def test_people_are_shown_text(self, run, served, command):
+        code, out, _ = run(command)
+        assert code == 0
+        assert not out.startswith("{")
+
+    def test_drain_is_accepted(self, run, served):
+        assert run("drain", "--json")[:2] == (0, '{"draining": true}\n')
+
+    def test_a_missing_token_is_wrong_use(self, run, monkeypatch):
+        monkeypatch.delenv(cli.ENV_TOKEN, raising=False)
+        assert run("status")[0] == 2
+
+    def test_an_instance_out_of_reach_exits_with_one(self, run, served, monkeypatch):
+        monkeypatch.setenv(cli.ENV_URL, "http://127.0.0.1:1")
+        code, _, err = run("status")
+        assert code == 1
+        assert "127.0.0.1:1" in err or "refused" in err.lower()
