--- a/fescuekeel/components/tree/service.py
+++ b/fescuekeel/components/tree/service.py
@@ -138,8 +138,11 @@
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=timeout_s,
         )
+        # The client logs an error when a cancelled call ends, so that a watch
+        # given up in favour of a poll is left to end by itself.
+        fetching = asyncio.ensure_future(self._client.fetch(request))
         try:
-            response = await self._client.fetch(request)
+            response = await asyncio.shield(fetching)
             return Value(response.body, int(response.headers.get(HEADER_CHANGE, "0")))
         except HTTPClientError as error:
             if error.code in (NOT_MODIFIED, NOT_FOUND):
