Claim idempotency keys at three hashed homes

Cause: a key pressed twice at two instances must run once, with nothing written to shared state. Change: a key's homes are hashed over the platform's list; a claim needs two of three grants, each home decides alone, and a new home pulls the claims.

--- /dev/null
+++ b/fescuekeel/components/keys/component.py
@@ -0,0 +1,199 @@
+"""The task of a home, and the claims of this instance's own callers."""
+
+import asyncio
+from typing import Any
+
+from returns.result import Failure as Err, Result, Success
+
+from fescuekeel.components.keys.const import (
+    CLAIM_TIMEOUT_S,
+    CLAIM_TRIES,
+    DOMAIN,
+    EXPIRE_PERIOD_S,
+    FRESH_S,
+    PULL_PERIOD_S,
+    PULL_TIMEOUT_S,
+    PULLS_AT_ONCE,
+)
+from fescuekeel.components.keys.decision import KeyHome
+from fescuekeel.components.keys.tally import Tally
+from fescuekeel.core import Actor, Instance
+from fescuekeel.errors import ErrorKind, Failure, Ran
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.peer_link import get_peer_link
+from fescuekeel.messages import (
+    KeyAnswer,
+    KeyClaim,
+    KeyCopy,
+    KeyPull,
+    KeySettle,
+    LiveList,
+    PeerMessage,
+)
+
+__all__ = ["Keys"]
+
+
+class Keys(Actor):
+    """Claim keys for callers, and answer claims as a home."""
+
+    def __init__(self, instance: Instance) -> None:
+        super().__init__(instance, DOMAIN)
+        self._data_centre = instance.settings.instance.data_centre
+        self._home = KeyHome(instance.id, self._data_centre)
+        self._homes_by_request_id: dict[str, tuple[str, ...]] = {}
+
+    async def start(self) -> None:
+        """Subscribe, and ask others for their claims."""
+        bus = self.instance.bus
+        for kind in (KeyClaim, KeySettle, KeyPull, KeyCopy):
+            bus.subscribe_peer(kind, self.post)
+        bus.subscribe(LiveList, self.post)
+        await super().start()
+        live = bus.latest(LiveList)
+        if live is not None:
+            self.post(live)
+        self.instance.spawn(self._pull_forever(), f"{DOMAIN}.pull")
+        self.instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
+
+    async def stop(self) -> None:
+        """Pass this home's claims on."""
+        link = get_peer_link(self.instance)
+        for id, copies in self._home.leave(self.instance.now()).items():
+            for copy in copies:
+                link.send(id, copy)
+        await super().stop()
+
+    # What the gateway calls.
+
+    async def claim(
+        self, key: str, request_id: str, digest: str, lifetime_s: float
+    ) -> Result[None, Failure]:
+        """Claim a key before the request may run.
+
+        Fails with ``key_home_unreachable``, ``key_in_progress``, ``key_used``
+        or ``key_mismatch``; nothing is claimed then. After a success, call
+        ``settle``.
+        """
+        for _ in range(CLAIM_TRIES):
+            result = await self._try_claim(key, request_id, digest, lifetime_s)
+            if isinstance(result, Success):
+                self.instance.metrics.count("keys.won")
+                return result
+            failure = result.failure()
+            self.instance.metrics.count(f"keys.lost.{failure.kind}")
+            if failure.kind is not ErrorKind.KEY_HOME_UNREACHABLE:
+                break
+            # Homes that see other homes for a moment agree soon.
+            await asyncio.sleep(failure.retry_after_s)
+        return result
+
+    async def _try_claim(
+        self, key: str, request_id: str, digest: str, lifetime_s: float
+    ) -> Result[None, Failure]:
+        began = self.instance.now()
+        homes = self._home.find_homes(key, began)
+        if not homes:
+            return Err(Failure(ErrorKind.KEY_HOME_UNREACHABLE, "no list yet"))
+        claim = KeyClaim(key, request_id, digest, int(lifetime_s * 1000), homes)
+        self._homes_by_request_id[request_id] = homes
+        tally = Tally(len(homes))
+        try:
+            await self._ask_homes(claim, tally)
+        except asyncio.CancelledError:
+            self.settle(key, request_id, Ran.NO)
+            raise
+        if self.instance.now() - began > FRESH_S:
+            # Guards against a pause of this process: the homes may have let
+            # the claim end meanwhile and granted the key to another request.
+            self.settle(key, request_id, Ran.NO)
+            return Err(Failure(ErrorKind.KEY_HOME_UNREACHABLE, "paused"))
+        if tally.won:
+            return Success(None)
+        self.settle(key, request_id, Ran.NO)
+        return Err(tally.get_failure())
+
+    def settle(self, key: str, request_id: str, ran: Ran) -> None:
+        """Release the key if the request did not run, else mark it used."""
+        now = self.instance.now()
+        homes = self._homes_by_request_id.pop(request_id, ())
+        # Those that have become homes meanwhile hold a copy of the claim.
+        told = dict.fromkeys([*homes, *self._home.find_homes(key, now)])
+        link = get_peer_link(self.instance)
+        for home in told:
+            link.send(home, KeySettle(key, request_id, ran.value))
+
+    async def _ask_homes(self, claim: KeyClaim, tally: Tally) -> None:
+        # The asks go on after the claim is decided: all homes learn of it,
+        # and what follows on the same connection comes after it.
+        asks = [
+            self.instance.spawn(self._ask_home(home, claim), f"{DOMAIN}.claim")
+            for home in claim.homes
+        ]
+        for ask in asyncio.as_completed(asks):
+            if tally.add(await ask):
+                return
+
+    async def _ask_home(self, home: str, claim: KeyClaim) -> KeyAnswer | None:
+        link = get_peer_link(self.instance)
+        answer = await link.ask(home, claim, CLAIM_TIMEOUT_S)
+        body = answer.value_or(None)
+        return body if isinstance(body, KeyAnswer) else None
+
+    # What a home does.
+
+    async def handle(self, message: Any) -> None:
+        """Handle one message."""
+        now = self.instance.now()
+        if isinstance(message, LiveList):
+            was_ready = self._home.ready
+            self._home.take_list(message, now)
+            self._log_ready(was_ready)
+        elif isinstance(message, PeerMessage):
+            self._handle_peer(message, now)
+
+    def _handle_peer(self, message: PeerMessage, now: float) -> None:
+        link = get_peer_link(self.instance)
+        match message.body:
+            case KeyClaim() as claim:
+                answer = self._home.claim(claim, now)
+                self.instance.metrics.count(f"keys.home.{answer.kind or 'granted'}")
+                link.answer(message, answer)
+            case KeySettle() as settle:
+                self._home.settle(settle, now)
+            case KeyPull() as pull:
+                link.answer(message, self._home.take_pull(message.sender, pull, now))
+            case KeyCopy() as copy:
+                self._home.take_copy(message.sender, copy, now)
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_PERIOD_S)
+            self._home.tick(self.instance.now())
+
+    async def _pull_forever(self) -> None:
+        while not self._home.ready:
+            unheard = self._home.list_unheard()[:PULLS_AT_ONCE]
+            await asyncio.gather(*(self._pull(id) for id in unheard))
+            await asyncio.sleep(0 if unheard and self._home.ready else PULL_PERIOD_S)
+
+    async def _pull(self, id: str) -> None:
+        link = get_peer_link(self.instance)
+        after = ""
+        while True:
+            question = KeyPull(self._data_centre, after)
+            answer = await link.ask(id, question, PULL_TIMEOUT_S)
+            copy = answer.value_or(None)
+            if not isinstance(copy, KeyCopy):
+                self.instance.metrics.count("keys.pull_failed")
+                return
+            was_ready = self._home.ready
+            self._home.take_copy(id, copy, self.instance.now())
+            self._log_ready(was_ready)
+            if not copy.more:
+                return
+            after = copy.records[-1].key
+
+    def _log_ready(self, was_ready: bool) -> None:
+        if self._home.ready and not was_ready:
+            log_event("key_home_ready", instance=self.instance.id)
