Pause more while a tree is read

Cause: rosters were packed and compared without pauses, and the event loop waited for the interpreter lock meanwhile.

--- a/fescuekeel/components/tree/intent.py
+++ b/fescuekeel/components/tree/intent.py
@@ -11,6 +11,7 @@
 from fescuekeel.components.tree.const import CONF_TOKEN_SHA256
 from fescuekeel.components.tree.levels import DEFAULT_LEVEL, Level, override
 from fescuekeel.components.tree.model import Policy, Pool, PoolKind
+from fescuekeel.components.tree.pacing import pace
 from fescuekeel.components.tree.parts import TreePartModel, describe_place
 from fescuekeel.components.tree.roster import Roster
 from fescuekeel.components.tree.sections import Overrides
@@ -234,7 +235,7 @@
     def _check_distinct(self, section: str, pieces: tuple[Roster, ...]) -> None:
         if len(pieces) < 2:
             return
-        for one, two in pairwise(merge(*pieces)):
+        for one, two in pairwise(pace(merge(*pieces))):
             if one == two:
                 raise self._fail(section, "names", f"adapter {one!r} is listed twice")
 
--- a/fescuekeel/components/tree/parts.py
+++ b/fescuekeel/components/tree/parts.py
@@ -2,8 +2,6 @@
 
 import configparser
 import re
-import time
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -20,6 +18,7 @@
     SECTION_SERVICE,
     SECTION_SHOP,
 )
+from fescuekeel.components.tree.pacing import pace
 from fescuekeel.components.tree.roster import Roster, RosterError, pack_roster
 from fescuekeel.components.tree.sections import (
     Overrides,
@@ -43,8 +42,6 @@
     SECTION_ADAPTER: 3,
 }
 SECTION_NAME = re.compile(rf"([a-z]+) ({NAME_PATTERN}(?:/{NAME_PATTERN})*)")
-LINES_PER_SLICE = 200
-SLICE_PAUSE_S = 0.0005
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,16 +70,6 @@
     return f"{place}, key {key}" if key else place
 
 
-def _iterate_lines(text: str, pause: bool) -> Iterator[str]:
-    # The parser runs in a thread and holds the interpreter lock while it
-    # does: without pauses each turn of the event loop would wait for a whole
-    # switch interval, and streams would stutter while a tree is read.
-    for number, line in enumerate(text.splitlines(), 1):
-        if pause and number % LINES_PER_SLICE == 0:
-            time.sleep(SLICE_PAUSE_S)
-        yield line
-
-
 def parse_part(
     name: str, content: bytes, pause: bool = False
 ) -> Result[TreePartModel, Failure]:
@@ -102,9 +89,9 @@
     if len(content) > MAX_PART_BYTES:
         return _refuse(f"part {name}: more than {MAX_PART_BYTES} bytes")
     try:
-        lines = _iterate_lines(content.decode("utf-8"), pause)
+        lines = pace(content.decode("utf-8").splitlines(), pause)
         parser.read_file(lines, source=name)
-        return Success(_read_sections(name, parser))
+        return Success(_read_sections(name, parser, pause))
     except (configparser.Error, UnicodeDecodeError) as error:
         return _refuse(f"part {name}: {' '.join(str(error).split())}")
     except _SectionError as error:
@@ -115,7 +102,9 @@
     return Err(Failure(ErrorKind.INVALID_TREE, detail))
 
 
-def _read_sections(name: str, parser: configparser.ConfigParser) -> TreePartModel:
+def _read_sections(
+    name: str, parser: configparser.ConfigParser, pause: bool
+) -> TreePartModel:
     model = TreePartModel(name)
     for section in parser.sections():
         kind, path = _split_section(name, section)
@@ -129,7 +118,7 @@
         elif kind == SECTION_ADAPTER:
             model.adapters_by_path[path] = _validate(Overrides, raw, name, section)
         else:
-            model.rosters_by_path[path] = _read_roster(raw, name, section)
+            model.rosters_by_path[path] = _read_roster(raw, name, section, pause)
     return model
 
 
@@ -153,10 +142,11 @@
         raise _SectionError(f"{place}: {first['msg']}") from error
 
 
-def _read_roster(raw: dict[str, str], name: str, section: str) -> Roster:
+def _read_roster(raw: dict[str, str], name: str, section: str, pause: bool) -> Roster:
     names = _validate(RosterSection, raw, name, section).names
     try:
-        return pack_roster(line for line in names.splitlines() if line.strip())
+        lines = pace(names.splitlines(), pause)
+        return pack_roster(line for line in lines if line.strip())
     except RosterError as error:
         place = describe_place(name, section, CONF_NAMES)
         raise _SectionError(f"{place}: {error}") from error
