--- a/tests/components/owner/test_endpoint.py
+++ b/tests/components/owner/test_endpoint.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from unittest import mock
 
-from fescuekeel.components.owner import orders, ownership
+from fescuekeel.components.owner import orders, ownership, run
 from fescuekeel.messages import (
     AdapterRef,
     EntryOpenWork,
@@ -95,6 +95,17 @@
 
         run_story(story)
 
+    def test_work_past_its_time_is_stopped_at_the_engine(self) -> None:
+        async def story(bed: Bed) -> None:
+            node = await start_owned(bed)
+            await node.submit("i1", "r1", max_tokens=LONG, remaining_ms=300)
+            await eventually(lambda: "r1" in node.ends_by_id)
+            assert node.ends_by_id["r1"].kind == "answer_cut"
+            await eventually(lambda: not bed.engine.running)
+
+        with mock.patch.object(run, "RUNNING_GRACE_S", NO_WAIT_S):
+            run_story(story)
+
 
 class TestTwoOwners:
     def test_fenced_engine_refuses_the_earlier_owner(self) -> None:
