Read the service oftener in small fleets, and never without a pause

Change: the polls of a data centre may make four calls a second in all, and each instance polls every 2 s at most; a pause follows each watch; what a stale service repeats is counted each time and logged once.

--- a/fescuekeel/components/tree/component.py
+++ b/fescuekeel/components/tree/component.py
@@ -56,6 +56,7 @@
         self._snapshot: Snapshot | None = None
         self._taken: Snapshot | None = None
         self._fetch: asyncio.Task[None] | None = None
+        self._last_counted: Count | None = None
 
     async def start(self) -> None:
         """Listen to the others and begin to read."""
@@ -93,14 +94,21 @@
             case PutInForce():
                 self._put_in_force()
             case Count():
-                self.instance.metrics.count(effect.name)
-                log_event(
-                    "tree_ignored",
-                    reason=effect.name,
-                    revision=effect.revision,
-                    digest=effect.digest,
-                    source=effect.source or "service",
-                )
+                self._count(effect)
+
+    def _count(self, effect: Count) -> None:
+        self.instance.metrics.count(effect.name)
+        # A stale service offers the same each time that it is read.
+        if effect == self._last_counted:
+            return
+        self._last_counted = effect
+        log_event(
+            "tree_ignored",
+            reason=effect.name,
+            revision=effect.revision,
+            digest=effect.digest,
+            source=effect.source or "service",
+        )
 
     # What comes in.
 
--- a/fescuekeel/components/tree/const.py
+++ b/fescuekeel/components/tree/const.py
@@ -25,7 +25,7 @@
 # How many instances of a data centre hold a watch, and how many calls a
 # second all the others of a data centre make together.
 WATCHERS_PER_DATA_CENTRE: Final = 2
-POLLS_PER_S: Final = 1.0
+POLLS_PER_S: Final = 4.0
 MIN_POLL_S: Final = 2.0
 JITTER_SHARE: Final = 0.25
 
--- a/fescuekeel/components/tree/service.py
+++ b/fescuekeel/components/tree/service.py
@@ -101,6 +101,9 @@
             failures = 0
             if self._reading.watch:
                 await self._watch(value.change)
+                # A service that ends each watch at once would be called
+                # without a pause.
+                await asyncio.sleep(_jitter(RETRY_S))
             else:
                 await asyncio.sleep(_jitter(self._reading.poll_s))
 
@@ -108,10 +111,8 @@
         wait_s = _jitter(WATCH_S)
         path = f"/v1/watch/{KEY_MANIFEST}?after={change}&wait_s={wait_s:.1f}"
         value = await self._fetch(path, wait_s + WATCH_GRACE_S)
-        if value is None:
-            await asyncio.sleep(_jitter(RETRY_S))
-            return
-        self._note(value)
+        if value is not None:
+            self._note(value)
 
     def _note(self, value: Value | None) -> None:
         if value is None:
