Measure what the path adds to a request

script/bench path sends the same request straight to a stand-in engine and through an entry and an owner, taking turns in one run, and shows p50 and p99 of whole, streamed, first token and between tokens, quiet and beside a load. It also relays loads over them and reads the processor time of both daemons. Engines, daemons and load generators are processes of their own. The fleet of script/run starts them.

--- /dev/null
+++ b/bench/path/const.py
@@ -0,0 +1,49 @@
+"""Constants of the measurement of the path."""
+
+import hashlib
+from typing import Final
+
+LOOPBACK: Final = "127.0.0.1"
+DEPLOYMENT: Final = "bench"
+# All endpoints stand in the second data centre, so that the entry instance is
+# never the owner and each does its part in a process of its own.
+ENTRY_CENTRE: Final = "entry"
+OWNER_CENTRE: Final = "owner"
+
+SHOP_TOKEN: Final = "token-of-the-bench"
+MODEL: Final = "write/a{number}"
+MODEL_AT_ENGINE: Final = "a{number}@1"
+ADAPTERS: Final = 24
+ENGINES: Final = 4
+STEP_S: Final = 0.008
+MAX_RUNNING: Final = 64
+
+TREE: Final = f"""
+[shop shop]
+token_sha256 = {hashlib.sha256(SHOP_TOKEN.encode()).hexdigest()}
+answer_s = 20
+
+[pool gpu]
+kind = engine
+slots = {ADAPTERS}
+max_running = {MAX_RUNNING}
+step_s = {STEP_S}
+
+[service shop/write]
+pool = gpu
+
+[roster shop/write]
+names =
+    {{names}}
+"""
+
+PAIR_TOKENS: Final = 8
+PAIR_LANES: Final = 4
+WARM_UP_S: Final = 3.0
+LOAD_PROCESSES: Final = 3
+PAIRS_S: Final = 12.0
+LOAD_S: Final = 8.0
+
+GOAL_REQUESTS_PER_S: Final = 200
+GOAL_TOKENS_PER_S: Final = 10_000
+GOAL_ADDED_P99_MS: Final = STEP_S * 1000
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -84,6 +84,17 @@
         await asyncio.sleep(POLL_S)
 
 
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Ask a process to end, and kill it when it does not."""
+    if process.returncode is None:
+        process.terminate()
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+
+
 @dataclass(slots=True)
 class Fleet:
     """The processes of one run, each ended by its own id."""
@@ -103,7 +114,7 @@
     async def start_standins(self, deployment: str, trees: Path, centres: int) -> None:
         """Start the stand-ins and wait for their ports."""
         port_file = self.folder / "standins.json"
-        process = await self._spawn(
+        process = await self.start_process(
             self.folder / "standins.log",
             sys.executable,
             "-m",
@@ -156,7 +167,7 @@
         settings, log = self.folder / f"{id}.ini", self.folder / f"{id}.log"
         settings.write_text(text, "utf-8")
         program = str(Path(sys.executable).with_name("fescuekeeld"))
-        process = await self._spawn(log, program, f"--settings={settings}")
+        process = await self.start_process(log, program, f"--settings={settings}")
         return Daemon(
             id=id,
             deployment=deployment,
@@ -208,16 +219,16 @@
 
     async def stop(self) -> None:
         """End every process by its id, the daemons before the stand-ins."""
-        for process in reversed(self.processes):
-            if process.returncode is None:
-                process.terminate()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-
-    async def _spawn(self, log: Path, *command: str) -> asyncio.subprocess.Process:
+        # The stand-ins come first in the list: the daemons still need them
+        # while they finish what they serve.
+        standins, daemons = self.processes[:1], self.processes[1:]
+        await asyncio.gather(*map(end_process, daemons))
+        await asyncio.gather(*map(end_process, standins))
+
+    async def start_process(
+        self, log: Path, *command: str | Path
+    ) -> asyncio.subprocess.Process:
+        """Start a process that ``stop`` ends, with its output in a log."""
         with log.open("wb") as sink:
             process = await asyncio.create_subprocess_exec(
                 *command,
