Test that a drained daemon ends by itself

Cause: the path from the operators' port to the daemon's stop was tested in pieces only. Change: a test starts the daemon, drains it over HTTP and waits for its end. Conclusion: it ends with code 0 after it has stopped every component.

--- /dev/null
+++ b/tests/test_daemon_drain.py
@@ -0,0 +1,51 @@
+"""Tests of a daemon that an operator drains."""
+
+import hashlib
+import re
+import subprocess
+import sys
+
+import pytest
+from tornado.httpclient import HTTPClient
+
+from tests.common import SETTINGS
+
+TOKEN = "operators-token"
+ZEROS = "0" * 64
+TIMEOUT_S = 30
+
+
+@pytest.fixture
+def daemon(tmp_path):
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    text = SETTINGS.format(id="i1", data_centre="dc1").replace(ZEROS, digest)
+    path = tmp_path / "settings.ini"
+    path.write_text(text)
+    code = "from fescuekeel.daemon import main; main()"
+    arguments = [sys.executable, "-c", code, "--settings", str(path)]
+    process = subprocess.Popen(arguments, stderr=subprocess.PIPE, text=True)
+    yield process
+    process.kill()
+    process.communicate(timeout=TIMEOUT_S)
+
+
+class TestDrain:
+    def test_a_drained_daemon_ends_by_itself(self, daemon):
+        address = ""
+        for line in daemon.stderr:
+            found = re.search(r"event=operators_listening address=(\S+)", line)
+            address = found[1] if found else address
+            if "event=instance_started" in line:
+                break
+        client = HTTPClient()
+        response = client.fetch(
+            f"http://{address}/drain",
+            method="POST",
+            body=b"",
+            headers={"Authorization": f"Bearer {TOKEN}"},
+        )
+        client.close()
+        assert response.code == 202
+        _, rest = daemon.communicate(timeout=TIMEOUT_S)
+        assert "event=instance_stopped" in rest
+        assert daemon.returncode == 0
