End every process of a run after a second signal too

Cause: two signals in a row (Ctrl-C twice) cancelled the ending of the processes, and eight instances stayed behind. Change: the signals set an event, and only the first cancels the run. Conclusion: a run ends its processes however it is told to stop.

--- a/standins/sample.py
+++ b/standins/sample.py
@@ -27,6 +27,7 @@
 REQUESTS = 150
 REQUESTS_PER_S = 10.0
 PROGRESS_S = 2.0
+EXIT_STOPPED = 130
 REPORT_LAG_S = 0.5
 FAULTS_SHOWN = 10
 
@@ -176,18 +177,37 @@
 
 async def run_until_signal(stay: bool, examples: Path) -> int:
     """Run in a folder of its own; a signal ends every process first."""
-    task = asyncio.current_task()
-    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel if task else sys.exit)
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
     with tempfile.TemporaryDirectory(prefix="fescuekeel-") as folder:
         try:
-            return await run(Path(folder), stay, examples)
+            return await run_or_stop(Path(folder), stay, examples, stopping)
         except FleetError as error:
             sys.stderr.write(f"script/run: {error}\n")
             return 1
-        except asyncio.CancelledError:
-            return 0 if stay else 1
+
+
+async def run_or_stop(
+    folder: Path, stay: bool, examples: Path, stopping: asyncio.Event
+) -> int:
+    """Run, and cancel the run once if it is told to stop.
+
+    Guards against a second signal (a second Ctrl-C) that would interrupt the
+    ending of the processes and leave them behind: the event is set already,
+    so only the first signal cancels anything.
+    """
+    running = asyncio.ensure_future(run(folder, stay, examples))
+    stopped = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if running.done():
+        stopped.cancel()
+        return running.result()
+    running.cancel()
+    await asyncio.wait({running})
+    if running.cancelled():
+        return 0 if stay else EXIT_STOPPED
+    return running.result()
 
 
 def start(stay: bool = False, examples: str = str(EXAMPLES)) -> None:
