Count an owner's loss against the attempt that was sent to it

Cause: every try to reach a dead owner tells of its loss again, and each time the current attempt counted as lost, also while it still waited for its back-off. Excluded: a slow takeover (the new owners gained 1.1 s after the kill) and the back-offs themselves (about 6 s together). Change: the loss counts against the attempt that was last sent to that owner. Conclusion: a request survives its owner; a focused test fails without it.

--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -109,6 +109,7 @@
     placement: Placement | None = None
     tried: frozenset[str] = frozenset()
     failure: Failure | None = None
+    _placed_attempt: int = 0
     _questions_by_attempt: dict[int, PeerMessage] = field(default_factory=dict)
     _submits: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -145,9 +146,14 @@
         self.post(Ended(end.attempt))
 
     def lose_owner(self, owner: str) -> None:
-        """Take note that an instance is lost."""
+        """Take note that an instance is lost.
+
+        Guards against attempts that are used up at once: each try to reach a
+        dead owner tells of its loss again, while the next attempt still waits
+        for its back-off. That one has not been sent, so it is not lost.
+        """
         if self.placement is not None and self.placement.owner == owner:
-            self.post(OwnerLost(self.life.attempt))
+            self.post(OwnerLost(self._placed_attempt))
 
     async def run(self) -> Failure | None:
         """Serve the request to its end; return how it failed, if it did."""
@@ -232,15 +238,16 @@
             failure = Failure(ErrorKind.NO_ENDPOINT, retry_after_s=1.0)
             self.post(Refused(effect.attempt, failure))
             return
-        self._move_to(placement)
+        self._move_to(placement, effect.attempt)
         submit = self._make_submit(effect, placement)
         result = await self.link.ask(placement.owner, submit, SUBMIT_TIMEOUT_S)
         self._post_submit_result(effect.attempt, placement, result)
 
-    def _move_to(self, placement: Placement) -> None:
+    def _move_to(self, placement: Placement, attempt: int) -> None:
         if self.placement is not None:
             self.router.note_done(self.placement)
         self.placement = placement
+        self._placed_attempt = attempt
         self.router.note_sent(placement)
 
     def _place(self, effect: SendAttempt) -> Placement | None:
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -100,6 +100,29 @@
 
         asyncio.run(run())
 
+    def test_a_loss_that_is_told_often_costs_one_attempt(self):
+        """A script is cut half a second after an owner died.
+
+        Each try to reach the dead owner tells of its loss again. Told while
+        the next attempt still waits for its back-off, it must not count
+        against that one, or all attempts are gone before a new owner is known.
+        """
+
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.hang
+                task = asyncio.create_task(bench.complete())
+                await eventually(lambda: bench.owner.submits)
+                (request,) = bench.gateway.requests_by_id.values()
+                bench.owner.play = bench.owner.answer_whole
+                for _ in range(10):
+                    bench.instance.bus.publish(PeerLost(request.placement.owner))
+                    await asyncio.sleep(0)
+                assert (await task).code == 200
+                assert [submit.attempt for submit in bench.owner.submits] == [1, 2]
+
+        asyncio.run(run())
+
 
 REFUSED_BY_OWNER = [
     (ErrorKind.TOO_LATE, 503),
