Test instances that talk over TLS

Cause: the TLS settings between instances had no test. Change: two instances with a certificate talk; a third without it is refused.

--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 from itertools import pairwise
+from pathlib import Path
 
 import pytest
 from returns.pipeline import is_successful
@@ -27,13 +28,19 @@
 )
 from tests.common import make_settings
 
+TLS = Path(__file__).parent / "tls"
 KEY = "a-shared-secret-of-the-tests"
 NEW_KEY = "the-next-shared-secret"
 
 
-def make_instance(id, keys=(KEY,), seeds=()):
+def make_instance(id, keys=(KEY,), seeds=(), tls=False):
     settings = make_settings(id)
-    peers = settings.peers.model_copy(update={"keys": keys, "seeds": seeds})
+    update = {"keys": keys, "seeds": seeds}
+    if tls:
+        update["tls_certificate"] = str(TLS / "certificate.pem")
+        update["tls_key"] = str(TLS / "key.pem")
+        update["tls_ca"] = str(TLS / "certificate.pem")
+    peers = settings.peers.model_copy(update=update)
     return Instance(settings.model_copy(update={"peers": peers}))
 
 
@@ -127,6 +134,28 @@
 
         asyncio.run(run())
 
+    def test_a_lost_incoming_connection_is_told_although_our_own_stands(self):
+        """An answer is lost and its caller waits until its time is over.
+
+        Two instances have a connection to each other. The one on which the
+        answer is under way breaks; nothing happens on the other one.
+        """
+
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            async with running(one, two) as (link, other):
+                answer_starts(one)
+                answer_starts(two)
+                await link.ask("i2", StartAsk("r", 1), 5)
+                await other.ask("i1", StartAsk("r", 1), 5)
+                lost = []
+                one.bus.subscribe(PeerLost, lost.append)
+                other._outgoing_by_id["i1"].connection.close()
+                await wait_for(lambda: lost)
+                assert lost[0] == PeerLost("i2", reachable=True)
+
+        asyncio.run(run())
+
     def test_one_reaches_oneself_without_sockets(self):
         async def run():
             one = make_instance("i1")
@@ -152,6 +181,19 @@
 
         asyncio.run(run())
 
+    def test_they_talk_over_tls_and_to_nobody_without(self):
+        async def run():
+            one, two = (make_instance(id, tls=True) for id in ("i1", "i2"))
+            plain = make_instance("i3")
+            async with running(one, two, plain) as (link, _, plain_link):
+                answer_starts(two)
+                answer = await link.ask("i2", StartAsk("r", 1), 5)
+                assert answer.unwrap() == StartAnswer(True)
+                refused = await plain_link.ask("i2", StartAsk("r", 1), 5)
+                assert refused.failure().kind is ErrorKind.PEER_UNREACHABLE
+
+        asyncio.run(run())
+
     def test_an_unknown_peer_is_unreachable_at_once(self):
         async def run():
             one = make_instance("i1")
