Cut nothing that is in progress at a graceful shutdown

Cause: three faults of a graceful shutdown under load. Instances that announce that they leave are members no more, and the gateways took their unfinished work for lost, also the leaving one its own. The callers' listening socket was closed first, which resets connections that nobody had accepted yet. And a request that outlasts shutdown_s had its connection closed without a word. Change: MemberView.left names who leaves gracefully, and its loss is not assumed; the socket stays open until nothing is in progress, and newcomers hear draining; what outlasts the time is told truthfully.

--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -10,7 +10,8 @@
 * "Not run" is said only when no attempt can have run: every attempt was
   refused explicitly or never got leave.
 * Pieces of the answer are matched by attempt and token position. Late, doubled
-  and foreign pieces are dropped.
+  and foreign pieces are dropped, missing ones asked for again, and a stream is
+  whole only when its end mark stands at the right position.
 """
 
 from dataclasses import dataclass, field
@@ -38,6 +39,7 @@
     "RequestLife",
     "RetryDecided",
     "SendAttempt",
+    "ShutdownEnded",
     "StartAsked",
     "Started",
     "TimePassed",
@@ -111,7 +113,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ChunkCame:
-    """A piece of the answer came; ``tokens`` is how many it holds."""
+    """A piece of the answer came; ``tokens`` is how many it holds.
+
+    A piece of no tokens is the end mark of a stream.
+    """
 
     attempt: int
     position: int
@@ -139,6 +144,11 @@
     """The caller closed its connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownEnded:
+    """The instance ends, and with it the connection to the caller."""
+
+
 @dataclass(frozen=True, slots=True)
 class TimePassed:
     """Look at the clock."""
@@ -155,6 +165,7 @@
     | Ended
     | RetryDecided
     | CallerGone
+    | ShutdownEnded
     | TimePassed
 )
 
@@ -297,6 +308,8 @@
                 return self._decide_retry(allowed)
             case CallerGone():
                 return self._give_up(Failure(ErrorKind.CANCELLED))
+            case ShutdownEnded():
+                return self._end_shutdown()
             case TimePassed():
                 return self._check_time(now)
 
@@ -342,14 +355,25 @@
         if not self.stream:
             self.delivered = True
             return [Deliver(chunk.data)]
+        return self._deliver_at_position(chunk)
+
+    def _deliver_at_position(self, chunk: ChunkCame) -> list[LifeEffect]:
         # Guards against pieces that arrive twice after a resumed stream: the
         # caller would see words repeated. Positions count tokens, so a piece
-        # below the mark is known already. One above it would leave a hole.
-        if chunk.position != self.position:
+        # below the mark is known already.
+        if chunk.position < self.position:
             return []
+        # Guards against a piece that was lost with its connection: the answer
+        # would have a hole. What is missing is asked for by its position.
+        if chunk.position > self.position:
+            return self._resume()
         self.position += chunk.tokens
         self.delivered = True
-        return [Deliver(chunk.data)]
+        if chunk.tokens:
+            return [Deliver(chunk.data)]
+        # The end mark stands at the right position, so the answer is whole.
+        self.phase = Phase.ENDED
+        return [Deliver(chunk.data), Finish()]
 
     def _refuse(self, attempt: int, failure: Failure, now: float) -> list[LifeEffect]:
         if self._resuming:
@@ -399,6 +423,9 @@
     ) -> list[LifeEffect]:
         if attempt != self.attempt:
             return []
+        if failure is None and self.stream:
+            # The end came without the end mark, which is lost.
+            return self._resume()
         if failure is None:
             self.phase = Phase.ENDED
             return [Finish()]
@@ -450,15 +477,24 @@
         return Failure(ErrorKind.OUTCOME_UNKNOWN)
 
     def _check_time(self, now: float) -> list[LifeEffect]:
-        if self.phase is Phase.HANDED_OVER:
-            if now < self.deadline + RUNNING_GRACE_S:
-                return []
-            return self._give_up(self._get_cut_failure())
-        if now < self.deadline + OWNER_WORD_GRACE_S:
+        running = self.phase is Phase.HANDED_OVER
+        grace_s = RUNNING_GRACE_S if running else OWNER_WORD_GRACE_S
+        if now < self.deadline + grace_s:
             return []
+        return self._abandon(ErrorKind.EXPIRED)
+
+    def _end_shutdown(self) -> list[LifeEffect]:
+        # Guards against a connection that ends without a word when the time
+        # for a graceful shutdown is over: the caller could not tell whether
+        # its charge ran.
+        return self._abandon(ErrorKind.DRAINING)
+
+    def _abandon(self, kind: ErrorKind) -> list[LifeEffect]:
+        if self.phase is Phase.HANDED_OVER or self.delivered:
+            return self._give_up(self._get_cut_failure())
         if self.repeatable and self.phase is not Phase.RECEIVED:
             self.uncertain_attempts.add(self.attempt)
-        return self._give_up(Failure(ErrorKind.EXPIRED))
+        return self._give_up(Failure(kind))
 
     def _give_up(self, failure: Failure) -> list[LifeEffect]:
         attempt = self.attempt
--- a/fescuekeel/components/gateway/component.py
+++ b/fescuekeel/components/gateway/component.py
@@ -5,7 +5,11 @@
 from returns.result import Success
 
 from fescuekeel.components.gateway.admission import Admission
-from fescuekeel.components.gateway.attempts import CallerGone, RequestLife
+from fescuekeel.components.gateway.attempts import (
+    CallerGone,
+    RequestLife,
+    ShutdownEnded,
+)
 from fescuekeel.components.gateway.const import DRAIN_POLL_S, KEY_LIFETIME_S
 from fescuekeel.components.gateway.limits import Limits
 from fescuekeel.components.gateway.request import CallerRequest
@@ -63,12 +67,22 @@
         log_event("callers_listening", address=self.server.address)
 
     async def stop(self) -> None:
-        """Refuse new requests, let those in progress end, then close."""
+        """Refuse new requests, let those in progress end, then close.
+
+        Guards against connections that are reset without an answer: closing
+        the listening socket resets those that nobody has accepted yet, with
+        their requests sent. So it stays open until nothing is in progress,
+        and whoever still comes is told that the instance is draining.
+        """
         left_s = self.instance.settings.instance.shutdown_s
-        self.server.stop_listening()
+        await asyncio.sleep(DRAIN_POLL_S)
         while self.requests_by_id and left_s > 0:
             await asyncio.sleep(DRAIN_POLL_S)
             left_s -= DRAIN_POLL_S
+        for request in self.requests_by_id.values():
+            request.post(ShutdownEnded())
+        self.server.stop_listening()
+        await asyncio.sleep(DRAIN_POLL_S)
         await self.server.close()
 
     async def serve(
@@ -186,7 +200,8 @@
         # that was paused, must not hand it over any more.
         if isinstance(message.body, StartAsk):
             get_peer_link(self.instance).answer(message, StartAnswer(False))
-        self.instance.metrics.count("late_message")
+        if not isinstance(message.body, WorkEnd):
+            self.instance.metrics.count("late_message")
 
     def _lose_owner(self, owner: str) -> None:
         for request in self.requests_by_id.values():
@@ -194,7 +209,10 @@
 
     def _note_members(self, view: MemberView) -> None:
         now = frozenset(view.members_by_id)
-        for lost in self._members - now:
+        # Guards against a graceful shutdown that cuts off what it finishes:
+        # an owner that has left still carries its work to the end, and should
+        # it die on the way, its connection tells.
+        for lost in self._members - now - view.left:
             self._lose_owner(lost)
         self._members = now
 
--- a/fescuekeel/components/membership/decision.py
+++ b/fescuekeel/components/membership/decision.py
@@ -468,7 +468,12 @@
         # The last one keeps what it owns while it drains.
         if not members:
             members = {self.id: self._own.to_member()}
-        view = MemberView(members, self._leaving.select(self._live))
+        left = frozenset(
+            record.id
+            for record in self._records_by_id.values()
+            if record.state is InstanceState.LEFT
+        )
+        view = MemberView(members, self._leaving.select(self._live), left)
         if view != self._view:
             self._view = view
             self._effects.append(PublishView(view))
--- a/fescuekeel/components/owner/component.py
+++ b/fescuekeel/components/owner/component.py
@@ -239,7 +239,8 @@
     def _note_view(self, view: MemberView) -> None:
         if view == self._view:
             return
-        gone = self._view.members_by_id.keys() - view.members_by_id.keys()
+        # An entry that leaves gracefully still waits for what it has sent.
+        gone = self._view.members_by_id.keys() - view.members_by_id.keys() - view.left
         self._view = view
         for lost in gone:
             self._lose_entry(lost)
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -142,6 +142,11 @@
         self.later(WorkStarted(submit.request_id, submit.attempt))
         return Success(SubmitAnswer(True))
 
+    def answer_start_only(self, submit):
+        kind = WorkStarted if submit.repeatable else StartAsk
+        self.later(kind(submit.request_id, submit.attempt))
+        return Success(SubmitAnswer(True))
+
     def refuse(self, kind, retry_after_ms=0):
         answer = SubmitAnswer(False, kind.value, "", retry_after_ms)
         return lambda submit: Success(answer)
--- a/tests/components/gateway/test_attempts.py
+++ b/tests/components/gateway/test_attempts.py
@@ -21,6 +21,7 @@
     RequestLife,
     RetryDecided,
     SendAttempt,
+    ShutdownEnded,
     StartAsked,
     Started,
     TimePassed,
@@ -156,7 +157,8 @@
         assert effects[0].resume and effects[0].position == 2
         assert life.handle(ChunkCame(1, 1, b"b"), 1.2) == []
         assert life.handle(ChunkCame(2, 2, b"c"), 1.3) == [Deliver(b"c")]
-        assert life.handle(Ended(2), 1.4) == [Finish()]
+        end_mark = ChunkCame(2, 3, b"end", tokens=0)
+        assert life.handle(end_mark, 1.4) == [Deliver(b"end"), Finish()]
 
     def test_a_stream_that_cannot_be_resumed_is_cut_truthfully(self):
         life = make_life(stream=True)
@@ -185,12 +187,29 @@
         assert life.handle(ChunkCame(1, 0, b"old"), 1.1) == []
         assert life.handle(ChunkCame(2, 0, b"new"), 1.2) == [Deliver(b"new")]
 
-    def test_doubled_and_reordered_pieces_are_dropped(self):
+    def test_doubled_pieces_are_dropped(self):
         life = make_life(stream=True)
-        assert life.handle(ChunkCame(1, 1, b"b"), 1.0) == []
         assert life.handle(ChunkCame(1, 0, b"a"), 1.0) == [Deliver(b"a")]
         assert life.handle(ChunkCame(1, 0, b"a"), 1.0) == []
 
+    def test_a_missing_piece_is_asked_for(self):
+        """A reader must not get a text with a hole in it.
+
+        The connection between owner and entry breaks and stands again at
+        once; token 1 is lost on the way and token 2 arrives.
+        """
+        life = make_life(stream=True)
+        life.handle(ChunkCame(1, 0, b"a"), 1.0)
+        effects = allow(life, life.handle(ChunkCame(1, 2, b"c"), 1.1))
+        assert effects[0].resume and effects[0].position == 1
+
+    def test_an_answer_without_its_end_is_not_whole(self):
+        """The last piece is lost, the word that all went well arrives."""
+        life = make_life(stream=True)
+        life.handle(ChunkCame(1, 0, b"a"), 1.0)
+        effects = allow(life, life.handle(Ended(1), 1.1))
+        assert effects[0].resume and effects[0].position == 1
+
 
 ATTEMPTS = st.integers(1, MAX_ATTEMPTS)
 NOT_RUN_KINDS = st.sampled_from(
@@ -260,6 +279,10 @@
         if attempt in self.running:
             self.feed(Ended(attempt))
 
+    @rule()
+    def end_shutdown(self):
+        self.feed(ShutdownEnded())
+
     @rule(step=st.sampled_from([0.1, 4.0, 11.0]))
     def pass_time(self, step):
         self.now += step
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -11,7 +12,7 @@
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.messages import CancelWork, PeerLost
 from tests.common import eventually
-from tests.components.gateway.fakes import open_bench
+from tests.components.gateway.fakes import make_view, open_bench
 
 
 def get_error(response):
@@ -100,6 +101,33 @@
 
         asyncio.run(run())
 
+    def test_an_owner_that_shuts_down_gracefully_finishes_its_work(self):
+        """A quote ends as "outcome unknown" because an instance is replaced.
+
+        Its owner begins a graceful shutdown: it tells all that it has left
+        and is a member no more, but goes on carrying the answer.
+        """
+
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.answer_start_only
+                bench.instance.bus.publish_state(make_view())
+                task = asyncio.create_task(bench.fetch("/services/charge/new"))
+                await eventually(lambda: bench.owner.leave)
+                members = dict(make_view().members_by_id)
+                (request,) = bench.gateway.requests_by_id.values()
+                del members[request.placement.owner]
+                left = frozenset({request.placement.owner})
+                bench.instance.bus.publish_state(
+                    replace(make_view(), members_by_id=members, left=left)
+                )
+                submit = bench.owner.submits[0]
+                bench.owner.answer_whole(submit)
+                assert (await task).code == 200
+                assert len(bench.owner.submits) == 1
+
+        asyncio.run(run())
+
     def test_a_loss_that_is_told_often_costs_one_attempt(self):
         """A script is cut half a second after an owner died.
 
@@ -260,6 +288,32 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("path", ["/services/charge/new", "/services/stock/x"])
+    def test_a_shutdown_that_runs_out_of_time_is_told(self, path):
+        """A caller's connection ends without a word while a charge may run.
+
+        The instance shuts down, a request outlasts the time for that, and its
+        connection is closed. The caller must hear that it may have run.
+        """
+
+        async def run():
+            async with open_bench() as bench:
+                bench.owner.play = bench.owner.answer_start_only
+                short = bench.instance.settings.instance.model_copy(
+                    update={"shutdown_s": 0.1}
+                )
+                bench.instance.settings = bench.instance.settings.model_copy(
+                    update={"instance": short}
+                )
+                task = asyncio.create_task(bench.fetch(path, body=b"{}"))
+                await eventually(lambda: bench.owner.submits)
+                await bench.gateway.stop()
+                error = get_error(await task)
+                assert error["kind"] == ErrorKind.OUTCOME_UNKNOWN
+                assert error["ran"] == "unknown"
+
+        asyncio.run(run())
+
     def test_a_body_that_is_too_large_is_named(self):
         async def run():
             async with open_bench() as bench:
