Test daemons that pause, die and shut down under load

Cause: the whole path was tested in one process only, which cannot be paused, killed or told to stop like an instance. Change: tests/daemons runs instances as processes beside stand-ins in the test's own process, with relays between the instances; [peers] advertised_address names the relay, as an operator names a forwarder. Tests of SIGSTOP and SIGCONT, SIGKILL in mid-stream and SIGTERM under load.

--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -80,7 +80,7 @@
     @property
     def address(self) -> str:
         """Return the address that peers can connect to, once started."""
-        return self._acceptor.address
+        return self._settings.advertised_address or self._acceptor.address
 
     async def start(self) -> None:
         """Listen."""
@@ -372,6 +372,12 @@
             self._questions_by_number.pop(number, None)
         if connection.ended_well or not connection.peer_id:
             return
+        # Guards against answers that are lost with the connection on which
+        # they were under way: our own connection may stand all the while, so
+        # that nothing else would ever tell of the loss.
+        if connection.peer_id in self._outgoing_by_id:
+            self._instance.bus.publish(PeerLost(connection.peer_id, reachable=True))
+            return
         # The peer may have died: see whether it still accepts.
         self._get_outgoing(connection.peer_id, replaces=True)
 
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -54,10 +54,13 @@
 
     ``keys`` holds one or two secrets separated by commas: the first signs,
     each is accepted, so that a key can be changed without a stop. ``seeds``
-    are addresses used until the live list can be read.
+    are addresses used until the live list can be read. ``advertised_address``
+    is what other instances are told to connect to, where it differs from the
+    address that is bound, such as behind address translation.
     """
 
     address: str
+    advertised_address: str = ""
     keys: tuple[str, ...]
     seeds: tuple[str, ...] = ()
     tls_certificate: str = ""
--- /dev/null
+++ b/tests/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daemons as separate processes."""
--- /dev/null
+++ b/tests/daemons/test_pauses.py
@@ -0,0 +1,159 @@
+"""Tests of instances that pause, die or shut down under load."""
+
+import asyncio
+import signal
+
+from standins.load import Verdict
+from tests.common import eventually
+from tests.daemons.common import SHUTDOWN_S, Load, open_world
+
+ONE_CENTRE = {"dc1": ("i1", "i2", "i3")}
+# Each of gateway and owner waits for its own work; the rest is the goodbyes.
+STOP_BOUND_S = 2 * SHUTDOWN_S + 5.0
+BOTH_TOGETHER = 3
+QUEUED = 20
+
+
+def list_epochs(world, endpoint):
+    """Return, for each order, how many of the gains it is not older than."""
+    gains = sorted(
+        int(line.fields["fence"])
+        for daemon in world.daemons_by_id.values()
+        for line in daemon.read_log("owner_gained")
+        if line.fields["endpoint"] == endpoint
+    )
+    orders = world.platform.engines_by_id[endpoint].orders
+    return [sum(gain <= order["fence"] for gain in gains) for order in orders]
+
+
+class TestPausedOwner:
+    def test_it_wakes_up_and_harms_nothing(self, tmp_path):
+        """A magician's script comes twice as late as usual, but once.
+
+        An owner is paused with work running and queued. The others take its
+        endpoints over and callers go on. It wakes up and still believes that
+        it owns them; its lease has passed, so it gives no order until it has
+        taken over anew.
+        """
+
+        async def run():
+            async with open_world(tmp_path, ONE_CENTRE) as world:
+                paused = world.find_owner("fenced-0")
+                others = world.list_others(paused)
+                owned = world.list_owned(paused)
+                load = Load(others)
+                await load.until_more(20)
+                paused.signal(signal.SIGSTOP)
+                for endpoint in owned:
+                    await eventually(lambda e=endpoint: world.find_owner(e, others))
+                await load.until_more(40)
+                paused.signal(signal.SIGCONT)
+                await load.until_more(20)
+                for endpoint in owned:
+                    await eventually(lambda e=endpoint: world.find_owner(e))
+                await load.until_more(40)
+                results = await load.stop()
+                world.check(results)
+                for endpoint in world.platform.engines_by_id:
+                    epochs = list_epochs(world, endpoint)
+                    assert epochs == sorted(epochs)
+
+        asyncio.run(run())
+
+
+class TestKilledOwner:
+    def test_streams_go_on_and_nothing_runs_twice(self, tmp_path):
+        """A performer reads a script that stops and goes on at the next word.
+
+        The owner of the engine dies in mid-stream; the caller is at another
+        instance, which takes the stream up through the next owner. A quote
+        and a charge in flight are answered, or end as "outcome unknown".
+        """
+
+        async def run():
+            async with open_world(tmp_path, ONE_CENTRE) as world:
+                killed = world.find_owner("fenced-0")
+                others = world.list_others(killed)
+                for plain in world.platform.plains_by_id.values():
+                    plain.control({"delay_s": 0.5})
+                load = Load(others, tokens=120)
+                engine = world.platform.engines_by_id["fenced-0"]
+
+                def is_amid_work():
+                    running = [item for item in engine.running if item.tokens]
+                    return len(running) >= BOTH_TOGETHER
+
+                await eventually(is_amid_work)
+                amid = {item.prompt.split()[0] for item in engine.running}
+                killed.signal(signal.SIGKILL)
+                await load.until_more(60)
+                results = await load.stop()
+                world.check(results)
+                by_marker = {item.request.marker: item for item in results}
+                streams = [
+                    by_marker[marker]
+                    for marker in amid
+                    if by_marker[marker].request.stream
+                ]
+                assert streams
+                assert {item.verdict for item in streams} == {Verdict.ANSWERED}
+
+        asyncio.run(run())
+
+
+class TestGracefulShutdown:
+    def test_it_cuts_nothing_and_ends_in_time(self, tmp_path):
+        """An instance is replaced during the day and no caller notices.
+
+        It owns endpoints, has callers of its own in mid-stream, and gets
+        SIGTERM. It hands its endpoints over, keeps the streams up to their
+        end and exits; callers elsewhere never hear of it.
+        """
+
+        async def run():
+            async with open_world(tmp_path, ONE_CENTRE) as world:
+                leaving = world.find_owner("fenced-0")
+                load = Load(world.list_others(leaving), tokens=60)
+                await load.until_more(20)
+                own = Load([leaving], tokens=250)
+                await own.until_more(10)
+                own.pause()
+                await eventually(lambda: own.is_under_way("patter"))
+                leaving.signal(signal.SIGTERM)
+                async with asyncio.timeout(STOP_BOUND_S):
+                    assert await leaving.process.wait() == 0
+                await load.until_more(40)
+                results = await load.stop() + await own.stop()
+                world.check(results)
+                refused = [
+                    item for item in results if item.verdict is not Verdict.ANSWERED
+                ]
+                assert refused == []
+                assert leaving.read_log("stop_timeout") == []
+
+        asyncio.run(run())
+
+    def test_a_connection_that_nobody_accepted_yet_gets_an_answer(self, tmp_path):
+        """A charge is reset without a word while an instance is replaced.
+
+        The callers' connections stand in the system's queue when SIGTERM
+        comes, with their requests sent. Closing the listening socket would
+        reset them; each must hear an answer, or that it did not run.
+        """
+
+        async def run():
+            async with open_world(tmp_path, ONE_CENTRE) as world:
+                leaving = world.daemons_by_id["i1"]
+                leaving.signal(signal.SIGSTOP)
+                own = Load([leaving], per_s=200.0)
+                await eventually(lambda: own.caller.sent >= QUEUED)
+                own.pause()
+                await asyncio.sleep(0.1)
+                leaving.signal(signal.SIGTERM)
+                leaving.signal(signal.SIGCONT)
+                results = await own.stop()
+                world.check(results)
+                kinds = {item.kind for item in results}
+                assert kinds <= {"", "draining"}
+
+        asyncio.run(run())
