Measure the policy under load on a virtual clock

Change: script/bench policy plays recorded traces of both deployments with the real scheduling, routing and turns on fake engines, against least recently used, random, the previous revision and a clairvoyant policy. The scheduler takes its order and its estimate of use as parameters, and looks for late work at ticks and before a dispatch only.

--- /dev/null
+++ b/bench/policy/report.py
@@ -0,0 +1,227 @@
+"""Run all policies on all traces and print what they gave."""
+
+import argparse
+import os
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.policy.previous import find_previous, load_revision
+from bench.policy.rivals import Clairvoyant, FirstCome, Ours, Policy
+from bench.policy.simulation import Result, play
+from bench.policy.summary import Summary, summarize
+from bench.policy.traces import DEPLOYMENTS, TRACES, Deployment, Trace, make_trace
+
+__all__ = ["main"]
+
+PROCESSES = 4
+SEEDS = 3
+LRU, RANDOM, PREVIOUS, OURS, CLAIRVOYANT = (
+    "lru",
+    "random",
+    "previous",
+    "ours",
+    "clairvoyant",
+)
+POLICIES = (LRU, RANDOM, PREVIOUS, OURS, CLAIRVOYANT)
+STEADY = ("below", "knee", "above", "triple")
+PAST_KNEE = ("above", "triple")
+FULL = ("above", "triple", "peak")
+FIGURE = Path("docs/figures/policy.png")
+BUILD_FIGURE = Path("build/policy.png")
+
+Summaries = dict[str, dict[str, Summary]]
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One run."""
+
+    deployment: str
+    trace: str
+    policy: str
+    seed: int
+    previous: str
+
+
+def make_policy(job: Job, deployment: Deployment, trace: Trace) -> Policy:
+    """Return the policy that a job names."""
+    if job.policy == LRU:
+        return FirstCome()
+    if job.policy == RANDOM:
+        return FirstCome(seed=job.seed)
+    if job.policy == PREVIOUS:
+        return Ours(load_revision(job.previous))
+    if job.policy == CLAIRVOYANT:
+        return Clairvoyant(trace, deployment)
+    return Ours()
+
+
+def run_job(job: Job) -> Result:
+    """Play one trace."""
+    deployment = DEPLOYMENTS[job.deployment]
+    trace = make_trace(deployment, job.trace, job.seed)
+    return play(deployment, trace, make_policy(job, deployment, trace))
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the bench."""
+    options = parse(arguments)
+    previous = options.previous or find_previous() or ""
+    policies = [name for name in options.policies if name != PREVIOUS or previous]
+    print(f"previous policy: {previous or 'none in this repository'}")
+    if previous:
+        load_revision(previous)
+    jobs = [
+        Job(deployment, trace, policy, seed, previous)
+        for deployment in options.deployments
+        for trace in options.traces
+        for policy in policies
+        for seed in range(1, options.seeds + 1)
+    ]
+    # The longest first, so that no process is left with one at the end.
+    jobs.sort(
+        key=lambda job: (-TRACES[job.trace], -DEPLOYMENTS[job.deployment].workers)
+    )
+    with ProcessPoolExecutor(min(PROCESSES, os.cpu_count() or 1)) as pool:
+        results = dict(zip(jobs, pool.map(run_job, jobs), strict=True))
+    summaries_by_deployment = {
+        name: sum_up(DEPLOYMENTS[name], options.traces, policies, results)
+        for name in options.deployments
+    }
+    for name, summaries in summaries_by_deployment.items():
+        print_table(DEPLOYMENTS[name], summaries)
+    if set(options.traces) == set(TRACES) and set(policies) >= set(POLICIES) - {
+        PREVIOUS
+    }:
+        plot(summaries_by_deployment, FIGURE if options.figure else BUILD_FIGURE)
+        for name, summaries in summaries_by_deployment.items():
+            print(format_last_line(name, summaries))
+    return 0
+
+
+def parse(arguments: Sequence[str]) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(prog="script/bench policy", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--previous", help="revision to compare with")
+    parser.add_argument("--traces", nargs="+", default=list(TRACES), choices=TRACES)
+    parser.add_argument("--policies", nargs="+", default=POLICIES, choices=POLICIES)
+    parser.add_argument(
+        "--deployments", nargs="+", default=list(DEPLOYMENTS), choices=DEPLOYMENTS
+    )
+    parser.add_argument(
+        "--figure", action="store_true", help=f"write the plot to {FIGURE}"
+    )
+    return parser.parse_args(arguments)
+
+
+def sum_up(
+    deployment: Deployment,
+    traces: Sequence[str],
+    policies: Sequence[str],
+    results: dict[Job, Result],
+) -> Summaries:
+    """Return the summaries of one deployment by trace and policy."""
+    return {
+        trace: {
+            policy: summarize(
+                deployment,
+                [
+                    result
+                    for job, result in results.items()
+                    if (job.deployment, job.trace, job.policy)
+                    == (deployment.name, trace, policy)
+                ],
+            )
+            for policy in policies
+        }
+        for trace in traces
+    }
+
+
+def print_table(deployment: Deployment, summaries: Summaries) -> None:
+    """Print the figures of one deployment."""
+    print(
+        f"\n{deployment.name}: {deployment.workers} workers, knee at "
+        f"{deployment.knee_per_s:.1f} requests/s, a load takes {deployment.load_s} s"
+    )
+    print(
+        "trace    policy       stall: mean    p50    p99 | urgent: mean    p50    p99"
+        " | other: mean    p50    p99 | in time  urgent  batch  loads  back  refused"
+    )
+    for trace, by_policy in summaries.items():
+        for policy, item in by_policy.items():
+            stalls = " |".join(
+                f"        {value.mean:6.2f} {value.p50:6.2f} {value.p99:6.2f}"
+                for value in (item.stalls, item.urgent, item.other)
+            )
+            refused = " ".join(f"{kind}={n}" for kind, n in item.refused.items())
+            print(
+                f"{trace:8} {policy:11} {stalls} |   {item.in_time:.3f}"
+                f"   {item.urgent_in_time:.3f}  {item.batch:.3f}  {item.loads:5}"
+                f"  {item.recovery_s:4.0f}  {refused}"
+            )
+
+
+def divide(value: float, by: float) -> float:
+    """Return a ratio that is finite."""
+    return value / by if by > 0 else 1.0
+
+
+def compare_stalls(summaries: Summaries, other: str) -> float:
+    """Return the worse ratio of mean and p99 of stalls at the knee."""
+    ours, rival = summaries["knee"][OURS].stalls, summaries["knee"][other].stalls
+    return max(divide(ours.mean, rival.mean), divide(ours.p99, rival.p99))
+
+
+def format_last_line(deployment: str, summaries: Summaries) -> str:
+    """Return the line that ends a deployment's output."""
+    goodput = min(
+        divide(summaries[name][OURS].in_time, summaries[name][CLAIRVOYANT].in_time)
+        for name in PAST_KNEE
+    )
+    batch = min(
+        divide(summaries[name][OURS].batch, summaries[name][CLAIRVOYANT].batch)
+        for name in FULL
+    )
+    urgent = max(summaries[name][OURS].urgent.p99 for name in STEADY)
+    return (
+        f"policy deployment={deployment}"
+        f" stall_vs_lru={compare_stalls(summaries, LRU):.3f}"
+        f" stall_vs_clairvoyant={compare_stalls(summaries, CLAIRVOYANT):.3f}"
+        f" urgent_p99_s={urgent:.3f}"
+        f" goodput_vs_clairvoyant={goodput:.3f}"
+        f" batch_vs_clairvoyant={batch:.3f}"
+    )
+
+
+def plot(summaries_by_deployment: dict[str, Summaries], path: Path) -> None:
+    """Draw mean stalls and answers in time by trace and policy."""
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    from matplotlib import pyplot
+
+    rows = len(summaries_by_deployment)
+    figure, axes = pyplot.subplots(rows, 2, figsize=(13, 4 * rows), squeeze=False)
+    for row, (name, summaries) in enumerate(summaries_by_deployment.items()):
+        policies = list(next(iter(summaries.values())))
+        width = 0.8 / len(policies)
+        for number, policy in enumerate(policies):
+            places = [index + number * width for index in range(len(summaries))]
+            items = [by_policy[policy] for by_policy in summaries.values()]
+            axes[row][0].bar(
+                places, [i.stalls.mean for i in items], width, label=policy
+            )
+            axes[row][1].bar(places, [i.in_time for i in items], width, label=policy)
+        axes[row][0].set(title=f"{name}: mean load stall", ylabel="seconds")
+        axes[row][0].set_yscale("log")
+        axes[row][1].set(title=f"{name}: answered in time", ylabel="share")
+        for axis in axes[row]:
+            axis.set_xticks(range(len(summaries)), list(summaries), rotation=30)
+    axes[0][0].legend()
+    figure.tight_layout()
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(path, dpi=80)
--- /dev/null
+++ b/bench/policy/rivals.py
@@ -0,0 +1,251 @@
+"""The policies that are compared, each behind the same protocol."""
+
+import bisect
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from types import ModuleType
+from typing import Any, Protocol
+
+from bench.policy.traces import Deployment, Request, Trace
+from fescuekeel.components.gateway import routing
+from fescuekeel.components.owner.scheduling import decision, load_plan, model
+from fescuekeel.components.owner.scheduling.queue import Wait, WorkQueue
+from fescuekeel.messages import AdapterRef, LiveEntry, Member
+
+__all__ = ["Clairvoyant", "FirstCome", "Ours", "Policy", "Router", "Scheduler"]
+
+
+class Scheduler(Protocol):
+    """Decide for one endpoint."""
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Take an event in and return effects."""
+
+    @property
+    def queued_count(self) -> int:
+        """Return how many requests wait."""
+
+    @property
+    def running_count(self) -> int:
+        """Return how many run."""
+
+    @property
+    def loaded(self) -> frozenset[AdapterRef]:
+        """Return the adapters that are loaded."""
+
+
+@dataclass(frozen=True, slots=True)
+class Router:
+    """What an entry knows when it chooses an endpoint."""
+
+    endpoints_by_id: Mapping[str, LiveEntry]
+    members_by_id: Mapping[str, Member]
+    hints: routing.Hints
+    schedulers_by_id: Mapping[str, Scheduler]
+    load_s: float
+
+
+class Policy(Protocol):
+    """Make schedulers and choose endpoints."""
+
+    def make_scheduler(self) -> Scheduler:
+        """Return a scheduler for one endpoint."""
+
+    def route(
+        self, request: Request, router: Router, tried: Iterable[str], now: float
+    ) -> str | None:
+        """Return the endpoint that the request goes to."""
+
+
+class Ours:
+    """The project's own policy, or an earlier one given as a module."""
+
+    def __init__(self, module: ModuleType = decision) -> None:
+        self._module = module
+
+    def make_scheduler(self) -> Scheduler:
+        """Return the real scheduler."""
+        scheduler: Scheduler = self._module.EndpointScheduler()
+        return scheduler
+
+    def route(
+        self, request: Request, router: Router, tried: Iterable[str], now: float
+    ) -> str | None:
+        """Ask the real routing."""
+        choice = routing.choose(
+            "engines",
+            request.adapter,
+            request.id,
+            router.endpoints_by_id,
+            router.members_by_id,
+            router.hints,
+            now,
+            router.load_s,
+            tuple(tried),
+        )
+        return choice.endpoint if choice is not None else None
+
+
+# Usual parts: least recently used, or random; first come; least loaded.
+
+
+@dataclass(slots=True)
+class Recency:
+    """Score adapters by their last use."""
+
+    _used_by_adapter: dict[AdapterRef, float] = field(default_factory=dict)
+
+    def record(self, adapter: AdapterRef, now: float) -> None:
+        """Note a use."""
+        self._used_by_adapter[adapter] = now
+
+    def get_score(self, adapter: AdapterRef, now: float) -> float:
+        """Return the time of the last use."""
+        return self._used_by_adapter.get(adapter, 0.0)
+
+
+@dataclass(slots=True)
+class Chance:
+    """Score adapters at random."""
+
+    random_: random.Random
+
+    def record(self, adapter: AdapterRef, now: float) -> None:
+        """Learn nothing."""
+
+    def get_score(self, adapter: AdapterRef, now: float) -> float:
+        """Return a random number."""
+        return self.random_.random()
+
+
+@dataclass(slots=True)
+class FirstComePlan(load_plan.LoadPlan):
+    """Load in order of arrival."""
+
+    def get_value(self, wait: Wait) -> float:
+        """Return more for what waits longer."""
+        return -wait.oldest
+
+
+def order_first_come(work: model.Work) -> tuple[int, float, str]:
+    """Return the sort key of first come, first served."""
+    return (0, work.arrived, work.request_id)
+
+
+class FirstCome:
+    """Serve in order of arrival at the least loaded endpoint."""
+
+    def __init__(self, seed: int | None = None) -> None:
+        self._random = random.Random(seed) if seed is not None else None
+
+    def make_scheduler(self) -> Scheduler:
+        """Return a scheduler without urgency and early refusals."""
+        score = Chance(self._random) if self._random else Recency()
+        return decision.EndpointScheduler(
+            popularity=score,
+            queue=WorkQueue(order=order_first_come),
+            plan=FirstComePlan(),
+            refuses_early=False,
+        )
+
+    def route(
+        self, request: Request, router: Router, tried: Iterable[str], now: float
+    ) -> str | None:
+        """Take the endpoint with the fewest requests, or any at random."""
+        ids = [id for id in router.endpoints_by_id if id not in set(tried)]
+        if not ids:
+            return None
+        if self._random is not None:
+            return self._random.choice(ids)
+        return min(ids, key=lambda id: (_count(router.schedulers_by_id[id]), id))
+
+
+def _count(scheduler: Scheduler) -> int:
+    return scheduler.queued_count + scheduler.running_count
+
+
+# One that knows the trace.
+
+
+class Oracle:
+    """Know when each adapter is asked for next."""
+
+    def __init__(self, trace: Trace) -> None:
+        self._times_by_adapter: defaultdict[AdapterRef, list[float]] = defaultdict(list)
+        for request in trace.requests:
+            self._times_by_adapter[request.adapter].append(request.at)
+
+    def record(self, adapter: AdapterRef, now: float) -> None:
+        """Learn nothing: all is known."""
+
+    def get_next_use(self, adapter: AdapterRef, now: float) -> float:
+        """Return the time of the next arrival, infinite if there is none."""
+        times = self._times_by_adapter[adapter]
+        index = bisect.bisect_right(times, now)
+        return times[index] if index < len(times) else float("inf")
+
+    def get_score(self, adapter: AdapterRef, now: float) -> float:
+        """Return a higher score for an earlier next use."""
+        return -self.get_next_use(adapter, now)
+
+
+class Clairvoyant:
+    """Know the trace, each queue and each copy at the time of routing.
+
+    It evicts what is used last of all, over all endpoints (a load goes where
+    that one is), and loads on demand in the order of the real policy. It
+    does not load ahead of the demand.
+    """
+
+    def __init__(self, trace: Trace, deployment: Deployment) -> None:
+        self._oracle = Oracle(trace)
+        self._deployment = deployment
+
+    def make_scheduler(self) -> Scheduler:
+        """Return the real scheduler with the true next use of each adapter."""
+        return decision.EndpointScheduler(popularity=self._oracle)
+
+    def route(
+        self, request: Request, router: Router, tried: Iterable[str], now: float
+    ) -> str | None:
+        """Go where a copy is or will be, else where a load costs least."""
+        left = [id for id in router.endpoints_by_id if id not in set(tried)]
+        if not left:
+            return None
+        schedulers = {id: router.schedulers_by_id[id] for id in left}
+        having = [id for id, item in schedulers.items() if _has(item, request.adapter)]
+        if having:
+            return min(having, key=lambda id: (_count(schedulers[id]), id))
+        return max(left, key=lambda id: (self._get_room(schedulers[id], now), id))
+
+    def _get_room(self, scheduler: Scheduler, now: float) -> float:
+        """Return when the endpoint's least needed adapter is used next."""
+        assert isinstance(scheduler, decision.EndpointScheduler)
+        waiting = len(scheduler.queue.adapters - scheduler.loaded)
+        next_uses = sorted(
+            (
+                self._oracle.get_next_use(adapter, now)
+                for adapter in scheduler.loaded
+                if adapter not in scheduler.queue.adapters
+                and scheduler.is_idle(adapter, now)
+            ),
+            reverse=True,
+        )
+        config = scheduler.config
+        free = config.slots - len(scheduler.loaded) if config else 0
+        if waiting < free:
+            return float("inf")
+        index = waiting - free
+        return next_uses[index] if index < len(next_uses) else now
+
+
+def _has(scheduler: Scheduler, adapter: AdapterRef) -> bool:
+    assert isinstance(scheduler, decision.EndpointScheduler)
+    if adapter in scheduler.loaded or adapter == scheduler.loading:
+        return True
+    return adapter in scheduler.queue.adapters
+
+
+MakePolicy = Callable[[Deployment, Trace], Policy]
--- /dev/null
+++ b/bench/policy/simulation.py
@@ -0,0 +1,431 @@
+"""Play one trace against one policy."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import partial
+
+from bench.policy.fakes import Clock, Engine, Store
+from bench.policy.rivals import Policy, Router, Scheduler
+from bench.policy.traces import (
+    CHANGE_ENDS_S,
+    CHANGE_S,
+    DATA_CENTRES,
+    DURATION_S,
+    SLOTS,
+    WARM_UP_S,
+    Deployment,
+    Request,
+    Trace,
+)
+from fescuekeel.components.gateway import routing
+from fescuekeel.components.owner.scheduling import model
+from fescuekeel.components.turns.decision import TurnReply, TurnTable
+from fescuekeel.errors import ErrorKind
+from fescuekeel.messages import (
+    AdapterRef,
+    LiveEntry,
+    LiveRole,
+    Member,
+    PeerMessage,
+    TurnAsk,
+    TurnDone,
+)
+
+__all__ = ["Outcome", "Result", "play"]
+
+LINK_S = 0.0005
+EVICT_S = 0.002
+TICK_S = 0.1
+REPORT_S = 0.5
+MEMBERS = 8
+DRAIN_S = 70.0
+# A dead owner is noticed after this long, and its lease waited out.
+NOTICED_S = 1.0
+LEASE_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one request; ``stall_s`` is the wait for its adapter."""
+
+    request: Request
+    answered_at: float | None
+    kind: str
+    stall_s: float
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether it was answered within its time."""
+        if self.answered_at is None:
+            return False
+        return self.answered_at <= self.request.at + self.request.kind.answer_s
+
+
+@dataclass(slots=True)
+class Result:
+    """What one run gave, after the warm-up."""
+
+    outcomes: list[Outcome] = field(default_factory=list)
+    loads: int = 0
+    steps: int = 0
+    tokens: int = 0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A request on its way; ``tried`` are endpoints that had no room."""
+
+    request: Request
+    endpoint: str = ""
+    tried: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Host:
+    """One endpoint with its owner's scheduler."""
+
+    engine: Engine
+    scheduler: Scheduler
+    entry: LiveEntry
+    ready: bool = True
+    ended_by_owner: int = 0
+    foreign_by_id: dict[str, AdapterRef] = field(default_factory=dict)
+    loaded_at: dict[AdapterRef, float] = field(default_factory=dict)
+    ask: TurnAsk | None = None
+
+
+def play(deployment: Deployment, trace: Trace, policy: Policy) -> Result:
+    """Run a trace to its end."""
+    return _Run(deployment, trace, policy).run()
+
+
+class _Run:
+    def __init__(self, deployment: Deployment, trace: Trace, policy: Policy) -> None:
+        self._deployment = deployment
+        self._trace = trace
+        self._policy = policy
+        self._clock = Clock()
+        self._store = Store(self._clock, deployment.loads_per_s)
+        self._tables_by_side: dict[str, TurnTable] = {
+            "": TurnTable(),
+            "dc2": TurnTable(),
+        }
+        self._hints_by_dc = {f"dc{n}": routing.Hints() for n in range(DATA_CENTRES)}
+        self._members = self._make_members()
+        self._hosts_by_id = self._make_hosts()
+        self._attempts_by_id: dict[str, Attempt] = {}
+        self._result = Result()
+        self._cut = False
+        self._held: list[Attempt] = []
+        self._dead_owner = ""
+        self._at_warm_up = Counter[str]()
+
+    def _make_members(self) -> dict[str, Member]:
+        members = [
+            Member(f"i{n}", "", f"dc{n % DATA_CENTRES}", 1) for n in range(MEMBERS)
+        ]
+        return {member.id: member for member in members}
+
+    def _make_hosts(self) -> dict[str, Host]:
+        hosts = {}
+        for number in range(self._deployment.workers):
+            id, dc = f"e{number}", f"dc{number % DATA_CENTRES}"
+            engine = Engine(
+                id, self._clock, self._deployment.step_s, self._deployment.max_running
+            )
+            entry = LiveEntry(id, LiveRole.ENDPOINT, "", dc, 1, pool="engines")
+            hosts[id] = Host(engine, self._policy.make_scheduler(), entry)
+        return hosts
+
+    def run(self) -> Result:
+        """Schedule everything and let the clock run."""
+        for host in self._hosts_by_id.values():
+            self._tell(host, self._make_config(ready=True))
+        for request in self._trace.requests:
+            attempt = Attempt(request)
+            self._clock.call_at(request.at, partial(self._route, attempt))
+        self._clock.call_at(TICK_S, self._tick)
+        self._clock.call_at(WARM_UP_S, self._note_warm_up)
+        self._clock.call_at(CHANGE_S, self._change)
+        self._clock.call_at(CHANGE_ENDS_S, self._end_change)
+        self._clock.run(DURATION_S + DRAIN_S)
+        left = len(self._attempts_by_id)
+        if left:
+            raise AssertionError(f"{left} requests never ended")
+        counts = self._count()
+        counts.subtract(self._at_warm_up)
+        self._result.loads = counts["loads"]
+        self._result.steps = counts["steps"]
+        self._result.tokens = counts["tokens"]
+        return self._result
+
+    def _make_config(self, ready: bool) -> model.Configured:
+        return model.Configured(
+            slots=SLOTS,
+            max_running=self._deployment.max_running,
+            step_s=self._deployment.step_s,
+            load_s=self._deployment.load_s,
+            ready=ready,
+        )
+
+    def _note_warm_up(self) -> None:
+        self._at_warm_up = self._count()
+
+    def _count(self) -> Counter[str]:
+        engines = [host.engine for host in self._hosts_by_id.values()]
+        return Counter(
+            loads=self._store.loads,
+            steps=sum(engine.steps for engine in engines),
+            tokens=sum(engine.tokens for engine in engines),
+        )
+
+    def _tick(self) -> None:
+        self._tick_turns()
+        for host in self._hosts_by_id.values():
+            if host.scheduler.queued_count or host.scheduler.running_count:
+                self._tell(host, model.Tick())
+        if self._clock.now < DURATION_S + DRAIN_S:
+            self._clock.call_later(TICK_S, self._tick)
+
+    # The entries' part.
+
+    def _make_router(self, dc: str) -> Router:
+        members = self._members
+        if self._cut:
+            side = self._get_side(dc)
+            members = {
+                id: member
+                for id, member in members.items()
+                if self._get_side(member.data_centre) == side
+            }
+        return Router(
+            endpoints_by_id={id: h.entry for id, h in self._hosts_by_id.items()},
+            members_by_id=members,
+            hints=self._hints_by_dc[dc],
+            schedulers_by_id={id: h.scheduler for id, h in self._hosts_by_id.items()},
+            load_s=self._deployment.load_s,
+        )
+
+    def _get_side(self, dc: str) -> str:
+        return dc if self._cut and dc == "dc2" else ""
+
+    def _route(self, attempt: Attempt) -> None:
+        request = attempt.request
+        self._attempts_by_id[request.id] = attempt
+        router = self._make_router(request.data_centre)
+        now = self._clock.now
+        cut_off = {
+            id
+            for id, host in self._hosts_by_id.items()
+            if self._get_side(host.entry.data_centre)
+            != self._get_side(request.data_centre)
+        }
+        tried = attempt.tried | cut_off
+        endpoint = self._policy.route(request, router, sorted(tried), now)
+        if endpoint is None:
+            self._end(request, None, ErrorKind.NO_ENDPOINT, 0.0)
+            return
+        attempt.endpoint = endpoint
+        router.hints.note_sent(endpoint)
+        if endpoint == self._dead_owner:
+            self._held.append(attempt)
+            return
+        self._clock.call_later(LINK_S, partial(self._submit, attempt))
+
+    def _submit(self, attempt: Attempt) -> None:
+        request = attempt.request
+        if attempt.endpoint == self._dead_owner:
+            self._held.append(attempt)
+            return
+        work = model.Work(
+            request_id=request.id,
+            adapter=request.adapter,
+            service=request.kind.name,
+            urgency=request.kind.urgency,
+            arrived=request.at,
+            deadline=request.at + request.kind.answer_s,
+            service_s=request.kind.tokens * self._deployment.step_s,
+            stall_weight=self._deployment.stall_weight,
+            batch_weight=self._deployment.batch_weight,
+        )
+        self._tell(self._hosts_by_id[attempt.endpoint], model.Arrived(work))
+
+    def _end(
+        self, request: Request, answered_at: float | None, kind: str, stall_s: float
+    ) -> None:
+        attempt = self._attempts_by_id.pop(request.id)
+        if attempt.endpoint:
+            self._hints_by_dc[request.data_centre].note_done(attempt.endpoint)
+        if request.at >= WARM_UP_S:
+            outcome = Outcome(request, answered_at, str(kind), stall_s)
+            self._result.outcomes.append(outcome)
+
+    # The owners' part.
+
+    def _tell(self, host: Host, event: model.Event) -> None:
+        for effect in host.scheduler.handle(event, self._clock.now):
+            self._apply(host, effect)
+
+    def _apply(self, host: Host, effect: model.Effect) -> None:
+        match effect:
+            case model.Dispatch(request_id):
+                self._dispatch(host, effect, self._attempts_by_id[request_id].request)
+            case model.Refuse(request_id):
+                self._refuse(host, effect, self._attempts_by_id[request_id])
+            case model.AskTurn(adapter, value, waiting):
+                known = host.ask is not None and host.ask.adapter == adapter
+                host.ask = TurnAsk(host.entry.id, adapter, value, waiting)
+                ask = partial(self._ask_turn, host, host.ask, 0 if known else 1)
+                self._clock.call_later(LINK_S, ask)
+            case model.ReturnTurn(adapter):
+                host.ask = None
+                self._return_turn(host, adapter, 0)
+            case model.Load(adapter):
+                self._load(host, adapter)
+            case model.Evict(adapter):
+                host.engine.evict(adapter)
+                ended = model.EvictEnded(adapter, True)
+                self._clock.call_later(EVICT_S, partial(self._tell, host, ended))
+            case _:
+                raise AssertionError(f"unknown effect {effect}")
+
+    def _dispatch(self, host: Host, effect: model.Dispatch, request: Request) -> None:
+        now = self._clock.now
+        stall_s = self._get_stall_s(host, request)
+        hints = self._hints_by_dc[request.data_centre]
+        wait_s = max(0.0, effect.queue_s - effect.stall_s)
+        hints.note_ended(host.entry.id, request.adapter, wait_s, now)
+        end = host.engine.start(request.id, request.adapter, request.tokens)
+        finish = partial(self._finish, host, request, host.engine.boot, stall_s)
+        self._clock.call_at(end, finish)
+
+    def _get_stall_s(self, host: Host, request: Request) -> float:
+        loaded_at = host.loaded_at.get(request.adapter, self._clock.now)
+        return max(0.0, loaded_at - request.at)
+
+    def _finish(self, host: Host, request: Request, boot: int, stall_s: float) -> None:
+        if boot != host.engine.boot:
+            return
+        del host.engine.running_by_id[request.id]
+        self._end(request, self._clock.now + 2 * LINK_S, "answered", stall_s)
+        if request.id in host.foreign_by_id:
+            del host.foreign_by_id[request.id]
+            self._clock.call_later(REPORT_S, partial(self._report, host))
+            return
+        self._tell(host, model.Finished(request.id))
+
+    def _refuse(self, host: Host, effect: model.Refuse, attempt: Attempt) -> None:
+        request = attempt.request
+        now = self._clock.now
+        if effect.kind is ErrorKind.QUEUE_FULL and not attempt.tried:
+            hints = self._hints_by_dc[request.data_centre]
+            hints.note_full(host.entry.id, effect.retry_after_s, now)
+            hints.note_done(host.entry.id)
+            attempt.tried.add(host.entry.id)
+            self._clock.call_later(LINK_S, partial(self._route, attempt))
+            return
+        waited_s = 0.0 if request.adapter in host.engine.loaded else now - request.at
+        self._end(request, None, effect.kind, waited_s)
+
+    def _load(self, host: Host, adapter: AdapterRef) -> None:
+        if len(host.engine.loaded) >= SLOTS:
+            raise AssertionError(f"{host.entry.id}: no slot")
+        start = self._clock.now
+        ended = partial(self._end_load, host, adapter, start, host.engine.boot)
+        self._store.fetch(ended)
+
+    def _end_load(
+        self, host: Host, adapter: AdapterRef, start: float, boot: int
+    ) -> None:
+        took_s = self._clock.now - start
+        ok = boot == host.engine.boot
+        if ok:
+            host.engine.load(adapter)
+            host.loaded_at[adapter] = self._clock.now
+        self._return_turn(host, adapter, int(took_s * 1000))
+        self._tell(host, model.LoadEnded(adapter, ok, took_s))
+
+    # The turns' part.
+
+    def _get_table(self, host: Host) -> TurnTable:
+        return self._tables_by_side[self._get_side(host.entry.data_centre)]
+
+    def _ask_turn(self, host: Host, ask: TurnAsk, number: int) -> None:
+        table = self._get_table(host)
+        question = PeerMessage(host.entry.id, number, ask)
+        self._answer(table.ask(question, self._clock.now))
+
+    def _tick_turns(self) -> None:
+        for table in self._tables_by_side.values():
+            self._answer(table.tick(self._clock.now))
+
+    def _return_turn(self, host: Host, adapter: AdapterRef, took_ms: int) -> None:
+        done = TurnDone(host.entry.id, adapter, took_ms)
+        table = self._get_table(host)
+
+        def give_back() -> None:
+            self._answer(table.done(done, self._clock.now))
+
+        self._clock.call_later(LINK_S, give_back)
+
+    def _answer(self, replies: list[TurnReply]) -> None:
+        for reply in replies:
+            host = self._hosts_by_id[reply.question.sender]
+            if reply.answer.granted:
+                host.ask = None
+                event = model.TurnGranted(reply.answer.adapter)
+                self._clock.call_later(LINK_S, partial(self._tell, host, event))
+                continue
+            if host.ask is not None and host.ask.adapter == reply.answer.adapter:
+                again = partial(self._ask_turn, host, host.ask, 1)
+                self._clock.call_later(2 * LINK_S, again)
+
+    # Failures.
+
+    def _change(self) -> None:
+        if self._trace.restarts:
+            self._restart(self._hosts_by_id["e0"])
+        if self._trace.cuts:
+            self._cut = True
+        if self._trace.replaces_owner:
+            self._kill_owner(self._hosts_by_id["e0"])
+
+    def _end_change(self) -> None:
+        self._cut = False
+
+    def _restart(self, host: Host) -> None:
+        lost = host.engine.restart()
+        event = model.Reported(frozenset(), {}, restarted=True)
+        self._tell(host, event)
+        for id in lost:
+            self._end(self._attempts_by_id[id].request, None, "endpoint_lost", 0.0)
+            self._tell(host, model.Finished(id))
+
+    def _kill_owner(self, host: Host) -> None:
+        """Lose the scheduler's state; what it had queued is sent again."""
+        self._dead_owner = host.entry.id
+        host.foreign_by_id = dict(host.engine.running_by_id)
+        queued = [
+            attempt
+            for id, attempt in self._attempts_by_id.items()
+            if attempt.endpoint == host.entry.id and id not in host.engine.running_by_id
+        ]
+        self._held += queued
+        host.scheduler = self._policy.make_scheduler()
+        self._clock.call_later(NOTICED_S, partial(self._take_over, host))
+
+    def _take_over(self, host: Host) -> None:
+        self._dead_owner = ""
+        self._tell(host, self._make_config(ready=False))
+        self._report(host)
+        held, self._held = self._held, []
+        for attempt in held:
+            self._submit(attempt)
+        self._clock.call_later(LEASE_S, partial(self._become_ready, host))
+
+    def _become_ready(self, host: Host) -> None:
+        self._tell(host, self._make_config(ready=True))
+
+    def _report(self, host: Host) -> None:
+        event = model.Reported(frozenset(host.engine.loaded), dict(host.foreign_by_id))
+        self._tell(host, event)
--- a/fescuekeel/components/owner/scheduling/decision.py
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -5,7 +5,7 @@
 
 from fescuekeel.components.owner.scheduling import model
 from fescuekeel.components.owner.scheduling.load_plan import LoadPlan
-from fescuekeel.components.owner.scheduling.popularity import Popularity
+from fescuekeel.components.owner.scheduling.popularity import Popularity, UseEstimate
 from fescuekeel.components.owner.scheduling.queue import WorkQueue
 from fescuekeel.errors import ErrorKind
 from fescuekeel.messages import AdapterRef
@@ -34,9 +34,10 @@
     """Decide for one endpoint what to dispatch, load, evict and refuse.
 
     It is pure: the same events at the same times give the same effects.
-    ``now`` is monotonic and in seconds. "Serving" and "loaded" are facts of
-    the endpoint's one owner, so that the promise that a serving adapter is
-    never evicted holds here and relies on no agreement.
+    ``now`` is monotonic and in seconds. ``refuses_early`` can be switched off
+    for comparison: late work then only expires. "Serving" and "loaded" are
+    facts of the endpoint's one owner, so that the promise that a serving
+    adapter is never evicted holds here and relies on no agreement.
 
     >>> scheduler = EndpointScheduler()
     >>> scheduler.handle(model.Configured(2, 4, 0.008, 0.5), 0.0)
@@ -53,10 +54,11 @@
     [Dispatch(request_id='r1', stall_s=0.6, queue_s=0.6)]
     """
 
-    popularity: Popularity = field(default_factory=Popularity)
+    popularity: UseEstimate = field(default_factory=Popularity)
     config: model.Configured | None = None
     queue: WorkQueue = field(default_factory=WorkQueue)
     plan: LoadPlan = field(default_factory=LoadPlan)
+    refuses_early: bool = True
     _holdings_by_adapter: dict[AdapterRef, Holding] = field(default_factory=dict)
     _running_by_id: dict[str, AdapterRef] = field(default_factory=dict)
     _foreign_by_id: dict[str, AdapterRef] = field(default_factory=dict)
@@ -121,8 +123,7 @@
             case model.Reported():
                 self._reconcile(event, now)
             case model.Tick():
-                pass
-        self._drop_late(now)
+                self._drop_late(now)
         self._move(now)
         return self._effects
 
@@ -144,7 +145,7 @@
             self._refuse(work, ErrorKind.QUEUE_FULL, self._get_drain_s())
             return
         self.queue.add(work)
-        wait_s = self._estimate_wait_s(work)
+        wait_s = self._estimate_wait_s(work) if self.refuses_early else 0.0
         if now + wait_s + work.service_s <= work.deadline:
             return
         self.queue.remove(work.request_id)
@@ -190,14 +191,19 @@
         its caller can act on it, and it costs no load and no step.
         """
         for work in self.queue.list_all():
-            if now >= work.deadline:
-                self.queue.remove(work.request_id)
-                self._refuse(work, ErrorKind.EXPIRED, 0.0)
-                continue
-            least_s = work.service_s + self._get_least_load_s(work.adapter)
-            if now + least_s > work.deadline:
-                self.queue.remove(work.request_id)
-                self._refuse(work, ErrorKind.TOO_LATE, self._get_drain_s())
+            self._drop_if_late(work, now)
+
+    def _drop_if_late(self, work: model.Work, now: float) -> bool:
+        if now >= work.deadline:
+            self.queue.remove(work.request_id)
+            self._refuse(work, ErrorKind.EXPIRED, 0.0)
+            return True
+        least_s = work.service_s + self._get_least_load_s(work.adapter)
+        if not self.refuses_early or now + least_s <= work.deadline:
+            return False
+        self.queue.remove(work.request_id)
+        self._refuse(work, ErrorKind.TOO_LATE, self._get_drain_s())
+        return True
 
     def _get_least_load_s(self, adapter: AdapterRef) -> float:
         if not self._needs_load(adapter) or adapter == self.plan.loading:
@@ -222,6 +228,8 @@
             work = self.queue.pick(self._can_dispatch)
             if work is None:
                 return
+            if self._drop_if_late(work, now):
+                continue
             self.queue.remove(work.request_id)
             self._running_by_id[work.request_id] = work.adapter
             stall_s = self._start_serving(work)
@@ -284,13 +292,13 @@
 
     def _choose_victim(self, now: float) -> AdapterRef | None:
         """Return the idle adapter with the latest expected next use."""
-        if self._draining is not None and self._is_idle(self._draining, now):
+        if self._draining is not None and self.is_idle(self._draining, now):
             return self._draining
         waiting = self.queue.adapters
         idle = [
             adapter
             for adapter in self._holdings_by_adapter
-            if adapter not in waiting and self._is_idle(adapter, now)
+            if adapter not in waiting and self.is_idle(adapter, now)
         ]
         return self._choose_coldest(idle, now)
 
@@ -310,7 +318,8 @@
             default=None,
         )
 
-    def _is_idle(self, adapter: AdapterRef, now: float) -> bool:
+    def is_idle(self, adapter: AdapterRef, now: float) -> bool:
+        """Tell whether an adapter is loaded and serves nothing."""
         holding = self._holdings_by_adapter.get(adapter)
         if holding is None or holding.serving > 0 or now < holding.keep_until:
             return False
--- a/fescuekeel/components/owner/scheduling/popularity.py
+++ b/fescuekeel/components/owner/scheduling/popularity.py
@@ -1,16 +1,27 @@
 """Estimates of how often each adapter will be asked for."""
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from fescuekeel.messages import AdapterRef
 
-__all__ = ["Popularity"]
+__all__ = ["Popularity", "UseEstimate"]
 
 HALF_LIFE_S = 120.0
 # Idle adapters must cost nothing: beyond this many the rarest are forgotten.
 MAX_KNOWN = 4096
 
 
+class UseEstimate(Protocol):
+    """Estimate from past arrivals how soon an adapter is used again."""
+
+    def record(self, adapter: AdapterRef, now: float) -> None:
+        """Take in one arrival."""
+
+    def get_score(self, adapter: AdapterRef, now: float) -> float:
+        """Return a score that is higher the sooner the next use is."""
+
+
 @dataclass(slots=True)
 class Popularity:
     """Count arrivals of each adapter, older ones for less.
--- a/fescuekeel/components/owner/scheduling/queue.py
+++ b/fescuekeel/components/owner/scheduling/queue.py
@@ -6,9 +6,10 @@
 from fescuekeel.components.owner.scheduling.model import Work
 from fescuekeel.messages import AdapterRef
 
-__all__ = ["Wait", "WorkQueue"]
+__all__ = ["Wait", "WorkQueue", "order_urgent_first"]
 
 AdapterTest = Callable[[AdapterRef], bool]
+WorkOrder = tuple[int, float, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +27,8 @@
     oldest: float
 
 
-def _order(work: Work) -> tuple[int, float, str]:
+def order_urgent_first(work: Work) -> WorkOrder:
+    """Return the sort key of urgent first, then first come."""
     return (work.urgency, work.arrived, work.request_id)
 
 
@@ -42,8 +44,10 @@
     'urgent'
     """
 
+    order: Callable[[Work], WorkOrder] = order_urgent_first
     _work_by_id: dict[str, Work] = field(default_factory=dict)
     _ids_by_adapter: dict[AdapterRef, dict[str, None]] = field(default_factory=dict)
+    _waits_by_adapter: dict[AdapterRef, Wait] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self._work_by_id)
@@ -60,6 +64,7 @@
         """Put a request in."""
         self._work_by_id[work.request_id] = work
         self._ids_by_adapter.setdefault(work.adapter, {})[work.request_id] = None
+        self._waits_by_adapter.pop(work.adapter, None)
 
     def remove(self, request_id: str) -> Work | None:
         """Take a request out; return it, or ``None`` if it was not there."""
@@ -68,6 +73,7 @@
             return None
         ids = self._ids_by_adapter[work.adapter]
         del ids[request_id]
+        self._waits_by_adapter.pop(work.adapter, None)
         if not ids:
             del self._ids_by_adapter[work.adapter]
         return work
@@ -88,12 +94,12 @@
             if is_ready(adapter)
             for id in ids
         )
-        return min(ready, key=_order, default=None)
+        return min(ready, key=self.order, default=None)
 
     def count_ready_ahead(self, work: Work, needs_load: AdapterTest) -> int:
         """Count the requests that need no load and come before this one."""
         return sum(
-            _order(other) < _order(work)
+            self.order(other) < self.order(work)
             for adapter in self._ids_by_adapter
             if not needs_load(adapter)
             for other in self.list_adapter(adapter)
@@ -108,11 +114,15 @@
         ]
 
     def _sum_up(self, adapter: AdapterRef) -> Wait:
+        wait = self._waits_by_adapter.get(adapter)
+        if wait is not None:
+            return wait
         work = self.list_adapter(adapter)
-        return Wait(
+        wait = self._waits_by_adapter[adapter] = Wait(
             adapter=adapter,
             urgency=min(item.urgency for item in work),
             count=len(work),
             weight=sum(item.stall_weight for item in work),
             oldest=min(item.arrived for item in work),
         )
+        return wait
