Share limits among instances; choose owners in one place

Cause: each instance enforced a shop's whole limit, so that four let four times as much through; two functions chose an endpoint's owner, and had they ever differed, entries would have asked instances that refuse. Conclusion: limits hold over the fleet as far as the balancer spreads evenly.

--- a/fescuekeel/components/gateway/component.py
+++ b/fescuekeel/components/gateway/component.py
@@ -209,6 +209,7 @@
 
     def _note_members(self, view: MemberView) -> None:
         now = frozenset(view.members_by_id)
+        self.limits.instances = max(1, len(now))
         # Guards against a graceful shutdown that cuts off what it finishes:
         # an owner that has left still carries its work to the end, and should
         # it die on the way, its connection tells.
--- a/fescuekeel/components/gateway/router.py
+++ b/fescuekeel/components/gateway/router.py
@@ -3,9 +3,10 @@
 from fescuekeel.components.gateway.admission import Admission
 from fescuekeel.components.gateway.limits import Limits
 from fescuekeel.components.gateway.request import Placement
-from fescuekeel.components.gateway.routing import Hints, choose, find_owner
+from fescuekeel.components.gateway.routing import Hints, choose
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure, RetryReason
+from fescuekeel.helpers.owners import choose_owner
 from fescuekeel.messages import MemberView
 
 __all__ = ["GatewayRouter"]
@@ -52,7 +53,9 @@
         if view is None:
             return None
         entry = view.endpoints_by_id.get(endpoint)
-        return None if entry is None else find_owner(entry, view.members_by_id)
+        if entry is None:
+            return None
+        return choose_owner(entry, view.members_by_id.values())
 
     def note_sent(self, placement: Placement) -> None:
         """Count a request on its way to an endpoint."""
--- a/fescuekeel/components/gateway/routing.py
+++ b/fescuekeel/components/gateway/routing.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from fescuekeel.helpers.owners import choose_owner
 from fescuekeel.messages import AdapterRef, LiveEntry, Member
 from fescuekeel.util import rendezvous
 
@@ -17,7 +18,6 @@
     "Hints",
     "RouteReason",
     "choose",
-    "find_owner",
     "rank_endpoints",
     "rank_live_endpoints",
 ]
@@ -156,29 +156,6 @@
     return sorted(ranked, key=lambda id: endpoints_by_id[id].data_centre not in live)
 
 
-def find_owner(endpoint: LiveEntry, members_by_id: Mapping[str, Member]) -> str | None:
-    """Return the instance that owns an endpoint, if there is any instance.
-
-    It is one of the endpoint's own data centre; another's steps in only when
-    none is left there, so that a cut between data centres never makes two
-    owners that both reach the endpoint.
-
-    >>> from fescuekeel.messages import LiveRole
-    >>> entry = LiveEntry("e1", LiveRole.ENDPOINT, "", "dc1", 1)
-    >>> near, far = Member("i1", "", "dc1", 1), Member("i2", "", "dc2", 1)
-    >>> find_owner(entry, {"i1": near, "i2": far})
-    'i1'
-    >>> find_owner(entry, {"i2": far})
-    'i2'
-    """
-    near = [
-        id
-        for id, member in members_by_id.items()
-        if member.data_centre == endpoint.data_centre
-    ]
-    return rendezvous.choose(endpoint.id, near or members_by_id)
-
-
 def choose(
     pool: str,
     adapter: AdapterRef,
@@ -209,7 +186,7 @@
     else:
         endpoint = _choose_least_loaded(candidates[:PLAIN_CANDIDATES], hints, now)
         reason, wait_s = RouteReason.LEAST_LOADED, hints.get_wait_s(endpoint, now)
-    owner = find_owner(endpoints_by_id[endpoint], members_by_id)
+    owner = choose_owner(endpoints_by_id[endpoint], members_by_id.values())
     if owner is None:
         return None
     return Choice(endpoint, owner, reason, wait_s)
--- a/fescuekeel/components/operators/views.py
+++ b/fescuekeel/components/operators/views.py
@@ -6,7 +6,6 @@
 from returns.result import Failure as Err, Result, Success
 
 from fescuekeel.components.gateway.routing import (
-    find_owner,
     rank_endpoints,
     rank_live_endpoints,
 )
@@ -14,6 +13,7 @@
 from fescuekeel.components.tree.model import Policy, TreeInForce
 from fescuekeel.core import Instance, Metrics
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.owners import choose_owner
 from fescuekeel.messages import (
     LiveList,
     MemberView,
@@ -39,7 +39,7 @@
             "address": entry.address,
             "data_centre": entry.data_centre,
             "pool": entry.pool,
-            "owner": find_owner(entry, view.members_by_id),
+            "owner": choose_owner(entry, view.members_by_id.values()),
         }
         for id, entry in sorted(view.endpoints_by_id.items())
     }
@@ -130,7 +130,7 @@
         {
             "endpoint": id,
             "data_centre": endpoints[id].data_centre,
-            "owner": find_owner(endpoints[id], view.members_by_id),
+            "owner": choose_owner(endpoints[id], view.members_by_id.values()),
         }
         for id in live
     ]
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -50,3 +50,7 @@
 def main() -> None:
     """Read the command line."""
     fire.Fire(start, name="fescuekeeld")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/components/gateway/test_routing.py
+++ b/tests/components/gateway/test_routing.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from fescuekeel.components.gateway import routing
+from fescuekeel.helpers.owners import choose_owner
 from fescuekeel.messages import AdapterRef, LiveEntry, LiveRole, Member
 
 CUPS = AdapterRef("cups", "1")
@@ -104,7 +105,7 @@
 
     def test_owner_is_near_while_one_is_left(self):
         for endpoint in make_endpoints().values():
-            owner = routing.find_owner(endpoint, make_members())
+            owner = choose_owner(endpoint, make_members().values())
             assert make_members()[owner].data_centre == endpoint.data_centre
 
     def test_no_members_no_choice(self):
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -268,7 +268,7 @@
 
         asyncio.run(run())
 
-    def test_limits_and_readiness(self):
+    def test_nothing_is_served_before_the_tree_is_known(self):
         async def run():
             async with open_bench() as bench:
                 bench.instance.bus.publish_state(TreeInForce(None))
@@ -279,6 +279,16 @@
 
         asyncio.run(run())
 
+    def test_limits_are_shared_by_the_instances(self):
+        """Four instances must not let four times the limit through."""
+
+        async def run():
+            async with open_bench() as bench:
+                bench.instance.bus.publish_state(make_view())
+                assert bench.gateway.limits.instances == 2
+
+        asyncio.run(run())
+
     def test_a_draining_instance_takes_no_more(self):
         async def run():
             async with open_bench() as bench:
