Compare pairs on the same engine, without delayed tokens

Cause: the stand-in engine left its sockets' delay on, so that a token waited for the acknowledgement of the one before (43 ms at p99 between tokens, called directly), and the two ways of a pair could meet engines with different work.

Change: the stand-in switches the delay off for streams, as engines do; each lane of pairs uses the adapters whose home its engine is.

--- a/bench/path/const.py
+++ b/bench/path/const.py
@@ -13,6 +13,7 @@
 SHOP_TOKEN: Final = "token-of-the-bench"
 MODEL: Final = "write/a{number}"
 MODEL_AT_ENGINE: Final = "a{number}@1"
+ENDPOINT: Final = "gpu-{number}"
 ADAPTERS: Final = 24
 ENGINES: Final = 4
 STEP_S: Final = 0.008
--- a/bench/path/pairs.py
+++ b/bench/path/pairs.py
@@ -6,9 +6,17 @@
 from dataclasses import dataclass, field
 
 from bench.path.client import Answer, Caller, make_body
-from bench.path.const import ADAPTERS, MODEL, MODEL_AT_ENGINE, PAIR_LANES, PAIR_TOKENS
+from bench.path.const import (
+    ADAPTERS,
+    ENDPOINT,
+    MODEL,
+    MODEL_AT_ENGINE,
+    PAIR_LANES,
+    PAIR_TOKENS,
+)
 from bench.path.load import OK
 from bench.path.world import World
+from fescuekeel.util.rendezvous import choose
 
 __all__ = ["Pairs", "run_pairs"]
 
@@ -37,8 +45,9 @@
     world: World, lane: int, end: float, stream: bool, pairs: Pairs
 ) -> None:
     """Send one pair after the other."""
-    addresses = world.engine_addresses
-    direct = Caller(addresses[lane % len(addresses)])
+    engine = lane % len(world.engine_addresses)
+    adapters = list_adapters(engine, len(world.engine_addresses))
+    direct = Caller(world.engine_addresses[engine])
     through = Caller(world.entry.callers)
     await direct.open()
     await through.open()
@@ -49,7 +58,7 @@
         for caller in ways:
             model = MODEL if caller is through else MODEL_AT_ENGINE
             body = make_body(
-                model.format(number=(number + lane) % ADAPTERS),
+                model.format(number=adapters[number % len(adapters)]),
                 f"pair {lane} {number}",
                 PAIR_TOKENS,
                 stream,
@@ -66,6 +75,19 @@
     through.close()
 
 
+def list_adapters(engine: int, engines: int) -> list[int]:
+    """Return the adapters whose home an engine is.
+
+    Both ways of a pair then find the same engine with the same work on it.
+    """
+    ids = [ENDPOINT.format(number=number) for number in range(engines)]
+    return [
+        number
+        for number in range(ADAPTERS)
+        if choose(MODEL_AT_ENGINE.format(number=number), ids) == ids[engine]
+    ]
+
+
 async def ask(caller: Caller, body: bytes) -> Answer:
     """Send one request that must be answered."""
     answer = await caller.ask(body)
--- a/bench/path/world.py
+++ b/bench/path/world.py
@@ -14,6 +14,7 @@
 from bench.path.const import (
     ADAPTERS,
     DEPLOYMENT,
+    ENDPOINT,
     ENGINES,
     ENTRY_CENTRE,
     MODEL,
@@ -104,7 +105,7 @@
 async def _start(fleet: Fleet, platform: Platform, folder: Path) -> World:
     addresses = await _start_engines(fleet, folder)
     for number, address in enumerate(addresses):
-        id = f"gpu-{number}"
+        id = ENDPOINT.format(number=number)
         platform.live.set(Entry(id, "endpoint", address, OWNER_CENTRE, pool="gpu"))
     fleet.ports_by_deployment[DEPLOYMENT] = {
         "data_centres": [ENTRY_CENTRE, OWNER_CENTRE],
--- a/standins/engine_http.py
+++ b/standins/engine_http.py
@@ -44,6 +44,9 @@
     async def stream_tokens(self, request: EngineRequest, position: int) -> None:
         """Send the events of one request from a position on."""
         self.set_header("Content-Type", "text/event-stream")
+        # As engines do: each token goes out at its step, instead of waiting
+        # for the acknowledgement of the one before.
+        self.stream.set_nodelay(True)
         limit = self._take_silence()
         sent = 0
         try:
