Retrieve the error of a fetch that was given up

Cause: a fetch that nobody waits for any more ends with an error, which asyncio logs as never retrieved. Change: a callback retrieves it. Conclusion: an abandoned fetch is quiet.

--- a/fescuekeel/helpers/endpoint_http.py
+++ b/fescuekeel/helpers/endpoint_http.py
@@ -217,6 +217,7 @@
             future = self.client.fetch(request, raise_error=False)
         finally:
             CURRENT_EXCHANGE.reset(token)
+        future.add_done_callback(_retrieve)
         try:
             return await future
         except asyncio.CancelledError:
@@ -235,3 +236,10 @@
         for exchange in list(self.exchanges):
             exchange.close()
         self.client.close()
+
+
+def _retrieve(future: asyncio.Future[HTTPResponse]) -> None:
+    # An abandoned fetch ends with an error that nobody waits for any more,
+    # which would be logged as one that was never retrieved.
+    if not future.cancelled():
+        future.exception()
