Send each token of a stream at once

Cause: the HTTP server leaves the socket's delay on while a request is answered, so that a token waits for the acknowledgement of the one before it, which callers send up to 40 ms late.

Change: a stream switches the delay off with its head. The bench rests the engine between the two ways of a pair and shows what idle instances cost.

--- a/bench/path/command.py
+++ b/bench/path/command.py
@@ -21,6 +21,7 @@
 
 __all__ = ["main"]
 
+IDLE_S = 3.0
 SATURATING_CALLERS = 144
 TOKEN_CALLERS = 90
 REQUEST_CALLERS = 60
@@ -72,6 +73,15 @@
     return p99
 
 
+async def measure_idle(world: World) -> None:
+    """Show what the two instances cost while nothing is asked of them."""
+    before = world.read_usage()
+    await asyncio.sleep(IDLE_S)
+    used = world.read_usage().minus(before)
+    entry, owner = used.entry_s / IDLE_S, used.owner_s / IDLE_S
+    say(f"idle, core: entry {entry:.3f} owner {owner:.3f}")
+
+
 async def measure_pairs(world: World, seconds: float, when: str) -> float:
     """Measure whole and streamed requests; return the worst added p99."""
     whole = await run_pairs(world, seconds, stream=False)
@@ -104,7 +114,8 @@
     )
     say(
         f"{'':24} core: entry {used.entry_s / took_s:.2f} owner"
-        f" {used.owner_s / took_s:.2f} busiest generator {busiest:.2f};"
+        f" {used.owner_s / took_s:.2f} (system {used.system_s / took_s:.2f} of both)"
+        f" busiest generator {busiest:.2f};"
         f" per request {1e3 * used.entry_s / answered:.3f}"
         f" + {1e3 * used.owner_s / answered:.3f} ms, per token"
         f" {1e6 * used.entry_s / tokens:.1f} + {1e6 * used.owner_s / tokens:.1f} us"
@@ -128,6 +139,7 @@
     """Measure everything; return the exit code."""
     async with open_world() as world:
         say("times in ms, p50 then p99")
+        await measure_idle(world)
         added = await measure_pairs(world, pairs_s, "quiet")
         requests, _ = await measure_load(
             world,
--- a/bench/path/pairs.py
+++ b/bench/path/pairs.py
@@ -64,9 +64,8 @@
                 stream,
             )
             answers[caller] = await ask(caller, body)
-            # An engine's step that is still under way would be shared by the
-            # next request, which then seems faster than it is.
-            await asyncio.sleep(random.uniform(0.0, PAUSE_S))
+            # The engine comes to rest: no step under way is waited for.
+            await asyncio.sleep(random.uniform(PAUSE_S, 2 * PAUSE_S))
         if number >= SETTLE_PAIRS:
             pairs.direct.append(answers[direct])
             pairs.through.append(answers[through])
--- a/bench/path/world.py
+++ b/bench/path/world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import Any
 
 import psutil
 
@@ -35,14 +36,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Processor time of the two instances, user and system, in seconds."""
+    """Processor time of the two instances in seconds.
+
+    ``system_s`` is the part of both that the kernel used.
+    """
 
     entry_s: float
     owner_s: float
+    system_s: float
 
     def minus(self, earlier: "Usage") -> "Usage":
         """Return what was used since."""
-        return Usage(self.entry_s - earlier.entry_s, self.owner_s - earlier.owner_s)
+        return Usage(
+            self.entry_s - earlier.entry_s,
+            self.owner_s - earlier.owner_s,
+            self.system_s - earlier.system_s,
+        )
 
 
 @dataclass(slots=True)
@@ -56,7 +65,9 @@
 
     def read_usage(self) -> Usage:
         """Return the processor time used so far."""
-        return Usage(_read_s(self.entry), _read_s(self.owner))
+        entry, owner = _read_times(self.entry), _read_times(self.owner)
+        system_s = entry.system + owner.system
+        return Usage(sum(entry[:2]), sum(owner[:2]), system_s)
 
     async def run_load(self, order: LoadOrder, processes: int) -> list[LoadResult]:
         """Run an order's share in each of several processes."""
@@ -82,9 +93,8 @@
         return LoadResult.model_validate_json(output)
 
 
-def _read_s(daemon: Daemon) -> float:
-    times = psutil.Process(daemon.process.pid).cpu_times()
-    return float(times.user + times.system)
+def _read_times(daemon: Daemon) -> Any:
+    return psutil.Process(daemon.process.pid).cpu_times()
 
 
 @asynccontextmanager
--- a/fescuekeel/components/gateway/sink.py
+++ b/fescuekeel/components/gateway/sink.py
@@ -65,6 +65,7 @@
             return len(self._held) <= MAX_ANSWER_BYTES
         if not self._begun:
             self._begin(head, STREAM_CONTENT_TYPE)
+            self._set_nodelay()
         self._handler.write(data)
         return await self._flush()
 
@@ -98,6 +99,14 @@
         self._handler.set_header(HEADER_STALL_MS, str(head.stall_ms))
         self._handler.set_header(HEADER_QUEUE_MS, str(head.queue_ms))
 
+    def _set_nodelay(self) -> None:
+        # Guards against tokens that come in bursts: the library switches the
+        # socket's delay on for each request, and a small write then waits for
+        # the acknowledgement of the one before, which callers send 40 ms late.
+        stream = getattr(self._handler.request.connection, "stream", None)
+        if stream is not None and not stream.closed():
+            stream.set_nodelay(True)
+
     async def _flush(self) -> bool:
         # Guards against a caller that stops reading: the flush would wait for
         # ever and the pieces of its answer would pile up in memory.
