Split the messages by what they cross

Cause: one file of 700 lines held what goes over the wire, which must stay in step with the schema, and what never leaves an instance. Conclusion: a change of the protocol shows as a change of one file.

--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -1,4 +1,4 @@
-# Messages between instances. The structs mirror fescuekeel/messages.py.
+# Messages between instances. The structs mirror fescuekeel/messages/wire.py.
 @0xb7a1d04c52f6e913;
 
 struct AdapterRef { name @0 :Text; version @1 :Text; }
