Order loads by time waited and let old work pass at the leader too

Cause: each eighth load of an endpoint went to its oldest wait with an ordinary value, so that its ask stood at the leader behind urgent asks of other endpoints and held up the endpoint's own urgent loads. Change: a load is worth the weighted time waited, urgent ones first; an old wait gets each sixteenth load with a value above urgent ones.

--- a/bench/policy/rivals.py
+++ b/bench/policy/rivals.py
@@ -124,9 +124,9 @@
 class FirstComePlan(load_plan.LoadPlan):
     """Load in order of arrival."""
 
-    def get_value(self, wait: Wait) -> float:
+    def get_value(self, wait: Wait, now: float) -> float:
         """Return more for what waits longer."""
-        return -wait.oldest
+        return now - wait.oldest
 
 
 def order_first_come(work: model.Work) -> tuple[int, float, str]:
--- a/fescuekeel/components/owner/scheduling/decision.py
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -145,13 +145,13 @@
             self._refuse(work, ErrorKind.QUEUE_FULL, self._get_drain_s())
             return
         self.queue.add(work)
-        wait_s = self._estimate_wait_s(work) if self.refuses_early else 0.0
+        wait_s = self._estimate_wait_s(work, now) if self.refuses_early else 0.0
         if now + wait_s + work.service_s <= work.deadline:
             return
         self.queue.remove(work.request_id)
         self._refuse(work, ErrorKind.TOO_LATE, wait_s)
 
-    def _estimate_wait_s(self, work: model.Work) -> float:
+    def _estimate_wait_s(self, work: model.Work, now: float) -> float:
         """Estimate the seconds until this queued request can be dispatched.
 
         While ownership is being taken over nothing is known of the endpoint,
@@ -164,7 +164,7 @@
         if work.adapter == self.plan.loading:
             return 0.0
         waits = self.queue.list_waits(self._needs_load)
-        ahead = self.plan.count_ahead(work.adapter, waits)
+        ahead = self.plan.count_ahead(work.adapter, waits, now)
         return self.plan.estimate_s(ahead)
 
     def _estimate_room_s(self, work: model.Work) -> float:
@@ -260,18 +260,17 @@
         if self.plan.loading is not None:
             return
         waits = self.queue.list_waits(self._needs_load)
-        wait = self.plan.choose(waits, now)
-        if wait is None:
+        ask = self.plan.choose(waits, now)
+        if ask is None:
             self._draining = None
         elif not self._has_room(now):
-            wait = None
+            ask = None
         previous = self.plan.asked
-        if previous is not None and (wait is None or wait.adapter != previous):
+        if previous is not None and (ask is None or ask.adapter != previous):
             self._effects.append(model.ReturnTurn(previous))
             self.plan.withdraw()
-        if wait is not None and self.plan.ask(wait, now):
-            value = self.plan.get_value(wait)
-            self._effects.append(model.AskTurn(wait.adapter, value, wait.count))
+        if ask is not None and self.plan.ask(ask, now):
+            self._effects.append(model.AskTurn(ask.adapter, ask.value, ask.waiting))
 
     def _has_room(self, now: float) -> bool:
         """Tell whether a slot is free or can be freed.
--- a/fescuekeel/components/owner/scheduling/load_plan.py
+++ b/fescuekeel/components/owner/scheduling/load_plan.py
@@ -9,11 +9,27 @@
 __all__ = ["LoadPlan"]
 
 URGENT_VALUE = 1_000_000.0
-LOWEST_URGENCY = 9
-# One load in this many goes to the request that has waited longest, so that
-# popular adapters cannot keep a rare one out for ever.
-FAIR_EVERY = 8
+FAIR_VALUE = 2 * URGENT_VALUE
+MOST_URGENT = 0
+# What a request is worth before it has waited, in load times.
+FRESH_LOADS = 20.0
+# One load in this many goes to the request that has waited longest, if that
+# is more than this many loads, so that urgent work cannot keep a rare adapter
+# out for ever.
+FAIR_EVERY = 16
+OLD_LOADS = 20.0
 SMOOTHING = 0.3
+# The leader hears of a value that has grown by this factor.
+NEWS_FACTOR = 1.25
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A load that is wanted, and its value for the leader of turns."""
+
+    adapter: AdapterRef
+    value: float
+    waiting: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,30 +63,44 @@
         self.load_s = load_s
         self.cycle_s = max(self.cycle_s, load_s)
 
-    def get_value(self, wait: Wait) -> float:
-        """Return what a load is worth: urgency first, then weight waiting.
+    def get_value(self, wait: Wait, now: float) -> float:
+        """Return what a load is worth: urgent first, then most time waited.
+
+        Time waited, and not only the number that waits, keeps the tail of
+        stalls short: a lone request gains on a crowd as it ages.
 
         >>> plan, ref = LoadPlan(), AdapterRef("cups", "1")
-        >>> urgent = plan.get_value(Wait(ref, 0, 1, 1.0, 0.0))
-        >>> urgent > plan.get_value(Wait(ref, 1, 50, 50.0, 0.0))
+        >>> urgent = plan.get_value(Wait(ref, 0, 1, 0.0, 1.0, 0.0), 9.0)
+        >>> urgent > plan.get_value(Wait(ref, 1, 50, 0.0, 25.0, 0.0), 9.0)
         True
         """
-        steps = LOWEST_URGENCY - min(LOWEST_URGENCY, wait.urgency)
-        return steps * URGENT_VALUE + wait.weight
+        value = wait.get_waited_s(now) + wait.weight * FRESH_LOADS * self.load_s
+        return value + URGENT_VALUE if wait.urgency == MOST_URGENT else value
 
-    def choose(self, waits: Iterable[Wait], now: float) -> Wait | None:
-        """Return the wait to load for next."""
-        open_waits = [wait for wait in waits if self._may_try(wait.adapter, now)]
-        if self._loads % FAIR_EVERY == FAIR_EVERY - 1:
-            return min(open_waits, key=lambda wait: wait.oldest, default=None)
-        return max(open_waits, key=self._order, default=None)
-
-    def _order(self, wait: Wait) -> tuple[float, float, AdapterRef]:
-        return (self.get_value(wait), -wait.oldest, wait.adapter)
+    def choose(self, waits: Iterable[Wait], now: float) -> Ask | None:
+        """Return the load to ask for next.
 
-    def count_ahead(self, adapter: AdapterRef, waits: Iterable[Wait]) -> int:
+        An old wait's turn must be granted before urgent ones elsewhere: an
+        ask that waits at the leader holds up all other loads here.
+        """
+        open_waits = [wait for wait in waits if self._may_try(wait.adapter, now)]
+        if not open_waits:
+            return None
+        oldest = min(open_waits, key=lambda wait: wait.oldest)
+        is_old = now - oldest.oldest > OLD_LOADS * self.load_s
+        if is_old and self._loads % FAIR_EVERY == FAIR_EVERY - 1:
+            return Ask(oldest.adapter, FAIR_VALUE, oldest.count)
+        best = max(open_waits, key=lambda wait: self._order(wait, now))
+        return Ask(best.adapter, self.get_value(best, now), best.count)
+
+    def _order(self, wait: Wait, now: float) -> tuple[float, float, AdapterRef]:
+        return (self.get_value(wait, now), -wait.oldest, wait.adapter)
+
+    def count_ahead(
+        self, adapter: AdapterRef, waits: Iterable[Wait], now: float
+    ) -> int:
         """Count the loads that come before this adapter's."""
-        order = {wait.adapter: self._order(wait) for wait in waits}
+        order = {wait.adapter: self._order(wait, now) for wait in waits}
         own = order.get(adapter)
         if own is None:
             return 0
@@ -81,15 +111,14 @@
         busy_s = self.load_s if self.loading is not None else 0.0
         return busy_s / 2 + ahead * self.cycle_s + self.load_s
 
-    def ask(self, wait: Wait, now: float) -> bool:
+    def ask(self, ask: Ask, now: float) -> bool:
         """Note the ask; return whether the leader must hear of it."""
-        value = self.get_value(wait)
-        if self.asked == wait.adapter and self._asked_value == value:
+        if self.asked == ask.adapter and ask.value < self._asked_value * NEWS_FACTOR:
             return False
-        if self.asked != wait.adapter:
+        if self.asked != ask.adapter:
             self._asked_at = now
-        self.asked = wait.adapter
-        self._asked_value = value
+        self.asked = ask.adapter
+        self._asked_value = ask.value
         return True
 
     def withdraw(self) -> None:
--- a/fescuekeel/components/owner/scheduling/queue.py
+++ b/fescuekeel/components/owner/scheduling/queue.py
@@ -8,6 +8,9 @@
 
 __all__ = ["Wait", "WorkQueue", "order_urgent_first"]
 
+# A second of waiting counts this much less for each step of urgency down.
+URGENCY_FACTOR = 1.4
+
 AdapterTest = Callable[[AdapterRef], bool]
 WorkOrder = tuple[int, float, str]
 
@@ -17,14 +20,20 @@
     """Sum up the requests that wait for one adapter to be loaded.
 
     ``urgency`` is that of the most urgent one and ``weight`` the sum of
-    their stall weights.
+    their weights. ``moment`` sums weight times arrival, so that the weighted
+    time waited at any later time follows without a look at each request.
     """
 
     adapter: AdapterRef
     urgency: int
     count: int
-    weight: float
     oldest: float
+    weight: float
+    moment: float
+
+    def get_waited_s(self, now: float) -> float:
+        """Return the seconds waited by all of them, weighted."""
+        return self.weight * now - self.moment
 
 
 def order_urgent_first(work: Work) -> WorkOrder:
@@ -32,6 +41,11 @@
     return (work.urgency, work.arrived, work.request_id)
 
 
+def get_weight(work: Work) -> float:
+    """Return what a second of this request's stall counts."""
+    return float(work.stall_weight * URGENCY_FACTOR**-work.urgency)
+
+
 @dataclass(slots=True)
 class WorkQueue:
     """Keep waiting requests by adapter, urgent ones first.
@@ -122,7 +136,8 @@
             adapter=adapter,
             urgency=min(item.urgency for item in work),
             count=len(work),
-            weight=sum(item.stall_weight for item in work),
             oldest=min(item.arrived for item in work),
+            weight=sum(get_weight(item) for item in work),
+            moment=sum(get_weight(item) * item.arrived for item in work),
         )
         return wait
