--- a/fescuekeel/components/gateway/component.py
+++ b/fescuekeel/components/gateway/component.py
@@ -5,12 +5,9 @@
 from returns.result import Success
 
 from fescuekeel.components.gateway.admission import Admission
-from fescuekeel.components.gateway.attempts import (
-    CallerGone,
-    RequestLife,
-    ShutdownEnded,
-)
+from fescuekeel.components.gateway.attempts import RequestLife
 from fescuekeel.components.gateway.const import DRAIN_POLL_S, KEY_LIFETIME_S
+from fescuekeel.components.gateway.life import CallerGone, ShutdownEnded
 from fescuekeel.components.gateway.limits import Limits
 from fescuekeel.components.gateway.request import CallerRequest
 from fescuekeel.components.gateway.router import GatewayRouter
--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -12,6 +12,10 @@
     FREE_REASONS,
     OWNER_WORD_GRACE_S,
     RUNNING_GRACE_S,
+    RequestLife,
+)
+from fescuekeel.components.gateway.const import SUBMIT_TIMEOUT_S
+from fescuekeel.components.gateway.life import (
     Accepted,
     AskRetry,
     Begin,
@@ -28,14 +32,12 @@
     OwnerLost,
     Phase,
     Refused,
-    RequestLife,
     RetryDecided,
     SendAttempt,
     StartAsked,
     Started,
     TimePassed,
 )
-from fescuekeel.components.gateway.const import SUBMIT_TIMEOUT_S
 from fescuekeel.components.gateway.sink import AnswerHead, CallerSink
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure, Ran, RetryReason
--- a/tests/components/gateway/test_attempts.py
+++ b/tests/components/gateway/test_attempts.py
@@ -3,8 +3,8 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from fescuekeel.components.gateway.attempts import (
-    MAX_ATTEMPTS,
+from fescuekeel.components.gateway.attempts import MAX_ATTEMPTS, RequestLife
+from fescuekeel.components.gateway.life import (
     Accepted,
     AskRetry,
     Begin,
@@ -18,7 +18,6 @@
     GrantStart,
     OwnerLost,
     Refused,
-    RequestLife,
     RetryDecided,
     SendAttempt,
     ShutdownEnded,
