Write a stream's pieces without waiting for each

Cause: every piece set up a timer and waited for its write, though that is done at once but for a caller that reads slowly.

Change: a piece waits, bounded as before, only for the write of the one before it; the end of the answer waits for both.

--- a/fescuekeel/components/gateway/sink.py
+++ b/fescuekeel/components/gateway/sink.py
@@ -57,6 +57,7 @@
         self._stream = stream
         self._held = bytearray()
         self._begun = False
+        self._write: asyncio.Future[None] | None = None
 
     async def deliver(self, data: bytes, head: AnswerHead) -> bool:
         """Take a piece of the answer."""
@@ -108,11 +109,24 @@
             stream.set_nodelay(True)
 
     async def _flush(self) -> bool:
-        # Guards against a caller that stops reading: the flush would wait for
+        """Write on without waiting, once the piece before has gone out."""
+        if not await self._wait_for_write():
+            return False
+        try:
+            self._write = asyncio.ensure_future(self._handler.flush())
+        except StreamClosedError:
+            return False
+        return True
+
+    async def _wait_for_write(self) -> bool:
+        # Guards against a caller that stops reading: the write would wait for
         # ever and the pieces of its answer would pile up in memory.
+        write, self._write = self._write, None
+        if write is None or write.done():
+            return write is None or write.exception() is None
         try:
             async with asyncio.timeout(CALLER_WRITE_TIMEOUT_S):
-                await self._handler.flush()
+                await write
         except (StreamClosedError, TimeoutError):
             return False
         return True
@@ -120,6 +134,8 @@
     async def _end(self) -> bool:
         try:
             async with asyncio.timeout(CALLER_WRITE_TIMEOUT_S):
+                if self._write is not None:
+                    await self._write
                 await self._handler.finish()
         except (StreamClosedError, TimeoutError):
             return False
