Read a token's position with orjson

Cause: each token of a stream is parsed for its position and for an error.

Change: orjson, which is a dependency already, in place of the standard library. The bench runs eight engines, since four were its bottleneck.

--- a/bench/path/const.py
+++ b/bench/path/const.py
@@ -14,10 +14,10 @@
 MODEL: Final = "write/a{number}"
 MODEL_AT_ENGINE: Final = "a{number}@1"
 ENDPOINT: Final = "gpu-{number}"
-ADAPTERS: Final = 24
-ENGINES: Final = 4
+ADAPTERS: Final = 48
+ENGINES: Final = 8
 STEP_S: Final = 0.008
-MAX_RUNNING: Final = 64
+MAX_RUNNING: Final = 32
 
 TREE: Final = f"""
 [shop shop]
--- a/fescuekeel/components/engine/events.py
+++ b/fescuekeel/components/engine/events.py
@@ -3,6 +3,8 @@
 import json
 from dataclasses import dataclass, field
 
+import orjson
+
 __all__ = ["END_MARK", "EventStream", "Piece", "assemble"]
 
 EVENT_END = b"\n\n"
@@ -80,8 +82,8 @@
 
     def _read_position(self, payload: bytes) -> int | None:
         try:
-            fields = json.loads(payload)
-        except ValueError:
+            fields = orjson.loads(payload)
+        except orjson.JSONDecodeError:
             return None
         if not isinstance(fields, dict):
             return None
