Remember popularity for longer

Cause: near the knee the choice of victim decides the stalls. Change: the half-life of arrival counts is 300 s, and requests of the bench's traces have distinct ids (two arrivals of one microsecond shared one).

--- a/bench/policy/traces.py
+++ b/bench/policy/traces.py
@@ -167,7 +167,8 @@
         # An early shift asks for few adapters: each crew's own.
         head = 200 if peak > 1.0 else ADAPTERS
         adapter = popularity.draw(head)
-        requests.append(_draw(random_, adapter, at, kinds_by_adapter[adapter]))
+        kind = kinds_by_adapter[adapter]
+        requests.append(_draw(random_, f"r{len(requests)}", adapter, at, kind))
     return Trace(
         name=name,
         seed=seed,
@@ -179,10 +180,10 @@
 
 
 def _draw(
-    random_: random.Random, adapter: AdapterRef, at: float, kind: RequestKind
+    random_: random.Random, id: str, adapter: AdapterRef, at: float, kind: RequestKind
 ) -> Request:
     return Request(
-        id=f"r{at:.6f}",
+        id=id,
         at=at,
         adapter=adapter,
         kind=kind,
--- a/fescuekeel/components/owner/scheduling/popularity.py
+++ b/fescuekeel/components/owner/scheduling/popularity.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Popularity", "UseEstimate"]
 
-HALF_LIFE_S = 120.0
+HALF_LIFE_S = 300.0
 # Idle adapters must cost nothing: beyond this many the rarest are forgotten.
 MAX_KNOWN = 4096
 
