Let a shutdown take as long as its settings say

Cause: each component's stop was cut after a minute, whatever shutdown_s says. Found by reading while the upper time of a shutdown was worked out. Change: the bound is shutdown_s and 5 s. Conclusion: with shutdown_s of the longest answer time a shutdown cuts nothing.

--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -34,7 +34,8 @@
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
-STOP_TIMEOUT_S = 60.0
+# How much longer than shutdown_s one component may take to stop.
+STOP_MARGIN_S = 5.0
 
 
 class Component(Protocol):
@@ -294,8 +295,9 @@
     async def _stop_component(self, domain: str) -> None:
         # A component that hangs on a silent connection must not keep the
         # instance from leaving: the others still have work to hand over.
+        bound_s = self.settings.instance.shutdown_s + STOP_MARGIN_S
         try:
-            async with asyncio.timeout(STOP_TIMEOUT_S):
+            async with asyncio.timeout(bound_s):
                 await self.components_by_domain[domain].stop()
         except TimeoutError:
             self.metrics.count("stop_timeout")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -67,3 +67,33 @@
         asyncio.run(run())
         assert seen == ["good"]
         assert instance.metrics.counters_by_name["actor_error.echo"] == 1
+
+
+class TestStop:
+    @pytest.mark.parametrize("takes_s, cut", [(0.05, 0), (60.0, 1)])
+    def test_a_component_gets_the_time_of_the_settings(
+        self, instance, monkeypatch, takes_s, cut
+    ):
+        """A long answer is cut after a minute although an hour is allowed.
+
+        The bound of a component's stop must follow shutdown_s; past it, a
+        component that hangs must not keep the others from stopping.
+        """
+        stopped = []
+
+        class Slow:
+            async def stop(self):
+                await asyncio.sleep(takes_s)
+                stopped.append("slow")
+
+        class Quick:
+            async def stop(self):
+                stopped.append("quick")
+
+        monkeypatch.setattr("fescuekeel.core.STOP_MARGIN_S", 0.0)
+        own = instance.settings.instance.model_copy(update={"shutdown_s": 0.5})
+        instance.settings = instance.settings.model_copy(update={"instance": own})
+        instance.components_by_domain = {"quick": Quick(), "slow": Slow()}
+        asyncio.run(instance.stop())
+        assert stopped == (["quick"] if cut else ["slow", "quick"])
+        assert instance.metrics.counters_by_name["stop_timeout"] == cut
