--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -63,6 +63,10 @@
     ErrorKind.LOAD_FAILED: RetryReason.LOAD_FAILED,
     ErrorKind.ENDPOINT_REFUSED: RetryReason.ENDPOINT_REFUSED,
 }
+# What an endpoint or its owner says of the endpoint itself.
+ENDPOINT_KINDS = frozenset(
+    {ErrorKind.QUEUE_FULL, ErrorKind.LOAD_FAILED, ErrorKind.ENDPOINT_REFUSED}
+)
 # These move a request that cost no endpoint any work, so that they are bounded
 # by the number of attempts alone and not by the service's budget.
 FREE_REASONS = frozenset(
@@ -98,6 +102,7 @@
     position: int = 0
     delivered: bool = False
     _pending_failure: Failure | None = None
+    _last_refusal: Failure | None = None
     _pending_resume: bool = False
     _resuming: bool = False
 
@@ -206,6 +211,9 @@
         self.uncertain_attempts.discard(attempt)
         if attempt != self.attempt:
             return []
+        if failure.kind is ErrorKind.NO_ENDPOINT and self._last_refusal is not None:
+            # All that are left have refused: why they did is what helps.
+            return self._fail(self._last_refusal)
         return self._retry_or_fail(failure, now)
 
     def _refuse_resume(self, attempt: int, failure: Failure) -> list[LifeEffect]:
@@ -270,6 +278,8 @@
         if self.attempt >= MAX_ATTEMPTS or now >= self.deadline:
             return self._fail(failure)
         self._pending_failure = failure
+        if failure.kind in ENDPOINT_KINDS:
+            self._last_refusal = failure
         self.phase = Phase.RECEIVED
         return [AskRetry(reason)]
 
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -20,7 +20,6 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     UNAUTHENTICATED = "unauthenticated"
-    FORBIDDEN = "forbidden"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ADAPTER = "unknown_adapter"
     UNKNOWN_VERSION = "unknown_version"
@@ -60,7 +59,6 @@
     LOAD_FAILED = "load_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_LOST = "endpoint_lost"
-    OWNER_LOST = "owner_lost"
     STREAM_RESUMED = "stream_resumed"
 
 
@@ -83,7 +81,6 @@
     ErrorKind.BAD_REQUEST: Answer(400, Ran.NO, False, "The request is malformed."),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO, False, "The body is too large."),
     ErrorKind.UNAUTHENTICATED: Answer(401, Ran.NO, False, "The token is not known."),
-    ErrorKind.FORBIDDEN: Answer(403, Ran.NO, False, "The token is not for this."),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NO, False, "No such service."),
     ErrorKind.UNKNOWN_ADAPTER: Answer(404, Ran.NO, False, "No such adapter."),
     ErrorKind.UNKNOWN_VERSION: Answer(404, Ran.NO, False, "No such version."),
--- a/tests/components/plain/test_driver.py
+++ b/tests/components/plain/test_driver.py
@@ -5,7 +5,7 @@
 
 from fescuekeel.components.plain.driver import PlainDriver
 from fescuekeel.core import Instance
-from fescuekeel.errors import Ran
+from fescuekeel.errors import ErrorKind, Ran
 from fescuekeel.helpers.driver import Call
 from fescuekeel.messages import AdapterRef
 from standins.plain import PlainService, start_plain
@@ -81,6 +81,7 @@
                 make_call(), lambda at, data, tokens: got.append(data)
             )
             assert outcome.ran is Ran.NO
+            assert outcome.failure.kind is ErrorKind.ENDPOINT_REFUSED
             assert not got
             assert not service.calls
 
--- /dev/null
+++ b/tests/helpers/test_settings.py
@@ -0,0 +1,32 @@
+"""Tests of the daemon's settings file."""
+
+import pytest
+
+from fescuekeel.errors import ErrorKind
+from fescuekeel.helpers.settings import parse_settings, read_settings
+
+WHOLE = "[instance]\nid = i1\ndata_centre = dc1\n"
+
+
+class TestSettings:
+    @pytest.mark.parametrize(
+        ("text", "place"),
+        [
+            ("", "instance"),
+            ("[instance]\n", "instance.id"),
+            (WHOLE + "speed = 9\n", "instance.speed"),
+            (WHOLE + "[pears]\nseeds = x\n", "pears"),
+            (WHOLE + "id = i2\n", "already exists"),
+            ("id = i1\n", "no section headers"),
+        ],
+    )
+    def test_what_is_wrong_is_named(self, text, place):
+        failure = parse_settings(text).failure()
+        assert failure.kind is ErrorKind.INVALID_SETTINGS
+        assert place in failure.detail
+
+    def test_a_missing_file_is_named(self, tmp_path):
+        path = tmp_path / "none.ini"
+        failure = read_settings(path).failure()
+        assert failure.kind is ErrorKind.INVALID_SETTINGS
+        assert str(path) in failure.detail
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,120 @@
+"""Tests that each refusal of the closed list is produced and tested."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+from fescuekeel.errors import ErrorKind
+
+ROOT = Path(__file__).parent.parent
+GATEWAY = "components/gateway/test_server.py::TestRefusals"
+ATTEMPTS = "components/gateway/test_attempts.py"
+SCHEDULING = "components/owner/scheduling/test_decision.py"
+INTENT = "components/tree/test_intent.py"
+KEYS = "components/keys/test_decision.py"
+OWNER = "components/owner/test_endpoint.py"
+NAMED = f"{GATEWAY}::test_what_is_wrong_is_named"
+NOT_IN_TREE = f"{INTENT}::TestResolve::test_what_is_not_in_the_tree_is_refused"
+SECOND_CLAIM = f"{KEYS}::TestLedger::test_a_second_request_is_refused"
+FRAMES = "components/peers/test_frames.py::TestFrameReader"
+
+# Each test drives what finds the failure itself, not what passes it on.
+TESTS_BY_KIND = {
+    ErrorKind.BAD_REQUEST: NAMED,
+    ErrorKind.BODY_TOO_LARGE: f"{GATEWAY}::test_a_body_that_is_too_large_is_named",
+    ErrorKind.UNAUTHENTICATED: NAMED,
+    ErrorKind.UNKNOWN_SERVICE: NOT_IN_TREE,
+    ErrorKind.UNKNOWN_ADAPTER: NOT_IN_TREE,
+    ErrorKind.UNKNOWN_VERSION: NOT_IN_TREE,
+    ErrorKind.TREE_NOT_READY: (
+        f"{GATEWAY}::test_nothing_is_served_before_the_tree_is_known"
+    ),
+    ErrorKind.RATE_LIMITED: (
+        "components/gateway/test_limits.py::TestLimits::"
+        "test_the_rate_holds_over_time_and_the_hint_is_right"
+    ),
+    ErrorKind.QUEUE_FULL: f"{SCHEDULING}::TestRefusals::test_full_queue",
+    ErrorKind.TOO_LATE: f"{SCHEDULING}::TestRefusals::test_too_late_is_told_at_once",
+    ErrorKind.EXPIRED: (
+        f"{SCHEDULING}::TestRefusals::test_expired_when_the_owner_was_not_awake"
+    ),
+    ErrorKind.NO_ENDPOINT: f"{GATEWAY}::test_a_pool_without_endpoints_refuses_at_once",
+    ErrorKind.NOT_OWNER: f"{OWNER}::TestPath::test_instance_that_is_not_named_refuses",
+    ErrorKind.LOAD_FAILED: (
+        f"{SCHEDULING}::TestLoads::test_failed_loads_refuse_after_bounded_tries"
+    ),
+    ErrorKind.ENDPOINT_REFUSED: (
+        "components/plain/test_driver.py::TestDispatch::"
+        "test_explicit_refusal_means_not_run"
+    ),
+    ErrorKind.DRAINING: f"{GATEWAY}::test_a_draining_instance_takes_no_more",
+    ErrorKind.KEY_HOME_UNREACHABLE: (
+        f"{KEYS}::TestTally::test_a_majority_of_three_wins"
+    ),
+    ErrorKind.KEY_IN_PROGRESS: SECOND_CLAIM,
+    ErrorKind.KEY_USED: SECOND_CLAIM,
+    ErrorKind.KEY_MISMATCH: SECOND_CLAIM,
+    ErrorKind.RETRY_BUDGET_SPENT: (
+        f"{ATTEMPTS}::TestOutcome::test_a_spent_budget_is_told_as_not_run"
+    ),
+    ErrorKind.CANCELLED: (
+        f"{ATTEMPTS}::TestOutcome::test_a_caller_that_goes_away_cancels_the_work"
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: (
+        f"{ATTEMPTS}::TestOutcome::"
+        "test_a_granted_request_whose_owner_is_lost_is_unknown"
+    ),
+    ErrorKind.ANSWER_CUT: (
+        f"{ATTEMPTS}::TestStream::test_a_stream_that_cannot_be_resumed_is_cut_truthfully"
+    ),
+    ErrorKind.PEER_UNREACHABLE: (
+        "components/peers/test_link.py::TestPeers::"
+        "test_an_unknown_peer_is_unreachable_at_once"
+    ),
+    ErrorKind.STRANGER: f"{FRAMES}::test_a_frame_signed_by_a_stranger_is_refused",
+    ErrorKind.BAD_FRAME: (
+        f"{FRAMES}::test_a_length_out_of_bounds_is_refused_before_its_bytes_come"
+    ),
+    ErrorKind.INVALID_TREE: (
+        f"{INTENT}::TestRefusedTrees::test_the_message_names_part_and_place"
+    ),
+    ErrorKind.INVALID_SETTINGS: (
+        "helpers/test_settings.py::TestSettings::test_what_is_wrong_is_named"
+    ),
+    ErrorKind.INTERNAL: f"{OWNER}::TestEngineFailures::test_fault_of_ours_is_answered",
+}
+
+
+def find(place):
+    """Return the syntax tree of a test, with its decorators."""
+    path, *names = place.split("::")
+    node = ast.parse((ROOT / "tests" / path).read_text("utf-8"))
+    for name in names:
+        node = next(item for item in node.body if getattr(item, "name", "") == name)
+    return node
+
+
+def list_kinds(node):
+    """Return the names of all kinds that a piece of code mentions."""
+    return {
+        item.attr
+        for item in ast.walk(node)
+        if isinstance(item, ast.Attribute)
+        and isinstance(item.value, ast.Name)
+        and item.value.id == "ErrorKind"
+    }
+
+
+class TestClosedList:
+    @pytest.mark.parametrize("kind", ErrorKind)
+    def test_each_kind_is_expected_by_a_test(self, kind):
+        node = find(TESTS_BY_KIND[kind])
+        assert kind.name in list_kinds(node)
+        assert any(isinstance(item, ast.Assert) for item in ast.walk(node))
+
+    @pytest.mark.parametrize("kind", ErrorKind)
+    def test_each_kind_is_used_by_the_system(self, kind):
+        paths = (ROOT / "fescuekeel").rglob("*.py")
+        sources = [path.read_text("utf-8") for path in paths if path.stem != "errors"]
+        assert any(f"ErrorKind.{kind.name}" in source for source in sources)
