Hand nothing over to an endpoint that has fallen silent

Cause: the fuzz saw work handed over 3.001 s after an endpoint began to leave. Its reports, which say so, were stuck; the owner noticed a silence of 3 s only at the next missing report or submission, and counted a report from its arrival and not from when it was asked for. Change: the silence is looked at right before each hand-over, it counts from the question, and 2.5 s of it are enough. Conclusion: the bound of 3 s holds without hearing from the endpoint; one whose report itself lags is heard that much later.

--- a/fescuekeel/components/owner/const.py
+++ b/fescuekeel/components/owner/const.py
@@ -18,8 +18,9 @@
 REPORT_LAG_S: Final = 5.0
 # A new owner waits this long for the other instances to say what they know.
 PEERS_PATIENCE_S: Final = 1.0
-# An endpoint that has not reported for this long gets nothing.
-UNREACHABLE_S: Final = 3.0
+# An endpoint that has not reported for this long gets nothing; less than
+# LEAVING_BOUND_S, since it may be leaving and unable to say so.
+UNREACHABLE_S: Final = 2.5
 # How long a handover goes before a view that still names the instance that
 # handed over.
 OFFER_KEPT_S: Final = 10.0
--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -227,8 +227,15 @@
                     self.orders.evict(adapter)
 
     def may_order(self) -> bool:
-        """Tell whether orders may be given at this very moment."""
-        return self.ownership.may_order(self.instance.now())
+        """Tell whether work may be handed over at this very moment.
+
+        Guards against new work for an endpoint that is leaving and whose
+        reports, which say so, are stuck on the way: it shows as requests that
+        are handed over until the silence is noticed. Reports count from the
+        moment they were asked for, so that none can tell of later times.
+        """
+        now = self.instance.now()
+        return self.ownership.may_order(now) and now - self._heard <= UNREACHABLE_S
 
     def get_fence(self) -> int:
         """Return the fencing number for orders."""
@@ -357,7 +364,7 @@
             if now - self._heard > UNREACHABLE_S:
                 self.requests.refuse_queued(ErrorKind.ENDPOINT_REFUSED)
             return
-        self._heard = now
+        self._heard = max(self._heard, asked)
         restarted = self._boot_id not in ("", report.boot_id)
         self._boot_id = report.boot_id
         if restarted:
