Measure slopes and work out the size of two years

script/bench capacity grows adapters, endpoints, members, claims and asks for load turns, measures a request and a token on the whole path, and works out state, messages, processor time and memory of each role at 350 nodes.

--- /dev/null
+++ b/bench/capacity/command.py
@@ -0,0 +1,163 @@
+"""The command: measure, print the tables, and write them into the page."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import fire
+
+from bench.capacity import const as size
+from bench.capacity.estimate import Row, list_calls, list_losses, list_rows
+from bench.capacity.measure import Measured, measure
+
+__all__ = ["main"]
+
+PAGE = Path(__file__).resolve().parents[2] / "docs" / "CAPACITY.md"
+BEGIN = "<!-- capacity: written by script/bench capacity --write -->"
+END = "<!-- capacity: end -->"
+
+
+def tell(met: bool) -> str:
+    """Return the word for a goal."""
+    return "met" if met else "**not met**"
+
+
+def format_rows(rows: list[Row]) -> list[str]:
+    """Return the table of roles."""
+    lines = [
+        "| role | state | messages | core | MB | B/s | mechanism | breaks first |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {row.role} | {row.state} | {row.messages} | {row.core:.2%} |"
+        f" {row.mb:.2f} | {row.bytes_per_s:,.0f} | {row.mechanism} | {row.breaks} |"
+        for row in rows
+    ]
+    return lines
+
+
+def format_budget(found: Measured, rows: list[Row]) -> list[str]:
+    """Return control's own share beside what a node may spend."""
+    control = [row for row in rows if row.control]
+    core = sum(row.core for row in control)
+    core += found.fleet.core
+    mb = sum(row.mb for row in control)
+    bytes_per_s = sum(row.bytes_per_s for row in control)
+    few_bytes = bytes_per_s <= size.BUDGET_BYTES_PER_S
+    steps = found.memory_mb_by_step
+    whole = steps["components"] + mb
+    named = {"interpreter", "libraries", "components"}
+    largest = sorted(steps.keys() - named, key=steps.__getitem__, reverse=True)[:4]
+    names = ", ".join(f"{name} {steps[name]:.1f}" for name in largest)
+    return [
+        "| control of one node | worked out | may spend | |",
+        "|---|---|---|---|",
+        f"| processor time | {core:.2%} of a core | {size.BUDGET_CORE:.1%} |"
+        f" {tell(core <= size.BUDGET_CORE)} |",
+        f"| memory, state alone | {mb:.1f} MB | {size.BUDGET_MB} MB |"
+        f" {tell(mb <= size.BUDGET_MB)} |",
+        f"| memory, whole process | {whole:.1f} MB | {size.BUDGET_MB} MB |"
+        f" {tell(whole <= size.BUDGET_MB)} |",
+        f"| bytes a second, both ways | {bytes_per_s:,.0f} |"
+        f" {size.BUDGET_BYTES_PER_S:,} | {tell(few_bytes)} |",
+        "",
+        f"Memory by step: interpreter {steps['interpreter']:.1f} MB, with the"
+        f" libraries {steps['libraries']:.1f} MB (most: {names}), with the system's own code"
+        f" {steps['components']:.1f} MB; an idle daemon {found.fleet.mb:.1f} MB,"
+        f" and {found.fleet.mb_per_member:.2f} MB a member while connections to all"
+        " are open. The idle daemon's"
+        f" {found.fleet.core:.2%} of a core (its timers, polls and"
+        f" two endpoints) is counted in, {found.fleet.core_per_member:.3%} a member"
+        " in the measured fleet of up to 16.",
+    ]
+
+
+def format_losses(found: Measured) -> list[str]:
+    """Return the table of losses."""
+    lines = [
+        "| lost | nodes | news passed on for | B/s meanwhile | core seconds of views |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {loss.what} | {loss.nodes} | {loss.drain_s:.0f} s |"
+        f" {loss.bytes_per_s:,.0f} | {loss.core_s:.1f} |"
+        for loss in list_losses(found)
+    ]
+    return lines
+
+
+def format_slopes(found: Measured) -> list[str]:
+    """Return what was measured."""
+    members, fleet, path = found.members, found.fleet, found.path
+    lines = ["Slopes measured in this run:", ""]
+    lines += [
+        f"- tree: {cost.adapters:,} adapters take {cost.held_mb:.1f} MB held,"
+        f" {cost.peak_mb:.1f} MB after a change, {cost.build_s:.2f} s to build,"
+        f" {cost.change_s:.3f} s for a change of one part"
+        for cost in found.trees
+    ]
+    lines += [
+        f"- membership: {members.core.base:.3%} of a core and"
+        f" {members.core.slope * 100:.3%} each 100 members;"
+        f" {members.kilobytes.slope:.2f} KB a member",
+        f"- live list: {found.live.size:,} B, {found.live.parse_s * 1e3:.1f} ms to"
+        " parse",
+        f"- routing a request over {size.WORKERS} endpoints and {size.NODES}"
+        f" instances: {found.route_s * 1e6:.0f} us; owners after a changed view:"
+        f" {found.view_s * 1e3:.2f} ms",
+        f"- a claim: {found.claim_bytes:.0f} B, {found.claim_s * 1e6:.1f} us",
+        f"- an ask for a load turn: {found.turn_s.base * 1e6:.1f} us and"
+        f" {found.turn_s.slope * 1e6:.2f} us for each that waits",
+        f"- an owned idle endpoint: {fleet.core_per_endpoint:.3%} of a core,"
+        f" {fleet.mb_per_endpoint:.2f} MB",
+        f"- a connection between peers opened and closed:"
+        f" {found.wires.opening_s * 1e3:.2f} ms for both sides; an endpoint's report"
+        f" {found.wires.report_bytes:,} B and {found.wires.exchange_bytes:,} B around"
+        " it",
+        f"- a request: {path.entry_request_s * 1e3:.2f} ms at the entry and"
+        f" {path.owner_request_s * 1e3:.2f} ms at the owner; a token"
+        f" {path.entry_token_s * 1e6:.0f} and {path.owner_token_s * 1e6:.0f} us; an"
+        f" open stream {path.entry_stream_kb:.0f} and {path.owner_stream_kb:.0f} KB",
+    ]
+    return lines
+
+
+def format_page(found: Measured) -> list[str]:
+    """Return the part of the page that this program writes."""
+    rows = list_rows(found)
+    calls = [
+        "| nodes in data centres | watches/s | polls/s | configuration calls/s |"
+        " live list polls/s | store loads/s |",
+        "|---|---|---|---|---|---|",
+        *list_calls(),
+    ]
+    sections = [
+        format_rows(rows),
+        format_budget(found, rows),
+        format_losses(found),
+        calls,
+        format_slopes(found),
+    ]
+    return [line for section in sections for line in [*section, ""]]
+
+
+def write_page(lines: list[str]) -> None:
+    """Replace the page's own part between its marks."""
+    head, _, rest = PAGE.read_text("utf-8").partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    block = "\n".join([BEGIN, "", *lines, END])
+    PAGE.write_text(head + block + tail, "utf-8")
+
+
+def start(write: bool = False) -> None:
+    """Measure, print the tables, and with --write put them into the page."""
+    lines = format_page(asyncio.run(measure()))
+    sys.stdout.write("\n".join(lines) + "\n")
+    if write:
+        write_page(lines)
+
+
+def main(arguments: list[str]) -> int:
+    """Read the command line."""
+    fire.Fire(start, command=arguments, name="capacity", serialize=lambda _: None)
+    return 0
