Keep peers' addresses and questions apart from the link

Change: questions.py numbers the questions that wait for our answer, addresses.py says where peers can be reached. Behaviour is unchanged. Tests of peers pass as they were. Conclusion: each table has its own small owner.

--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -8,13 +8,12 @@
 from returns.result import Failure as Err, Result, Success
 
 from fescuekeel.components.peers.acceptor import Acceptor
+from fescuekeel.components.peers.addresses import Addresses
 from fescuekeel.components.peers.connection import Connection
 from fescuekeel.components.peers.const import (
     CHECK_PERIOD_S,
     HEARTBEAT_S,
     IDLE_S,
-    MAX_ADDRESSES,
-    MAX_QUESTIONS,
     MAX_QUEUE_BYTES,
     RETRY_S,
     SEED_PERIOD_S,
@@ -22,6 +21,7 @@
 )
 from fescuekeel.components.peers.dialing import Dialer
 from fescuekeel.components.peers.outgoing import Asked, Outgoing
+from fescuekeel.components.peers.questions import Questions
 from fescuekeel.components.peers.tls import make_client_context, make_server_context
 from fescuekeel.const import PROTOCOL_VERSION
 from fescuekeel.core import Instance
@@ -32,9 +32,6 @@
     Envelope,
     Hello,
     HelloAnswer,
-    LiveList,
-    LiveRole,
-    MemberView,
     PeerLost,
     PeerMessage,
     PeerMet,
@@ -67,14 +64,10 @@
         self._dialer = Dialer(keys, make_client_context(settings), instance.now)
         self._outgoing_by_id: dict[str, Outgoing] = {}
         self._retry_at_by_id: dict[str, float] = {}
-        self._addresses_by_id: dict[str, str] = {}
-        # Numbers seen by handlers are our own: a peer that starts anew counts
-        # from one again, and a late answer to its earlier life must not reach
-        # a question of the present one.
-        self._questions_by_number: dict[int, tuple[Connection | None, int]] = {}
+        self._addresses = Addresses(instance)
+        self._questions = Questions(instance.metrics)
         self._own_asked_by_number: dict[int, Asked] = {}
         self._ask_numbers = itertools.count(1)
-        self._question_numbers = itertools.count(1)
         self._stopping = False
 
     @property
@@ -141,16 +134,15 @@
 
     def answer(self, question: PeerMessage, body: WireMessage) -> None:
         """Answer a peer's question; later answers to it are ignored."""
-        where = self._questions_by_number.pop(question.number, None)
-        if where is None:
+        place = self._questions.take(question.number)
+        if place is None:
             return
-        connection, number = where
+        connection, number = place
         if connection is None:
             asked = self._own_asked_by_number.get(number)
             if asked is not None:
                 asyncio.get_running_loop().call_soon(_resolve, asked, body)
             return
-        connection.question_numbers.discard(question.number)
         if connection.closed or connection.send(encode(Envelope(0, number, body))):
             return
         self._instance.metrics.count("peers.lost.slow")
@@ -180,7 +172,7 @@
         if outgoing is not None:
             return outgoing
         now = self._instance.now()
-        address = self._find_address(peer_id)
+        address = self._addresses.find(peer_id)
         if self._stopping or not address:
             return None
         if now < self._retry_at_by_id.get(peer_id, now):
@@ -190,16 +182,6 @@
         self._instance.spawn(self._run_outgoing(outgoing, address), "peers.outgoing")
         return outgoing
 
-    def _find_address(self, peer_id: str) -> str:
-        view = self._instance.bus.latest(MemberView)
-        if view is not None and peer_id in view.members_by_id:
-            return view.members_by_id[peer_id].address
-        if peer_id in self._addresses_by_id:
-            return self._addresses_by_id[peer_id]
-        live = self._instance.bus.latest(LiveList)
-        entry = live.entries_by_id.get(peer_id) if live else None
-        return entry.address if entry and entry.role is LiveRole.INSTANCE else ""
-
     def _make_hello(self) -> Hello:
         return Hello(
             PROTOCOL_VERSION,
@@ -309,7 +291,7 @@
     async def _meet_seeds(self) -> None:
         # Ids are not known at the seeds' addresses, so each is greeted until
         # some peer is known from whom the rest can be learned.
-        while self._settings.seeds and not self._addresses_by_id:
+        while self._settings.seeds and self._addresses.empty:
             for address in self._settings.seeds:
                 if address == self.address:
                     continue
@@ -321,26 +303,17 @@
             await asyncio.sleep(SEED_PERIOD_S)
 
     def _meet(self, answer: HelloAnswer, address: str) -> None:
-        self._remember(
+        self._addresses.remember(
             PeerMet(answer.instance, address, answer.data_centre, answer.incarnation)
         )
 
-    def _remember(self, met: PeerMet) -> None:
-        if met.instance_id == self._instance.id:
-            return
-        self._addresses_by_id.pop(met.instance_id, None)
-        self._addresses_by_id[met.instance_id] = met.address
-        if len(self._addresses_by_id) > MAX_ADDRESSES:
-            del self._addresses_by_id[next(iter(self._addresses_by_id))]
-        self._instance.bus.publish(met)
-
     # The accepting side.
 
     def _accept_hello(self, hello: Hello) -> HelloAnswer:
         met = PeerMet(
             hello.instance, hello.address, hello.data_centre, hello.incarnation
         )
-        self._remember(met)
+        self._addresses.remember(met)
         return HelloAnswer(
             self._instance.id,
             self.incarnation,
@@ -351,25 +324,11 @@
     def _handle_incoming(self, connection: Connection, envelope: Envelope) -> None:
         number = 0
         if envelope.number:
-            number = self._add_question(connection, envelope.number)
+            number = self._questions.add(connection, envelope.number)
         self._deliver(PeerMessage(connection.peer_id, number, envelope.body))
 
-    def _add_question(self, connection: Connection | None, wire_number: int) -> int:
-        number = next(self._question_numbers)
-        self._questions_by_number[number] = (connection, wire_number)
-        if connection is not None:
-            connection.question_numbers.add(number)
-        if len(self._questions_by_number) > MAX_QUESTIONS:
-            oldest = next(iter(self._questions_by_number))
-            other, _ = self._questions_by_number.pop(oldest)
-            if other is not None:
-                other.question_numbers.discard(oldest)
-            self._instance.metrics.count("peers.question_forgotten")
-        return number
-
     def _handle_incoming_lost(self, connection: Connection) -> None:
-        for number in connection.question_numbers:
-            self._questions_by_number.pop(number, None)
+        self._questions.drop(connection)
         if connection.ended_well or not connection.peer_id:
             return
         # Guards against answers that are lost with the connection on which
@@ -382,7 +341,7 @@
         self._get_outgoing(connection.peer_id, replaces=True)
 
     def _deliver_own(self, number: int, body: WireMessage) -> None:
-        question = self._add_question(None, number)
+        question = self._questions.add(None, number)
         self._deliver(PeerMessage(self._instance.id, question, body))
 
     def _deliver(self, message: PeerMessage) -> None:
