Read addresses and bearer tokens at one place

Cause: the three servers each split their address and showed the port that they got, in three ways: callers' and operators' forgot the brackets of an IPv6 address, so that what they logged could not be connected to. The bearer token was read twice: operators' port insisted on a capital B. The scheme's case does not matter (RFC 9110). Figures: two split_address and a third by hand before, one after. Conclusion: the same words are read in the same way on every port.

--- a/fescuekeel/components/gateway/admission.py
+++ b/fescuekeel/components/gateway/admission.py
@@ -14,6 +14,7 @@
 from fescuekeel.const import MAX_BODY_BYTES
 from fescuekeel.core import Bus
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.http import read_bearer
 
 __all__ = [
     "Admission",
@@ -24,8 +25,6 @@
     "get_shop",
 ]
 
-BEARER = "bearer "
-
 
 @dataclass(frozen=True, slots=True)
 class CallerInput:
@@ -64,9 +63,10 @@
 
 def get_shop(intent: Intent, authorization: str) -> Result[str, Failure]:
     """Return the shop that a bearer token belongs to."""
-    if not authorization.lower().startswith(BEARER):
+    token = read_bearer(authorization)
+    if not token:
         return Err(Failure(ErrorKind.UNAUTHENTICATED, "a bearer token is needed"))
-    shop = intent.authenticate(authorization[len(BEARER) :].strip())
+    shop = intent.authenticate(token)
     if shop is None:
         return Err(Failure(ErrorKind.UNAUTHENTICATED))
     return Success(shop)
--- a/fescuekeel/components/gateway/server.py
+++ b/fescuekeel/components/gateway/server.py
@@ -8,7 +8,6 @@
 
 from returns.result import Result, Success
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from fescuekeel.components.gateway.admission import (
@@ -34,12 +33,13 @@
     MAX_HEADER_BYTES,
 )
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.settings import CallersSettings
 
 if TYPE_CHECKING:
     from fescuekeel.components.gateway.component import Gateway
 
-__all__ = ["CallersServer", "split_address"]
+__all__ = ["CallersServer"]
 
 RANDOM_ID_BYTES = 8
 # A body above the limit is refused by name; one far above it is not even read
@@ -52,16 +52,6 @@
 KEEPALIVE_PROBES = 3
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:PORT``.
-
-    >>> split_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class CallerHandler(RequestHandler):
     """Answer one request of a caller."""
 
@@ -185,12 +175,10 @@
 
     def start(self) -> None:
         """Listen."""
-        host, port = split_address(self._settings.address)
-        sockets = bind_sockets(port, host)
+        sockets, self.address = bind_address(self._settings.address)
         for listening in sockets:
             _set_keepalive(listening)
         self._server.add_sockets(sockets)
-        self.address = f"{host}:{sockets[0].getsockname()[1]}"
 
     def stop_listening(self) -> None:
         """Take no further connections."""
--- a/fescuekeel/components/operators/server.py
+++ b/fescuekeel/components/operators/server.py
@@ -5,7 +5,6 @@
 
 from returns.result import Result, Success
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from fescuekeel.components.operators.const import (
@@ -23,12 +22,13 @@
 )
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.http import read_bearer
+from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.messages import DrainRequested
 
 __all__ = ["OperatorsServer"]
 
-BEARER = "Bearer "
 ACCEPTED = 202
 
 
@@ -41,8 +41,7 @@
 
     def prepare(self) -> None:
         """Refuse all but the holder of the operators' token."""
-        header = self.request.headers.get("Authorization", "")
-        token = header.removeprefix(BEARER) if header.startswith(BEARER) else ""
+        token = read_bearer(self.request.headers.get("Authorization", ""))
         given = hashlib.sha256(token.encode()).hexdigest()
         wanted = self.instance.settings.operators.token_sha256
         if not hmac.compare_digest(given, wanted):
@@ -142,11 +141,9 @@
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
         )
-        host, _, port = self._instance.settings.operators.address.rpartition(":")
-        sockets = bind_sockets(int(port), host.strip("[]"))
+        address = self._instance.settings.operators.address
+        sockets, self.address = bind_address(address)
         self._server.add_sockets(sockets)
-        bound = sockets[0].getsockname()
-        self.address = f"{bound[0]}:{bound[1]}"
         log_event("operators_listening", address=self.address)
 
     async def stop(self) -> None:
--- a/fescuekeel/components/peers/acceptor.py
+++ b/fescuekeel/components/peers/acceptor.py
@@ -7,7 +7,6 @@
 from returns.pipeline import is_successful
 from returns.result import Failure as Err, Result, Success
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from fescuekeel.components.peers.connection import Connection
@@ -16,11 +15,11 @@
     IDLE_S,
     MAX_INCOMING,
 )
-from fescuekeel.components.peers.dialing import split_address
 from fescuekeel.components.peers.frames import Direction
 from fescuekeel.const import PROTOCOL_VERSION
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.wire import decode, encode
 from fescuekeel.messages import Envelope, Hello, HelloAnswer
@@ -49,11 +48,8 @@
 
     def listen_at(self, address: str) -> None:
         """Listen; port 0 takes a free one, which ``address`` then shows."""
-        host, port = split_address(address)
-        sockets = bind_sockets(port, host)
+        sockets, self.address = bind_address(address)
         self.add_sockets(sockets)
-        shown = f"[{host}]" if ":" in host else host
-        self.address = f"{shown}:{sockets[0].getsockname()[1]}"
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it ends or breaks a rule.
--- a/fescuekeel/components/peers/dialing.py
+++ b/fescuekeel/components/peers/dialing.py
@@ -13,20 +13,11 @@
 from fescuekeel.components.peers.const import CONNECT_TIMEOUT_S
 from fescuekeel.components.peers.frames import Direction
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.listen import split_address
 from fescuekeel.helpers.wire import decode, encode
 from fescuekeel.messages import Envelope, Hello, HelloAnswer
 
-__all__ = ["Dialer", "split_address"]
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split an address into host and port.
-
-    >>> split_address("[::1]:80")
-    ('::1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+__all__ = ["Dialer"]
 
 
 class Dialer:
--- a/fescuekeel/helpers/http.py
+++ b/fescuekeel/helpers/http.py
@@ -1,11 +1,13 @@
-"""What all of the system's HTTP clients have in common."""
+"""What the system's HTTP clients, or its servers, have in common."""
 
 import asyncio
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
-__all__ = ["begin_fetch"]
+__all__ = ["begin_fetch", "read_bearer"]
+
+BEARER = "bearer "
 
 
 def begin_fetch(
@@ -24,6 +26,17 @@
     return asyncio.shield(future)
 
 
+def read_bearer(authorization: str) -> str:
+    """Return the token of an ``Authorization`` header, empty without one.
+
+    >>> read_bearer("Bearer top-hat"), read_bearer("Basic abc")
+    ('top-hat', '')
+    """
+    if not authorization.lower().startswith(BEARER):
+        return ""
+    return authorization[len(BEARER) :].strip()
+
+
 def _retrieve(future: asyncio.Future[HTTPResponse]) -> None:
     if not future.cancelled():
         future.exception()
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -7,10 +7,10 @@
 import pytest
 from returns.result import Failure as Err
 
-from fescuekeel.components.gateway.server import split_address
 from fescuekeel.components.tree.model import TreeInForce
 from fescuekeel.const import MAX_BODY_BYTES
 from fescuekeel.errors import ErrorKind, Failure, RetryReason
+from fescuekeel.helpers.listen import split_address
 from fescuekeel.messages import CancelWork, MemberView, PeerLost
 from tests.common import eventually
 from tests.components.gateway.fakes import make_view, open_bench
