--- a/fescuekeel/components/gateway/routing.py
+++ b/fescuekeel/components/gateway/routing.py
@@ -40,12 +40,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Say where a request goes; ``expected_wait_s`` is a guess in seconds."""
+    """Say where a request goes, and why."""
 
     endpoint: str
     owner: str
     reason: RouteReason
-    expected_wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,16 +179,16 @@
     if not candidates:
         return None
     if adapter:
-        endpoint, reason, wait_s = _choose_copy(
+        endpoint, reason = _choose_copy(
             candidates[:MAX_COPIES], adapter, hints, now, load_s
         )
     else:
         endpoint = _choose_least_loaded(candidates[:PLAIN_CANDIDATES], hints, now)
-        reason, wait_s = RouteReason.LEAST_LOADED, hints.get_wait_s(endpoint, now)
+        reason = RouteReason.LEAST_LOADED
     owner = choose_owner(endpoints_by_id[endpoint], members_by_id.values())
     if owner is None:
         return None
-    return Choice(endpoint, owner, reason, wait_s)
+    return Choice(endpoint, owner, reason)
 
 
 def _choose_copy(
@@ -198,7 +197,7 @@
     hints: Hints,
     now: float,
     load_s: float,
-) -> tuple[str, RouteReason, float]:
+) -> tuple[str, RouteReason]:
     """Stay at home unless waiting there costs more than a load elsewhere."""
     home = candidates[0]
     home_s = hints.get_wait_s(home, now)
@@ -210,7 +209,7 @@
         if cost_s < best_s:
             reason = RouteReason.COPY if has_copy else RouteReason.SPREAD
             best, best_s, best_reason = endpoint, cost_s, reason
-    return best, best_reason, best_s
+    return best, best_reason
 
 
 def _choose_least_loaded(candidates: list[str], hints: Hints, now: float) -> str:
--- a/tests/components/keys/test_component.py
+++ b/tests/components/keys/test_component.py
@@ -5,7 +5,7 @@
 
 from returns.pipeline import is_successful
 
-from fescuekeel.components.keys import DEFAULT_LIFETIME_S, Keys, get_keys
+from fescuekeel.components.keys import DEFAULT_LIFETIME_S, Keys
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Ran
 from tests.common import make_settings
@@ -18,11 +18,11 @@
 async def running_keys(ids=IDS):
     instances = [Instance(make_settings(id)) for id in ids]
     async with running(*instances):
-        for instance in instances:
-            instance.components_by_domain["keys"] = Keys(instance)
-            await get_keys(instance).start()
+        all_keys = [Keys(instance) for instance in instances]
+        for instance, keys in zip(instances, all_keys, strict=True):
+            instance.components_by_domain["keys"] = keys
+            await keys.start()
         tell_addresses(*instances)
-        all_keys = [get_keys(instance) for instance in instances]
         await wait_for(lambda: all(keys._home.ready for keys in all_keys))
         yield all_keys
 
