Look at near members only to find near endpoints' owners

Cause: at each changed view an owner filters all members for each endpoint of its data centre; a lost region means 350 changed views within seconds.

Change: the members of the own data centre are listed once for an update.

--- a/fescuekeel/components/owner/placement.py
+++ b/fescuekeel/components/owner/placement.py
@@ -1,11 +1,11 @@
 """Which endpoints are this instance's; a pure decision."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from fescuekeel.components.owner.const import OFFER_KEPT_S
 from fescuekeel.helpers.owners import choose_owner
-from fescuekeel.messages import LiveEntry, MemberView
+from fescuekeel.messages import LiveEntry, Member, MemberView
 
 __all__ = ["Placement"]
 
@@ -55,13 +55,21 @@
             for endpoint, item in self._handed_by_endpoint.items()
             if now <= item.until
         }
+        near_members = [
+            member
+            for member in view.members_by_id.values()
+            if member.data_centre == self.data_centre
+        ]
         served = {member.data_centre for member in view.members_by_id.values()}
         owners = {}
         for endpoint, entry in view.endpoints_by_id.items():
             near = entry.data_centre == self.data_centre
             if not near and entry.data_centre in served and endpoint not in held:
                 continue
-            owner = self.find_owner(entry, view)
+            # Those of other data centres can't matter to a near endpoint, and
+            # looking at all of them for each would cost the most of this.
+            members = near_members if near else view.members_by_id.values()
+            owner = self._choose(entry, members) or self.find_owner(entry, view)
             if owner == self.instance_id or endpoint in held:
                 owners[endpoint] = owner
         self.owners_by_endpoint = owners
@@ -74,9 +82,11 @@
         An instance that handed over gives no orders any more, although the
         view may still name it for a while.
         """
+        return self._choose(entry, view.members_by_id.values(), without)
+
+    def _choose(
+        self, entry: LiveEntry, members: Iterable[Member], without: str = ""
+    ) -> str | None:
         handed = self._handed_by_endpoint.get(entry.id)
         left = {without, handed.by if handed else ""}
-        return choose_owner(
-            entry,
-            [item for item in view.members_by_id.values() if item.id not in left],
-        )
+        return choose_owner(entry, [item for item in members if item.id not in left])
