Learn how long waits last, and let lazy work wait for fuller batches

Cause: what waits ahead says too little past the knee, where later work that counts more goes first: requests waited to their deadline in vain. And a batch of one costs as many steps as a full one. Change: the wait ahead is stretched by a factor learned for each urgency, at most 3.

--- a/bench/policy/previous.py
+++ b/bench/policy/previous.py
@@ -12,7 +12,8 @@
 SCHEDULING = "fescuekeel/components/owner/scheduling"
 PACKAGE = "fescuekeel.components.owner.scheduling"
 # Events and effects must be those of today for the bench to tell them apart.
-SHARED = frozenset({"model.py"})
+SHARED = ("model.py",)
+SHARED_IMPORT = f"from {PACKAGE} import model"
 
 
 def find_previous() -> str | None:
@@ -35,8 +36,11 @@
         if path in SHARED:
             continue
         text = _git("show", f"{revision}:{SCHEDULING}/{path}")
-        for module in ("decision", "load_plan", "popularity", "queue", "batching"):
-            text = text.replace(f"{PACKAGE}.{module}", f"{name}.{module}")
+        text = text.replace(PACKAGE, name)
+        for module in SHARED:
+            stem = module.removesuffix(".py")
+            text = text.replace(f"{name}.{stem}", f"{PACKAGE}.{stem}")
+            text = text.replace(f"from {name} import {stem}", SHARED_IMPORT)
         (target / path).write_text(text + "\n", "utf-8")
     sys.path.insert(0, str(target.parent))
     try:
--- a/bench/policy/report.py
+++ b/bench/policy/report.py
@@ -11,6 +11,7 @@
 from bench.policy.rivals import Clairvoyant, FirstCome, Ours, Policy
 from bench.policy.simulation import Result, play
 from bench.policy.summary import Summary, summarize
+from bench.policy.sweep import print_sweep
 from bench.policy.traces import DEPLOYMENTS, TRACES, Deployment, Trace, make_trace
 
 __all__ = ["main"]
@@ -68,6 +69,9 @@
 def main(arguments: Sequence[str]) -> int:
     """Run the bench."""
     options = parse(arguments)
+    if options.sweep:
+        print_sweep(options.deployments, options.seeds, PROCESSES)
+        return 0
     previous = options.previous or find_previous() or ""
     policies = [name for name in options.policies if name != PREVIOUS or previous]
     print(f"previous policy: {previous or 'none in this repository'}")
@@ -105,6 +109,9 @@
     """Parse the command line."""
     parser = argparse.ArgumentParser(prog="script/bench policy", description=__doc__)
     parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument(
+        "--sweep", action="store_true", help="sweep the weights and nothing else"
+    )
     parser.add_argument("--previous", help="revision to compare with")
     parser.add_argument("--traces", nargs="+", default=list(TRACES), choices=TRACES)
     parser.add_argument("--policies", nargs="+", default=POLICIES, choices=POLICIES)
--- a/bench/policy/summary.py
+++ b/bench/policy/summary.py
@@ -30,7 +30,8 @@
 
     Stalls are those of all requests that were not refused on arrival, so
     that one whose time passed while it waited for a load counts as well.
-    ``in_time`` and ``batch`` are shares.
+    ``in_time`` and ``batch`` are shares, ``answer_s`` is the mean time to the
+    whole answer.
     """
 
     stalls: Stalls
@@ -41,6 +42,7 @@
     urgent_in_time: float
     batch: float
     loads: int
+    answer_s: float
     refused: dict[str, int]
     stall_by_window: dict[int, float]
 
@@ -82,6 +84,9 @@
         urgent_in_time=_mean([item.in_time for item in urgent]),
         batch=tokens / (steps * deployment.max_running),
         loads=sum(result.loads for result in results),
+        answer_s=_mean(
+            item.answered_at - item.request.at for item in waited if item.answered_at
+        ),
         refused=dict(refused.most_common()),
         stall_by_window=_get_windows(waited),
     )
--- a/fescuekeel/components/owner/scheduling/decision.py
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.owner.scheduling import model
+from fescuekeel.components.owner.scheduling.admission import WaitEstimates
+from fescuekeel.components.owner.scheduling.batching import get_hold_s
 from fescuekeel.components.owner.scheduling.load_plan import LoadPlan
 from fescuekeel.components.owner.scheduling.popularity import Popularity, UseEstimate
-from fescuekeel.components.owner.scheduling.queue import WorkQueue
+from fescuekeel.components.owner.scheduling.queue import WorkQueue, WorkTest
 from fescuekeel.errors import ErrorKind
 from fescuekeel.messages import AdapterRef
 
@@ -58,6 +60,7 @@
     config: model.Configured | None = None
     queue: WorkQueue = field(default_factory=WorkQueue)
     plan: LoadPlan = field(default_factory=LoadPlan)
+    estimates: WaitEstimates = field(default_factory=WaitEstimates)
     refuses_early: bool = True
     _holdings_by_adapter: dict[AdapterRef, Holding] = field(default_factory=dict)
     _running_by_id: dict[str, AdapterRef] = field(default_factory=dict)
@@ -112,6 +115,7 @@
                 self._admit(work, now)
             case model.Cancelled(request_id):
                 self.queue.remove(request_id)
+                self.estimates.forget(request_id)
             case model.Finished(request_id):
                 self._finish(request_id)
             case model.TurnGranted(adapter):
@@ -145,7 +149,9 @@
             self._refuse(work, ErrorKind.QUEUE_FULL, self._get_drain_s())
             return
         self.queue.add(work)
-        wait_s = self._estimate_wait_s(work, now) if self.refuses_early else 0.0
+        if not self.refuses_early:
+            return
+        wait_s = self._estimate_wait_s(work, now)
         if now + wait_s + work.service_s <= work.deadline:
             return
         self.queue.remove(work.request_id)
@@ -165,7 +171,10 @@
             return 0.0
         waits = self.queue.list_waits(self._needs_load)
         ahead = self.plan.count_ahead(work.adapter, waits, now)
-        return self.plan.estimate_s(ahead)
+        ahead_s = self.plan.estimate_s(ahead)
+        return self.estimates.expect(
+            work.request_id, work.urgency, self.plan.load_s, ahead_s
+        )
 
     def _estimate_room_s(self, work: model.Work) -> float:
         assert self.config is not None
@@ -181,6 +190,7 @@
         return max(1.0, self.plan.estimate_s(len(waits)))
 
     def _refuse(self, work: model.Work, kind: ErrorKind, retry_s: float) -> None:
+        self.estimates.forget(work.request_id)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(0.0, retry_s))
         self._effects.append(model.Refuse(work.request_id, kind, retry_after_s))
 
@@ -202,6 +212,7 @@
         if not self.refuses_early or now + least_s <= work.deadline:
             return False
         self.queue.remove(work.request_id)
+        self.estimates.note_end(work.request_id, now - work.arrived)
         self._refuse(work, ErrorKind.TOO_LATE, self._get_drain_s())
         return True
 
@@ -225,18 +236,29 @@
     def _dispatch(self, now: float) -> None:
         assert self.config is not None
         while self.running_count < self.config.max_running:
-            work = self.queue.pick(self._can_dispatch)
+            work = self.queue.pick(self._can_dispatch, self._make_hold(now))
             if work is None:
                 return
             if self._drop_if_late(work, now):
                 continue
             self.queue.remove(work.request_id)
+            self.estimates.note_end(work.request_id, now - work.arrived)
             self._running_by_id[work.request_id] = work.adapter
             stall_s = self._start_serving(work)
             self._effects.append(
                 model.Dispatch(work.request_id, stall_s, now - work.arrived)
             )
 
+    def _make_hold(self, now: float) -> WorkTest:
+        """Return the test of what waits for a fuller batch.
+
+        Nothing does when a batch runs already, whose steps are paid for, or
+        when a load is wanted here: a held request keeps its adapter's slot.
+        """
+        if self.running_count or self.plan.asked or self.plan.loading:
+            return lambda work: False
+        return lambda work: now < work.arrived + get_hold_s(work)
+
     def _start_serving(self, work: model.Work) -> float:
         """Count one more served request; return how long its load held it."""
         holding = self._holdings_by_adapter.get(work.adapter)
--- a/fescuekeel/components/owner/scheduling/load_plan.py
+++ b/fescuekeel/components/owner/scheduling/load_plan.py
@@ -107,9 +107,9 @@
         return sum(other > own for other in order.values())
 
     def estimate_s(self, ahead: int) -> float:
-        """Estimate the seconds until a load with so many ahead is done."""
-        busy_s = self.load_s if self.loading is not None else 0.0
-        return busy_s / 2 + ahead * self.cycle_s + self.load_s
+        """Estimate the seconds that the loads ahead of one take."""
+        busy_s = self.load_s / 2 if self.loading is not None else 0.0
+        return busy_s + ahead * self.cycle_s
 
     def ask(self, ask: Ask, now: float) -> bool:
         """Note the ask; return whether the leader must hear of it."""
--- a/fescuekeel/components/owner/scheduling/queue.py
+++ b/fescuekeel/components/owner/scheduling/queue.py
@@ -6,12 +6,13 @@
 from fescuekeel.components.owner.scheduling.model import Work
 from fescuekeel.messages import AdapterRef
 
-__all__ = ["Wait", "WorkQueue", "order_urgent_first"]
+__all__ = ["Wait", "WorkQueue", "WorkTest", "order_urgent_first"]
 
 # A second of waiting counts this much less for each step of urgency down.
 URGENCY_FACTOR = 1.4
 
 AdapterTest = Callable[[AdapterRef], bool]
+WorkTest = Callable[[Work], bool]
 WorkOrder = tuple[int, float, str]
 
 
@@ -54,7 +55,7 @@
     >>> ref = AdapterRef("cups", "1")
     >>> queue.add(Work("lazy", ref, "plan", 1, 0.0, 9.0))
     >>> queue.add(Work("urgent", ref, "patter", 0, 1.0, 9.0))
-    >>> queue.pick(lambda adapter: True).request_id
+    >>> queue.pick(lambda adapter: True, lambda work: False).request_id
     'urgent'
     """
 
@@ -100,13 +101,14 @@
         """Return the requests of one adapter, the oldest first."""
         return [self._work_by_id[id] for id in self._ids_by_adapter.get(adapter, ())]
 
-    def pick(self, is_ready: AdapterTest) -> Work | None:
-        """Return the first request in order whose adapter is ready."""
+    def pick(self, is_ready: AdapterTest, is_held: WorkTest) -> Work | None:
+        """Return the first request in order that is ready and not held."""
         ready = (
             self._work_by_id[id]
             for adapter, ids in self._ids_by_adapter.items()
             if is_ready(adapter)
             for id in ids
+            if not is_held(self._work_by_id[id])
         )
         return min(ready, key=self.order, default=None)
 
--- a/tests/components/owner/scheduling/test_decision.py
+++ b/tests/components/owner/scheduling/test_decision.py
@@ -224,3 +224,33 @@
         assert [bool(item) for item in effects] == [True, True, False]
         (effect,) = scheduler.handle(model.Finished("r0"), 0.5)
         assert effect.request_id == "r2"
+
+
+class TestBatches:
+    def make_lazy(self, id, now, batch_weight=4.0):
+        return model.Work(
+            id, A, "s", 2, now, now + 30.0, stall_weight=1.0, batch_weight=batch_weight
+        )
+
+    def make_loaded(self):
+        scheduler = make_scheduler()
+        scheduler.handle(model.Reported(frozenset({A}), {}), 0.0)
+        return scheduler
+
+    def test_lazy_work_waits_for_company_where_batches_weigh_more(self):
+        scheduler = self.make_loaded()
+        assert scheduler.handle(model.Arrived(self.make_lazy("r1", 0.0)), 0.0) == []
+        assert scheduler.handle(model.Arrived(self.make_lazy("r2", 1.0)), 1.0) == []
+        effects = scheduler.handle(model.Tick(), 1.9)
+        assert [effect.request_id for effect in effects] == ["r1", "r2"]
+
+    def test_urgent_work_opens_the_batch_for_all(self):
+        scheduler = self.make_loaded()
+        scheduler.handle(model.Arrived(self.make_lazy("r1", 0.0)), 0.0)
+        effects = arrive(scheduler, "r2", A, now=0.5, urgency=0)
+        assert [effect.request_id for effect in effects] == ["r2", "r1"]
+
+    def test_nothing_waits_where_stalls_weigh_more(self):
+        scheduler = self.make_loaded()
+        work = self.make_lazy("r1", 0.0, batch_weight=0.5)
+        assert len(scheduler.handle(model.Arrived(work), 0.0)) == 1
