Make two daemon tests notice what they guard against

Cause: with its guard taken out, the test of a leaving endpoint passed, as the one instance that read the true list owned that endpoint; the test of a paused owner passed once in two runs. Change: the lagging lists include the owner's; an order counts as stale from the newer owner's gain on, not only after that one's first order.

--- a/tests/daemons/test_network.py
+++ b/tests/daemons/test_network.py
@@ -9,6 +9,8 @@
 from tests.daemons.common import open_world
 
 ONE_CENTRE = {"dc1": ("i1", "i2", "i3")}
+# They include the owner of the endpoint that leaves.
+LAGGING = ("i1", "i2")
 TWO_CENTRES = {"dc1": ("i1", "i2"), "dc2": ("i3", "i4")}
 
 
@@ -155,10 +157,11 @@
         """
 
         async def prepare(world):
-            await world.add_list(("i2", "i3"))
+            await world.add_list(LAGGING)
 
         async def run():
             async with open_world(tmp_path, ONE_CENTRE, prepare) as world:
+                assert world.find_owner("fenced-0").id in LAGGING
                 load = world.send_load()
                 engine = world.platform.engines_by_id["fenced-0"]
                 await load.until_more(40)
--- a/tests/daemons/test_pauses.py
+++ b/tests/daemons/test_pauses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 from standins.load import Verdict
 from tests.common import eventually
@@ -12,6 +13,7 @@
 STOP_BOUND_S = 2 * SHUTDOWN_S + 5.0
 STREAMS = 2
 QUEUED = 20
+ON_THE_WAY_S = 0.1
 # Without the pool whose takeover waits out a lease.
 QUICK = ("patter", "quote", "stock", "charge")
 
@@ -28,6 +30,23 @@
     return [sum(gain <= order["fence"] for gain in gains) for order in orders]
 
 
+def list_stale_orders(world, endpoint):
+    """Return the orders that came when a newer owner had taken over."""
+    to_wall_s = time.time() - time.monotonic()
+    gains = [
+        (line.at, int(line.fields["fence"]))
+        for daemon in world.daemons_by_id.values()
+        for line in daemon.read_log("owner_gained")
+        if line.fields["endpoint"] == endpoint
+    ]
+    return [
+        order
+        for order in world.platform.engines_by_id[endpoint].orders
+        for at, fence in gains
+        if order["at"] + to_wall_s > at + ON_THE_WAY_S and order["fence"] < fence
+    ]
+
+
 class TestPausedOwner:
     def test_it_wakes_up_and_harms_nothing(self, tmp_path):
         """A magician's script comes twice as late as usual, but once.
@@ -61,6 +80,10 @@
                 for endpoint in world.platform.engines_by_id:
                     epochs = list_epochs(world, endpoint)
                     assert epochs == sorted(epochs)
+                # Engines that check numbers settle it from the new owner's first
+                # order on.
+                for endpoint in ("unfenced-0", "unfenced-1"):
+                    assert list_stale_orders(world, endpoint) == []
 
         asyncio.run(run())
 
