--- a/fescuekeel/cli.py
+++ b/fescuekeel/cli.py
@@ -43,6 +43,9 @@
 class Tool:
     """Check a tree, and see what an instance does.
 
+    Commands: check DIRECTORY, manifest DIRECTORY REVISION, show, explain SHOP
+    SERVICE, status, counters, drain; --help after one of them says more.
+
     Commands that ask an instance take its operators' address from --url or
     FESCUEKEEL_URL, and the operators' token from FESCUEKEEL_TOKEN only, since
     arguments can be read by others of the same machine.
--- a/standins/sample.py
+++ b/standins/sample.py
@@ -131,6 +131,10 @@
             f"operators http://{daemon.operators} pid {daemon.process.pid}"
         )
     say(f"operators' token: {fleet.operators_token}")
+    say(
+        f"FESCUEKEEL_TOKEN={fleet.operators_token} .venv/bin/fescuekeel status "
+        f"--url http://{fleet.daemons[0].operators}"
+    )
     for name, ports in fleet.ports_by_deployment.items():
         say(f"{name}: config {ports['config_url']} live list {ports['live_url']}")
     for item in deployed:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -122,3 +122,12 @@
         code, _, err = run("status")
         assert code == 1
         assert "127.0.0.1:1" in err or "refused" in err.lower()
+
+
+class TestHelp:
+    def test_it_names_each_command(self, run):
+        code, out, messages = run("--help")
+        assert code == 0
+        commands = [name for name in vars(cli.Tool) if not name.startswith("_")]
+        assert len(commands) > 5
+        assert [name for name in commands if name not in out + messages] == []
