--- a/tests/daemons/test_pauses.py
+++ b/tests/daemons/test_pauses.py
@@ -80,8 +80,8 @@
                 for endpoint in world.platform.engines_by_id:
                     epochs = list_epochs(world, endpoint)
                     assert epochs == sorted(epochs)
-                # Engines that check numbers settle it from the new owner's first
-                # order on.
+                # Engines that check numbers refuse the older owner's orders
+                # once they have seen the newer one's.
                 for endpoint in ("unfenced-0", "unfenced-1"):
                     assert list_stale_orders(world, endpoint) == []
 
