Keep what is loaded and running apart from the decisions

Conclusion: no decision changed but one: a slot that is being drained is let go when another can be freed.

--- a/bench/policy/rivals.py
+++ b/bench/policy/rivals.py
@@ -229,7 +229,7 @@
                 self._oracle.get_next_use(adapter, now)
                 for adapter in scheduler.loaded
                 if adapter not in scheduler.queue.adapters
-                and scheduler.is_idle(adapter, now)
+                and scheduler.holdings.is_idle(adapter, now)
             ),
             reverse=True,
         )
--- a/bench/policy/traces.py
+++ b/bench/policy/traces.py
@@ -21,10 +21,10 @@
 ZIPF = 0.9
 DATA_CENTRES = 3
 SLOTS = 8
-WARM_UP_S = 120.0
-DURATION_S = 360.0
-CHANGE_S = 200.0
-CHANGE_ENDS_S = 260.0
+WARM_UP_S = 300.0
+DURATION_S = 540.0
+CHANGE_S = 380.0
+CHANGE_ENDS_S = 440.0
 # The knee: the rate at which the store is this busy under the best cache that
 # never changes, one that holds the most popular adapters.
 KNEE_BUSY = 0.9
--- a/fescuekeel/components/owner/scheduling/decision.py
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -1,11 +1,13 @@
 """The decisions of one endpoint's owner: order, loads, evictions, refusals."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from fescuekeel.components.owner.scheduling import model
 from fescuekeel.components.owner.scheduling.admission import WaitEstimates
 from fescuekeel.components.owner.scheduling.batching import get_hold_s
+from fescuekeel.components.owner.scheduling.holdings import Holdings
 from fescuekeel.components.owner.scheduling.load_plan import LoadPlan
 from fescuekeel.components.owner.scheduling.popularity import Popularity, UseEstimate
 from fescuekeel.components.owner.scheduling.queue import WorkQueue, WorkTest
@@ -14,23 +16,15 @@
 
 __all__ = ["EndpointScheduler"]
 
-# A report may lag this much behind the orders that were obeyed.
-REPORT_LAG_S = 5.0
 MAX_LOAD_TRIES = 3
 LOAD_RETRY_S = 0.25
 EVICT_RETRY_S = 0.5
+NO_ADAPTER = AdapterRef()
+# Load times change by less than this factor while a request waits.
+LOAD_MARGIN = 3.0
 MAX_RETRY_AFTER_S = 60.0
 
 
-@dataclass(slots=True)
-class Holding:
-    """What is known of one adapter on the endpoint; times in seconds."""
-
-    since: float
-    serving: int = 0
-    keep_until: float = 0.0
-
-
 @dataclass(slots=True)
 class EndpointScheduler:
     """Decide for one endpoint what to dispatch, load, evict and refuse.
@@ -60,14 +54,12 @@
     config: model.Configured | None = None
     queue: WorkQueue = field(default_factory=WorkQueue)
     plan: LoadPlan = field(default_factory=LoadPlan)
+    holdings: Holdings = field(default_factory=Holdings)
     estimates: WaitEstimates = field(default_factory=WaitEstimates)
     refuses_early: bool = True
-    _holdings_by_adapter: dict[AdapterRef, Holding] = field(default_factory=dict)
-    _running_by_id: dict[str, AdapterRef] = field(default_factory=dict)
-    _foreign_by_id: dict[str, AdapterRef] = field(default_factory=dict)
-    _evicted_by_adapter: dict[AdapterRef, float] = field(default_factory=dict)
     _evicting: AdapterRef | None = None
     _draining: AdapterRef | None = None
+    _late_at: float = math.inf
     _effects: list[model.Effect] = field(default_factory=list)
 
     @property
@@ -78,17 +70,17 @@
     @property
     def running_ids(self) -> tuple[str, ...]:
         """Return the requests handed over by this owner and not yet ended."""
-        return tuple(self._running_by_id)
+        return self.holdings.running_ids
 
     @property
     def running_count(self) -> int:
         """Return how many requests occupy the endpoint, foreign ones too."""
-        return len(self._running_by_id) + len(self._foreign_by_id)
+        return self.holdings.running_count
 
     @property
     def loaded(self) -> frozenset[AdapterRef]:
         """Return the adapters that are loaded as far as is known."""
-        return frozenset(self._holdings_by_adapter)
+        return frozenset(self.holdings)
 
     @property
     def loading(self) -> AdapterRef | None:
@@ -117,7 +109,7 @@
                 self.queue.remove(request_id)
                 self.estimates.forget(request_id)
             case model.Finished(request_id):
-                self._finish(request_id)
+                self.holdings.finish(request_id)
             case model.TurnGranted(adapter):
                 self._take_turn(adapter, now)
             case model.LoadEnded():
@@ -141,7 +133,7 @@
     # Arrival and refusal.
 
     def _admit(self, work: model.Work, now: float) -> None:
-        if work.request_id in self.queue or work.request_id in self._running_by_id:
+        if work.request_id in self.queue or self.holdings.is_running(work.request_id):
             return
         if work.adapter:
             self.popularity.record(work.adapter, now)
@@ -149,6 +141,7 @@
             self._refuse(work, ErrorKind.QUEUE_FULL, self._get_drain_s())
             return
         self.queue.add(work)
+        self._late_at = min(self._late_at, self._get_late_at(work))
         if not self.refuses_early:
             return
         wait_s = self._estimate_wait_s(work, now)
@@ -165,11 +158,11 @@
         """
         if self.config is None or not self.config.ready:
             return 0.0
-        if not self._needs_load(work.adapter):
+        if not self.holdings.needs_load(work.adapter):
             return self._estimate_room_s(work)
         if work.adapter == self.plan.loading:
             return 0.0
-        waits = self.queue.list_waits(self._needs_load)
+        waits = self.queue.list_waits(self.holdings.needs_load)
         ahead = self.plan.count_ahead(work.adapter, waits, now)
         ahead_s = self.plan.estimate_s(ahead)
         return self.estimates.expect(
@@ -179,14 +172,14 @@
     def _estimate_room_s(self, work: model.Work) -> float:
         assert self.config is not None
         free = self.config.max_running - self.running_count
-        ahead = self.queue.count_ready_ahead(work, self._needs_load)
+        ahead = self.queue.count_ready_ahead(work, self.holdings.needs_load)
         if ahead < free:
             return 0.0
         rounds = (ahead - free) // max(1, self.config.max_running)
         return float(rounds * work.service_s)
 
     def _get_drain_s(self) -> float:
-        waits = self.queue.list_waits(self._needs_load)
+        waits = self.queue.list_waits(self.holdings.needs_load)
         return max(1.0, self.plan.estimate_s(len(waits)))
 
     def _refuse(self, work: model.Work, kind: ErrorKind, retry_s: float) -> None:
@@ -200,8 +193,16 @@
         A request is told as soon as even the best case is too late, so that
         its caller can act on it, and it costs no load and no step.
         """
+        if now < self._late_at:
+            return
         for work in self.queue.list_all():
             self._drop_if_late(work, now)
+        late_at = (self._get_late_at(work) for work in self.queue.list_all())
+        self._late_at = min(late_at, default=math.inf)
+
+    def _get_late_at(self, work: model.Work) -> float:
+        """Return a time before which the request is surely not late."""
+        return work.deadline - work.service_s - LOAD_MARGIN * self.plan.load_s
 
     def _drop_if_late(self, work: model.Work, now: float) -> bool:
         if now >= work.deadline:
@@ -217,34 +218,29 @@
         return True
 
     def _get_least_load_s(self, adapter: AdapterRef) -> float:
-        if not self._needs_load(adapter) or adapter == self.plan.loading:
+        if not self.holdings.needs_load(adapter) or adapter == self.plan.loading:
             return 0.0
         return self.plan.load_s
 
     # Dispatch.
 
-    def _needs_load(self, adapter: AdapterRef) -> bool:
-        return bool(adapter) and adapter not in self._holdings_by_adapter
-
-    def _can_dispatch(self, adapter: AdapterRef) -> bool:
-        if not adapter:
-            return True
-        if adapter in (self._evicting, self._draining):
-            return False
-        return adapter in self._holdings_by_adapter
+    def _list_ready(self) -> list[AdapterRef]:
+        """Return what can be dispatched: loaded adapters and plain work."""
+        barred = (self._evicting, self._draining)
+        return [NO_ADAPTER, *(a for a in self.holdings if a not in barred)]
 
     def _dispatch(self, now: float) -> None:
         assert self.config is not None
         while self.running_count < self.config.max_running:
-            work = self.queue.pick(self._can_dispatch, self._make_hold(now))
+            work = self.queue.pick(self._list_ready(), self._make_hold(now))
             if work is None:
                 return
             if self._drop_if_late(work, now):
                 continue
             self.queue.remove(work.request_id)
             self.estimates.note_end(work.request_id, now - work.arrived)
-            self._running_by_id[work.request_id] = work.adapter
-            stall_s = self._start_serving(work)
+            self.holdings.start(work.request_id, work.adapter)
+            stall_s = self.holdings.get_stall_s(work.adapter, work.arrived)
             self._effects.append(
                 model.Dispatch(work.request_id, stall_s, now - work.arrived)
             )
@@ -259,29 +255,13 @@
             return lambda work: False
         return lambda work: now < work.arrived + get_hold_s(work)
 
-    def _start_serving(self, work: model.Work) -> float:
-        """Count one more served request; return how long its load held it."""
-        holding = self._holdings_by_adapter.get(work.adapter)
-        if holding is None:
-            return 0.0
-        holding.serving += 1
-        return max(0.0, holding.since - work.arrived)
-
-    def _finish(self, request_id: str) -> None:
-        adapter = self._running_by_id.pop(request_id, None)
-        if adapter is None:
-            return
-        holding = self._holdings_by_adapter.get(adapter)
-        if holding is not None:
-            holding.serving -= 1
-
     # Loads and evictions.
 
     def _ask(self, now: float) -> None:
         """Ask for the turn of the most valuable load, or withdraw it."""
         if self.plan.loading is not None:
             return
-        waits = self.queue.list_waits(self._needs_load)
+        waits = self.queue.list_waits(self.holdings.needs_load)
         ask = self.plan.choose(waits, now)
         if ask is None:
             self._draining = None
@@ -302,33 +282,32 @@
         until it can be evicted.
         """
         assert self.config is not None
-        if len(self._holdings_by_adapter) < self.config.slots:
+        if len(self.holdings) < self.config.slots:
             self._draining = None
             return True
-        if self._choose_victim(now) is not None:
+        victim = self._choose_victim(now)
+        if victim is not None:
+            self._draining = None if victim != self._draining else victim
             return True
-        if self._draining not in self._holdings_by_adapter:
+        if self._draining is None or self._draining not in self.holdings:
             self._draining = self._choose_draining(now)
         return False
 
     def _choose_victim(self, now: float) -> AdapterRef | None:
         """Return the idle adapter with the latest expected next use."""
-        if self._draining is not None and self.is_idle(self._draining, now):
+        if self._draining is not None and self.holdings.is_idle(self._draining, now):
             return self._draining
         waiting = self.queue.adapters
         idle = [
             adapter
-            for adapter in self._holdings_by_adapter
-            if adapter not in waiting and self.is_idle(adapter, now)
+            for adapter in self.holdings
+            if adapter not in waiting and self.holdings.is_idle(adapter, now)
         ]
         return self._choose_coldest(idle, now)
 
     def _choose_draining(self, now: float) -> AdapterRef | None:
-        foreign = set(self._foreign_by_id.values())
-        candidates = [
-            adapter for adapter in self._holdings_by_adapter if adapter not in foreign
-        ]
-        return self._choose_coldest(candidates, now)
+        own = [item for item in self.holdings if not self.holdings.is_foreign(item)]
+        return self._choose_coldest(own, now)
 
     def _choose_coldest(
         self, adapters: Iterable[AdapterRef], now: float
@@ -339,13 +318,6 @@
             default=None,
         )
 
-    def is_idle(self, adapter: AdapterRef, now: float) -> bool:
-        """Tell whether an adapter is loaded and serves nothing."""
-        holding = self._holdings_by_adapter.get(adapter)
-        if holding is None or holding.serving > 0 or now < holding.keep_until:
-            return False
-        return adapter not in self._foreign_by_id.values()
-
     def _take_turn(self, adapter: AdapterRef, now: float) -> None:
         ready = self.config is not None and self.config.ready
         if not ready or self.plan.asked != adapter or self.plan.loading is not None:
@@ -355,7 +327,7 @@
                 self.plan.withdraw()
             return
         assert self.config is not None
-        if len(self._holdings_by_adapter) < self.config.slots:
+        if len(self.holdings) < self.config.slots:
             self.plan.begin(adapter, now)
             self._effects.append(model.Load(adapter))
             return
@@ -376,11 +348,9 @@
             self._draining = None
         loading = self.plan.loading
         if event.ok:
-            self._holdings_by_adapter.pop(event.adapter, None)
-            self._evicted_by_adapter[event.adapter] = now
-        elif event.adapter in self._holdings_by_adapter:
-            holding = self._holdings_by_adapter[event.adapter]
-            holding.keep_until = now + EVICT_RETRY_S
+            self.holdings.remove(event.adapter, now)
+        else:
+            self.holdings.keep(event.adapter, now + EVICT_RETRY_S)
         if loading is None:
             return
         if event.ok and self.config is not None and self.config.ready:
@@ -394,8 +364,7 @@
             return
         if event.ok:
             self.plan.end(event.took_s, now)
-            self._holdings_by_adapter[event.adapter] = Holding(since=now)
-            self._evicted_by_adapter.pop(event.adapter, None)
+            self.holdings.add(event.adapter, now)
             return
         tries = self.plan.fail(event.adapter, now, LOAD_RETRY_S)
         if tries < MAX_LOAD_TRIES:
@@ -409,32 +378,9 @@
 
     def _reconcile(self, event: model.Reported, now: float) -> None:
         if event.restarted:
-            self._forget_all()
-        self._foreign_by_id = dict(event.foreign_running)
-        self._evicted_by_adapter = {
-            adapter: at
-            for adapter, at in self._evicted_by_adapter.items()
-            if now - at < REPORT_LAG_S
-        }
-        for adapter in sorted(event.loaded):
-            # A report older than an eviction still lists what is gone.
-            if adapter in self._evicted_by_adapter or adapter == self.plan.loading:
-                continue
-            if adapter not in self._holdings_by_adapter:
-                self._holdings_by_adapter[adapter] = Holding(since=now)
-        for adapter, holding in list(self._holdings_by_adapter.items()):
-            # A report older than a load does not list it yet.
-            if adapter in event.loaded or now - holding.since < REPORT_LAG_S:
-                continue
-            if holding.serving == 0:
-                del self._holdings_by_adapter[adapter]
-
-    def _forget_all(self) -> None:
-        """Drop what a restart of the endpoint lost.
-
-        A load or an eviction under way ends by its own event, as a failure.
-        """
-        self._holdings_by_adapter.clear()
-        self._running_by_id.clear()
-        self._evicted_by_adapter.clear()
-        self._draining = None
+            # A load or an eviction under way ends by its own event.
+            self.holdings.forget()
+            self._draining = None
+        self.holdings.reconcile(
+            event.loaded, event.foreign_running, self.plan.loading, now
+        )
--- a/fescuekeel/components/owner/scheduling/queue.py
+++ b/fescuekeel/components/owner/scheduling/queue.py
@@ -1,6 +1,6 @@
 """The requests that wait for one endpoint."""
 
-from collections.abc import Callable, KeysView
+from collections.abc import Callable, Iterable, KeysView
 from dataclasses import dataclass, field
 
 from fescuekeel.components.owner.scheduling.model import Work
@@ -55,7 +55,7 @@
     >>> ref = AdapterRef("cups", "1")
     >>> queue.add(Work("lazy", ref, "plan", 1, 0.0, 9.0))
     >>> queue.add(Work("urgent", ref, "patter", 0, 1.0, 9.0))
-    >>> queue.pick(lambda adapter: True, lambda work: False).request_id
+    >>> queue.pick([ref], lambda work: False).request_id
     'urgent'
     """
 
@@ -101,14 +101,13 @@
         """Return the requests of one adapter, the oldest first."""
         return [self._work_by_id[id] for id in self._ids_by_adapter.get(adapter, ())]
 
-    def pick(self, is_ready: AdapterTest, is_held: WorkTest) -> Work | None:
-        """Return the first request in order that is ready and not held."""
+    def pick(self, adapters: Iterable[AdapterRef], is_held: WorkTest) -> Work | None:
+        """Return the first request in order of these adapters, if not held."""
         ready = (
-            self._work_by_id[id]
-            for adapter, ids in self._ids_by_adapter.items()
-            if is_ready(adapter)
-            for id in ids
-            if not is_held(self._work_by_id[id])
+            work
+            for adapter in adapters
+            for work in self.list_adapter(adapter)
+            if not is_held(work)
         )
         return min(ready, key=self.order, default=None)
 
--- a/tests/bench/test_policy.py
+++ b/tests/bench/test_policy.py
@@ -5,15 +5,16 @@
 from bench.policy.fakes import Clock, Engine, Store
 from bench.policy.rivals import Clairvoyant, FirstCome, Ours
 from bench.policy.simulation import play
-from bench.policy.traces import DEPLOYMENTS, Trace, make_trace
+from bench.policy.traces import DEPLOYMENTS, WARM_UP_S, Trace, make_trace
 from fescuekeel.components.owner.scheduling.decision import EndpointScheduler
+from fescuekeel.components.owner.scheduling.holdings import Holdings
 from fescuekeel.messages import AdapterRef
 
 A, B = AdapterRef("a", "1"), AdapterRef("b", "1")
 DEPLOYMENT = DEPLOYMENTS["nyirahabimana"]
 
 
-def make_short_trace(name="knee", requests=800):
+def make_short_trace(name="knee", requests=1300):
     whole = make_trace(DEPLOYMENT, name, 1)
     return Trace(name, 1, whole.requests[:requests], cuts=True, restarts=True)
 
@@ -53,8 +54,8 @@
             engine.start("r2", B, 10)
 
 
-class BrokenScheduler(EndpointScheduler):
-    """Evict without a look at what serves."""
+class BrokenHoldings(Holdings):
+    """Let everything be evicted without a look at what serves."""
 
     def is_idle(self, adapter, now):
         return True
@@ -62,13 +63,13 @@
 
 class Broken(Ours):
     def make_scheduler(self):
-        return BrokenScheduler()
+        return EndpointScheduler(holdings=BrokenHoldings())
 
 
 class TestPlay:
     def test_every_request_ends_once_under_each_policy(self):
         trace = make_short_trace()
-        counted = sum(request.at >= 120.0 for request in trace.requests)
+        counted = sum(request.at >= WARM_UP_S for request in trace.requests)
         for policy in (Ours(), FirstCome(), Clairvoyant(trace, DEPLOYMENT)):
             result = play(DEPLOYMENT, trace, policy)
             assert len(result.outcomes) == counted > 0
