Wake the log's thread once for the lines of a pause

Cause: each line woke the writing thread, which costs more than the line and makes the loop wait for the interpreter's lock. Stopping could also hang on a full queue behind a stuck sink.

Change: lines gather while the thread pauses for 50 ms after it has written.

--- a/fescuekeel/helpers/logging.py
+++ b/fescuekeel/helpers/logging.py
@@ -1,8 +1,8 @@
 """Logging: eliot messages written as one line of key=value pairs."""
 
-import queue
 import sys
 import threading
+from collections import deque
 from typing import Any, TextIO
 
 from eliot import add_destinations, log_message, remove_destination
@@ -10,6 +10,7 @@
 __all__ = ["LineDestination", "format_line", "log_event"]
 
 QUEUE_LINES = 10_000
+PAUSE_S = 0.05
 HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type"})
 
 
@@ -50,16 +51,22 @@
 
     def __init__(self, stream: TextIO = sys.stderr) -> None:
         self._stream = stream
-        self._lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
+        self._lines: deque[str] = deque()
+        self._woken = threading.Event()
+        self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._write, daemon=True)
         self.dropped = 0
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Queue one message."""
-        try:
-            self._lines.put_nowait(format_line(message))
-        except queue.Full:
+        if len(self._lines) >= QUEUE_LINES:
             self.dropped += 1
+            return
+        self._lines.append(format_line(message))
+        # To wake the thread costs more than the line itself, so that it is
+        # done once for all the lines of a pause.
+        if not self._woken.is_set():
+            self._woken.set()
 
     def start(self) -> None:
         """Begin to receive messages."""
@@ -69,14 +76,25 @@
     def stop(self) -> None:
         """Write what is queued and end."""
         remove_destination(self)
-        self._lines.put(None)
+        self._stopping.set()
+        self._woken.set()
         self._thread.join(timeout=2.0)
 
     def _write(self) -> None:
-        while (line := self._lines.get()) is not None:
-            self._stream.write(line + "\n")
-            if self._lines.empty():
-                self._stream.flush()
+        while not self._stopping.is_set():
+            self._woken.wait()
+            # Cleared before the queue is read: a line that comes later wakes
+            # the thread again and does not lie there until the next one.
+            self._woken.clear()
+            self._write_queued()
+            self._stopping.wait(PAUSE_S)
+        self._write_queued()
+
+    def _write_queued(self) -> None:
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        if lines:
+            self._stream.write("\n".join(lines) + "\n")
+            self._stream.flush()
 
 
 def log_event(event: str, **fields: object) -> None:
