Do not take a wait for company for want of room

Cause: entries learn from queue_s less stall_s whether an endpoint has room. A request that was held for a fuller batch looked as if there were none, so that its adapter was spread to other endpoints, a load for each copy. Change: queue_s leaves out the hold, which Dispatch gives as held_s; a hold lasts 2 s at most.

--- a/fescuekeel/components/owner/scheduling/batching.py
+++ b/fescuekeel/components/owner/scheduling/batching.py
@@ -7,6 +7,7 @@
 MOST_URGENT = 0
 # At most this share of its answer time does a request wait for others.
 HOLD_SHARE = 0.1
+MAX_HOLD_S = 2.0
 
 
 def get_hold_s(work: Work) -> float:
@@ -29,4 +30,4 @@
     if work.batch_weight <= work.stall_weight or total <= 0:
         return 0.0
     share = (work.batch_weight - work.stall_weight) / total
-    return HOLD_SHARE * share * (work.deadline - work.arrived)
+    return min(MAX_HOLD_S, HOLD_SHARE * share * (work.deadline - work.arrived))
--- a/fescuekeel/components/owner/scheduling/decision.py
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -47,7 +47,7 @@
     >>> type(effect).__name__
     'Load'
     >>> scheduler.handle(model.LoadEnded(ref, True, 0.5), 0.6)
-    [Dispatch(request_id='r1', stall_s=0.6, queue_s=0.6)]
+    [Dispatch(request_id='r1', stall_s=0.6, queue_s=0.6, held_s=0.0)]
     """
 
     popularity: UseEstimate = field(default_factory=Popularity)
@@ -240,10 +240,13 @@
             self.queue.remove(work.request_id)
             self.estimates.note_end(work.request_id, now - work.arrived)
             self.holdings.start(work.request_id, work.adapter)
-            stall_s = self.holdings.get_stall_s(work.adapter, work.arrived)
-            self._effects.append(
-                model.Dispatch(work.request_id, stall_s, now - work.arrived)
-            )
+            self._effects.append(self._make_dispatch(work, now))
+
+    def _make_dispatch(self, work: model.Work, now: float) -> model.Dispatch:
+        stall_s = self.holdings.get_stall_s(work.adapter, work.arrived)
+        waited_s = now - work.arrived
+        held_s = min(get_hold_s(work), max(0.0, waited_s - stall_s))
+        return model.Dispatch(work.request_id, stall_s, waited_s - held_s, held_s)
 
     def _make_hold(self, now: float) -> WorkTest:
         """Return the test of what waits for a fuller batch.
--- a/fescuekeel/components/owner/scheduling/model.py
+++ b/fescuekeel/components/owner/scheduling/model.py
@@ -147,11 +147,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Hand a queued request over to the endpoint."""
+    """Hand a queued request over to the endpoint.
+
+    ``stall_s`` is how long it waited for its adapter's load and ``queue_s``
+    how long it waited in all, less ``held_s``, its wait for a fuller batch:
+    entries take what is left of ``queue_s`` beside the stall for want of room
+    and would send the next request elsewhere, where it needs a load.
+    """
 
     request_id: str
     stall_s: float
     queue_s: float
+    held_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/components/owner/scheduling/test_decision.py
+++ b/tests/components/owner/scheduling/test_decision.py
@@ -1,5 +1,7 @@
 """Tests of the decisions for one endpoint."""
 
+import pytest
+
 from fescuekeel.components.owner.scheduling import model
 from fescuekeel.components.owner.scheduling.decision import EndpointScheduler
 from fescuekeel.errors import ErrorKind
@@ -244,6 +246,15 @@
         effects = scheduler.handle(model.Tick(), 1.9)
         assert [effect.request_id for effect in effects] == ["r1", "r2"]
 
+    def test_the_wait_for_company_is_no_want_of_room(self):
+        # Entries took it for a full endpoint and spread the adapter, which
+        # cost a load for each copy.
+        scheduler = self.make_loaded()
+        scheduler.handle(model.Arrived(self.make_lazy("r1", 0.0)), 0.0)
+        (effect,) = scheduler.handle(model.Tick(), 1.9)
+        assert effect.held_s == pytest.approx(1.8)
+        assert effect.queue_s == pytest.approx(0.1)
+
     def test_urgent_work_opens_the_batch_for_all(self):
         scheduler = self.make_loaded()
         scheduler.handle(model.Arrived(self.make_lazy("r1", 0.0)), 0.0)
