Keep the signature of the library's connect

Cause: script/test in a fresh clone stopped at the type check: connect of the endpoints' client took fewer positional arguments than the class it replaces. Change: it takes them, and ignores them as before. Conclusion: a caller of the library's class can call this one.

--- a/fescuekeel/helpers/endpoint_http.py
+++ b/fescuekeel/helpers/endpoint_http.py
@@ -113,7 +113,7 @@
     ``ConnectError``; whatever else happens counts as "may have run".
     """
 
-    async def connect(self, host: str, port: int, **options: Any) -> IOStream:
+    async def connect(self, host: str, port: int, *_: Any, **options: Any) -> IOStream:
         """Connect, and note the stream in the exchange under way."""
         try:
             async with asyncio.timeout(options.get("timeout")):
