End the processes of a bench that is told to stop

Cause: a bench that was ended by a signal left its engines and daemons behind.

Change: the signal cancels the run, which ends them by their ids.

--- a/bench/capacity/measure.py
+++ b/bench/capacity/measure.py
@@ -15,7 +15,7 @@
 from bench.capacity.tree import TreeCost
 from bench.capacity.wires import WireCost, measure_wires
 from bench.path.load import LoadOrder, LoadResult
-from bench.path.world import Usage, World, open_world
+from bench.path.world import Usage, World, cancel_on_sigterm, open_world
 from fescuekeel.components.tree.model import Pool, PoolKind
 from standins.fleet import Daemon, Fleet
 from standins.platform import Platform
@@ -130,6 +130,7 @@
 
 async def measure_fleet() -> FleetCost:
     """Grow endpoints, then members, below idle daemons."""
+    cancel_on_sigterm()
     with TemporaryDirectory(prefix="bench-capacity-") as name:
         fleet = Fleet(Path(name))
         platform = await Platform.start(("c0", "c1"))
--- a/bench/path/world.py
+++ b/bench/path/world.py
@@ -1,6 +1,7 @@
 """The processes of the measurement: engines, an entry and an owner."""
 
 import asyncio
+import signal
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -28,7 +29,7 @@
 from standins.live_list import Entry
 from standins.platform import Platform
 
-__all__ = ["Usage", "World", "open_world"]
+__all__ = ["Usage", "World", "cancel_on_sigterm", "open_world"]
 
 READY_TRIES = 200
 READY_PAUSE_S = 0.1
@@ -97,9 +98,17 @@
     return psutil.Process(daemon.process.pid).cpu_times()
 
 
+def cancel_on_sigterm() -> None:
+    """End in order when told to, so that no process is left behind."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 @asynccontextmanager
 async def open_world() -> AsyncIterator[World]:
     """Start everything, wait until it answers, and end it."""
+    cancel_on_sigterm()
     with TemporaryDirectory(prefix="bench-path-") as name:
         fleet = Fleet(Path(name))
         platform = await Platform.start((ENTRY_CENTRE, OWNER_CENTRE))
