--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from fescuekeel.core import Actor, Bus, Manifest, Metrics, Registry, order_domains
+from fescuekeel.core import (
+    Actor,
+    Bus,
+    Manifest,
+    Metrics,
+    Registry,
+    order_domains,
+    read_manifests,
+)
 
 
 class TestBus:
@@ -37,6 +45,19 @@
             order_domains(circle)
 
 
+class TestOrder:
+    def test_operators_can_watch_an_instance_drain(self):
+        """An operator drains an instance and its status is gone at once.
+
+        Components stop in the reverse order of their start. Had the
+        operators' port started after the owner, it would close first, and
+        nobody could see what still runs.
+        """
+        order = order_domains(read_manifests())
+        assert order.index("operators") < order.index("owner")
+        assert order.index("owner") < order.index("gateway")
+
+
 class TestMetrics:
     def test_durations_are_kept_in_microseconds(self):
         metrics = Metrics()
