Tell fresh instances who has left

Cause: an instance that starts while the live list still shows one that has left gracefully knew of no leaving. Its requests went there until probes failed, about a second and a half, with longer and longer waits; one ended as "outcome unknown" without having run (machine of requests). Change: whoever greets a new member tells again who has left, as it does for endpoints that leave.

--- a/fescuekeel/components/membership/beliefs.py
+++ b/fescuekeel/components/membership/beliefs.py
@@ -251,6 +251,11 @@
         # higher incarnation may be a new life that has heard nothing.
         for item in self._leaving.list_news():
             self._news.add(item)
+        # Guards against a fresh instance whose live list still shows one that
+        # left: it would send requests there, and find out by probes alone.
+        for other in self.records_by_id.values():
+            if other.state is InstanceState.LEFT:
+                self._news.add(other.to_news())
         if record.incarnation:
             self._tell(record.to_news())
 
--- a/tests/components/membership/test_decision.py
+++ b/tests/components/membership/test_decision.py
@@ -169,6 +169,23 @@
         network.run(LEAVING_BOUND_S)
         assert not network.views["i9"].endpoints_by_id
 
+    def test_an_instance_that_comes_later_hears_who_has_left(self):
+        """i3 shuts down gracefully; i9 starts while the list still shows i3.
+
+        Requests that i9 took in went to i3 again and again, with longer and
+        longer waits, and could end as "outcome unknown" without having run:
+        only probes that failed told i9 that i3 was gone.
+        """
+        network = Network(IDS)
+        network.give("i3", Leave())
+        network.run(2)
+        network.dead.add("i3")
+        network.run(10)
+        network.add("i9", 2)
+        network.give("i9", make_live(IDS))
+        network.run(1)
+        assert network.sees("i9") == {*IDS, "i9"} - {"i3"}
+
     def test_leaving_holds_until_a_new_incarnation(self):
         network = Network(["i1"])
         seen = []
