Stop waiting for a holder that no longer holds a revision

Cause: a fresh instance saw revision 4 at a peer. The peer was replaced under its id beside a stale service and held 3, but went on to count as a holder of 4. Nothing came in force here, and all requests were refused, until the service showed 4 (machine of the tree). Change: when fetching fails after the bound of the start, the holders are asked for the manifest again. One that answers without it no longer counts; a silent one does. Only peers are asked, so that this costs the service no calls. Conclusion: a lost revision delays a start by its bound and one back-off.

--- a/fescuekeel/components/tree/follower.py
+++ b/fescuekeel/components/tree/follower.py
@@ -52,15 +52,27 @@
     ``tried`` are holders that were asked for the manifest in vain. After a
     failure it waits until ``retry_at``, and a lower revision that can be had
     goes first: a manifest whose parts cannot be found must not keep all
-    others out.
+    others out. A ``doubted`` one is not fetched before a peer that counts as
+    its holder has shown the manifest again.
     """
 
     holders: set[str] = field(default_factory=set)
     tried: set[str] = field(default_factory=set)
     manifest: TreeManifest | None = None
+    doubted: bool = False
     failures: int = 0
     retry_at: float = 0.0
 
+    @property
+    def peers(self) -> set[str]:
+        """Return the holders that are instances."""
+        return self.holders - {SERVICE}
+
+    @property
+    def can_be_fetched(self) -> bool:
+        """Tell whether its manifest is known and not in doubt."""
+        return self.manifest is not None and not (self.doubted and self.peers)
+
     def back_off(self, now: float) -> None:
         """Wait longer after each failure."""
         doublings = min(self.failures, MAX_DOUBLINGS)
@@ -180,6 +192,7 @@
             candidate.retry_at = self.started
         if manifest is not None:
             candidate.manifest = manifest
+            candidate.doubted = False
         return []
 
     def _read_manifest(self, event: ManifestRead, now: float) -> list[Effect]:
@@ -192,6 +205,7 @@
         if self._asking is not None and self._asking[1] == event.source:
             asked, self._asking = self._asking[0], None
             if version < asked:
+                self._drop_if_replaced(asked, event)
                 self._try_another(asked, event.source, now)
         if manifest is None:
             return []
@@ -202,12 +216,26 @@
         if candidate is None:
             return
         candidate.tried.add(holder)
-        if candidate.tried >= candidate.holders:
+        if candidate.tried >= candidate.peers:
             # Who told of a revision may still be fetching it.
             candidate.tried.clear()
             candidate.back_off(now)
         self._drop_if_lost(version)
 
+    def _drop_if_replaced(self, version: Version, event: ManifestRead) -> None:
+        """Forget a holder that has shown a revision and no longer has it.
+
+        Guards against a peer that is replaced under its id beside a stale
+        service, while this instance starts: the peer would count as a holder
+        for ever, and nothing would come in force here. It shows as a fetch
+        that fails after the bound of the start. Until it has shown a lower
+        one itself, a peer that is merely silent counts.
+        """
+        candidate = self._candidates_by_version.get(version)
+        if candidate is None or not candidate.doubted or not event.answered:
+            return
+        candidate.holders.discard(event.source)
+
     def _drop_if_lost(self, version: Version) -> None:
         """Forget a revision whose holders are all gone.
 
@@ -233,16 +261,15 @@
         if best == NO_VERSION or (self._fetching and self._fetching >= best):
             return []
         candidate = self._candidates_by_version[best]
-        if candidate.manifest is not None:
+        if candidate.manifest is not None and candidate.can_be_fetched:
             self._fetching = best
-            peers = sorted(candidate.holders - {SERVICE})
-            ranked = rendezvous.rank(self.id, peers)
+            ranked = rendezvous.rank(self.id, sorted(candidate.peers))
             return [FetchRevision(candidate.manifest, (*ranked, SERVICE))]
         if self._asking is not None and self._asking[0] >= best:
             return []
         # Each instance asks another holder, so that the first one to hold a
         # revision is not asked by all.
-        untried = sorted(candidate.holders - candidate.tried)
+        untried = sorted(candidate.peers - candidate.tried)
         holder = rendezvous.choose(self.id, untried)
         if holder is None:
             return []
@@ -275,6 +302,7 @@
             return [Count(COUNT_INVALID, *version, "")]
         candidate = self._candidates_by_version.get(version)
         if candidate is not None:
+            candidate.doubted = self.starting and self._is_late(now)
             candidate.back_off(now)
             self._drop_if_lost(version)
         return []
@@ -314,14 +342,16 @@
         return effects
 
     def _is_settled(self, states: list[StartingPeer], now: float) -> bool:
-        passed_s = now - self.started
-        late = passed_s >= START_BOUND_S
+        late = self._is_late(now)
         for candidate in self._candidates_by_version.values():
             # In the end only a peer that has shown the manifest counts: a
             # revision that was merely heard of may be gone with its holder.
-            if candidate.holders - {SERVICE} and (candidate.manifest or not late):
+            if candidate.peers and (candidate.manifest or not late):
                 return False
         if late:
             return True
-        known = self._listed and passed_s >= SETTLE_S
+        known = self._listed and now - self.started >= SETTLE_S
         return known and all(state.done for state in states)
+
+    def _is_late(self, now: float) -> bool:
+        return now - self.started >= START_BOUND_S
--- a/tests/components/tree/test_follower.py
+++ b/tests/components/tree/test_follower.py
@@ -160,6 +160,42 @@
         assert not pick(follower.handle(Tick(), 4.0), PutInForce)
         assert pick(follower.handle(Tick(), START_BOUND_S), PutInForce)
 
+    def start_beside_a_holder(self):
+        """Start beside i2, which shows 4 and then cannot give its parts."""
+        follower = Follower("i1", "dc1", 0.0)
+        follower.handle(MembersSeen({"i1": "dc1", "i2": "dc1"}), 0.0)
+        follower.handle(ManifestRead("i2", make_manifest(4)), 0.1)
+        follower.handle(RevisionFailed(make_manifest(4), invalid=False), 0.2)
+        follower.handle(ManifestRead(SERVICE, make_manifest(3)), 0.3)
+        follower.handle(RevisionTaken(make_manifest(3)), 0.4)
+        again = follower.handle(Tick(), START_BOUND_S)
+        assert pick(again, FetchRevision)[0].manifest.revision == 4
+        failed = RevisionFailed(make_manifest(4), invalid=False)
+        assert not pick(follower.handle(failed, START_BOUND_S + 1), PutInForce)
+        asked = follower.handle(Tick(), START_BOUND_S + 10)
+        assert pick(asked, AskManifest) == [AskManifest("i2", 4)]
+        return follower
+
+    def test_a_holder_that_was_replaced_does_not_block(self):
+        """i1 starts, hears of 4 from i2 and cannot fetch it in time.
+
+        i2 is replaced under its id beside a stale service and holds 3. i1
+        went on to count it as a holder of 4, put nothing in force and refused
+        all requests until the service showed 4.
+        """
+        follower = self.start_beside_a_holder()
+        effects = follower.handle(ManifestRead("i2", None), START_BOUND_S + 11)
+        assert pick(effects, PutInForce) == [PutInForce(make_manifest(3))]
+
+    def test_a_silent_holder_still_counts(self):
+        follower = self.start_beside_a_holder()
+        silent = ManifestRead("i2", None, answered=False)
+        effects = follower.handle(silent, START_BOUND_S + 11)
+        assert not pick(effects, PutInForce)
+        shown = ManifestRead("i2", make_manifest(4))
+        effects = follower.handle(shown, START_BOUND_S + 30)
+        assert pick(effects, FetchRevision)
+
 
 class TestReading:
     @pytest.mark.parametrize("size", [1, 3, 50])
