Measure the policy after two half-lives and how early refusals come

Cause: 300 s of warm-up are one half-life of the popularity count, so that the steady traces also measured how it is learned. The table did not say when requests without an answer were told, and a policy whose callers give up had short stalls by that. Change: 600 s of warm-up and 360 s measured for all traces, with the change 60 s after the warm-up. Two more pairs of columns: the stall where each request without an answer counts with its whole answer time, and when such requests were told, as a share of their answer time. A line above the last ones gives the ratios so counted; the last lines keep their meaning.

--- a/bench/policy/report.py
+++ b/bench/policy/report.py
@@ -10,7 +10,7 @@
 from bench.policy.previous import find_previous, load_revision
 from bench.policy.rivals import Clairvoyant, FirstCome, Ours, Policy
 from bench.policy.simulation import Result, play
-from bench.policy.summary import Summary, summarize
+from bench.policy.summary import Stalls, Summary, summarize
 from bench.policy.sweep import print_sweep
 from bench.policy.traces import DEPLOYMENTS, TRACES, Deployment, Trace, make_trace
 
@@ -100,6 +100,8 @@
         PREVIOUS
     }:
         plot(summaries_by_deployment, FIGURE if options.figure else BUILD_FIGURE)
+        for name, summaries in summaries_by_deployment.items():
+            print(format_whole_line(name, summaries))
         for name, summaries in summaries_by_deployment.items():
             print(format_last_line(name, summaries))
     return 0
@@ -156,7 +158,8 @@
     )
     print(
         "trace    policy       stall: mean    p50    p99 | urgent: mean    p50    p99"
-        " | other: mean    p50    p99 | in time  urgent  batch  loads  back  refused"
+        " | other: mean    p50    p99 | whole: mean    p99"
+        " | in time  urgent  batch  loads  back | told: p50   p99  refused"
     )
     for trace, by_policy in summaries.items():
         for policy, item in by_policy.items():
@@ -166,9 +169,11 @@
             )
             refused = " ".join(f"{kind}={n}" for kind, n in item.refused.items())
             print(
-                f"{trace:8} {policy:11} {stalls} |   {item.in_time:.3f}"
-                f"   {item.urgent_in_time:.3f}  {item.batch:.3f}  {item.loads:5}"
-                f"  {item.recovery_s:4.0f}  {refused}"
+                f"{trace:8} {policy:11} {stalls}"
+                f" |       {item.whole.mean:6.2f} {item.whole.p99:6.2f}"
+                f" |   {item.in_time:.3f}   {item.urgent_in_time:.3f}"
+                f"  {item.batch:.3f}  {item.loads:5}  {item.recovery_s:4.0f}"
+                f" |     {item.told.p50:5.2f} {item.told.p99:5.2f}  {refused}"
             )
 
 
@@ -177,12 +182,22 @@
     return value / by if by > 0 else 1.0
 
 
-def compare_stalls(summaries: Summaries, other: str) -> float:
-    """Return the worse ratio of mean and p99 of stalls at the knee."""
-    ours, rival = summaries["knee"][OURS].stalls, summaries["knee"][other].stalls
+def compare_stalls(ours: Stalls, rival: Stalls) -> float:
+    """Return the worse ratio of mean and p99."""
     return max(divide(ours.mean, rival.mean), divide(ours.p99, rival.p99))
 
 
+def format_whole_line(deployment: str, summaries: Summaries) -> str:
+    """Return the ratios with each unanswered request's whole answer time."""
+    ours = summaries["knee"][OURS].whole
+    parts = [f"unanswered counted whole: deployment={deployment}"]
+    for other in (LRU, CLAIRVOYANT):
+        rival = summaries["knee"][other].whole
+        parts.append(f"mean_vs_{other}={divide(ours.mean, rival.mean):.3f}")
+        parts.append(f"p99_vs_{other}={divide(ours.p99, rival.p99):.3f}")
+    return " ".join(parts)
+
+
 def format_last_line(deployment: str, summaries: Summaries) -> str:
     """Return the line that ends a deployment's output."""
     goodput = min(
@@ -194,10 +209,11 @@
         for name in FULL
     )
     urgent = max(summaries[name][OURS].urgent.p99 for name in STEADY)
+    knee = {policy: item.stalls for policy, item in summaries["knee"].items()}
     return (
         f"policy deployment={deployment}"
-        f" stall_vs_lru={compare_stalls(summaries, LRU):.3f}"
-        f" stall_vs_clairvoyant={compare_stalls(summaries, CLAIRVOYANT):.3f}"
+        f" stall_vs_lru={compare_stalls(knee[OURS], knee[LRU]):.3f}"
+        f" stall_vs_clairvoyant={compare_stalls(knee[OURS], knee[CLAIRVOYANT]):.3f}"
         f" urgent_p99_s={urgent:.3f}"
         f" goodput_vs_clairvoyant={goodput:.3f}"
         f" batch_vs_clairvoyant={batch:.3f}"
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -46,12 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """What became of one request; ``stall_s`` is the wait for its adapter."""
+    """What became of one request; ``stall_s`` is the wait for its adapter.
+
+    ``ended_at`` is when it was refused or answered, in seconds.
+    """
 
     request: Request
     answered_at: float | None
     kind: str
     stall_s: float
+    ended_at: float = 0.0
 
     @property
     def in_time(self) -> bool:
@@ -257,7 +261,7 @@
         if attempt.endpoint:
             self._hints_by_dc[request.data_centre].note_done(attempt.endpoint)
         if request.at >= WARM_UP_S:
-            outcome = Outcome(request, answered_at, str(kind), stall_s)
+            outcome = Outcome(request, answered_at, str(kind), stall_s, self._clock.now)
             self._result.outcomes.append(outcome)
 
     # The owners' part.
--- a/bench/policy/summary.py
+++ b/bench/policy/summary.py
@@ -24,6 +24,14 @@
     p99: float
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """When those without an answer were refused, as a share of their time."""
+
+    p50: float
+    p99: float
+
+
 @dataclass(frozen=True, slots=True)
 class Summary:
     """What the table shows.
@@ -31,10 +39,14 @@
     Stalls are those of all requests that were not refused on arrival, so
     that one whose time passed while it waited for a load counts as well.
     ``in_time`` and ``batch`` are shares, ``answer_s`` is the mean time to the
-    whole answer.
+    whole answer. In ``whole`` each request without an answer, also one that
+    was refused on arrival, counts with its whole answer time: else a policy
+    whose callers give up looks better the earlier they do.
     """
 
     stalls: Stalls
+    whole: Stalls
+    told: Told
     urgent: Stalls
     other: Stalls
     requests: int
@@ -77,6 +89,8 @@
     refused = Counter(item.kind for item in outcomes if item.answered_at is None)
     return Summary(
         stalls=_get_stalls(waited),
+        whole=_sum_up(_get_whole_s(item) for item in outcomes),
+        told=_get_told(item for item in outcomes if item.answered_at is None),
         urgent=_get_stalls(i for i in waited if i.request.kind.urgency == URGENT),
         other=_get_stalls(i for i in waited if i.request.kind.urgency != URGENT),
         requests=len(outcomes),
@@ -103,7 +117,25 @@
 
 
 def _get_stalls(outcomes: Iterable[Outcome]) -> Stalls:
-    values = [item.stall_s for item in outcomes]
+    return _sum_up(item.stall_s for item in outcomes)
+
+
+def _get_whole_s(outcome: Outcome) -> float:
+    if outcome.answered_at is None:
+        return outcome.request.kind.answer_s
+    return outcome.stall_s
+
+
+def _get_told(outcomes: Iterable[Outcome]) -> Told:
+    shares = [
+        (item.ended_at - item.request.at) / item.request.kind.answer_s
+        for item in outcomes
+    ]
+    return Told(get_quantile(shares, 0.5), get_quantile(shares, 0.99))
+
+
+def _sum_up(seconds: Iterable[float]) -> Stalls:
+    values = list(seconds)
     return Stalls(_mean(values), get_quantile(values, 0.5), get_quantile(values, 0.99))
 
 
--- a/bench/policy/traces.py
+++ b/bench/policy/traces.py
@@ -21,10 +21,12 @@
 ZIPF = 0.9
 DATA_CENTRES = 3
 SLOTS = 8
-WARM_UP_S = 300.0
-DURATION_S = 540.0
-CHANGE_S = 380.0
-CHANGE_ENDS_S = 440.0
+# Two half-lives of the counts of arrivals, so that the steady traces do not
+# measure how popularity is learned; the shift and the restart do.
+WARM_UP_S = 600.0
+DURATION_S = 960.0
+CHANGE_S = 660.0
+CHANGE_ENDS_S = 720.0
 # The knee: the rate at which the store is this busy under the best cache that
 # never changes, one that holds the most popular adapters.
 KNEE_BUSY = 0.9
--- a/tests/bench/test_policy.py
+++ b/tests/bench/test_policy.py
@@ -14,7 +14,7 @@
 DEPLOYMENT = DEPLOYMENTS["nyirahabimana"]
 
 
-def make_short_trace(name="knee", requests=1300):
+def make_short_trace(name="knee", requests=2200):
     whole = make_trace(DEPLOYMENT, name, 1)
     return Trace(name, 1, whole.requests[:requests], cuts=True, restarts=True)
 
