Keep a late cancellation from stopping the next attempt

Cause: a peer connection goes silent, the entry cancels attempt 1 and sends attempt 2. When attempt 1 ends unknown its owner sends a second cancellation, which names the request only and races attempt 2 on the same engine; the entry then passed "cancelled" on to a caller that had not gone away. Excluded: the relay and the load generator; a focused test with a delayed cancellation fails each time. Change: the next attempt waits until no cancellation of the request is under way; a stray "cancelled" counts as an unknown outcome, which is retried if the request is repeatable.

--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -262,6 +262,10 @@
             return [Finish()]
         if failure.outcome is Ran.NO:
             return self._refuse(attempt, failure, now)
+        if failure.kind is ErrorKind.CANCELLED:
+            # Guards against a cancellation of an earlier attempt that reaches
+            # the endpoint late and stops this one: nobody has asked for that.
+            failure = Failure(ErrorKind.OUTCOME_UNKNOWN, failure.kind.value)
         self.uncertain_attempts.add(attempt)
         if self.delivered:
             return self._fail(self._get_cut_failure())
--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -1,6 +1,7 @@
 """The requests that one endpoint's owner has queued and handed over."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -68,6 +69,7 @@
         self.runs_by_id: dict[str, Started] = {}
         self._waiting_by_id: dict[str, model.SubmitCame] = {}
         self._ended_by_id: dict[str, float] = {}
+        self._cancelling: Counter[str] = Counter()
 
     @property
     def is_empty(self) -> bool:
@@ -112,6 +114,9 @@
             self._waiting_by_id[submit.request_id] = came
             self._spawn_cancel(submit.request_id)
             return
+        if submit.request_id in self._cancelling:
+            self._waiting_by_id[submit.request_id] = came
+            return
         self._drop_queued(submit.request_id)
         item = self._make_item(came)
         self.queued_by_id[item.request_id] = item
@@ -210,9 +215,7 @@
             self.host.foreign.forget(item.request_id)
             self._ended_by_id[item.request_id] = now
         self.host.schedule(sched.Finished(item.request_id))
-        waiting = self._waiting_by_id.pop(item.request_id, None)
-        if waiting is not None:
-            self.host.post(waiting)
+        self._release_waiting(item.request_id)
 
     def _make_item(self, came: model.SubmitCame) -> model.Item:
         now = self.instance.now()
@@ -238,8 +241,30 @@
             self.host.schedule(sched.Cancelled(request_id))
 
     def _spawn_cancel(self, request_id: str) -> None:
-        cancel = self.host.driver.cancel(request_id)
-        self.instance.spawn(cancel, f"{self.host.name}.cancel")
+        self._cancelling[request_id] += 1
+        self.instance.spawn(self._cancel(request_id), f"{self.host.name}.cancel")
+
+    async def _cancel(self, request_id: str) -> None:
+        try:
+            await self.host.driver.cancel(request_id)
+        finally:
+            self._cancelling[request_id] -= 1
+            if not self._cancelling[request_id]:
+                del self._cancelling[request_id]
+            self._release_waiting(request_id)
+
+    def _release_waiting(self, request_id: str) -> None:
+        """Take the next attempt once nothing of the earlier one is left.
+
+        Guards against a cancellation that is still on its way to the endpoint,
+        which knows requests by their id only: it would stop the next attempt,
+        and the caller would hear "cancelled" without having gone away.
+        """
+        if request_id in self.runs_by_id or request_id in self._cancelling:
+            return
+        waiting = self._waiting_by_id.pop(request_id, None)
+        if waiting is not None:
+            self.host.post(waiting)
 
     def _start(self, item: model.Item, waits: Waits) -> None:
         run = Run(
--- a/tests/components/gateway/test_attempts.py
+++ b/tests/components/gateway/test_attempts.py
@@ -223,6 +223,25 @@
 )
 
 
+class TestStrayCancellation:
+    def test_it_is_no_answer_to_a_caller_that_waits(self):
+        """A script ends as "cancelled" although its caller still waits.
+
+        The owner is lost for a moment, and the entry cancels attempt 1 and
+        sends attempt 2. The cancellation reaches the engine late and stops
+        attempt 2, since the engine knows requests by their id only.
+        """
+        life = make_life()
+        stopped = Failure(ErrorKind.CANCELLED, ran=Ran.UNKNOWN)
+        life.handle(Started(1), 1.0)
+        effects = allow(life, life.handle(Ended(1, stopped), 1.0))
+        assert isinstance(effects[0], SendAttempt)
+        charge = make_life(repeatable=False)
+        charge.handle(StartAsked(1), 1.0)
+        failure = get_failure(charge.handle(Ended(1, stopped), 1.0))
+        assert failure.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
 class OneChargeManyOwners(RuleBasedStateMachine):
     """Owners of all attempts act at any time; an oracle counts the runs."""
 
--- a/tests/components/owner/test_endpoint.py
+++ b/tests/components/owner/test_endpoint.py
@@ -35,6 +35,14 @@
     return node
 
 
+LATE_S = 0.05
+
+
+def is_ended(node: Node, request_id: str, attempt: int) -> bool:
+    end = node.ends_by_id.get(request_id)
+    return end is not None and end.attempt == attempt
+
+
 class TestPath:
     def test_request_is_loaded_dispatched_and_streamed(self) -> None:
         async def story(bed: Bed) -> None:
@@ -98,6 +106,36 @@
 
         run_story(story)
 
+    def test_a_late_cancellation_spares_the_next_attempt(self) -> None:
+        """A script ends as "cancelled" although its caller still waits.
+
+        Attempt 1 is cancelled before its first token, and attempt 2 of the
+        same request follows. What is sent to stop attempt 1 reaches the
+        engine late, when attempt 2 could run there already.
+        """
+
+        async def story(bed: Bed) -> None:
+            node = await start_owned(bed)
+            driver = node.endpoint.driver
+            cancel = driver.cancel
+
+            async def cancel_late(request_id: str) -> None:
+                await asyncio.sleep(LATE_S)
+                await cancel(request_id)
+
+            bed.engine.settings.prefill_steps = LONG
+            await node.submit("i1", "r1", max_tokens=LONG)
+            await eventually(lambda: bed.engine.running)
+            bed.engine.settings.prefill_steps = 0
+            with mock.patch.object(driver, "cancel", cancel_late):
+                node.cancel("i1", "r1")
+                await node.submit("i1", "r1", attempt=2, max_tokens=200)
+                await eventually(lambda: is_ended(node, "r1", 2))
+            assert node.ends_by_id["r1"].kind == ""
+            assert node.positions("r1", 2) == list(range(200))
+
+        run_story(story)
+
     def test_work_past_its_time_is_stopped_at_the_engine(self) -> None:
         async def story(bed: Bed) -> None:
             node = await start_owned(bed)
