Ask the second candidate before a load where it displaces less

Cause: with homes by hashing alone slots are unequally hot. What one endpoint evicts may be asked for more often than what another keeps.

Change: a request that needs a load at one of its adapter's first two endpoints makes its owner ask the owner of the other (CopyAsk, one question for all that wait, 0.2 s). A pure decision sends it on when the adapter is there or a load displaces less there. "moved" is a refusal before anything was queued, free of the retry budget and without back-off; a request is moved once at most, and entries remember the place for 5 s. It is an efficiency decision: no answer or a wrong one costs a load in the worse place.

--- a/bench/policy/rivals.py
+++ b/bench/policy/rivals.py
@@ -1,6 +1,7 @@
 """The policies that are compared, each behind the same protocol."""
 
 import bisect
+import importlib.util
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
@@ -64,12 +65,23 @@
 
     def __init__(self, module: ModuleType = decision) -> None:
         self._module = module
+        self._copies = _find_copies(module)
 
     def make_scheduler(self) -> Scheduler:
         """Return the real scheduler."""
         scheduler: Scheduler = self._module.EndpointScheduler()
         return scheduler
 
+    def look(self, scheduler: Scheduler, adapter: AdapterRef, now: float) -> Any:
+        """Return the situation as the real owner tells it, if it does."""
+        if self._copies is None:
+            return None
+        return self._copies.look(scheduler, adapter, now)
+
+    def should_move(self, here: Any, there: Any) -> bool:
+        """Ask the real decision."""
+        return self._copies is not None and self._copies.should_move(here, there)
+
     def route(
         self, request: Request, router: Router, tried: Iterable[str], now: float
     ) -> str | None:
@@ -88,6 +100,14 @@
         return choice.endpoint if choice is not None else None
 
 
+def _find_copies(module: ModuleType) -> Any:
+    """Return the placement of copies beside a scheduler, if it has one."""
+    name = f"{module.__name__.rpartition('.')[0]}.copies"
+    if importlib.util.find_spec(name) is None:
+        return None
+    return importlib.import_module(name)
+
+
 # Usual parts: least recently used, or random; first come; least loaded.
 
 
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -3,9 +3,10 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any
 
 from bench.policy.fakes import Clock, Engine, Store
-from bench.policy.rivals import Policy, Router, Scheduler
+from bench.policy.rivals import Ours, Policy, Router, Scheduler
 from bench.policy.traces import (
     CHANGE_ENDS_S,
     CHANGE_S,
@@ -21,6 +22,7 @@
 from fescuekeel.components.owner.scheduling import model
 from fescuekeel.components.turns.decision import TurnReply, TurnTable
 from fescuekeel.errors import ErrorKind
+from fescuekeel.helpers.homes import find_other, rank_alive
 from fescuekeel.messages import (
     AdapterRef,
     LiveEntry,
@@ -42,6 +44,7 @@
 # A dead owner is noticed after this long, and its lease waited out.
 NOTICED_S = 1.0
 LEASE_S = 2.0
+ASK_TIMEOUT_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +85,7 @@
     request: Request
     endpoint: str = ""
     tried: set[str] = field(default_factory=set)
+    moved: bool = False
 
 
 @dataclass(slots=True)
@@ -237,10 +241,14 @@
         self._clock.call_later(LINK_S, partial(self._submit, attempt))
 
     def _submit(self, attempt: Attempt) -> None:
-        request = attempt.request
         if attempt.endpoint == self._dead_owner:
             self._held.append(attempt)
             return
+        if not self._ask_other(attempt):
+            self._arrive(attempt)
+
+    def _arrive(self, attempt: Attempt) -> None:
+        request = attempt.request
         work = model.Work(
             request_id=request.id,
             adapter=request.adapter,
@@ -254,6 +262,63 @@
         )
         self._tell(self._hosts_by_id[attempt.endpoint], model.Arrived(work))
 
+    # The owners' question where a load takes place.
+
+    def _ask_other(self, attempt: Attempt) -> bool:
+        """Ask the adapter's other endpoint when a load is needed here."""
+        policy, adapter = self._policy, attempt.request.adapter
+        host = self._hosts_by_id[attempt.endpoint]
+        if attempt.moved or not isinstance(policy, Ours):
+            return False
+        here = policy.look(host.scheduler, adapter, self._clock.now)
+        other = self._find_other(host, adapter)
+        if here is None or here.held or other is None:
+            return False
+        silent = other.entry.id == self._dead_owner
+        if silent:
+            self._clock.call_later(ASK_TIMEOUT_S, partial(self._decide, attempt, None))
+            return True
+        self._clock.call_later(LINK_S, partial(self._look_there, attempt, other))
+        return True
+
+    def _find_other(self, host: Host, adapter: AdapterRef) -> Host | None:
+        router = self._make_router(host.entry.data_centre)
+        ranked = rank_alive(
+            "engines", adapter, router.endpoints_by_id, router.members_by_id
+        )
+        other = find_other(host.entry.id, ranked)
+        return None if other is None else self._hosts_by_id[other]
+
+    def _look_there(self, attempt: Attempt, other: Host) -> None:
+        assert isinstance(self._policy, Ours)
+        adapter = attempt.request.adapter
+        there = self._policy.look(other.scheduler, adapter, self._clock.now)
+        decide = partial(self._decide, attempt, other.entry.id, there)
+        self._clock.call_later(LINK_S, decide)
+
+    def _decide(self, attempt: Attempt, other: str | None, there: Any = None) -> None:
+        assert isinstance(self._policy, Ours)
+        request, now = attempt.request, self._clock.now
+        if attempt.endpoint == self._dead_owner:
+            self._held.append(attempt)
+            return
+        host = self._hosts_by_id[attempt.endpoint]
+        here = self._policy.look(host.scheduler, request.adapter, now)
+        if other is None or not self._policy.should_move(here, there):
+            self._arrive(attempt)
+            return
+        self._clock.call_later(LINK_S, partial(self._move, attempt, other))
+
+    def _move(self, attempt: Attempt, endpoint: str) -> None:
+        """Send a request on to the endpoint that its home named."""
+        request, now = attempt.request, self._clock.now
+        hints = self._hints_by_dc[request.data_centre]
+        hints.note_moved(attempt.endpoint, endpoint, request.adapter, now)
+        hints.note_done(attempt.endpoint)
+        hints.note_sent(endpoint)
+        attempt.endpoint, attempt.moved = endpoint, True
+        self._clock.call_later(LINK_S, partial(self._submit, attempt))
+
     def _end(
         self, request: Request, answered_at: float | None, kind: str, stall_s: float
     ) -> None:
--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -57,6 +57,7 @@
 
 RETRY_REASONS_BY_KIND: dict[ErrorKind, RetryReason] = {
     ErrorKind.NOT_OWNER: RetryReason.NOT_OWNER,
+    ErrorKind.MOVED: RetryReason.MOVED,
     ErrorKind.DRAINING: RetryReason.OWNER_DRAINING,
     ErrorKind.PEER_UNREACHABLE: RetryReason.OWNER_UNREACHABLE,
     ErrorKind.QUEUE_FULL: RetryReason.QUEUE_FULL,
@@ -72,6 +73,7 @@
 FREE_REASONS = frozenset(
     {
         RetryReason.NOT_OWNER,
+        RetryReason.MOVED,
         RetryReason.OWNER_DRAINING,
         RetryReason.OWNER_UNREACHABLE,
         RetryReason.STREAM_RESUMED,
@@ -293,7 +295,8 @@
         if failure is None:
             return []
         if allowed:
-            return self._send(self._get_backoff_s())
+            moved = failure.kind is ErrorKind.MOVED
+            return self._send(0.0 if moved else self._get_backoff_s())
         self._pending_resume = False
         if failure.outcome is not Ran.NO:
             return self._fail(failure)
--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -73,6 +73,11 @@
     ) -> Placement | None:
         """Choose an endpoint that was not tried yet, if there is one."""
 
+    def note_moved(
+        self, placement: Placement, admission: Admission, endpoint: str
+    ) -> None:
+        """Remember for a moment where an adapter's requests go."""
+
     def find_owner(self, endpoint: str) -> str | None:
         """Return who owns an endpoint now."""
 
@@ -111,6 +116,8 @@
     placement: Placement | None = None
     tried: frozenset[str] = frozenset()
     failure: Failure | None = None
+    moved: bool = False
+    _moved_to: str = ""
     _placed_attempt: int = 0
     _questions_by_attempt: dict[int, PeerMessage] = field(default_factory=dict)
     _submits: set[asyncio.Task[None]] = field(default_factory=set)
@@ -253,10 +260,12 @@
         self.router.note_sent(placement)
 
     def _place(self, effect: SendAttempt) -> Placement | None:
-        if not effect.resume or self.placement is None:
+        endpoint, self._moved_to = self._moved_to, ""
+        if effect.resume and self.placement is not None:
+            # The stream runs on one endpoint, whoever owns that endpoint now.
+            endpoint = self.placement.endpoint
+        if not endpoint:
             return self.router.place(self.admission, self.request_id, self.tried)
-        # The stream runs on one endpoint, whoever owns that endpoint now.
-        endpoint = self.placement.endpoint
         owner = self.router.find_owner(endpoint)
         return None if owner is None else Placement(endpoint, owner)
 
@@ -283,6 +292,7 @@
             method=caller.method,
             content_type=caller.content_type,
             idempotency_key=caller.idempotency_key,
+            moved=self.moved,
         )
 
     def _post_submit_result(
@@ -302,8 +312,16 @@
         self.router.note_refusal(placement, failure)
         if failure.kind is ErrorKind.QUEUE_FULL:
             self.tried |= {placement.endpoint}
+        if failure.kind is ErrorKind.MOVED:
+            self._note_move(placement, answer.endpoint)
         self.post(Refused(attempt, failure))
 
+    def _note_move(self, placement: Placement, endpoint: str) -> None:
+        # The mark keeps two owners from sending it to and fro for ever.
+        self.moved = True
+        self._moved_to = endpoint
+        self.router.note_moved(placement, self.admission, endpoint)
+
 
 def _make_refusal(answer: SubmitAnswer) -> Failure:
     kind = ErrorKind(answer.kind)
--- a/fescuekeel/components/gateway/router.py
+++ b/fescuekeel/components/gateway/router.py
@@ -60,6 +60,13 @@
             return None
         return choose_owner(entry, view.members_by_id.values())
 
+    def note_moved(
+        self, placement: Placement, admission: Admission, endpoint: str
+    ) -> None:
+        """Remember for a moment where an adapter's requests go."""
+        adapter, now = admission.policy.adapter, self._instance.now()
+        self.hints.note_moved(placement.endpoint, endpoint, adapter, now)
+
     def note_sent(self, placement: Placement) -> None:
         """Count a request on its way to an endpoint."""
         self.hints.note_sent(placement.endpoint)
--- a/fescuekeel/components/gateway/routing.py
+++ b/fescuekeel/components/gateway/routing.py
@@ -5,13 +5,17 @@
 outdated one costs a wait or a load and no more.
 """
 
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from fescuekeel.helpers.homes import (
+    rank_alive,
+    rank_endpoints,
+    rank_live_endpoints,
+)
 from fescuekeel.helpers.owners import choose_owner
 from fescuekeel.messages import AdapterRef, LiveEntry, Member
-from fescuekeel.util import rendezvous
 
 __all__ = [
     "Choice",
@@ -32,6 +36,8 @@
 # How many endpoints, in order of their rank, may hold copies of one adapter.
 MAX_COPIES = 3
 PLAIN_CANDIDATES = 2
+# Owners send requests on among the first two endpoints.
+MOVE_CANDIDATES = 2
 
 
 class RouteReason(StrEnum):
@@ -39,6 +45,7 @@
 
     HOME = "home"
     COPY = "copy"
+    MOVED = "moved"
     SPREAD = "spread"
     LEAST_LOADED = "least_loaded"
 
@@ -60,6 +67,14 @@
     seen: float
 
 
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Where an adapter's requests were sent on to, and when."""
+
+    endpoint: str
+    seen: float
+
+
 @dataclass(slots=True)
 class Hints:
     """What an entry instance has seen in the last seconds.
@@ -73,6 +88,7 @@
     in_flight_by_endpoint: dict[str, int] = field(default_factory=dict)
     _waits_by_endpoint: dict[str, TimedWait] = field(default_factory=dict)
     _copies_by_adapter: dict[AdapterRef, dict[str, float]] = field(default_factory=dict)
+    _moves_by_adapter: dict[AdapterRef, Move] = field(default_factory=dict)
 
     def note_sent(self, endpoint: str) -> None:
         """Count a request that was handed to an endpoint's owner."""
@@ -119,6 +135,23 @@
         seen = self._copies_by_adapter.get(adapter, {}).get(endpoint)
         return seen is not None and now - seen <= HINT_S
 
+    def note_moved(
+        self, home: str, endpoint: str, adapter: AdapterRef, now: float
+    ) -> None:
+        """Learn that an endpoint has no copy and sends its requests on."""
+        self._copies_by_adapter.get(adapter, {}).pop(home, None)
+        if len(self._moves_by_adapter) >= MAX_HINTS:
+            del self._moves_by_adapter[next(iter(self._moves_by_adapter))]
+        self._moves_by_adapter.pop(adapter, None)
+        self._moves_by_adapter[adapter] = Move(endpoint, now)
+
+    def get_moved(self, adapter: AdapterRef, now: float) -> str | None:
+        """Return where the adapter's requests go instead of their home."""
+        move = self._moves_by_adapter.get(adapter)
+        if move is None or now - move.seen > HINT_S:
+            return None
+        return move.endpoint
+
     def _forget(self, now: float) -> None:
         """Drop outdated hints, and the oldest ones if that is not enough."""
         seen_by_adapter = {
@@ -132,45 +165,6 @@
             del self._copies_by_adapter[adapter]
 
 
-def rank_endpoints(
-    pool: str, adapter: AdapterRef, endpoints_by_id: Mapping[str, LiveEntry]
-) -> list[str]:
-    """Return a pool's endpoints, the adapter's home first.
-
-    >>> from fescuekeel.messages import LiveRole
-    >>> entry = LiveEntry("e1", LiveRole.ENDPOINT, "", "dc1", 1, pool="script")
-    >>> rank_endpoints("script", AdapterRef("cups", "1"), {"e1": entry})
-    ['e1']
-    """
-    ids = [id for id, entry in endpoints_by_id.items() if entry.pool == pool]
-    return rendezvous.rank(str(adapter), ids)
-
-
-def rank_live_endpoints(
-    ranked: Iterable[str],
-    endpoints_by_id: Mapping[str, LiveEntry],
-    members_by_id: Mapping[str, Member],
-) -> list[str]:
-    """Put endpoints of data centres without a live instance last.
-
-    Guards against a cut: the instances on its other side all look dead, and
-    so nobody here can reach the endpoints there, which still rank as homes.
-    """
-    live = {member.data_centre for member in members_by_id.values()}
-    return sorted(ranked, key=lambda id: endpoints_by_id[id].data_centre not in live)
-
-
-def rank_alive(
-    pool: str,
-    adapter: AdapterRef,
-    endpoints_by_id: Mapping[str, LiveEntry],
-    members_by_id: Mapping[str, Member],
-) -> Sequence[str]:
-    """Return a pool's endpoints in the order in which they are asked."""
-    ranked = rank_endpoints(pool, adapter, endpoints_by_id)
-    return rank_live_endpoints(ranked, endpoints_by_id, members_by_id)
-
-
 def choose(
     pool: str,
     adapter: AdapterRef,
@@ -219,10 +213,16 @@
     load_s: float,
 ) -> tuple[str, RouteReason]:
     """Stay at home unless waiting there costs more than a load elsewhere."""
-    home = candidates[0]
-    home_s = hints.get_wait_s(home, now)
-    best, best_s, best_reason = home, home_s, RouteReason.HOME
-    for endpoint in candidates[1:]:
+    home, reason = candidates[0], RouteReason.HOME
+    moved = hints.get_moved(adapter, now)
+    # Guards against a hint that names an endpoint behind a cut: such ones rank
+    # last, while owners send requests on among the first two ranks only.
+    if moved in candidates[1:MOVE_CANDIDATES]:
+        home, reason = moved, RouteReason.MOVED
+    best, best_s, best_reason = home, hints.get_wait_s(home, now), reason
+    for endpoint in candidates:
+        if endpoint == home:
+            continue
         wait_s = hints.get_wait_s(endpoint, now)
         has_copy = hints.has_copy(endpoint, adapter, now)
         cost_s = wait_s if has_copy else wait_s + load_s
--- a/fescuekeel/components/owner/component.py
+++ b/fescuekeel/components/owner/component.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 from fescuekeel.components.owner import model
+from fescuekeel.components.owner.arrivals import make_answer
 from fescuekeel.components.owner.const import (
     LINGER_S,
     REPORT_PERIOD_S,
@@ -21,6 +22,7 @@
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.messages import (
     CancelWork,
+    CopyAsk,
     EntryOpenWork,
     HandoverAnswer,
     HandoverOffer,
@@ -59,6 +61,7 @@
         bus.subscribe_peer(CancelWork, self._take_cancel)
         bus.subscribe_peer(RunningAsk, self._answer_running)
         bus.subscribe_peer(HandoverOffer, self._take_offer)
+        bus.subscribe_peer(CopyAsk, self._answer_copy)
         bus.subscribe(PeerLost, self._lose_peer)
         bus.subscribe(MemberView, self._note_view)
         self._note_view(bus.latest(MemberView) or MemberView())
@@ -215,6 +218,15 @@
         answer = RunningAnswer(endpoint, fence, tuple(work.values()), given)
         get_peer_link(self.instance).answer(message, answer)
 
+    def _answer_copy(self, message: PeerMessage) -> None:
+        ask = cast(CopyAsk, message.body)
+        owner = self.owners_by_endpoint.get(ask.endpoint)
+        situation = None
+        if owner is not None and owner.find_refusal() is None:
+            situation = owner.arrivals.look(ask.adapter)
+        answer = make_answer(ask, situation)
+        get_peer_link(self.instance).answer(message, answer)
+
     def _take_offer(self, message: PeerMessage) -> None:
         offer = cast(HandoverOffer, message.body)
         accepted = not self.instance.draining
--- a/fescuekeel/components/owner/const.py
+++ b/fescuekeel/components/owner/const.py
@@ -32,6 +32,9 @@
 
 START_TIMEOUT_S: Final = 1.0
 HANDOVER_TIMEOUT_S: Final = 1.0
+# How long a request that needs a load waits for the word of its adapter's
+# other endpoint; well below the entry's patience for its answer.
+COPY_TIMEOUT_S: Final = 0.2
 EVICT_TIMEOUT_S: Final = 10.0
 # A load that takes this many times its expected time has failed.
 LOAD_PATIENCE: Final = 20.0
--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 
 from fescuekeel.components.owner import model, ownership as own
+from fescuekeel.components.owner.arrivals import Arrivals
 from fescuekeel.components.owner.const import (
     HANDOVER_TIMEOUT_S,
     PEERS_PATIENCE_S,
@@ -59,6 +60,7 @@
         self.scheduler = EndpointScheduler()
         self.foreign = ForeignWork()
         self.requests = Requests(self)
+        self.arrivals = Arrivals(self)
         self.orders = Orders(
             instance,
             self.endpoint,
@@ -94,7 +96,8 @@
             return False
         if self.ownership.lingers(self.instance.now()):
             return False
-        return self.requests.is_empty and self.mailbox.empty()
+        empty = self.requests.is_empty and self.arrivals.is_empty
+        return empty and self.mailbox.empty()
 
     def list_known(self) -> tuple[RunningWork, ...]:
         """Return what may be running, under this owner or earlier ones."""
@@ -122,9 +125,12 @@
         """Handle one message."""
         match message:
             case model.SubmitCame():
-                self._submit(message)
+                self.arrivals.submit(message)
             case model.CancelCame(request_id, attempt):
+                self.arrivals.cancel(request_id, attempt)
                 self.requests.cancel(request_id, attempt)
+            case model.CopyTold():
+                self.arrivals.take_answer(message)
             case model.RunEnded(item, outcome):
                 self._end_run(item, outcome)
             case model.Placed():
@@ -151,6 +157,7 @@
                 # The refusals still go out: should only the connection be
                 # lost, the entry hears that its work did not run.
                 self.requests.refuse_queued(ErrorKind.NOT_OWNER, entry)
+                self.arrivals.lose_entry(entry)
             case model.EntryReconnected(entry):
                 self.requests.read_again(entry)
             case model.Drained(successor):
@@ -163,14 +170,8 @@
 
     # Requests.
 
-    def _submit(self, came: model.SubmitCame) -> None:
-        kind = self._find_refusal()
-        if kind is None:
-            self.requests.accept(came)
-            return
-        self.requests.refuse_submit(came, kind)
-
-    def _find_refusal(self) -> ErrorKind | None:
+    def find_refusal(self) -> ErrorKind | None:
+        """Return why nothing is taken in at this moment, if so."""
         if self.draining:
             return ErrorKind.DRAINING
         if self.ownership.state is own.OwnState.ABSENT:
--- a/fescuekeel/components/owner/model.py
+++ b/fescuekeel/components/owner/model.py
@@ -7,6 +7,7 @@
 from fescuekeel.helpers.driver import OrderOutcome, Outcome, Report
 from fescuekeel.messages import (
     AdapterRef,
+    CopyAnswer,
     HandoverOffer,
     LiveEntry,
     PeerMessage,
@@ -17,6 +18,7 @@
 __all__ = [
     "CancelCame",
     "ConfirmDone",
+    "CopyTold",
     "Drained",
     "EntryLost",
     "EntryReconnected",
@@ -133,6 +135,14 @@
     answer: RunningAnswer | None
 
 
+@dataclass(frozen=True, slots=True)
+class CopyTold:
+    """The owner of an adapter's other endpoint answered, or did not."""
+
+    adapter: AdapterRef
+    answer: CopyAnswer | None
+
+
 @dataclass(frozen=True, slots=True)
 class OfferCame:
     """The earlier owner ``by`` hands over."""
--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -135,6 +135,12 @@
         retry_ms = round(retry_s * MS_PER_S)
         self.answer(came, SubmitAnswer(False, kind.value, "", retry_ms))
 
+    def refuse_moved(self, came: model.SubmitCame, endpoint: str) -> None:
+        """Send a request that was never queued on to another endpoint."""
+        moved = ErrorKind.MOVED
+        self.instance.metrics.count(f"owner.refused.{moved}")
+        self.answer(came, SubmitAnswer(False, moved.value, endpoint=endpoint))
+
     def answer(self, came: model.SubmitCame, answer: SubmitAnswer) -> None:
         """Answer an entry's question."""
         self.host.link.answer(came.question, answer)
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -30,6 +30,7 @@
     EXPIRED = "expired"
     NO_ENDPOINT = "no_endpoint"
     NOT_OWNER = "not_owner"
+    MOVED = "moved"
     LOAD_FAILED = "load_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
     DRAINING = "draining"
@@ -59,6 +60,7 @@
     LOAD_FAILED = "load_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_LOST = "endpoint_lost"
+    MOVED = "moved"
     STREAM_RESUMED = "stream_resumed"
 
 
@@ -91,6 +93,7 @@
     ErrorKind.EXPIRED: Answer(504, Ran.NO, True, "Its time passed in the queue."),
     ErrorKind.NO_ENDPOINT: Answer(503, Ran.NO, True, "No endpoint can be reached."),
     ErrorKind.NOT_OWNER: Answer(503, Ran.NO, True, "The owner has changed."),
+    ErrorKind.MOVED: Answer(503, Ran.NO, True, "It belongs to another endpoint."),
     ErrorKind.LOAD_FAILED: Answer(503, Ran.NO, True, "The adapter did not load."),
     ErrorKind.ENDPOINT_REFUSED: Answer(503, Ran.NO, True, "The endpoint refused."),
     ErrorKind.DRAINING: Answer(503, Ran.NO, True, "The instance is leaving."),
--- /dev/null
+++ b/fescuekeel/helpers/homes.py
@@ -0,0 +1,60 @@
+"""In which order a pool's endpoints are asked for an adapter."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from fescuekeel.messages import AdapterRef, LiveEntry, Member
+from fescuekeel.util import rendezvous
+
+__all__ = ["find_other", "rank_alive", "rank_endpoints", "rank_live_endpoints"]
+
+
+def rank_endpoints(
+    pool: str, adapter: AdapterRef, endpoints_by_id: Mapping[str, LiveEntry]
+) -> list[str]:
+    """Return a pool's endpoints, the adapter's home first.
+
+    >>> from fescuekeel.messages import LiveRole
+    >>> entry = LiveEntry("e1", LiveRole.ENDPOINT, "", "dc1", 1, pool="script")
+    >>> rank_endpoints("script", AdapterRef("cups", "1"), {"e1": entry})
+    ['e1']
+    """
+    ids = [id for id, entry in endpoints_by_id.items() if entry.pool == pool]
+    return rendezvous.rank(str(adapter), ids)
+
+
+def rank_live_endpoints(
+    ranked: Iterable[str],
+    endpoints_by_id: Mapping[str, LiveEntry],
+    members_by_id: Mapping[str, Member],
+) -> list[str]:
+    """Put endpoints of data centres without a live instance last.
+
+    Guards against a cut: the instances on its other side all look dead, and
+    so nobody here can reach the endpoints there, which still rank as homes.
+    """
+    live = {member.data_centre for member in members_by_id.values()}
+    return sorted(ranked, key=lambda id: endpoints_by_id[id].data_centre not in live)
+
+
+def rank_alive(
+    pool: str,
+    adapter: AdapterRef,
+    endpoints_by_id: Mapping[str, LiveEntry],
+    members_by_id: Mapping[str, Member],
+) -> Sequence[str]:
+    """Return a pool's endpoints in the order in which they are asked."""
+    ranked = rank_endpoints(pool, adapter, endpoints_by_id)
+    return rank_live_endpoints(ranked, endpoints_by_id, members_by_id)
+
+
+def find_other(endpoint: str, ranked: Sequence[str]) -> str | None:
+    """Return the other one of an adapter's first two endpoints.
+
+    >>> find_other("e2", ["e1", "e2", "e3"])
+    'e1'
+    >>> find_other("e3", ["e1", "e2", "e3"])
+    """
+    candidates = ranked[:2]
+    if len(candidates) < 2 or endpoint not in candidates:
+        return None
+    return candidates[1] if endpoint == candidates[0] else candidates[0]
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -21,6 +21,8 @@
 from fescuekeel.messages.wire import (
     AdapterRef,
     CancelWork,
+    CopyAnswer,
+    CopyAsk,
     Envelope,
     HandoverAnswer,
     HandoverOffer,
@@ -60,6 +62,8 @@
 __all__ = [
     "AdapterRef",
     "CancelWork",
+    "CopyAnswer",
+    "CopyAsk",
     "DrainRequested",
     "EndpointLeaving",
     "EntryOpenWork",
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -11,6 +11,8 @@
 __all__ = [
     "AdapterRef",
     "CancelWork",
+    "CopyAnswer",
+    "CopyAsk",
     "Envelope",
     "HandoverAnswer",
     "HandoverOffer",
@@ -175,6 +177,7 @@
     ``urgency`` is 0 for the most urgent. With ``resume`` the request runs
     already and its stream is wanted from token ``resume_position`` on; it
     must not be run again. ``method`` and ``path`` matter to plain services.
+    ``moved`` says that an owner sent it on before, which happens only once.
     """
 
     request_id: str
@@ -195,16 +198,44 @@
     method: str = "POST"
     content_type: str = "application/json"
     idempotency_key: str = ""
+    moved: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class SubmitAnswer:
-    """Say that a request is queued, or refused with a kind and never run."""
+    """Say that a request is queued, or refused with a kind and never run.
+
+    ``endpoint`` is where it goes instead when it was moved.
+    """
 
     accepted: bool
     kind: str = ""
     detail: str = ""
     retry_after_ms: int = 0
+    endpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CopyAsk:
+    """Ask the owner of an adapter's other endpoint what a load means there."""
+
+    endpoint: str
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class CopyAnswer:
+    """Answer with that endpoint's situation; not ``owned`` means none.
+
+    ``held`` tells that the adapter is loaded or will be, ``score`` how popular
+    the adapter is that a load would displace, ``queued`` how many wait.
+    """
+
+    endpoint: str
+    owned: bool
+    held: bool = False
+    score: float = 0.0
+    queued: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -482,6 +513,8 @@
     | RunningAnswer
     | HandoverOffer
     | HandoverAnswer
+    | CopyAsk
+    | CopyAnswer
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -47,12 +47,14 @@
   method @15 :Text;
   contentType @16 :Text;
   idempotencyKey @17 :Text;
+  moved @18 :Bool;
 }
 struct SubmitAnswer {
   accepted @0 :Bool;
   kind @1 :Text;
   detail @2 :Text;
   retryAfterMs @3 :UInt32;
+  endpoint @4 :Text;
 }
 struct StartAsk {
   requestId @0 :Text;
@@ -149,6 +151,14 @@
   work @2 :List(RunningWork);
 }
 struct HandoverAnswer { endpoint @0 :Text; accepted @1 :Bool; }
+struct CopyAsk { endpoint @0 :Text; adapter @1 :AdapterRef; }
+struct CopyAnswer {
+  endpoint @0 :Text;
+  owned @1 :Bool;
+  held @2 :Bool;
+  score @3 :Float64;
+  queued @4 :UInt32;
+}
 
 struct Envelope {
   number @0 :UInt32;
@@ -182,5 +192,7 @@
     startAsk @27 :StartAsk;
     startAnswer @28 :StartAnswer;
     keyPull @29 :KeyPull;
+    copyAsk @30 :CopyAsk;
+    copyAnswer @31 :CopyAnswer;
   }
 }
--- a/tests/bench/test_policy.py
+++ b/tests/bench/test_policy.py
@@ -66,7 +66,23 @@
         return EndpointScheduler(holdings=BrokenHoldings())
 
 
+class Counting(Ours):
+    """Count the questions and what was sent on."""
+
+    asked = moved = 0
+
+    def should_move(self, here, there):
+        moves = super().should_move(here, there)
+        self.asked, self.moved = self.asked + 1, self.moved + moves
+        return moves
+
+
 class TestPlay:
+    def test_owners_ask_before_loads_and_some_requests_move(self):
+        trace, policy = make_short_trace(), Counting()
+        play(DEPLOYMENT, trace, policy)
+        assert 0 < policy.moved < policy.asked < len(trace.requests)
+
     def test_every_request_ends_once_under_each_policy(self):
         trace = make_short_trace()
         counted = sum(request.at >= WARM_UP_S for request in trace.requests)
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -160,6 +160,10 @@
         answer = SubmitAnswer(False, kind.value, "", retry_after_ms)
         return lambda submit: Success(answer)
 
+    def move(self, endpoint):
+        answer = SubmitAnswer(False, ErrorKind.MOVED.value, endpoint=endpoint)
+        return lambda submit: Success(answer)
+
     def end(self, kind, ran):
         def play(submit):
             id, attempt = submit.request_id, submit.attempt
--- a/tests/components/gateway/test_routing.py
+++ b/tests/components/gateway/test_routing.py
@@ -49,6 +49,44 @@
         assert choose(endpoints_by_id=endpoints) is None
 
 
+class TestMoved:
+    def test_requests_follow_for_a_while(self):
+        ranked = routing.rank_endpoints("script", CUPS, make_endpoints())
+        hints = routing.Hints()
+        hints.note_moved(ranked[0], ranked[1], CUPS, now=0.0)
+        choice = choose(hints=hints, now=1.0)
+        assert (choice.endpoint, choice.reason) == (
+            ranked[1],
+            routing.RouteReason.MOVED,
+        )
+        assert choose(hints=hints, now=1.0, tried={ranked[1]}).endpoint == ranked[0]
+        assert choose(hints=hints, now=6.0).endpoint == ranked[0]
+
+    def test_nothing_follows_behind_a_cut(self):
+        """Data centres are cut apart right after a home sent requests on.
+
+        The entry would send all to an endpoint that it cannot reach, for as
+        long as it remembers the place.
+        """
+        endpoints = make_endpoints(3)
+        ranked = routing.rank_endpoints("script", CUPS, endpoints)
+        lost = endpoints[ranked[1]].data_centre
+        live = sorted({"dc0", "dc1", "dc2"} - {lost})
+        hints = routing.Hints()
+        hints.note_moved(ranked[0], ranked[1], CUPS, now=0.0)
+        members = make_members(live)
+        choice = choose(hints=hints, endpoints_by_id=endpoints, members_by_id=members)
+        assert choice.reason == routing.RouteReason.HOME
+        assert endpoints[choice.endpoint].data_centre != lost
+
+    def test_the_places_are_bounded(self):
+        hints = routing.Hints()
+        for number in range(routing.MAX_HINTS + 5):
+            hints.note_moved("e1", "e2", AdapterRef(f"a{number}", "1"), now=0.0)
+        assert hints.get_moved(AdapterRef("a4", "1"), 0.0) is None
+        assert hints.get_moved(AdapterRef("a5", "1"), 0.0) == "e2"
+
+
 class TestSpread:
     def test_only_when_waiting_costs_more_than_a_load(self):
         home = choose().endpoint
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -179,6 +179,8 @@
     """Return how an owner gives a reason to try again."""
     if reason in REFUSED_FIRST:
         return owner.refuse(REFUSED_FIRST[reason])
+    if reason is RetryReason.MOVED:
+        return owner.move("e3")
     if reason is RetryReason.OWNER_UNREACHABLE:
         return lambda submit: Err(Failure(ErrorKind.PEER_UNREACHABLE))
     if reason is RetryReason.ENDPOINT_LOST:
@@ -205,6 +207,44 @@
 
         asyncio.run(run())
 
+    def test_a_request_that_was_moved_says_so(self):
+        """Two owners each believe that the other has the copy.
+
+        Without the mark they would send a request to and fro until its
+        attempts are used up.
+        """
+
+        async def run():
+            async with open_bench(repeatable=False) as bench:
+                bench.instance.bus.publish_state(make_view("e3"))
+                owner = bench.owner
+                plays = [owner.answer_whole, owner.refuse(ErrorKind.NOT_OWNER)]
+                plays.append(owner.move("e3"))
+                owner.play = lambda submit: plays.pop()(submit)
+                assert (await bench.complete()).code == 200
+                assert [submit.moved for submit in owner.submits] == [False, True, True]
+                assert owner.submits[1].endpoint == "e3"
+                assert owner.leave == [True]
+
+        asyncio.run(run())
+
+    def test_the_next_requests_go_there_directly(self):
+        async def run():
+            async with open_bench() as bench:
+                bench.instance.bus.publish_state(make_view("e3"))
+                owner = bench.owner
+                await bench.complete()
+                home = owner.submits.pop().endpoint
+                other = "e3" if home == "e1" else "e1"
+                plays = [owner.answer_whole, owner.answer_whole, owner.move(other)]
+                owner.play = lambda submit: plays.pop()(submit)
+                for _ in range(2):
+                    assert (await bench.complete()).code == 200
+                to = [(submit.endpoint, submit.moved) for submit in owner.submits]
+                assert to == [(home, False), (other, True), (other, False)]
+
+        asyncio.run(run())
+
 
 class TestRefusals:
     @pytest.mark.parametrize(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,7 +9,8 @@
 
 from fescuekeel.components.tree.model import Pool, PoolKind, TreeInForce
 from fescuekeel.core import Instance
-from fescuekeel.messages import MemberView
+from fescuekeel.helpers.homes import rank_endpoints
+from fescuekeel.messages import AdapterRef, MemberView
 from standins.platform import Platform
 from standins.tokens import expected_text
 from tests.common import eventually, make_settings
@@ -35,6 +36,15 @@
     cups 3 2
     rings 1.10
 
+[service tricks/vow]
+pool = script
+repeatable = no
+
+[roster tricks/vow]
+names =
+    cups 3
+    rings 1.10
+
 [service tricks/charge]
 pool = store
 repeatable = no
@@ -76,6 +86,17 @@
             and len(view.endpoints_by_id) == 4
         )
 
+    def count(self, name):
+        counters = (each.metrics.counters_by_name for each in self.instances)
+        return sum(each[name] for each in counters)
+
+    def look(self, endpoint, adapter):
+        """Return how an endpoint that is owned stands to an adapter."""
+        owners = (each.components_by_domain["owner"] for each in self.instances)
+        held = (each.owners_by_endpoint.get(endpoint) for each in owners)
+        seen = (each.arrivals.look(adapter) for each in held if each is not None)
+        return next((each for each in seen if each is not None), None)
+
     async def post(self, instance, path, body, **headers):
         address = instance.components_by_domain["gateway"].server.address
         headers = {name.replace("_", "-"): value for name, value in headers.items()}
@@ -136,6 +157,33 @@
 
         asyncio.run(run())
 
+    def test_a_request_that_is_moved_runs_once(self):
+        """The copy is not at home: its home's owner sends each one on."""
+
+        async def run():
+            async with open_world() as world:
+                engines = world.platform.engines_by_id
+                instance = world.instances[0]
+                view = instance.bus.latest(MemberView)
+                adapter = AdapterRef("rings", "1.10")
+                home, other = rank_endpoints("script", adapter, view.endpoints_by_id)
+                await eventually(lambda: world.look(home, adapter))
+                await eventually(lambda: world.look(other, adapter))
+                engines[other].control({"loaded": [str(adapter)]})
+                await eventually(lambda: world.look(other, adapter).held)
+                for model in ("vow/rings", "patter/rings"):
+                    for instance in world.instances:
+                        body = {"model": model, "prompt": "hi", "max_tokens": 5}
+                        answer = await world.post(instance, "/v1/completions", body)
+                        text = json.loads(answer.body)["choices"][0]["text"]
+                        assert text == expected_text(str(adapter), "hi", 5)
+                    assert world.count("retry.moved") >= INSTANCES
+                runs = [run for each in engines.values() for run in each.runs]
+                assert len(runs) == len({run.request_id for run in runs}) == 8
+                assert len(engines[other].runs) == 8
+
+        asyncio.run(run())
+
     def test_a_key_runs_once_whichever_instance_gets_it(self):
         """A parent presses "pay" twice; the balancer picks two instances."""
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -41,6 +41,10 @@
     ),
     ErrorKind.NO_ENDPOINT: f"{GATEWAY}::test_a_pool_without_endpoints_refuses_at_once",
     ErrorKind.NOT_OWNER: f"{OWNER}::TestPath::test_instance_that_is_not_named_refuses",
+    ErrorKind.MOVED: (
+        "components/owner/test_arrivals.py::TestMoves::"
+        "test_a_request_goes_where_the_copy_is"
+    ),
     ErrorKind.LOAD_FAILED: (
         f"{SCHEDULING}::TestLoads::test_failed_loads_refuse_after_bounded_tries"
     ),
