--- a/tests/fuzz/test_requests.py
+++ b/tests/fuzz/test_requests.py
@@ -274,6 +274,6 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=14,
+    max_examples=18,
     stateful_step_count=30,
 )
