Test a cancellation that outlives the run it stops

Cause: of the guards against late cancellations, one was not noticed when taken out, and its condition stood twice. Change: a test in which the second cancellation arrives after the run has ended; the condition stands once, where an attempt is taken in. Conclusion: each guard has a test that fails without it.

--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -114,6 +114,9 @@
             self._waiting_by_id[submit.request_id] = came
             self._spawn_cancel(submit.request_id)
             return
+        # Guards against a cancellation that is still on its way to the endpoint,
+        # which knows requests by their id only: it would stop this attempt, and
+        # the caller would hear "cancelled" without having gone away.
         if submit.request_id in self._cancelling:
             self._waiting_by_id[submit.request_id] = came
             return
@@ -260,13 +263,8 @@
             self._release_waiting(request_id)
 
     def _release_waiting(self, request_id: str) -> None:
-        """Take the next attempt once nothing of the earlier one is left.
-
-        Guards against a cancellation that is still on its way to the endpoint,
-        which knows requests by their id only: it would stop the next attempt,
-        and the caller would hear "cancelled" without having gone away.
-        """
-        if request_id in self.runs_by_id or request_id in self._cancelling:
+        """Look at the next attempt again, as the earlier one may be over."""
+        if request_id in self.runs_by_id:
             return
         waiting = self._waiting_by_id.pop(request_id, None)
         if waiting is not None:
--- a/tests/components/owner/test_endpoint.py
+++ b/tests/components/owner/test_endpoint.py
@@ -136,6 +136,36 @@
 
         run_story(story)
 
+    def test_a_cancellation_outlives_the_run_that_it_stops(self) -> None:
+        """As above, but attempt 1 has ended when attempt 2 arrives.
+
+        The cancellation was sent twice, and the second one is on its way.
+        """
+
+        async def story(bed: Bed) -> None:
+            node = await start_owned(bed)
+            driver = node.endpoint.driver
+            cancel = driver.cancel
+
+            async def cancel_twice(request_id: str) -> None:
+                await cancel(request_id)
+                await asyncio.sleep(LATE_S)
+                await cancel(request_id)
+
+            bed.engine.settings.prefill_steps = LONG
+            await node.submit("i1", "r1", max_tokens=LONG)
+            await eventually(lambda: bed.engine.running)
+            bed.engine.settings.prefill_steps = 0
+            with mock.patch.object(driver, "cancel", cancel_twice):
+                node.cancel("i1", "r1")
+                await eventually(lambda: is_ended(node, "r1", 1))
+                await node.submit("i1", "r1", attempt=2, max_tokens=200)
+                await eventually(lambda: is_ended(node, "r1", 2))
+            assert node.ends_by_id["r1"].kind == ""
+            assert node.positions("r1", 2) == list(range(200))
+
+        run_story(story)
+
     def test_work_past_its_time_is_stopped_at_the_engine(self) -> None:
         async def story(bed: Bed) -> None:
             node = await start_owned(bed)
