Wrap a comment

Cause: two lines of a comment were too long for the linter. Change: they are wrapped. Conclusion: the linter is clean again.

--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -114,9 +114,9 @@
             self._waiting_by_id[submit.request_id] = came
             self._spawn_cancel(submit.request_id)
             return
-        # Guards against a cancellation that is still on its way to the endpoint,
-        # which knows requests by their id only: it would stop this attempt, and
-        # the caller would hear "cancelled" without having gone away.
+        # Guards against a cancellation that is still on its way to the
+        # endpoint, which knows requests by their id only: it would stop this
+        # attempt, and the caller would hear "cancelled" without having left.
         if submit.request_id in self._cancelling:
             self._waiting_by_id[submit.request_id] = came
             return
