Hand nothing to an endpoint that says that it leaves

Cause: an owner was paused while its endpoint began to leave. It woke up, asked for a report, owned the endpoint again 2 ms later and handed over what it had queued, 3.5 s after the leaving began: only the view was looked at, which the report had yet to reach (machine of requests). Change: the latest report's word counts before each hand-over. Figures: that story ends without a violation; without the guard its test fails. Conclusion: no report that says "leaving" is followed by new work.

--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -76,6 +76,7 @@
         self._heard = instance.now()
         self._configured: sched.Configured | None = None
         self._leaving_told = False
+        self._is_leaving = False
 
     def launch(self) -> None:
         """Start the task."""
@@ -233,8 +234,11 @@
         Guards against new work for an endpoint that is leaving and whose
         reports, which say so, are stuck on the way: it shows as requests that
         are handed over until the silence is noticed. Reports count from the
-        moment they were asked for, so that none can tell of later times.
+        moment they were asked for, so that none can tell of later times. One
+        that has just woken up may hold such a report before its view shows it.
         """
+        if self._is_leaving:
+            return False
         now = self.instance.now()
         return self.ownership.may_order(now) and now - self._heard <= UNREACHABLE_S
 
@@ -366,6 +370,7 @@
                 self.requests.refuse_queued(ErrorKind.ENDPOINT_REFUSED)
             return
         self._heard = max(self._heard, asked)
+        self._is_leaving = report.leaving
         restarted = self._boot_id not in ("", report.boot_id)
         self._boot_id = report.boot_id
         if restarted:
