Tell early what cannot be reached, and bound urgent waits on arrival

Change: once a second the waits of what is queued are estimated anew, in the order of loads and with the learned stretch, and what is not expected to be reached is refused. The time between urgent loads is learned apart, since lazy asks wait longer at the leader. The choice of the victim moves to its own module. Told early holds for most and not for the last ones.

--- a/fescuekeel/components/owner/scheduling/decision.py
+++ b/fescuekeel/components/owner/scheduling/decision.py
@@ -1,16 +1,24 @@
 """The decisions of one endpoint's owner: order, loads, evictions, refusals."""
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from fescuekeel.components.owner.scheduling import model
-from fescuekeel.components.owner.scheduling.admission import WaitEstimates
+from fescuekeel.components.owner.scheduling.admission import (
+    WaitEstimates,
+    find_unreachable,
+    get_late_at,
+    get_limit_s,
+)
 from fescuekeel.components.owner.scheduling.batching import get_hold_s
 from fescuekeel.components.owner.scheduling.holdings import Holdings
 from fescuekeel.components.owner.scheduling.load_plan import LoadPlan
 from fescuekeel.components.owner.scheduling.popularity import Popularity, UseEstimate
 from fescuekeel.components.owner.scheduling.queue import WorkQueue, WorkTest
+from fescuekeel.components.owner.scheduling.victims import (
+    choose_coldest,
+    list_evictable,
+)
 from fescuekeel.errors import ErrorKind
 from fescuekeel.messages import AdapterRef
 
@@ -20,9 +28,9 @@
 LOAD_RETRY_S = 0.25
 EVICT_RETRY_S = 0.5
 NO_ADAPTER = AdapterRef()
-# Load times change by less than this factor while a request waits.
-LOAD_MARGIN = 3.0
 MAX_RETRY_AFTER_S = 60.0
+# How often waits are estimated anew.
+LOOK_S = 1.0
 
 
 @dataclass(slots=True)
@@ -60,6 +68,7 @@
     _evicting: AdapterRef | None = None
     _draining: AdapterRef | None = None
     _late_at: float = math.inf
+    _look_at: float = 0.0
     _effects: list[model.Effect] = field(default_factory=list)
 
     @property
@@ -120,6 +129,7 @@
                 self._reconcile(event, now)
             case model.Tick():
                 self._drop_late(now)
+                self._drop_unreachable(now)
         self._move(now)
         return self._effects
 
@@ -141,11 +151,12 @@
             self._refuse(work, ErrorKind.QUEUE_FULL, self._get_drain_s())
             return
         self.queue.add(work)
-        self._late_at = min(self._late_at, self._get_late_at(work))
+        late_at = get_late_at(work, self.plan.load_s)
+        self._late_at = min(self._late_at, late_at)
         if not self.refuses_early:
             return
         wait_s = self._estimate_wait_s(work, now)
-        if now + wait_s + work.service_s <= work.deadline:
+        if wait_s <= get_limit_s(work, self.plan.load_s, now):
             return
         self.queue.remove(work.request_id)
         self._refuse(work, ErrorKind.TOO_LATE, wait_s)
@@ -164,7 +175,7 @@
             return 0.0
         waits = self.queue.list_waits(self.holdings.needs_load)
         ahead = self.plan.count_ahead(work.adapter, waits, now)
-        ahead_s = self.plan.estimate_s(ahead)
+        ahead_s = self.plan.estimate_s(ahead, work.urgency)
         return self.estimates.expect(
             work.request_id, work.urgency, self.plan.load_s, ahead_s
         )
@@ -197,12 +208,26 @@
             return
         for work in self.queue.list_all():
             self._drop_if_late(work, now)
-        late_at = (self._get_late_at(work) for work in self.queue.list_all())
+        load_s, left = self.plan.load_s, self.queue.list_all()
+        late_at = (get_late_at(work, load_s) for work in left)
         self._late_at = min(late_at, default=math.inf)
 
-    def _get_late_at(self, work: model.Work) -> float:
-        """Return a time before which the request is surely not late."""
-        return work.deadline - work.service_s - LOAD_MARGIN * self.plan.load_s
+    def _drop_unreachable(self, now: float) -> None:
+        """Refuse what is expected to be late, long before it is."""
+        ready = self.config is not None and self.config.ready
+        if not self.refuses_early or not ready or now < self._look_at:
+            return
+        self._look_at = now + LOOK_S
+        late = find_unreachable(
+            self.queue, self.plan, self.holdings, self.estimates, now
+        )
+        for work, wait_s in list(late):
+            self._refuse_queued(work, wait_s, now)
+
+    def _refuse_queued(self, work: model.Work, retry_s: float, now: float) -> None:
+        self.queue.remove(work.request_id)
+        self.estimates.note_end(work.request_id, now - work.arrived)
+        self._refuse(work, ErrorKind.TOO_LATE, retry_s)
 
     def _drop_if_late(self, work: model.Work, now: float) -> bool:
         if now >= work.deadline:
@@ -212,9 +237,7 @@
         least_s = work.service_s + self._get_least_load_s(work.adapter)
         if not self.refuses_early or now + least_s <= work.deadline:
             return False
-        self.queue.remove(work.request_id)
-        self.estimates.note_end(work.request_id, now - work.arrived)
-        self._refuse(work, ErrorKind.TOO_LATE, self._get_drain_s())
+        self._refuse_queued(work, self._get_drain_s(), now)
         return True
 
     def _get_least_load_s(self, adapter: AdapterRef) -> float:
@@ -300,26 +323,12 @@
         """Return the idle adapter with the latest expected next use."""
         if self._draining is not None and self.holdings.is_idle(self._draining, now):
             return self._draining
-        waiting = self.queue.adapters
-        idle = [
-            adapter
-            for adapter in self.holdings
-            if adapter not in waiting and self.holdings.is_idle(adapter, now)
-        ]
-        return self._choose_coldest(idle, now)
+        idle = list_evictable(self.holdings, self.queue.adapters, now)
+        return choose_coldest(idle, self.popularity, now)
 
     def _choose_draining(self, now: float) -> AdapterRef | None:
         own = [item for item in self.holdings if not self.holdings.is_foreign(item)]
-        return self._choose_coldest(own, now)
-
-    def _choose_coldest(
-        self, adapters: Iterable[AdapterRef], now: float
-    ) -> AdapterRef | None:
-        return min(
-            adapters,
-            key=lambda adapter: (self.popularity.get_score(adapter, now), adapter),
-            default=None,
-        )
+        return choose_coldest(own, self.popularity, now)
 
     def _take_turn(self, adapter: AdapterRef, now: float) -> None:
         ready = self.config is not None and self.config.ready
--- a/fescuekeel/components/owner/scheduling/load_plan.py
+++ b/fescuekeel/components/owner/scheduling/load_plan.py
@@ -45,12 +45,14 @@
     """Order the loads of one endpoint and follow the one under way.
 
     ``load_s`` is how long a load takes and ``cycle_s`` how much time passes
-    between two loads here while the weight store serves others in between;
-    both are in seconds and are measured as loads end.
+    between two loads here while the weight store serves others in between,
+    ``urgent_cycle_s`` if they are urgent and go first there. All are in
+    seconds and are measured as loads end.
     """
 
     load_s: float = 0.5
     cycle_s: float = 0.5
+    urgent_cycle_s: float = 0.5
     asked: AdapterRef | None = None
     loading: AdapterRef | None = None
     _asked_value: float = 0.0
@@ -62,6 +64,7 @@
         """Start from the load time that the tree states."""
         self.load_s = load_s
         self.cycle_s = max(self.cycle_s, load_s)
+        self.urgent_cycle_s = max(self.urgent_cycle_s, load_s)
 
     def get_value(self, wait: Wait, now: float) -> float:
         """Return what a load is worth: urgent first, then most time waited.
@@ -96,6 +99,10 @@
     def _order(self, wait: Wait, now: float) -> tuple[float, float, AdapterRef]:
         return (self.get_value(wait, now), -wait.oldest, wait.adapter)
 
+    def rank(self, waits: Iterable[Wait], now: float) -> list[Wait]:
+        """Return the waits in the order of their loads, the next one first."""
+        return sorted(waits, key=lambda wait: self._order(wait, now), reverse=True)
+
     def count_ahead(
         self, adapter: AdapterRef, waits: Iterable[Wait], now: float
     ) -> int:
@@ -106,10 +113,11 @@
             return 0
         return sum(other > own for other in order.values())
 
-    def estimate_s(self, ahead: int) -> float:
+    def estimate_s(self, ahead: int, urgency: int = MOST_URGENT + 1) -> float:
         """Estimate the seconds that the loads ahead of one take."""
         busy_s = self.load_s / 2 if self.loading is not None else 0.0
-        return busy_s + ahead * self.cycle_s
+        is_urgent = urgency == MOST_URGENT
+        return busy_s + ahead * (self.urgent_cycle_s if is_urgent else self.cycle_s)
 
     def ask(self, ask: Ask, now: float) -> bool:
         """Note the ask; return whether the leader must hear of it."""
@@ -131,6 +139,8 @@
         self.loading = adapter
         cycle_s = now - self._asked_at + self.load_s
         self.cycle_s += SMOOTHING * (cycle_s - self.cycle_s)
+        if URGENT_VALUE <= self._asked_value < FAIR_VALUE:
+            self.urgent_cycle_s += SMOOTHING * (cycle_s - self.urgent_cycle_s)
 
     def abort(self) -> None:
         """Note that the load could not be ordered."""
--- a/tests/components/owner/scheduling/test_decision.py
+++ b/tests/components/owner/scheduling/test_decision.py
@@ -182,6 +182,36 @@
         (effect,) = list_of(scheduler.handle(model.Tick(), 1.5), model.Refuse)
         assert effect.kind == ErrorKind.TOO_LATE
 
+    def test_urgent_work_is_not_let_in_to_wait_for_many_loads(self):
+        # Far above the knee urgent work alone fills the store. Its callers
+        # would all wait nearly their whole time; those whose wait is
+        # expected to be long hear at once, with the wait as a hint.
+        scheduler = make_scheduler()
+        effects = []
+        for number in range(12):
+            adapter = AdapterRef(f"u{number:02}", "1")
+            now = number / 1000
+            effects += arrive(scheduler, f"u{number}", adapter, now, urgency=0)
+        refused = list_of(effects, model.Refuse)
+        assert 0 < len(refused) < 6
+        assert {effect.kind for effect in refused} == {ErrorKind.TOO_LATE}
+        assert all(effect.retry_after_s > 4.0 for effect in refused)
+        lazy = arrive(scheduler, "lazy", B, 0.02, urgency=1)
+        assert not list_of(lazy, model.Refuse)
+
+    def test_what_fell_behind_is_told_long_before_it_is_late(self):
+        # A request is let in since little waits ahead of it; then much that
+        # is more urgent comes. Its caller must not hear only at the end.
+        scheduler = make_scheduler()
+        arrive(scheduler, "lazy", B, urgency=3, answer_s=4.0)
+        scheduler.handle(model.Tick(), 0.05)
+        for number in range(8):
+            adapter = AdapterRef(f"u{number}", "1")
+            arrive(scheduler, f"u{number}", adapter, now=0.1, urgency=0)
+        effects = scheduler.handle(model.Tick(), 1.1)
+        refused = list_of(effects, model.Refuse)
+        assert [effect.request_id for effect in refused] == ["lazy"]
+
     def test_expired_when_the_owner_was_not_awake(self):
         scheduler = make_scheduler()
         arrive(scheduler, "r1", answer_s=2.0)
