Split the policy bench's simulation

Change: what a run gives, the endpoints and members, and the leaders of turns are modules of their own; nothing else changes.

--- a/bench/policy/report.py
+++ b/bench/policy/report.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from bench.policy.outcome import Result
 from bench.policy.previous import find_previous, load_revision
 from bench.policy.rivals import Clairvoyant, FirstCome, Ours, Policy
-from bench.policy.simulation import Result, play
+from bench.policy.simulation import play
 from bench.policy.summary import Stalls, Summary, summarize
 from bench.policy.sweep import print_sweep
 from bench.policy.traces import DEPLOYMENTS, TRACES, Deployment, Trace, make_trace
--- a/bench/policy/simulation.py
+++ b/bench/policy/simulation.py
@@ -1,12 +1,12 @@
 """Play one trace against one policy."""
 
 from collections import Counter
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
-from bench.policy.fakes import Clock, Engine, Store
-from bench.policy.rivals import Ours, Policy, Router, Scheduler
+from bench.policy.fakes import Clock, Store
+from bench.policy.outcome import Outcome, Result
+from bench.policy.rivals import Ours, Policy, Router
 from bench.policy.traces import (
     CHANGE_ENDS_S,
     CHANGE_S,
@@ -18,28 +18,26 @@
     Request,
     Trace,
 )
+from bench.policy.turns import Turns
+from bench.policy.world import (
+    LINK_S,
+    Attempt,
+    Host,
+    make_config,
+    make_hosts,
+    make_members,
+)
 from fescuekeel.components.gateway import routing
 from fescuekeel.components.owner.scheduling import model
-from fescuekeel.components.turns.decision import TurnReply, TurnTable
 from fescuekeel.errors import ErrorKind
 from fescuekeel.helpers.homes import find_other, rank_alive
-from fescuekeel.messages import (
-    AdapterRef,
-    LiveEntry,
-    LiveRole,
-    Member,
-    PeerMessage,
-    TurnAsk,
-    TurnDone,
-)
+from fescuekeel.messages import AdapterRef, TurnAsk
 
-__all__ = ["Outcome", "Result", "play"]
+__all__ = ["play"]
 
-LINK_S = 0.0005
 EVICT_S = 0.002
 TICK_S = 0.1
 REPORT_S = 0.5
-MEMBERS = 8
 DRAIN_S = 70.0
 # A dead owner is noticed after this long, and its lease waited out.
 NOTICED_S = 1.0
@@ -47,61 +45,6 @@
 ASK_TIMEOUT_S = 0.2
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
-    """What became of one request; ``stall_s`` is the wait for its adapter.
-
-    ``ended_at`` is when it was refused or answered, in seconds.
-    """
-
-    request: Request
-    answered_at: float | None
-    kind: str
-    stall_s: float
-    ended_at: float = 0.0
-
-    @property
-    def in_time(self) -> bool:
-        """Tell whether it was answered within its time."""
-        if self.answered_at is None:
-            return False
-        return self.answered_at <= self.request.at + self.request.kind.answer_s
-
-
-@dataclass(slots=True)
-class Result:
-    """What one run gave, after the warm-up."""
-
-    outcomes: list[Outcome] = field(default_factory=list)
-    loads: int = 0
-    steps: int = 0
-    tokens: int = 0
-
-
-@dataclass(slots=True)
-class Attempt:
-    """A request on its way; ``tried`` are endpoints that had no room."""
-
-    request: Request
-    endpoint: str = ""
-    tried: set[str] = field(default_factory=set)
-    moved: bool = False
-
-
-@dataclass(slots=True)
-class Host:
-    """One endpoint with its owner's scheduler."""
-
-    engine: Engine
-    scheduler: Scheduler
-    entry: LiveEntry
-    ready: bool = True
-    ended_by_owner: int = 0
-    foreign_by_id: dict[str, AdapterRef] = field(default_factory=dict)
-    loaded_at: dict[AdapterRef, float] = field(default_factory=dict)
-    ask: TurnAsk | None = None
-
-
 def play(deployment: Deployment, trace: Trace, policy: Policy) -> Result:
     """Run a trace to its end."""
     return _Run(deployment, trace, policy).run()
@@ -114,13 +57,10 @@
         self._policy = policy
         self._clock = Clock()
         self._store = Store(self._clock, deployment.loads_per_s)
-        self._tables_by_side: dict[str, TurnTable] = {
-            "": TurnTable(),
-            "dc2": TurnTable(),
-        }
         self._hints_by_dc = {f"dc{n}": routing.Hints() for n in range(DATA_CENTRES)}
-        self._members = self._make_members()
-        self._hosts_by_id = self._make_hosts()
+        self._members = make_members()
+        self._hosts_by_id = make_hosts(deployment, policy, self._clock)
+        self._turns = Turns(self._clock, self._hosts_by_id, self._tell, self._get_side)
         self._attempts_by_id: dict[str, Attempt] = {}
         self._result = Result()
         self._cut = False
@@ -128,27 +68,10 @@
         self._dead_owner = ""
         self._at_warm_up = Counter[str]()
 
-    def _make_members(self) -> dict[str, Member]:
-        members = [
-            Member(f"i{n}", "", f"dc{n % DATA_CENTRES}", 1) for n in range(MEMBERS)
-        ]
-        return {member.id: member for member in members}
-
-    def _make_hosts(self) -> dict[str, Host]:
-        hosts = {}
-        for number in range(self._deployment.workers):
-            id, dc = f"e{number}", f"dc{number % DATA_CENTRES}"
-            engine = Engine(
-                id, self._clock, self._deployment.step_s, self._deployment.max_running
-            )
-            entry = LiveEntry(id, LiveRole.ENDPOINT, "", dc, 1, pool="engines")
-            hosts[id] = Host(engine, self._policy.make_scheduler(), entry)
-        return hosts
-
     def run(self) -> Result:
         """Schedule everything and let the clock run."""
         for host in self._hosts_by_id.values():
-            self._tell(host, self._make_config(ready=True))
+            self._tell(host, make_config(self._deployment, ready=True))
         for request in self._trace.requests:
             attempt = Attempt(request)
             self._clock.call_at(request.at, partial(self._route, attempt))
@@ -167,15 +90,6 @@
         self._result.tokens = counts["tokens"]
         return self._result
 
-    def _make_config(self, ready: bool) -> model.Configured:
-        return model.Configured(
-            slots=SLOTS,
-            max_running=self._deployment.max_running,
-            step_s=self._deployment.step_s,
-            load_s=self._deployment.load_s,
-            ready=ready,
-        )
-
     def _note_warm_up(self) -> None:
         self._at_warm_up = self._count()
 
@@ -188,7 +102,7 @@
         )
 
     def _tick(self) -> None:
-        self._tick_turns()
+        self._turns.tick()
         for host in self._hosts_by_id.values():
             if host.scheduler.queued_count or host.scheduler.running_count:
                 self._tell(host, model.Tick())
@@ -344,11 +258,11 @@
             case model.AskTurn(adapter, value, waiting):
                 known = host.ask is not None and host.ask.adapter == adapter
                 host.ask = TurnAsk(host.entry.id, adapter, value, waiting)
-                ask = partial(self._ask_turn, host, host.ask, 0 if known else 1)
+                ask = partial(self._turns.ask, host, host.ask, 0 if known else 1)
                 self._clock.call_later(LINK_S, ask)
             case model.ReturnTurn(adapter):
                 host.ask = None
-                self._return_turn(host, adapter, 0)
+                self._turns.give_back(host, adapter, 0)
             case model.Load(adapter):
                 self._load(host, adapter)
             case model.Evict(adapter):
@@ -411,44 +325,9 @@
         if ok:
             host.engine.load(adapter)
             host.loaded_at[adapter] = self._clock.now
-        self._return_turn(host, adapter, int(took_s * 1000))
+        self._turns.give_back(host, adapter, int(took_s * 1000))
         self._tell(host, model.LoadEnded(adapter, ok, took_s))
 
-    # The turns' part.
-
-    def _get_table(self, host: Host) -> TurnTable:
-        return self._tables_by_side[self._get_side(host.entry.data_centre)]
-
-    def _ask_turn(self, host: Host, ask: TurnAsk, number: int) -> None:
-        table = self._get_table(host)
-        question = PeerMessage(host.entry.id, number, ask)
-        self._answer(table.ask(question, self._clock.now))
-
-    def _tick_turns(self) -> None:
-        for table in self._tables_by_side.values():
-            self._answer(table.tick(self._clock.now))
-
-    def _return_turn(self, host: Host, adapter: AdapterRef, took_ms: int) -> None:
-        done = TurnDone(host.entry.id, adapter, took_ms)
-        table = self._get_table(host)
-
-        def give_back() -> None:
-            self._answer(table.done(done, self._clock.now))
-
-        self._clock.call_later(LINK_S, give_back)
-
-    def _answer(self, replies: list[TurnReply]) -> None:
-        for reply in replies:
-            host = self._hosts_by_id[reply.question.sender]
-            if reply.answer.granted:
-                host.ask = None
-                event = model.TurnGranted(reply.answer.adapter)
-                self._clock.call_later(LINK_S, partial(self._tell, host, event))
-                continue
-            if host.ask is not None and host.ask.adapter == reply.answer.adapter:
-                again = partial(self._ask_turn, host, host.ask, 1)
-                self._clock.call_later(2 * LINK_S, again)
-
     # Failures.
 
     def _change(self) -> None:
@@ -485,7 +364,7 @@
 
     def _take_over(self, host: Host) -> None:
         self._dead_owner = ""
-        self._tell(host, self._make_config(ready=False))
+        self._tell(host, make_config(self._deployment, ready=False))
         self._report(host)
         held, self._held = self._held, []
         for attempt in held:
@@ -493,7 +372,7 @@
         self._clock.call_later(LEASE_S, partial(self._become_ready, host))
 
     def _become_ready(self, host: Host) -> None:
-        self._tell(host, self._make_config(ready=True))
+        self._tell(host, make_config(self._deployment, ready=True))
 
     def _report(self, host: Host) -> None:
         event = model.Reported(frozenset(host.engine.loaded), dict(host.foreign_by_id))
--- a/bench/policy/summary.py
+++ b/bench/policy/summary.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bench.policy.simulation import Outcome, Result
+from bench.policy.outcome import Outcome, Result
 from bench.policy.traces import CHANGE_S, Deployment
 
 __all__ = ["Summary", "get_quantile", "summarize"]
--- a/bench/policy/sweep.py
+++ b/bench/policy/sweep.py
@@ -4,8 +4,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 
+from bench.policy.outcome import Result
 from bench.policy.rivals import Ours
-from bench.policy.simulation import Result, play
+from bench.policy.simulation import play
 from bench.policy.summary import summarize
 from bench.policy.traces import DEPLOYMENTS, make_trace
 
--- a/tests/bench/test_policy_summary.py
+++ b/tests/bench/test_policy_summary.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.policy.simulation import Outcome, Result
+from bench.policy.outcome import Outcome, Result
 from bench.policy.summary import summarize
 from bench.policy.traces import DEPLOYMENTS, WARM_UP_S, Request
 from fescuekeel.messages import AdapterRef
