Say "not run" of a request that was never sent

Cause: a fresh instance tried an owner that had left; no connection came to stand. Each attempt counted as one that may have run, so that the refusal of the next owner (too late) reached the caller as "outcome unknown" (machine of requests). Change: the link says with a failed question whether it still waited for a connection. The entry takes such an attempt as refused, and not as lost. Sent or perhaps sent ones are in doubt as before. Conclusion: "outcome unknown" is said of fewer requests that did not run.

--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -226,7 +226,8 @@
         return self._fail(self._get_cut_failure())
 
     def _lose_owner(self, attempt: int, now: float) -> list[LifeEffect]:
-        if attempt != self.attempt:
+        # What was refused is told as lost as well when its connection falls.
+        if attempt != self.attempt or self.phase is Phase.RECEIVED:
             return []
         running = self._resuming or self.phase is Phase.HANDED_OVER
         if self.stream and running:
--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -299,7 +299,9 @@
         self, attempt: int, placement: Placement, result: Any
     ) -> None:
         if not isinstance(result, Success):
-            self.post(OwnerLost(attempt))
+            failure = result.failure()
+            unsent = failure.ran is Ran.NO
+            self.post(Refused(attempt, failure) if unsent else OwnerLost(attempt))
             return
         answer = result.unwrap()
         if not isinstance(answer, SubmitAnswer):
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -25,7 +25,7 @@
 from fescuekeel.components.peers.tls import make_client_context, make_server_context
 from fescuekeel.const import PROTOCOL_VERSION
 from fescuekeel.core import Instance
-from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.wire import decode, encode
 from fescuekeel.messages import (
@@ -150,7 +150,7 @@
 
     def _fail_ask(self, detail: str) -> Result[WireMessage, Failure]:
         self._instance.metrics.count("peers.ask_failed")
-        return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail))
+        return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail, Ran.NO))
 
     def _time_out(self, asked: Asked) -> None:
         if not asked.done():
--- a/fescuekeel/components/peers/outgoing.py
+++ b/fescuekeel/components/peers/outgoing.py
@@ -6,7 +6,7 @@
 
 from fescuekeel.components.peers.connection import Connection
 from fescuekeel.components.peers.const import MAX_QUEUE_BYTES
-from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.messages import WireMessage
 
 __all__ = ["Asked", "Outgoing"]
@@ -57,7 +57,9 @@
 
     def fail(self, detail: str) -> None:
         """Fail each open question and close the connection."""
-        failure = Failure(ErrorKind.PEER_UNREACHABLE, detail)
+        # What still waits for a connection certainly did not reach the peer.
+        ran = Ran.NO if self.connection is None else None
+        failure = Failure(ErrorKind.PEER_UNREACHABLE, detail, ran)
         for asked in self.asked_by_number.values():
             if not asked.done():
                 asked.set_result(Err(failure))
--- a/tests/components/gateway/test_attempts.py
+++ b/tests/components/gateway/test_attempts.py
@@ -144,6 +144,20 @@
         assert effects[0] == CancelAttempt(1)
         assert get_failure(effects).kind is ErrorKind.CANCELLED
 
+    def test_an_attempt_that_was_never_sent_leaves_no_doubt(self):
+        """A caller hears "outcome unknown" of a request that nobody was sent.
+
+        The owner has left; no connection to it comes to stand, which is told
+        as its loss as well. The next owner refuses: it is too late.
+        """
+        life = make_life()
+        unsent = Failure(ErrorKind.PEER_UNREACHABLE, ran=Ran.NO)
+        effects = life.handle(Refused(1, unsent), 0.1)
+        assert life.handle(OwnerLost(1), 0.1) == []
+        allow(life, effects)
+        refused = Refused(2, Failure(ErrorKind.TOO_LATE))
+        assert life.handle(refused, 0.2) == [Fail(Failure(ErrorKind.TOO_LATE))]
+
 
 class TestStream:
     def test_a_stream_goes_on_at_its_position_after_its_owner_died(self):
--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -12,7 +12,7 @@
 from fescuekeel.components.peers.connection import Connection
 from fescuekeel.components.peers.frames import Direction, FrameWriter
 from fescuekeel.core import Instance
-from fescuekeel.errors import ErrorKind
+from fescuekeel.errors import ErrorKind, Ran
 from fescuekeel.helpers.wire import encode
 from fescuekeel.messages import (
     Envelope,
@@ -201,6 +201,7 @@
                 assert not link.send("i9", Ping())
                 failure = (await link.ask("i9", Ping(), 60)).failure()
                 assert failure.kind is ErrorKind.PEER_UNREACHABLE
+                assert failure.ran is Ran.NO
 
         asyncio.run(run())
 
@@ -223,6 +224,7 @@
                 async with asyncio.timeout(30):
                     failure = (await asked).failure()
                 assert failure.kind is ErrorKind.PEER_UNREACHABLE
+                assert failure.ran is None
                 await wait_for(lambda: PeerLost("i2", reachable=False) in lost)
 
         asyncio.run(run())
--- a/tests/fuzz/network.py
+++ b/tests/fuzz/network.py
@@ -15,12 +15,13 @@
     RETRY_S,
     SILENT_S,
 )
-from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.messages import PeerLost, PeerMessage
 
 __all__ = ["Link"]
 
 UNREACHABLE = Err(Failure(ErrorKind.PEER_UNREACHABLE))
+UNSENT = Err(Failure(ErrorKind.PEER_UNREACHABLE, ran=Ran.NO))
 
 
 @dataclass(eq=False)
@@ -87,7 +88,7 @@
         else:
             connection = self._connect(instance_id)
             if connection is None:
-                return UNREACHABLE
+                return UNSENT
             waiting = connection.asked
             waiting[number] = asked
             self._put(connection, number, body)
@@ -195,7 +196,7 @@
             return
         del self.connections_by_id[peer_id]
         for asked in connection.asked.values():
-            resolve(asked, UNREACHABLE)
+            resolve(asked, UNREACHABLE if connection.attached else UNSENT)
         connection.asked.clear()
         if connection.attached and now - connection.began > RETRY_S:
             self._connect(peer_id, replaces=True)
