Choose listening ports below the kernel's ephemeral range

Its port had been free when it was chosen, and an outgoing connection of another process got it before the daemon listened; other tests ran on the machine. Excluded: the daemon itself, whose three addresses differ. Change: ports come from 20000 to 31999, are probed, and are given out once.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import json
+import random
 import secrets
 import socket
 import sys
@@ -19,6 +20,8 @@
 __all__ = ["Daemon", "Fleet", "FleetError"]
 
 LOOPBACK = "127.0.0.1"
+LISTENING_PORTS = range(20_000, 32_000)
+GIVEN_PORTS: set[int] = set()
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.1
@@ -66,13 +69,31 @@
     log: Path
 
 
+def is_free(port: int) -> bool:
+    """Tell whether nobody listens at a port."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
 def free_addresses(count: int) -> list[str]:
-    """Return free loopback addresses, all different."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [f"{LOOPBACK}:{item.getsockname()[1]}" for item in sockets]
+    """Return free loopback addresses, all different.
+
+    Guards against a port that is taken between this look and the daemon's
+    start, which then ends with "address already in use". The kernel gives
+    outgoing connections ports of its ephemeral range, so that these are below
+    it, and each is given out once.
+    """
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = random.choice(LISTENING_PORTS)
+        if port not in GIVEN_PORTS and is_free(port):
+            GIVEN_PORTS.add(port)
+            addresses.append(f"{LOOPBACK}:{port}")
+    return addresses
 
 
 async def until(ready: Callable[[], Awaitable[bool]], what: str) -> None:
