Write daemons' settings from one template

Cause: the sample load and the daemon tests each had the same settings text. Change: the tests use the one of standins/fleet. Conclusion: a new setting is added in one place.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,7 +17,7 @@
 from tornado.httpclient import HTTPClientError, HTTPError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-__all__ = ["Daemon", "Fleet", "FleetError"]
+__all__ = ["SETTINGS", "Daemon", "Fleet", "FleetError", "free_addresses"]
 
 LOOPBACK = "127.0.0.1"
 LISTENING_PORTS = range(20_000, 32_000)
@@ -43,6 +43,7 @@
 
 [peers]
 address = {peers}
+advertised_address = {advertised}
 keys = {key}
 
 [platform]
@@ -180,6 +181,7 @@
             callers=callers,
             operators=operators,
             peers=peers,
+            advertised="",
             token_sha256=hashlib.sha256(self.operators_token.encode()).hexdigest(),
             key=self.peers_key,
             config_url=ports["config_url"],
--- a/tests/daemons/common.py
+++ b/tests/daemons/common.py
@@ -19,7 +19,7 @@
 from fescuekeel.helpers.owners import choose_owner
 from fescuekeel.messages import LiveEntry, LiveRole, Member
 from standins.config_service import ConfigService, start_config_service
-from standins.fleet import free_addresses
+from standins.fleet import SETTINGS, free_addresses
 from standins.journals import count_runs, find_doubled
 from standins.live_list import Entry, LiveListService, start_live_list
 from standins.load import Result, Verdict
@@ -45,29 +45,6 @@
 LOADS_PER_S = 40.0
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
-SETTINGS = """
-[instance]
-id = {id}
-data_centre = {data_centre}
-shutdown_s = {shutdown_s}
-
-[callers]
-address = {callers}
-
-[operators]
-address = {operators}
-token_sha256 = {token_sha256}
-
-[peers]
-address = {peers}
-advertised_address = {advertised}
-keys = {key}
-
-[platform]
-config_url = {config_url}
-live_url = {live_url}
-"""
-
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
