Name no advertised address in the capacity bench

Cause: the settings template has one more field, which the bench did not fill. Change: it passes an empty one.

--- a/bench/capacity/wires.py
+++ b/bench/capacity/wires.py
@@ -46,6 +46,7 @@
         callers=address,
         operators=address,
         peers=address,
+        advertised="",
         token_sha256=HASH,
         key=KEY,
         config_url="http://127.0.0.1:1",
