--- a/bench/capacity/estimate.py
+++ b/bench/capacity/estimate.py
@@ -237,39 +237,49 @@
 
 def make_entry_data(found: Measured) -> Row:
     """Work out the callers' requests at their entry."""
-    requests = size.REQUESTS_PER_S / size.NODES
-    tokens = size.TOKENS_PER_S / size.NODES
-    held = requests * TOKENS_PER_REQUEST * TOKEN_S
     path = found.path
-    return Row(
+    return _make_data_row(
         "entry (callers' work)",
-        f"{held:.0f} open streams",
-        f"{requests:.0f} requests and {tokens:,.0f} tokens a second",
-        requests * path.entry_request_s + tokens * path.entry_token_s,
-        held * path.entry_stream_kb / 1024,
-        0.0,
+        "{:.0f} open streams",
+        Costs(path.entry_request_s, path.entry_token_s, path.entry_stream_kb),
         "one task a request; routing"
         f" {found.route_s * 1e6:.0f} us of {path.entry_request_s * 1e3:.1f} ms",
-        f"{1 / (path.entry_token_s or 1):,.0f} tokens a second on one core",
-        control=False,
     )
 
 
 def make_owner_data(found: Measured) -> Row:
     """Work out the callers' requests at the owner."""
+    path = found.path
+    return _make_data_row(
+        "owner (callers' work)",
+        "{:.0f} open streams, a connection each",
+        Costs(path.owner_request_s, path.owner_token_s, path.owner_stream_kb),
+        "pieces of one loop turn go out as one message",
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """What callers' work costs one role."""
+
+    request_s: float
+    token_s: float
+    stream_kb: float
+
+
+def _make_data_row(role: str, state: str, costs: Costs, mechanism: str) -> Row:
     requests = size.REQUESTS_PER_S / size.NODES
     tokens = size.TOKENS_PER_S / size.NODES
     held = requests * TOKENS_PER_REQUEST * TOKEN_S
-    path = found.path
     return Row(
-        "owner (callers' work)",
-        f"{held:.0f} open streams, a connection each",
+        role,
+        state.format(held),
         f"{requests:.0f} requests and {tokens:,.0f} tokens a second",
-        requests * path.owner_request_s + tokens * path.owner_token_s,
-        held * path.owner_stream_kb / 1024,
+        requests * costs.request_s + tokens * costs.token_s,
+        held * costs.stream_kb / 1024,
         0.0,
-        "pieces of one loop turn go out as one message",
-        f"{1 / (path.owner_token_s or 1):,.0f} tokens a second on one core",
+        mechanism,
+        f"{1 / (costs.token_s or 1):,.0f} tokens a second on one core",
         control=False,
     )
 
