Check loads by repeating the order, and free places ahead of need

Change: a load under way is ordered again every 30 ms, which the endpoint answers at once with whether it holds the adapter; one place is kept free; what is to be unloaded is told first and unloaded 50 ms later. Reports, which lag, no longer undo what an order's answer has just shown.

--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -111,7 +111,7 @@
         for id in newly:
             term = self._claims.own_by_endpoint[id].term
             log_event("claim_held", endpoint=id, term=term)
-            self._news_wanted = True
+            self._want_news()
         self._match_holders(engines)
         for holder in self._holders_by_endpoint.values():
             holder.places.prune(now)
@@ -148,7 +148,14 @@
             self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
 
     def _want_news(self) -> None:
-        self._news_wanted = True
+        """Tell of a change at the end of this turn of the loop."""
+        if not self._news_wanted:
+            self._news_wanted = True
+            asyncio.get_running_loop().call_soon(self._tell_now)
+
+    def _tell_now(self) -> None:
+        view = self.instance.bus.latest(MemberView) or MemberView()
+        self._tell(view, self.instance.now())
 
     def _release(self) -> None:
         """Tell all that this instance gives no more orders."""
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -37,6 +37,8 @@
 WARM_LOAD_S: Final = 0.02
 CHECK_PERIOD_S: Final = 0.03
 LOOK_PERIOD_S: Final = 0.25
+# What a report shows may be older than this, in seconds, than its answer.
+REPORT_LAG_S: Final = 0.5
 # How many adapters that an endpoint held lately it still has in its memory.
 WARM_ADAPTERS: Final = 100
 # Places that are kept free, so that a load need not wait for an unload; and
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -5,7 +5,6 @@
 
 from fescuekeel.components.placement.claims import Claims, make_fence
 from fescuekeel.components.placement.const import (
-    FIRST_LOOK_S,
     IDLE_LOOK_S,
     LOOK_PERIOD_S,
     TICK_S,
@@ -68,11 +67,14 @@
             if now >= next_look:
                 await self._look()
                 now = self._instance.now()
-                period_s = LOOK_PERIOD_S if self.places.waiting else IDLE_LOOK_S
-                next_look = now + period_s
-            if self._is_settled(now) and await self._step():
-                next_look = self._instance.now() + FIRST_LOOK_S
-            await self._sleep(next_look)
+                urgent = self.places.needs_report(now)
+                next_look = now + (LOOK_PERIOD_S if urgent else IDLE_LOOK_S)
+            if self._is_settled(now):
+                await self._step()
+                now = self._instance.now()
+                if self.places.needs_report(now):
+                    next_look = min(next_look, now + LOOK_PERIOD_S)
+            await self._sleep(min(next_look, self.places.get_next_check()))
 
     async def _sleep(self, next_look: float) -> None:
         left_s = next_look - self._instance.now()
@@ -101,24 +103,28 @@
         if self.places.list_servable() != before:
             self._on_changed()
 
-    async def _step(self) -> bool:
-        """Carry out what is due; return whether an order was given."""
+    async def _step(self) -> None:
+        """Carry out what is due, and what that makes due."""
         catalog = self._instance.bus.latest(Catalog)
         versions = catalog.versions_by_weights if catalog else {}
-        ordered = False
-        for effect in self.places.step(versions, self._instance.now()):
-            if isinstance(effect, AskEnded):
-                self._on_ask_ended(effect)
-            else:
-                ordered = True
-                await self._give(effect)
-        return ordered
+        while True:
+            before = self.places.list_servable()
+            effects = self.places.step(versions, self._instance.now())
+            if self.places.list_servable().keys() != before.keys():
+                self._on_changed()
+            for effect in effects:
+                if isinstance(effect, AskEnded):
+                    self._on_ask_ended(effect)
+                else:
+                    await self._give(effect)
+            if not effects:
+                return
 
     async def _give(self, effect: GiveOrder) -> None:
         endpoint = self.record.id
         own = self._claims.own_by_endpoint.get(endpoint)
         if own is None or not own.held:
-            self.places.note_reply(effect, OrderReply.UNAVAILABLE)
+            self.places.note_reply(effect, OrderReply.UNAVAILABLE, self._instance.now())
             return
         order = WeightOrder(
             effect.kind,
@@ -128,12 +134,10 @@
             make_fence(own.term, self._instance.id),
             effect.version,
         )
-        # Requests must stop going to weights that are about to be dropped.
-        self._on_changed()
         self._claims.note_order(endpoint, self._instance.now())
         reply = await self._link.order(order, self._may_order)
         self._claims.note_order(endpoint, self._instance.now())
-        self.places.note_reply(effect, reply)
+        self.places.note_reply(effect, reply, self._instance.now())
         outcome = "unanswered" if reply is None else reply.value
         self._instance.metrics.count(f"placement.order.{effect.kind}.{outcome}")
         log_event(
@@ -142,6 +146,7 @@
             kind=effect.kind.value,
             weights=str(effect.weights),
             version=effect.version or 0,
+            again=effect.again,
             term=own.term,
             taken=self.places.count_taken(),
             places=self.places.places,
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -10,13 +10,20 @@
 
 from fescuekeel.components.placement.const import (
     ASK_WAIT_S,
+    CHECK_PERIOD_S,
     DEMAND_HALF_LIFE_S,
+    LOAD_S,
     MAX_PENDING,
     MIN_STAY_S,
     MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
     ORDER_LOST_S,
+    REPORT_LAG_S,
+    SPARE_PLACES,
+    UNLOAD_DELAY_S,
     USE_TTL_S,
+    WARM_ADAPTERS,
+    WARM_LOAD_S,
 )
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
@@ -41,11 +48,16 @@
 
 @dataclass(frozen=True, slots=True)
 class GiveOrder:
-    """Give an order to the endpoint."""
+    """Give an order to the endpoint.
+
+    ``again`` repeats a load that is under way: the endpoint answers at once
+    whether it holds the weights by now.
+    """
 
     kind: OrderKind
     weights: Weights
     version: int | None
+    again: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +92,18 @@
 
 @dataclass(slots=True)
 class Order:
-    """An order under way; a ``stopping`` unload waits for its runs."""
+    """An order under way, or an unload that is about to be given.
+
+    ``next_check`` is when it is given again, to learn whether it is done; for
+    an unload, when it is given at all. ``accepted`` says that the endpoint
+    carries it out.
+    """
 
     kind: OrderKind
     version: int | None
     given: float
-    confirmed: bool = False
+    next_check: float
+    accepted: bool = False
 
 
 @dataclass(slots=True)
@@ -116,16 +134,21 @@
     _uses: dict[Weights, dict[str, Use]] = field(default_factory=dict)
     _loaded_at: dict[Weights, float] = field(default_factory=dict)
     _model_asked: float = float("-inf")
+    _dropped_at: dict[Weights, float] = field(default_factory=dict)
 
     @property
     def has_model(self) -> bool:
         """Tell whether the base model is there, without which nothing is."""
         return Weights(self.model) in self.held
 
-    @property
-    def waiting(self) -> bool:
-        """Tell whether an order is under way, which a report will show."""
-        return bool(self.orders_by_weights or self._foreign_pending)
+    def needs_report(self, now: float) -> bool:
+        """Tell whether something is under way that only a report will show."""
+        overdue = any(
+            order.accepted
+            and (order.kind is OrderKind.UNLOAD or now - order.given > 2 * LOAD_S)
+            for order in self.orders_by_weights.values()
+        )
+        return overdue or bool(self._foreign_pending) or not self.has_model
 
     def list_servable(self) -> dict[Weights, int]:
         """Return what requests can be sent to: held, and not to be dropped."""
@@ -168,9 +191,7 @@
         """
         self.known = True
         self.running = report.running
-        for weights in report.held.keys() - self.held.keys():
-            self._loaded_at[weights] = now
-        self.held = dict(report.held)
+        self._merge_held(report, asked, now)
         own = self.orders_by_weights
         self._foreign_pending = frozenset(report.pending - own.keys())
         for weights, order in list(own.items()):
@@ -181,6 +202,19 @@
             elif asked - order.given > self._get_patience_s(weights):
                 del own[weights]
 
+    def _merge_held(self, report: EndpointReport, asked: float, now: float) -> None:
+        held = dict(report.held)
+        seen_until = asked - REPORT_LAG_S
+        for weights, dropped in self._dropped_at.items():
+            if dropped > seen_until:
+                held.pop(weights, None)
+        for weights, version in self.held.items():
+            if weights not in held and self._loaded_at.get(weights, 0.0) > seen_until:
+                held[weights] = version
+        for weights in held.keys() - self.held.keys():
+            self._loaded_at[weights] = now
+        self.held = held
+
     def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
         held = weights in report.held
         if order.kind is OrderKind.UNLOAD:
@@ -192,20 +226,38 @@
     def _get_patience_s(self, weights: Weights) -> float:
         return ORDER_LOST_S if weights.adapter else MODEL_LOAD_LOST_S
 
-    def note_reply(self, order: GiveOrder, reply: OrderReply | None) -> None:
+    def note_reply(
+        self, order: GiveOrder, reply: OrderReply | None, now: float
+    ) -> None:
         """Take how an order was answered; ``None`` is no answer.
 
         An order without an answer may have been accepted, and keeps its place
-        until reports show otherwise.
+        until reports show otherwise. So does one that was given again: its
+        first giving still counts.
         """
-        if reply is None or reply is OrderReply.ACCEPTED:
+        weights = order.weights
+        under_way = self.orders_by_weights.get(weights)
+        if under_way is None:
             return
         if reply is OrderReply.HOLDS_ALREADY:
+            del self.orders_by_weights[weights]
             if order.kind is OrderKind.UNLOAD:
-                self.held.pop(order.weights, None)
-                self.orders_by_weights.pop(order.weights, None)
-            return
-        self.orders_by_weights.pop(order.weights, None)
+                self.held.pop(weights, None)
+                self._note_dropped(weights, now)
+            else:
+                self.held[weights] = max(order.version or 0, self.held.get(weights, 0))
+                self._loaded_at[weights] = now
+                self._dropped_at.pop(weights, None)
+        elif reply is None or reply is OrderReply.ACCEPTED or order.again:
+            under_way.accepted = True
+        else:
+            del self.orders_by_weights[weights]
+
+    def _note_dropped(self, weights: Weights, now: float) -> None:
+        self._dropped_at.pop(weights, None)
+        self._dropped_at[weights] = now
+        if len(self._dropped_at) > WARM_ADAPTERS:
+            del self._dropped_at[next(iter(self._dropped_at))]
 
     # The decision.
 
@@ -216,8 +268,32 @@
             return effects
         if not self.has_model:
             return effects + self._load_model(now)
+        effects += self._check_orders(now)
         effects += self._renew(versions_by_weights, now)
         effects += self._serve_asks(now)
+        self._keep_spare(now)
+        return effects
+
+    def get_next_check(self) -> float:
+        """Return when ``step`` is due again."""
+        return min(
+            (order.next_check for order in self.orders_by_weights.values()),
+            default=float("inf"),
+        )
+
+    def _check_orders(self, now: float) -> list[Effect]:
+        """Give unloads that are due, and again the loads under way."""
+        effects: list[Effect] = []
+        for weights, order in self.orders_by_weights.items():
+            if now < order.next_check or not weights.adapter:
+                continue
+            if order.kind is OrderKind.LOAD:
+                order.next_check = now + CHECK_PERIOD_S
+                effects.append(GiveOrder(order.kind, weights, order.version, True))
+            else:
+                order.next_check = float("inf")
+                order.given = now
+                effects.append(GiveOrder(order.kind, weights, order.version))
         return effects
 
     def _end_asks(self, now: float) -> Iterable[AskEnded]:
@@ -243,7 +319,10 @@
     def _order(
         self, kind: OrderKind, weights: Weights, version: int | None, now: float
     ) -> GiveOrder:
-        self.orders_by_weights[weights] = Order(kind, version, now)
+        load_s = WARM_LOAD_S if weights in self._dropped_at else LOAD_S
+        if not weights.adapter:
+            load_s = float("inf")
+        self.orders_by_weights[weights] = Order(kind, version, now, now + load_s)
         return GiveOrder(kind, weights, version)
 
     def _renew(
@@ -271,9 +350,8 @@
             if pending >= MAX_PENDING:
                 break
             if weights not in self.held and self.count_taken() >= self.places:
-                effects += self._make_room(ask, now)
-                if self.count_taken() >= self.places:
-                    continue
+                self._make_room(ask.weights, ask.spread, now)
+                continue
             version = ask.version or None
             effects.append(self._order(OrderKind.LOAD, weights, version, now))
             pending += 1
@@ -288,35 +366,51 @@
     def _rank_ask(self, ask: Ask) -> tuple[bool, int, float]:
         return ask.spread, ask.priority, ask.since
 
-    def _make_room(self, ask: Ask, now: float) -> list[Effect]:
-        """Order the least wanted adapter away, unless one is going already."""
+    def _keep_spare(self, now: float) -> None:
+        """Let the least wanted adapter go before its place is asked for.
+
+        Saves the wait for an unload and its delay, 50 ms and a round trip, in
+        front of most loads.
+        """
+        if self.places - self.count_taken() < SPARE_PLACES:
+            self._make_room(None, False, now)
+
+    def _make_room(self, weights: Weights | None, spread: bool, now: float) -> None:
+        """Let the least wanted adapter go, unless enough are going already.
+
+        It is unloaded after a delay: until then the instances hear that they
+        must not send there any more, and what is on its way arrives.
+        """
         going = sum(
             order.kind is OrderKind.UNLOAD for order in self.orders_by_weights.values()
         )
         waiting = sum(not item.spread for item in self.asks_by_number.values())
-        if going >= max(1, min(waiting, MAX_PENDING)):
-            return []
-        victim = self._choose_victim(ask, now)
-        if victim is None:
-            return []
-        return [self._order(OrderKind.UNLOAD, victim, None, now)]
-
-    def _choose_victim(self, ask: Ask, now: float) -> Weights | None:
+        if going >= max(SPARE_PLACES, min(waiting, MAX_PENDING)):
+            return
+        victim = self._choose_victim(weights, spread, now)
+        if victim is not None:
+            self.orders_by_weights[victim] = Order(
+                OrderKind.UNLOAD, None, now, now + UNLOAD_DELAY_S
+            )
+
+    def _choose_victim(
+        self, weights: Weights | None, spread: bool, now: float
+    ) -> Weights | None:
         wanted = {item.weights for item in self.asks_by_number.values()}
         idle = [
-            weights
-            for weights in self.held
-            if weights.adapter
-            and weights not in wanted
-            and weights not in self.orders_by_weights
-            and not self.count_running(weights, now)
-            and now - self._loaded_at.get(weights, now) >= MIN_STAY_S
+            held
+            for held in self.held
+            if held.adapter
+            and held not in wanted
+            and held not in self.orders_by_weights
+            and not self.count_running(held, now)
+            and now - self._loaded_at.get(held, now) >= MIN_STAY_S
         ]
         victim = min(idle, key=lambda item: self.read_demand(item, now), default=None)
-        if victim is None or not ask.spread:
+        if victim is None or not spread or weights is None:
             return victim
         # One more copy is not worth another adapter that is asked for as much.
-        gain = self.read_demand(ask.weights, now)
+        gain = self.read_demand(weights, now)
         return victim if self.read_demand(victim, now) < gain / 2 else None
 
     def count_running(self, weights: Weights, now: float) -> int:
