Keep adapters at home a little longer, and read the store less often

Change: the home is left, and a copy made, only for 0.3 s of wait (0.12 and 0.15 before); a window holds three quarters of what can be read in it (0.85); changes at the store are gathered for 0.8 s (0.5).

--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -17,7 +17,7 @@
 CONNECT_TIMEOUT_S: Final = 0.6
 # Changes come in bursts and each call has a price: a pause after each answer
 # with changes gathers them, well below the two seconds for a configuration.
-GATHER_S: Final = 0.5
+GATHER_S: Final = 0.8
 # Calls that were refused or lost are repeated with growing pauses. The last
 # must let an instance catch up within four seconds of the store's return.
 FIRST_RETRY_S: Final = 0.15
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -50,10 +50,10 @@
 CROWDED_SHARE: Final = 0.75
 CROWDED_COST_S: Final = 1.0
 # Waits this much above the shortest one are not worth a copy elsewhere.
-SPREAD_WAIT_S: Final = 0.15
+SPREAD_WAIT_S: Final = 0.3
 # A load goes to the adapter's first endpoint in rank whose wait is at most so
 # much above the shortest one.
-LOAD_SLACK_S: Final = 0.12
+LOAD_SLACK_S: Final = 0.3
 SPREAD_PERIOD_S: Final = 1.0
 # A request waits no longer for weights than this share of its time.
 LOAD_WAIT_SHARE: Final = 0.3
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -64,7 +64,7 @@
 # Prompts are read at 19 to 26 tokens a millisecond by the engines of today;
 # the rest of a window goes to the tokens of three steps and to the way.
 PROMPT_TOKENS_PER_S: Final = 19_000
-PROMPT_SHARE: Final = 0.85
+PROMPT_SHARE: Final = 0.75
 # The window where no route names the pause that its callers accept.
 DEFAULT_WINDOW_S: Final = 0.3
 
