Claim an endpoint only while it answers, and give it up when it does not

LIMIT: an instance behind a zone cut saw all others as dead, claimed their endpoints without reaching them, and gave orders right after the cut healed, beside those of the holder whose loads its lagging report did not show yet. DRAIN: a prompt waited for its turn while its endpoint announced its leaving.

Change: the wait for a claim runs only while the endpoint answers reports, and a holder out of contact for 1.5 s releases its claim; a request looks again at the catalog after its turn; an engine's own entry tells whether it has the model. The takeover test fails without the first change.

--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -101,7 +101,17 @@
     requests go to the cheapest endpoint that holds it. If that one is loaded
     far above another, that other one should get a copy.
     """
-    candidates = _list_candidates(endpoints_by_id, loads_by_id, tried, now)
+    model = Weights(question.weights.model)
+
+    def has_model(id: str) -> bool:
+        # An endpoint that has just started is empty. What it has published
+        # itself counts until its holder tells.
+        state = states_by_id.get(id)
+        held = state.held if state is not None else endpoints_by_id[id].held
+        return model in held
+
+    usable = {id: rec for id, rec in endpoints_by_id.items() if has_model(id)}
+    candidates = _list_candidates(usable, loads_by_id, tried, now)
     if not candidates:
         return None
     costs_by_id = {
@@ -111,7 +121,8 @@
         for id in candidates
     }
     if not question.weights.adapter:
-        return _choose_for_model(question, costs_by_id, states_by_id)
+        best = min(costs_by_id, key=lambda id: (costs_by_id[id], id))
+        return Choice(best, ChoiceReason.LEAST_COST, costs_by_id[best])
     versions_by_id = {
         id: states_by_id[id].held[question.weights]
         for id in candidates
@@ -120,21 +131,6 @@
     return _choose_for_adapter(question, costs_by_id, versions_by_id)
 
 
-def _choose_for_model(
-    question: EngineQuestion,
-    costs_by_id: dict[str, float],
-    states_by_id: Mapping[str, EndpointState],
-) -> Choice:
-    # An endpoint that is not known to lack the model is taken to have it.
-    having = [
-        id
-        for id in costs_by_id
-        if id not in states_by_id or question.weights in states_by_id[id].held
-    ]
-    best = min(having or costs_by_id, key=lambda id: (costs_by_id[id], id))
-    return Choice(best, ChoiceReason.LEAST_COST, costs_by_id[best])
-
-
 def _choose_for_adapter(
     question: EngineQuestion,
     costs_by_id: dict[str, float],
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -294,6 +294,10 @@
                     self._asker.spread(choice.spread_to, request.weights, newest)
                 if request.weights is not None:
                     await self._wait_for_turn(request, choice)
+                    # Guards against work for an endpoint that has announced
+                    # its leaving while the prompt waited for its turn.
+                    if self._find_record(choice.endpoint) is None:
+                        continue
                 request.waited_s += self.instance.now() - began
                 return choice
             if now - began > patience_s:
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -14,6 +14,7 @@
 
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
+    CONTACT_LOST_S,
     IDENTITY_BITS,
     MAX_TERM,
     PAUSE_S,
@@ -42,12 +43,18 @@
 
 @dataclass(slots=True)
 class OwnClaim:
-    """Our own claim; orders are given once ``held`` is true."""
+    """Our own claim; orders are given once ``held`` is true.
+
+    ``contact_since`` is since when the endpoint has answered without a gap,
+    ``contact`` when it last did.
+    """
 
     since: float
     term: int = 0
     held: bool = False
     last_order: float | None = None
+    contact_since: float | None = None
+    contact: float = 0.0
 
 
 def make_fence(term: int, instance_id: str) -> int:
@@ -187,9 +194,16 @@
             return False
         if own is None:
             own = self.own_by_endpoint[record.id] = OwnClaim(now)
+        # Guards against a claim from behind a cut: all other instances look
+        # dead there, and the endpoint still gets the orders of one of them.
+        # It shows as an endpoint that does not answer; and once it does, the
+        # news of its holder comes well before the wait is over.
+        if own.contact_since is None:
+            return False
         # With no claim heard, another may have given orders until just now.
         quiet_from = own.since if heard is None else heard.quiet_from
-        if now - quiet_from < self.lease_s + TAKEOVER_MARGIN_S:
+        wait_s = self.lease_s + TAKEOVER_MARGIN_S
+        if now - max(quiet_from, own.contact_since) < wait_s:
             return False
         own.term = self._choose_term(record.id, revision)
         own.held = True
@@ -219,6 +233,30 @@
         )
         return min(MAX_TERM - 1, max(lowest + 1, min(revision, MAX_TERM // 2)))
 
+    def note_contact(self, endpoint: str, answered: bool, now: float) -> None:
+        """Note whether an endpoint that is claimed here has answered."""
+        own = self.own_by_endpoint.get(endpoint)
+        if own is None:
+            return
+        if answered:
+            own.contact = now
+            if own.contact_since is None:
+                own.contact_since = now
+        elif not own.held or now - own.contact > CONTACT_LOST_S:
+            own.contact_since = None
+
+    def list_out_of_contact(self) -> list[str]:
+        """Return the endpoints that are held here and have fallen silent."""
+        return [
+            id
+            for id, own in self.own_by_endpoint.items()
+            if own.held and own.contact_since is None
+        ]
+
+    def release(self, endpoint: str) -> OwnClaim | None:
+        """Give up one claim; another instance may reach the endpoint."""
+        return self.own_by_endpoint.pop(endpoint, None)
+
     def may_order(self, endpoint: str, now: float) -> bool:
         """Tell whether an order may be given right now.
 
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -36,6 +36,8 @@
 
 __all__ = ["PlacementActor"]
 
+# How long ago the last order was, where none was given at all.
+LONG_QUIET_S = 3600.0
 # Retry hint of an ask that found no holder here, in milliseconds.
 NOT_HOLDER_RETRY_MS = 300
 
@@ -67,7 +69,7 @@
 
     async def stop(self) -> None:
         """Give up every claim and tell so, so that others may follow soon."""
-        self._release()
+        self._release(list(self._claims.own_by_endpoint))
         await super().stop()
 
     async def _tick_forever(self) -> None:
@@ -102,7 +104,7 @@
     def _tick(self) -> None:
         now = self.instance.now()
         if self.instance.draining:
-            self._release()
+            self._release(list(self._claims.own_by_endpoint))
             return
         catalog = self.instance.bus.latest(Catalog)
         view = self.instance.bus.latest(MemberView) or MemberView()
@@ -118,6 +120,7 @@
             term = self._claims.own_by_endpoint[id].term
             log_event("claim_held", endpoint=id, term=term)
             self._want_news()
+        self._release(self._claims.list_out_of_contact())
         self._match_holders(engines)
         for holder in self._holders_by_endpoint.values():
             holder.places.prune(now)
@@ -125,10 +128,10 @@
         self._tell(view, now)
 
     def _match_holders(self, engines: dict[str, EndpointRecord]) -> None:
-        held = {id for id, own in self._claims.own_by_endpoint.items() if own.held}
-        for id in self._holders_by_endpoint.keys() - held:
+        claimed = self._claims.own_by_endpoint.keys()
+        for id in self._holders_by_endpoint.keys() - claimed:
             self._drop_holder(id)
-        for id in held - self._holders_by_endpoint.keys():
+        for id in claimed - self._holders_by_endpoint.keys():
             record = engines.get(id)
             engine = self._get_engine(record) if record else None
             if record is None or engine is None or not engine.models_by_name:
@@ -154,6 +157,10 @@
         for number in list(holder.places.asks_by_number):
             self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
 
+    def _holds(self, endpoint: str) -> bool:
+        own = self._claims.own_by_endpoint.get(endpoint)
+        return own is not None and own.held
+
     def _want_news(self) -> None:
         """Tell of a change at the end of this turn of the loop."""
         if not self._news_wanted:
@@ -164,26 +171,22 @@
         view = self.instance.bus.latest(MemberView) or MemberView()
         self._tell(view, self.instance.now())
 
-    def _release(self) -> None:
-        """Tell all that this instance gives no more orders."""
-        own = {
-            id: claim
-            for id, claim in self._claims.own_by_endpoint.items()
-            if claim.held
-        }
-        self._claims.release_all()
-        for id in list(self._holders_by_endpoint):
-            self._drop_holder(id)
-        if not own:
-            return
+    def _release(self, endpoints: list[str]) -> None:
+        """Give up claims, and tell all since when no order was given."""
         now = self.instance.now()
         states = []
-        for id, claim in own.items():
-            quiet_s = now - claim.last_order if claim.last_order else 3600.0
-            states.append(
-                PlacementState(id, claim.term, True, int(max(0.0, quiet_s) * 1000))
-            )
-        self._send_news(tuple(states))
+        for id in endpoints:
+            claim = self._claims.release(id)
+            if id in self._holders_by_endpoint:
+                self._drop_holder(id)
+            if claim is None or not claim.held:
+                continue
+            quiet_s = LONG_QUIET_S
+            if claim.last_order is not None:
+                quiet_s = max(0.0, now - claim.last_order)
+            states.append(PlacementState(id, claim.term, True, int(quiet_s * 1000)))
+        if states:
+            self._send_news(tuple(states))
 
     # News.
 
@@ -197,7 +200,7 @@
         states = tuple(
             self._make_state(id, holder)
             for id, holder in self._holders_by_endpoint.items()
-            if id in self._claims.own_by_endpoint
+            if self._holds(id)
         )
         if states:
             self._send_news(states)
@@ -223,7 +226,8 @@
         news = PlacementNews(states)
         now = self.instance.now()
         for state in states:
-            self.board.hear(self.instance.id, state, now)
+            if not state.released:
+                self.board.hear(self.instance.id, state, now)
         for peer in view.members_by_id:
             if peer != self.instance.id:
                 link.send(peer, news)
@@ -277,7 +281,7 @@
 
     def _take_ask(self, message: PeerMessage, ask: LoadAsk) -> None:
         holder = self._holders_by_endpoint.get(ask.endpoint)
-        if holder is None:
+        if holder is None or not self._holds(ask.endpoint):
             answer = LoadAnswer(False, "not the holder", NOT_HOLDER_RETRY_MS)
             get_peer_link(self.instance).answer(message, answer)
             return
@@ -306,7 +310,7 @@
     def _take_prompt(self, message: PeerMessage, ask: AdmitAsk) -> None:
         link = get_peer_link(self.instance)
         holder = self._holders_by_endpoint.get(ask.endpoint)
-        if holder is None:
+        if holder is None or not self._holds(ask.endpoint):
             link.answer(message, AdmitAnswer(False))
             return
         pacer = self._pacers_by_endpoint.get(ask.endpoint)
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -15,6 +15,8 @@
 
 # A claim that was not heard for so long is over: five pieces of news.
 CLAIM_TTL_S: Final = 2.0
+# A holder that the endpoint has not answered for so long gives it up.
+CONTACT_LOST_S: Final = 1.5
 # Added to the lease before a new holder gives its first order: what a message
 # takes on a slow machine.
 TAKEOVER_MARGIN_S: Final = 0.5
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -22,8 +22,8 @@
 
 __all__ = ["EndpointHolder"]
 
-# After a failed report, the endpoint must answer for so long before it gets
-# an order: a link that has just healed may bring news of another holder.
+# An endpoint that was out of contact must answer for so long before it gets an
+# order: a link that has just healed may bring news of another holder.
 SETTLE_S = 1.0
 
 
@@ -48,7 +48,6 @@
         self._on_changed = on_changed
         self._link = OrderLink(instance, dialect, record.id, record.address)
         self._woken = asyncio.Event()
-        self._reachable_since: float | None = None
         self._task = instance.spawn(self._run(), "placement.holder")
 
     def wake(self) -> None:
@@ -69,7 +68,7 @@
                 now = self._instance.now()
                 urgent = self.places.needs_report(now)
                 next_look = now + (LOOK_PERIOD_S if urgent else IDLE_LOOK_S)
-            if self._is_settled(now):
+            if self._may_step(now):
                 await self._step()
                 now = self._instance.now()
                 if self.places.needs_report(now):
@@ -85,19 +84,19 @@
         except TimeoutError:
             return
 
-    def _is_settled(self, now: float) -> bool:
-        since = self._reachable_since
-        return since is not None and now - since >= SETTLE_S
+    def _may_step(self, now: float) -> bool:
+        own = self._claims.own_by_endpoint.get(self.record.id)
+        if own is None or not own.held or own.contact_since is None:
+            return False
+        return now - own.contact_since >= SETTLE_S
 
     async def _look(self) -> None:
         asked = self._instance.now()
         report = await self._link.report()
         now = self._instance.now()
+        self._claims.note_contact(self.record.id, report is not None, now)
         if report is None:
-            self._reachable_since = None
             return
-        if self._reachable_since is None:
-            self._reachable_since = now
         before = self.places.list_servable()
         self.places.note_report(report, asked, now)
         if self.places.list_servable() != before:
--- /dev/null
+++ b/tests/components/placement/test_claims.py
@@ -0,0 +1,157 @@
+"""Tests of who holds the orders to an endpoint."""
+
+import itertools
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from fescuekeel.components.placement.claims import Claims, make_fence
+from fescuekeel.helpers.published import EndpointRecord
+from fescuekeel.messages import Member
+
+LEASE_S = 3.0
+WAIT_S = 3.6
+ENDPOINT = EndpointRecord("e1", "s", "127.0.0.1:1", "dc1", 8, False)
+ENDPOINTS = {"e1": ENDPOINT}
+ALONE = {"i1": Member("i1", "", "dc1", 1)}
+BOTH = ALONE | {"i2": Member("i2", "", "dc1", 1)}
+
+
+def step(claims, now, members=ALONE, revision=0, answered=True):
+    """Step once, with the endpoint's answer to a question before."""
+    claims.note_contact("e1", answered, now)
+    return claims.step(ENDPOINTS, members, (), revision, now)
+
+
+def run(claims, start, end, **options):
+    """Step every tenth of a second; return when the endpoint was first held."""
+    for tenth in range(int(start * 10), int(end * 10)):
+        if step(claims, tenth / 10, **options):
+            return tenth / 10
+    return None
+
+
+class TestTakeover:
+    def test_first_claim_waits_for_a_lease(self):
+        """Two instances gave orders to one endpoint within a second.
+
+        All machines had lost power; the first one back knew of no holder and
+        claimed at once, while the last orders of the one before were fresh.
+        """
+        held = run(Claims("i1", LEASE_S), 0.0, 10.0)
+        assert held is not None
+        assert LEASE_S < held < LEASE_S + 1.0
+
+    def test_no_claim_while_another_tells_of_its_own(self):
+        claims = Claims("i1", LEASE_S)
+        for tenth in range(100):
+            claims.hear("e1", "i2", 5, False, 0.0, tenth / 10)
+            assert step(claims, tenth / 10, members=BOTH) == []
+
+    def test_behind_a_cut_nothing_is_claimed(self):
+        """An engine was ordered to hold more adapters than it has places for.
+
+        One data centre was cut off. Its instance saw all others as dead and
+        claimed their endpoints, which it could not reach. After the cut it
+        gave orders to one, beside those of the holder on the other side.
+        """
+        claims = Claims("i1", LEASE_S)
+        assert run(claims, 0.0, 10.0, answered=False) is None
+        # The cut heals: the endpoint answers, and the holder is heard.
+        claims.hear("e1", "i2", 5, False, 0.0, 10.2)
+        assert run(claims, 10.0, 12.0, members=BOTH) is None
+
+    def test_endpoint_out_of_contact_is_given_up(self):
+        claims = Claims("i1", LEASE_S)
+        run(claims, 0.0, 10.0)
+        now = claims.own_by_endpoint["e1"].contact
+        claims.note_contact("e1", False, now + 1.0)
+        assert claims.list_out_of_contact() == []
+        claims.note_contact("e1", False, now + 2.0)
+        assert claims.list_out_of_contact() == ["e1"]
+
+
+class TestSuspension:
+    def test_claim_does_not_outlive_a_suspension(self):
+        """A machine gave an order after it had been suspended for seconds.
+
+        It woke up believing in its claim; another had taken it over and
+        given orders meanwhile.
+        """
+        claims = Claims("i1", LEASE_S)
+        held = run(claims, 0.0, 10.0)
+        assert claims.may_order("e1", held + 0.1)
+        assert not claims.may_order("e1", held + 5.0)
+        step(claims, held + 5.0)
+        assert not claims.may_order("e1", held + 5.0)
+
+
+class TestRelease:
+    def test_released_claim_is_followed_after_the_lease(self):
+        claims = Claims("i1", LEASE_S)
+        claims.hear("e1", "i2", 5, False, 0.0, 0.0)
+        claims.hear("e1", "i2", 5, True, 2.0, 0.1)
+        held = run(claims, 0.1, 10.0)
+        # The last order was at -1.9 seconds; contact stands since 0.1.
+        assert held is not None
+        assert held < WAIT_S + 0.3
+
+    def test_term_grows_over_the_one_before(self):
+        claims = Claims("i1", LEASE_S)
+        claims.hear("e1", "i2", 5, True, 9.0, 0.0)
+        run(claims, 0.0, 10.0, revision=3)
+        assert claims.own_by_endpoint["e1"].term == 6
+
+
+class TestFence:
+    def test_refused_number_is_not_used_again(self):
+        """An instance was refused for its number and came with it again.
+
+        It had forgotten the higher numbers of a time before it was restarted.
+        """
+        claims = Claims("i1", LEASE_S)
+        run(claims, 0.0, 10.0, revision=4)
+        claims.note_fenced("e1", 10.0)
+        assert not claims.may_order("e1", 10.0)
+        held = run(claims, 10.0, 20.0, revision=4)
+        assert held is not None
+        assert held - 10.0 >= LEASE_S
+        assert claims.own_by_endpoint["e1"].term > 4
+
+    @given(st.integers(1, 2**19), st.text(min_size=1), st.text(min_size=1))
+    def test_higher_term_always_wins(self, term, first, second):
+        assert make_fence(term + 1, first) > make_fence(term, second)
+        assert make_fence(term + 1, first) < 2**53
+
+
+class TestTwoInstances:
+    @settings(max_examples=60, deadline=None)
+    @given(st.data())
+    def test_no_two_give_orders_within_a_lease(self, data):
+        """Whatever is heard or lost, turns keep a lease apart.
+
+        News between the two is lost for spans of any length below the time to
+        live of a claim, and either may be suspended at any moment.
+        """
+        claims_by_id = {id: Claims(id, LEASE_S) for id in ("i1", "i2")}
+        suspended_until = {"i1": 0.0, "i2": 0.0}
+        orders: list[tuple[float, str]] = []
+        for tenth in range(300):
+            now = tenth / 10
+            for id, claims in claims_by_id.items():
+                if now < suspended_until[id]:
+                    continue
+                if data.draw(st.integers(0, 150)) == 0:
+                    suspended_until[id] = now + data.draw(st.floats(1.5, 8.0))
+                    continue
+                step(claims, now, members=BOTH)
+                if claims.may_order("e1", now):
+                    orders.append((now, id))
+                    claims.note_order("e1", now)
+                other = "i2" if id == "i1" else "i1"
+                own = claims.own_by_endpoint.get("e1")
+                told = own is not None and own.held and tenth % 4 == 0
+                if told and now >= suspended_until[other]:
+                    claims_by_id[other].hear("e1", id, own.term, False, 0.0, now)
+        for (before, first), (after, second) in itertools.pairwise(orders):
+            assert first == second or after - before >= LEASE_S
