Bound what waits for an engine, and serve first what can be in time

The pace was set for the slower of the two sites' engines.

Change: prompts that can meet their target go first, by priority; what is late gets the rest; a queue longer than 1.2 s of reading refuses its last one at once with when to come again, and so do more than ten loads waiting at one endpoint. Holders learn how fast an engine reads from prompts read alone. A request gives up at two and a half targets, before its caller does.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -23,8 +23,11 @@
     DRAIN_POLL_S,
     DRAIN_SERVE_S,
     LOAD_WAIT_SHARE,
-    MAX_LOAD_WAIT_S,
-    MAX_TURN_WAIT_S,
+    MAX_TURN_REFUSALS,
+    MIN_RETRY_S,
+    PATIENCE_TARGETS,
+    READING_S,
+    TURN_GRACE_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.loading import LoadAsker
@@ -39,7 +42,7 @@
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
 from fescuekeel.helpers.published import (
     Catalog,
     EndpointRecord,
@@ -236,6 +239,19 @@
             load = self.loads_by_id[endpoint] = EndpointLoad()
         return load
 
+    def count_ahead(self, endpoint: str, tokens: int) -> int:
+        """Return the tokens that wait at an engine before a prompt.
+
+        The holder's count, which has just come with the prompt's turn, has
+        the prompt itself in it.
+        """
+        own = self.get_load(endpoint).pending_tokens
+        board = self.instance.bus.latest(PlacementBoard)
+        state = board.states_by_endpoint.get(endpoint) if board else None
+        if state is None:
+            return own
+        return max(own, state.pending_tokens - tokens, 0)
+
     def get_pool(self, endpoint: str) -> ConnectionPool:
         """Return the connections to an endpoint."""
         pool = self._pools_by_id.get(endpoint)
@@ -278,56 +294,82 @@
         return spec.engine if spec else None
 
     async def place(self, request: ForwardedRequest) -> Choice | Failure:
-        """Choose an endpoint, and wait for its weights if need be."""
+        """Choose an endpoint; wait for its weights and the prompt's turn."""
         began = self.instance.now()
-        left_s = request.deadline - began
-        patience_s = min(MAX_LOAD_WAIT_S, left_s * LOAD_WAIT_SHARE)
-        detail = "no endpoint"
+        until = min(
+            request.arrived + PATIENCE_TARGETS * request.route.target_s,
+            began + LOAD_WAIT_SHARE * (request.deadline - began),
+        )
+        result = await self._place_until(request, until)
+        request.waited_s += self.instance.now() - began
+        return result
+
+    async def _place_until(
+        self, request: ForwardedRequest, until: float
+    ) -> Choice | Failure:
+        failure = Failure(ErrorKind.NO_ENDPOINT, "no endpoint")
+        refusals = 0
         while True:
             choice = self._choose(request)
-            now = self.instance.now()
             if choice is None:
-                return Failure(ErrorKind.NO_ENDPOINT, detail)
-            if not choice.needs_load:
-                if choice.spread_to and request.weights is not None:
-                    newest = self._versions.get_newest(request.weights)
-                    self._asker.spread(choice.spread_to, request.weights, newest)
-                if request.weights is not None:
-                    await self._wait_for_turn(request, choice)
-                    # Guards against work for an endpoint that has announced
-                    # its leaving while the prompt waited for its turn.
-                    if self._find_record(choice.endpoint) is None:
-                        continue
-                request.waited_s += self.instance.now() - began
+                return failure
+            if choice.needs_load:
+                detail = await self._wait_for_load(request, choice, until)
+                if detail == LOADS_WAIT or self.instance.now() >= until:
+                    return Failure(ErrorKind.LOAD_FAILED, detail or "late")
+                continue
+            if request.weights is None:
                 return choice
-            if now - began > patience_s:
-                return Failure(ErrorKind.LOAD_FAILED, detail)
-            detail = await self._wait_for_load(request, choice, began + patience_s)
+            self._spread(request, choice)
+            wait_s = await self._wait_for_turn(request, choice, until)
+            # Guards against work for an endpoint that has announced its
+            # leaving while the prompt waited for its turn.
+            if self._find_record(choice.endpoint) is None:
+                continue
+            if wait_s is None:
+                return choice
+            refusals += 1
+            failure = Failure(ErrorKind.QUEUE_FULL, "no turn", retry_after_s=wait_s)
+            if refusals >= MAX_TURN_REFUSALS or self.instance.now() >= until:
+                return failure
+
+    def _spread(self, request: ForwardedRequest, choice: Choice) -> None:
+        if choice.spread_to and request.weights is not None:
+            newest = self._versions.get_newest(request.weights)
+            self._asker.spread(choice.spread_to, request.weights, newest)
 
-    async def _wait_for_turn(self, request: ForwardedRequest, choice: Choice) -> None:
+    async def _wait_for_turn(
+        self, request: ForwardedRequest, choice: Choice, until: float
+    ) -> float | None:
         """Wait until the engine's holder lets the prompt go there.
 
+        Return ``None`` if it may go, else how long the queue is in seconds.
         Without a holder, or its answer, the prompt goes at once: pacing is a
         favour to others' streams and must never lose a request.
         """
         board = self.instance.bus.latest(PlacementBoard)
         holder = board.holders_by_endpoint.get(choice.endpoint) if board else None
         if holder is None or board is None:
-            return
+            return None
         asked = self.instance.now()
-        left_s = request.deadline - asked
+        on_time = request.arrived + request.route.target_s - READING_S
+        patience_s = max(0.0, until - asked)
         ask = AdmitAsk(
-            choice.endpoint, request.head.prompt_tokens, request.route.priority
+            choice.endpoint,
+            request.head.prompt_tokens,
+            request.route.priority,
+            int(max(0.0, on_time - asked) * 1000),
+            int(patience_s * 1000),
         )
         link = get_peer_link(self.instance)
-        answer = (await link.ask(holder, ask, min(MAX_TURN_WAIT_S, left_s))).value_or(
-            None
-        )
+        answered = await link.ask(holder, ask, patience_s + TURN_GRACE_S)
+        answer = answered.value_or(None)
         self.instance.metrics.observe("turn_wait", self.instance.now() - asked)
-        if isinstance(answer, AdmitAnswer) and answer.granted:
-            board.note_pending(choice.endpoint, answer.pending_tokens)
-        else:
+        if not isinstance(answer, AdmitAnswer):
             self.instance.metrics.count("turn_missed")
+            return None
+        board.note_pending(choice.endpoint, answer.pending_tokens)
+        return None if answer.granted else max(MIN_RETRY_S, answer.wait_ms / 1000)
 
     async def _wait_for_load(
         self, request: ForwardedRequest, choice: Choice, until: float
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -46,6 +46,10 @@
 TOKEN_S: Final = 0.045 / 1000
 MAX_TOKEN_S: Final = 1.0 / 1000
 SPEED_WEIGHT: Final = 0.2
+# A prompt of so many tokens that was sent alone shows how fast an engine
+# reads; one step and the way there and back are taken off.
+SPEED_TOKENS: Final = 500
+STEP_S: Final = 0.012
 # Above this share of its slots, an engine's waits begin to grow.
 CROWDED_SHARE: Final = 0.75
 CROWDED_COST_S: Final = 1.0
@@ -57,10 +61,17 @@
 SPREAD_PERIOD_S: Final = 1.0
 # A request waits no longer for weights than this share of its time.
 LOAD_WAIT_SHARE: Final = 0.3
-MAX_LOAD_WAIT_S: Final = 2.5
+# Callers leave a stream whose first piece takes four times its target; what
+# is not sent by two and a half targets is told so, while they can come again.
+PATIENCE_TARGETS: Final = 2.5
+# What reading a prompt takes after its turn, and the way.
+READING_S: Final = 0.12
+# Beyond its patience, a request waits so long for the holder's word.
+TURN_GRACE_S: Final = 0.1
+# A prompt that two engines have no room for is refused.
+MAX_TURN_REFUSALS: Final = 2
+MIN_RETRY_S: Final = 0.3
 LOAD_ASK_TIMEOUT_S: Final = 3.5
-# A prompt waits no longer for its turn at an engine; then it goes unpaced.
-MAX_TURN_WAIT_S: Final = 2.0
 # While nobody holds an endpoint's orders, requests look again this often.
 NO_HOLDER_POLL_S: Final = 0.1
 # An older version of an adapter may serve for so long after a newer one was
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -10,7 +10,9 @@
     MAX_TOKEN_S,
     RESULT_WEIGHT,
     SILENCE_S,
+    SPEED_TOKENS,
     SPEED_WEIGHT,
+    STEP_S,
     TOKEN_S,
     UNREACHABLE_FIRST_S,
     UNREACHABLE_MAX_S,
@@ -101,6 +103,7 @@
     told_running: int = 0
     running_by_weights: dict[Weights, int] = field(default_factory=dict)
     begun_by_weights: dict[Weights, int] = field(default_factory=dict)
+    speeds: list[float] = field(default_factory=list)
     _speed_seen: float = 0.0
 
     def begin(self, weights: Weights | None, tokens: int) -> None:
@@ -123,6 +126,8 @@
         self.pending_tokens -= tokens
         if tokens <= 0:
             return
+        if not ahead and tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
+            self.speeds.append(tokens / (wait_s - STEP_S))
         sample = min(MAX_TOKEN_S, wait_s / (tokens + ahead))
         self.token_s = self._read_token_s(now)
         self.token_s += SPEED_WEIGHT * (sample - self.token_s)
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -171,7 +171,8 @@
             raise TimeoutError
         load = self.forwarder.get_load(choice.endpoint)
         tokens = self.head.prompt_tokens if self.weights else 0
-        attempt = Attempt(choice.endpoint, now, tokens, load.pending_tokens)
+        ahead = self.forwarder.count_ahead(choice.endpoint, tokens)
+        attempt = Attempt(choice.endpoint, now, tokens, ahead)
         load.begin(self.weights, tokens)
         load.health.note_sent(now)
         end: AttemptEnd | None = AttemptEnd.BROKEN
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -1,6 +1,7 @@
 """Tell the holders of endpoints' orders how this instance uses them."""
 
 import asyncio
+import statistics
 
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.core import Instance
@@ -60,7 +61,9 @@
         )
         for item in weights
     )
+    speed = int(statistics.median(load.speeds)) if load.speeds else 0
+    load.speeds.clear()
     load.begun_by_weights.clear()
     load.told_running = max(0, load.running)
     load.told_tokens = max(0, load.pending_tokens)
-    return EndpointUse(endpoint, load.told_tokens, load.told_running, uses)
+    return EndpointUse(endpoint, load.told_tokens, load.told_running, uses, speed)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -9,17 +9,18 @@
 from fescuekeel.components.placement.const import (
     DEFAULT_WINDOW_S,
     DOMAIN,
+    MAX_ASKS,
     NEWS_FLEET,
     NEWS_PERIOD_S,
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
-from fescuekeel.components.placement.pacing import PromptPacer
+from fescuekeel.components.placement.pacing import Prompt, PromptPacer
 from fescuekeel.components.placement.places import Ask, AskEnded, EndpointPlaces
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec, Weights
 from fescuekeel.messages import (
     AdmitAnswer,
@@ -40,6 +41,8 @@
 LONG_QUIET_S = 3600.0
 # Retry hint of an ask that found no holder here, in milliseconds.
 NOT_HOLDER_RETRY_MS = 300
+# The same where too many loads wait already, and what the asker is told.
+FULL_RETRY_MS = 1000
 
 
 class PlacementActor(Actor):
@@ -275,6 +278,9 @@
             holder = self._holders_by_endpoint.get(endpoint.endpoint)
             if holder is None:
                 continue
+            pacer = self._pacers_by_endpoint.get(endpoint.endpoint)
+            if pacer is not None and endpoint.tokens_per_s:
+                pacer.note_speed(endpoint.tokens_per_s)
             for use in endpoint.uses:
                 weights = Weights(use.model, use.adapter)
                 holder.places.note_use(sender, weights, use.running, use.begun, now)
@@ -285,6 +291,13 @@
             answer = LoadAnswer(False, "not the holder", NOT_HOLDER_RETRY_MS)
             get_peer_link(self.instance).answer(message, answer)
             return
+        waiting = holder.places.asks_by_number.values()
+        if len(waiting) >= MAX_ASKS and not any(
+            item.weights == Weights(ask.model, ask.adapter) for item in waiting
+        ):
+            answer = LoadAnswer(False, LOADS_WAIT, FULL_RETRY_MS)
+            get_peer_link(self.instance).answer(message, answer)
+            return
         number = next(self._ask_numbers)
         self._questions_by_ask[number] = message
         holder.places.ask(
@@ -319,10 +332,19 @@
             self._pacers_by_endpoint[ask.endpoint] = pacer
         number = next(self._ask_numbers)
         self._paced_questions[number] = message
-        pacer.ask(number, ask.tokens, ask.priority)
-        self._grant(ask.endpoint)
+        now = self.instance.now()
+        pacer.ask(
+            Prompt(
+                number,
+                ask.tokens,
+                ask.priority,
+                now + ask.on_time_ms / 1000,
+                now + ask.patience_ms / 1000,
+            )
+        )
+        self._step_pacer(ask.endpoint)
 
-    def _grant(self, endpoint: str) -> None:
+    def _step_pacer(self, endpoint: str) -> None:
         timer = self._pace_timers.pop(endpoint, None)
         if timer is not None:
             timer.cancel()
@@ -331,14 +353,21 @@
             return
         now = self.instance.now()
         link = get_peer_link(self.instance)
-        for number in pacer.grant(now):
-            answer = AdmitAnswer(True, pacer.count_pending(now))
-            link.answer(self._paced_questions.pop(number), answer)
-        due = pacer.get_next_grant()
+        for turn in pacer.step(now):
+            answer = AdmitAnswer(
+                turn.granted,
+                pacer.count_pending(now),
+                int(pacer.estimate_wait_s() * 1000),
+            )
+            link.answer(self._paced_questions.pop(turn.number), answer)
+            self.instance.metrics.count(
+                f"turn.{'granted' if turn.granted else 'refused'}"
+            )
+        due = pacer.get_next_step()
         if due < float("inf"):
             loop = asyncio.get_running_loop()
             self._pace_timers[endpoint] = loop.call_later(
-                max(0.001, due - now), self._grant, endpoint
+                max(0.001, due - now), self._step_pacer, endpoint
             )
 
     def _get_window_s(self, service: str) -> float:
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -63,10 +63,19 @@
 # does not say how long it keeps one.
 KEEP_S: Final = 1.0
 
-# Prompts are read at 19 to 26 tokens a millisecond by the engines of today;
-# the rest of a window goes to the tokens of three steps and to the way.
+# What an engine is taken to read until its speed is known: the engines of
+# today read 19 to 26 tokens a millisecond. The rest of a window goes to the
+# tokens of three steps and to the way.
 PROMPT_TOKENS_PER_S: Final = 19_000
 PROMPT_SHARE: Final = 0.75
+# A speed that differs from that by more than this factor is not believed.
+SPEED_RANGE: Final = 8.0
+SPEED_WEIGHT: Final = 0.05
+# No more prompts wait at one engine than are read within this time.
+MAX_TURN_QUEUE_S: Final = 1.2
+# No more adapters are waited for at one endpoint: at three at a time, of a
+# third of a second each, the last one waits for more than a second.
+MAX_ASKS: Final = 10
 # The window where no route names the pause that its callers accept.
 DEFAULT_WINDOW_S: Final = 0.3
 
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -1,32 +1,52 @@
-"""Decide when each prompt may be sent to an engine; pure.
+"""Decide when each prompt may be sent to an engine, and which may not; pure.
 
 An engine reads prompts between the tokens that it makes for running streams.
 Prompts that arrive together make every running stream pause until they are
 read, and a pause beyond the callers' target spoils all of those streams at
 once, while the new ones could well have waited a tenth of a second. So the
 holder of an engine's orders, who hears of all its prompts, spaces them out.
+
+What waits is bounded. Prompts that can still be answered within their target
+go first, the most urgent of them before the others; what is late already gets
+what is left. A prompt for which there is no room is refused at once, so that
+its caller can come again while that still helps.
 """
 
-import heapq
 from collections import deque
 from dataclasses import dataclass, field
 
 from fescuekeel.components.placement.const import (
+    MAX_TURN_QUEUE_S,
     PROMPT_SHARE,
     PROMPT_TOKENS_PER_S,
+    SPEED_RANGE,
+    SPEED_WEIGHT,
 )
 
-__all__ = ["PromptPacer"]
+__all__ = ["Prompt", "PromptPacer", "Turn"]
+
 
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """A prompt that wants to be sent; times in seconds.
 
-@dataclass(order=True, slots=True)
-class Waiting:
-    """A prompt that waits, the most urgent and then the oldest first."""
+    ``on_time_until`` is when its turn must come at the latest for an answer
+    within its target, and ``until`` when waiting makes no sense any more.
+    """
 
+    number: int
+    tokens: int
     priority: int
-    sequence: int
-    number: int = field(compare=False)
-    tokens: int = field(compare=False)
+    on_time_until: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """Say that a prompt may be sent now, or will not be."""
+
+    number: int
+    granted: bool
 
 
 @dataclass(slots=True)
@@ -38,57 +58,83 @@
     is empty.
 
     >>> pacer = PromptPacer(window_s=0.25)
-    >>> pacer.ask(1, 3000, priority=1)
-    >>> pacer.ask(2, 3000, priority=1)
-    >>> pacer.grant(now=0.0), pacer.grant(now=0.1), pacer.grant(now=0.3)
-    ([1], [], [2])
+    >>> pacer.ask(Prompt(1, 3000, 1, 1.0, 2.0))
+    >>> pacer.ask(Prompt(2, 3000, 1, 1.0, 2.0))
+    >>> [turn.number for turn in pacer.step(now=0.0)], pacer.step(now=0.1)
+    ([1], [])
+    >>> pacer.step(now=0.3)
+    [Turn(number=2, granted=True)]
     """
 
     window_s: float
+    tokens_per_s: float = PROMPT_TOKENS_PER_S
     waiting_tokens: int = 0
     _granted: deque[tuple[float, int]] = field(default_factory=deque)
     _granted_tokens: int = 0
-    _queue: list[Waiting] = field(default_factory=list)
-    _asked: int = 0
+    _waiting: list[Prompt] = field(default_factory=list)
 
     @property
-    def limit(self) -> int:
+    def limit(self) -> float:
         """Return how many tokens a window may hold."""
-        return int(self.window_s * PROMPT_SHARE * PROMPT_TOKENS_PER_S)
+        return self.window_s * PROMPT_SHARE * self.tokens_per_s
 
-    def ask(self, number: int, tokens: int, priority: int) -> None:
-        """Take a prompt that wants to be sent."""
-        self._asked += 1
-        heapq.heappush(self._queue, Waiting(priority, self._asked, number, tokens))
-        self.waiting_tokens += tokens
+    def note_speed(self, tokens_per_s: float) -> None:
+        """Learn how fast the engine reads, from a prompt read alone."""
+        slowest = PROMPT_TOKENS_PER_S / SPEED_RANGE
+        fastest = PROMPT_TOKENS_PER_S * SPEED_RANGE
+        sample = min(fastest, max(slowest, tokens_per_s))
+        self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
+
+    def ask(self, prompt: Prompt) -> None:
+        """Take a prompt that wants to be sent; ``step`` decides on it."""
+        self._waiting.append(prompt)
+        self.waiting_tokens += prompt.tokens
 
     def count_pending(self, now: float) -> int:
         """Return the tokens that wait or were granted within the window."""
         self._forget(now)
         return self.waiting_tokens + self._granted_tokens
 
-    def grant(self, now: float) -> list[int]:
-        """Return the numbers of the prompts that may be sent now."""
+    def estimate_wait_s(self) -> float:
+        """Return how long all that waits will take."""
+        return self.waiting_tokens * self.window_s / self.limit
+
+    def step(self, now: float) -> list[Turn]:
+        """Return the prompts that are granted or refused now."""
         self._forget(now)
-        numbers = []
-        while self._queue and self._fits(self._queue[0].tokens):
-            waiting = heapq.heappop(self._queue)
-            self.waiting_tokens -= waiting.tokens
-            self._granted.append((now, waiting.tokens))
-            self._granted_tokens += waiting.tokens
-            numbers.append(waiting.number)
-        return numbers
-
-    def _fits(self, tokens: int) -> bool:
-        return not self._granted or self._granted_tokens + tokens <= self.limit
-
-    def get_next_grant(self) -> float:
-        """Return when ``grant`` may return something again."""
-        if not self._queue:
+        turns = [
+            self._take(prompt, granted=False)
+            for prompt in list(self._waiting)
+            if now >= prompt.until
+        ]
+        while self._waiting:
+            first = min(self._waiting, key=lambda prompt: self._rank(prompt, now))
+            if self._granted and self._granted_tokens + first.tokens > self.limit:
+                break
+            self._granted.append((now, first.tokens))
+            self._granted_tokens += first.tokens
+            turns.append(self._take(first, granted=True))
+        while self.estimate_wait_s() > MAX_TURN_QUEUE_S and len(self._waiting) > 1:
+            last = max(self._waiting, key=lambda prompt: self._rank(prompt, now))
+            turns.append(self._take(last, granted=False))
+        return turns
+
+    def _rank(self, prompt: Prompt, now: float) -> tuple[bool, int, int]:
+        return now > prompt.on_time_until, prompt.priority, prompt.number
+
+    def _take(self, prompt: Prompt, granted: bool) -> Turn:
+        self._waiting.remove(prompt)
+        self.waiting_tokens -= prompt.tokens
+        return Turn(prompt.number, granted)
+
+    def get_next_step(self) -> float:
+        """Return when ``step`` may decide something again."""
+        if not self._waiting:
             return float("inf")
+        expiry = min(prompt.until for prompt in self._waiting)
         if not self._granted:
-            return 0.0
-        return self._granted[0][0] + self.window_s
+            return expiry
+        return min(expiry, self._granted[0][0] + self.window_s)
 
     def _forget(self, now: float) -> None:
         while self._granted and now - self._granted[0][0] >= self.window_s:
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -6,7 +6,10 @@
 from fescuekeel.helpers.published import Weights
 from fescuekeel.messages import PlacementState
 
-__all__ = ["EndpointState", "PlacementBoard"]
+__all__ = ["LOADS_WAIT", "EndpointState", "PlacementBoard"]
+
+# Why a holder refuses to load at once.
+LOADS_WAIT = "too many loads wait"
 
 
 @dataclass(slots=True)
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -108,12 +108,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointUse:
-    """How one instance uses an endpoint."""
+    """How one instance uses an endpoint.
+
+    ``tokens_per_s`` is how fast the endpoint has read prompts since the last
+    news, zero if nothing shows it.
+    """
 
     endpoint: str
     pending_tokens: int
     running: int
     uses: tuple[WeightUse, ...] = ()
+    tokens_per_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,20 +159,27 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmitAsk:
-    """Ask the holder of an engine's orders when a prompt may be sent there."""
+    """Ask the holder of an engine's orders when a prompt may be sent there.
+
+    ``on_time_ms`` is how long its turn may take for an answer within its
+    target, and ``patience_ms`` how long waiting makes sense at all.
+    """
 
     endpoint: str
     tokens: int
     priority: int
+    on_time_ms: int
+    patience_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class AdmitAnswer:
-    """Answer when the prompt may be sent.
+    """Answer when the prompt may be sent, or that it may not.
 
     ``pending_tokens`` are the prompt tokens that wait there now, or are being
-    read.
+    read, and ``wait_ms`` how long all that waits will take.
     """
 
     granted: bool
     pending_tokens: int = 0
+    wait_ms: int = 0
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -182,6 +182,7 @@
   pendingTokens @1 :UInt32;
   running @2 :UInt32;
   uses @3 :List(WeightUse);
+  tokensPerS @4 :UInt32;
 }
 struct UseNews { endpoints @0 :List(EndpointUse); }
 struct LoadAsk {
@@ -198,8 +199,14 @@
   retryAfterMs @2 :UInt32;
   version @3 :UInt64;
 }
-struct AdmitAsk { endpoint @0 :Text; tokens @1 :UInt32; priority @2 :UInt8; }
-struct AdmitAnswer { granted @0 :Bool; pendingTokens @1 :UInt32; }
+struct AdmitAsk {
+  endpoint @0 :Text;
+  tokens @1 :UInt32;
+  priority @2 :UInt8;
+  onTimeMs @3 :UInt32;
+  patienceMs @4 :UInt32;
+}
+struct AdmitAnswer { granted @0 :Bool; pendingTokens @1 :UInt32; waitMs @2 :UInt32; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -24,7 +24,7 @@
 
 
 def run(claims, start, end, **options):
-    """Step every tenth of a second; return when the endpoint was first held."""
+    """Step every tenth of a second; return when it was first held."""
     for tenth in range(int(start * 10), int(end * 10)):
         if step(claims, tenth / 10, **options):
             return tenth / 10
--- a/tests/components/placement/test_pacing.py
+++ b/tests/components/placement/test_pacing.py
@@ -1,9 +1,31 @@
 """Tests of the spacing of prompts."""
 
-from fescuekeel.components.placement.pacing import PromptPacer
+import hypothesis.strategies as st
+from hypothesis import given
 
+from fescuekeel.components.placement.const import MAX_TURN_QUEUE_S
+from fescuekeel.components.placement.pacing import Prompt, PromptPacer
 
-class TestPromptPacer:
+SPEED = 20_000
+
+
+def make_pacer(window_s=0.3):
+    return PromptPacer(window_s, tokens_per_s=SPEED)
+
+
+def make_prompt(number, tokens=2000, priority=1, on_time_until=9.0, until=99.0):
+    return Prompt(number, tokens, priority, on_time_until, until)
+
+
+def granted(turns):
+    return [turn.number for turn in turns if turn.granted]
+
+
+def refused(turns):
+    return [turn.number for turn in turns if not turn.granted]
+
+
+class TestSpacing:
     def test_prompts_that_come_together_are_spaced(self):
         """Streams of other callers paused for more than they accept.
 
@@ -11,28 +33,93 @@
         them in a row, between whose pieces the running streams got nothing
         for 350 ms.
         """
-        pacer = PromptPacer(window_s=0.3)
+        pacer = make_pacer()
         for number in range(4):
-            pacer.ask(number, 2000, priority=1)
-        assert pacer.grant(0.0) == [0, 1]
-        assert pacer.grant(0.2) == []
-        assert pacer.grant(0.3) == [2, 3]
-
-    def test_urgent_prompt_goes_first(self):
-        pacer = PromptPacer(window_s=0.3)
-        for number, priority in enumerate((1, 1, 0)):
-            pacer.ask(number, 4000, priority)
-        assert pacer.grant(0.0) == [2]
+            pacer.ask(make_prompt(number))
+        assert granted(pacer.step(0.0)) == [0, 1]
+        assert pacer.step(0.2) == []
+        assert granted(pacer.step(0.3)) == [2, 3]
 
     def test_prompt_larger_than_a_window_still_goes(self):
-        pacer = PromptPacer(window_s=0.1)
-        pacer.ask(1, 100_000, priority=1)
-        assert pacer.grant(0.0) == [1]
+        pacer = make_pacer(window_s=0.1)
+        pacer.ask(make_prompt(1, tokens=100_000))
+        assert granted(pacer.step(0.0)) == [1]
 
     def test_pending_tokens_fade_with_the_window(self):
-        pacer = PromptPacer(window_s=0.3)
-        pacer.ask(1, 4000, priority=1)
-        pacer.ask(2, 4000, priority=1)
-        pacer.grant(0.0)
+        pacer = make_pacer()
+        pacer.ask(make_prompt(1, tokens=4000))
+        pacer.ask(make_prompt(2, tokens=4000))
+        pacer.step(0.0)
         assert pacer.count_pending(0.1) == 8000
         assert pacer.count_pending(0.3) == 4000
+
+    def test_faster_engine_gets_more(self):
+        slow, fast = make_pacer(), make_pacer()
+        for _ in range(50):
+            fast.note_speed(2 * SPEED)
+        assert fast.limit > 1.8 * slow.limit
+
+
+class TestOrder:
+    def test_urgent_prompt_goes_first(self):
+        pacer = make_pacer()
+        for number, priority in enumerate((1, 1, 0)):
+            pacer.ask(make_prompt(number, 4000, priority))
+        assert granted(pacer.step(0.0)) == [2]
+
+    def test_late_prompt_does_not_make_others_late(self):
+        """Under a burst every stream was late, though half could be in time.
+
+        Prompts were served in the order in which they came: each waited for
+        those before it, which had missed their target already.
+        """
+        pacer = make_pacer()
+        pacer.ask(make_prompt(1, 4000, on_time_until=0.5))
+        pacer.ask(make_prompt(2, 4000, on_time_until=2.0))
+        assert granted(pacer.step(1.0)) == [2]
+
+
+class TestBounds:
+    def test_prompt_without_room_is_refused_at_once(self):
+        """Callers gave up after three seconds without any word.
+
+        The queue of an engine was longer than they wait, and nobody told them
+        before their own time was over.
+        """
+        pacer = make_pacer()
+        turns = []
+        for number in range(40):
+            pacer.ask(make_prompt(number))
+            turns += pacer.step(0.0)
+        assert refused(turns)
+        assert pacer.estimate_wait_s() <= MAX_TURN_QUEUE_S
+
+    def test_least_urgent_prompt_makes_room(self):
+        pacer = make_pacer()
+        for number in range(40):
+            pacer.ask(make_prompt(number, priority=1))
+            pacer.step(0.0)
+        pacer.ask(make_prompt(99, priority=0))
+        turns = pacer.step(0.0)
+        assert refused(turns)
+        assert 99 not in refused(turns)
+
+    def test_wait_ends_when_it_makes_no_sense_any_more(self):
+        pacer = make_pacer()
+        pacer.ask(make_prompt(1, 6000))
+        pacer.ask(make_prompt(2, 6000, until=0.1))
+        pacer.step(0.0)
+        assert pacer.get_next_step() == 0.1
+        assert refused(pacer.step(0.1)) == [2]
+
+    @given(st.lists(st.tuples(st.integers(1, 9000), st.integers(0, 9))))
+    def test_each_prompt_is_decided_once(self, asked):
+        pacer = make_pacer()
+        turns = []
+        for number, (tokens, priority) in enumerate(asked):
+            pacer.ask(make_prompt(number, tokens, priority))
+            turns += pacer.step(number * 0.01)
+        for tenth in range(1000):
+            turns += pacer.step(tenth / 10)
+        assert sorted(turn.number for turn in turns) == list(range(len(asked)))
+        assert pacer.waiting_tokens == 0
