Keep a reloaded adapter's place, and unload only what nobody uses

An adapter was unloaded and asked for again 50 ms later; a report from before the unload still showed it, so that the load under way looked done and its place free. And an unload of an adapter that a request had just begun to use made the engine refuse all other orders (409) for 3.9 s, until that stream had ended.

Change: an order is done by what is believed held after the report is merged, not by the report alone. An adapter that is to go is told first and unloaded a quarter of a second later, if still nobody uses it; two places are kept free. The stale report has a test that fails without the change, and a test with a model of an engine draws what is asked for, lost and reported late.

--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -44,9 +44,10 @@
 # How many adapters that an endpoint held lately it still has in its memory.
 WARM_ADAPTERS: Final = 100
 # Places that are kept free, so that a load need not wait for an unload; and
-# how long requests that are on their way may still reach what is unloaded.
-SPARE_PLACES: Final = 1
-UNLOAD_DELAY_S: Final = 0.05
+# how long it takes until all instances have heard that an adapter goes and
+# have told of their requests for it: their news comes five times a second.
+SPARE_PLACES: Final = 2
+UNLOAD_DELAY_S: Final = 0.25
 IDLE_LOOK_S: Final = 1.0
 # An order that no report has shown after this was lost, or failed.
 ORDER_LOST_S: Final = 2.5
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -216,12 +216,15 @@
         self.held = held
 
     def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
-        held = weights in report.held
+        # Guards against a report from before an unload: it still shows an
+        # adapter that was unloaded and is being loaded again, and whose load
+        # would look done, so that its place counted as free.
+        held = weights in self.held
         if order.kind is OrderKind.UNLOAD:
             return not held
         if weights in report.pending or not held:
             return False
-        return order.version is None or report.held[weights] >= order.version
+        return order.version is None or self.held[weights] >= order.version
 
     def _get_patience_s(self, weights: Weights) -> float:
         return ORDER_LOST_S if weights.adapter else MODEL_LOAD_LOST_S
@@ -284,10 +287,12 @@
     def _check_orders(self, now: float) -> list[Effect]:
         """Give unloads that are due, and again the loads under way."""
         effects: list[Effect] = []
-        for weights, order in self.orders_by_weights.items():
+        for weights, order in list(self.orders_by_weights.items()):
             if now < order.next_check or not weights.adapter:
                 continue
-            if order.kind is OrderKind.LOAD:
+            if order.kind is OrderKind.UNLOAD and self._is_wanted(weights, now):
+                del self.orders_by_weights[weights]
+            elif order.kind is OrderKind.LOAD:
                 order.next_check = now + CHECK_PERIOD_S
                 effects.append(GiveOrder(order.kind, weights, order.version, True))
             else:
@@ -316,6 +321,15 @@
         self._model_asked = now
         return [self._order(OrderKind.LOAD, weights, None, now)]
 
+    def _is_wanted(self, weights: Weights, now: float) -> bool:
+        """Tell whether an adapter should stay after all.
+
+        An unload waits for its runs, and an engine refuses all other orders
+        meanwhile, which may take as long as its longest stream.
+        """
+        asked = any(ask.weights == weights for ask in self.asks_by_number.values())
+        return asked or self.count_running(weights, now) > 0
+
     def _order(
         self, kind: OrderKind, weights: Weights, version: int | None, now: float
     ) -> GiveOrder:
