--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -486,6 +486,7 @@
             waited_ms=round(request.waited_s * 1000),
             first_ms=round(first_s * 1000) if request.first_piece_at else -1,
             gap_ms=round(request.longest_gap_s * 1000),
+            gap_at_ms=round(max(0.0, request.longest_gap_at - request.arrived) * 1000),
             took_ms=round((now - request.arrived) * 1000),
             outcome=request.outcome or "error",
         )
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -76,6 +76,7 @@
     first_piece_at: float = 0.0
     last_piece_at: float = 0.0
     longest_gap_s: float = 0.0
+    longest_gap_at: float = 0.0
     waited_s: float = 0.0
     _splitter: EventSplitter | None = None
     _closed_by_caller: bool = field(default=False)
@@ -334,7 +335,9 @@
         now = self.forwarder.instance.now()
         if self.last_piece_at:
             gap_s = now - self.last_piece_at
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            if gap_s > self.longest_gap_s:
+                self.longest_gap_s = gap_s
+                self.longest_gap_at = self.last_piece_at
         self.last_piece_at = now
         if attempt.first_piece:
             return
--- /dev/null
+++ b/tests/components/forward/test_parts.py
@@ -0,0 +1,109 @@
+"""Tests of the forwarder's small parts."""
+
+from fescuekeel.components.forward.budget import RetryBudget
+from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.forward.events import EventSplitter
+from fescuekeel.components.forward.routes import RouteTable, choose_service
+from fescuekeel.components.forward.use import make_use
+from fescuekeel.components.forward.versions import VersionClock
+from fescuekeel.helpers.published import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    WeightedService,
+    Weights,
+)
+
+LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+CARDS = Weights("m", "cards")
+
+
+def make_route(name, prefix="/a/", host="h.example", targets=(("s", 1.0),)):
+    weighted = tuple(WeightedService(*target) for target in targets)
+    return Route(name, host, prefix, RouteKind.SAFE, 1.0, 1.0, 1, weighted)
+
+
+class TestRouteTable:
+    def test_longest_prefix_wins(self):
+        routes = (make_route("short"), make_route("long", "/a/b/"))
+        table = RouteTable(Configuration(1, routes, {}, LIMITS))
+        assert table.find("h.example", "/a/b/c").name == "long"
+        assert table.find("H.example:80", "/a/c").name == "short"
+        assert table.find("h.example", "/b/") is None
+        assert table.find("other.example", "/a/") is None
+
+
+class TestChooseService:
+    def test_weights_are_kept(self):
+        route = make_route("r", targets=(("s", 90.0), ("t", 10.0)))
+        chosen = [choose_service(route, str(number)) for number in range(2000)]
+        assert 120 < chosen.count("t") < 280
+
+    def test_service_without_weight_gets_nothing(self):
+        route = make_route("r", targets=(("s", 0.0), ("t", 10.0)))
+        assert {choose_service(route, str(n)) for n in range(100)} == {"t"}
+
+
+class TestRetryBudget:
+    def test_budget_is_shared_among_instances(self):
+        """Endpoints that failed were hit by five times their requests.
+
+        Each of the instances spent the whole budget for itself.
+        """
+        alone = RetryBudget(0.0, 40.0, 10.0)
+        shared = RetryBudget(0.0, 40.0, 10.0, instances=8)
+        assert sum(alone.spend("s", 0.0) for _ in range(100)) == 28
+        assert sum(shared.spend("s", 0.0) for _ in range(100)) == 3
+
+    def test_budget_comes_back_with_time(self):
+        budget = RetryBudget(0.0, 2.0, 10.0)
+        assert budget.spend("s", 0.0)
+        assert not budget.spend("s", 5.0)
+        assert budget.spend("s", 11.0)
+
+    def test_requests_earn_budget(self):
+        budget = RetryBudget(0.2, 0.0, 10.0)
+        for _ in range(100):
+            budget.note_request("s", 0.0)
+        assert sum(budget.spend("s", 1.0) for _ in range(100)) == 14
+
+
+class TestEventSplitter:
+    def test_event_cut_in_the_middle_is_dropped(self):
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+        splitter.drop_held()
+        assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+        assert splitter.last_id == "2"
+
+
+class TestVersionClock:
+    def test_version_before_may_serve_for_a_moment(self):
+        clock = VersionClock()
+        clock.update({CARDS: 1}, 0.0)
+        clock.update({CARDS: 2}, 10.0)
+        assert clock.get_newest(CARDS) == 2
+        assert clock.get_oldest_allowed(CARDS, 10.5) == 1
+        assert clock.get_oldest_allowed(CARDS, 15.0) == 2
+
+    def test_lower_version_is_passed_over(self):
+        clock = VersionClock()
+        clock.update({CARDS: 2}, 0.0)
+        clock.update({CARDS: 1}, 10.0)
+        assert clock.get_newest(CARDS) == 2
+
+
+class TestUse:
+    def test_end_of_use_is_told_once(self):
+        """An adapter stayed loaded although nobody used it any more.
+
+        The instance that had used it told of nothing while it was idle, so
+        that its last requests seemed to run on.
+        """
+        load = EndpointLoad()
+        load.begin(CARDS, 100)
+        assert make_use("e1", load).uses[0].running == 1
+        load.end(CARDS, 100)
+        assert make_use("e1", load).running == 0
+        assert make_use("e1", load) is None
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the dialect of the users' platform."""
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,277 @@
+"""Tests of the translation between the product and the platform."""
+
+import base64
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from fescuekeel_platform.dialect import PlatformDialect
+from tornado.httputil import HTTPHeaders
+
+from fescuekeel.helpers.dialect import (
+    AdapterVersion,
+    OrderKind,
+    OrderReply,
+    SendHead,
+    SourceStatus,
+    WeightOrder,
+)
+from fescuekeel.helpers.published import (
+    Configuration,
+    EndpointRecord,
+    PublishedItem,
+    RouteKind,
+    Weights,
+)
+
+ROOT = Path(__file__).parent.parent.parent
+DIALECT = PlatformDialect()
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "hostname": "Shop.example",
+            "prefix": "/a/",
+            "route_kind": "stream",
+            "timeout_ms": 15000,
+            "target_latency_ms": 800,
+            "priority": 1,
+            "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "max_attempts": 2,
+            "sticky": True,
+            "resumable": True,
+            "gap_target_ms": 250,
+        }
+    ],
+    "services": [
+        {
+            "name": "s",
+            "health_path": "/healthz",
+            "max_conns": 370,
+            "engine": {
+                "slots": 64,
+                "kv_capacity_tokens": 1000,
+                "models": [
+                    {"name": "m", "weights_mb": 1.5, "load_s": 2, "adapters": 3}
+                ],
+                "weights_mb": 2.0,
+                "adapter_slots": 20,
+            },
+        },
+        {"name": "t", "health_path": "/healthz", "max_conns": 110},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+def publish(key, value):
+    return PublishedItem(key, 1, json.dumps(value).encode())
+
+
+class TestRootFolder:
+    def test_standard_library_is_not_hidden(self):
+        """No program started at the root: pydantic failed to import.
+
+        The folder's name is that of a module of the standard library, which a
+        package at the root would hide.
+        """
+        command = "import platform; print(platform.python_implementation())"
+        done = subprocess.run(
+            [sys.executable, "-c", command], cwd=ROOT, capture_output=True, text=True
+        )
+        assert done.stdout.strip(), done.stderr
+
+
+class TestCallers:
+    def read(self, **headers):
+        return DIALECT.read_caller(
+            HTTPHeaders(
+                {name.replace("_", "-"): text for name, text in headers.items()}
+            )
+        )
+
+    def test_request_is_read(self):
+        head = self.read(
+            Fescuekeel_Request_Id="9c41",
+            Fescuekeel_Model="m/a7",
+            Fescuekeel_Token_Count="1460,80",
+            Fescuekeel_Prompt_Prefix="5c1e:800,91bd:410",
+            Fescuekeel_Deadline_Ms="2500",
+        )
+        assert head.request_id == "9c41"
+        assert head.weights == Weights("m", "a7")
+        assert (head.prompt_tokens, head.max_output_tokens) == (1460, 80)
+        assert [part.tokens for part in head.prompt_parts] == [800, 410]
+        assert head.time_left_s == 2.5
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "Fescuekeel-Hold",
+            "Fescuekeel-Pin-Ms",
+            "Fescuekeel-Kv-Backup",
+            "Kv-From",
+            "Fescuekeel-Expect-Instance",
+            "Fescuekeel-Request-Priority",
+            "Connection",
+            "Transfer-Encoding",
+        ],
+    )
+    def test_header_of_the_system_is_dropped(self, name):
+        head = self.read(**{name: "x", "X-Other": "kept"})
+        assert head.headers == (("X-Other", "kept"),)
+
+    def test_number_that_is_none_is_named(self):
+        with pytest.raises(ValueError, match="Fescuekeel-Deadline-Ms"):
+            self.read(Fescuekeel_Deadline_Ms="soon")
+
+    def test_request_to_an_endpoint_names_it(self):
+        head = self.read(Host="h", Last_Event_Id="3")
+        written = dict(
+            DIALECT.write_request(head, SendHead("e1", 1.5, 1, 4, resume_after="9"))
+        )
+        assert written["Fescuekeel-Expect-Instance"] == "e1"
+        assert written["Fescuekeel-Deadline-Ms"] == "1500"
+        assert written["Fescuekeel-Request-Priority"] == "1"
+        assert written["Fescuekeel-Expect-Version"] == "4"
+        assert written["Last-Event-Id"] == "9"
+
+
+class TestEndpoints:
+    @pytest.mark.parametrize(
+        ("status", "headers", "not_run"),
+        [
+            (503, {"fescuekeel-not-executed": "1"}, True),
+            (421, {}, True),
+            (503, {}, False),
+            (500, {"fescuekeel-server-stamp": "x"}, False),
+        ],
+    )
+    def test_word_that_it_did_not_run(self, status, headers, not_run):
+        assert DIALECT.read_answer(status, headers).not_run is not_run
+
+    def test_load_and_patience_are_read(self):
+        headers = {
+            "fescuekeel-server-load": "3,1,8",
+            "keep-alive": "timeout=5, max=100",
+        }
+        answer = DIALECT.read_answer(200, headers)
+        assert (answer.running, answer.waiting, answer.idle_s) == (3, 1, 5.0)
+
+    def test_order_is_written(self):
+        order = WeightOrder(
+            OrderKind.LOAD, "e1", Weights("m", "a3"), "i1", 41, version=2
+        )
+        call = DIALECT.make_order(order)
+        assert json.loads(call.body) == {
+            "operation": "load",
+            "model": "m",
+            "adapter": "a3",
+            "version": 2,
+            "holder": "i1",
+            "fencing_token": 41,
+        }
+        assert ("Fescuekeel-Expect-Instance", "e1") in call.headers
+
+    def test_replies_are_told_apart(self):
+        read = DIALECT.read_order_reply
+        assert read(202) is OrderReply.ACCEPTED
+        assert read(412) is OrderReply.FENCED
+        assert read(500) is OrderReply.UNAVAILABLE
+
+    def test_report_is_read(self):
+        body = json.dumps(
+            {
+                "models": [{"name": "m", "version": 1, "adapters": ["a3@2"]}],
+                "pending": ["m/a7@1"],
+                "queued": 1,
+                "running": 12,
+                "kv_used": 41000,
+                "kv_total": 90000,
+            }
+        ).encode()
+        report = DIALECT.read_report(body)
+        assert report.held == {Weights("m"): 1, Weights("m", "a3"): 2}
+        assert report.pending == {Weights("m", "a7")}
+
+
+class TestStore:
+    def test_page_is_read(self):
+        value = base64.b64encode(b"text").decode()
+        body = {
+            "items": [{"key": "k", "value": value, "revision": 4, "created": 1}],
+            "has_more": True,
+            "as_of": 9,
+        }
+        reply = DIALECT.read_source_reply(200, json.dumps(body).encode())
+        assert reply.items == (PublishedItem("k", 4, b"text"),)
+        assert (reply.revision, reply.more) == (9, True)
+
+    def test_removal_is_read(self):
+        body = {"events": [{"key": "k", "revision": 4, "tombstone": True}], "as_of": 4}
+        reply = DIALECT.read_source_reply(200, json.dumps(body).encode())
+        assert reply.items == (PublishedItem("k", 4, None),)
+
+    @pytest.mark.parametrize(
+        ("status", "read"),
+        [
+            (410, SourceStatus.HISTORY_LOST),
+            (429, SourceStatus.TURNED_AWAY),
+            (503, SourceStatus.TURNED_AWAY),
+        ],
+    )
+    def test_refusals_are_told_apart(self, status, read):
+        assert DIALECT.read_source_reply(status, b"").status is read
+
+    def test_configuration_is_decoded(self):
+        read = DIALECT.decode(publish("op/config", CONFIGURATION))
+        assert isinstance(read, Configuration)
+        (route,) = read.routes
+        assert route.kind is RouteKind.STREAM
+        assert route.host == "shop.example"
+        assert (route.timeout_s, route.target_s, route.gap_target_s) == (15, 0.8, 0.25)
+        assert [target.service for target in route.targets] == ["s", "t"]
+        assert read.services_by_name["s"].engine.adapter_places == 20
+
+    @pytest.mark.parametrize(
+        ("change", "named"),
+        [
+            ({"service": "none", "split": []}, "route r1: service 'none'"),
+            ({"route_kind": "odd"}, "route r1: kind 'odd'"),
+            ({"timeout_ms": 0}, "timeout_ms"),
+        ],
+    )
+    def test_invalid_configuration_names_route_and_field(self, change, named):
+        changed = CONFIGURATION | {"routes": [CONFIGURATION["routes"][0] | change]}
+        with pytest.raises(ValueError, match=named):
+            DIALECT.decode(publish("op/config", changed))
+
+    def test_server_is_decoded(self):
+        entry = {
+            "service": "s",
+            "address": "127.0.0.1:1",
+            "zone": "dc1",
+            "slots": 64,
+            "state": "draining",
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+        }
+        read = DIALECT.decode(publish("servers/e1", entry))
+        assert isinstance(read, EndpointRecord)
+        assert read.id == "e1"
+        assert read.leaving
+
+    def test_version_is_decoded(self):
+        entry = {"model": "m", "adapter": "a3", "version": 2}
+        read = DIALECT.decode(publish("op/version/m.a3", entry))
+        assert read == AdapterVersion(Weights("m", "a3"), 2)
+
+    def test_foreign_key_is_passed_over(self):
+        assert DIALECT.decode(publish("other/key", {})) is None
