--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -47,6 +47,7 @@
 # how long it takes until all instances have heard that an adapter goes and
 # have told of their requests for it: their news comes five times a second.
 SPARE_PLACES: Final = 2
+PLACES_PER_SPARE: Final = 8
 UNLOAD_DELAY_S: Final = 0.25
 IDLE_LOOK_S: Final = 1.0
 # An order that no report has shown after this was lost, or failed.
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -18,6 +18,7 @@
     MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
     ORDER_LOST_S,
+    PLACES_PER_SPARE,
     REPORT_LAG_S,
     SPARE_PLACES,
     UNLOAD_DELAY_S,
@@ -141,6 +142,11 @@
         """Tell whether the base model is there, without which nothing is."""
         return Weights(self.model) in self.held
 
+    @property
+    def spare(self) -> int:
+        """Return how many places are kept free; few places are all used."""
+        return min(SPARE_PLACES, self.places // PLACES_PER_SPARE)
+
     def needs_report(self, now: float) -> bool:
         """Tell whether something is under way that only a report will show."""
         overdue = any(
@@ -386,7 +392,7 @@
         Saves the wait for an unload and its delay, 50 ms and a round trip, in
         front of most loads.
         """
-        if self.places - self.count_taken() < SPARE_PLACES:
+        if self.places - self.count_taken() < self.spare:
             self._make_room(None, False, now)
 
     def _make_room(self, weights: Weights | None, spread: bool, now: float) -> None:
@@ -399,7 +405,7 @@
             order.kind is OrderKind.UNLOAD for order in self.orders_by_weights.values()
         )
         waiting = sum(not item.spread for item in self.asks_by_number.values())
-        if going >= max(SPARE_PLACES, min(waiting, MAX_PENDING)):
+        if going >= max(self.spare, min(waiting, MAX_PENDING)):
             return
         victim = self._choose_victim(weights, spread, now)
         if victim is not None:
--- /dev/null
+++ b/standins/forwarding/platform.py
@@ -0,0 +1,106 @@
+"""A whole stand-in platform: store, workers and a configuration."""
+
+from typing import Any
+
+from standins.forwarding.store import PlatformStore, start_store
+from standins.forwarding.workers import Worker, start_worker
+from standins.server import Server
+
+__all__ = ["HOST", "MODEL", "StandInPlatform", "make_configuration"]
+
+HOST = "shop.example"
+MODEL = "m1"
+ENGINES = "scripts"
+PLAIN = "storefront"
+ZONES = ("a", "b")
+
+
+def make_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route whose prefix is its name."""
+    route = {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 1,
+        "sticky": kind == "stream",
+        "resumable": False,
+    }
+    if kind == "stream":
+        route["gap_target_ms"] = 250
+    return route | changes
+
+
+def make_configuration(version: int, *more: dict[str, Any]) -> dict[str, Any]:
+    """Return a configuration with a route of each kind, and more routes."""
+    engine = {
+        "slots": 8,
+        "kv_capacity_tokens": 100000,
+        "models": [{"name": MODEL, "weights_mb": 10, "load_s": 0.2, "adapters": 3000}],
+        "weights_mb": 100,
+        "adapter_slots": 4,
+    }
+    return {
+        "version": version,
+        "routes": [
+            make_route("lookup", "safe", PLAIN, max_attempts=2),
+            make_route("charge", "unsafe", PLAIN),
+            make_route("script", "stream", ENGINES),
+            make_route("explain", "stream", ENGINES, resumable=True, max_attempts=2),
+            *more,
+        ],
+        "services": [
+            {"name": ENGINES, "health_path": "/healthz", "engine": engine},
+            {"name": PLAIN, "health_path": "/healthz"},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+class StandInPlatform:
+    """Start a store and two workers of each service, one a data centre."""
+
+    def __init__(self) -> None:
+        self.store: PlatformStore
+        self.store_server: Server
+        self.workers_by_id: dict[str, Worker] = {}
+        self._servers_by_id: dict[str, Server] = {}
+
+    def start(self) -> None:
+        """Start everything and publish it."""
+        self.store, self.store_server = start_store()
+        for zone in ZONES:
+            self.add(Worker(ENGINES, MODEL), zone)
+            self.add(Worker(PLAIN), zone)
+        self.store.put("op/config", make_configuration(1))
+
+    def add(self, worker: Worker, zone: str) -> None:
+        """Start a worker and publish its entry."""
+        server = start_worker(worker)
+        self.workers_by_id[worker.id] = worker
+        self._servers_by_id[worker.id] = server
+        entry = worker.describe(server.address, zone)
+        self.store.put(f"servers/{worker.id}", entry)
+
+    def list_workers(self, service: str) -> list[Worker]:
+        """Return the workers of a service."""
+        return [
+            worker
+            for worker in self.workers_by_id.values()
+            if worker.service == service
+        ]
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for server in self._servers_by_id.values():
+            await server.stop()
+        await self.store_server.stop()
--- a/tests/components/placement/test_places.py
+++ b/tests/components/placement/test_places.py
@@ -100,12 +100,14 @@
         looked done; what had been unloaded did not count as held either.
         """
         places = make_places(places=3, held=[adapter(1), adapter(2), adapter(3)])
+        places.ask(make_ask(9, adapter(9), since=5.0))
         places.step({}, 5.0)
         unloads = take(places.step({}, 5.0 + UNLOAD_DELAY_S))
         for unload in unloads:
             places.note_reply(unload, OrderReply.HOLDS_ALREADY, 5.3)
         gone = unloads[0].weights
         places.ask(make_ask(1, gone, since=5.3))
+        del places.asks_by_number[9]
         (load,) = take(places.step({}, 5.3))
         places.note_reply(load, OrderReply.ACCEPTED, 5.3)
         taken = places.count_taken()
@@ -121,6 +123,7 @@
         chosen to go.
         """
         places = make_places(places=2, held=[adapter(1), adapter(2)])
+        places.ask(make_ask(9, adapter(9), since=5.0))
         places.step({}, 5.0)
         for number in (1, 2):
             places.note_use("i1", adapter(number), running=1, begun=1, now=5.1)
@@ -131,6 +134,7 @@
         places = make_places(places=3, held=[adapter(n) for n in (1, 2, 3)])
         for number in (1, 3):
             places.note_use("i1", adapter(number), running=0, begun=5, now=4.0)
+        places.ask(make_ask(9, adapter(9), since=5.0))
         places.step({}, 5.0)
         unloads = take(places.step({}, 5.0 + UNLOAD_DELAY_S))
         assert unloads[0].weights == adapter(2)
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,456 @@
+"""Tests of the whole path: a stand-in platform and several instances."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from tornado.httpclient import AsyncHTTPClient
+
+from fescuekeel.core import Instance
+from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.published import Catalog
+from fescuekeel.helpers.settings import parse_settings
+from fescuekeel.messages import MemberView
+from standins.forwarding.platform import (
+    ENGINES,
+    HOST,
+    MODEL,
+    PLAIN,
+    StandInPlatform,
+    make_configuration,
+    make_route,
+)
+from tests.common import eventually
+
+SETTINGS = """
+[instance]
+id = {id}
+data_centre = {data_centre}
+shutdown_s = 2
+
+[callers]
+address = 127.0.0.1:0
+
+[operators]
+address = 127.0.0.1:0
+token_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+
+[peers]
+address = 127.0.0.1:0
+keys = a-shared-secret-of-the-tests
+seeds = {seeds}
+
+[platform]
+dialect = platform
+dialect_module = fescuekeel_platform
+store = {store}
+
+[forwarding]
+ready_address = 127.0.0.1:0
+metrics_address = 127.0.0.1:0
+lease_s = 0.5
+"""
+
+
+class World:
+    """A stand-in platform with instances in front of it."""
+
+    def __init__(self):
+        self.platform = StandInPlatform()
+        self.instances = []
+        self.client = AsyncHTTPClient(force_instance=True, max_clients=500)
+        self.numbers = iter(range(1, 10_000))
+
+    async def start_instance(self, data_centre="a"):
+        seeds = [
+            instance.components_by_domain["peers"].address
+            for instance in self.instances
+        ]
+        text = SETTINGS.format(
+            id=f"i{len(self.instances) + 1}",
+            data_centre=data_centre,
+            seeds=",".join(seeds),
+            store=self.platform.store_server.address,
+        )
+        instance = Instance(parse_settings(text).unwrap())
+        await instance.start()
+        self.instances.append(instance)
+        return instance
+
+    async def settle(self):
+        """Wait until all know each other, the catalog and the holders."""
+
+        def settled():
+            for instance in self.instances:
+                view = instance.bus.latest(MemberView)
+                if view is None or len(view.members_by_id) != len(self.instances):
+                    return False
+                board = instance.bus.latest(PlacementBoard)
+                if len(board.holders_by_endpoint) != 2:
+                    return False
+            return True
+
+        await eventually(settled)
+
+    async def ask(self, path, instance=0, method="GET", **headers):
+        forward = self.instances[instance].components_by_domain["forward"]
+        sent = {
+            "Host": HOST,
+            "Fescuekeel-Request-Id": f"{next(self.numbers):016x}",
+            "Fescuekeel-Deadline-Ms": "5000",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        answer = await self.client.fetch(
+            f"http://{forward.server.address}{path}",
+            method=method,
+            headers=sent,
+            body=b"body" if method == "POST" else None,
+            raise_error=False,
+            request_timeout=10,
+        )
+        return answer, sent["Fescuekeel-Request-Id"]
+
+    async def ask_stream(self, path="/script/1", adapter="a1", instance=0):
+        weights = f"{MODEL}/{adapter}" if adapter else MODEL
+        return await self.ask(
+            path,
+            instance,
+            "POST",
+            Fescuekeel_Model=weights,
+            Fescuekeel_Token_Count="500,20",
+        )
+
+    def count_runs(self, request_id):
+        return sum(
+            worker.runs[request_id] for worker in self.platform.workers_by_id.values()
+        )
+
+
+@asynccontextmanager
+async def start_world(instances=2):
+    world = World()
+    world.platform.start()
+    for number in range(instances):
+        await world.start_instance("ab"[number % 2])
+    await world.settle()
+    try:
+        yield world
+    finally:
+        await asyncio.gather(*(instance.stop() for instance in world.instances))
+        await world.platform.stop()
+
+
+def run(work):
+    asyncio.run(asyncio.wait_for(work(), 30))
+
+
+class TestPlainRequests:
+    def test_request_and_answer_go_through_unchanged(self):
+        async def work():
+            async with start_world(1) as world:
+                answer, id = await world.ask("/charge/x?q=1", method="POST")
+                assert answer.code == 200
+                assert answer.body == b"POST /charge/x?q=1 body"
+                assert "Fescuekeel-Server-Stamp" in answer.headers
+                assert world.count_runs(id) == 1
+
+        run(work)
+
+    def test_failed_lookup_is_tried_elsewhere(self):
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.fail = 1
+                    break
+                answers = [await world.ask("/lookup/x") for _ in range(4)]
+                assert {answer.code for answer, _ in answers} == {200}
+
+        run(work)
+
+    def test_failed_charge_is_not_repeated(self):
+        """A charge was made twice.
+
+        The endpoint ran it and answered with a failure; the failure says
+        nothing about what was charged.
+        """
+
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.fail = 1
+                answer, id = await world.ask("/charge/x", method="POST")
+                assert answer.code == 500
+                assert world.count_runs(id) == 1
+
+        run(work)
+
+    def test_mute_endpoint_leaves_the_outcome_open(self):
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.misbehaviour.down = True
+                answer, _ = await world.ask("/charge/x", method="POST")
+                assert answer.code == 502
+
+        run(work)
+
+    def test_unknown_path_is_refused(self):
+        async def work():
+            async with start_world(1) as world:
+                answer, _ = await world.ask("/nothing/")
+                assert answer.code == 404
+
+        run(work)
+
+    def test_route_timeout_ends_the_wait(self):
+        async def work():
+            async with start_world(1) as world:
+                slow = make_route("slow", "unsafe", PLAIN, timeout_ms=200)
+                world.platform.store.put("op/config", make_configuration(2, slow))
+                catalog = world.instances[0].bus
+                await eventually(
+                    lambda: catalog.latest(Catalog).configuration.version == 2
+                )
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.misbehaviour.swallow = 1
+                began = asyncio.get_running_loop().time()
+                answer, _ = await world.ask("/slow/x", method="POST")
+                assert answer.code == 504
+                assert asyncio.get_running_loop().time() - began < 0.6
+
+        run(work)
+
+
+class TestStreams:
+    def test_adapter_is_loaded_and_served(self):
+        async def work():
+            async with start_world() as world:
+                answer, id = await world.ask_stream()
+                assert answer.code == 200
+                assert answer.body.count(b"data: piece") == 6
+                assert world.count_runs(id) == 1
+
+        run(work)
+
+    def test_many_adapters_never_overrun_an_engine(self):
+        async def work():
+            async with start_world() as world:
+                asked = [
+                    world.ask_stream(adapter=f"a{n % 12}", instance=n % 2)
+                    for n in range(60)
+                ]
+                answers = await asyncio.gather(*asked)
+                engines = world.platform.list_workers(ENGINES)
+                assert not any(worker.overrun for worker in engines)
+                codes = [answer.code for answer, _ in answers]
+                assert codes.count(200) >= 30
+                assert set(codes) <= {200, 503}
+                for answer, id in answers:
+                    assert world.count_runs(id) == (answer.code == 200)
+
+        run(work)
+
+    def test_broken_stream_is_resumed_without_a_gap(self):
+        async def work():
+            async with start_world() as world:
+                await world.ask_stream()
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.cut = 1
+                    break
+                for _ in range(3):
+                    answer, _ = await world.ask_stream("/explain/1", adapter="")
+                    assert answer.code == 200
+                    ids = [
+                        int(line[4:])
+                        for line in answer.body.split(b"\n")
+                        if line.startswith(b"id: ")
+                    ]
+                    assert ids == [1, 2, 3, 4, 5, 6]
+
+        run(work)
+
+    def test_broken_stream_never_looks_whole(self):
+        async def work():
+            async with start_world() as world:
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.cut = 1
+                answer, _ = await world.ask_stream(adapter="")
+                assert answer.code == 599
+
+        run(work)
+
+    def test_work_stops_when_the_caller_leaves(self):
+        async def work():
+            async with start_world(1) as world:
+                engines = world.platform.list_workers(ENGINES)
+                for worker in engines:
+                    worker.events, worker.event_s = 1000, 0.02
+                asking = asyncio.ensure_future(world.ask_stream(adapter=""))
+                await eventually(lambda: any(worker.running for worker in engines))
+                world.client.close()
+                asking.cancel()
+                await eventually(lambda: not any(worker.running for worker in engines))
+                world.client = AsyncHTTPClient(force_instance=True)
+
+        run(work)
+
+    def test_new_version_is_served_after_it_was_named(self):
+        async def work():
+            async with start_world() as world:
+                await world.ask_stream()
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.newest_by_adapter["a1"] = 2
+                named = {"model": MODEL, "adapter": "a1", "version": 2}
+                world.platform.store.put(f"op/version/{MODEL}.a1", named)
+
+                def replaced():
+                    return [
+                        worker
+                        for worker in world.platform.list_workers(ENGINES)
+                        if worker.versions_by_adapter.get("a1") == 2
+                    ]
+
+                await eventually(replaced)
+                await asyncio.sleep(2.0)
+                answer, id = await world.ask_stream()
+                assert answer.code == 200
+                assert any(worker.runs[id] for worker in replaced())
+
+        run(work)
+
+
+class TestStore:
+    def test_before_any_configuration_nothing_is_denied(self):
+        async def work():
+            world = World()
+            world.platform.start()
+            world.platform.store.refuse = 503
+            instance = await world.start_instance()
+            try:
+                answer, _ = await world.ask("/lookup/x")
+                assert answer.code == 503
+                assert not instance.components_by_domain["forward"].ready
+            finally:
+                await instance.stop()
+                await world.platform.stop()
+
+        run(work)
+
+    def test_instance_that_the_store_turns_away_learns_from_peers(self):
+        """One machine denied a new route for as long as it lived.
+
+        The store turned it away and served all others, so that the new
+        configuration never reached it.
+        """
+
+        async def work():
+            async with start_world() as world:
+                turned_away = world.instances[1].components_by_domain["catalog"]
+                turned_away._connection.close()
+
+                async def refuse(call):
+                    return None
+
+                turned_away._call = refuse
+                added = make_route("added", "safe", PLAIN)
+                world.platform.store.put("op/config", make_configuration(2, added))
+                bus = world.instances[1].bus
+                await eventually(lambda: bus.latest(Catalog).configuration.version == 2)
+                answer, _ = await world.ask("/added/x", instance=1)
+                assert answer.code == 200
+
+        run(work)
+
+    def test_invalid_configuration_leaves_the_last_one_in_force(self):
+        async def work():
+            async with start_world(1) as world:
+                world.platform.store.put("op/config", {"version": 2, "routes": 5})
+                world.platform.store.put("op/other", {})
+                bus = world.instances[0].bus
+                revision = world.platform.store.revision
+                follower = world.instances[0].components_by_domain["catalog"]
+                await eventually(lambda: follower._items.revision >= revision)
+                assert bus.latest(Catalog).configuration.version == 1
+                answer, _ = await world.ask("/lookup/x")
+                assert answer.code == 200
+
+        run(work)
+
+    def test_leaving_endpoint_gets_nothing_more(self):
+        async def work():
+            async with start_world(1) as world:
+                leaving = world.platform.list_workers(PLAIN)[0]
+                world.platform.store.put(f"servers/{leaving.id}", None)
+                bus = world.instances[0].bus
+                await eventually(
+                    lambda: leaving.id not in bus.latest(Catalog).endpoints_by_id
+                )
+                before = sum(leaving.runs.values())
+                for _ in range(6):
+                    await world.ask("/lookup/x")
+                assert sum(leaving.runs.values()) == before
+
+        run(work)
+
+    def test_lost_history_is_read_anew(self):
+        async def work():
+            async with start_world(1) as world:
+                world.platform.store.forget_history()
+                added = make_route("added", "safe", PLAIN)
+                world.platform.store.put("op/config", make_configuration(2, added))
+                bus = world.instances[0].bus
+                await eventually(lambda: bus.latest(Catalog).configuration.version == 2)
+
+        run(work)
+
+
+class TestShutdown:
+    def test_requests_in_progress_are_finished(self):
+        async def work():
+            async with start_world() as world:
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.events, worker.event_s = 10, 0.05
+                asking = asyncio.ensure_future(world.ask_stream(adapter=""))
+                await eventually(
+                    lambda: any(w.running for w in world.platform.list_workers(ENGINES))
+                )
+                first = world.instances[0]
+                stopping = asyncio.ensure_future(first.stop())
+                await asyncio.sleep(0)
+                assert not first.components_by_domain["forward"].ready
+                answer, _ = await asking
+                assert answer.code == 200
+                await stopping
+                world.instances.remove(first)
+
+        run(work)
+
+    def test_orders_pass_to_another_instance(self):
+        async def work():
+            async with start_world() as world:
+                first = world.instances.pop(0)
+                await first.stop()
+                board = world.instances[0].bus.latest(PlacementBoard)
+                await eventually(
+                    lambda: (
+                        set(board.holders_by_endpoint.values())
+                        == {world.instances[0].id}
+                    )
+                )
+                answer, _ = await world.ask_stream(adapter="a9")
+                assert answer.code == 200
+
+        run(work)
+
+
+class TestMetrics:
+    def test_counters_and_latencies_are_shown(self):
+        async def work():
+            async with start_world(1) as world:
+                await world.ask("/lookup/x")
+                metrics = world.instances[0].components_by_domain["metrics"]
+                url = f"http://{metrics.address}/metrics"
+                answer = await world.client.fetch(url)
+                text = answer.body.decode()
+                assert 'fescuekeel_ended_total{kind="answered"} 1' in text
+                assert "fescuekeel_request_seconds_count 1" in text
+
+        run(work)
