--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -103,14 +103,14 @@
     """
     model = Weights(question.weights.model)
 
-    def has_model(id: str) -> bool:
-        # An endpoint that has just started is empty. What it has published
-        # itself counts until its holder tells.
+    def read_held(id: str) -> Mapping[Weights, int]:
+        # What an endpoint has published itself counts until a holder tells:
+        # one that has just started is empty, and after all instances were
+        # restarted the first holder is known only seconds later.
         state = states_by_id.get(id)
-        held = state.held if state is not None else endpoints_by_id[id].held
-        return model in held
+        return state.held if state is not None else endpoints_by_id[id].held
 
-    usable = {id: rec for id, rec in endpoints_by_id.items() if has_model(id)}
+    usable = {id: rec for id, rec in endpoints_by_id.items() if model in read_held(id)}
     candidates = _list_candidates(usable, loads_by_id, tried, now)
     if not candidates:
         return None
@@ -124,9 +124,9 @@
         best = min(costs_by_id, key=lambda id: (costs_by_id[id], id))
         return Choice(best, ChoiceReason.LEAST_COST, costs_by_id[best])
     versions_by_id = {
-        id: states_by_id[id].held[question.weights]
+        id: held[question.weights]
         for id in candidates
-        if id in states_by_id and question.weights in states_by_id[id].held
+        if question.weights in (held := read_held(id))
     }
     return _choose_for_adapter(question, costs_by_id, versions_by_id)
 
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -1,7 +1,7 @@
 """The forwarder: it owns callers' requests and the pools of connections."""
 
 import asyncio
-from collections.abc import Mapping
+import random
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -24,9 +24,10 @@
     DRAIN_SERVE_S,
     LOAD_WAIT_SHARE,
     MAX_TURN_REFUSALS,
-    MIN_RETRY_S,
     PATIENCE_TARGETS,
     READING_S,
+    RETRY_FROM_S,
+    RETRY_TO_S,
     TURN_GRACE_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
@@ -160,7 +161,7 @@
         arrived = self.instance.now()
         request_id = ""
         try:
-            head = self.dialect.read_caller(_flatten(headers))
+            head = self.dialect.read_caller(headers)
             request_id = head.request_id
             request = self._admit(caller, line, headers, body, head, arrived)
         except ValueError as error:
@@ -316,23 +317,33 @@
             if choice.needs_load:
                 detail = await self._wait_for_load(request, choice, until)
                 if detail == LOADS_WAIT or self.instance.now() >= until:
-                    return Failure(ErrorKind.LOAD_FAILED, detail or "late")
+                    return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
                 continue
             if request.weights is None:
                 return choice
             self._spread(request, choice)
             wait_s = await self._wait_for_turn(request, choice, until)
-            # Guards against work for an endpoint that has announced its
-            # leaving while the prompt waited for its turn.
-            if self._find_record(choice.endpoint) is None:
-                continue
-            if wait_s is None:
+            if wait_s is None and self._still_serves(request, choice):
                 return choice
+            if wait_s is None:
+                continue
             refusals += 1
-            failure = Failure(ErrorKind.QUEUE_FULL, "no turn", retry_after_s=wait_s)
+            failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
             if refusals >= MAX_TURN_REFUSALS or self.instance.now() >= until:
                 return failure
 
+    def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
+        """Look again at what may have changed while a prompt waited.
+
+        Guards against work for an endpoint that has announced its leaving
+        meanwhile, and against a prompt for an adapter that was told to go.
+        """
+        if self._find_record(choice.endpoint) is None:
+            return False
+        board = self.instance.bus.latest(PlacementBoard)
+        state = board.states_by_endpoint.get(choice.endpoint) if board else None
+        return state is None or request.weights in state.held
+
     def _spread(self, request: ForwardedRequest, choice: Choice) -> None:
         if choice.spread_to and request.weights is not None:
             newest = self._versions.get_newest(request.weights)
@@ -369,7 +380,7 @@
             self.instance.metrics.count("turn_missed")
             return None
         board.note_pending(choice.endpoint, answer.pending_tokens)
-        return None if answer.granted else max(MIN_RETRY_S, answer.wait_ms / 1000)
+        return None if answer.granted else answer.wait_ms / 1000
 
     async def _wait_for_load(
         self, request: ForwardedRequest, choice: Choice, until: float
@@ -508,5 +519,6 @@
                     del self.loads_by_id[id]
 
 
-def _flatten(headers: HTTPHeaders) -> Mapping[str, str]:
-    return headers
+def _refuse_for_load(kind: ErrorKind, detail: str) -> Failure:
+    retry_after_s = random.uniform(RETRY_FROM_S, RETRY_TO_S)
+    return Failure(kind, detail, retry_after_s=retry_after_s)
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -70,7 +70,11 @@
 TURN_GRACE_S: Final = 0.1
 # A prompt that two engines have no room for is refused.
 MAX_TURN_REFUSALS: Final = 2
-MIN_RETRY_S: Final = 0.3
+# Callers that an overload turns away come back spread over this time: a burst
+# lasts some seconds, and the same crowd a third of a second later finds the
+# same queue. Their answer counts as late either way.
+RETRY_FROM_S: Final = 1.5
+RETRY_TO_S: Final = 3.5
 LOAD_ASK_TIMEOUT_S: Final = 3.5
 # While nobody holds an endpoint's orders, requests look again this often.
 NO_HOLDER_POLL_S: Final = 0.1
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -131,3 +131,17 @@
         for load in world.loads.values():
             load.health.note_unreachable(NOW)
         assert world.choose_plain() is not None
+
+
+class TestAfterARestart:
+    def test_what_endpoints_have_published_counts_until_a_holder_tells(self):
+        """For four seconds after a restart no adapter was served.
+
+        All instances had lost power. What the endpoints hold is told by the
+        holders of their orders, and the first of these waits for a lease;
+        the endpoints' own entries had it all the time.
+        """
+        records = make_records() | make_records(["e2"], held={MODEL: 1, CARDS: 1})
+        choice = World({}, records).choose(ask())
+        assert choice.endpoint == "e2"
+        assert not choice.needs_load
