--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -26,7 +26,7 @@
 KEEP_UNSAID_S: Final = 0.4
 # Requests that may not run twice use only connections that were used a moment
 # ago: one that dies under them leaves it open whether they have run.
-KEEP_UNSAFE_S: Final = 0.4
+KEEP_UNSAFE_S: Final = 1.5
 # The answer time below which nothing is worth sending any more.
 MIN_SEND_S: Final = 0.01
 # How often a request is sent again after a refusal, whatever the budget says.
@@ -49,6 +49,9 @@
 # A prompt of so many tokens that was sent alone shows how fast an engine
 # reads; one step and the way there and back are taken off.
 SPEED_TOKENS: Final = 500
+# It counts as alone while no more than this share of it was ahead; half of
+# that was read already, on average.
+SPEED_AHEAD_SHARE: Final = 0.3
 STEP_S: Final = 0.012
 # Above this share of its slots, an engine's waits begin to grow.
 CROWDED_SHARE: Final = 0.75
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -10,6 +10,7 @@
     MAX_TOKEN_S,
     RESULT_WEIGHT,
     SILENCE_S,
+    SPEED_AHEAD_SHARE,
     SPEED_TOKENS,
     SPEED_WEIGHT,
     STEP_S,
@@ -126,8 +127,9 @@
         self.pending_tokens -= tokens
         if tokens <= 0:
             return
-        if not ahead and tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
-            self.speeds.append(tokens / (wait_s - STEP_S))
+        alone = ahead <= tokens * SPEED_AHEAD_SHARE
+        if alone and tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
+            self.speeds.append((tokens + ahead / 2) / (wait_s - STEP_S))
         sample = min(MAX_TOKEN_S, wait_s / (tokens + ahead))
         self.token_s = self._read_token_s(now)
         self.token_s += SPEED_WEIGHT * (sample - self.token_s)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -9,9 +9,9 @@
 from fescuekeel.components.placement.const import (
     DEFAULT_WINDOW_S,
     DOMAIN,
-    MAX_ASKS,
     NEWS_FLEET,
     NEWS_PERIOD_S,
+    PROMPT_TOKENS_PER_S,
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
@@ -57,6 +57,7 @@
         self._ask_numbers = itertools.count(1)
         self._pacers_by_endpoint: dict[str, PromptPacer] = {}
         self._paced_questions: dict[int, PeerMessage] = {}
+        self._speeds_by_service: dict[str, float] = {}
         self._pace_timers: dict[str, asyncio.TimerHandle] = {}
         self._news_due = 0.0
         self._news_wanted = False
@@ -281,6 +282,7 @@
             pacer = self._pacers_by_endpoint.get(endpoint.endpoint)
             if pacer is not None and endpoint.tokens_per_s:
                 pacer.note_speed(endpoint.tokens_per_s)
+                self._speeds_by_service[holder.record.service] = pacer.tokens_per_s
             for use in endpoint.uses:
                 weights = Weights(use.model, use.adapter)
                 holder.places.note_use(sender, weights, use.running, use.begun, now)
@@ -291,10 +293,8 @@
             answer = LoadAnswer(False, "not the holder", NOT_HOLDER_RETRY_MS)
             get_peer_link(self.instance).answer(message, answer)
             return
-        waiting = holder.places.asks_by_number.values()
-        if len(waiting) >= MAX_ASKS and not any(
-            item.weights == Weights(ask.model, ask.adapter) for item in waiting
-        ):
+        weights = Weights(ask.model, ask.adapter)
+        if not holder.places.has_room_to_ask(weights, ask.spread):
             answer = LoadAnswer(False, LOADS_WAIT, FULL_RETRY_MS)
             get_peer_link(self.instance).answer(message, answer)
             return
@@ -303,7 +303,7 @@
         holder.places.ask(
             Ask(
                 number,
-                Weights(ask.model, ask.adapter),
+                weights,
                 ask.version,
                 ask.priority,
                 ask.spread,
@@ -328,7 +328,11 @@
             return
         pacer = self._pacers_by_endpoint.get(ask.endpoint)
         if pacer is None:
-            pacer = PromptPacer(self._get_window_s(holder.record.service))
+            service = holder.record.service
+            pacer = PromptPacer(self._get_window_s(service))
+            pacer.tokens_per_s = self._speeds_by_service.get(
+                service, PROMPT_TOKENS_PER_S
+            )
             self._pacers_by_endpoint[ask.endpoint] = pacer
         number = next(self._ask_numbers)
         self._paced_questions[number] = message
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -28,9 +28,9 @@
 # JSON reader takes them exactly.
 MAX_TERM: Final = 2**20
 
-# How many adapters one endpoint may have on their way at a time. The weight
-# store gives eight adapters at a time at full speed over all endpoints.
-MAX_PENDING: Final = 3
+# How many adapters one endpoint may have on their way at a time: an engine
+# takes no more than four.
+MAX_PENDING: Final = 4
 # An adapter from the weight store takes 250 to 290 ms, one that the endpoint
 # held lately a tenth of that. A report lags by 100 ms and is priced as a
 # probe; the order itself, given again, is answered at once with whether it
@@ -68,16 +68,18 @@
 # What an engine is taken to read until its speed is known: the engines of
 # today read 19 to 26 tokens a millisecond. The rest of a window goes to the
 # tokens of three steps and to the way.
-PROMPT_TOKENS_PER_S: Final = 19_000
+PROMPT_TOKENS_PER_S: Final = 21_000
 PROMPT_SHARE: Final = 0.75
 # A speed that differs from that by more than this factor is not believed.
 SPEED_RANGE: Final = 8.0
-SPEED_WEIGHT: Final = 0.05
+SPEED_WEIGHT: Final = 0.1
 # No more prompts wait at one engine than are read within this time.
 MAX_TURN_QUEUE_S: Final = 1.2
-# No more adapters are waited for at one endpoint: at three at a time, of a
+# No more adapters are waited for at one endpoint: at four at a time, of a
 # third of a second each, the last one waits for more than a second.
 MAX_ASKS: Final = 10
+# Copies that nobody waits for are not made while so many loads are waited for.
+MAX_ASKS_BEFORE_SPREAD: Final = 2
 # The window where no route names the pause that its callers accept.
 DEFAULT_WINDOW_S: Final = 0.3
 
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -13,6 +13,8 @@
     CHECK_PERIOD_S,
     DEMAND_HALF_LIFE_S,
     LOAD_S,
+    MAX_ASKS,
+    MAX_ASKS_BEFORE_SPREAD,
     MAX_PENDING,
     MIN_STAY_S,
     MODEL_LOAD_LOST_S,
@@ -176,6 +178,15 @@
 
     # Events.
 
+    def has_room_to_ask(self, weights: Weights, spread: bool) -> bool:
+        """Tell whether one more wish can be met in reasonable time."""
+        waited_for = {
+            ask.weights for ask in self.asks_by_number.values() if not ask.spread
+        }
+        if weights in waited_for:
+            return True
+        return len(waited_for) < (MAX_ASKS_BEFORE_SPREAD if spread else MAX_ASKS)
+
     def ask(self, ask: Ask) -> None:
         """Take a wish."""
         self.asks_by_number[ask.number] = ask
