--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -9,6 +9,8 @@
 from fescuekeel.components.placement.const import (
     DEFAULT_WINDOW_S,
     DOMAIN,
+    FULL_NEWS_PERIOD_S,
+    MAX_NEWS_SLOWDOWN,
     NEWS_FLEET,
     NEWS_PERIOD_S,
     PROMPT_TOKENS_PER_S,
@@ -59,6 +61,7 @@
         self._paced_questions: dict[int, PeerMessage] = {}
         self._speeds_by_service: dict[str, float] = {}
         self._pace_timers: dict[str, asyncio.TimerHandle] = {}
+        self._told_by_endpoint: dict[str, tuple[dict[Weights, int], float]] = {}
         self._news_due = 0.0
         self._news_wanted = False
 
@@ -129,7 +132,7 @@
         for holder in self._holders_by_endpoint.values():
             holder.places.prune(now)
         self._share_board(engines, now)
-        self._tell(view, now)
+        self._tell(now)
 
     def _match_holders(self, engines: dict[str, EndpointRecord]) -> None:
         claimed = self._claims.own_by_endpoint.keys()
@@ -157,6 +160,7 @@
         holder = self._holders_by_endpoint.pop(endpoint)
         holder.close()
         self._pacers_by_endpoint.pop(endpoint, None)
+        self._told_by_endpoint.pop(endpoint, None)
         log_event("claim_lost", endpoint=endpoint)
         for number in list(holder.places.asks_by_number):
             self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
@@ -172,8 +176,7 @@
             asyncio.get_running_loop().call_soon(self._tell_now)
 
     def _tell_now(self) -> None:
-        view = self.instance.bus.latest(MemberView) or MemberView()
-        self._tell(view, self.instance.now())
+        self._tell(self.instance.now())
 
     def _release(self, endpoints: list[str]) -> None:
         """Give up claims, and tell all since when no order was given."""
@@ -194,22 +197,38 @@
 
     # News.
 
-    def _tell(self, view: MemberView, now: float) -> None:
+    def _tell(self, now: float) -> None:
+        """Tell what changed at once, and all that is held from time to time.
+
+        What an endpoint holds makes up most of the bytes between instances,
+        and seldom changes: it is left out where it was told a moment ago.
+        """
         due = now >= self._news_due
         if not due and not self._news_wanted:
             return
         self._news_wanted = False
-        slowdown = max(1.0, len(view.members_by_id) / NEWS_FLEET)
-        self._news_due = now + NEWS_PERIOD_S * min(slowdown, 2.5)
-        states = tuple(
-            self._make_state(id, holder)
-            for id, holder in self._holders_by_endpoint.items()
-            if self._holds(id)
-        )
+        if due:
+            view = self.instance.bus.latest(MemberView) or MemberView()
+            slowdown = max(1.0, len(view.members_by_id) / NEWS_FLEET)
+            self._news_due = now + NEWS_PERIOD_S * min(slowdown, MAX_NEWS_SLOWDOWN)
+        states = []
+        for id, holder in self._holders_by_endpoint.items():
+            if not self._holds(id):
+                continue
+            servable = holder.places.list_servable()
+            told = self._told_by_endpoint.get(id)
+            full = told is None or told[0] != servable
+            full = full or now - told[1] > FULL_NEWS_PERIOD_S  # type: ignore[index]
+            if full:
+                self._told_by_endpoint[id] = (servable, now)
+            if full or due:
+                states.append(self._make_state(id, holder, full))
         if states:
-            self._send_news(states)
+            self._send_news(tuple(states))
 
-    def _make_state(self, endpoint: str, holder: EndpointHolder) -> PlacementState:
+    def _make_state(
+        self, endpoint: str, holder: EndpointHolder, full: bool
+    ) -> PlacementState:
         places = holder.places
         held = tuple(
             HeldWeights(weights.model, weights.adapter, version)
@@ -218,10 +237,11 @@
         return PlacementState(
             endpoint,
             self._claims.own_by_endpoint[endpoint].term,
-            held=held,
+            held=held if full else (),
             running=places.running,
             pending_tokens=self._count_pending(endpoint),
             places_free=max(0, places.places - places.count_taken()),
+            unchanged=not full,
         )
 
     def _send_news(self, states: tuple[PlacementState, ...]) -> None:
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -10,6 +10,10 @@
 # Instances beyond this many make the news rarer in proportion, so that the
 # messages that one instance gets do not grow with the fleet.
 NEWS_FLEET: Final = 16
+MAX_NEWS_SLOWDOWN: Final = 2.5
+# News has all that is held when it changed, and this often: an instance that
+# has missed a message learns it then.
+FULL_NEWS_PERIOD_S: Final = 2.0
 # How often an instance tells holders how it uses their endpoints.
 USE_PERIOD_S: Final = 0.2
 
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -37,8 +37,17 @@
     holders_by_endpoint: dict[str, str] = field(default_factory=dict)
 
     def hear(self, holder: str, state: PlacementState, now: float) -> None:
-        """Take the state that a holder has told."""
+        """Take the state that a holder has told.
+
+        News that leaves out what is held says so, and counts only after news
+        of the same claim that had it.
+        """
         held = {Weights(item.model, item.adapter): item.version for item in state.held}
+        if state.unchanged:
+            known = self.states_by_endpoint.get(state.endpoint)
+            if known is None or (known.holder, known.term) != (holder, state.term):
+                return
+            held = known.held
         self.states_by_endpoint[state.endpoint] = EndpointState(
             holder,
             state.term,
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -70,7 +70,8 @@
     """Tell what the holder of an endpoint's orders knows of it.
 
     ``term`` orders the claims of holders. ``released`` gives the claim up,
-    and ``quiet_ms`` is how long ago the holder last gave an order.
+    and ``quiet_ms`` is how long ago the holder last gave an order. With
+    ``unchanged`` what is held is as last told, and ``held`` is left out.
     ``pending_tokens`` are prompt tokens that requests of all instances still
     wait for to be read there.
     """
@@ -83,6 +84,7 @@
     running: int = 0
     pending_tokens: int = 0
     places_free: int = 0
+    unchanged: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -174,6 +174,7 @@
   running @5 :UInt32;
   pendingTokens @6 :UInt32;
   placesFree @7 :UInt32;
+  unchanged @8 :Bool;
 }
 struct PlacementNews { states @0 :List(PlacementState); }
 struct WeightUse { model @0 :Text; adapter @1 :Text; running @2 :UInt32; begun @3 :UInt32; }
--- a/tests/helpers/test_placement.py
+++ b/tests/helpers/test_placement.py
@@ -31,3 +31,23 @@
         board.hear("i1", PlacementState("e1", 1, held=held), now=0.0)
         board.note_missing("e1", CARDS)
         assert board.states_by_endpoint["e1"].held == {}
+
+    def test_news_without_a_change_keeps_what_is_held(self):
+        board = PlacementBoard()
+        held = (HeldWeights("m", "cards", 2),)
+        board.hear("i1", PlacementState("e1", 1, held=held), now=0.0)
+        board.hear("i1", PlacementState("e1", 1, running=3, unchanged=True), now=1.0)
+        assert board.states_by_endpoint["e1"].held == {CARDS: 2}
+        assert board.states_by_endpoint["e1"].running == 3
+
+    def test_short_news_of_a_new_holder_tells_nothing(self):
+        """Requests were refused by an endpoint that held nothing any more.
+
+        A new holder's first message was lost, and its second one, without
+        what is held, was taken together with the old holder's list.
+        """
+        board = PlacementBoard()
+        held = (HeldWeights("m", "cards", 2),)
+        board.hear("i1", PlacementState("e1", 1, held=held), now=0.0)
+        board.hear("i2", PlacementState("e1", 2, unchanged=True), now=1.0)
+        assert board.states_by_endpoint["e1"].holder == "i1"
