--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -10,7 +10,6 @@
     BEHIND_S,
     CONNECT_TIMEOUT_S,
     DOMAIN,
-    LAPSE_GRACE_S,
     NEWS_FANOUT,
     NEWS_PERIOD_S,
 )
@@ -86,15 +85,14 @@
             call = self._follower.plan()
             before = self._follower.away
             reply = await self._call(call)
-            now = self._instance.now()
             if reply is None:
                 self._follower.fail()
                 changed: list[str] = []
             else:
-                changed = self._follower.take(reply, now)
+                changed = self._follower.take(reply)
             if before != self._follower.away:
                 self._log_store(call)
-            self._publish(changed)
+            self._publish(changed, self._follower.returned_revision)
 
     def _log_store(self, call: ListPage | WatchChanges) -> None:
         log_event(
@@ -132,11 +130,18 @@
 
     # What is in force.
 
-    def _publish(self, changed: list[str]) -> None:
+    def _publish(self, changed: list[str], lapsed_until: int = 0) -> None:
+        """Put into force what changed.
+
+        Guards against taking endpoints for gone whose entries only lapsed
+        while the store was away: removals up to the revision at its return
+        count a little later. Those seen since are real ones, and an endpoint
+        that leaves must get nothing more within two seconds.
+        """
         now = self._instance.now()
-        grace = self._follower.away or now - self._follower.regained < LAPSE_GRACE_S
         for key in changed:
-            self._view.take(self._items.items_by_key[key], grace, now)
+            item = self._items.items_by_key[key]
+            self._view.take(item, item.revision <= lapsed_until, now)
         if self._view.expire(now) or changed:
             catalog = self._view.make_catalog(self._items.revision)
             self._instance.bus.publish_state(catalog)
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -39,14 +39,15 @@
 class Follower:
     """Follow the store: list once, then watch; begin anew on lost history.
 
-    ``regained`` is when the store answered again after it had been away, in
-    seconds, and ``away`` says that its last call failed. The first listing
-    counts as a return, since nothing is known of the time before.
+    ``away`` says that the store's last call failed, and ``returned_revision``
+    is the store's revision when it answered again: what was removed up to it
+    may have lapsed while the store was away. The first listing counts as a
+    return, since nothing is known of the time before.
 
     >>> follower = Follower(ItemStore())
     >>> follower.plan()
     ListPage(after_key='', timeout_s=2.0)
-    >>> follower.take(SourceReply(SourceStatus.OK, (), 7), now=1.0)
+    >>> follower.take(SourceReply(SourceStatus.OK, (), 7))
     []
     >>> follower.plan().after_revision
     7
@@ -54,7 +55,7 @@
 
     store: ItemStore
     away: bool = True
-    regained: float = float("-inf")
+    returned_revision: int = 0
     pause_s: float = 0.0
     _listing: list[PublishedItem] | None = field(default_factory=list)
     _listed_from: int = 0
@@ -66,14 +67,14 @@
             return WatchChanges(self.store.revision)
         return ListPage(self._listing[-1].key if self._listing else "")
 
-    def take(self, reply: SourceReply, now: float) -> list[str]:
+    def take(self, reply: SourceReply) -> list[str]:
         """Take an answer; return the keys that changed."""
         if reply.status is SourceStatus.TURNED_AWAY:
             self.fail()
             return []
         if self.away:
             self.away = False
-            self.regained = now
+            self.returned_revision = reply.revision
         self._failures = 0
         if reply.status is SourceStatus.HISTORY_LOST:
             self._listing = []
--- a/tests/components/catalog/test_follower.py
+++ b/tests/components/catalog/test_follower.py
@@ -59,24 +59,24 @@
     def test_pages_are_listed_then_changes_watched(self):
         follower = Follower(ItemStore())
         assert follower.plan() == ListPage("")
-        follower.take(page(item("a", 1), revision=7, more=True), 0.0)
+        follower.take(page(item("a", 1), revision=7, more=True))
         assert follower.plan() == ListPage("a")
-        changed = follower.take(page(item("b", 2), revision=9), 0.0)
+        changed = follower.take(page(item("b", 2), revision=9))
         assert changed == ["a", "b"]
         # What changed between the pages is still to be seen.
         assert follower.plan().after_revision == 7
 
     def test_lost_history_leads_to_a_new_listing(self):
         follower = Follower(ItemStore())
-        follower.take(page(revision=7), 0.0)
-        follower.take(SourceReply(SourceStatus.HISTORY_LOST), 0.0)
+        follower.take(page(revision=7))
+        follower.take(SourceReply(SourceStatus.HISTORY_LOST))
         assert isinstance(follower.plan(), ListPage)
 
     def test_refusals_are_repeated_ever_more_slowly(self):
         follower = Follower(ItemStore())
         pauses = []
         for _ in range(6):
-            follower.take(SourceReply(SourceStatus.TURNED_AWAY), 0.0)
+            follower.take(SourceReply(SourceStatus.TURNED_AWAY))
             pauses.append(follower.pause_s)
         assert pauses == sorted(pauses)
         assert pauses[-1] <= 1.0
@@ -84,20 +84,20 @@
 
     def test_outage_begins_the_listing_anew(self):
         follower = Follower(ItemStore())
-        follower.take(page(item("a", 1), revision=7, more=True), 0.0)
+        follower.take(page(item("a", 1), revision=7, more=True))
         follower.fail()
         assert follower.plan() == ListPage("")
 
     def test_return_is_noted(self):
         follower = Follower(ItemStore())
-        follower.take(page(revision=7), 1.0)
+        follower.take(page(revision=7))
         follower.fail()
-        follower.take(page(revision=8), 9.0)
-        assert follower.regained == 9.0
+        follower.take(page(revision=8))
+        assert follower.returned_revision == 8
 
     def test_watch_goes_on_where_it_was(self):
         follower = Follower(ItemStore())
-        follower.take(page(revision=7), 0.0)
-        follower.take(page(item("a", 8), revision=8), 0.0)
+        follower.take(page(revision=7))
+        follower.take(page(item("a", 8), revision=8))
         assert isinstance(follower.plan(), WatchChanges)
         assert follower.plan().after_revision == 8
