Give placing and turns modules of their own; grant what waits when a claim ends

Change: placing.py and turns.py; what waits is granted when the claim ends. No other behaviour changes.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -1,7 +1,6 @@
 """The forwarder: it owns callers' requests and the pools of connections."""
 
 import asyncio
-import random
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -12,9 +11,6 @@
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
 from fescuekeel.components.forward.choice import (
     Choice,
-    EngineQuestion,
-    choose_engine,
-    choose_plain,
 )
 from fescuekeel.components.forward.const import (
     CONNECT_TIMEOUT_S,
@@ -22,35 +18,24 @@
     DOMAIN,
     DRAIN_POLL_S,
     DRAIN_SERVE_S,
-    LOAD_WAIT_SHARE,
-    MAX_TURN_REFUSALS,
-    PATIENCE_TARGETS,
-    READING_S,
-    RETRY_FROM_S,
-    RETRY_TO_S,
-    TURN_GRACE_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
-from fescuekeel.components.forward.loading import LoadAsker
+from fescuekeel.components.forward.placing import Placer
 from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
 from fescuekeel.components.forward.server import CallersServer, ReadyServer
 from fescuekeel.components.forward.use import UseReporter
-from fescuekeel.components.forward.versions import VersionClock
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerHead
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
+from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.helpers.published import (
     Catalog,
-    EndpointRecord,
-    EngineSpec,
     RouteKind,
 )
-from fescuekeel.messages import AdmitAnswer, AdmitAsk, MemberView, SettingsReloaded
+from fescuekeel.messages import MemberView, SettingsReloaded
 
 __all__ = ["Forwarder"]
 
@@ -74,19 +59,17 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         self.loads_by_id: dict[str, EndpointLoad] = {}
-        self._asker = LoadAsker(instance)
+        self._placer = Placer(instance, self.get_load)
         self._use = UseReporter(instance, self.loads_by_id)
-        self._versions = VersionClock()
         self._pools_by_id: dict[str, ConnectionPool] = {}
         self._table: RouteTable | None = None
-        self._records_by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._open: set[asyncio.Task[None]] = set()
         self._draining_since: float | None = None
 
     @property
     def ready(self) -> bool:
         """Tell whether new requests are welcome."""
-        known = self._table is not None and bool(self._records_by_service)
+        known = self._table is not None and bool(self._placer.records_by_service)
         return known and not self.instance.draining
 
     async def start(self) -> None:
@@ -120,16 +103,11 @@
     # What others tell.
 
     def _take_catalog(self, catalog: Catalog) -> None:
-        now = self.instance.now()
         configuration = catalog.configuration
         known = self._table.version if self._table is not None else None
         if configuration is not None and configuration.version != known:
             self._table = RouteTable(configuration)
-        by_service: dict[str, dict[str, EndpointRecord]] = {}
-        for id, record in catalog.endpoints_by_id.items():
-            by_service.setdefault(record.service, {})[id] = record
-        self._records_by_service = by_service
-        self._versions.update(catalog.versions_by_weights, now)
+        self._placer.take_catalog(catalog, self.instance.now())
 
     def _take_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
@@ -264,17 +242,11 @@
         """Return the connections to an endpoint."""
         pool = self._pools_by_id.get(endpoint)
         if pool is None:
-            record = self._find_record(endpoint)
+            record = self._placer.find_record(endpoint)
             pool = ConnectionPool(record.address if record else "0.0.0.0:0")
             self._pools_by_id[endpoint] = pool
         return pool
 
-    def _find_record(self, endpoint: str) -> EndpointRecord | None:
-        for records in self._records_by_service.values():
-            if endpoint in records:
-                return records[endpoint]
-        return None
-
     async def open(self, endpoint: str, pool: ConnectionPool) -> Connection:
         """Open a connection, and learn whether the endpoint is reachable."""
         health = self.get_load(endpoint).health
@@ -294,141 +266,9 @@
             return None
         return min(LOWEST_PRIORITY, max(0, request.route.priority))
 
-    def _get_engine(self, service: str) -> EngineSpec | None:
-        catalog = self.instance.bus.latest(Catalog)
-        if catalog is None or catalog.configuration is None:
-            return None
-        spec = catalog.configuration.services_by_name.get(service)
-        return spec.engine if spec else None
-
     async def place(self, request: ForwardedRequest) -> Choice | Failure:
         """Choose an endpoint; wait for its weights and the prompt's turn."""
-        began = self.instance.now()
-        until = min(
-            request.arrived + PATIENCE_TARGETS * request.route.target_s,
-            began + LOAD_WAIT_SHARE * (request.deadline - began),
-        )
-        result = await self._place_until(request, until)
-        request.waited_s += self.instance.now() - began
-        return result
-
-    async def _place_until(
-        self, request: ForwardedRequest, until: float
-    ) -> Choice | Failure:
-        failure = Failure(ErrorKind.NO_ENDPOINT, "no endpoint")
-        refusals = 0
-        while True:
-            choice = self._choose(request)
-            if choice is None:
-                return failure
-            if choice.needs_load:
-                detail = await self._wait_for_load(request, choice, until)
-                if detail == LOADS_WAIT or self.instance.now() >= until:
-                    return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
-                continue
-            if request.weights is None:
-                return choice
-            self._spread(request, choice)
-            wait_s = await self._wait_for_turn(request, choice, until)
-            if wait_s is None and self._still_serves(request, choice):
-                return choice
-            if wait_s is None:
-                continue
-            refusals += 1
-            failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
-            if refusals >= MAX_TURN_REFUSALS or self.instance.now() >= until:
-                return failure
-
-    def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
-        """Look again at what may have changed while a prompt waited.
-
-        Guards against work for an endpoint that has announced its leaving
-        meanwhile, and against a prompt for an adapter that was told to go.
-        """
-        if self._find_record(choice.endpoint) is None:
-            return False
-        board = self.instance.bus.latest(PlacementBoard)
-        state = board.states_by_endpoint.get(choice.endpoint) if board else None
-        return state is None or request.weights in state.held
-
-    def _spread(self, request: ForwardedRequest, choice: Choice) -> None:
-        if choice.spread_to and request.weights is not None:
-            newest = self._versions.get_newest(request.weights)
-            self._asker.spread(choice.spread_to, request.weights, newest)
-
-    async def _wait_for_turn(
-        self, request: ForwardedRequest, choice: Choice, until: float
-    ) -> float | None:
-        """Wait until the engine's holder lets the prompt go there.
-
-        Return ``None`` if it may go, else how long the queue is in seconds.
-        Without a holder, or its answer, the prompt goes at once: pacing is a
-        favour to others' streams and must never lose a request.
-        """
-        board = self.instance.bus.latest(PlacementBoard)
-        holder = board.holders_by_endpoint.get(choice.endpoint) if board else None
-        if holder is None or board is None:
-            return None
-        asked = self.instance.now()
-        on_time = request.arrived + request.route.target_s - READING_S
-        patience_s = max(0.0, until - asked)
-        ask = AdmitAsk(
-            choice.endpoint,
-            request.head.prompt_tokens,
-            request.route.priority,
-            int(max(0.0, on_time - asked) * 1000),
-            int(patience_s * 1000),
-        )
-        link = get_peer_link(self.instance)
-        answered = await link.ask(holder, ask, patience_s + TURN_GRACE_S)
-        answer = answered.value_or(None)
-        self.instance.metrics.observe("turn_wait", self.instance.now() - asked)
-        if not isinstance(answer, AdmitAnswer):
-            self.instance.metrics.count("turn_missed")
-            return None
-        board.note_pending(choice.endpoint, answer.pending_tokens)
-        return None if answer.granted else answer.wait_ms / 1000
-
-    async def _wait_for_load(
-        self, request: ForwardedRequest, choice: Choice, until: float
-    ) -> str:
-        assert request.weights is not None
-        left_s = max(0.01, until - self.instance.now())
-        asking = self._asker.load(
-            choice.endpoint,
-            request.weights,
-            self._versions.get_newest(request.weights),
-            request.route.priority,
-        )
-        try:
-            detail = await asyncio.wait_for(asking, left_s)
-        except TimeoutError:
-            return "load takes too long"
-        return detail
-
-    def _choose(self, request: ForwardedRequest) -> Choice | None:
-        now = self.instance.now()
-        records = self._records_by_service.get(request.service, {})
-        state = request.state
-        allowed = {id: rec for id, rec in records.items() if state.may_go_to(id)}
-        # After a failure another endpoint is better, where one is allowed.
-        tried = state.endpoints if len(allowed) > len(state.endpoints) else ()
-        engine = self._get_engine(request.service)
-        weights = request.weights
-        if engine is None or weights is None:
-            centre = self.instance.settings.instance.data_centre
-            return choose_plain(allowed, self.get_load, tried, centre, now)
-        board = self.instance.bus.latest(PlacementBoard) or PlacementBoard()
-        question = EngineQuestion(
-            weights,
-            request.head.prompt_tokens,
-            engine.slots,
-            self._versions.get_newest(weights),
-            self._versions.get_oldest_allowed(weights, now),
-        )
-        return choose_engine(
-            question, allowed, self.get_load, board.states_by_endpoint, tried, now
-        )
+        return await self._placer.place(request)
 
     def spend_retry(self, request: ForwardedRequest, end: AttemptEnd) -> bool:
         """Take from the budget; return whether the request may go again."""
@@ -513,9 +353,7 @@
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             now = self.instance.now()
-            known = {
-                id for records in self._records_by_service.values() for id in records
-            }
+            known = self._placer.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
                 pool.close_idle(now)
                 if id not in known:
@@ -524,8 +362,3 @@
             for id in list(self.loads_by_id):
                 if id not in known and self.loads_by_id[id].running <= 0:
                     del self.loads_by_id[id]
-
-
-def _refuse_for_load(kind: ErrorKind, detail: str) -> Failure:
-    retry_after_s = random.uniform(RETRY_FROM_S, RETRY_TO_S)
-    return Failure(kind, detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/fescuekeel/components/forward/placing.py
@@ -0,0 +1,206 @@
+"""Find the endpoint of a request, and wait until it may be sent there."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from fescuekeel.components.forward.choice import (
+    Choice,
+    EngineQuestion,
+    choose_engine,
+    choose_plain,
+)
+from fescuekeel.components.forward.const import (
+    LOAD_WAIT_SHARE,
+    MAX_TURN_REFUSALS,
+    PATIENCE_TARGETS,
+    READING_S,
+    RETRY_FROM_S,
+    RETRY_TO_S,
+    TURN_GRACE_S,
+)
+from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.forward.loading import LoadAsker
+from fescuekeel.components.forward.request import ForwardedRequest
+from fescuekeel.components.forward.versions import VersionClock
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.peer_link import get_peer_link
+from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
+from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
+from fescuekeel.messages import AdmitAnswer, AdmitAsk
+
+__all__ = ["Placer"]
+
+
+class Placer:
+    """Choose endpoints by what the catalog, the board and requests tell."""
+
+    def __init__(
+        self, instance: Instance, get_load: Callable[[str], EndpointLoad]
+    ) -> None:
+        self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
+        self._instance = instance
+        self._get_load = get_load
+        self._asker = LoadAsker(instance)
+        self._versions = VersionClock()
+
+    def take_catalog(self, catalog: Catalog, now: float) -> None:
+        """Take what is published now."""
+        by_service: dict[str, dict[str, EndpointRecord]] = {}
+        for id, record in catalog.endpoints_by_id.items():
+            by_service.setdefault(record.service, {})[id] = record
+        self.records_by_service = by_service
+        self._versions.update(catalog.versions_by_weights, now)
+
+    def find_record(self, endpoint: str) -> EndpointRecord | None:
+        """Return an endpoint that may get work, by its id."""
+        for records in self.records_by_service.values():
+            if endpoint in records:
+                return records[endpoint]
+        return None
+
+    def list_endpoints(self) -> set[str]:
+        """Return all endpoints that may get work."""
+        return {id for records in self.records_by_service.values() for id in records}
+
+    def _get_engine(self, service: str) -> EngineSpec | None:
+        catalog = self._instance.bus.latest(Catalog)
+        if catalog is None or catalog.configuration is None:
+            return None
+        spec = catalog.configuration.services_by_name.get(service)
+        return spec.engine if spec else None
+
+    async def place(self, request: ForwardedRequest) -> Choice | Failure:
+        """Choose an endpoint; wait for its weights and the prompt's turn."""
+        began = self._instance.now()
+        until = min(
+            request.arrived + PATIENCE_TARGETS * request.route.target_s,
+            began + LOAD_WAIT_SHARE * (request.deadline - began),
+        )
+        result = await self._place_until(request, until)
+        request.waited_s += self._instance.now() - began
+        return result
+
+    async def _place_until(
+        self, request: ForwardedRequest, until: float
+    ) -> Choice | Failure:
+        failure = Failure(ErrorKind.NO_ENDPOINT, "no endpoint")
+        refusals = 0
+        while True:
+            choice = self._choose(request)
+            if choice is None:
+                return failure
+            if choice.needs_load:
+                detail = await self._wait_for_load(request, choice, until)
+                if detail == LOADS_WAIT or self._instance.now() >= until:
+                    return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
+                continue
+            if request.weights is None:
+                return choice
+            self._spread(request, choice)
+            wait_s = await self._wait_for_turn(request, choice, until)
+            if wait_s is None and self._still_serves(request, choice):
+                return choice
+            if wait_s is None:
+                continue
+            refusals += 1
+            failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
+            if refusals >= MAX_TURN_REFUSALS or self._instance.now() >= until:
+                return failure
+
+    def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
+        """Look again at what may have changed while a prompt waited.
+
+        Guards against work for an endpoint that has announced its leaving
+        meanwhile, and against a prompt for an adapter that was told to go.
+        """
+        if self.find_record(choice.endpoint) is None:
+            return False
+        board = self._instance.bus.latest(PlacementBoard)
+        state = board.states_by_endpoint.get(choice.endpoint) if board else None
+        return state is None or request.weights in state.held
+
+    def _spread(self, request: ForwardedRequest, choice: Choice) -> None:
+        if choice.spread_to and request.weights is not None:
+            newest = self._versions.get_newest(request.weights)
+            self._asker.spread(choice.spread_to, request.weights, newest)
+
+    async def _wait_for_turn(
+        self, request: ForwardedRequest, choice: Choice, until: float
+    ) -> float | None:
+        """Wait until the engine's holder lets the prompt go there.
+
+        Return ``None`` if it may go, else how long the queue is in seconds.
+        Without a holder, or its answer, the prompt goes at once: pacing is a
+        favour to others' streams and must never lose a request.
+        """
+        board = self._instance.bus.latest(PlacementBoard)
+        holder = board.holders_by_endpoint.get(choice.endpoint) if board else None
+        if holder is None or board is None:
+            return None
+        asked = self._instance.now()
+        on_time = request.arrived + request.route.target_s - READING_S
+        patience_s = max(0.0, until - asked)
+        ask = AdmitAsk(
+            choice.endpoint,
+            request.head.prompt_tokens,
+            request.route.priority,
+            int(max(0.0, on_time - asked) * 1000),
+            int(patience_s * 1000),
+        )
+        link = get_peer_link(self._instance)
+        answered = await link.ask(holder, ask, patience_s + TURN_GRACE_S)
+        answer = answered.value_or(None)
+        self._instance.metrics.observe("turn_wait", self._instance.now() - asked)
+        if not isinstance(answer, AdmitAnswer):
+            self._instance.metrics.count("turn_missed")
+            return None
+        board.note_pending(choice.endpoint, answer.pending_tokens)
+        return None if answer.granted else answer.wait_ms / 1000
+
+    async def _wait_for_load(
+        self, request: ForwardedRequest, choice: Choice, until: float
+    ) -> str:
+        assert request.weights is not None
+        left_s = max(0.01, until - self._instance.now())
+        asking = self._asker.load(
+            choice.endpoint,
+            request.weights,
+            self._versions.get_newest(request.weights),
+            request.route.priority,
+        )
+        try:
+            detail = await asyncio.wait_for(asking, left_s)
+        except TimeoutError:
+            return "load takes too long"
+        return detail
+
+    def _choose(self, request: ForwardedRequest) -> Choice | None:
+        now = self._instance.now()
+        records = self.records_by_service.get(request.service, {})
+        state = request.state
+        allowed = {id: rec for id, rec in records.items() if state.may_go_to(id)}
+        # After a failure another endpoint is better, where one is allowed.
+        tried = state.endpoints if len(allowed) > len(state.endpoints) else ()
+        engine = self._get_engine(request.service)
+        weights = request.weights
+        if engine is None or weights is None:
+            centre = self._instance.settings.instance.data_centre
+            return choose_plain(allowed, self._get_load, tried, centre, now)
+        board = self._instance.bus.latest(PlacementBoard) or PlacementBoard()
+        question = EngineQuestion(
+            weights,
+            request.head.prompt_tokens,
+            engine.slots,
+            self._versions.get_newest(weights),
+            self._versions.get_oldest_allowed(weights, now),
+        )
+        return choose_engine(
+            question, allowed, self._get_load, board.states_by_endpoint, tried, now
+        )
+
+
+def _refuse_for_load(kind: ErrorKind, detail: str) -> Failure:
+    retry_after_s = random.uniform(RETRY_FROM_S, RETRY_TO_S)
+    return Failure(kind, detail, retry_after_s=retry_after_s)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -7,18 +7,16 @@
 from fescuekeel.components.catalog.component import get_dialect
 from fescuekeel.components.placement.claims import Claims
 from fescuekeel.components.placement.const import (
-    DEFAULT_WINDOW_S,
     DOMAIN,
     FULL_NEWS_PERIOD_S,
     MAX_NEWS_SLOWDOWN,
     NEWS_FLEET,
     NEWS_PERIOD_S,
-    PROMPT_TOKENS_PER_S,
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
-from fescuekeel.components.placement.pacing import Prompt, PromptPacer
 from fescuekeel.components.placement.places import Ask, AskEnded, EndpointPlaces
+from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
@@ -57,10 +55,7 @@
         self._holders_by_endpoint: dict[str, EndpointHolder] = {}
         self._questions_by_ask: dict[int, PeerMessage] = {}
         self._ask_numbers = itertools.count(1)
-        self._pacers_by_endpoint: dict[str, PromptPacer] = {}
-        self._paced_questions: dict[int, PeerMessage] = {}
-        self._speeds_by_service: dict[str, float] = {}
-        self._pace_timers: dict[str, asyncio.TimerHandle] = {}
+        self._turns = TurnKeeper(instance)
         self._told_by_endpoint: dict[str, tuple[dict[Weights, int], float]] = {}
         self._news_due = 0.0
         self._news_wanted = False
@@ -159,7 +154,7 @@
     def _drop_holder(self, endpoint: str) -> None:
         holder = self._holders_by_endpoint.pop(endpoint)
         holder.close()
-        self._pacers_by_endpoint.pop(endpoint, None)
+        self._turns.drop(endpoint)
         self._told_by_endpoint.pop(endpoint, None)
         log_event("claim_lost", endpoint=endpoint)
         for number in list(holder.places.asks_by_number):
@@ -239,7 +234,7 @@
             self._claims.own_by_endpoint[endpoint].term,
             held=held if full else (),
             running=places.running,
-            pending_tokens=self._count_pending(endpoint),
+            pending_tokens=self._turns.count_pending(endpoint),
             places_free=max(0, places.places - places.count_taken()),
             unchanged=not full,
         )
@@ -299,10 +294,8 @@
             holder = self._holders_by_endpoint.get(endpoint.endpoint)
             if holder is None:
                 continue
-            pacer = self._pacers_by_endpoint.get(endpoint.endpoint)
-            if pacer is not None and endpoint.tokens_per_s:
-                pacer.note_speed(endpoint.tokens_per_s)
-                self._speeds_by_service[holder.record.service] = pacer.tokens_per_s
+            if endpoint.tokens_per_s:
+                self._turns.note_speed(holder.record, endpoint.tokens_per_s)
             for use in endpoint.uses:
                 weights = Weights(use.model, use.adapter)
                 holder.places.note_use(sender, weights, use.running, use.begun, now)
@@ -338,75 +331,9 @@
             answer = LoadAnswer(ended.loaded, ended.detail, version=ended.version)
             get_peer_link(self.instance).answer(question, answer)
 
-    # Prompts.
-
     def _take_prompt(self, message: PeerMessage, ask: AdmitAsk) -> None:
-        link = get_peer_link(self.instance)
         holder = self._holders_by_endpoint.get(ask.endpoint)
         if holder is None or not self._holds(ask.endpoint):
-            link.answer(message, AdmitAnswer(False))
-            return
-        pacer = self._pacers_by_endpoint.get(ask.endpoint)
-        if pacer is None:
-            service = holder.record.service
-            pacer = PromptPacer(self._get_window_s(service))
-            pacer.tokens_per_s = self._speeds_by_service.get(
-                service, PROMPT_TOKENS_PER_S
-            )
-            self._pacers_by_endpoint[ask.endpoint] = pacer
-        number = next(self._ask_numbers)
-        self._paced_questions[number] = message
-        now = self.instance.now()
-        pacer.ask(
-            Prompt(
-                number,
-                ask.tokens,
-                ask.priority,
-                now + ask.on_time_ms / 1000,
-                now + ask.patience_ms / 1000,
-            )
-        )
-        self._step_pacer(ask.endpoint)
-
-    def _step_pacer(self, endpoint: str) -> None:
-        timer = self._pace_timers.pop(endpoint, None)
-        if timer is not None:
-            timer.cancel()
-        pacer = self._pacers_by_endpoint.get(endpoint)
-        if pacer is None:
+            get_peer_link(self.instance).answer(message, AdmitAnswer(False))
             return
-        now = self.instance.now()
-        link = get_peer_link(self.instance)
-        for turn in pacer.step(now):
-            answer = AdmitAnswer(
-                turn.granted,
-                pacer.count_pending(now),
-                int(pacer.estimate_wait_s() * 1000),
-            )
-            link.answer(self._paced_questions.pop(turn.number), answer)
-            self.instance.metrics.count(
-                f"turn.{'granted' if turn.granted else 'refused'}"
-            )
-        due = pacer.get_next_step()
-        if due < float("inf"):
-            loop = asyncio.get_running_loop()
-            self._pace_timers[endpoint] = loop.call_later(
-                max(0.001, due - now), self._step_pacer, endpoint
-            )
-
-    def _get_window_s(self, service: str) -> float:
-        """Return the shortest pause that callers of a service accept."""
-        catalog = self.instance.bus.latest(Catalog)
-        if catalog is None or catalog.configuration is None:
-            return DEFAULT_WINDOW_S
-        gaps = [
-            route.gap_target_s
-            for route in catalog.configuration.routes
-            if route.gap_target_s
-            and any(target.service == service for target in route.targets)
-        ]
-        return min(gaps, default=DEFAULT_WINDOW_S)
-
-    def _count_pending(self, endpoint: str) -> int:
-        pacer = self._pacers_by_endpoint.get(endpoint)
-        return pacer.count_pending(self.instance.now()) if pacer else 0
+        self._turns.take(message, ask, holder.record)
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -119,6 +119,10 @@
             turns.append(self._take(last, granted=False))
         return turns
 
+    def drain(self) -> list[Turn]:
+        """Grant all that waits: nobody keeps this engine's turns any more."""
+        return [self._take(prompt, granted=True) for prompt in list(self._waiting)]
+
     def _rank(self, prompt: Prompt, now: float) -> tuple[bool, int, int]:
         return now > prompt.on_time_until, prompt.priority, prompt.number
 
--- a/tests/components/placement/test_pacing.py
+++ b/tests/components/placement/test_pacing.py
@@ -112,6 +112,18 @@
         assert pacer.get_next_step() == 0.1
         assert refused(pacer.step(0.1)) == [2]
 
+    def test_what_waits_goes_when_nobody_keeps_the_turns(self):
+        """Prompts waited for two seconds while the engine was idle.
+
+        Its holder had given it up, and did not answer what waited with it.
+        """
+        pacer = make_pacer()
+        for number in range(4):
+            pacer.ask(make_prompt(number))
+        pacer.step(0.0)
+        assert granted(pacer.drain()) == [2, 3]
+        assert pacer.waiting_tokens == 0
+
     @given(st.lists(st.tuples(st.integers(1, 9000), st.integers(0, 9))))
     def test_each_prompt_is_decided_once(self, asked):
         pacer = make_pacer()
