--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -20,6 +20,9 @@
 # Endpoints. A connection in the same region stands after a few milliseconds;
 # one that does not goes to a machine without power, or behind a cut.
 CONNECT_TIMEOUT_S: Final = 0.25
+# The pause after a connection that could not be made, growing with each.
+UNSENT_PAUSE_S: Final = 0.02
+MAX_UNSENT_PAUSE_S: Final = 0.3
 # A kept connection is used for so much less than the endpoint says it keeps
 # it, and so long if it says nothing.
 KEEP_MARGIN_S: Final = 1.0
--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -4,7 +4,6 @@
 
 from fescuekeel.components.forward.const import (
     LOAD_ASK_TIMEOUT_S,
-    NO_HOLDER_POLL_S,
     SPREAD_PERIOD_S,
 )
 from fescuekeel.core import Instance
@@ -59,7 +58,6 @@
         board = self._instance.bus.latest(PlacementBoard)
         holder = board.holders_by_endpoint.get(endpoint) if board else None
         if holder is None:
-            await asyncio.sleep(NO_HOLDER_POLL_S)
             return "no holder"
         ask = LoadAsk(
             endpoint, weights.model, weights.adapter, version, priority, spread
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -13,6 +13,7 @@
 from fescuekeel.components.forward.const import (
     LOAD_WAIT_SHARE,
     MAX_TURN_REFUSALS,
+    NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     READING_S,
     RETRY_FROM_S,
@@ -95,6 +96,9 @@
                 detail = await self._wait_for_load(request, choice, until)
                 if detail == LOADS_WAIT or self._instance.now() >= until:
                     return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
+                if detail:
+                    # The next holder may be known in a moment.
+                    await asyncio.sleep(NO_HOLDER_POLL_S)
                 continue
             if request.weights is None:
                 return choice
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -17,7 +17,9 @@
     KEEP_MARGIN_S,
     KEEP_UNSAFE_S,
     KEEP_UNSAID_S,
+    MAX_UNSENT_PAUSE_S,
     MIN_SEND_S,
+    UNSENT_PAUSE_S,
 )
 from fescuekeel.components.forward.events import EventSplitter
 from fescuekeel.errors import ErrorKind, Failure
@@ -110,6 +112,7 @@
         task.cancel()
 
     async def _serve(self) -> None:
+        unsent = 0
         while True:
             choice = await self.forwarder.place(self)
             if isinstance(choice, Failure):
@@ -122,6 +125,11 @@
             if step.spends and not self.forwarder.spend_retry(self, end):
                 await self._give_up(step.kind, "budget")
                 return
+            if end is AttemptEnd.UNSENT:
+                # Guards against hammering endpoints that all refuse
+                # connections: it shows as a new try every millisecond.
+                unsent += 1
+                await asyncio.sleep(min(MAX_UNSENT_PAUSE_S, UNSENT_PAUSE_S * unsent))
             if step.step in (Step.AGAIN, Step.RESUME):
                 continue
             await self._give_up(step.kind, end.value)
