Keep the dialect's loading with its protocol; drop settings that nothing reads

Cause: reading the diff: three components imported the catalog to reach the dialect, and drain_s and config_apply_s were settings without an effect. Change: get_dialect stands beside the protocol; the two settings are gone.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -1,9 +1,7 @@
 """The tasks that read the store and pass on to peers what it said."""
 
 import asyncio
-import importlib
 import random
-import sys
 
 from fescuekeel.components.catalog.const import (
     ASK_TIMEOUT_S,
@@ -17,7 +15,7 @@
 from fescuekeel.components.catalog.items import ItemStore
 from fescuekeel.components.catalog.view import CatalogView
 from fescuekeel.core import Instance
-from fescuekeel.helpers.dialect import DIALECTS, Dialect, SourceReply
+from fescuekeel.helpers.dialect import SourceReply, get_dialect
 from fescuekeel.helpers.exchange import (
     AnswerBrokenError,
     Connection,
@@ -37,18 +35,7 @@
     PeerMessage,
 )
 
-__all__ = ["CatalogFollower", "get_dialect"]
-
-
-def get_dialect(instance: Instance) -> Dialect:
-    """Return the dialect that the settings name; import it if need be."""
-    platform = instance.settings.platform
-    if platform.dialect not in DIALECTS.dialects_by_name:
-        if platform.dialect_path and platform.dialect_path not in sys.path:
-            # At the end, so that nothing in the folder hides a known module.
-            sys.path.append(platform.dialect_path)
-        importlib.import_module(platform.dialect_module)
-    return DIALECTS.dialects_by_name[platform.dialect]
+__all__ = ["CatalogFollower"]
 
 
 class CatalogFollower:
@@ -56,7 +43,7 @@
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
-        self._dialect = get_dialect(instance)
+        self._dialect = get_dialect(instance.settings.platform)
         self._items = ItemStore()
         self._view = CatalogView(self._dialect)
         self._follower = Follower(self._items)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -5,7 +5,6 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from fescuekeel.components.catalog.component import get_dialect
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
 from fescuekeel.components.forward.budget import RetryBudget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
@@ -27,7 +26,7 @@
 from fescuekeel.components.forward.use import UseReporter
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.dialect import CallerHead
+from fescuekeel.helpers.dialect import CallerHead, get_dialect
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.placement import PlacementBoard
@@ -50,7 +49,7 @@
         settings = instance.settings
         bounds = settings.forwarding
         self.instance = instance
-        self.dialect = get_dialect(instance)
+        self.dialect = get_dialect(instance.settings.platform)
         self.server = CallersServer(self, settings.callers.address)
         self.ready_server = ReadyServer(
             self, bounds.ready_address, self.dialect.ready_path
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -4,7 +4,6 @@
 import itertools
 from typing import Any
 
-from fescuekeel.components.catalog.component import get_dialect
 from fescuekeel.components.placement.claims import Claims
 from fescuekeel.components.placement.const import (
     DOMAIN,
@@ -18,6 +17,7 @@
 from fescuekeel.components.placement.places import Ask, AskEnded, EndpointPlaces
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
+from fescuekeel.helpers.dialect import get_dialect
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
@@ -143,7 +143,7 @@
             )
             self._holders_by_endpoint[id] = EndpointHolder(
                 self.instance,
-                get_dialect(self.instance),
+                get_dialect(self.instance.settings.platform),
                 self._claims,
                 record,
                 places,
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -6,8 +6,10 @@
     DIALECTS.register("mine", MyDialect())
 """
 
+import importlib
+import sys
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
@@ -18,16 +20,19 @@
     PublishedItem,
     Weights,
 )
+from fescuekeel.helpers.settings import PlatformSettings
 
 __all__ = [
     "DIALECTS",
     "AdapterVersion",
     "AnswerHead",
     "CallerHead",
+    "Decoded",
     "Dialect",
     "DialectRegistry",
     "EndpointReport",
     "Header",
+    "HttpCall",
     "OrderKind",
     "OrderReply",
     "PromptPart",
@@ -35,6 +40,7 @@
     "SourceReply",
     "SourceStatus",
     "WeightOrder",
+    "get_dialect",
 ]
 
 Header = tuple[str, str]
@@ -182,7 +188,7 @@
 
     method: str
     target: str
-    headers: tuple[Header, ...] = field(default=())
+    headers: tuple[Header, ...] = ()
     body: bytes = b""
 
 
@@ -249,3 +255,13 @@
 
 
 DIALECTS = DialectRegistry()
+
+
+def get_dialect(platform: PlatformSettings) -> Dialect:
+    """Return the dialect that the settings name; import it if need be."""
+    if platform.dialect not in DIALECTS.dialects_by_name:
+        if platform.dialect_path and platform.dialect_path not in sys.path:
+            # At the end, so that nothing in the folder hides a known module.
+            sys.path.append(platform.dialect_path)
+        importlib.import_module(platform.dialect_module)
+    return DIALECTS.dialects_by_name[platform.dialect]
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -128,19 +128,16 @@
     """The bounds that the platform sets for forwarding.
 
     ``lease_s`` is how long two holders of orders to one endpoint keep apart.
-    ``drain_s`` is when a leaving endpoint must get nothing more. The retry
-    budget is shared by all instances: ``retry_ratio`` of the requests in
-    ``retry_window_s``, and ``retry_slack`` more.
+    The retry budget is shared by all instances: ``retry_ratio`` of the
+    requests in ``retry_window_s``, and ``retry_slack`` more.
     """
 
     ready_address: str = ""
     metrics_address: str = ""
     lease_s: float = Field(default=3.0, gt=0)
-    drain_s: float = Field(default=2.0, gt=0)
     retry_ratio: float = Field(default=0.2, ge=0)
     retry_slack: float = Field(default=10.0, ge=0)
     retry_window_s: float = Field(default=10.0, gt=0)
-    config_apply_s: float = Field(default=2.0, gt=0)
 
 
 class Settings(Section):
