--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -26,6 +26,7 @@
 from fescuekeel.components.forward.versions import VersionClock
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
@@ -93,7 +94,18 @@
             if choice is None:
                 return failure
             if choice.needs_load:
+                asked = self._instance.now()
                 detail = await self._wait_for_load(request, choice, until)
+                log_event(
+                    "load_waited",
+                    request_id=request.head.request_id,
+                    endpoint=choice.endpoint,
+                    weights=str(request.weights),
+                    version=choice.version or 0,
+                    cost_ms=round(choice.cost_s * 1000),
+                    waited_ms=round((self._instance.now() - asked) * 1000),
+                    outcome=detail or "loaded",
+                )
                 if detail == LOADS_WAIT or self._instance.now() >= until:
                     return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
                 if detail:
--- /dev/null
+++ b/standins/forwarding/sample.py
@@ -0,0 +1,245 @@
+"""Run the forwarding interface on loopback and send it a sample load."""
+
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import fire
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+from standins.fleet import free_addresses
+from standins.forwarding.platform import (
+    ENGINES,
+    HOST,
+    MODEL,
+    PLAIN,
+    ZONES,
+    StandInPlatform,
+)
+from standins.journals import Doubled
+from standins.load import Result, SampleRequest, Verdict
+from standins.table import format_summary, format_table
+
+__all__ = ["main"]
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+INSTANCES_PER_ZONE = 2
+REQUESTS = 200
+REQUESTS_PER_S = 25.0
+ADAPTERS = 12
+TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 20.0
+REFUSALS = frozenset({408, 421, 429, 503})
+SETTINGS = """\
+[instance]
+id = {id}
+data_centre = {zone}
+shutdown_s = 2
+
+[callers]
+address = {callers}
+
+[operators]
+address = {operators}
+token_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+
+[peers]
+address = {peers}
+keys = a-secret-of-this-run-only
+seeds = {seeds}
+
+[platform]
+dialect = platform
+dialect_path = {dialect_path}
+dialect_module = fescuekeel_platform
+store = {store}
+
+[forwarding]
+ready_address = {ready}
+lease_s = 1
+"""
+
+
+class SampleRun:
+    """A stand-in platform in this process, and daemons before it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.platform = StandInPlatform()
+        self.callers: list[str] = []
+        self.ready: list[str] = []
+        self._folder = folder
+        self._processes: list[asyncio.subprocess.Process] = []
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=1000)
+
+    async def start(self) -> None:
+        """Start everything and wait until all instances are ready."""
+        self.platform.start()
+        zones = [zone for zone in ZONES for _ in range(INSTANCES_PER_ZONE)]
+        addresses = free_addresses(4 * len(zones))
+        seeds = ",".join(addresses[2::4][:2])
+        for number, zone in enumerate(zones):
+            callers, operators, peers, ready = addresses[4 * number : 4 * number + 4]
+            settings = SETTINGS.format(
+                id=f"i{number + 1}",
+                zone=zone,
+                callers=callers,
+                operators=operators,
+                peers=peers,
+                ready=ready,
+                seeds=seeds,
+                dialect_path=ROOT / "platform",
+                store=self.platform.store_server.address,
+            )
+            await self._start_daemon(f"i{number + 1}", settings)
+            self.callers.append(callers)
+            self.ready.append(ready)
+        for address in self.ready:
+            await self._wait_until_ready(address)
+
+    async def _start_daemon(self, id: str, settings: str) -> None:
+        path = self._folder / f"{id}.ini"
+        path.write_text(settings, "utf-8")
+        with (self._folder / f"{id}.log").open("wb") as sink:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "fescuekeel.daemon",
+                str(path),
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+            )
+        self._processes.append(process)
+
+    async def _wait_until_ready(self, address: str) -> None:
+        until = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until:
+            try:
+                await self._client.fetch(f"http://{address}/readyz")
+                return
+            except (HTTPClientError, OSError):
+                await asyncio.sleep(0.1)
+        raise SystemExit(f"no instance became ready at {address}")
+
+    async def send(self, request: SampleRequest) -> Result:
+        """Send one request when it is due and check its answer."""
+        await asyncio.sleep(request.due_s)
+        headers = {
+            "Host": HOST,
+            "Fescuekeel-Request-Id": request.marker,
+            "Fescuekeel-Deadline-Ms": str(int(request.timeout_s * 1000)),
+        }
+        if request.model:
+            headers["Fescuekeel-Model"] = request.model
+            headers["Fescuekeel-Token-Count"] = "500,20"
+        began = time.monotonic()
+        address = random.choice(self.callers)
+        result = Result(request, Verdict.LOST)
+        try:
+            answer = await self._client.fetch(
+                f"http://{address}{request.path}",
+                method=request.method,
+                headers=headers,
+                body=b"" if request.method == "POST" else None,
+                raise_error=False,
+                request_timeout=request.timeout_s + 1,
+            )
+        except (HTTPClientError, OSError) as error:
+            result.detail = repr(error)
+            return result
+        result.first_s = time.monotonic() - began
+        if answer.code == 200:
+            result.verdict = Verdict.ANSWERED
+        elif answer.code in REFUSALS:
+            result.verdict, result.kind = Verdict.REFUSED, str(answer.code)
+        else:
+            result.detail = f"status {answer.code}"
+        return result
+
+    def find_doubled(self, results: list[Result]) -> list[Doubled]:
+        """Return requests that ran twice, or ran although refused."""
+        doubled = []
+        for result in results:
+            runs = sum(
+                worker.runs[result.request.marker]
+                for worker in self.platform.workers_by_id.values()
+            )
+            refused = result.verdict is Verdict.REFUSED
+            if runs > (0 if refused else 1) and not result.request.repeatable:
+                doubled.append(Doubled(result.request.marker, f"ran {runs} times"))
+        return doubled
+
+    async def stop(self) -> None:
+        """End the daemons, then the platform."""
+        for process in self._processes:
+            if process.returncode is None:
+                process.terminate()
+        for process in self._processes:
+            await process.wait()
+        await self.platform.stop()
+
+
+def make_plan() -> list[SampleRequest]:
+    """Return a mixed load; a few adapters get most of the prompts."""
+    plan = []
+    for number in range(REQUESTS):
+        route = random.choice(("lookup", "charge", "script", "script", "explain"))
+        stream = route in ("script", "explain")
+        adapter = min(int(random.paretovariate(1.0)), ADAPTERS)
+        plan.append(
+            SampleRequest(
+                marker=f"{number:016x}",
+                shop=HOST,
+                service=route,
+                token="",
+                due_s=number / REQUESTS_PER_S,
+                timeout_s=TIMEOUT_S,
+                repeatable=route in ("lookup", "explain"),
+                model=f"{MODEL}/a{adapter}" if stream else "",
+                stream=stream,
+                method="GET" if route == "lookup" else "POST",
+                path=f"/{route}/{number}",
+            )
+        )
+    return plan
+
+
+async def run(folder: Path) -> int:
+    """Run everything; return the exit code."""
+    sample = SampleRun(folder)
+    try:
+        print(f"starting a platform of stand-ins ({ENGINES}, {PLAIN})", flush=True)
+        await sample.start()
+        print(f"{len(sample.callers)} instances are ready", flush=True)
+        results = list(
+            await asyncio.gather(*(sample.send(request) for request in make_plan()))
+        )
+        doubled = sample.find_doubled(results)
+        overrun = [id for id, w in sample.platform.workers_by_id.items() if w.overrun]
+    finally:
+        await sample.stop()
+    print(format_table(results))
+    for id in overrun:
+        print(f"overrun {id}: it was ordered to hold more than it has places for")
+    print(format_summary(results, doubled))
+    lost = any(result.verdict is Verdict.LOST for result in results)
+    return 1 if lost or doubled or overrun else 0
+
+
+def start() -> None:
+    """Send the sample load and print a table."""
+    with tempfile.TemporaryDirectory(prefix="fescuekeel-") as folder:
+        raise SystemExit(asyncio.run(run(Path(folder))))
+
+
+def main() -> None:
+    """Read the command line."""
+    fire.Fire(start, name="run")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/test_explain.py
@@ -0,0 +1,122 @@
+"""Tests that a failed request's cause can be found from the logs alone."""
+
+import ast
+import asyncio
+import re
+from contextlib import contextmanager
+from pathlib import Path
+
+from eliot import add_destinations, remove_destination
+
+from fescuekeel.helpers.logging import format_line
+from fescuekeel.helpers.trace import gather
+from standins.forwarding.platform import ENGINES, PLAIN
+from tests.platform.test_path import World, run, start_world
+
+ROOT = Path(__file__).parent.parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text("utf-8")
+COMPONENTS = ("catalog", "forward", "placement")
+
+
+@contextmanager
+def recorded():
+    """Collect the lines that all instances of this process log."""
+    lines = []
+
+    def keep(message):
+        lines.append(format_line(message))
+
+    add_destinations(keep)
+    try:
+        yield lines
+    finally:
+        remove_destination(keep)
+
+
+class TestCauses:
+    def test_refusal_before_any_configuration(self):
+        """A caller was refused although every endpoint was idle.
+
+        Its instance had just started while the store turned it away.
+        """
+
+        async def work():
+            world = World()
+            world.platform.start()
+            world.platform.store.refuse = 503
+            instance = await world.start_instance()
+            try:
+                with recorded() as lines:
+                    answer, id = await world.ask("/lookup/x")
+                    assert answer.code == 503
+                    await asyncio.sleep(0.01)
+                trace = gather(id, [("i1.log", lines)])
+                assert "knew no configuration" in trace.cause
+            finally:
+                await instance.stop()
+                await world.platform.stop()
+
+        run(work)
+
+    def test_stream_that_stopped_midway(self):
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.cut = 1
+                with recorded() as lines:
+                    number = "0000000000000001"
+                    try:
+                        await world.ask_stream(adapter="")
+                    except Exception as error:
+                        assert "closed" in str(error).lower()
+                    await asyncio.sleep(0.05)
+                trace = gather(number, [("i1.log", lines)])
+                assert "broke off midway" in trace.cause
+                events = [line.event for line in trace.own]
+                assert "answer_broken" in events
+                assert events[-1] == "request_ended"
+
+        run(work)
+
+    def test_unknown_outcome_of_a_charge(self):
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.misbehaviour.down = True
+                with recorded() as lines:
+                    answer, id = await world.ask("/charge/x", method="POST")
+                    assert answer.code == 502
+                    await asyncio.sleep(0.01)
+                trace = gather(id, [("i1.log", lines)])
+                assert "may have run" in trace.cause
+                by_event = {line.event: line for line in trace.own}
+                assert by_event["answer_broken"].fields["kept"] == "False"
+
+        run(work)
+
+
+class TestEvents:
+    def list_events(self):
+        """Return the names of all events that the code logs."""
+        names = set()
+        paths = [ROOT / "fescuekeel" / "daemon.py"]
+        for component in COMPONENTS:
+            paths += (ROOT / "fescuekeel" / "components" / component).glob("*.py")
+        for path in paths:
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                called = isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
+                if not called or node.func.id != "log_event":
+                    continue
+                names |= {
+                    part.value
+                    for part in ast.walk(node.args[0])
+                    if isinstance(part, ast.Constant)
+                }
+        return names
+
+    def test_each_event_is_on_the_page(self):
+        """An on-call engineer met a line that no page explains."""
+        named = set(re.findall(r"`([a-z_]+)`", PAGE))
+        events = self.list_events()
+        assert len(events) > 15
+        assert events - named == set()
