--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -100,7 +100,6 @@
     running: int = 0
     token_s: float = TOKEN_S
     service_s: float = 0.02
-    told_tokens: int = 0
     told_running: int = 0
     running_by_weights: dict[Weights, int] = field(default_factory=dict)
     begun_by_weights: dict[Weights, int] = field(default_factory=dict)
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -48,8 +48,7 @@
     What is told is remembered, so that it is not counted twice when the
     holder tells all instances the sum.
     """
-    idle = not load.running and not load.told_running and not load.begun_by_weights
-    if idle and not load.told_tokens:
+    if not load.running and not load.told_running and not load.begun_by_weights:
         return None
     weights = load.running_by_weights.keys() | load.begun_by_weights.keys()
     uses = tuple(
@@ -65,5 +64,4 @@
     load.speeds.clear()
     load.begun_by_weights.clear()
     load.told_running = max(0, load.running)
-    load.told_tokens = max(0, load.pending_tokens)
-    return EndpointUse(endpoint, load.told_tokens, load.told_running, uses, speed)
+    return EndpointUse(endpoint, load.told_running, uses, speed)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -14,7 +14,8 @@
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
-from fescuekeel.components.placement.places import Ask, AskEnded, EndpointPlaces
+from fescuekeel.components.placement.model import Ask, AskEnded
+from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.dialect import get_dialect
@@ -39,10 +40,6 @@
 
 # How long ago the last order was, where none was given at all.
 LONG_QUIET_S = 3600.0
-# Retry hint of an ask that found no holder here, in milliseconds.
-NOT_HOLDER_RETRY_MS = 300
-# The same where too many loads wait already, and what the asker is told.
-FULL_RETRY_MS = 1000
 
 
 class PlacementActor(Actor):
@@ -235,7 +232,6 @@
             held=held if full else (),
             running=places.running,
             pending_tokens=self._turns.count_pending(endpoint),
-            places_free=max(0, places.places - places.count_taken()),
             unchanged=not full,
         )
 
@@ -303,12 +299,12 @@
     def _take_ask(self, message: PeerMessage, ask: LoadAsk) -> None:
         holder = self._holders_by_endpoint.get(ask.endpoint)
         if holder is None or not self._holds(ask.endpoint):
-            answer = LoadAnswer(False, "not the holder", NOT_HOLDER_RETRY_MS)
+            answer = LoadAnswer(False, "not the holder")
             get_peer_link(self.instance).answer(message, answer)
             return
         weights = Weights(ask.model, ask.adapter)
         if not holder.places.has_room_to_ask(weights, ask.spread):
-            answer = LoadAnswer(False, LOADS_WAIT, FULL_RETRY_MS)
+            answer = LoadAnswer(False, LOADS_WAIT)
             get_peer_link(self.instance).answer(message, answer)
             return
         number = next(self._ask_numbers)
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -9,12 +9,9 @@
     LOOK_PERIOD_S,
     TICK_S,
 )
+from fescuekeel.components.placement.model import AskEnded, GiveOrder
 from fescuekeel.components.placement.orders import OrderLink
-from fescuekeel.components.placement.places import (
-    AskEnded,
-    EndpointPlaces,
-    GiveOrder,
-)
+from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import Dialect, OrderReply, WeightOrder
 from fescuekeel.helpers.logging import log_event
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -35,7 +35,6 @@
     "HttpCall",
     "OrderKind",
     "OrderReply",
-    "PromptPart",
     "SendHead",
     "SourceReply",
     "SourceStatus",
@@ -46,14 +45,6 @@
 Header = tuple[str, str]
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """A part of a prompt that other requests may share."""
-
-    id: str
-    tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class CallerHead:
     """What the head of a caller's request says.
@@ -67,8 +58,6 @@
     time_left_s: float | None = None
     weights: Weights | None = None
     prompt_tokens: int = 0
-    max_output_tokens: int = 0
-    prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: str = ""
 
 
--- a/fescuekeel/helpers/exchange.py
+++ b/fescuekeel/helpers/exchange.py
@@ -271,7 +271,6 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self.opened = 0
         self._idle: list[tuple[Connection, float]] = []
 
     def take(self, now: float) -> Connection | None:
@@ -285,7 +284,6 @@
 
     async def open(self, timeout_s: float) -> Connection:
         """Open a new connection; raise ``NotConnectedError``."""
-        self.opened += 1
         return await connect(self.address, timeout_s)
 
     def give_back(self, connection: Connection, until: float) -> None:
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -22,7 +22,6 @@
     held: dict[Weights, int]
     running: int
     pending_tokens: int
-    places_free: int
 
 
 @dataclass(slots=True)
@@ -55,7 +54,6 @@
             held,
             state.running,
             state.pending_tokens,
-            state.places_free,
         )
 
     def note_held(self, endpoint: str, weights: Weights, version: int) -> None:
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -83,7 +83,6 @@
     held: tuple[HeldWeights, ...] = ()
     running: int = 0
     pending_tokens: int = 0
-    places_free: int = 0
     unchanged: bool = False
 
 
@@ -117,7 +116,6 @@
     """
 
     endpoint: str
-    pending_tokens: int
     running: int
     uses: tuple[WeightUse, ...] = ()
     tokens_per_s: int = 0
@@ -155,7 +153,6 @@
 
     loaded: bool
     detail: str = ""
-    retry_after_ms: int = 0
     version: int = 0
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -173,17 +173,15 @@
   held @4 :List(HeldWeights);
   running @5 :UInt32;
   pendingTokens @6 :UInt32;
-  placesFree @7 :UInt32;
-  unchanged @8 :Bool;
+  unchanged @7 :Bool;
 }
 struct PlacementNews { states @0 :List(PlacementState); }
 struct WeightUse { model @0 :Text; adapter @1 :Text; running @2 :UInt32; begun @3 :UInt32; }
 struct EndpointUse {
   endpoint @0 :Text;
-  pendingTokens @1 :UInt32;
-  running @2 :UInt32;
-  uses @3 :List(WeightUse);
-  tokensPerS @4 :UInt32;
+  running @1 :UInt32;
+  uses @2 :List(WeightUse);
+  tokensPerS @3 :UInt32;
 }
 struct UseNews { endpoints @0 :List(EndpointUse); }
 struct LoadAsk {
@@ -197,8 +195,7 @@
 struct LoadAnswer {
   loaded @0 :Bool;
   detail @1 :Text;
-  retryAfterMs @2 :UInt32;
-  version @3 :UInt64;
+  version @2 :UInt64;
 }
 struct AdmitAsk {
   endpoint @0 :Text;
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -26,7 +26,7 @@
 
 def make_state(held=(), tokens=0, version=1):
     known = {MODEL: 1} | dict.fromkeys(held, version)
-    return EndpointState("i1", 1, NOW, known, 0, tokens, 3)
+    return EndpointState("i1", 1, NOW, known, 0, tokens)
 
 
 def ask(weights=CARDS, tokens=1000, newest=0, oldest=0):
--- a/tests/components/placement/test_places.py
+++ b/tests/components/placement/test_places.py
@@ -4,12 +4,8 @@
 from hypothesis import given, settings
 
 from fescuekeel.components.placement.const import MAX_PENDING, UNLOAD_DELAY_S
-from fescuekeel.components.placement.places import (
-    Ask,
-    AskEnded,
-    EndpointPlaces,
-    GiveOrder,
-)
+from fescuekeel.components.placement.model import Ask, AskEnded, GiveOrder
+from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -108,8 +108,8 @@
         )
         assert head.request_id == "9c41"
         assert head.weights == Weights("m", "a7")
-        assert (head.prompt_tokens, head.max_output_tokens) == (1460, 80)
-        assert [part.tokens for part in head.prompt_parts] == [800, 410]
+        assert head.prompt_tokens == 1460
+        assert ("Fescuekeel-Prompt-Prefix", "5c1e:800,91bd:410") in head.headers
         assert head.time_left_s == 2.5
 
     @pytest.mark.parametrize(
