Reset connections that are given up

The old holder had given up its last orders behind the cut by an ordinary close, after which the kernel goes on sending what was written: once the cut heals, such an order arrives and takes a place that the new holder's count does not have.

Change: a connection that is closed before its exchange has ended is reset, which drops what was not delivered. The test fails without it.

--- a/fescuekeel/helpers/exchange.py
+++ b/fescuekeel/helpers/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -33,6 +34,8 @@
 # The kernel gives a connection up when sent data stays unacknowledged for so
 # long, which a machine without power or behind a cut shows in no other way.
 TCP_USER_TIMEOUT_MS = 3000
+# Lingering is on, for no time at all: closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # A response head longer than this is not a response.
 MAX_HEAD_BYTES = 64 * 1024
 # An answer that is read whole, such as a report or a page, stays below this.
@@ -244,9 +247,19 @@
         return True
 
     def close(self) -> None:
-        """Close at once, which stops the work at an endpoint."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Reset the connection, which stops the work at an endpoint.
+
+        Guards against bytes that outlive their sender's patience: behind a
+        cut the kernel goes on sending what was written before an ordinary
+        close, so that an order or a request that was given up arrives once
+        the cut heals. A reset drops them.
+        """
+        if self._transport is None:
+            return
+        raw = self._transport.get_extra_info("socket")
+        if raw is not None and raw.fileno() >= 0:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._transport.abort()
 
 
 async def connect(address: str, timeout_s: float) -> Connection:
--- a/tests/helpers/test_exchange.py
+++ b/tests/helpers/test_exchange.py
@@ -187,3 +187,34 @@
                 assert not connection.usable
 
         run(work())
+
+
+class TestClose:
+    def test_what_was_not_delivered_is_dropped(self):
+        """An engine was ordered to hold more than it has places for.
+
+        An order was given up behind a cut, and its endpoint passed to another
+        holder. When the cut healed, the kernel delivered the old order, which
+        the new holder's count did not have.
+        """
+
+        async def work():
+            ended = asyncio.get_running_loop().create_future()
+
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                try:
+                    ended.set_result(await reader.read())
+                except ConnectionResetError:
+                    ended.set_result("reset")
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            connection = await connect(f"127.0.0.1:{port}", 1.0)
+            connection.send("GET", "/", HEADERS, b"")
+            await asyncio.sleep(0.05)
+            connection.close()
+            assert await ended == "reset"
+            server.close()
+
+        run(work())
