Let two instances of a data centre watch the store, and the others learn

Change: a data centre's first two instances by rank watch and tell neighbours twice a second and at each change; who hears none for 1.2 s watches itself. Values over 1 KB travel compressed. A peer that does not know all removals since the asker's revision now answers with all that is published: before, an instance that was behind and asked one that had just listed kept endpoints that were gone. Removals that may have lapsed are told as such.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import random
+import zlib
 
 from fescuekeel.components.catalog.const import (
     ASK_TIMEOUT_S,
     BEHIND_S,
+    COMPRESS_BYTES,
     CONNECT_TIMEOUT_S,
     DOMAIN,
+    DUTY_POLL_S,
     NEWS_FANOUT,
     NEWS_PERIOD_S,
 )
+from fescuekeel.components.catalog.duty import WatchDuty
 from fescuekeel.components.catalog.follower import Follower, ListPage, WatchChanges
 from fescuekeel.components.catalog.items import ItemStore
 from fescuekeel.components.catalog.view import CatalogView
@@ -47,6 +51,8 @@
         self._items = ItemStore()
         self._view = CatalogView(self._dialect)
         self._follower = Follower(self._items)
+        self._duty = WatchDuty(instance.id, instance.settings.instance.data_centre)
+        self._watching = True
         self._connection: Connection | None = None
         self._behind_since: float | None = None
         self._asking = False
@@ -69,6 +75,10 @@
     async def _follow_forever(self) -> None:
         while True:
             await asyncio.sleep(self._follower.pause_s)
+            self._note_duty()
+            if not self._watching:
+                await asyncio.sleep(DUTY_POLL_S)
+                continue
             call = self._follower.plan()
             before = self._follower.away
             reply = await self._call(call)
@@ -80,6 +90,20 @@
             if before != self._follower.away:
                 self._log_store(call)
             self._publish(changed, self._follower.returned_revision)
+            if changed:
+                self._tell(set())
+
+    def _note_duty(self) -> None:
+        must_watch = self._must_watch()
+        if must_watch == self._watching:
+            return
+        self._watching = must_watch
+        self._instance.metrics.count(f"catalog.watching.{must_watch}")
+        log_event(
+            "watch_duty_changed",
+            watching=must_watch,
+            revision=self._items.revision,
+        )
 
     def _log_store(self, call: ListPage | WatchChanges) -> None:
         log_event(
@@ -135,70 +159,134 @@
 
     # Peers.
 
+    def _must_watch(self) -> bool:
+        view = self._instance.bus.latest(MemberView)
+        members = view.members_by_id.values() if view else ()
+        return self._duty.must_watch(members, self._instance.now())
+
     async def _tell_forever(self) -> None:
-        link = get_peer_link(self._instance)
         while True:
             await asyncio.sleep(NEWS_PERIOD_S)
             self._publish([])
+            self._tell(self._choose_far_peers())
+
+    def _choose_far_peers(self) -> set[str]:
+        """Return whom to tell besides neighbours, at random.
+
+        What one data centre has learned reaches the others even where the
+        store turns away all instances of one of them.
+        """
+        view = self._instance.bus.latest(MemberView)
+        others = [
+            id for id in (view.members_by_id if view else ()) if id != self._own_id
+        ]
+        return set(random.sample(others, min(NEWS_FANOUT, len(others))))
+
+    def _tell(self, peers: set[str]) -> None:
+        """Tell peers the revision; a watcher tells all its neighbours, too."""
+        watching = self._watching and not self._follower.away
+        if watching:
             view = self._instance.bus.latest(MemberView)
-            others = [
-                id for id in (view.members_by_id if view else ()) if id != self._own_id
-            ]
-            chosen = random.sample(others, min(NEWS_FANOUT, len(others)))
-            for peer in chosen:
-                link.send(peer, CatalogNews(self._items.revision))
+            members = view.members_by_id.values() if view else ()
+            peers = peers | set(self._duty.list_neighbours(members))
+        news = CatalogNews(self._items.revision, watching)
+        link = get_peer_link(self._instance)
+        for peer in peers:
+            link.send(peer, news)
 
     @property
     def _own_id(self) -> str:
         return self._instance.id
 
     def _hear_news(self, message: PeerMessage) -> None:
-        """Ask a peer that has known more for a while.
+        """Ask a peer that knows more.
 
-        Guards against a store that turns this instance away and serves the
-        others: a new configuration would never come into force here.
+        An instance that does not watch itself asks at once. One that does
+        asks only a peer that has known more for a while. Guards against a
+        store that turns this instance away and serves the others: a new
+        configuration would never come into force here.
         """
         assert isinstance(message.body, CatalogNews)
-        if message.body.revision <= self._items.revision:
+        news = message.body
+        now = self._instance.now()
+        if news.watching and self._is_neighbour(message.sender):
+            self._duty.note_watcher(message.sender, now)
+        if news.revision <= self._items.revision:
             self._behind_since = None
             return
-        now = self._instance.now()
         if self._behind_since is None:
             self._behind_since = now
-        behind_s = now - self._behind_since
-        if self._asking or (self._items.revision and behind_s < BEHIND_S):
+        patience_s = BEHIND_S if self._watching and self._items.revision else 0.0
+        if self._asking or now - self._behind_since < patience_s:
             return
         self._asking = True
         self._instance.spawn(self._ask(message.sender), f"{DOMAIN}.ask")
 
+    def _is_neighbour(self, peer: str) -> bool:
+        view = self._instance.bus.latest(MemberView)
+        member = view.members_by_id.get(peer) if view else None
+        return member is not None and member.data_centre == self._duty.data_centre
+
     async def _ask(self, peer: str) -> None:
+        since = self._items.revision
         try:
             link = get_peer_link(self._instance)
-            asked = CatalogAsk(self._items.revision)
-            answer = (await link.ask(peer, asked, ASK_TIMEOUT_S)).value_or(None)
+            answer = (await link.ask(peer, CatalogAsk(since), ASK_TIMEOUT_S)).value_or(
+                None
+            )
         finally:
             self._asking = False
         if not isinstance(answer, CatalogPart):
             return
-        items = [
-            PublishedItem(item.key, item.revision, None if item.gone else item.value)
-            for item in answer.items
-        ]
-        changed = self._items.merge(items, answer.revision)
+        items = [unpack_item(item) for item in answer.items]
+        if answer.whole:
+            changed = self._items.merge_listing(items, answer.revision)
+        else:
+            changed = self._items.merge(items, answer.revision)
         self._instance.metrics.count("catalog.from_peer")
         log_event(
             "catalog_from_peer",
             peer=peer,
+            since=since,
             revision=answer.revision,
             changed=len(changed),
+            whole=answer.whole,
         )
-        self._publish(changed)
+        self._publish(changed, answer.lapsed_until)
 
     def _answer_ask(self, message: PeerMessage) -> None:
         assert isinstance(message.body, CatalogAsk)
-        items = tuple(
-            CatalogItem(item.key, item.revision, item.value or b"", item.value is None)
-            for item in self._items.list_since(message.body.since)
+        since = message.body.since
+        # Guards against an endpoint that is gone for all but the asker: what
+        # was removed before our own listing shows only as missing from it.
+        whole = since < self._items.removals_known_from
+        items = self._items.list_all() if whole else self._items.list_since(since)
+        part = CatalogPart(
+            self._items.revision,
+            tuple(pack_item(item) for item in items),
+            whole,
+            self._follower.returned_revision,
         )
-        part = CatalogPart(self._items.revision, items)
         get_peer_link(self._instance).answer(message, part)
+
+
+def pack_item(item: PublishedItem) -> CatalogItem:
+    """Return an item as it travels between instances."""
+    value = item.value or b""
+    packed = len(value) > COMPRESS_BYTES
+    if packed:
+        value = zlib.compress(value, level=1)
+    return CatalogItem(item.key, item.revision, value, item.value is None, packed)
+
+
+def unpack_item(item: CatalogItem) -> PublishedItem:
+    """Return an item as it was published.
+
+    >>> item = PublishedItem("a", 1, b"x" * 2000)
+    >>> unpack_item(pack_item(item)) == item
+    True
+    """
+    if item.gone:
+        return PublishedItem(item.key, item.revision, None)
+    value = zlib.decompress(item.value) if item.packed else item.value
+    return PublishedItem(item.key, item.revision, value)
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -27,6 +27,17 @@
 # How often a revision is told, and to how many peers.
 NEWS_PERIOD_S: Final = 0.5
 NEWS_FANOUT: Final = 3
+# How many instances of a data centre call the store, so that one may fail.
+WATCHERS: Final = 2
+# Without word from a watcher for so long, two of its periods and some delay,
+# an instance calls the store itself: well within the two seconds in which a
+# new configuration must be in force.
+WATCHER_SILENT_S: Final = 1.2
+# How often an instance that does not watch looks whether it has to.
+DUTY_POLL_S: Final = 0.1
+# A value longer than this travels compressed: a configuration with hundreds of
+# routes takes 100 KB, and a watcher sends it to every neighbour.
+COMPRESS_BYTES: Final = 1024
 # A peer that knows more for so long is asked: the own watch has failed.
 BEHIND_S: Final = 0.6
 ASK_TIMEOUT_S: Final = 1.0
--- a/fescuekeel/components/catalog/items.py
+++ b/fescuekeel/components/catalog/items.py
@@ -11,6 +11,9 @@
 class ItemStore:
     """Hold the latest state of each key and up to where it is complete.
 
+    Every removal after ``removals_known_from`` is known here: a listing shows
+    what there is, not what has gone before it.
+
     Items may come from the store, from a peer or from both, in any order:
     since each change has a revision of its own, the higher one is the later.
 
@@ -26,6 +29,7 @@
     def __init__(self) -> None:
         self.items_by_key: dict[str, PublishedItem] = {}
         self.revision = 0
+        self.removals_known_from = 0
 
     def merge(self, items: Iterable[PublishedItem], revision: int) -> list[str]:
         """Merge all changes up to a revision; return the keys that changed."""
@@ -51,6 +55,7 @@
                 self._put(PublishedItem(item.key, first, None), even=True)
                 changed.append(item.key)
         self.revision = max(self.revision, first)
+        self.removals_known_from = max(self.removals_known_from, first)
         return changed
 
     def list_since(self, revision: int) -> tuple[PublishedItem, ...]:
@@ -59,6 +64,12 @@
             item for item in self.items_by_key.values() if item.revision > revision
         )
 
+    def list_all(self) -> tuple[PublishedItem, ...]:
+        """Return all that is published."""
+        return tuple(
+            item for item in self.items_by_key.values() if item.value is not None
+        )
+
     def _put(self, item: PublishedItem, even: bool = False) -> bool:
         known = self.items_by_key.get(item.key)
         if known is not None:
@@ -76,3 +87,4 @@
         removed.sort(key=lambda item: item.revision)
         for item in removed[: len(removed) - MAX_REMOVED // 2]:
             del self.items_by_key[item.key]
+            self.removals_known_from = max(self.removals_known_from, item.revision)
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -26,19 +26,27 @@
 
 @dataclass(frozen=True, slots=True)
 class CatalogItem:
-    """One published value; ``gone`` says that the key was removed."""
+    """One published value; ``gone`` says that the key was removed.
+
+    With ``packed`` the value is compressed, by zlib.
+    """
 
     key: str
     revision: int
     value: bytes
     gone: bool = False
+    packed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class CatalogNews:
-    """Tell up to which revision the sender knows what is published."""
+    """Tell up to which revision the sender knows what is published.
+
+    ``watching`` says that it has this from the store, which answers it.
+    """
 
     revision: int
+    watching: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,10 +58,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CatalogPart:
-    """Answer with all changes after the revision asked for."""
+    """Answer with all changes after the revision asked for.
+
+    ``whole`` says that the items are all that is published: the sender does
+    not know what was removed since the revision asked for. What was removed
+    up to ``lapsed_until`` may have lapsed while the store was away.
+    """
 
     revision: int
     items: tuple[CatalogItem, ...] = ()
+    whole: bool = False
+    lapsed_until: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -160,10 +160,21 @@
   queued @4 :UInt32;
 }
 
-struct CatalogItem { key @0 :Text; revision @1 :UInt64; value @2 :Data; gone @3 :Bool; }
-struct CatalogNews { revision @0 :UInt64; }
+struct CatalogItem {
+  key @0 :Text;
+  revision @1 :UInt64;
+  value @2 :Data;
+  gone @3 :Bool;
+  packed @4 :Bool;
+}
+struct CatalogNews { revision @0 :UInt64; watching @1 :Bool; }
 struct CatalogAsk { since @0 :UInt64; }
-struct CatalogPart { revision @0 :UInt64; items @1 :List(CatalogItem); }
+struct CatalogPart {
+  revision @0 :UInt64;
+  items @1 :List(CatalogItem);
+  whole @2 :Bool;
+  lapsedUntil @3 :UInt64;
+}
 struct HeldWeights { model @0 :Text; adapter @1 :Text; version @2 :UInt64; }
 struct PlacementState {
   endpoint @0 :Text;
--- a/tests/components/catalog/test_follower.py
+++ b/tests/components/catalog/test_follower.py
@@ -3,6 +3,7 @@
 import hypothesis.strategies as st
 from hypothesis import given
 
+from fescuekeel.components.catalog.const import MAX_REMOVED
 from fescuekeel.components.catalog.follower import Follower, ListPage, WatchChanges
 from fescuekeel.components.catalog.items import ItemStore
 from fescuekeel.helpers.dialect import SourceReply, SourceStatus
@@ -55,6 +56,38 @@
         assert [known.key for known in store.list_since(3)] == ["b"]
 
 
+class TestRemovalsBeforeAListing:
+    """Requests went to an endpoint that had been gone for a minute.
+
+    An instance was behind and asked a peer that had just started. That one
+    knew of the entries that there were, not of one removed before, and its
+    answer was taken for all changes.
+    """
+
+    def test_listing_marks_from_where_removals_are_known(self):
+        store = ItemStore()
+        assert store.removals_known_from == 0
+        store.merge_listing([item("a", 3)], 7)
+        assert store.removals_known_from == 7
+        store.merge([item("b", 8, None)], 8)
+        assert store.removals_known_from == 7
+
+    def test_who_is_behind_a_listing_gets_all(self):
+        fresh, behind = ItemStore(), ItemStore()
+        fresh.merge_listing([item("a", 3)], 7)
+        behind.merge([item("a", 3), item("gone", 4)], 4)
+        assert behind.revision < fresh.removals_known_from
+        changed = behind.merge_listing(fresh.list_all(), fresh.revision)
+        assert changed == ["gone"]
+        assert behind.items_by_key["gone"].value is None
+
+    def test_forgotten_removals_are_not_known_any_more(self):
+        store = ItemStore()
+        for number in range(MAX_REMOVED + 1):
+            store.merge([item(f"k{number}", number + 1, None)], number + 1)
+        assert store.removals_known_from > 0
+
+
 class TestFollower:
     def test_pages_are_listed_then_changes_watched(self):
         follower = Follower(ItemStore())
