Tell differences of lists, and let several instances of a data centre hold

Change: news has the difference to a numbered list, whole lists go to newcomers, after a lost connection and every 10 s; a message to all peers is encoded once; in a large fleet changes are gathered for 0.1 s. One instance in six of a data centre holds endpoints there. Uses are told when they change, or each second.

--- a/fescuekeel/components/catalog/duty.py
+++ b/fescuekeel/components/catalog/duty.py
@@ -25,11 +25,12 @@
     At 77 instances this takes the calls of one day from 4,974 to those of six
     instances; a data centre of up to ``WATCHERS`` instances calls as before.
 
+    >>> members = [Member(f"i{number}", "", "dc1", 1) for number in range(9)]
     >>> duty = WatchDuty("i1", "dc1")
-    >>> duty.must_watch([], now=0.0)
+    >>> duty.must_watch(members, now=0.0)
     True
     >>> duty.note_watcher("i2", now=0.0)
-    >>> duty.must_watch([], now=0.5), duty.must_watch([], now=5.0)
+    >>> duty.must_watch(members, now=0.5), duty.must_watch(members, now=5.0)
     (False, True)
     """
 
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -101,6 +101,8 @@
     token_s: float = TOKEN_S
     service_s: float = 0.02
     told_running: int = 0
+    told_by_weights: dict[Weights, int] = field(default_factory=dict)
+    told_at: float = float("-inf")
     running_by_weights: dict[Weights, int] = field(default_factory=dict)
     begun_by_weights: dict[Weights, int] = field(default_factory=dict)
     speeds: list[float] = field(default_factory=list)
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -12,6 +12,9 @@
 __all__ = ["UseReporter"]
 
 USE_PERIOD_S = 0.2
+# What has not changed is told again this often: half of the time for which a
+# holder believes it.
+REPEAT_PERIOD_S = 1.0
 
 
 class UseReporter:
@@ -31,10 +34,11 @@
         board = self._instance.bus.latest(PlacementBoard)
         if board is None:
             return
+        now = self._instance.now()
         uses_by_holder: dict[str, list[EndpointUse]] = {}
         for id, load in self._loads_by_id.items():
             holder = board.holders_by_endpoint.get(id)
-            use = make_use(id, load) if holder is not None else None
+            use = make_use(id, load, now) if holder is not None else None
             if holder is not None and use is not None:
                 uses_by_holder.setdefault(holder, []).append(use)
         link = get_peer_link(self._instance)
@@ -42,14 +46,20 @@
             link.send(holder, UseNews(tuple(uses)))
 
 
-def make_use(endpoint: str, load: EndpointLoad) -> EndpointUse | None:
+def make_use(endpoint: str, load: EndpointLoad, now: float) -> EndpointUse | None:
     """Return what is to be told of an endpoint; ``None`` if nothing is.
 
-    What is told is remembered, so that it is not counted twice when the
-    holder tells all instances the sum.
+    What has not changed is told again from time to time only: the holder
+    forgets it after two seconds. What is told is remembered, so that it is
+    not counted twice when the holder tells all instances the sum.
     """
-    if not load.running and not load.told_running and not load.begun_by_weights:
+    same = load.running_by_weights == load.told_by_weights
+    idle = not load.running and not load.told_running
+    recent = now - load.told_at < REPEAT_PERIOD_S
+    if same and not load.begun_by_weights and (idle or recent):
         return None
+    load.told_at = now
+    load.told_by_weights = dict(load.running_by_weights)
     weights = load.running_by_weights.keys() | load.begun_by_weights.keys()
     uses = tuple(
         WeightUse(
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Iterable
 
 from returns.pipeline import is_successful
 from returns.result import Failure as Err, Result, Success
@@ -106,6 +107,14 @@
             return False
         return self._put(outgoing, encode(Envelope(0, 0, body)))
 
+    def send_all(self, instance_ids: Iterable[str], body: WireMessage) -> None:
+        """Queue a message to several peers; it is encoded once."""
+        payload = encode(Envelope(0, 0, body))
+        for id in instance_ids:
+            outgoing = self._get_outgoing(id)
+            if outgoing is not None:
+                self._put(outgoing, payload)
+
     async def ask(
         self, instance_id: str, body: WireMessage, timeout_s: float
     ) -> Result[WireMessage, Failure]:
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -7,6 +7,7 @@
 number that grows with each claim guards the rest.
 """
 
+import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
     IDENTITY_BITS,
     MAX_SEEN_ENDPOINTS,
     MAX_TERM,
+    MEMBERS_PER_HOLDER,
     NEW_ENDPOINT_WAIT_S,
     PAUSE_S,
     RELEASE_FRESH_S,
@@ -47,6 +49,14 @@
     released: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class NearView:
+    """Which instances counted as near some endpoints, and since when."""
+
+    since: float
+    near: tuple[str, ...]
+
+
 @dataclass(slots=True)
 class OwnClaim:
     """Our own claim; orders are given once ``held`` is true.
@@ -78,20 +88,32 @@
 
 
 def choose_candidate(
-    data_centre: str, members_by_id: Mapping[str, Member]
+    endpoint: EndpointRecord, members_by_id: Mapping[str, Member]
 ) -> str | None:
-    """Return who is to claim the endpoints of a data centre that nobody holds.
+    """Return who is to claim an endpoint that nobody holds.
 
-    One instance takes all the endpoints of its data centre, so that one
-    message tells of all of them. Another data centre's steps in only when
-    none is left there.
+    A few instances take the endpoints of their data centre, one where it is
+    small, so that one message tells of several. Another data centre's step in
+    only when none is left there.
     """
+    return _choose_among(endpoint, _list_near(endpoint.data_centre, members_by_id))
+
+
+def _list_near(
+    data_centre: str, members_by_id: Mapping[str, Member]
+) -> tuple[str, ...]:
     near = [
         member.id
         for member in members_by_id.values()
         if member.data_centre == data_centre
     ]
-    return rendezvous.choose(data_centre, near or members_by_id)
+    return tuple(sorted(near or members_by_id))
+
+
+def _choose_among(endpoint: EndpointRecord, near: Collection[str]) -> str | None:
+    holders = math.ceil(len(near) / MEMBERS_PER_HOLDER)
+    group = rendezvous.rank(endpoint.data_centre, near)[:holders]
+    return rendezvous.choose(endpoint.id, group)
 
 
 @dataclass(slots=True)
@@ -110,7 +132,7 @@
     heard_by_endpoint: dict[str, HeardClaim] = field(default_factory=dict)
     own_by_endpoint: dict[str, OwnClaim] = field(default_factory=dict)
     _refused_terms_by_endpoint: dict[str, int] = field(default_factory=dict)
-    _candidate_since_by_data_centre: dict[str, float] = field(default_factory=dict)
+    _views_by_data_centre: dict[str, list[NearView]] = field(default_factory=dict)
     _seen_endpoints: dict[str, None] = field(default_factory=dict)
     _started: float | None = None
     _last_step: float | None = None
@@ -173,11 +195,11 @@
         """
         if self._last_step is not None and now - self._last_step > PAUSE_S:
             self.own_by_endpoint.clear()
-            self._candidate_since_by_data_centre.clear()
+            self._views_by_data_centre.clear()
         self._last_step = now
         if self._started is None:
             self._started = now
-        self._note_candidacies(endpoints_by_id, members_by_id, now)
+        self._note_views(endpoints_by_id, members_by_id, now)
         for known in list(self.own_by_endpoint):
             if known not in endpoints_by_id:
                 del self.own_by_endpoint[known]
@@ -192,24 +214,30 @@
         self._note_seen(endpoints_by_id)
         return newly
 
-    def _note_candidacies(
+    def _note_views(
         self,
         endpoints_by_id: Mapping[str, EndpointRecord],
         members_by_id: Mapping[str, Member],
         now: float,
     ) -> None:
-        """Note since when this instance has been the candidate of each place.
+        """Remember who has been near each data centre's endpoints lately.
 
         A data centre whose endpoints are all gone is remembered: the next one
         there is what this is for.
         """
-        since = self._candidate_since_by_data_centre
         centres = {record.data_centre for record in endpoints_by_id.values()}
-        for centre in centres | since.keys():
-            if choose_candidate(centre, members_by_id) == self.own_id:
-                since.setdefault(centre, now)
-            else:
-                since.pop(centre, None)
+        for centre in centres | self._views_by_data_centre.keys():
+            views = self._views_by_data_centre.setdefault(centre, [])
+            near = _list_near(centre, members_by_id)
+            if not views or views[-1].near != near:
+                views.append(NearView(now, near))
+            while len(views) > 1 and now - views[1].since >= self._view_memory_s:
+                del views[0]
+
+    @property
+    def _view_memory_s(self) -> float:
+        """Return how long a claim takes to begin and to be forgotten."""
+        return self.lease_s + TAKEOVER_MARGIN_S + CLAIM_TTL_S
 
     def _note_seen(self, endpoints: Collection[str]) -> None:
         self._seen_endpoints.update(dict.fromkeys(endpoints))
@@ -222,13 +250,16 @@
 
         Saves the wait for a lease in front of the first load of each new
         endpoint, 2.5 of 3.5 seconds in which it serves nobody. It is safe
-        where the endpoint was never seen before and nobody else has been its
-        candidate for longer than a claim takes to begin and to be forgotten.
+        where the endpoint was never seen before and nobody else would have
+        been its candidate for as long as a claim takes to begin and to be
+        forgotten.
         """
-        since = self._candidate_since_by_data_centre.get(record.data_centre)
-        if since is None or record.id in self._seen_endpoints:
+        if record.id in self._seen_endpoints:
+            return False
+        views = self._views_by_data_centre[record.data_centre]
+        if now - views[0].since < self._view_memory_s:
             return False
-        return now - since >= self.lease_s + TAKEOVER_MARGIN_S + CLAIM_TTL_S
+        return all(_choose_among(record, view.near) == self.own_id for view in views)
 
     def _step_endpoint(
         self,
@@ -245,7 +276,7 @@
         if heard is not None and self._is_valid(heard, members_by_id, left, now):
             self.own_by_endpoint.pop(record.id, None)
             return False
-        if choose_candidate(record.data_centre, members_by_id) != self.own_id:
+        if choose_candidate(record, members_by_id) != self.own_id:
             self.own_by_endpoint.pop(record.id, None)
             return False
         if own is None:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import itertools
+from collections.abc import Mapping
 from typing import Any
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
     DOMAIN,
-    FULL_NEWS_PERIOD_S,
     MAX_NEWS_SLOWDOWN,
     NEWS_FLEET,
+    NEWS_GATHER_S,
     NEWS_PERIOD_S,
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
 from fescuekeel.components.placement.model import Ask, AskEnded
+from fescuekeel.components.placement.news import EndpointNews, NewsWriter
 from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
@@ -26,10 +28,11 @@
 from fescuekeel.messages import (
     AdmitAnswer,
     AdmitAsk,
-    HeldWeights,
     LoadAnswer,
     LoadAsk,
+    Member,
     MemberView,
+    PeerLost,
     PeerMessage,
     PlacementNews,
     PlacementState,
@@ -54,7 +57,9 @@
         self._questions_by_ask: dict[int, PeerMessage] = {}
         self._ask_numbers = itertools.count(1)
         self._turns = TurnKeeper(instance)
-        self._told_by_endpoint: dict[str, tuple[dict[Weights, int], float]] = {}
+        self._writer = NewsWriter()
+        self._told_incarnations: dict[str, int] = {}
+        self._told_at = float("-inf")
         self._news_due = 0.0
         self._news_wanted = False
 
@@ -63,6 +68,7 @@
         bus = self.instance.bus
         for kind in (PlacementNews, UseNews, LoadAsk, AdmitAsk):
             bus.subscribe_peer(kind, self.post)
+        bus.subscribe(PeerLost, self._note_lost)
         bus.publish_state(self.board)
         await super().start()
         self.instance.spawn(self._tick_forever(), f"{DOMAIN}.tick")
@@ -125,6 +131,7 @@
         for holder in self._holders_by_endpoint.values():
             holder.places.prune(now)
         self._share_board(engines, now)
+        self._tell_newcomers(view.members_by_id)
         self._tell(now)
 
     def _match_holders(self, engines: dict[str, EndpointRecord]) -> None:
@@ -153,7 +160,7 @@
         holder = self._holders_by_endpoint.pop(endpoint)
         holder.close()
         self._turns.drop(endpoint)
-        self._told_by_endpoint.pop(endpoint, None)
+        self._writer.forget(endpoint)
         log_event("claim_lost", endpoint=endpoint)
         for number in list(holder.places.asks_by_number):
             self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
@@ -163,10 +170,18 @@
         return own is not None and own.held
 
     def _want_news(self) -> None:
-        """Tell of a change at the end of this turn of the loop."""
-        if not self._news_wanted:
-            self._news_wanted = True
-            asyncio.get_running_loop().call_soon(self._tell_now)
+        """Tell of a change at the end of this turn of the loop.
+
+        In a large fleet changes are gathered for a moment, so that a holder
+        does not send a message to each of many instances at every load.
+        """
+        if self._news_wanted:
+            return
+        self._news_wanted = True
+        gather_s = 0.0
+        if self._count_members() > NEWS_FLEET:
+            gather_s = self._told_at + NEWS_GATHER_S - self.instance.now()
+        asyncio.get_running_loop().call_later(max(0.0, gather_s), self._tell_now)
 
     def _tell_now(self) -> None:
         self._tell(self.instance.now())
@@ -202,62 +217,78 @@
     # News.
 
     def _tell(self, now: float) -> None:
-        """Tell what changed at once, and all that is held from time to time.
-
-        What an endpoint holds makes up most of the bytes between instances,
-        and seldom changes: it is left out where it was told a moment ago.
-        """
+        """Tell what changed soon, and all that is held from time to time."""
         due = now >= self._news_due
         if not due and not self._news_wanted:
             return
         self._news_wanted = False
+        self._told_at = now
         if due:
-            view = self.instance.bus.latest(MemberView) or MemberView()
-            slowdown = max(1.0, len(view.members_by_id) / NEWS_FLEET)
+            slowdown = max(1.0, self._count_members() / NEWS_FLEET)
             self._news_due = now + NEWS_PERIOD_S * min(slowdown, MAX_NEWS_SLOWDOWN)
         states = []
-        for id, holder in self._holders_by_endpoint.items():
-            if not self._holds(id):
-                continue
-            servable = holder.places.list_servable()
-            told = self._told_by_endpoint.get(id)
-            full = told is None or told[0] != servable
-            full = full or now - told[1] > FULL_NEWS_PERIOD_S  # type: ignore[index]
-            if full:
-                self._told_by_endpoint[id] = (servable, now)
-            if full or due:
-                states.append(self._make_state(id, holder, full))
+        for news in self._list_news():
+            if due or self._writer.has_changed(news):
+                states.append(self._writer.write(news, now))
         if states:
             self._send_news(tuple(states))
 
-    def _make_state(
-        self, endpoint: str, holder: EndpointHolder, full: bool
-    ) -> PlacementState:
-        places = holder.places
-        held = tuple(
-            HeldWeights(weights.model, weights.adapter, version)
-            for weights, version in places.list_servable().items()
-        )
-        return PlacementState(
-            endpoint,
-            self._claims.own_by_endpoint[endpoint].term,
-            held=held if full else (),
-            running=places.running,
-            pending_tokens=self._turns.count_pending(endpoint),
-            unchanged=not full,
+    def _list_news(self) -> list[EndpointNews]:
+        return [
+            EndpointNews(
+                id,
+                self._claims.own_by_endpoint[id].term,
+                holder.places.list_servable(),
+                holder.places.running,
+                self._turns.count_pending(id),
+            )
+            for id, holder in self._holders_by_endpoint.items()
+            if self._holds(id)
+        ]
+
+    def _count_members(self) -> int:
+        view = self.instance.bus.latest(MemberView)
+        return len(view.members_by_id) if view else 1
+
+    def _tell_newcomers(self, members_by_id: Mapping[str, Member]) -> None:
+        """Tell whole lists to who has not heard the last ones.
+
+        Guards against differences that nobody can use: an instance that has
+        just come, or whose connection was lost with a message on it, would
+        send nothing to an endpoint's adapters until the next whole list.
+        """
+        incarnations = {
+            id: member.incarnation
+            for id, member in members_by_id.items()
+            if id != self.instance.id
+        }
+        newcomers = [
+            id
+            for id, incarnation in incarnations.items()
+            if self._told_incarnations.get(id) != incarnation
+        ]
+        self._told_incarnations = incarnations
+        if not newcomers:
+            return
+        states = tuple(
+            state
+            for news in self._list_news()
+            if (state := self._writer.write_whole(news)) is not None
         )
+        if states:
+            get_peer_link(self.instance).send_all(newcomers, PlacementNews(states))
+
+    def _note_lost(self, lost: PeerLost) -> None:
+        self._told_incarnations.pop(lost.instance_id, None)
 
     def _send_news(self, states: tuple[PlacementState, ...]) -> None:
-        link = get_peer_link(self.instance)
         view = self.instance.bus.latest(MemberView) or MemberView()
-        news = PlacementNews(states)
         now = self.instance.now()
         for state in states:
             if not state.released:
                 self.board.hear(self.instance.id, state, now)
-        for peer in view.members_by_id:
-            if peer != self.instance.id:
-                link.send(peer, news)
+        peers = [id for id in view.members_by_id if id != self.instance.id]
+        get_peer_link(self.instance).send_all(peers, PlacementNews(states))
 
     def _share_board(self, engines: dict[str, EndpointRecord], now: float) -> None:
         self.board.holders_by_endpoint = {
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -11,9 +11,14 @@
 # messages that one instance gets do not grow with the fleet.
 NEWS_FLEET: Final = 16
 MAX_NEWS_SLOWDOWN: Final = 2.5
-# News has all that is held when it changed, and this often: an instance that
-# has missed a message learns it then.
-FULL_NEWS_PERIOD_S: Final = 2.0
+# Whole lists of what is held are told this often, differences in between; who
+# comes anew or loses its connection gets the whole lists at once.
+FULL_NEWS_PERIOD_S: Final = 10.0
+# In a fleet that large, changes are gathered for so long before they are told.
+NEWS_GATHER_S: Final = 0.1
+# One of so many instances of a data centre holds endpoints there, so that no
+# holder's link and processor carry the loads of a whole data centre.
+MEMBERS_PER_HOLDER: Final = 6
 # How often an instance tells holders how it uses their endpoints.
 USE_PERIOD_S: Final = 0.2
 
--- a/fescuekeel/helpers/peer_link.py
+++ b/fescuekeel/helpers/peer_link.py
@@ -1,5 +1,6 @@
 """What components ask of the connection to other instances."""
 
+from collections.abc import Iterable
 from typing import Protocol, cast
 
 from returns.result import Result
@@ -24,6 +25,9 @@
     def send(self, instance_id: str, body: WireMessage) -> bool:
         """Queue a message; return false when the peer is not known."""
 
+    def send_all(self, instance_ids: Iterable[str], body: WireMessage) -> None:
+        """Queue a message to several peers, but for those not known."""
+
     async def ask(
         self, instance_id: str, body: WireMessage, timeout_s: float
     ) -> Result[WireMessage, Failure]:
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -1,10 +1,10 @@
 """What is known of endpoints' weights and load, and who orders them."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from fescuekeel.helpers.published import Weights
-from fescuekeel.messages import PlacementState
+from fescuekeel.messages import HeldWeights, PlacementState
 
 __all__ = ["LOADS_WAIT", "EndpointState", "PlacementBoard"]
 
@@ -14,7 +14,10 @@
 
 @dataclass(slots=True)
 class EndpointState:
-    """What the holder of an endpoint's orders last told of it."""
+    """What the holder of an endpoint's orders last told of it.
+
+    ``number`` is the one of the list of what is held.
+    """
 
     holder: str
     term: int
@@ -22,6 +25,7 @@
     held: dict[Weights, int]
     running: int
     pending_tokens: int
+    number: int = 0
 
 
 @dataclass(slots=True)
@@ -38,15 +42,19 @@
     def hear(self, holder: str, state: PlacementState, now: float) -> None:
         """Take the state that a holder has told.
 
-        News that leaves out what is held says so, and counts only after news
-        of the same claim that had it.
+        A list that tells differences only counts after the one that it is
+        based on, of the same claim. Without that the state is left as it is
+        until the holder tells the whole list again.
         """
-        held = {Weights(item.model, item.adapter): item.version for item in state.held}
-        if state.unchanged:
+        held = _read_weights(state.held)
+        if state.based_on:
             known = self.states_by_endpoint.get(state.endpoint)
-            if known is None or (known.holder, known.term) != (holder, state.term):
+            claim = (holder, state.term, state.based_on)
+            if known is None or (known.holder, known.term, known.number) != claim:
                 return
-            held = known.held
+            held = known.held | held
+            for weights in _read_weights(state.dropped):
+                held.pop(weights, None)
         self.states_by_endpoint[state.endpoint] = EndpointState(
             holder,
             state.term,
@@ -54,6 +62,7 @@
             held,
             state.running,
             state.pending_tokens,
+            state.number,
         )
 
     def note_held(self, endpoint: str, weights: Weights, version: int) -> None:
@@ -83,3 +92,7 @@
         for id in list(self.states_by_endpoint):
             if id not in endpoints:
                 del self.states_by_endpoint[id]
+
+
+def _read_weights(held: Iterable[HeldWeights]) -> dict[Weights, int]:
+    return {Weights(item.model, item.adapter): item.version for item in held}
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -85,10 +85,13 @@
     """Tell what the holder of an endpoint's orders knows of it.
 
     ``term`` orders the claims of holders. ``released`` gives the claim up,
-    and ``quiet_ms`` is how long ago the holder last gave an order. With
-    ``unchanged`` what is held is as last told, and ``held`` is left out.
+    and ``quiet_ms`` is how long ago the holder last gave an order.
     ``pending_tokens`` are prompt tokens that requests of all instances still
     wait for to be read there.
+
+    The list of what is held has a ``number``. With ``based_on`` 0 it is whole;
+    else ``held`` and ``dropped`` are what differs from the list with that
+    number, nothing where both numbers are the same.
     """
 
     endpoint: str
@@ -98,7 +101,9 @@
     held: tuple[HeldWeights, ...] = ()
     running: int = 0
     pending_tokens: int = 0
-    unchanged: bool = False
+    number: int = 0
+    based_on: int = 0
+    dropped: tuple[HeldWeights, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -184,7 +184,9 @@
   held @4 :List(HeldWeights);
   running @5 :UInt32;
   pendingTokens @6 :UInt32;
-  unchanged @7 :Bool;
+  number @7 :UInt32;
+  basedOn @8 :UInt32;
+  dropped @9 :List(HeldWeights);
 }
 struct PlacementNews { states @0 :List(PlacementState); }
 struct WeightUse { model @0 :Text; adapter @1 :Text; running @2 :UInt32; begun @3 :UInt32; }
--- a/tests/components/forward/test_parts.py
+++ b/tests/components/forward/test_parts.py
@@ -6,6 +6,7 @@
 from fescuekeel.components.forward.routes import RouteTable, choose_service
 from fescuekeel.components.forward.use import make_use
 from fescuekeel.components.forward.versions import VersionClock
+from fescuekeel.components.placement.const import USE_TTL_S
 from fescuekeel.helpers.published import (
     CallerLimits,
     Configuration,
@@ -103,7 +104,15 @@
         """
         load = EndpointLoad()
         load.begin(CARDS, 100)
-        assert make_use("e1", load).uses[0].running == 1
+        assert make_use("e1", load, 0.0).uses[0].running == 1
         load.end(CARDS, 100)
-        assert make_use("e1", load).running == 0
-        assert make_use("e1", load) is None
+        assert make_use("e1", load, 0.0).running == 0
+        assert make_use("e1", load, 0.0) is None
+
+    def test_unchanged_use_is_repeated_before_it_is_forgotten(self):
+        """A holder unloaded an adapter under a long stream."""
+        load = EndpointLoad()
+        load.begin(CARDS, 100)
+        make_use("e1", load, 0.0)
+        assert make_use("e1", load, 0.2) is None
+        assert make_use("e1", load, USE_TTL_S / 2).uses[0].running == 1
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -24,7 +24,7 @@
 
 def make_candidate_claims():
     """Return the claims of the instance that is the candidate of dc1."""
-    return Claims(choose_candidate("dc1", BOTH), LEASE_S)
+    return Claims(choose_candidate(NEW_ENDPOINT, BOTH), LEASE_S)
 
 
 def step(claims, now, members=ALONE, revision=0, answered=True):
@@ -299,3 +299,31 @@
                     claims_by_id[other].hear("e1", id, own.term, False, 0.0, now)
         for (before, first), (after, second) in itertools.pairwise(orders):
             assert first == second or after - before >= LEASE_S
+
+
+class TestCandidates:
+    """One instance held all endpoints of a data centre with 25 instances.
+
+    Its link and its processor carried the loads of the whole data centre, and
+    its peers took it for dead.
+    """
+
+    def list_candidates(self, members):
+        members_by_id = {f"i{n}": Member(f"i{n}", "", "dc1", 1) for n in range(members)}
+        endpoints = [
+            EndpointRecord(f"e{n}", "s", "127.0.0.1:1", "dc1", 8, False)
+            for n in range(40)
+        ]
+        return [choose_candidate(endpoint, members_by_id) for endpoint in endpoints]
+
+    def test_small_data_centre_has_one_holder(self):
+        assert len(set(self.list_candidates(3))) == 1
+
+    def test_large_data_centre_has_several(self):
+        candidates = self.list_candidates(25)
+        assert len(set(candidates)) == 5
+        assert max(map(candidates.count, candidates)) <= 20
+
+    def test_another_data_centre_steps_in(self):
+        far = {"j1": Member("j1", "", "dc2", 1)}
+        assert choose_candidate(ENDPOINT, far) == "j1"
--- a/tests/helpers/test_placement.py
+++ b/tests/helpers/test_placement.py
@@ -35,8 +35,9 @@
     def test_news_without_a_change_keeps_what_is_held(self):
         board = PlacementBoard()
         held = (HeldWeights("m", "cards", 2),)
-        board.hear("i1", PlacementState("e1", 1, held=held), now=0.0)
-        board.hear("i1", PlacementState("e1", 1, running=3, unchanged=True), now=1.0)
+        board.hear("i1", PlacementState("e1", 1, held=held, number=7), now=0.0)
+        news = PlacementState("e1", 1, running=3, number=7, based_on=7)
+        board.hear("i1", news, now=1.0)
         assert board.states_by_endpoint["e1"].held == {CARDS: 2}
         assert board.states_by_endpoint["e1"].running == 3
 
@@ -48,6 +49,7 @@
         """
         board = PlacementBoard()
         held = (HeldWeights("m", "cards", 2),)
-        board.hear("i1", PlacementState("e1", 1, held=held), now=0.0)
-        board.hear("i2", PlacementState("e1", 2, unchanged=True), now=1.0)
+        board.hear("i1", PlacementState("e1", 1, held=held, number=1), now=0.0)
+        news = PlacementState("e1", 2, number=1, based_on=1)
+        board.hear("i2", news, now=1.0)
         assert board.states_by_endpoint["e1"].holder == "i1"
