--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -123,8 +123,7 @@
             now,
         )
         for id in newly:
-            term = self._claims.own_by_endpoint[id].term
-            log_event("claim_held", endpoint=id, term=term)
+            self._log_held(id, now)
             self._want_news()
         self._release(self._claims.list_out_of_contact())
         self._match_holders(engines)
@@ -134,6 +133,22 @@
         self._tell_newcomers(view.members_by_id)
         self._tell(now)
 
+    def _log_held(self, endpoint: str, now: float) -> None:
+        own = self._claims.own_by_endpoint[endpoint]
+        heard = self._claims.heard_by_endpoint.get(endpoint)
+        contact_s = now - (own.contact_since or now)
+        log_event(
+            "claim_held",
+            endpoint=endpoint,
+            term=own.term,
+            before=heard.holder if heard else "",
+            released=heard.released if heard else False,
+            heard_age_ms=round((now - heard.heard) * 1000) if heard else -1,
+            waited_ms=round((now - own.since) * 1000),
+            contact_ms=round(contact_s * 1000),
+            outcome="held",
+        )
+
     def _match_holders(self, engines: dict[str, EndpointRecord]) -> None:
         claimed = self._claims.own_by_endpoint.keys()
         for id in self._holders_by_endpoint.keys() - claimed:
@@ -161,7 +176,15 @@
         holder.close()
         self._turns.drop(endpoint)
         self._writer.forget(endpoint)
-        log_event("claim_lost", endpoint=endpoint)
+        if holder.has_held:
+            heard = self._claims.heard_by_endpoint.get(endpoint)
+            log_event(
+                "claim_lost",
+                endpoint=endpoint,
+                after=heard.holder if heard else "",
+                term=heard.term if heard else 0,
+                outcome="lost",
+            )
         for number in list(holder.places.asks_by_number):
             self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
 
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -40,6 +40,8 @@
         self._on_ask_ended = on_ask_ended
         self._on_changed = on_changed
         self._link = OrderLink(instance, dialect, record.id, record.address)
+        self.has_held = False
+        self._reported_at = 0.0
         self._looked_while_held = False
         self._woken = asyncio.Event()
         self._task = instance.spawn(self._run(), "placement.holder")
@@ -58,6 +60,7 @@
         while True:
             now = self._instance.now()
             held = self._claims.is_held(self.record.id)
+            self.has_held = self.has_held or held
             self._looked_while_held = self._looked_while_held and held
             if now >= next_look or (held and not self._looked_while_held):
                 await self._look()
@@ -95,6 +98,7 @@
         if report is None:
             return
         self._looked_while_held = self._looked_while_held or held
+        self._reported_at = asked
         before = self.places.list_servable()
         self.places.note_report(report, asked, now)
         if self.places.list_servable() != before:
@@ -131,7 +135,8 @@
             make_fence(own.term, self._instance.id),
             effect.version,
         )
-        self._claims.note_order(endpoint, self._instance.now())
+        asked = self._instance.now()
+        self._claims.note_order(endpoint, asked)
         reply = await self._link.order(order, self._may_order)
         self._claims.note_order(endpoint, self._instance.now())
         self.places.note_reply(effect, reply, self._instance.now())
@@ -147,6 +152,7 @@
             version=effect.version or 0,
             again=effect.again,
             term=own.term,
+            report_age_ms=round((asked - self._reported_at) * 1000),
             taken=self.places.count_taken(),
             places=self.places.places,
             outcome=outcome,
--- a/tests/daemons/common.py
+++ b/tests/daemons/common.py
@@ -268,8 +268,21 @@
         assert lost == [], lost
         doubled = find_doubled(results, count_runs(journals))
         assert doubled == [], doubled
-        for engine in self.platform.engines_by_id.values():
-            assert engine.evictions_while_serving == []
+        violations = [
+            (id, engine.settings.fenced, violation, engine.orders[-10:])
+            for id, engine in self.platform.engines_by_id.items()
+            for violation in engine.evictions_while_serving
+        ]
+        assert violations == [], (violations, self.list_ownership())
+
+    def list_ownership(self) -> list[tuple[str, float, str, str]]:
+        """Return who said when that it gained or lost which endpoint."""
+        return [
+            (daemon.id, line.at, line.event, line.fields["endpoint"])
+            for daemon in self.daemons_by_id.values()
+            for line in daemon.read_log()
+            if line.event in ("owner_gained", "owner_lost")
+        ]
 
     async def stop(self) -> None:
         """End what was started, each process by its own id."""
