Load base models in turn, wait for an endpoint that comes, claim sooner at start

Change: an endpoint loads its base model if fewer wait before it, by rank, than one and half of those that have it. A request waits for an endpoint within its patience. The first claims after a start wait for one second: newcomers are told all lists at once now.

--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -87,12 +87,18 @@
     async def _place_until(
         self, request: ForwardedRequest, until: float
     ) -> Choice | Failure:
-        failure = Failure(ErrorKind.NO_ENDPOINT, "no endpoint")
+        failure = _refuse_for_load(ErrorKind.NO_ENDPOINT, "no endpoint")
         refusals = 0
         while True:
             choice = self._choose(request)
             if choice is None:
-                return failure
+                if self._instance.now() >= until:
+                    return failure
+                # Guards against a refusal right before an endpoint is there:
+                # all of a service's were replaced, and the first has its
+                # model in a moment.
+                await asyncio.sleep(NO_HOLDER_POLL_S)
+                continue
             if choice.needs_load:
                 asked = self._instance.now()
                 detail = await self._wait_for_load(request, choice, until)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -7,6 +7,7 @@
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
+    CLAIM_TTL_S,
     DOMAIN,
     MAX_NEWS_SLOWDOWN,
     NEWS_FLEET,
@@ -16,6 +17,7 @@
 )
 from fescuekeel.components.placement.holder import EndpointHolder
 from fescuekeel.components.placement.model import Ask, AskEnded
+from fescuekeel.components.placement.model_turns import may_load_model
 from fescuekeel.components.placement.news import EndpointNews, NewsWriter
 from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.components.placement.turns import TurnKeeper
@@ -169,8 +171,30 @@
                 places,
                 self._end_ask,
                 self._want_news,
+                self._may_load_model,
             )
 
+    def _may_load_model(self, record: EndpointRecord) -> bool:
+        """Count who has the base model, by what the holders told lately.
+
+        An endpoint that has fallen silent keeps no other one waiting.
+        """
+        now = self.instance.now()
+        engine = self._get_engine(record)
+        if engine is None:
+            return False
+        model = Weights(next(iter(engine.models_by_name)))
+        states = self.board.states_by_endpoint
+        known = [
+            id
+            for id, other in self._list_engines().items()
+            if other.service == record.service
+            and id in states
+            and now - states[id].heard < CLAIM_TTL_S
+        ]
+        without = [id for id in known if model not in states[id].held]
+        return may_load_model(record.id, len(known) - len(without), without)
+
     def _drop_holder(self, endpoint: str) -> None:
         holder = self._holders_by_endpoint.pop(endpoint)
         holder.close()
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -34,10 +34,10 @@
 # which another holder, behind a cut until now, would be heard.
 NEW_ENDPOINT_WAIT_S: Final = 1.0
 # Instead of the lease, right after the start, where endpoints refuse the
-# orders of an earlier holder: five rounds of news, and the half second that
-# instances need to find each other. No order of an earlier life of this
-# process can follow.
-START_WAIT_S: Final = 2.0
+# orders of an earlier holder: instances find each other within half a second,
+# and a holder tells a newcomer within a tenth. No order of an earlier life of
+# this process can follow.
+START_WAIT_S: Final = 1.0
 # A candidacy counts as begun at the start for so long after it: instances
 # that are started together know each other after 1.5 s at the latest.
 START_WINDOW_S: Final = 1.6
@@ -81,6 +81,10 @@
 # A base model from the weight store may take seconds, and longer when many
 # are on their way.
 MODEL_LOAD_LOST_S: Final = 30.0
+# For each so many endpoints of a service that have the base model, one more
+# may load it beside the first: how many loads the weight store serves at full
+# speed is not published, and a service that has nothing needs one soon.
+ENDPOINTS_PER_MODEL_LOAD: Final = 2
 # An endpoint is asked to load its base model again no sooner than this.
 MODEL_RETRY_S: Final = 5.0
 REPORT_TIMEOUT_S: Final = 0.8
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -32,6 +32,7 @@
         places: EndpointPlaces,
         on_ask_ended: Callable[[AskEnded], None],
         on_changed: Callable[[], None],
+        may_load_model: Callable[[EndpointRecord], bool],
     ) -> None:
         self.places = places
         self.record = record
@@ -39,6 +40,7 @@
         self._claims = claims
         self._on_ask_ended = on_ask_ended
         self._on_changed = on_changed
+        self._may_load_model = may_load_model
         self._link = OrderLink(instance, dialect, record.id, record.address)
         self.has_held = False
         self._reported_at = 0.0
@@ -110,7 +112,8 @@
         versions = catalog.versions_by_weights if catalog else {}
         while True:
             before = self.places.list_servable()
-            effects = self.places.step(versions, self._instance.now())
+            may_load = self.places.has_model or self._may_load_model(self.record)
+            effects = self.places.step(versions, self._instance.now(), may_load)
             if self.places.list_servable().keys() != before.keys():
                 self._on_changed()
             for effect in effects:
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -206,13 +206,22 @@
 
     # The decision.
 
-    def step(self, versions_by_weights: dict[Weights, int], now: float) -> list[Effect]:
-        """Return what is due now."""
+    def step(
+        self,
+        versions_by_weights: dict[Weights, int],
+        now: float,
+        may_load_model: bool = True,
+    ) -> list[Effect]:
+        """Return what is due now.
+
+        ``may_load_model`` says that it is this endpoint's turn to load its
+        base model.
+        """
         effects: list[Effect] = list(self._end_asks(now))
         if not self.known:
             return effects
         if not self.has_model:
-            return effects + self._load_model(now)
+            return effects + (self._load_model(now) if may_load_model else [])
         effects += self._check_orders(now)
         effects += self._renew(versions_by_weights, now)
         effects += self._serve_asks(now)
