Keep a closed list of events, each with the fields that its lines must have

Endpoints' and configurations' lines tell the store's revision, members' lines the incarnation, retries what is left of the budget, asked loads how long they took, every line of a request its outcome.

--- a/fescuekeel/components/catalog/view.py
+++ b/fescuekeel/components/catalog/view.py
@@ -30,6 +30,7 @@
     versions_by_weights: dict[Weights, int] = field(default_factory=dict)
     _ids_by_key: dict[str, str] = field(default_factory=dict)
     _lapsing_until_by_id: dict[str, float] = field(default_factory=dict)
+    _removed_at_by_id: dict[str, int] = field(default_factory=dict)
 
     def take(self, item: PublishedItem, grace: bool, now: float) -> None:
         """Take an item that changed.
@@ -38,7 +39,7 @@
         may have lapsed while the store was away, and come back.
         """
         if item.value is None:
-            self._remove(item.key, grace, now)
+            self._remove(item, grace, now)
             return
         try:
             decoded = self.dialect.decode(item)
@@ -53,16 +54,16 @@
             return
         match decoded:
             case Configuration():
-                self._take_configuration(decoded)
+                self._take_configuration(decoded, item.revision)
             case EndpointRecord():
                 self._ids_by_key[item.key] = decoded.id
                 self._lapsing_until_by_id.pop(decoded.id, None)
-                self._take_endpoint(decoded)
+                self._take_endpoint(decoded, item.revision)
             case AdapterVersion(weights, version):
                 known = self.versions_by_weights.get(weights, 0)
                 self.versions_by_weights[weights] = max(known, version)
 
-    def _take_configuration(self, configuration: Configuration) -> None:
+    def _take_configuration(self, configuration: Configuration, revision: int) -> None:
         known = self.configuration
         if known is not None and configuration.version <= known.version:
             return
@@ -72,35 +73,37 @@
             version=configuration.version,
             before=known.version if known else 0,
             routes=len(configuration.routes),
+            revision=revision,
         )
 
-    def _take_endpoint(self, record: EndpointRecord) -> None:
+    def _take_endpoint(self, record: EndpointRecord, revision: int) -> None:
         known = self.endpoints_by_id.get(record.id)
         self.endpoints_by_id[record.id] = record
         if known is None or known.leaving != record.leaving:
             state = "leaving" if record.leaving else "ready"
-            log_event("endpoint_changed", endpoint=record.id, state=state)
+            _log_endpoint(record.id, state, revision)
 
-    def _remove(self, key: str, grace: bool, now: float) -> None:
-        id = self._ids_by_key.get(key)
+    def _remove(self, item: PublishedItem, grace: bool, now: float) -> None:
+        id = self._ids_by_key.get(item.key)
         if id is None:
             return
         if grace:
             self._lapsing_until_by_id[id] = now + LAPSE_GRACE_S
-            log_event("endpoint_changed", endpoint=id, state="lapsing")
+            self._removed_at_by_id[id] = item.revision
+            _log_endpoint(id, "lapsing", item.revision)
             return
-        self._forget(id)
+        self._forget(id, item.revision)
 
-    def _forget(self, id: str) -> None:
+    def _forget(self, id: str, revision: int) -> None:
         self._lapsing_until_by_id.pop(id, None)
         if self.endpoints_by_id.pop(id, None) is not None:
-            log_event("endpoint_changed", endpoint=id, state="gone")
+            _log_endpoint(id, "gone", revision)
 
     def expire(self, now: float) -> bool:
         """Forget endpoints whose grace is over; return whether any was."""
         over = [id for id, until in self._lapsing_until_by_id.items() if now >= until]
         for id in over:
-            self._forget(id)
+            self._forget(id, self._removed_at_by_id.pop(id, 0))
         return bool(over)
 
     def make_catalog(self, revision: int) -> Catalog:
@@ -113,3 +116,7 @@
         return Catalog(
             revision, self.configuration, ready, dict(self.versions_by_weights)
         )
+
+
+def _log_endpoint(id: str, state: str, revision: int) -> None:
+    log_event("endpoint_changed", endpoint=id, state=state, revision=revision)
--- a/fescuekeel/components/forward/budget.py
+++ b/fescuekeel/components/forward/budget.py
@@ -49,12 +49,21 @@
         """Spend for one repeat; return whether there was anything left."""
         window = self._windows_by_service[service]
         self._forget(window, now)
-        allowed = self.ratio * len(window.requests) + self.slack / self.instances
-        if len(window.repeats) + 1 > allowed * SAFE_SHARE:
+        if len(window.repeats) + 1 > self._count_allowed(window):
             return False
         window.repeats.append(now)
         return True
 
+    def count_left(self, service: str, now: float) -> int:
+        """Return how many repeats may still be spent."""
+        window = self._windows_by_service[service]
+        self._forget(window, now)
+        return int(self._count_allowed(window) - len(window.repeats))
+
+    def _count_allowed(self, window: Window) -> float:
+        own = self.ratio * len(window.requests) + self.slack / self.instances
+        return own * SAFE_SHARE
+
     def _forget(self, window: Window, now: float) -> None:
         for times in (window.requests, window.repeats):
             while times and now - times[0] > self.window_s:
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -209,6 +209,7 @@
             kind=failure.kind.value,
             detail=failure.detail,
             configuration=self._table.version if self._table else 0,
+            outcome="refused",
         )
         headers = self.dialect.write_refusal(request_id, failure.kind)
         try:
@@ -254,8 +255,14 @@
         try:
             connection = await pool.open(CONNECT_TIMEOUT_S)
         except NotConnectedError as error:
-            health.note_unreachable(self.instance.now())
-            log_event("endpoint_unreachable", endpoint=endpoint, error=str(error))
+            now = self.instance.now()
+            health.note_unreachable(now)
+            log_event(
+                "endpoint_unreachable",
+                endpoint=endpoint,
+                error=str(error),
+                avoided_ms=round((health.unreachable_until - now) * 1000),
+            )
             raise
         health.note_connected()
         return connection
@@ -280,6 +287,7 @@
             request_id=request.head.request_id,
             reason=end.value,
             sends=request.state.sends,
+            left=self.budget.count_left(request.service, self.instance.now()),
             outcome=outcome,
         )
         return allowed
@@ -322,7 +330,9 @@
             detail=failure.detail,
             sends=request.state.sends,
             may_have_run=request.state.may_have_run,
+            configuration=self._table.version if self._table else 0,
             age_ms=round((self.instance.now() - request.arrived) * 1000),
+            outcome="refused",
         )
 
     def note_end(self, request: ForwardedRequest) -> None:
--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -78,6 +78,7 @@
             version=version,
             holder=holder,
             spread=spread,
+            waited_ms=round((self._instance.now() - asked) * 1000),
             outcome=detail or "loaded",
         )
         return detail
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -219,6 +219,7 @@
                 kept=not connection.fresh,
                 age_ms=round((self.forwarder.instance.now() - attempt.began) * 1000),
                 error=str(error),
+                outcome=AttemptEnd.BROKEN.value,
             )
             if self._splitter is not None:
                 self._splitter.drop_held()
--- a/fescuekeel/components/gateway/component.py
+++ b/fescuekeel/components/gateway/component.py
@@ -155,6 +155,7 @@
             kind=failure.kind.value,
             ran=failure.outcome.value,
             detail=failure.detail,
+            outcome="refused",
         )
         await sink.fail(failure)
 
@@ -180,6 +181,7 @@
             ran=failure.outcome.value if failure else Ran.YES.value,
             stall_ms=request.head.stall_ms,
             took_ms=round(took_s * 1000),
+            outcome=failure.kind.value if failure else "answered",
         )
 
     def lose_caller(self, request_id: str) -> None:
--- a/fescuekeel/components/membership/component.py
+++ b/fescuekeel/components/membership/component.py
@@ -156,4 +156,10 @@
             if old.get(id) != new.get(id):
                 state = new[id].value if id in new else "gone"
                 self.instance.metrics.count(f"membership.{state}")
-                log_event("member_changed", member=id, state=state)
+                member = view.members_by_id.get(id) or before.members_by_id[id]
+                log_event(
+                    "member_changed",
+                    member=id,
+                    state=state,
+                    incarnation=member.incarnation,
+                )
--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -306,6 +306,7 @@
             kind=failure.kind.value,
             ran=outcome.ran.value,
             detail=failure.detail,
+            outcome="failed",
         )
 
     def _describe(self, item: model.Item) -> RunningWork:
--- /dev/null
+++ b/fescuekeel/helpers/events.py
@@ -0,0 +1,121 @@
+"""The closed list of events that are logged, and what each must tell.
+
+A line about a request has its id, what decided, how old that was or which
+version it had, and the outcome. A line about a belief has what it is about,
+the version or age of what changed it, and what is believed now.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+__all__ = ["EVENTS_BY_NAME", "EventSpec", "Subject"]
+
+
+class Subject(StrEnum):
+    """Name what an event is about."""
+
+    REQUEST = "request"
+    BELIEF = "belief"
+    DEPENDENCY = "dependency"
+    PROCESS = "process"
+    FAULT = "fault"
+
+
+@dataclass(frozen=True, slots=True)
+class EventSpec:
+    """One event and the fields that each of its lines has."""
+
+    subject: Subject
+    fields: tuple[str, ...]
+
+
+def _list(subject: Subject, lines: str) -> dict[str, EventSpec]:
+    """Read lines of an event's name and its fields."""
+    specs = {}
+    for line in lines.strip().splitlines():
+        name, *fields = line.split()
+        specs[name] = EventSpec(subject, tuple(fields))
+    return specs
+
+
+EVENTS_BY_NAME: Final = {
+    **_list(
+        Subject.REQUEST,
+        """
+        answer_broken request_id endpoint kept age_ms error outcome
+        attempt_ended request_id endpoint reason cost_ms version took_ms outcome
+        load_waited request_id endpoint weights version cost_ms waited_ms outcome
+        request_ended request_id service took_ms outcome
+        request_refused request_id kind detail outcome
+        retry_decided request_id reason sends left outcome
+        work_failed request_id endpoint kind ran detail outcome
+        """,
+    ),
+    **_list(
+        Subject.BELIEF,
+        """
+        catalog_from_peer peer since revision changed whole
+        claim_held endpoint term before heard_age_ms waited_ms contact_ms outcome
+        claim_lost endpoint after term outcome
+        configuration_in_force version before routes revision
+        endpoint_changed endpoint state revision
+        endpoint_restarted endpoint
+        endpoint_unreachable endpoint error avoided_ms
+        livelist_changed entries
+        load_asked endpoint weights version holder waited_ms outcome
+        member_changed member state incarnation
+        order_given endpoint kind weights version term report_age_ms taken outcome
+        owner_gained endpoint fence
+        owner_lost endpoint
+        tree_ignored reason revision digest source
+        tree_in_force revision digest
+        tree_refused revision detail
+        watch_duty_changed watching revision
+        """,
+    ),
+    **_list(
+        Subject.DEPENDENCY,
+        """
+        dependency_lost dependency call revision
+        dependency_regained dependency call revision
+        livelist_failed detail
+        livelist_recovered
+        peer_connection_lost peer reason
+        store_call_failed call error
+        report_failed endpoint error
+        tree_fetch_error error
+        tree_service_failed
+        tree_service_recovered
+        turn_leader_silent leader
+        """,
+    ),
+    **_list(
+        Subject.PROCESS,
+        """
+        callers_listening address
+        component_started domain
+        drain_requested source
+        instance_started instance
+        instance_stopped instance
+        instance_stopping instance
+        key_home_ready instance
+        operators_listening address
+        reload outcome detail
+        stop_timeout domain
+        """,
+    ),
+    **_list(
+        Subject.FAULT,
+        """
+        actor_error actor error
+        lines_dropped dropped count
+        load_failed endpoint adapter detail
+        peer_handler_error kind error
+        peer_refused reason address
+        published_item_refused key revision error
+        task_error task error
+        turn_grant_timeout
+        """,
+    ),
+}
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -8,6 +8,7 @@
 
 from eliot import add_destinations, remove_destination
 
+from fescuekeel.helpers.events import EVENTS_BY_NAME, Subject
 from fescuekeel.helpers.logging import format_line
 from fescuekeel.helpers.trace import gather
 from standins.forwarding.platform import ENGINES, PLAIN
@@ -120,3 +121,34 @@
         events = self.list_events()
         assert len(events) > 15
         assert events - named == set()
+
+
+class TestClosedList:
+    """A finding could not be traced: the lines that mattered had no age."""
+
+    def list_calls(self):
+        """Return the event and the fields of each call that logs."""
+        for path in (ROOT / "fescuekeel").rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                called = isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
+                if not called or node.func.id != "log_event" or not node.args:
+                    continue
+                fields = {keyword.arg for keyword in node.keywords}
+                for part in ast.walk(node.args[0]):
+                    if isinstance(part, ast.Constant):
+                        yield part.value, fields
+
+    def test_each_line_is_on_the_list_with_all_its_fields(self):
+        for event, fields in self.list_calls():
+            assert event in EVENTS_BY_NAME, event
+            missing = set(EVENTS_BY_NAME[event].fields) - fields
+            assert not missing, (event, missing)
+
+    def test_each_event_of_the_list_is_logged(self):
+        logged = {event for event, _ in self.list_calls()} | {"lines_dropped"}
+        assert logged >= EVENTS_BY_NAME.keys()
+
+    def test_lines_of_requests_tell_id_and_outcome(self):
+        for event, spec in EVENTS_BY_NAME.items():
+            if spec.subject is Subject.REQUEST:
+                assert {"request_id", "outcome"} <= set(spec.fields), event
