Show beliefs as gauges and latencies by route on the metrics address

Cause: an on-call engineer could not see which configuration, how old a catalog or how much of the retry budget an instance has, nor which route is slow. Change: gauges that are read when somebody looks; histograms of request, first piece and time at the endpoint for the first twelve routes, which bounds their memory at about 1 MB. A test's assertion names the route's label now: the line it looked for is split by route.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -53,6 +53,8 @@
         self._follower = Follower(self._items)
         self._duty = WatchDuty(instance.id, instance.settings.instance.data_centre)
         self._watching = True
+        # When the store or a watcher last said that nothing newer is there.
+        self._confirmed_at = instance.now()
         self._connection: Connection | None = None
         self._behind_since: float | None = None
         self._asking = False
@@ -62,6 +64,10 @@
         bus = self._instance.bus
         bus.subscribe_peer(CatalogNews, self._hear_news)
         bus.subscribe_peer(CatalogAsk, self._answer_ask)
+        metrics = self._instance.metrics
+        metrics.add_gauge("catalog_revision", self._read_revision)
+        metrics.add_gauge("catalog_age_seconds", self._read_age)
+        metrics.add_gauge("catalog_watches", lambda: {"": float(self._watching)})
         self._instance.spawn(self._follow_forever(), f"{DOMAIN}.follow")
         self._instance.spawn(self._tell_forever(), f"{DOMAIN}.tell")
 
@@ -70,6 +76,12 @@
         if self._connection is not None:
             self._connection.close()
 
+    def _read_revision(self) -> dict[str, float]:
+        return {"": float(self._items.revision)}
+
+    def _read_age(self) -> dict[str, float]:
+        return {"": self._instance.now() - self._confirmed_at}
+
     # The store.
 
     async def _follow_forever(self) -> None:
@@ -87,6 +99,8 @@
                 changed: list[str] = []
             else:
                 changed = self._follower.take(reply)
+                if not self._follower.away:
+                    self._confirmed_at = self._instance.now()
             if before != self._follower.away:
                 self._log_store(call)
             self._publish(changed, self._follower.returned_revision)
@@ -213,6 +227,8 @@
             self._duty.note_watcher(message.sender, now)
         if news.revision <= self._items.revision:
             self._behind_since = None
+            if news.watching and news.revision == self._items.revision:
+                self._confirmed_at = now
             return
         if self._behind_since is None:
             self._behind_since = now
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -1,6 +1,7 @@
 """The forwarder: it owns callers' requests and the pools of connections."""
 
 import asyncio
+from collections import Counter
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -41,6 +42,9 @@
 
 SWEEP_PERIOD_S = 0.5
 LOWEST_PRIORITY = 9
+# Routes that have histograms of their own, and the label of all others.
+MAX_LABELLED_ROUTES = 12
+OTHER_ROUTES = "other"
 
 
 class Forwarder:
@@ -65,6 +69,7 @@
         self._table: RouteTable | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._shutdown: Shutdown | None = None
+        self._labelled_routes: set[str] = set()
 
     @property
     def ready(self) -> bool:
@@ -78,6 +83,7 @@
         bus.subscribe(Catalog, self._take_catalog)
         bus.subscribe(MemberView, self._note_members)
         bus.subscribe(SettingsReloaded, self._take_settings)
+        self._add_gauges()
         self.server.start()
         self.ready_server.start()
         self.instance.spawn(self._sweep_forever(), f"{DOMAIN}.sweep")
@@ -340,10 +346,12 @@
         now = self.instance.now()
         metrics = self.instance.metrics
         metrics.count(f"ended.{request.outcome or 'error'}")
-        metrics.observe("request", now - request.arrived)
+        route = self._name_route(request.route.name)
+        metrics.observe(f"request.{route}", now - request.arrived)
+        metrics.observe(f"endpoint.{route}", now - request.arrived - request.waited_s)
         first_s = request.first_piece_at - request.arrived
         if request.first_piece_at:
-            metrics.observe("first_piece", first_s)
+            metrics.observe(f"first_piece.{route}", first_s)
         log_event(
             "request_ended",
             request_id=request.head.request_id,
@@ -359,6 +367,49 @@
             outcome=request.outcome or "error",
         )
 
+    def _name_route(self, name: str) -> str:
+        """Return a route's label: the first few that come have their own.
+
+        A histogram takes 26 KB, and a configuration may have hundreds of
+        routes.
+        """
+        if name in self._labelled_routes:
+            return name
+        if len(self._labelled_routes) >= MAX_LABELLED_ROUTES:
+            return OTHER_ROUTES
+        self._labelled_routes.add(name)
+        return name
+
+    def _add_gauges(self) -> None:
+        """Show what this instance believes now."""
+        metrics = self.instance.metrics
+        metrics.add_gauge("configuration_version", self._read_version)
+        metrics.add_gauge("members", self._read_members)
+        metrics.add_gauge("endpoints", self._read_endpoints)
+        metrics.add_gauge("retry_budget_left", self._read_budget)
+        metrics.add_gauge("requests_open", lambda: {"": float(len(self._open))})
+
+    def _read_version(self) -> dict[str, float]:
+        return {"": float(self._table.version if self._table else 0)}
+
+    def _read_members(self) -> dict[str, float]:
+        view = self.instance.bus.latest(MemberView) or MemberView()
+        states = Counter(member.state.value for member in view.members_by_id.values())
+        return {state: float(count) for state, count in states.items()}
+
+    def _read_endpoints(self) -> dict[str, float]:
+        now = self.instance.now()
+        known = self._placer.list_endpoints()
+        avoided = sum(self.get_load(id).health.is_avoided(now) for id in known)
+        return {"ready": float(len(known)), "avoided": float(avoided)}
+
+    def _read_budget(self) -> dict[str, float]:
+        now = self.instance.now()
+        return {
+            service: float(self.budget.count_left(service, now))
+            for service in self._placer.records_by_service
+        }
+
     async def _sweep_forever(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
--- a/fescuekeel/components/metrics/server.py
+++ b/fescuekeel/components/metrics/server.py
@@ -23,8 +23,8 @@
 def format_metrics(metrics: Metrics) -> str:
     r"""Return all metrics, a line each, in the text exposition format.
 
-    A counter's name is its first part; what follows is the label ``kind``,
-    which holds only members of closed lists.
+    The name of a counter or a histogram is its first part; what follows is the
+    label ``kind``, which holds only members of closed or bounded lists.
 
     >>> metrics = Metrics()
     >>> metrics.count("refused.queue_full")
@@ -32,13 +32,29 @@
     'fescuekeel_refused_total{kind="queue_full"} 1\n'
     """
     lines = list(_list_counters(metrics))
+    lines += _list_gauges(metrics)
+    lines += _list_histograms(metrics)
+    return "\n".join(lines) + "\n"
+
+
+def _list_gauges(metrics: Metrics) -> Iterable[str]:
+    for name, read in sorted(metrics.gauges_by_name.items()):
+        for kind, value in sorted(read().items()):
+            label = f'{{kind="{kind}"}}' if kind else ""
+            yield f"fescuekeel_{ILLEGAL.sub('_', name)}{label} {value:g}"
+
+
+def _list_histograms(metrics: Metrics) -> Iterable[str]:
     for name, histogram in sorted(metrics.histograms_by_name.items()):
-        base = f"fescuekeel_{ILLEGAL.sub('_', name)}_seconds"
+        first, _, kind = name.partition(".")
+        base = f"fescuekeel_{ILLEGAL.sub('_', first)}_seconds"
+        label = f'kind="{kind}"' if kind else ""
         for quantile in QUANTILES:
             value = histogram.get_value_at_percentile(quantile) / US_PER_S
-            lines.append(f'{base}{{quantile="{quantile / 100:g}"}} {value:.6f}')
-        lines.append(f"{base}_count {histogram.get_total_count()}")
-    return "\n".join(lines) + "\n"
+            labels = ",".join(filter(None, (label, f'quantile="{quantile / 100:g}"')))
+            yield f"{base}{{{labels}}} {value:.6f}"
+        count_label = f"{{{label}}}" if label else ""
+        yield f"{base}_count{count_label} {histogram.get_total_count()}"
 
 
 def _list_counters(metrics: Metrics) -> Iterable[str]:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -72,6 +72,7 @@
             bus.subscribe_peer(kind, self.post)
         bus.subscribe(PeerLost, self._note_lost)
         bus.publish_state(self.board)
+        self.instance.metrics.add_gauge("endpoints_held", self._read_held)
         await super().start()
         self.instance.spawn(self._tick_forever(), f"{DOMAIN}.tick")
 
@@ -135,6 +136,9 @@
         self._tell_newcomers(view.members_by_id)
         self._tell(now)
 
+    def _read_held(self) -> dict[str, float]:
+        return {"": float(sum(map(self._holds, self._holders_by_endpoint)))}
+
     def _log_held(self, endpoint: str, now: float) -> None:
         own = self._claims.own_by_endpoint[endpoint]
         heard = self._claims.heard_by_endpoint.get(endpoint)
--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -6,7 +6,7 @@
 import pkgutil
 import time
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
@@ -209,17 +209,23 @@
     """Hold this instance's counters and histograms by name.
 
     Counter names are dotted, with the reason last, such as
-    ``refused.queue_full``. Histograms are in microseconds.
+    ``refused.queue_full``. Histograms are in microseconds. A gauge is read
+    when somebody looks, and has a value for each of its labels.
     """
 
     def __init__(self) -> None:
         self.counters_by_name: Counter[str] = Counter()
         self.histograms_by_name: dict[str, HdrHistogram] = {}
+        self.gauges_by_name: dict[str, Callable[[], Mapping[str, float]]] = {}
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
         self.counters_by_name[name] += by
 
+    def add_gauge(self, name: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """Add a gauge; ``read`` returns values by label, ``""`` for none."""
+        self.gauges_by_name[name] = read
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds."""
         histogram = self.histograms_by_name.get(name)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -450,9 +450,18 @@
                 await world.ask("/lookup/x")
                 metrics = world.instances[0].components_by_domain["metrics"]
                 url = f"http://{metrics.address}/metrics"
+                text = (await world.client.fetch(url)).body.decode()
+                for believed in (
+                    "fescuekeel_configuration_version 1",
+                    'fescuekeel_members{kind="alive"} 1',
+                    'fescuekeel_endpoints{kind="ready"} 4',
+                    "fescuekeel_catalog_age_seconds",
+                    'fescuekeel_retry_budget_left{kind="storefront"}',
+                ):
+                    assert believed in text
                 answer = await world.client.fetch(url)
                 text = answer.body.decode()
                 assert 'fescuekeel_ended_total{kind="answered"} 1' in text
-                assert "fescuekeel_request_seconds_count 1" in text
+                assert 'fescuekeel_request_seconds_count{kind="lookup"} 1' in text
 
         run(work)
