Load elsewhere when the holder of an adapter is full; log what a prompt waits for

Change: an endpoint that refused a prompt for its queue, or a load, is full for that request; others that hold the weights, or a load at another one, come first. attempt_ended tells the prompt's tokens, those ahead and the first piece.

--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -93,13 +93,16 @@
     loads_by_id: Callable[[str], EndpointLoad],
     states_by_id: Mapping[str, EndpointState],
     tried: Collection[str],
+    full: Collection[str],
     now: float,
 ) -> Choice | None:
     """Return where a prompt goes, and whether its weights are there.
 
     A base model is everywhere, so that the least cost decides. An adapter's
     requests go to the cheapest endpoint that holds it. If that one is loaded
-    far above another, that other one should get a copy.
+    far above another, that other one should get a copy. Endpoints that have
+    just refused the prompt for their queue are ``full``: while others are
+    there, its weights are loaded at one of them rather than refused.
     """
     model = Weights(question.weights.model)
 
@@ -112,6 +115,7 @@
 
     usable = {id: rec for id, rec in endpoints_by_id.items() if model in read_held(id)}
     candidates = _list_candidates(usable, loads_by_id, tried, now)
+    candidates = [id for id in candidates if id not in full] or candidates
     if not candidates:
         return None
     costs_by_id = {
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -21,7 +21,7 @@
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.placing import Placer
-from fescuekeel.components.forward.request import ForwardedRequest
+from fescuekeel.components.forward.request import Attempt, ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
 from fescuekeel.components.forward.server import CallersServer, ReadyServer
 from fescuekeel.components.forward.shutdown import Shutdown
@@ -304,7 +304,7 @@
         self,
         request: ForwardedRequest,
         choice: Choice,
-        began: float,
+        attempt: Attempt,
         end: AttemptEnd | None,
     ) -> None:
         """Log one attempt."""
@@ -322,7 +322,10 @@
             cost_ms=round(choice.cost_s * 1000),
             weights=str(request.weights or ""),
             version=choice.version or 0,
-            took_ms=round((self.instance.now() - began) * 1000),
+            tokens=attempt.tokens,
+            tokens_ahead=attempt.tokens_ahead,
+            first_ms=round(attempt.first_s * 1000),
+            took_ms=round((self.instance.now() - attempt.began) * 1000),
             outcome=outcome,
         )
 
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -12,7 +12,7 @@
 )
 from fescuekeel.components.forward.const import (
     LOAD_WAIT_SHARE,
-    MAX_TURN_REFUSALS,
+    MAX_FULL_ENDPOINTS,
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     READING_S,
@@ -88,9 +88,9 @@
         self, request: ForwardedRequest, until: float
     ) -> Choice | Failure:
         failure = _refuse_for_load(ErrorKind.NO_ENDPOINT, "no endpoint")
-        refusals = 0
+        full: set[str] = set()
         while True:
-            choice = self._choose(request)
+            choice = self._choose(request, full)
             if choice is None:
                 if self._instance.now() >= until:
                     return failure
@@ -112,7 +112,10 @@
                     waited_ms=round((self._instance.now() - asked) * 1000),
                     outcome=detail or "loaded",
                 )
-                if detail == LOADS_WAIT or self._instance.now() >= until:
+                if detail == LOADS_WAIT:
+                    full.add(choice.endpoint)
+                late = self._instance.now() >= until
+                if late or len(full) >= MAX_FULL_ENDPOINTS:
                     return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
                 if detail:
                     # The next holder may be known in a moment.
@@ -126,9 +129,10 @@
                 return choice
             if wait_s is None:
                 continue
-            refusals += 1
+            full.add(choice.endpoint)
             failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
-            if refusals >= MAX_TURN_REFUSALS or self._instance.now() >= until:
+            late = self._instance.now() >= until
+            if late or len(full) >= MAX_FULL_ENDPOINTS:
                 return failure
 
     def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
@@ -198,7 +202,7 @@
             return "load takes too long"
         return detail
 
-    def _choose(self, request: ForwardedRequest) -> Choice | None:
+    def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
         now = self._instance.now()
         records = self.records_by_service.get(request.service, {})
         state = request.state
@@ -219,7 +223,13 @@
             self._versions.get_oldest_allowed(weights, now),
         )
         return choose_engine(
-            question, allowed, self._get_load, board.states_by_endpoint, tried, now
+            question,
+            allowed,
+            self._get_load,
+            board.states_by_endpoint,
+            tried,
+            full,
+            now,
         )
 
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -36,7 +36,7 @@
 if TYPE_CHECKING:
     from fescuekeel.components.forward.component import Forwarder
 
-__all__ = ["ForwardedRequest"]
+__all__ = ["Attempt", "ForwardedRequest"]
 
 FAILURE_STATUS = 500
 
@@ -50,6 +50,7 @@
     tokens: int
     tokens_ahead: int
     first_piece: bool = False
+    first_s: float = -1.0
     head: ResponseHead | None = None
     connection: Connection | None = None
 
@@ -196,7 +197,7 @@
                 attempt.connection.close()
         failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
         load.health.note_result(failed, done)
-        self.forwarder.note_attempt(self, choice, attempt.began, end)
+        self.forwarder.note_attempt(self, choice, attempt, end)
         return end
 
     async def _exchange(self, attempt: Attempt, choice: Choice) -> AttemptEnd | None:
@@ -355,6 +356,7 @@
             self.first_piece_at = now
         load = self.forwarder.get_load(attempt.endpoint)
         wait_s = now - attempt.began
+        attempt.first_s = wait_s
         load.note_first_piece(attempt.tokens, attempt.tokens_ahead, wait_s, now)
         if self.route.kind is not RouteKind.STREAM:
             load.note_service(wait_s)
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -44,7 +44,7 @@
         Subject.REQUEST,
         """
         answer_broken request_id endpoint kept age_ms error outcome
-        attempt_ended request_id endpoint reason cost_ms version took_ms outcome
+        attempt_ended request_id endpoint reason cost_ms tokens_ahead took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         request_ended request_id service took_ms outcome
         request_refused request_id kind detail outcome
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -41,9 +41,15 @@
         self.states = states if states is not None else {}
         self.loads = {id: EndpointLoad() for id in self.records}
 
-    def choose(self, question, tried=()):
+    def choose(self, question, tried=(), full=()):
         return choose_engine(
-            question, self.records, self.loads.__getitem__, self.states, tried, NOW
+            question,
+            self.records,
+            self.loads.__getitem__,
+            self.states,
+            tried,
+            full,
+            NOW,
         )
 
     def choose_plain(self, tried=(), centre="dc0"):
@@ -51,6 +57,22 @@
 
 
 class TestEngine:
+    def test_full_holder_gives_way_to_a_load_elsewhere(self):
+        """Requests were refused while other engines of the service were idle.
+
+        The one engine that held their adapter had no room in its queue, and
+        the second choice was the same engine.
+        """
+        states = {id: make_state() for id in IDS} | {"e2": make_state([CARDS])}
+        choice = World(states).choose(ask(), full=["e2"])
+        assert choice.endpoint != "e2"
+        assert choice.needs_load
+
+    def test_full_holder_is_chosen_when_nothing_else_is_there(self):
+        states = {"e1": make_state([CARDS])}
+        world = World(states, make_records(["e1"]))
+        assert world.choose(ask(), full=["e1"]).endpoint == "e1"
+
     def test_adapter_goes_where_it_is_held(self):
         states = {id: make_state() for id in IDS} | {"e2": make_state([CARDS])}
         choice = World(states).choose(ask())
