--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -76,8 +76,8 @@
 READING_S: Final = 0.12
 # Beyond its patience, a request waits so long for the holder's word.
 TURN_GRACE_S: Final = 0.1
-# A prompt that so many engines have no room for is refused.
-MAX_FULL_ENDPOINTS: Final = 3
+# A prompt for which engines have had no room so many times is refused.
+MAX_REFUSALS: Final = 3
 # Callers that an overload turns away come back spread over this time: a burst
 # lasts some seconds, and the same crowd a third of a second later finds the
 # same queue. Their answer counts as late either way.
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -12,7 +12,7 @@
 )
 from fescuekeel.components.forward.const import (
     LOAD_WAIT_SHARE,
-    MAX_FULL_ENDPOINTS,
+    MAX_REFUSALS,
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     READING_S,
@@ -89,6 +89,7 @@
     ) -> Choice | Failure:
         failure = _refuse_for_load(ErrorKind.NO_ENDPOINT, "no endpoint")
         full: set[str] = set()
+        refusals = 0
         while True:
             choice = self._choose(request, full)
             if choice is None:
@@ -114,8 +115,9 @@
                 )
                 if detail == LOADS_WAIT:
                     full.add(choice.endpoint)
+                    refusals += 1
                 late = self._instance.now() >= until
-                if late or len(full) >= MAX_FULL_ENDPOINTS:
+                if late or refusals >= MAX_REFUSALS:
                     return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
                 if detail:
                     # The next holder may be known in a moment.
@@ -130,9 +132,10 @@
             if wait_s is None:
                 continue
             full.add(choice.endpoint)
+            refusals += 1
             failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
             late = self._instance.now() >= until
-            if late or len(full) >= MAX_FULL_ENDPOINTS:
+            if late or refusals >= MAX_REFUSALS:
                 return failure
 
     def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
