Tell the fixed part of a first piece from reading

So engines add some 80 ms that others do not wait for. The pacer took them for reading and paced for 8 tokens a millisecond: prompts were refused by engines that were less than half busy. Change: each instance fits a line through waits by tokens, a service at a time; its start is taken off before a speed is learned.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -20,6 +20,7 @@
     DRAIN_RETRY_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.forward.overhead import FirstPieceFit
 from fescuekeel.components.forward.placing import Placer
 from fescuekeel.components.forward.request import Attempt, ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
@@ -66,6 +67,7 @@
         self._placer = Placer(instance, self.get_load)
         self._use = UseReporter(instance, self.loads_by_id)
         self._pools_by_id: dict[str, ConnectionPool] = {}
+        self._fits_by_service: dict[str, FirstPieceFit] = {}
         self._table: RouteTable | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._shutdown: Shutdown | None = None
@@ -232,6 +234,10 @@
             load = self.loads_by_id[endpoint] = EndpointLoad()
         return load
 
+    def get_fit(self, service: str) -> FirstPieceFit:
+        """Return what is learned of the first pieces of a service."""
+        return self._fits_by_service.setdefault(service, FirstPieceFit())
+
     def count_ahead(self, endpoint: str, tokens: int) -> int:
         """Return the tokens that wait at an engine before a prompt.
 
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -58,6 +58,13 @@
 # that was read already, on average.
 SPEED_AHEAD_SHARE: Final = 0.3
 STEP_S: Final = 0.012
+# How many prompts the fixed part of a first piece is learned from, how many
+# must have come before it is believed, and the most that it is taken for.
+OVERHEAD_MEMORY: Final = 60
+OVERHEAD_SAMPLES: Final = 6
+MAX_OVERHEAD_S: Final = 0.5
+# A wait longer than this shows a stall, not how fast prompts are read.
+MAX_FIT_WAIT_S: Final = 1.0
 # Above this share of its slots, an engine's waits begin to grow.
 CROWDED_SHARE: Final = 0.75
 CROWDED_COST_S: Final = 1.0
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -21,7 +21,7 @@
 from fescuekeel.helpers.placement import EndpointState
 from fescuekeel.helpers.published import Weights
 
-__all__ = ["EndpointHealth", "EndpointLoad"]
+__all__ = ["EndpointHealth", "EndpointLoad", "is_alone"]
 
 
 @dataclass(slots=True)
@@ -86,6 +86,11 @@
         return now < self.unreachable_until or self.is_silent(now)
 
 
+def is_alone(tokens: int, ahead: int) -> bool:
+    """Tell whether a prompt's wait shows how fast it was read itself."""
+    return ahead <= tokens * SPEED_AHEAD_SHARE
+
+
 @dataclass(slots=True)
 class EndpointLoad:
     """Estimate how long a new request waits at an endpoint.
@@ -119,19 +124,20 @@
             begun[weights] = begun.get(weights, 0) + 1
 
     def note_first_piece(
-        self, tokens: int, ahead: int, wait_s: float, now: float
+        self, tokens: int, ahead: int, wait_s: float, overhead_s: float, now: float
     ) -> None:
         """Learn the endpoint's speed from the wait of one request.
 
-        ``ahead`` are the tokens that were pending when it was sent.
+        ``ahead`` are the tokens that were pending when it was sent, and
+        ``overhead_s`` is the part of the wait in which nothing is read.
         """
         self.pending_tokens -= tokens
         if tokens <= 0:
             return
-        alone = ahead <= tokens * SPEED_AHEAD_SHARE
-        if alone and tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
-            self.speeds.append((tokens + ahead / 2) / (wait_s - STEP_S))
-        sample = min(MAX_TOKEN_S, wait_s / (tokens + ahead))
+        reading_s = max(STEP_S, wait_s - overhead_s)
+        if is_alone(tokens, ahead) and tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
+            self.speeds.append((tokens + ahead / 2) / reading_s)
+        sample = min(MAX_TOKEN_S, reading_s / (tokens + ahead))
         self.token_s = self._read_token_s(now)
         self.token_s += SPEED_WEIGHT * (sample - self.token_s)
         self._speed_seen = now
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -17,10 +17,12 @@
     KEEP_MARGIN_S,
     KEEP_UNSAFE_S,
     KEEP_UNSAID_S,
+    MAX_FIT_WAIT_S,
     MAX_UNSENT_PAUSE_S,
     MIN_SEND_S,
     UNSENT_PAUSE_S,
 )
+from fescuekeel.components.forward.endpoints import is_alone
 from fescuekeel.components.forward.events import EventSplitter
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import AnswerHead, CallerHead, Header, SendHead
@@ -357,6 +359,12 @@
         load = self.forwarder.get_load(attempt.endpoint)
         wait_s = now - attempt.began
         attempt.first_s = wait_s
-        load.note_first_piece(attempt.tokens, attempt.tokens_ahead, wait_s, now)
+        fit = self.forwarder.get_fit(self.service)
+        load.note_first_piece(
+            attempt.tokens, attempt.tokens_ahead, wait_s, fit.overhead_s, now
+        )
+        alone = is_alone(attempt.tokens, attempt.tokens_ahead)
+        if attempt.tokens and alone and wait_s < MAX_FIT_WAIT_S:
+            fit.note(attempt.tokens, wait_s)
         if self.route.kind is not RouteKind.STREAM:
             load.note_service(wait_s)
