Give records of requests and the telling of news modules of their own

Change: forward/records.py writes what became of requests into log and metrics, placement/teller.py decides when news is told; no behaviour changes.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -22,6 +22,7 @@
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.overhead import FirstPieceFit
 from fescuekeel.components.forward.placing import Placer
+from fescuekeel.components.forward.records import RequestRecords
 from fescuekeel.components.forward.request import Attempt, ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
 from fescuekeel.components.forward.server import CallersServer, ReadyServer
@@ -43,9 +44,6 @@
 
 SWEEP_PERIOD_S = 0.5
 LOWEST_PRIORITY = 9
-# Routes that have histograms of their own, and the label of all others.
-MAX_LABELLED_ROUTES = 12
-OTHER_ROUTES = "other"
 
 
 class Forwarder:
@@ -64,6 +62,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         self.loads_by_id: dict[str, EndpointLoad] = {}
+        self.records = RequestRecords(instance, self.read_version)
         self._placer = Placer(instance, self.get_load)
         self._use = UseReporter(instance, self.loads_by_id)
         self._pools_by_id: dict[str, ConnectionPool] = {}
@@ -71,7 +70,6 @@
         self._table: RouteTable | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._shutdown: Shutdown | None = None
-        self._labelled_routes: set[str] = set()
 
     @property
     def ready(self) -> bool:
@@ -210,15 +208,7 @@
     async def _refuse(
         self, caller: CallerConnection, request_id: str, failure: Failure
     ) -> None:
-        self.instance.metrics.count(f"refused.{failure.kind}")
-        log_event(
-            "request_refused",
-            request_id=request_id,
-            kind=failure.kind.value,
-            detail=failure.detail,
-            configuration=self._table.version if self._table else 0,
-            outcome="refused",
-        )
+        self.records.unrouted(request_id, failure)
         headers = self.dialect.write_refusal(request_id, failure.kind)
         try:
             await caller.refuse(failure, headers)
@@ -291,17 +281,10 @@
 
     def spend_retry(self, request: ForwardedRequest, end: AttemptEnd) -> bool:
         """Take from the budget; return whether the request may go again."""
-        allowed = self.budget.spend(request.service, self.instance.now())
-        outcome = "granted" if allowed else "denied"
-        self.instance.metrics.count(f"retry.{end}.{outcome}")
-        log_event(
-            "retry_decided",
-            request_id=request.head.request_id,
-            reason=end.value,
-            sends=request.state.sends,
-            left=self.budget.count_left(request.service, self.instance.now()),
-            outcome=outcome,
-        )
+        now = self.instance.now()
+        allowed = self.budget.spend(request.service, now)
+        left = self.budget.count_left(request.service, now)
+        self.records.retry(request, end, left, allowed)
         return allowed
 
     # What requests tell.
@@ -313,93 +296,29 @@
         attempt: Attempt,
         end: AttemptEnd | None,
     ) -> None:
-        """Log one attempt."""
-        outcome = "answered" if end is None else end.value
-        self.instance.metrics.count(f"attempt.{outcome}")
+        """Record one attempt, and learn from a misdirection at once."""
         if end is AttemptEnd.MISDIRECTED and request.weights is not None:
             board = self.instance.bus.latest(PlacementBoard)
             if board is not None:
                 board.note_missing(choice.endpoint, request.weights)
-        log_event(
-            "attempt_ended",
-            request_id=request.head.request_id,
-            endpoint=choice.endpoint,
-            reason=choice.reason.value,
-            cost_ms=round(choice.cost_s * 1000),
-            weights=str(request.weights or ""),
-            version=choice.version or 0,
-            tokens=attempt.tokens,
-            tokens_ahead=attempt.tokens_ahead,
-            first_ms=round(attempt.first_s * 1000),
-            took_ms=round((self.instance.now() - attempt.began) * 1000),
-            outcome=outcome,
-        )
+        self.records.attempt(request, choice, attempt, end)
 
-    def note_refused(self, request: ForwardedRequest, failure: Failure) -> None:
-        """Count a refusal."""
-        self.instance.metrics.count(f"refused.{failure.kind}")
-        log_event(
-            "request_refused",
-            request_id=request.head.request_id,
-            kind=failure.kind.value,
-            detail=failure.detail,
-            sends=request.state.sends,
-            may_have_run=request.state.may_have_run,
-            configuration=self._table.version if self._table else 0,
-            age_ms=round((self.instance.now() - request.arrived) * 1000),
-            outcome="refused",
-        )
-
-    def note_end(self, request: ForwardedRequest) -> None:
-        """Log the end of a request."""
-        now = self.instance.now()
-        metrics = self.instance.metrics
-        metrics.count(f"ended.{request.outcome or 'error'}")
-        route = self._name_route(request.route.name)
-        metrics.observe(f"request.{route}", now - request.arrived)
-        metrics.observe(f"endpoint.{route}", now - request.arrived - request.waited_s)
-        first_s = request.first_piece_at - request.arrived
-        if request.first_piece_at:
-            metrics.observe(f"first_piece.{route}", first_s)
-        log_event(
-            "request_ended",
-            request_id=request.head.request_id,
-            route=request.route.name,
-            service=request.service,
-            configuration=self._table.version if self._table else 0,
-            sends=request.state.sends,
-            waited_ms=round(request.waited_s * 1000),
-            first_ms=round(first_s * 1000) if request.first_piece_at else -1,
-            gap_ms=round(request.longest_gap_s * 1000),
-            gap_at_ms=round(max(0.0, request.longest_gap_at - request.arrived) * 1000),
-            took_ms=round((now - request.arrived) * 1000),
-            outcome=request.outcome or "error",
-        )
-
-    def _name_route(self, name: str) -> str:
-        """Return a route's label: the first few that come have their own.
-
-        A histogram takes 26 KB, and a configuration may have hundreds of
-        routes.
-        """
-        if name in self._labelled_routes:
-            return name
-        if len(self._labelled_routes) >= MAX_LABELLED_ROUTES:
-            return OTHER_ROUTES
-        self._labelled_routes.add(name)
-        return name
+    # What is believed.
 
     def _add_gauges(self) -> None:
         """Show what this instance believes now."""
         metrics = self.instance.metrics
-        metrics.add_gauge("configuration_version", self._read_version)
+        metrics.add_gauge(
+            "configuration_version", lambda: {"": float(self.read_version())}
+        )
         metrics.add_gauge("members", self._read_members)
         metrics.add_gauge("endpoints", self._read_endpoints)
         metrics.add_gauge("retry_budget_left", self._read_budget)
         metrics.add_gauge("requests_open", lambda: {"": float(len(self._open))})
 
-    def _read_version(self) -> dict[str, float]:
-        return {"": float(self._table.version if self._table else 0)}
+    def read_version(self) -> int:
+        """Return the configuration in force, 0 before there is any."""
+        return self._table.version if self._table else 0
 
     def _read_members(self) -> dict[str, float]:
         view = self.instance.bus.latest(MemberView) or MemberView()
--- /dev/null
+++ b/fescuekeel/components/forward/records.py
@@ -0,0 +1,131 @@
+"""Write what became of requests into the log and the metrics."""
+
+from collections.abc import Callable
+
+from fescuekeel.components.forward.attempts import AttemptEnd
+from fescuekeel.components.forward.choice import Choice
+from fescuekeel.components.forward.request import Attempt, ForwardedRequest
+from fescuekeel.core import Instance
+from fescuekeel.errors import Failure
+from fescuekeel.helpers.logging import log_event
+
+__all__ = ["RequestRecords"]
+
+# Routes that have histograms of their own, and the label of all others.
+MAX_LABELLED_ROUTES = 12
+OTHER_ROUTES = "other"
+
+
+class RequestRecords:
+    """Log one line for each decision on a request, and count it."""
+
+    def __init__(self, instance: Instance, read_version: Callable[[], int]) -> None:
+        self._instance = instance
+        self._read_version = read_version
+        self._labelled_routes: set[str] = set()
+
+    def unrouted(self, request_id: str, failure: Failure) -> None:
+        """Record the refusal of a request that has no route yet."""
+        self._instance.metrics.count(f"refused.{failure.kind}")
+        log_event(
+            "request_refused",
+            request_id=request_id,
+            kind=failure.kind.value,
+            detail=failure.detail,
+            configuration=self._read_version(),
+            outcome="refused",
+        )
+
+    def retry(
+        self, request: ForwardedRequest, end: AttemptEnd, left: int, allowed: bool
+    ) -> None:
+        """Record the word of the retry budget."""
+        outcome = "granted" if allowed else "denied"
+        self._instance.metrics.count(f"retry.{end}.{outcome}")
+        log_event(
+            "retry_decided",
+            request_id=request.head.request_id,
+            reason=end.value,
+            sends=request.state.sends,
+            left=left,
+            outcome=outcome,
+        )
+
+    def attempt(
+        self,
+        request: ForwardedRequest,
+        choice: Choice,
+        attempt: Attempt,
+        end: AttemptEnd | None,
+    ) -> None:
+        """Record one attempt."""
+        outcome = "answered" if end is None else end.value
+        self._instance.metrics.count(f"attempt.{outcome}")
+        log_event(
+            "attempt_ended",
+            request_id=request.head.request_id,
+            endpoint=choice.endpoint,
+            reason=choice.reason.value,
+            cost_ms=round(choice.cost_s * 1000),
+            weights=str(request.weights or ""),
+            version=choice.version or 0,
+            tokens=attempt.tokens,
+            tokens_ahead=attempt.tokens_ahead,
+            first_ms=round(attempt.first_s * 1000),
+            took_ms=round((self._instance.now() - attempt.began) * 1000),
+            outcome=outcome,
+        )
+
+    def refused(self, request: ForwardedRequest, failure: Failure) -> None:
+        """Record a refusal."""
+        self._instance.metrics.count(f"refused.{failure.kind}")
+        log_event(
+            "request_refused",
+            request_id=request.head.request_id,
+            kind=failure.kind.value,
+            detail=failure.detail,
+            sends=request.state.sends,
+            may_have_run=request.state.may_have_run,
+            configuration=self._read_version(),
+            age_ms=round((self._instance.now() - request.arrived) * 1000),
+            outcome="refused",
+        )
+
+    def end(self, request: ForwardedRequest) -> None:
+        """Record the end of a request."""
+        now = self._instance.now()
+        metrics = self._instance.metrics
+        metrics.count(f"ended.{request.outcome or 'error'}")
+        route = self._name_route(request.route.name)
+        metrics.observe(f"request.{route}", now - request.arrived)
+        metrics.observe(f"endpoint.{route}", now - request.arrived - request.waited_s)
+        first_s = request.first_piece_at - request.arrived
+        if request.first_piece_at:
+            metrics.observe(f"first_piece.{route}", first_s)
+        log_event(
+            "request_ended",
+            request_id=request.head.request_id,
+            route=request.route.name,
+            service=request.service,
+            configuration=self._read_version(),
+            sends=request.state.sends,
+            waited_ms=round(request.waited_s * 1000),
+            first_ms=round(first_s * 1000) if request.first_piece_at else -1,
+            gap_ms=round(request.longest_gap_s * 1000),
+            gap_at_ms=round(max(0.0, request.longest_gap_at - request.arrived) * 1000),
+            took_ms=round((now - request.arrived) * 1000),
+            outcome=request.outcome or "error",
+        )
+
+    def _name_route(self, name: str) -> str:
+        """Return a route's label: the first few that come have their own.
+
+        A histogram takes 26 KB, and a configuration may have hundreds of
+        routes.
+        """
+        if name in self._labelled_routes:
+            return name
+        if len(self._labelled_routes) >= MAX_LABELLED_ROUTES:
+            return OTHER_ROUTES
+        self._labelled_routes.add(name)
+        return name
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -107,7 +107,7 @@
             if not self._closed_by_caller:
                 await self._end_stopped()
         finally:
-            self.forwarder.note_end(self)
+            self.forwarder.records.end(self)
 
     def lose_caller(self, task: asyncio.Task[None]) -> None:
         """Stop the work for a caller that is gone."""
@@ -157,7 +157,7 @@
             self.head.request_id, failure.kind
         )
         await self.caller.refuse(failure, headers)
-        self.forwarder.note_refused(self, failure)
+        self.forwarder.records.refused(self, failure)
 
     async def _end_late(self) -> None:
         """Say that the time is over; only what was not sent "has not run"."""
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -2,24 +2,20 @@
 
 import asyncio
 import itertools
-from collections.abc import Mapping
 from typing import Any
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     DOMAIN,
-    MAX_NEWS_SLOWDOWN,
-    NEWS_FLEET,
-    NEWS_GATHER_S,
-    NEWS_PERIOD_S,
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
 from fescuekeel.components.placement.model import Ask, AskEnded
 from fescuekeel.components.placement.model_turns import may_load_model
-from fescuekeel.components.placement.news import EndpointNews, NewsWriter
+from fescuekeel.components.placement.news import EndpointNews
 from fescuekeel.components.placement.places import EndpointPlaces
+from fescuekeel.components.placement.teller import NewsTeller
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.dialect import get_dialect
@@ -32,9 +28,7 @@
     AdmitAsk,
     LoadAnswer,
     LoadAsk,
-    Member,
     MemberView,
-    PeerLost,
     PeerMessage,
     PlacementNews,
     PlacementState,
@@ -59,18 +53,14 @@
         self._questions_by_ask: dict[int, PeerMessage] = {}
         self._ask_numbers = itertools.count(1)
         self._turns = TurnKeeper(instance)
-        self._writer = NewsWriter()
-        self._told_incarnations: dict[str, int] = {}
-        self._told_at = float("-inf")
-        self._news_due = 0.0
-        self._news_wanted = False
+        self._teller = NewsTeller(instance, self.board, self._list_news)
 
     async def start(self) -> None:
         """Subscribe and begin to step."""
         bus = self.instance.bus
         for kind in (PlacementNews, UseNews, LoadAsk, AdmitAsk):
             bus.subscribe_peer(kind, self.post)
-        bus.subscribe(PeerLost, self._note_lost)
+        self._teller.start()
         bus.publish_state(self.board)
         self.instance.metrics.add_gauge("endpoints_held", self._read_held)
         await super().start()
@@ -127,14 +117,13 @@
         )
         for id in newly:
             self._log_held(id, now)
-            self._want_news()
+            self._teller.want()
         self._release(self._claims.list_out_of_contact())
         self._match_holders(engines)
         for holder in self._holders_by_endpoint.values():
             holder.places.prune(now)
         self._share_board(engines, now)
-        self._tell_newcomers(view.members_by_id)
-        self._tell(now)
+        self._teller.step()
 
     def _read_held(self) -> dict[str, float]:
         return {"": float(sum(map(self._holds, self._holders_by_endpoint)))}
@@ -174,7 +163,7 @@
                 record,
                 places,
                 self._end_ask,
-                self._want_news,
+                self._teller.want,
                 self._may_load_model,
             )
 
@@ -203,7 +192,7 @@
         holder = self._holders_by_endpoint.pop(endpoint)
         holder.close()
         self._turns.drop(endpoint)
-        self._writer.forget(endpoint)
+        self._teller.forget(endpoint)
         if holder.has_held:
             heard = self._claims.heard_by_endpoint.get(endpoint)
             log_event(
@@ -220,23 +209,6 @@
         own = self._claims.own_by_endpoint.get(endpoint)
         return own is not None and own.held
 
-    def _want_news(self) -> None:
-        """Tell of a change at the end of this turn of the loop.
-
-        In a large fleet changes are gathered for a moment, so that a holder
-        does not send a message to each of many instances at every load.
-        """
-        if self._news_wanted:
-            return
-        self._news_wanted = True
-        gather_s = 0.0
-        if self._count_members() > NEWS_FLEET:
-            gather_s = self._told_at + NEWS_GATHER_S - self.instance.now()
-        asyncio.get_running_loop().call_later(max(0.0, gather_s), self._tell_now)
-
-    def _tell_now(self) -> None:
-        self._tell(self.instance.now())
-
     def _release(self, endpoints: list[str]) -> None:
         """Give up claims, and tell all since when no order was given."""
         now = self.instance.now()
@@ -250,7 +222,7 @@
             quiet_s = self._get_quiet_s(claim, now)
             states.append(PlacementState(id, claim.term, True, int(quiet_s * 1000)))
         if states:
-            self._send_news(tuple(states))
+            self._teller.send(tuple(states))
 
     def _get_quiet_s(self, claim: OwnClaim, now: float) -> float:
         """Return how long ago the last order counts as given.
@@ -265,25 +237,6 @@
             return LONG_QUIET_S
         return max(0.0, now - claim.last_order)
 
-    # News.
-
-    def _tell(self, now: float) -> None:
-        """Tell what changed soon, and all that is held from time to time."""
-        due = now >= self._news_due
-        if not due and not self._news_wanted:
-            return
-        self._news_wanted = False
-        self._told_at = now
-        if due:
-            slowdown = max(1.0, self._count_members() / NEWS_FLEET)
-            self._news_due = now + NEWS_PERIOD_S * min(slowdown, MAX_NEWS_SLOWDOWN)
-        states = []
-        for news in self._list_news():
-            if due or self._writer.has_changed(news):
-                states.append(self._writer.write(news, now))
-        if states:
-            self._send_news(tuple(states))
-
     def _list_news(self) -> list[EndpointNews]:
         return [
             EndpointNews(
@@ -297,50 +250,6 @@
             if self._holds(id)
         ]
 
-    def _count_members(self) -> int:
-        view = self.instance.bus.latest(MemberView)
-        return len(view.members_by_id) if view else 1
-
-    def _tell_newcomers(self, members_by_id: Mapping[str, Member]) -> None:
-        """Tell whole lists to who has not heard the last ones.
-
-        Guards against differences that nobody can use: an instance that has
-        just come, or whose connection was lost with a message on it, would
-        send nothing to an endpoint's adapters until the next whole list.
-        """
-        incarnations = {
-            id: member.incarnation
-            for id, member in members_by_id.items()
-            if id != self.instance.id
-        }
-        newcomers = [
-            id
-            for id, incarnation in incarnations.items()
-            if self._told_incarnations.get(id) != incarnation
-        ]
-        self._told_incarnations = incarnations
-        if not newcomers:
-            return
-        states = tuple(
-            state
-            for news in self._list_news()
-            if (state := self._writer.write_whole(news)) is not None
-        )
-        if states:
-            get_peer_link(self.instance).send_all(newcomers, PlacementNews(states))
-
-    def _note_lost(self, lost: PeerLost) -> None:
-        self._told_incarnations.pop(lost.instance_id, None)
-
-    def _send_news(self, states: tuple[PlacementState, ...]) -> None:
-        view = self.instance.bus.latest(MemberView) or MemberView()
-        now = self.instance.now()
-        for state in states:
-            if not state.released:
-                self.board.hear(self.instance.id, state, now)
-        peers = [id for id in view.members_by_id if id != self.instance.id]
-        get_peer_link(self.instance).send_all(peers, PlacementNews(states))
-
     def _share_board(self, engines: dict[str, EndpointRecord], now: float) -> None:
         self.board.holders_by_endpoint = {
             id: holder
--- /dev/null
+++ b/fescuekeel/components/placement/teller.py
@@ -0,0 +1,132 @@
+"""Tell all instances what the endpoints that are held here hold."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from fescuekeel.components.placement.const import (
+    MAX_NEWS_SLOWDOWN,
+    NEWS_FLEET,
+    NEWS_GATHER_S,
+    NEWS_PERIOD_S,
+)
+from fescuekeel.components.placement.news import EndpointNews, NewsWriter
+from fescuekeel.core import Instance
+from fescuekeel.helpers.peer_link import get_peer_link
+from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.messages import MemberView, PeerLost, PlacementNews, PlacementState
+
+__all__ = ["NewsTeller"]
+
+
+class NewsTeller:
+    """Decide when what is told, and send it.
+
+    ``list_news`` returns the state of each endpoint that is held here.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        board: PlacementBoard,
+        list_news: Callable[[], Iterable[EndpointNews]],
+    ) -> None:
+        self._instance = instance
+        self._board = board
+        self._list_news = list_news
+        self._writer = NewsWriter()
+        self._told_incarnations: dict[str, int] = {}
+        self._told_at = float("-inf")
+        self._due = 0.0
+        self._wanted = False
+
+    def start(self) -> None:
+        """Subscribe to lost connections."""
+        self._instance.bus.subscribe(PeerLost, self._note_lost)
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is not held any more."""
+        self._writer.forget(endpoint)
+
+    def want(self) -> None:
+        """Tell of a change at the end of this turn of the loop.
+
+        In a large fleet changes are gathered for a moment, so that a holder
+        does not send a message to each of many instances at every load.
+        """
+        if self._wanted:
+            return
+        self._wanted = True
+        gather_s = 0.0
+        if len(self._read_view().members_by_id) > NEWS_FLEET:
+            gather_s = self._told_at + NEWS_GATHER_S - self._instance.now()
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, gather_s), self._tell)
+
+    def step(self) -> None:
+        """Tell what is due; called at each tick."""
+        self._tell_newcomers()
+        self._tell()
+
+    def _tell(self) -> None:
+        """Tell what changed soon, and all that is held from time to time."""
+        now = self._instance.now()
+        due = now >= self._due
+        if not due and not self._wanted:
+            return
+        self._wanted = False
+        self._told_at = now
+        if due:
+            fleet = len(self._read_view().members_by_id)
+            slowdown = min(MAX_NEWS_SLOWDOWN, max(1.0, fleet / NEWS_FLEET))
+            self._due = now + NEWS_PERIOD_S * slowdown
+        states = [
+            self._writer.write(news, now)
+            for news in self._list_news()
+            if due or self._writer.has_changed(news)
+        ]
+        if states:
+            self.send(tuple(states))
+
+    def send(self, states: tuple[PlacementState, ...]) -> None:
+        """Send states to all instances, and take them in here."""
+        now = self._instance.now()
+        own_id = self._instance.id
+        for state in states:
+            if not state.released:
+                self._board.hear(own_id, state, now)
+        peers = [id for id in self._read_view().members_by_id if id != own_id]
+        get_peer_link(self._instance).send_all(peers, PlacementNews(states))
+
+    def _tell_newcomers(self) -> None:
+        """Tell whole lists to who has not heard the last ones.
+
+        Guards against differences that nobody can use: an instance that has
+        just come, or whose connection was lost with a message on it, would
+        send nothing to an endpoint's adapters until the next whole list.
+        """
+        incarnations = {
+            id: member.incarnation
+            for id, member in self._read_view().members_by_id.items()
+            if id != self._instance.id
+        }
+        newcomers = [
+            id
+            for id, incarnation in incarnations.items()
+            if self._told_incarnations.get(id) != incarnation
+        ]
+        self._told_incarnations = incarnations
+        if not newcomers:
+            return
+        states = tuple(
+            state
+            for news in self._list_news()
+            if (state := self._writer.write_whole(news)) is not None
+        )
+        if states:
+            get_peer_link(self._instance).send_all(newcomers, PlacementNews(states))
+
+    def _note_lost(self, lost: PeerLost) -> None:
+        self._told_incarnations.pop(lost.instance_id, None)
+
+    def _read_view(self) -> MemberView:
+        return self._instance.bus.latest(MemberView) or MemberView()
