--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -247,9 +247,8 @@
         since = self._items.revision
         try:
             link = get_peer_link(self._instance)
-            answer = (await link.ask(peer, CatalogAsk(since), ASK_TIMEOUT_S)).value_or(
-                None
-            )
+            asked = await link.ask(peer, CatalogAsk(since), ASK_TIMEOUT_S)
+            answer = asked.value_or(None)
         finally:
             self._asking = False
         if not isinstance(answer, CatalogPart):
