Write callers' requests in one place of the stand-ins

Cause: the soak and the sample each wrote the platform's headers and keys. Change: standins/forwarding/caller.py and two methods of the stand-in platform.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -13,7 +13,7 @@
     NotConnectedError,
     connect,
 )
-from standins.forwarding.platform import HOST, MODEL
+from standins.forwarding.caller import make_headers
 
 __all__ = ["Answer", "Caller", "Ending", "Route"]
 
@@ -25,6 +25,7 @@
 PAUSE_S = 0.03
 REFUSED_PAUSE_S = 0.1
 ADAPTERS = 10
+BODY = b"body"
 NUMBERS = itertools.count(1)
 
 
@@ -112,23 +113,15 @@
         number = next(NUMBERS)
         request_id, path = f"{number:016x}", f"/{route.value}/{number}"
         adapter = f"a{self._random.randint(1, ADAPTERS)}" if route.stream else ""
-        headers = [
-            ("Host", HOST),
-            ("Fescuekeel-Request-Id", request_id),
-            ("Fescuekeel-Deadline-Ms", str(int(TIME_LEFT_S * 1000))),
-        ]
-        if adapter:
-            headers.append(("Fescuekeel-Model", f"{MODEL}/{adapter}"))
-            headers.append(("Fescuekeel-Token-Count", "500,20"))
         method = "GET" if route is Route.LOOKUP else "POST"
-        if method == "POST":
-            headers.append(("Content-Length", "4"))
+        body = BODY if method == "POST" else None
+        headers = make_headers(request_id, TIME_LEFT_S, adapter, body)
         began = time.monotonic()
         try:
-            connection.send(method, path, headers, b"body" if method == "POST" else b"")
+            connection.send(method, path, headers, body or b"")
         except NotConnectedError:
             return None
-        status, body, ending = await self._read(connection)
+        status, came, ending = await self._read(connection)
         return Answer(
             request_id,
             route,
@@ -139,7 +132,7 @@
             time.monotonic(),
             ending,
             status,
-            body,
+            came,
         )
 
     async def _read(self, connection: Connection) -> tuple[int, bytes, Ending]:
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -14,7 +14,7 @@
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.world import SoakWorld
 from fescuekeel.helpers.exchange import NotConnectedError, connect, fetch
-from standins.forwarding.platform import HOST, MODEL
+from standins.forwarding.caller import make_headers
 
 __all__ = ["main", "play_seed"]
 
@@ -24,6 +24,7 @@
 FAILED_LOGS = Path("soak-logs")
 MAX_SHOWN = 5
 HEALED_TRIES = 3
+HEALED_TIME_LEFT_S = 3.0
 
 
 async def play_seed(
@@ -82,15 +83,7 @@
     """Ask a few times, as a caller would; return the last status."""
     found = 0
     for _ in range(HEALED_TRIES):
-        headers = [
-            ("Host", HOST),
-            ("Fescuekeel-Request-Id", secrets.token_hex(8)),
-            ("Fescuekeel-Deadline-Ms", "3000"),
-            ("Content-Length", "0"),
-        ]
-        if adapter:
-            headers.append(("Fescuekeel-Model", f"{MODEL}/{adapter}"))
-            headers.append(("Fescuekeel-Token-Count", "100,5"))
+        headers = make_headers(secrets.token_hex(8), HEALED_TIME_LEFT_S, adapter, b"")
         try:
             connection = await connect(address, 1.0)
             answer = await fetch(connection, method, path, headers, b"", 5.0)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -143,7 +143,7 @@
         """Publish the configuration with the route of its version."""
         route = make_route(f"v{self.version}", "safe", PLAIN)
         configuration = make_configuration(self.version, route)
-        self.platform.store.put("op/config", configuration)
+        self.platform.publish_configuration(configuration)
 
     async def stop(self) -> None:
         """End the daemons by their ids, then the rest."""
@@ -189,7 +189,7 @@
         known = [
             worker
             for worker in self.platform.workers_by_id.values()
-            if f"servers/{worker.id}" in self.platform.store.items_by_key
+            if self.platform.is_published(worker)
         ]
         return known[fault.target % len(known)]
 
@@ -245,7 +245,7 @@
         zone = ZONES[fault.target % len(ZONES)]
         await self.add_worker(worker.service, zone)
         await asyncio.sleep(LAPSE_S)
-        if f"servers/{worker.id}" not in self.platform.store.items_by_key:
+        if not self.platform.is_published(worker):
             return
         self.platform.publish_state(worker, "draining")
         self.leavings.append(Leaving(worker.id, time.monotonic()))
--- /dev/null
+++ b/standins/forwarding/caller.py
@@ -0,0 +1,30 @@
+"""Write requests as the platform's callers do."""
+
+from fescuekeel.helpers.dialect import Header
+from standins.forwarding.platform import HOST, MODEL
+
+__all__ = ["make_headers"]
+
+PROMPT_TOKENS = 500
+MAX_TOKENS = 20
+
+
+def make_headers(
+    request_id: str, time_left_s: float, adapter: str = "", body: bytes | None = None
+) -> list[Header]:
+    """Return the headers of a request, with its model if it asks for one.
+
+    >>> dict(make_headers("r1", 3.0))["Fescuekeel-Deadline-Ms"]
+    '3000'
+    """
+    headers = [
+        ("Host", HOST),
+        ("Fescuekeel-Request-Id", request_id),
+        ("Fescuekeel-Deadline-Ms", str(int(time_left_s * 1000))),
+    ]
+    if adapter:
+        headers.append(("Fescuekeel-Model", f"{MODEL}/{adapter}"))
+        headers.append(("Fescuekeel-Token-Count", f"{PROMPT_TOKENS},{MAX_TOKENS}"))
+    if body is not None:
+        headers.append(("Content-Length", str(len(body))))
+    return headers
--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -87,7 +87,7 @@
         for zone in ZONES:
             self.add(Worker(ENGINES, MODEL), zone)
             self.add(Worker(PLAIN), zone)
-        self.store.put("op/config", make_configuration(1))
+        self.publish_configuration(make_configuration(1))
 
     def start_worker(self, worker: Worker, zone: str) -> str:
         """Start a worker and return its address; nothing is published yet."""
@@ -114,6 +114,14 @@
         entry = worker.describe(address, self._zones_by_id[worker.id], state)
         self.store.put(f"servers/{worker.id}", entry)
 
+    def publish_configuration(self, configuration: dict[str, Any]) -> None:
+        """Publish a configuration in place of the last."""
+        self.store.put("op/config", configuration)
+
+    def is_published(self, worker: Worker) -> bool:
+        """Tell whether a worker's entry is in the store."""
+        return f"servers/{worker.id}" in self.store.items_by_key
+
     def remove(self, worker: Worker) -> None:
         """Remove a worker's entry."""
         self.store.put(f"servers/{worker.id}", None)
--- a/standins/forwarding/sample.py
+++ b/standins/forwarding/sample.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from standins.fleet import free_addresses
+from standins.forwarding.caller import make_headers
 from standins.forwarding.daemons import (
     DaemonAddresses,
     DaemonSpec,
@@ -76,14 +77,8 @@
     async def send(self, request: SampleRequest) -> Result:
         """Send one request when it is due and check its answer."""
         await asyncio.sleep(request.due_s)
-        headers = {
-            "Host": HOST,
-            "Fescuekeel-Request-Id": request.marker,
-            "Fescuekeel-Deadline-Ms": str(int(request.timeout_s * 1000)),
-        }
-        if request.model:
-            headers["Fescuekeel-Model"] = request.model
-            headers["Fescuekeel-Token-Count"] = "500,20"
+        _, _, adapter = request.model.partition("/")
+        headers = dict(make_headers(request.marker, request.timeout_s, adapter))
         began = time.monotonic()
         address = random.choice(self.callers)
         result = Result(request, Verdict.LOST)
