Begin nothing any more once connections are being closed

An instance had got SIGTERM at 20 s; a stock check came 4.96 s later, when nothing was under way any more and the process was closing, and was sent on: an endpoint ran it and the connection closed 41 ms later without an answer. Change: as soon as nothing is under way the shutdown has no time left, so that what still comes is refused as not run.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -98,6 +98,7 @@
         await asyncio.sleep(shutdown.serves_until - now)
         while self._open and shutdown.left_s(self.instance.now()) > 0:
             await asyncio.wait(self._open, timeout=shutdown.left_s(self.instance.now()))
+        self._shutdown = shutdown.close(self.instance.now())
         for task in list(self._open):
             task.cancel()
         await asyncio.sleep(DRAIN_POLL_S)
--- a/fescuekeel/components/forward/shutdown.py
+++ b/fescuekeel/components/forward/shutdown.py
@@ -33,6 +33,15 @@
         half_s = (self.ends - self.began) / 2
         return self.began + min(DRAIN_SERVE_S, half_s)
 
+    def close(self, now: float) -> "Shutdown":
+        """Return the same shutdown with no time left.
+
+        Guards against a request that comes while the process is closing its
+        connections, since nothing was under way any more: it showed as one
+        that an endpoint ran and whose caller got no answer.
+        """
+        return Shutdown(self.began, now)
+
     def may_begin(self, route: Route, now: float) -> bool:
         """Tell whether a request will be over before the process is gone.
 
--- a/tests/components/forward/test_shutdown.py
+++ b/tests/components/forward/test_shutdown.py
@@ -38,5 +38,16 @@
         assert shutdown.may_begin(route, 100.9)
         assert not shutdown.may_begin(route, 101.1)
 
+    def test_nothing_begins_once_connections_are_closed(self):
+        """A charge ran and its caller got no answer.
+
+        It came five seconds after the signal, when nothing was under way any
+        more and the process was about to close its connections. Found by a
+        hunted day on which machines are stopped in turn.
+        """
+        route = make_route(RouteKind.UNSAFE, 1.2)
+        assert SHUTDOWN.may_begin(route, 104.96)
+        assert not SHUTDOWN.close(104.95).may_begin(route, 104.96)
+
     def test_a_stream_that_may_outlast_the_process_is_not(self):
         assert not SHUTDOWN.may_begin(make_route(RouteKind.STREAM, 1.2), 103.1)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -466,6 +466,21 @@
         run(work)
 
 
+class TestClosing:
+    def test_instance_that_closes_begins_nothing(self):
+        """A charge ran on an endpoint, and its caller's connection closed."""
+
+        async def work():
+            async with start_world(1) as world:
+                forward = world.instances[0].components_by_domain["forward"]
+                route = forward._table.find(HOST, "/charge/x")
+                await world.instances[0].stop()
+                now = world.instances[0].now()
+                assert not forward._shutdown.may_begin(route, now)
+
+        run(work)
+
+
 class TestMetrics:
     def test_counters_and_latencies_are_shown(self):
         async def work():
