Give no order after an endpoint was silent, and look again when one fails

Change: no order is given to an endpoint that has not answered for 1.5 s; an order that is not answered ends the round and counts as silence.

--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -377,11 +377,15 @@
         """Tell whether an order may be given right now.
 
         Asked right before the bytes are written: between the decision and the
-        order the machine may have been suspended.
+        order the machine may have been suspended. Nor is an order given after
+        the endpoint was out of contact: behind a cut that heals in this moment
+        another may hold it, and two holders' orders together overrun it.
         """
         own = self.own_by_endpoint.get(endpoint)
         fresh = self._last_step is not None and now - self._last_step <= PAUSE_S
-        return own is not None and own.held and fresh
+        if own is None or not own.held or not fresh:
+            return False
+        return now - own.contact <= CONTACT_LOST_S
 
     def note_order(self, endpoint: str, now: float) -> None:
         """Note that an order was given."""
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -119,17 +119,23 @@
             for effect in effects:
                 if isinstance(effect, AskEnded):
                     self._on_ask_ended(effect)
-                else:
-                    await self._give(effect)
+                elif not await self._give(effect):
+                    return
             if not effects:
                 return
 
-    async def _give(self, effect: GiveOrder) -> None:
+    async def _give(self, effect: GiveOrder) -> bool:
+        """Give an order; return whether the endpoint answered.
+
+        Guards against a holder that goes on ordering behind a cut, each order
+        in place of the one that failed, and never comes to ask for a report,
+        which would show that the endpoint is out of contact.
+        """
         endpoint = self.record.id
         own = self._claims.own_by_endpoint.get(endpoint)
         if own is None or not own.held:
             self.places.note_reply(effect, OrderReply.UNAVAILABLE, self._instance.now())
-            return
+            return False
         order = WeightOrder(
             effect.kind,
             endpoint,
@@ -141,12 +147,15 @@
         asked = self._instance.now()
         self._claims.note_order(endpoint, asked)
         reply = await self._link.order(order, self._may_order)
-        self._claims.note_order(endpoint, self._instance.now())
-        self.places.note_reply(effect, reply, self._instance.now())
+        now = self._instance.now()
+        answered = reply is not None and reply is not OrderReply.UNAVAILABLE
+        self._claims.note_order(endpoint, now)
+        self._claims.note_contact(endpoint, answered, now)
+        self.places.note_reply(effect, reply, now)
         outcome = "unanswered" if reply is None else reply.value
         self._instance.metrics.count(f"placement.order.{effect.kind}.{outcome}")
         if effect.again and reply is OrderReply.ACCEPTED:
-            return
+            return True
         log_event(
             "order_given",
             endpoint=endpoint,
@@ -161,7 +170,8 @@
             outcome=outcome,
         )
         if reply is OrderReply.FENCED:
-            self._claims.note_fenced(endpoint, self._instance.now())
+            self._claims.note_fenced(endpoint, now)
+        return answered
 
     def _may_order(self) -> bool:
         return self._claims.may_order(self.record.id, self._instance.now())
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -153,6 +153,29 @@
             assert "e2" not in claims.step(endpoints, BOTH, (), 0, tenth / 10)
 
 
+class TestCutThatHeals:
+    def test_no_order_follows_a_silence(self):
+        """An engine was ordered to hold one adapter more than it has places.
+
+        Its holder was cut off for five seconds, went on ordering in vain and
+        never asked for a report. In the moment in which the cut healed one of
+        its orders was accepted, and another instance had just claimed the
+        engine, whose report did not show that order yet.
+        """
+        claims = Claims("i1", LEASE_S)
+        held = run(claims, 0.0, 10.0)
+        assert claims.may_order("e1", held)
+        for tenth in range(int(held * 10) + 1, int(held * 10) + 21):
+            claims.step(ENDPOINTS, ALONE, (), 0, tenth / 10)
+        assert not claims.may_order("e1", held + 2.0)
+
+    def test_an_order_in_vain_counts_as_silence(self):
+        claims = Claims("i1", LEASE_S)
+        held = run(claims, 0.0, 10.0)
+        claims.note_contact("e1", False, held + 1.6)
+        assert claims.list_out_of_contact() == ["e1"]
+
+
 class TestSuspension:
     def test_claim_does_not_outlive_a_suspension(self):
         """A machine gave an order after it had been suspended for seconds.
