--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient
@@ -474,6 +475,7 @@
             async with start_world(1) as world:
                 forward = world.instances[0].components_by_domain["forward"]
                 route = forward._table.find(HOST, "/charge/x")
+                route = replace(route, timeout_s=0.1)
                 await world.instances[0].stop()
                 now = world.instances[0].now()
                 assert not forward._shutdown.may_begin(route, now)
