Tell the starts of an endpoint apart, and use no entry that makes no sense

Cause: an endpoint may start again under its id, holding nothing. State was kept by id alone, so that requests for adapters went to it as before and its holder ordered by what the start before had held. One item that could not be read failed the whole page it stood on, and a malformed entry left the one that it had replaced in force.

Late entries and reports of an earlier start are dropped with a line. An item that makes no sense is refused by itself, and names no endpoint; entries are taken only in the types that endpoints write.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -1,5 +1,6 @@
 """Draw the faults of one run from a seed; pure."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -36,8 +37,13 @@
     ENDPOINT_CRASHES = "endpoint_crashes"
     CONFIGURATION = "configuration"
     ADAPTER_VERSION = "adapter_version"
+    ENDPOINT_RESTARTS = "endpoint_restarts"
+    FOREIGN_ENTRY = "foreign_entry"
 
 
+# Kinds that came later are drawn apart, so that a seed's other faults stay.
+LATER_KINDS = (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_ENTRY)
+FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 # Planned work, which must not be seen by any caller.
 PLANNED = frozenset(
     {
@@ -46,6 +52,7 @@
         FaultKind.ENDPOINT_LEAVES,
         FaultKind.CONFIGURATION,
         FaultKind.ADAPTER_VERSION,
+        FaultKind.FOREIGN_ENTRY,
     }
 )
 MAX_LENGTH_S = 3.0
@@ -86,14 +93,22 @@
     >>> make_plan(7, 10.0) == make_plan(7, 10.0)
     True
     """
-    random = Random(seed)
+    later_share = len(LATER_KINDS) / len(FIRST_KINDS)
+    first = _draw(Random(seed), FIRST_KINDS, seconds, per_s)
+    later = _draw(Random(f"{seed} later"), LATER_KINDS, seconds, per_s * later_share)
+    return sorted(first + later, key=lambda fault: fault.at)
+
+
+def _draw(
+    random: Random, kinds: Sequence[FaultKind], seconds: float, per_s: float
+) -> list[Fault]:
     faults: list[Fault] = []
     while len(faults) < seconds * per_s:
-        kind = random.choice(list(FaultKind))
+        kind = random.choice(kinds)
         at = random.uniform(0.0, seconds)
         target = random.randrange(100)
         for _ in range(random.randint(1, MAX_SERIES)):
             faults.append(Fault(kind, at, random.uniform(0.2, MAX_LENGTH_S), target))
             at += random.uniform(0.0, MAX_SERIES_GAP_S)
             target += random.randint(0, 1)
-    return sorted(faults, key=lambda fault: fault.at)
+    return faults
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -41,6 +41,7 @@
 EVENT_S = 0.05
 STOP_TIMEOUT_S = 10.0
 DELAY_S = 0.15
+FOREIGN_BYTES = (b"\xff\x00\x17", b'{"service": 7}', b"[]")
 CALLERS_PORT, OPERATORS_PORT, PEERS_PORT, READY_PORT = range(4)
 
 
@@ -84,6 +85,8 @@
             FaultKind.ENDPOINT_BREAKS: self._misbehave,
             FaultKind.ENDPOINT_LEAVES: self._leave,
             FaultKind.ENDPOINT_CRASHES: self._crash,
+            FaultKind.ENDPOINT_RESTARTS: self._restart,
+            FaultKind.FOREIGN_ENTRY: self._write_foreign_entry,
             FaultKind.CONFIGURATION: self._configure,
             FaultKind.ADAPTER_VERSION: self._name_version,
         }
@@ -263,6 +266,28 @@
         self.platform.remove(worker)
         await self.add_worker(worker.service, ZONES[fault.target % len(ZONES)])
 
+    async def _restart(self, fault: Fault) -> None:
+        """Let an endpoint come back under its id, its late entry last."""
+        worker = self._pick_worker(fault)
+        born = worker.born
+        worker.restart()
+        self._proxies_by_worker[worker.id].reset_open()
+        self.platform.publish_state(worker, "ready")
+        born, worker.born = worker.born, born
+        self.platform.publish_state(worker, "ready")
+        worker.born = born
+        await asyncio.sleep(fault.for_s)
+        if self.platform.is_published(worker):
+            self.platform.publish_state(worker, "ready")
+
+    async def _write_foreign_entry(self, fault: Fault) -> None:
+        """Write what names no endpoint, and take it away again."""
+        key = f"servers/foreign-{fault.target}"
+        self.platform.store.put_bytes(key, FOREIGN_BYTES[fault.target % 3])
+        await asyncio.sleep(fault.for_s)
+        if key in self.platform.store.items_by_key:
+            self.platform.store.put(key, None)
+
     async def _configure(self, fault: Fault) -> None:
         self.version += 1
         self.publish_configuration()
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -47,3 +47,6 @@
 LAPSE_GRACE_S: Final = 2.4
 # Removed keys are remembered, for peers that are behind, up to this many.
 MAX_REMOVED: Final = 4096
+# Of how many endpoints the birth is remembered, also after they are gone: a
+# late entry of an earlier start may come then.
+MAX_KNOWN_BIRTHS: Final = 4096
--- a/fescuekeel/components/catalog/view.py
+++ b/fescuekeel/components/catalog/view.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from fescuekeel.components.catalog.const import LAPSE_GRACE_S
+from fescuekeel.components.catalog.const import LAPSE_GRACE_S, MAX_KNOWN_BIRTHS
 from fescuekeel.helpers.dialect import AdapterVersion, Dialect
+from fescuekeel.helpers.incarnation import UNTOLD_BORN_MS
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import (
     Catalog,
@@ -21,16 +22,18 @@
     """Decode each item once and hold what is in force.
 
     A configuration is taken whole or not at all, and never an older one after
-    a newer one.
+    a newer one. The same holds for the starts of one endpoint: its entry of an
+    earlier start is late, whenever it comes.
     """
 
     dialect: Dialect
     configuration: Configuration | None = None
-    endpoints_by_id: dict[str, EndpointRecord] = field(default_factory=dict)
+    endpoints_by_name: dict[str, EndpointRecord] = field(default_factory=dict)
     versions_by_weights: dict[Weights, int] = field(default_factory=dict)
-    _ids_by_key: dict[str, str] = field(default_factory=dict)
-    _lapsing_until_by_id: dict[str, float] = field(default_factory=dict)
-    _removed_at_by_id: dict[str, int] = field(default_factory=dict)
+    _names_by_key: dict[str, str] = field(default_factory=dict)
+    _born_ms_by_name: dict[str, int] = field(default_factory=dict)
+    _lapsing_until_by_name: dict[str, float] = field(default_factory=dict)
+    _removed_at_by_name: dict[str, int] = field(default_factory=dict)
 
     def take(self, item: PublishedItem, grace: bool, now: float) -> None:
         """Take an item that changed.
@@ -51,14 +54,13 @@
                 revision=item.revision,
                 error=str(error).replace("\n", "; ")[:300],
             )
+            self._forget_replaced(item)
             return
         match decoded:
             case Configuration():
                 self._take_configuration(decoded, item.revision)
             case EndpointRecord():
-                self._ids_by_key[item.key] = decoded.id
-                self._lapsing_until_by_id.pop(decoded.id, None)
-                self._take_endpoint(decoded, item.revision)
+                self._take_endpoint(decoded, item)
             case AdapterVersion(weights, version):
                 known = self.versions_by_weights.get(weights, 0)
                 self.versions_by_weights[weights] = max(known, version)
@@ -76,42 +78,86 @@
             revision=revision,
         )
 
-    def _take_endpoint(self, record: EndpointRecord, revision: int) -> None:
-        known = self.endpoints_by_id.get(record.id)
-        self.endpoints_by_id[record.id] = record
-        if known is None or known.leaving != record.leaving:
+    def _take_endpoint(self, record: EndpointRecord, item: PublishedItem) -> None:
+        """Take an endpoint's entry, unless it is of an earlier start.
+
+        Guards against a late entry of before a restart: it shows the weights
+        that were held then, at an endpoint that has forgotten all.
+        """
+        name = record.name
+        if record.born_ms < self._born_ms_by_name.get(name, UNTOLD_BORN_MS):
+            log_event(
+                "stale_incarnation_dropped",
+                endpoint=record.id,
+                source="entry",
+                born_ms=record.born_ms,
+                newest_born_ms=self._born_ms_by_name[name],
+                revision=item.revision,
+            )
+            return
+        self._names_by_key[item.key] = name
+        self._note_born(name, record.born_ms)
+        self._lapsing_until_by_name.pop(name, None)
+        known = self.endpoints_by_name.get(name)
+        self.endpoints_by_name[name] = record
+        if known is None or (known.id, known.leaving) != (record.id, record.leaving):
             state = "leaving" if record.leaving else "ready"
-            _log_endpoint(record.id, state, revision)
+            _log_endpoint(record.id, state, item.revision)
+
+    def _note_born(self, name: str, born_ms: int) -> None:
+        if born_ms == UNTOLD_BORN_MS:
+            return
+        self._born_ms_by_name.pop(name, None)
+        self._born_ms_by_name[name] = born_ms
+        if len(self._born_ms_by_name) > MAX_KNOWN_BIRTHS:
+            del self._born_ms_by_name[next(iter(self._born_ms_by_name))]
+
+    def _forget_replaced(self, item: PublishedItem) -> None:
+        """Use no endpoint whose entry was replaced by a malformed one."""
+        name = self._names_by_key.get(item.key)
+        if name is not None:
+            self._forget(name, item.revision)
 
     def _remove(self, item: PublishedItem, grace: bool, now: float) -> None:
-        id = self._ids_by_key.get(item.key)
-        if id is None:
+        name = self._names_by_key.get(item.key)
+        known = self.endpoints_by_name.get(name) if name is not None else None
+        if name is None or known is None:
             return
         if grace:
-            self._lapsing_until_by_id[id] = now + LAPSE_GRACE_S
-            self._removed_at_by_id[id] = item.revision
-            _log_endpoint(id, "lapsing", item.revision)
+            self._lapsing_until_by_name[name] = now + LAPSE_GRACE_S
+            self._removed_at_by_name[name] = item.revision
+            _log_endpoint(known.id, "lapsing", item.revision)
             return
-        self._forget(id, item.revision)
+        self._forget(name, item.revision)
 
-    def _forget(self, id: str, revision: int) -> None:
-        self._lapsing_until_by_id.pop(id, None)
-        if self.endpoints_by_id.pop(id, None) is not None:
-            _log_endpoint(id, "gone", revision)
+    def _forget(self, name: str, revision: int) -> None:
+        self._lapsing_until_by_name.pop(name, None)
+        record = self.endpoints_by_name.pop(name, None)
+        if record is not None:
+            _log_endpoint(record.id, "gone", revision)
 
     def expire(self, now: float) -> bool:
         """Forget endpoints whose grace is over; return whether any was."""
-        over = [id for id, until in self._lapsing_until_by_id.items() if now >= until]
-        for id in over:
-            self._forget(id, self._removed_at_by_id.pop(id, 0))
+        over = [
+            name for name, until in self._lapsing_until_by_name.items() if now >= until
+        ]
+        for name in over:
+            self._forget(name, self._removed_at_by_name.pop(name, 0))
         return bool(over)
 
     def make_catalog(self, revision: int) -> Catalog:
-        """Return what other components see."""
+        """Return what other components see.
+
+        Where endpoints tell when they were born, all of them do: an entry
+        without it is of another writer, and names no endpoint to use.
+        """
+        records = self.endpoints_by_name.values()
+        births_told = any(record.born_ms != UNTOLD_BORN_MS for record in records)
         ready = {
-            id: record
-            for id, record in self.endpoints_by_id.items()
+            record.id: record
+            for record in records
             if not record.leaving
+            and (record.born_ms != UNTOLD_BORN_MS or not births_told)
         }
         return Catalog(
             revision, self.configuration, ready, dict(self.versions_by_weights)
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -5,6 +5,10 @@
 endpoint itself. What keeps two holders apart is time: nobody gives an order
 before a lease has passed since any other holder can have given one. A fencing
 number that grows with each claim guards the rest.
+
+A claim is to an endpoint by its name, whichever its start: an endpoint that
+starts again under its name keeps its holder, since orders of two would meet
+there otherwise.
 """
 
 import math
@@ -113,7 +117,7 @@
 def _choose_among(endpoint: EndpointRecord, near: Collection[str]) -> str | None:
     holders = math.ceil(len(near) / MEMBERS_PER_HOLDER)
     group = rendezvous.rank(endpoint.data_centre, near)[:holders]
-    return rendezvous.choose(endpoint.id, group)
+    return rendezvous.choose(endpoint.name, group)
 
 
 @dataclass(slots=True)
@@ -181,7 +185,7 @@
 
     def step(
         self,
-        endpoints_by_id: Mapping[str, EndpointRecord],
+        endpoints_by_name: Mapping[str, EndpointRecord],
         members_by_id: Mapping[str, Member],
         left: Collection[str],
         revision: int,
@@ -199,24 +203,24 @@
         self._last_step = now
         if self._started is None:
             self._started = now
-        self._note_views(endpoints_by_id, members_by_id, now)
+        self._note_views(endpoints_by_name, members_by_id, now)
         for known in list(self.own_by_endpoint):
-            if known not in endpoints_by_id:
+            if known not in endpoints_by_name:
                 del self.own_by_endpoint[known]
         for known in list(self.heard_by_endpoint):
-            if known not in endpoints_by_id:
+            if known not in endpoints_by_name:
                 del self.heard_by_endpoint[known]
                 self._refused_terms_by_endpoint.pop(known, None)
         newly = []
-        for id, record in endpoints_by_id.items():
+        for name, record in endpoints_by_name.items():
             if self._step_endpoint(record, members_by_id, left, revision, now):
-                newly.append(id)
-        self._note_seen(endpoints_by_id)
+                newly.append(name)
+        self._note_seen(endpoints_by_name)
         return newly
 
     def _note_views(
         self,
-        endpoints_by_id: Mapping[str, EndpointRecord],
+        endpoints_by_name: Mapping[str, EndpointRecord],
         members_by_id: Mapping[str, Member],
         now: float,
     ) -> None:
@@ -225,7 +229,7 @@
         A data centre whose endpoints are all gone is remembered: the next one
         there is what this is for.
         """
-        centres = {record.data_centre for record in endpoints_by_id.values()}
+        centres = {record.data_centre for record in endpoints_by_name.values()}
         for centre in centres | self._views_by_data_centre.keys():
             views = self._views_by_data_centre.setdefault(centre, [])
             near = _list_near(centre, members_by_id)
@@ -254,7 +258,7 @@
         been its candidate for as long as a claim takes to begin and to be
         forgotten.
         """
-        if record.id in self._seen_endpoints:
+        if record.name in self._seen_endpoints:
             return False
         views = self._views_by_data_centre[record.data_centre]
         if now - views[0].since < self._view_memory_s:
@@ -269,19 +273,19 @@
         revision: int,
         now: float,
     ) -> bool:
-        own = self.own_by_endpoint.get(record.id)
+        own = self.own_by_endpoint.get(record.name)
         if own is not None and own.held:
             return False
-        heard = self.heard_by_endpoint.get(record.id)
+        heard = self.heard_by_endpoint.get(record.name)
         if heard is not None and self._is_valid(heard, members_by_id, left, now):
-            self.own_by_endpoint.pop(record.id, None)
+            self.own_by_endpoint.pop(record.name, None)
             return False
         if choose_candidate(record, members_by_id) != self.own_id:
-            self.own_by_endpoint.pop(record.id, None)
+            self.own_by_endpoint.pop(record.name, None)
             return False
         if own is None:
             unheld = heard is None and self._is_unheld(record, now)
-            own = self.own_by_endpoint[record.id] = OwnClaim(now, unheld)
+            own = self.own_by_endpoint[record.name] = OwnClaim(now, unheld)
         # Guards against a claim from behind a cut: all other instances look
         # dead there, and the endpoint still gets the orders of one of them.
         # It shows as an endpoint that does not answer; and once it does, the
@@ -290,7 +294,7 @@
             return False
         if now < self._get_due(own, heard, now):
             return False
-        own.term = self._choose_term(record.id, revision)
+        own.term = self._choose_term(record.name, revision)
         own.held = True
         return True
 
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -19,6 +19,7 @@
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.dialect import get_dialect
+from fescuekeel.helpers.incarnation import Incarnation
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
@@ -109,14 +110,14 @@
         view = self.instance.bus.latest(MemberView) or MemberView()
         engines = self._list_engines()
         newly = self._claims.step(
-            engines,
+            {record.name: record for record in engines.values()},
             view.members_by_id,
             view.left,
             catalog.revision if catalog else 0,
             now,
         )
-        for id in newly:
-            self._log_held(id, now)
+        for name in newly:
+            self._log_held(name, now)
             self._teller.want()
         self._release(self._claims.list_out_of_contact())
         self._match_holders(engines)
@@ -128,13 +129,13 @@
     def _read_held(self) -> dict[str, float]:
         return {"": float(sum(map(self._holds, self._holders_by_endpoint)))}
 
-    def _log_held(self, endpoint: str, now: float) -> None:
-        own = self._claims.own_by_endpoint[endpoint]
-        heard = self._claims.heard_by_endpoint.get(endpoint)
+    def _log_held(self, name: str, now: float) -> None:
+        own = self._claims.own_by_endpoint[name]
+        heard = self._claims.heard_by_endpoint.get(name)
         contact_s = now - (own.contact_since or now)
         log_event(
             "claim_held",
-            endpoint=endpoint,
+            endpoint=name,
             term=own.term,
             before=heard.holder if heard else "",
             released=heard.released if heard else False,
@@ -145,13 +146,17 @@
         )
 
     def _match_holders(self, engines: dict[str, EndpointRecord]) -> None:
-        claimed = self._claims.own_by_endpoint.keys()
+        claimed = {
+            id
+            for id, record in engines.items()
+            if record.name in self._claims.own_by_endpoint
+        }
         for id in self._holders_by_endpoint.keys() - claimed:
             self._drop_holder(id)
         for id in claimed - self._holders_by_endpoint.keys():
-            record = engines.get(id)
-            engine = self._get_engine(record) if record else None
-            if record is None or engine is None or not engine.models_by_name:
+            record = engines[id]
+            engine = self._get_engine(record)
+            if engine is None or not engine.models_by_name:
                 continue
             places = EndpointPlaces(
                 engine.adapter_places, next(iter(engine.models_by_name))
@@ -193,11 +198,12 @@
         holder.close()
         self._turns.drop(endpoint)
         self._teller.forget(endpoint)
-        if holder.has_held:
-            heard = self._claims.heard_by_endpoint.get(endpoint)
+        name = holder.record.name
+        if holder.has_held and name not in self._claims.own_by_endpoint:
+            heard = self._claims.heard_by_endpoint.get(name)
             log_event(
                 "claim_lost",
-                endpoint=endpoint,
+                endpoint=name,
                 after=heard.holder if heard else "",
                 term=heard.term if heard else 0,
                 outcome="lost",
@@ -206,21 +212,23 @@
             self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
 
     def _holds(self, endpoint: str) -> bool:
-        own = self._claims.own_by_endpoint.get(endpoint)
+        name = Incarnation.parse(endpoint).name
+        own = self._claims.own_by_endpoint.get(name)
         return own is not None and own.held
 
-    def _release(self, endpoints: list[str]) -> None:
+    def _release(self, names: list[str]) -> None:
         """Give up claims, and tell all since when no order was given."""
         now = self.instance.now()
         states = []
-        for id in endpoints:
-            claim = self._claims.release(id)
-            if id in self._holders_by_endpoint:
-                self._drop_holder(id)
+        for name in names:
+            claim = self._claims.release(name)
+            for id, holder in list(self._holders_by_endpoint.items()):
+                if holder.record.name == name:
+                    self._drop_holder(id)
             if claim is None or not claim.held:
                 continue
             quiet_s = self._get_quiet_s(claim, now)
-            states.append(PlacementState(id, claim.term, True, int(quiet_s * 1000)))
+            states.append(PlacementState(name, claim.term, True, int(quiet_s * 1000)))
         if states:
             self._teller.send(tuple(states))
 
@@ -241,7 +249,7 @@
         return [
             EndpointNews(
                 id,
-                self._claims.own_by_endpoint[id].term,
+                self._claims.own_by_endpoint[holder.record.name].term,
                 holder.places.list_servable(),
                 holder.places.running,
                 self._turns.count_pending(id),
@@ -253,8 +261,8 @@
     def _share_board(self, engines: dict[str, EndpointRecord], now: float) -> None:
         self.board.holders_by_endpoint = {
             id: holder
-            for id in engines
-            if (holder := self._claims.find_holder(id, now)) is not None
+            for id, record in engines.items()
+            if (holder := self._claims.find_holder(record.name, now)) is not None
         }
         self.board.forget_except(engines)
 
@@ -277,7 +285,7 @@
         now = self.instance.now()
         for state in states:
             in_force = self._claims.hear(
-                state.endpoint,
+                Incarnation.parse(state.endpoint).name,
                 sender,
                 state.term,
                 state.released,
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -13,7 +13,13 @@
 from fescuekeel.components.placement.orders import OrderLink
 from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.core import Instance
-from fescuekeel.helpers.dialect import Dialect, OrderReply, WeightOrder
+from fescuekeel.helpers.dialect import (
+    Dialect,
+    EndpointReport,
+    OrderReply,
+    WeightOrder,
+)
+from fescuekeel.helpers.incarnation import UNTOLD_BORN_MS
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import Catalog, EndpointRecord
 
@@ -61,7 +67,7 @@
         next_look = 0.0
         while True:
             now = self._instance.now()
-            held = self._claims.is_held(self.record.id)
+            held = self._claims.is_held(self.record.name)
             self.has_held = self.has_held or held
             self._looked_while_held = self._looked_while_held and held
             if now >= next_look or (held and not self._looked_while_held):
@@ -92,12 +98,12 @@
         places that they take would count as free. The first order follows a
         report that was asked for while the endpoint was held here.
         """
-        held = self._claims.is_held(self.record.id)
+        held = self._claims.is_held(self.record.name)
         asked = self._instance.now()
         report = await self._link.report()
         now = self._instance.now()
-        self._claims.note_contact(self.record.id, report is not None, now)
-        if report is None:
+        self._claims.note_contact(self.record.name, report is not None, now)
+        if report is None or not self._is_ours(report):
             return
         self._looked_while_held = self._looked_while_held or held
         self._reported_at = asked
@@ -106,6 +112,27 @@
         if self.places.list_servable() != before:
             self._on_changed()
 
+    def _is_ours(self, report: EndpointReport) -> bool:
+        """Tell whether a report is of the start that this task orders.
+
+        Guards against orders that rest on what an earlier start held, and
+        against beliefs taken from one: an endpoint that has started again
+        under its name answers at the same address. Nothing is ordered until
+        the catalog has shown which start is in force.
+        """
+        if report.born_ms in (UNTOLD_BORN_MS, self.record.born_ms):
+            return True
+        self.places.known = False
+        log_event(
+            "stale_incarnation_dropped",
+            endpoint=self.record.id,
+            source="report",
+            born_ms=report.born_ms,
+            newest_born_ms=self.record.born_ms,
+            revision=0,
+        )
+        return False
+
     async def _step(self) -> None:
         """Carry out what is due, and what that makes due."""
         catalog = self._instance.bus.latest(Catalog)
@@ -132,7 +159,8 @@
         which would show that the endpoint is out of contact.
         """
         endpoint = self.record.id
-        own = self._claims.own_by_endpoint.get(endpoint)
+        name = self.record.name
+        own = self._claims.own_by_endpoint.get(name)
         if own is None or not own.held:
             self.places.note_reply(effect, OrderReply.UNAVAILABLE, self._instance.now())
             return False
@@ -145,12 +173,12 @@
             effect.version,
         )
         asked = self._instance.now()
-        self._claims.note_order(endpoint, asked)
+        self._claims.note_order(name, asked)
         reply = await self._link.order(order, self._may_order)
         now = self._instance.now()
         answered = reply is not None and reply is not OrderReply.UNAVAILABLE
-        self._claims.note_order(endpoint, now)
-        self._claims.note_contact(endpoint, answered, now)
+        self._claims.note_order(name, now)
+        self._claims.note_contact(name, answered, now)
         self.places.note_reply(effect, reply, now)
         outcome = "unanswered" if reply is None else reply.value
         self._instance.metrics.count(f"placement.order.{effect.kind}.{outcome}")
@@ -170,8 +198,8 @@
             outcome=outcome,
         )
         if reply is OrderReply.FENCED:
-            self._claims.note_fenced(endpoint, now)
+            self._claims.note_fenced(name, now)
         return answered
 
     def _may_order(self) -> bool:
-        return self._claims.may_order(self.record.id, self._instance.now())
+        return self._claims.may_order(self.record.name, self._instance.now())
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from fescuekeel.errors import ErrorKind
+from fescuekeel.helpers.incarnation import UNTOLD_BORN_MS
 from fescuekeel.helpers.published import (
     Configuration,
     EndpointRecord,
@@ -126,6 +127,7 @@
     """What an endpoint says of itself, some hundred milliseconds late.
 
     ``pending`` are the adapters on their way to it, which take places too.
+    ``born_ms`` tells which start of the endpoint wrote it.
     """
 
     held: dict[Weights, int]
@@ -135,6 +137,7 @@
     waiting: int
     kv_used: int
     kv_total: int
+    born_ms: int = UNTOLD_BORN_MS
 
 
 class SourceStatus(StrEnum):
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -68,6 +68,7 @@
         order_given endpoint kind weights version term report_age_ms taken outcome
         owner_gained endpoint fence
         owner_lost endpoint
+        stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
         tree_ignored reason revision digest source
         tree_in_force revision digest
         tree_refused revision detail
--- a/fescuekeel/helpers/published.py
+++ b/fescuekeel/helpers/published.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from fescuekeel.helpers.incarnation import Incarnation
+
 __all__ = [
     "BASE_VERSION",
     "CallerLimits",
@@ -138,8 +140,12 @@
 class EndpointRecord:
     """What an endpoint has published of itself, some time ago.
 
-    ``id`` is new with each start of the endpoint. ``held`` are the weights
-    that it has with their versions.
+    ``id`` is the text of an ``Incarnation``, new with each start of the
+    endpoint. ``held`` are the weights that it has with their versions.
+
+    >>> record = EndpointRecord("e1@1700", "s", "a:1", "dc1", 8, False)
+    >>> record.name, record.born_ms
+    ('e1', 1700)
     """
 
     id: str
@@ -150,11 +156,24 @@
     leaving: bool
     held: dict[Weights, int] = field(default_factory=dict)
 
+    @property
+    def name(self) -> str:
+        """Return what an endpoint may keep when it starts again."""
+        return Incarnation.parse(self.id).name
+
+    @property
+    def born_ms(self) -> int:
+        """Return when it started; ``UNTOLD_BORN_MS`` if nothing tells."""
+        return Incarnation.parse(self.id).born_ms
+
 
 @dataclass(frozen=True, slots=True)
 class PublishedItem:
     """One published value by its key; ``value`` is ``None`` once it is gone.
 
+    A value that could not be read at all is empty, so that it decodes to
+    nothing: it has still replaced the one before.
+
     ``revision`` grows with each change of anything published, so that of two
     states of one key the one with the higher revision is the later one.
     """
--- a/standins/forwarding/store.py
+++ b/standins/forwarding/store.py
@@ -50,11 +50,14 @@
 
     def put(self, key: str, value: Any) -> None:
         """Write a value; ``None`` removes the key."""
+        self.put_bytes(key, None if value is None else orjson.dumps(value))
+
+    def put_bytes(self, key: str, encoded: bytes | None) -> None:
+        """Write any bytes, as another writer may; ``None`` removes the key."""
         self.revision += 1
-        encoded = None if value is None else orjson.dumps(value)
         item = Item(key, encoded, self.revision)
         self.items_by_key[key] = item
-        if value is None:
+        if encoded is None:
             del self.items_by_key[key]
         self.history.append(item)
         self.changed.set()
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -47,6 +47,7 @@
     event_s: float = 0.005
     misbehaviour: Misbehaviour = field(default_factory=Misbehaviour)
     id: str = field(default_factory=lambda: f"w-{next(IDS)}")
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     runs: Counter[str] = field(default_factory=Counter)
     records: list[RunRecord] = field(default_factory=list)
     served_by_weights: Counter[str] = field(default_factory=Counter)
@@ -72,6 +73,15 @@
         """Return what ran here."""
         return {"runs": dict(self.runs), "served": dict(self.served_by_weights)}
 
+    def restart(self) -> None:
+        """Start again under the same id, holding and knowing nothing."""
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
+        self.versions_by_adapter.clear()
+        self.pending.clear()
+        self.fences.clear()
+        self.holders.clear()
+        self.sequence = 0
+
     def spend(self, name: str) -> bool:
         """Count down a fault; return whether it is due."""
         left = getattr(self, name)
@@ -98,14 +108,18 @@
             "cold_remaining_ms": 0,
             "models": self.list_models(),
             "sequence": self.sequence,
+            "born": self.born,
         }
 
     async def load(self, adapter: str, version: int) -> None:
-        """Bring an adapter in after a while."""
+        """Bring an adapter in after a while, unless a restart comes first."""
+        born = self.born
         self.pending.add(adapter)
         count = len(self.versions_by_adapter.keys() | self.pending)
         self.overrun = self.overrun or count > self.places
         await asyncio.sleep(LOAD_S)
+        if self.born != born:
+            return
         self.pending.discard(adapter)
         self.versions_by_adapter[adapter] = version
 
@@ -140,6 +154,7 @@
             "running": worker.running,
             "kv_used": 0,
             "kv_total": 1000,
+            "born": worker.born,
         }
         await self.answer(200, body)
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -72,6 +72,19 @@
 }
 
 
+SERVER = {
+    "service": "s",
+    "address": "127.0.0.1:1",
+    "zone": "dc1",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+}
+
+
 def publish(key, value):
     return PublishedItem(key, 1, json.dumps(value).encode())
 
@@ -215,6 +228,22 @@
         assert reply.items == (PublishedItem("k", 4, b"text"),)
         assert (reply.revision, reply.more) == (9, True)
 
+    @pytest.mark.parametrize("value", ["!", 7, None, {"a": 1}])
+    def test_unreadable_item_does_not_fail_its_page(self, value):
+        """No instance saw any further change of the store.
+
+        One item of a page could not be read, and the page was dropped whole,
+        again and again.
+        """
+        good = {"key": "k", "value": "dGV4dA==", "revision": 4}
+        body = {"items": [{"key": "b", "value": value, "revision": 3}, good]}
+        body |= {"has_more": False, "as_of": 9}
+        reply = DIALECT.read_source_reply(200, json.dumps(body).encode())
+        assert reply.items == (
+            PublishedItem("b", 3, b""),
+            PublishedItem("k", 4, b"text"),
+        )
+
     def test_removal_is_read(self):
         body = {"events": [{"key": "k", "revision": 4, "tombstone": True}], "as_of": 4}
         reply = DIALECT.read_source_reply(200, json.dumps(body).encode())
@@ -255,19 +284,49 @@
             DIALECT.decode(publish("op/config", changed))
 
     def test_server_is_decoded(self):
-        entry = {
-            "service": "s",
-            "address": "127.0.0.1:1",
-            "zone": "dc1",
-            "slots": 64,
-            "state": "draining",
-            "models": [{"name": "m", "version": 1, "adapters": []}],
-        }
+        entry = SERVER | {"state": "draining"}
         read = DIALECT.decode(publish("servers/e1", entry))
         assert isinstance(read, EndpointRecord)
         assert read.id == "e1"
         assert read.leaving
 
+    def test_start_of_a_server_is_told_apart(self):
+        read = DIALECT.decode(publish("servers/e1", SERVER | {"born": 1700}))
+        assert (read.name, read.born_ms) == ("e1", 1700)
+        sent = dict(DIALECT.make_report_call(read.id).headers)
+        assert sent["Fescuekeel-Expect-Instance"] == "e1"
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"slots": "64"},
+            {"slots": 0},
+            {"service": 7},
+            {"address": "somewhere"},
+            {"zone": None},
+            {"models": [{"name": "m", "adapters": "a1"}]},
+            {"models": [{"name": "m", "adapters": ["a1@x"]}]},
+            {"born": "1700"},
+            {"born": 17.5},
+            {"sequence": None},
+        ],
+    )
+    def test_entry_of_another_writer_is_refused(self, change):
+        with pytest.raises(ValueError, match=r"(?s).+"):
+            DIALECT.decode(publish("servers/e1", SERVER | change))
+
+    @pytest.mark.parametrize("field", sorted(SERVER.keys() - {"models"}))
+    def test_entry_with_a_missing_field_is_refused(self, field):
+        entry = {name: value for name, value in SERVER.items() if name != field}
+        with pytest.raises(ValueError, match=field):
+            DIALECT.decode(publish("servers/e1", entry))
+
+    @pytest.mark.parametrize("value", [b"", b"\xff\x00", b"[]", b"7", b'"text"'])
+    def test_bytes_that_are_no_entry_are_refused(self, value):
+        with pytest.raises(ValueError, match=r"(?s).+"):
+            DIALECT.decode(PublishedItem("servers/e1", 1, value))
+
     def test_version_is_decoded(self):
         entry = {"model": "m", "adapter": "a3", "version": 2}
         read = DIALECT.decode(publish("op/version/m.a3", entry))
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -55,6 +55,7 @@
 
 
 # A route whose callers wait for five seconds for their adapter.
+PATIENT_HEADERS = {"Fescuekeel_Deadline_Ms": "20000"}
 PATIENT = {"timeout_ms": 20000, "target_latency_ms": 2000}
 
 
@@ -428,6 +429,41 @@
         run(work)
 
 
+class TestRestartedEndpoint:
+    def test_adapter_is_loaded_again_at_an_endpoint_that_restarted(self):
+        """All requests for the adapters of one engine were refused.
+
+        It had crashed and come back under its id, and instances went on with
+        what it had held before.
+        """
+
+        async def work():
+            async with start_world() as world:
+                answer, _ = await world.ask_stream(**PATIENT_HEADERS)
+                assert answer.code == 200
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.restart()
+                    world.platform.publish_state(worker, "ready")
+                await asyncio.sleep(1.0)
+                answer, _ = await world.ask_stream(**PATIENT_HEADERS)
+                assert answer.code == 200
+                assert not any(w.overrun for w in world.platform.list_workers(ENGINES))
+
+        run(work)
+
+    def test_entries_of_another_writer_harm_nothing(self):
+        async def work():
+            async with start_world(1) as world:
+                store = world.platform.store
+                store.put_bytes("servers/x1", b"\xff\x00")
+                store.put("servers/x2", {"service": PLAIN, "state": "ready"})
+                store.put("servers/x3", [1, 2, 3])
+                answers = [await world.ask("/lookup/x") for _ in range(4)]
+                assert {answer.code for answer, _ in answers} == {200}
+
+        run(work)
+
+
 class TestShutdown:
     def test_requests_in_progress_are_finished(self):
         async def work():
