Count a prompt as a use from its turn on, and free places at once

A place was freed a quarter of a second after it was asked for, since instances had to hear of it first, and two more places were kept empty to hide that wait.

Change: the ask for a prompt's turn names its weights. The holder counts it as a use from then on and answers where the weights are not there any more, so that an idle adapter is unloaded without a notice. No places are kept empty. placement/usage.py holds uses, prompts on their way and demand.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -280,6 +280,10 @@
         """Choose an endpoint; wait for its weights and the prompt's turn."""
         return await self._placer.place(request)
 
+    def note_use_ended(self) -> None:
+        """Let holders hear soon that an endpoint's weights are used less."""
+        self._use.note_ended()
+
     def spend_retry(self, request: ForwardedRequest, end: AttemptEnd) -> bool:
         """Take from the budget; return whether the request may go again."""
         now = self.instance.now()
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -28,7 +28,12 @@
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
+from fescuekeel.helpers.placement import (
+    LOADS_WAIT,
+    NOT_HELD,
+    NOT_HOLDER,
+    PlacementBoard,
+)
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
 from fescuekeel.messages import AdmitAnswer, AdmitAsk
 
@@ -126,18 +131,29 @@
             if request.weights is None:
                 return choice
             self._spread(request, choice)
-            wait_s = await self._wait_for_turn(request, choice, until)
-            if wait_s is None and self._still_serves(request, choice):
-                return choice
-            if wait_s is None:
+            answer = await self._wait_for_turn(request, choice, until)
+            late = self._instance.now() >= until
+            if answer.granted:
+                if self._still_serves(request, choice):
+                    return choice
+                continue
+            if answer.reason == NOT_HELD:
+                self._note_missing(request, choice)
+                if late:
+                    return failure
                 continue
             full.add(choice.endpoint)
             refusals += 1
+            wait_s = answer.wait_ms / 1000
             failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
-            late = self._instance.now() >= until
             if late or refusals >= MAX_REFUSALS:
                 return failure
 
+    def _note_missing(self, request: ForwardedRequest, choice: Choice) -> None:
+        board = self._instance.bus.latest(PlacementBoard)
+        if board is not None and request.weights is not None:
+            board.note_missing(choice.endpoint, request.weights)
+
     def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
         """Look again at what may have changed while a prompt waited.
 
@@ -157,17 +173,16 @@
 
     async def _wait_for_turn(
         self, request: ForwardedRequest, choice: Choice, until: float
-    ) -> float | None:
+    ) -> AdmitAnswer:
         """Wait until the engine's holder lets the prompt go there.
 
-        Return ``None`` if it may go, else how long the queue is in seconds.
         Without a holder, or its answer, the prompt goes at once: pacing is a
         favour to others' streams and must never lose a request.
         """
         board = self._instance.bus.latest(PlacementBoard)
         holder = board.holders_by_endpoint.get(choice.endpoint) if board else None
-        if holder is None or board is None:
-            return None
+        if holder is None or board is None or request.weights is None:
+            return AdmitAnswer(granted=True)
         asked = self._instance.now()
         on_time = request.arrived + request.route.target_s - READING_S
         patience_s = max(0.0, until - asked)
@@ -177,16 +192,20 @@
             request.route.priority,
             int(max(0.0, on_time - asked) * 1000),
             int(patience_s * 1000),
+            request.weights.model,
+            request.weights.adapter,
+            self._versions.get_oldest_allowed(request.weights, asked),
         )
         link = get_peer_link(self._instance)
         answered = await link.ask(holder, ask, patience_s + TURN_GRACE_S)
         answer = answered.value_or(None)
         self._instance.metrics.observe("turn_wait", self._instance.now() - asked)
-        if not isinstance(answer, AdmitAnswer):
+        if not isinstance(answer, AdmitAnswer) or answer.reason == NOT_HOLDER:
             self._instance.metrics.count("turn_missed")
-            return None
-        board.note_pending(choice.endpoint, answer.pending_tokens)
-        return None if answer.granted else answer.wait_ms / 1000
+            return AdmitAnswer(granted=True)
+        if answer.reason != NOT_HELD:
+            board.note_pending(choice.endpoint, answer.pending_tokens)
+        return answer
 
     async def _wait_for_load(
         self, request: ForwardedRequest, choice: Choice, until: float
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -194,6 +194,7 @@
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_piece else tokens
             load.end(self.weights, left)
+            self.forwarder.note_use_ended()
             load.health.note_ended(done)
             if attempt.connection is not None:
                 attempt.connection.close()
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -1,6 +1,7 @@
 """Tell the holders of endpoints' orders how this instance uses them."""
 
 import asyncio
+import contextlib
 import statistics
 
 from fescuekeel.components.forward.endpoints import EndpointLoad
@@ -11,7 +12,11 @@
 
 __all__ = ["UseReporter"]
 
+# A use that began is told within this time; until then the holder counts the
+# prompt's turn.
 USE_PERIOD_S = 0.2
+# A use that has ended is told within this time: its place may be waited for.
+USE_ENDED_S = 0.03
 # What has not changed is told again this often: half of the time for which a
 # holder believes it.
 REPEAT_PERIOD_S = 1.0
@@ -23,13 +28,27 @@
     def __init__(self, instance: Instance, loads_by_id: dict[str, EndpointLoad]):
         self._instance = instance
         self._loads_by_id = loads_by_id
+        self._due = float("inf")
+        self._woken = asyncio.Event()
 
     async def tell_forever(self) -> None:
-        """Tell each holder in turn."""
+        """Tell all holders what has changed, when it is due."""
         while True:
-            await asyncio.sleep(USE_PERIOD_S)
+            self._due = self._instance.now() + USE_PERIOD_S
+            while (left_s := self._due - self._instance.now()) > 0:
+                self._woken.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(left_s):
+                        await self._woken.wait()
             self._tell()
 
+    def note_ended(self) -> None:
+        """Tell soon: a request has ended."""
+        due = self._instance.now() + USE_ENDED_S
+        if due < self._due:
+            self._due = due
+            self._woken.set()
+
     def _tell(self) -> None:
         board = self._instance.bus.latest(PlacementBoard)
         if board is None:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -22,7 +22,12 @@
 from fescuekeel.helpers.incarnation import Incarnation
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import LOADS_WAIT, PlacementBoard
+from fescuekeel.helpers.placement import (
+    LOADS_WAIT,
+    NOT_HELD,
+    NOT_HOLDER,
+    PlacementBoard,
+)
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec, Weights
 from fescuekeel.messages import (
     AdmitAnswer,
@@ -122,7 +127,7 @@
         self._release(self._claims.list_out_of_contact())
         self._match_holders(engines)
         for holder in self._holders_by_endpoint.values():
-            holder.places.prune(now)
+            holder.places.usage.prune(now)
         self._share_board(engines, now)
         self._teller.step()
 
@@ -305,12 +310,15 @@
                 self._turns.note_speed(holder.record, endpoint.tokens_per_s)
             for use in endpoint.uses:
                 weights = Weights(use.model, use.adapter)
-                holder.places.note_use(sender, weights, use.running, use.begun, now)
+                holder.places.usage.note_use(
+                    sender, weights, use.running, use.begun, now
+                )
+            holder.wake_if_asked()
 
     def _take_ask(self, message: PeerMessage, ask: LoadAsk) -> None:
         holder = self._holders_by_endpoint.get(ask.endpoint)
         if holder is None or not self._holds(ask.endpoint):
-            answer = LoadAnswer(False, "not the holder")
+            answer = LoadAnswer(False, NOT_HOLDER)
             get_peer_link(self.instance).answer(message, answer)
             return
         weights = Weights(ask.model, ask.adapter)
@@ -340,7 +348,13 @@
 
     def _take_prompt(self, message: PeerMessage, ask: AdmitAsk) -> None:
         holder = self._holders_by_endpoint.get(ask.endpoint)
+        link = get_peer_link(self.instance)
         if holder is None or not self._holds(ask.endpoint):
-            get_peer_link(self.instance).answer(message, AdmitAnswer(False))
+            link.answer(message, AdmitAnswer(False, reason=NOT_HOLDER))
+            return
+        weights = Weights(ask.model, ask.adapter)
+        version = holder.places.read_version(weights)
+        if version is None or version < ask.version:
+            link.answer(message, AdmitAnswer(False, reason=NOT_HELD))
             return
-        self._turns.take(message, ask, holder.record)
+        self._turns.take(message, ask, holder.record, holder.places.usage)
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -68,12 +68,9 @@
 REPORT_LAG_S: Final = 0.5
 # How many adapters that an endpoint held lately it still has in its memory.
 WARM_ADAPTERS: Final = 100
-# Places that are kept free, so that a load need not wait for an unload; and
-# how long it takes until all instances have heard that an adapter goes and
-# have told of their requests for it: their news comes five times a second.
-SPARE_PLACES: Final = 2
-PLACES_PER_SPARE: Final = 8
-UNLOAD_DELAY_S: Final = 0.25
+# For so long after its turn a prompt counts as a use of its weights, unless
+# its instance tells of it: what an instance takes to tell, and as long again.
+GRANT_TTL_S: Final = 0.6
 IDLE_LOOK_S: Final = 1.0
 # An order that no report has shown after this was lost, or failed.
 ORDER_LOST_S: Final = 2.5
@@ -113,8 +110,11 @@
 DEFAULT_WINDOW_S: Final = 0.3
 
 # An adapter stays for so long after it was loaded, so that those who waited
-# for it reach it.
-MIN_STAY_S: Final = 0.7
+# for it reach it: a message there and one back, on a slow machine.
+MIN_STAY_S: Final = 0.25
+# Demand below this counts as none; it is that of one request ten half-lives
+# ago.
+NO_DEMAND: Final = 0.001
 # The half-life of what counts as an adapter's demand.
 DEMAND_HALF_LIFE_S: Final = 6.0
 # A request for an adapter waits no longer for a place.
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -58,6 +58,11 @@
         """Look again soon: something was asked."""
         self._woken.set()
 
+    def wake_if_asked(self) -> None:
+        """Look again if an ask waits for a place that may be free by now."""
+        if self.places.asks_by_number:
+            self.wake()
+
     def close(self) -> None:
         """End the task and drop the connection."""
         self._task.cancel()
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -19,23 +19,18 @@
     MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
     ORDER_LOST_S,
-    PLACES_PER_SPARE,
     REPORT_LAG_S,
-    SPARE_PLACES,
-    UNLOAD_DELAY_S,
-    USE_TTL_S,
     WARM_ADAPTERS,
     WARM_LOAD_S,
 )
 from fescuekeel.components.placement.model import (
     Ask,
     AskEnded,
-    Demand,
     Effect,
     GiveOrder,
     Order,
-    Use,
 )
+from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
 
@@ -56,10 +51,9 @@
     held: dict[Weights, int] = field(default_factory=dict)
     orders_by_weights: dict[Weights, Order] = field(default_factory=dict)
     asks_by_number: dict[int, Ask] = field(default_factory=dict)
+    usage: WeightUsage = field(default_factory=WeightUsage)
     running: int = 0
     _foreign_pending: frozenset[Weights] = frozenset()
-    _demand_by_weights: dict[Weights, Demand] = field(default_factory=dict)
-    _uses: dict[Weights, dict[str, Use]] = field(default_factory=dict)
     _loaded_at: dict[Weights, float] = field(default_factory=dict)
     _model_asked: float = float("-inf")
     _dropped_at: dict[Weights, float] = field(default_factory=dict)
@@ -69,11 +63,6 @@
         """Tell whether the base model is there, without which nothing is."""
         return Weights(self.model) in self.held
 
-    @property
-    def spare(self) -> int:
-        """Return how many places are kept free; few places are all used."""
-        return min(SPARE_PLACES, self.places // PLACES_PER_SPARE)
-
     def needs_report(self, now: float) -> bool:
         """Tell whether something is under way that only a report will show."""
         overdue = any(
@@ -91,6 +80,12 @@
             if weights not in self.orders_by_weights
         }
 
+    def read_version(self, weights: Weights) -> int | None:
+        """Return the version that requests can be sent to, if there is one."""
+        if weights in self.orders_by_weights:
+            return None
+        return self.held.get(weights)
+
     def count_taken(self) -> int:
         """Return how many places are taken or may be."""
         adapters = {weights for weights in self.held if weights.adapter}
@@ -116,14 +111,6 @@
         """Take a wish."""
         self.asks_by_number[ask.number] = ask
 
-    def note_use(
-        self, user: str, weights: Weights, running: int, begun: int, now: float
-    ) -> None:
-        """Take what an instance tells of its requests."""
-        self._uses.setdefault(weights, {})[user] = Use(running, now)
-        if begun:
-            self._demand_by_weights.setdefault(weights, Demand()).add(begun, now)
-
     def note_report(self, report: EndpointReport, asked: float, now: float) -> None:
         """Take a report that was asked for at ``asked``.
 
@@ -225,7 +212,6 @@
         effects += self._check_orders(now)
         effects += self._renew(versions_by_weights, now)
         effects += self._serve_asks(now)
-        self._keep_spare(now)
         return effects
 
     def get_next_check(self) -> float:
@@ -236,20 +222,13 @@
         )
 
     def _check_orders(self, now: float) -> list[Effect]:
-        """Give unloads that are due, and again the loads under way."""
+        """Give the loads under way again, to learn whether they are done."""
         effects: list[Effect] = []
-        for weights, order in list(self.orders_by_weights.items()):
-            if now < order.next_check or not weights.adapter:
+        for weights, order in self.orders_by_weights.items():
+            if now < order.next_check:
                 continue
-            if order.kind is OrderKind.UNLOAD and self._is_wanted(weights, now):
-                del self.orders_by_weights[weights]
-            elif order.kind is OrderKind.LOAD:
-                order.next_check = now + CHECK_PERIOD_S
-                effects.append(GiveOrder(order.kind, weights, order.version, True))
-            else:
-                order.next_check = float("inf")
-                order.given = now
-                effects.append(GiveOrder(order.kind, weights, order.version))
+            order.next_check = now + CHECK_PERIOD_S
+            effects.append(GiveOrder(order.kind, weights, order.version, True))
         return effects
 
     def _end_asks(self, now: float) -> Iterable[AskEnded]:
@@ -272,20 +251,11 @@
         self._model_asked = now
         return [self._order(OrderKind.LOAD, weights, None, now)]
 
-    def _is_wanted(self, weights: Weights, now: float) -> bool:
-        """Tell whether an adapter should stay after all.
-
-        An unload waits for its runs, and an engine refuses all other orders
-        meanwhile, which may take as long as its longest stream.
-        """
-        asked = any(ask.weights == weights for ask in self.asks_by_number.values())
-        return asked or self.count_running(weights, now) > 0
-
     def _order(
         self, kind: OrderKind, weights: Weights, version: int | None, now: float
     ) -> GiveOrder:
         load_s = WARM_LOAD_S if weights in self._dropped_at else LOAD_S
-        if not weights.adapter:
+        if kind is OrderKind.UNLOAD or not weights.adapter:
             load_s = float("inf")
         self.orders_by_weights[weights] = Order(kind, version, now, now + load_s)
         return GiveOrder(kind, weights, version)
@@ -308,14 +278,18 @@
     def _serve_asks(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         pending = self._count_pending()
+        served: set[Weights] = set()
         for ask in sorted(self.asks_by_number.values(), key=self._rank_ask):
             weights = ask.weights
             if weights in self.orders_by_weights or weights in self._foreign_pending:
                 continue
             if pending >= MAX_PENDING:
                 break
+            if weights in served:
+                continue
+            served.add(weights)
             if weights not in self.held and self.count_taken() >= self.places:
-                self._make_room(ask.weights, ask.spread, now)
+                effects += self._make_room(weights, ask.spread, now)
                 continue
             version = ask.version or None
             effects.append(self._order(OrderKind.LOAD, weights, version, now))
@@ -331,35 +305,26 @@
     def _rank_ask(self, ask: Ask) -> tuple[bool, int, float]:
         return ask.spread, ask.priority, ask.since
 
-    def _keep_spare(self, now: float) -> None:
-        """Let the least wanted adapter go before its place is asked for.
+    def _make_room(self, weights: Weights, spread: bool, now: float) -> list[Effect]:
+        """Unload the least wanted adapter that nobody uses.
 
-        Saves the wait for an unload and its delay, 50 ms and a round trip, in
+        It goes without a notice: whoever wants to send a prompt there asks
+        for its turn first, and hears that the adapter is gone. Saves the
+        quarter of a second of a notice, and places kept free to hide it, in
         front of most loads.
         """
-        if self.places - self.count_taken() < self.spare:
-            self._make_room(None, False, now)
-
-    def _make_room(self, weights: Weights | None, spread: bool, now: float) -> None:
-        """Let the least wanted adapter go, unless enough are going already.
-
-        It is unloaded after a delay: until then the instances hear that they
-        must not send there any more, and what is on its way arrives.
-        """
         going = sum(
             order.kind is OrderKind.UNLOAD for order in self.orders_by_weights.values()
         )
-        waiting = sum(not item.spread for item in self.asks_by_number.values())
-        if going >= max(self.spare, min(waiting, MAX_PENDING)):
-            return
+        if going >= MAX_PENDING:
+            return []
         victim = self._choose_victim(weights, spread, now)
-        if victim is not None:
-            self.orders_by_weights[victim] = Order(
-                OrderKind.UNLOAD, None, now, now + UNLOAD_DELAY_S
-            )
+        if victim is None:
+            return []
+        return [self._order(OrderKind.UNLOAD, victim, None, now)]
 
     def _choose_victim(
-        self, weights: Weights | None, spread: bool, now: float
+        self, weights: Weights, spread: bool, now: float
     ) -> Weights | None:
         wanted = {item.weights for item in self.asks_by_number.values()}
         idle = [
@@ -368,34 +333,14 @@
             if held.adapter
             and held not in wanted
             and held not in self.orders_by_weights
-            and not self.count_running(held, now)
+            and not self.usage.is_in_use(held, now)
             and now - self._loaded_at.get(held, now) >= MIN_STAY_S
         ]
-        victim = min(idle, key=lambda item: self.read_demand(item, now), default=None)
-        if victim is None or not spread or weights is None:
+        victim = min(
+            idle, key=lambda item: self.usage.read_demand(item, now), default=None
+        )
+        if victim is None or not spread:
             return victim
         # One more copy is not worth another adapter that is asked for as much.
-        gain = self.read_demand(weights, now)
-        return victim if self.read_demand(victim, now) < gain / 2 else None
-
-    def count_running(self, weights: Weights, now: float) -> int:
-        """Return how many requests run on weights, over all instances."""
-        uses = self._uses.get(weights, {})
-        return sum(use.running for use in uses.values() if now - use.told < USE_TTL_S)
-
-    def read_demand(self, weights: Weights, now: float) -> float:
-        """Return how much weights are asked for."""
-        demand = self._demand_by_weights.get(weights)
-        return demand.read(now) if demand else 0.0
-
-    def prune(self, now: float) -> None:
-        """Forget the demand and uses of what nobody asks for any more."""
-        for weights in [
-            weights
-            for weights, demand in self._demand_by_weights.items()
-            if demand.read(now) < 0.01
-        ]:
-            del self._demand_by_weights[weights]
-        for weights, uses in list(self._uses.items()):
-            if all(now - use.told > USE_TTL_S for use in uses.values()):
-                del self._uses[weights]
+        gain = self.usage.read_demand(weights, now)
+        return victim if self.usage.read_demand(victim, now) < gain / 2 else None
--- a/fescuekeel/components/placement/turns.py
+++ b/fescuekeel/components/placement/turns.py
@@ -2,20 +2,32 @@
 
 import asyncio
 import itertools
+from dataclasses import dataclass
 
 from fescuekeel.components.placement.const import (
     DEFAULT_WINDOW_S,
     PROMPT_TOKENS_PER_S,
 )
 from fescuekeel.components.placement.pacing import Prompt, PromptPacer, Turn
+from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.core import Instance
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.published import Catalog, EndpointRecord
+from fescuekeel.helpers.placement import TURNS_WAIT
+from fescuekeel.helpers.published import Catalog, EndpointRecord, Weights
 from fescuekeel.messages import AdmitAnswer, AdmitAsk, PeerMessage
 
 __all__ = ["TurnKeeper"]
 
 
+@dataclass(frozen=True, slots=True)
+class Question:
+    """A prompt that waits for its turn; ``usage`` is that of its endpoint."""
+
+    message: PeerMessage
+    weights: Weights
+    usage: WeightUsage
+
+
 class TurnKeeper:
     """Own the pacer of each engine whose orders this instance holds.
 
@@ -27,7 +39,7 @@
         self._instance = instance
         self._numbers = itertools.count(1)
         self._pacers_by_endpoint: dict[str, PromptPacer] = {}
-        self._questions_by_number: dict[int, PeerMessage] = {}
+        self._questions_by_number: dict[int, Question] = {}
         self._speeds_by_service: dict[str, float] = {}
         self._timers_by_endpoint: dict[str, asyncio.TimerHandle] = {}
 
@@ -59,11 +71,19 @@
             self._pacers_by_endpoint[record.id] = pacer
         return pacer
 
-    def take(self, message: PeerMessage, ask: AdmitAsk, record: EndpointRecord) -> None:
+    def take(
+        self,
+        message: PeerMessage,
+        ask: AdmitAsk,
+        record: EndpointRecord,
+        usage: WeightUsage,
+    ) -> None:
         """Take a prompt; it is answered when its turn comes, or is refused."""
         pacer = self._get_pacer(record)
         number = next(self._numbers)
-        self._questions_by_number[number] = message
+        weights = Weights(ask.model, ask.adapter)
+        usage.expect(weights)
+        self._questions_by_number[number] = Question(message, weights, usage)
         now = self._instance.now()
         pacer.ask(
             Prompt(
@@ -87,7 +107,9 @@
         for turn in pacer.step(now):
             pending = pacer.count_pending(now)
             wait_ms = int(pacer.estimate_wait_s() * 1000)
-            self._answer(turn, AdmitAnswer(turn.granted, pending, wait_ms))
+            reason = "" if turn.granted else TURNS_WAIT
+            answer = AdmitAnswer(turn.granted, pending, wait_ms, reason)
+            self._answer(turn, answer)
         due = pacer.get_next_step()
         if due < float("inf"):
             loop = asyncio.get_running_loop()
@@ -97,7 +119,8 @@
 
     def _answer(self, turn: Turn, answer: AdmitAnswer) -> None:
         question = self._questions_by_number.pop(turn.number)
-        get_peer_link(self._instance).answer(question, answer)
+        question.usage.settle(question.weights, turn.granted, self._instance.now())
+        get_peer_link(self._instance).answer(question.message, answer)
         word = "granted" if turn.granted else "refused"
         self._instance.metrics.count(f"turn.{word}")
 
--- /dev/null
+++ b/fescuekeel/components/placement/usage.py
@@ -0,0 +1,84 @@
+"""How the weights of one endpoint are used, as its holder knows it; pure."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from fescuekeel.components.placement.const import (
+    GRANT_TTL_S,
+    NO_DEMAND,
+    USE_TTL_S,
+)
+from fescuekeel.components.placement.model import Demand, Use
+from fescuekeel.helpers.published import Weights
+
+__all__ = ["WeightUsage"]
+
+
+@dataclass(slots=True)
+class WeightUsage:
+    """Hold who uses which weights, who is about to, and what is asked for.
+
+    A prompt counts as a use from the moment in which its turn is asked for
+    here: until it is granted, then for as long as its instance takes to tell
+    of it. So nothing is unloaded under a prompt that is on its way, and an
+    adapter that nobody uses can go at once, without a notice to anybody.
+
+    >>> usage, cups = WeightUsage(), Weights("m", "cups")
+    >>> usage.expect(cups)
+    >>> usage.settle(cups, granted=True, now=0.0)
+    >>> usage.is_in_use(cups, now=0.1), usage.is_in_use(cups, now=5.0)
+    (True, False)
+    """
+
+    _uses: dict[Weights, dict[str, Use]] = field(default_factory=dict)
+    _expected: Counter[Weights] = field(default_factory=Counter)
+    _granted_until: dict[Weights, float] = field(default_factory=dict)
+    _demand: dict[Weights, Demand] = field(default_factory=dict)
+
+    def expect(self, weights: Weights) -> None:
+        """Note that a prompt waits for its turn."""
+        self._expected[weights] += 1
+
+    def settle(self, weights: Weights, granted: bool, now: float) -> None:
+        """Note that a prompt waits no longer; once granted, it is sent."""
+        self._expected[weights] -= 1
+        if self._expected[weights] <= 0:
+            del self._expected[weights]
+        if granted:
+            self._granted_until[weights] = now + GRANT_TTL_S
+
+    def note_use(
+        self, user: str, weights: Weights, running: int, begun: int, now: float
+    ) -> None:
+        """Take what an instance tells of its requests."""
+        self._uses.setdefault(weights, {})[user] = Use(running, now)
+        if begun:
+            self._demand.setdefault(weights, Demand()).add(begun, now)
+
+    def count_running(self, weights: Weights, now: float) -> int:
+        """Return how many requests run on weights, over all instances."""
+        uses = self._uses.get(weights, {})
+        return sum(use.running for use in uses.values() if now - use.told < USE_TTL_S)
+
+    def is_in_use(self, weights: Weights, now: float) -> bool:
+        """Tell whether a request runs on weights, or is about to."""
+        if weights in self._expected or now < self._granted_until.get(weights, 0.0):
+            return True
+        return self.count_running(weights, now) > 0
+
+    def read_demand(self, weights: Weights, now: float) -> float:
+        """Return how much weights are asked for."""
+        demand = self._demand.get(weights)
+        return demand.read(now) if demand else 0.0
+
+    def prune(self, now: float) -> None:
+        """Forget the demand and uses of what nobody asks for any more."""
+        for weights, demand in list(self._demand.items()):
+            if demand.read(now) < NO_DEMAND:
+                del self._demand[weights]
+        for weights, uses in list(self._uses.items()):
+            if all(now - use.told > USE_TTL_S for use in uses.values()):
+                del self._uses[weights]
+        for weights, until in list(self._granted_until.items()):
+            if now >= until:
+                del self._granted_until[weights]
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -6,10 +6,23 @@
 from fescuekeel.helpers.published import Weights
 from fescuekeel.messages import HeldWeights, PlacementState
 
-__all__ = ["LOADS_WAIT", "EndpointState", "PlacementBoard"]
+__all__ = [
+    "LOADS_WAIT",
+    "NOT_HELD",
+    "NOT_HOLDER",
+    "TURNS_WAIT",
+    "EndpointState",
+    "PlacementBoard",
+]
 
 # Why a holder refuses to load at once.
 LOADS_WAIT = "too many loads wait"
+# Why an instance cannot say: the asker's belief of who orders is old.
+NOT_HOLDER = "not the holder"
+# Why a prompt gets no turn: its weights are not there (any more), or too many
+# prompts wait.
+NOT_HELD = "not held"
+TURNS_WAIT = "too many prompts wait"
 
 
 @dataclass(slots=True)
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -182,6 +182,7 @@
 
     ``on_time_ms`` is how long its turn may take for an answer within its
     target, and ``patience_ms`` how long waiting makes sense at all.
+    ``version`` is the oldest one of the weights that may serve it.
     """
 
     endpoint: str
@@ -189,6 +190,9 @@
     priority: int
     on_time_ms: int
     patience_ms: int
+    model: str = ""
+    adapter: str = ""
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,9 +200,11 @@
     """Answer when the prompt may be sent, or that it may not.
 
     ``pending_tokens`` are the prompt tokens that wait there now, or are being
-    read, and ``wait_ms`` how long all that waits will take.
+    read, and ``wait_ms`` how long all that waits will take. ``reason`` says
+    why a prompt may not be sent.
     """
 
     granted: bool
     pending_tokens: int = 0
     wait_ms: int = 0
+    reason: str = ""
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -216,8 +216,16 @@
   priority @2 :UInt8;
   onTimeMs @3 :UInt32;
   patienceMs @4 :UInt32;
+  model @5 :Text;
+  adapter @6 :Text;
+  version @7 :UInt64;
+}
+struct AdmitAnswer {
+  granted @0 :Bool;
+  pendingTokens @1 :UInt32;
+  waitMs @2 :UInt32;
+  reason @3 :Text;
 }
-struct AdmitAnswer { granted @0 :Bool; pendingTokens @1 :UInt32; waitMs @2 :UInt32; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
