Show from logs where requests lost their time, by route and stage

fescuekeel losses FILE... reads instances' logs: ends by route, the part of the time that took most of the late and refused ones, refusals by reason, loads with their waits for a place and their own time, and a plot on request. Holders log load_ended, a line for each load that was asked for; request_ended tells what its route aims at.

--- a/fescuekeel/cli.py
+++ b/fescuekeel/cli.py
@@ -15,6 +15,8 @@
 from fescuekeel.components.tree.intent import CompactIntent, build_intent
 from fescuekeel.components.tree.parts import TreePartModel, parse_part
 from fescuekeel.components.tree.revision import format_manifest
+from fescuekeel.helpers.losses import Losses, read_losses
+from fescuekeel.helpers.losses_view import make_view, plot_losses
 from fescuekeel.helpers.table import format_view
 from fescuekeel.helpers.trace import gather
 
@@ -45,8 +47,8 @@
     """Check a tree, and see what an instance does.
 
     Commands: check DIRECTORY, manifest DIRECTORY REVISION, show, explain SHOP
-    SERVICE, status, counters, drain, trace REQUEST_ID FILE...; --help after
-    one of them says more.
+    SERVICE, status, counters, drain, trace REQUEST_ID FILE..., losses FILE...;
+    --help after one of them says more.
 
     Commands that ask an instance take its operators' address from --url or
     FESCUEKEEL_URL, and the operators' token from FESCUEKEEL_TOKEN only, since
@@ -92,6 +94,23 @@
         if not found.own:
             raise ToolError(f"no line of {request_id}")
 
+    @as_text
+    def losses(self, *files: str, plot: str = "") -> None:
+        """Show where the requests in the log FILES of instances lost time.
+
+        By route: how many were answered on time, late, refused or failed, and
+        the part of their time that took most of those that were not. Then the
+        refusals, and the loads with their waits. --plot PATH draws it as PNG.
+        """
+        if not files:
+            raise ToolError("name at least one log file", EXIT_USAGE)
+        found = read_losses((name, _read_lines(name)) for name in files)
+        if not found.routes_by_name:
+            raise ToolError("no line of any request that ended")
+        self._print(make_view(found))
+        if plot:
+            _plot(found, Path(plot))
+
     @as_text
     def show(
         self, shop: str = "", service: str = "", adapter: str = "", version: str = ""
@@ -183,6 +202,15 @@
         raise ToolError(str(error)) from error
 
 
+def _plot(found: Losses, path: Path) -> None:
+    try:
+        plot_losses(found, path)
+    except ImportError as error:
+        raise ToolError(f"a plot needs matplotlib: {error}") from error
+    except (OSError, ValueError) as error:
+        raise ToolError(f"{path}: {error}") from error
+
+
 def _read_parts(directory: Path) -> dict[str, bytes]:
     paths = sorted(directory.glob(f"*{PART_SUFFIX}"))
     if not paths:
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -109,6 +109,8 @@
             service=request.service,
             configuration=self._read_version(),
             sends=request.state.sends,
+            target_ms=round(request.route.target_s * 1000),
+            gap_target_ms=round(request.route.gap_target_s * 1000),
             waited_ms=round(request.waited_s * 1000),
             first_ms=round(first_s * 1000) if request.first_piece_at else -1,
             gap_ms=round(request.longest_gap_s * 1000),
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from dataclasses import dataclass
 from typing import Any
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
@@ -47,6 +48,14 @@
 LONG_QUIET_S = 3600.0
 
 
+@dataclass(frozen=True, slots=True)
+class LoadQuestion:
+    """A peer's ask for a load, and the message to answer."""
+
+    message: PeerMessage
+    ask: LoadAsk
+
+
 class PlacementActor(Actor):
     """Own the claims of this instance and what others have told of theirs."""
 
@@ -56,7 +65,7 @@
         bounds = instance.settings.forwarding
         self._claims = Claims(instance.id, bounds.lease_s, bounds.fenced)
         self._holders_by_endpoint: dict[str, EndpointHolder] = {}
-        self._questions_by_ask: dict[int, PeerMessage] = {}
+        self._questions_by_ask: dict[int, LoadQuestion] = {}
         self._ask_numbers = itertools.count(1)
         self._turns = TurnKeeper(instance)
         self._teller = NewsTeller(instance, self.board, self._list_news)
@@ -327,7 +336,7 @@
             get_peer_link(self.instance).answer(message, answer)
             return
         number = next(self._ask_numbers)
-        self._questions_by_ask[number] = message
+        self._questions_by_ask[number] = LoadQuestion(message, ask)
         holder.places.ask(
             Ask(
                 number,
@@ -342,9 +351,12 @@
 
     def _end_ask(self, ended: AskEnded) -> None:
         question = self._questions_by_ask.pop(ended.number, None)
-        if question is not None:
-            answer = LoadAnswer(ended.loaded, ended.detail, version=ended.version)
-            get_peer_link(self.instance).answer(question, answer)
+        if question is None:
+            return
+        if ended.load_s:
+            _log_load(question.ask, ended)
+        answer = LoadAnswer(ended.loaded, ended.detail, version=ended.version)
+        get_peer_link(self.instance).answer(question.message, answer)
 
     def _take_prompt(self, message: PeerMessage, ask: AdmitAsk) -> None:
         holder = self._holders_by_endpoint.get(ask.endpoint)
@@ -358,3 +370,15 @@
             link.answer(message, AdmitAnswer(False, reason=NOT_HELD))
             return
         self._turns.take(message, ask, holder.record, holder.places.usage)
+
+
+def _log_load(ask: LoadAsk, ended: AskEnded) -> None:
+    log_event(
+        "load_ended",
+        endpoint=ask.endpoint,
+        weights=str(Weights(ask.model, ask.adapter)),
+        version=ended.version,
+        place_ms=round(ended.place_s * 1000),
+        took_ms=round(ended.load_s * 1000),
+        outcome="loaded",
+    )
--- a/fescuekeel/components/placement/model.py
+++ b/fescuekeel/components/placement/model.py
@@ -6,7 +6,16 @@
 from fescuekeel.helpers.dialect import OrderKind
 from fescuekeel.helpers.published import Weights
 
-__all__ = ["Ask", "AskEnded", "Demand", "Effect", "GiveOrder", "Order", "Use"]
+__all__ = [
+    "Ask",
+    "AskEnded",
+    "Demand",
+    "Effect",
+    "GiveOrder",
+    "LoadTimes",
+    "Order",
+    "Use",
+]
 
 
 @dataclass(slots=True)
@@ -40,12 +49,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AskEnded:
-    """Answer an ask."""
+    """Answer an ask.
+
+    ``place_s`` is how long it waited until a load was ordered, and ``load_s``
+    how long the load took.
+    """
 
     number: int
     loaded: bool
     detail: str = ""
     version: int = 0
+    place_s: float = 0.0
+    load_s: float = 0.0
 
 
 Effect = GiveOrder | AskEnded
@@ -84,6 +99,14 @@
     accepted: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class LoadTimes:
+    """When a load was ordered, and when the endpoint was seen to hold it."""
+
+    ordered: float
+    held: float
+
+
 @dataclass(slots=True)
 class Use:
     """How many requests of one instance run, as it last told."""
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -28,6 +28,7 @@
     AskEnded,
     Effect,
     GiveOrder,
+    LoadTimes,
     Order,
 )
 from fescuekeel.components.placement.usage import WeightUsage
@@ -54,7 +55,7 @@
     usage: WeightUsage = field(default_factory=WeightUsage)
     running: int = 0
     _foreign_pending: frozenset[Weights] = frozenset()
-    _loaded_at: dict[Weights, float] = field(default_factory=dict)
+    _loads: dict[Weights, LoadTimes] = field(default_factory=dict)
     _model_asked: float = float("-inf")
     _dropped_at: dict[Weights, float] = field(default_factory=dict)
 
@@ -138,11 +139,18 @@
             if dropped > seen_until:
                 held.pop(weights, None)
         for weights, version in self.held.items():
-            if weights not in held and self._loaded_at.get(weights, 0.0) > seen_until:
+            times = self._loads.get(weights)
+            if weights not in held and times is not None and times.held > seen_until:
                 held[weights] = version
         for weights in held.keys() - self.held.keys():
-            self._loaded_at[weights] = now
+            order = self.orders_by_weights.get(weights)
+            self._note_loaded(weights, order.given if order else now, now)
         self.held = held
+        for weights in self._loads.keys() - held.keys():
+            del self._loads[weights]
+
+    def _note_loaded(self, weights: Weights, ordered: float, now: float) -> None:
+        self._loads[weights] = LoadTimes(ordered, now)
 
     def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
         # Guards against a report from before an unload: it still shows an
@@ -178,7 +186,7 @@
                 self._note_dropped(weights, now)
             else:
                 self.held[weights] = max(order.version or 0, self.held.get(weights, 0))
-                self._loaded_at[weights] = now
+                self._note_loaded(weights, under_way.given, now)
                 self._dropped_at.pop(weights, None)
         elif reply is None or reply is OrderReply.ACCEPTED or order.again:
             under_way.accepted = True
@@ -237,12 +245,24 @@
             servable = servable and ask.weights not in self.orders_by_weights
             if servable and self.held[ask.weights] >= ask.version:
                 del self.asks_by_number[ask.number]
-                version = self.held[ask.weights]
-                yield AskEnded(ask.number, loaded=True, version=version)
+                yield self._end_loaded(ask)
             elif now - ask.since > ASK_WAIT_S:
                 del self.asks_by_number[ask.number]
                 yield AskEnded(ask.number, loaded=False, detail="no place in time")
 
+    def _end_loaded(self, ask: Ask) -> AskEnded:
+        version = self.held[ask.weights]
+        times = self._loads.get(ask.weights)
+        if times is None:
+            return AskEnded(ask.number, loaded=True, version=version)
+        return AskEnded(
+            ask.number,
+            loaded=True,
+            version=version,
+            place_s=max(0.0, times.ordered - ask.since),
+            load_s=times.held - times.ordered,
+        )
+
     def _load_model(self, now: float) -> list[Effect]:
         weights = Weights(self.model)
         under_way = weights in self.orders_by_weights
@@ -334,7 +354,7 @@
             and held not in wanted
             and held not in self.orders_by_weights
             and not self.usage.is_in_use(held, now)
-            and now - self._loaded_at.get(held, now) >= MIN_STAY_S
+            and now - self._read_loaded(held, now) >= MIN_STAY_S
         ]
         victim = min(
             idle, key=lambda item: self.usage.read_demand(item, now), default=None
@@ -344,3 +364,7 @@
         # One more copy is not worth another adapter that is asked for as much.
         gain = self.usage.read_demand(weights, now)
         return victim if self.usage.read_demand(victim, now) < gain / 2 else None
+
+    def _read_loaded(self, weights: Weights, now: float) -> float:
+        times = self._loads.get(weights)
+        return times.held if times else now
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -64,6 +64,7 @@
         endpoint_unreachable endpoint error avoided_ms
         livelist_changed entries
         load_asked endpoint weights version holder waited_ms outcome
+        load_ended endpoint weights version place_ms took_ms outcome
         member_changed member state incarnation
         order_given endpoint kind weights version term report_age_ms taken outcome
         owner_gained endpoint fence
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -131,3 +131,20 @@
         commands = [name for name in vars(cli.Tool) if not name.startswith("_")]
         assert len(commands) > 5
         assert [name for name in commands if name not in out + messages] == []
+
+
+class TestLosses:
+    LINE = "event=request_ended request_id=a route=r first_ms=9 outcome=answered"
+
+    def test_routes_are_shown(self, run, tmp_path):
+        path = tmp_path / "i1.log"
+        path.write_text(f"{self.LINE}\n")
+        code, out, _ = run("losses", str(path), "--json")
+        assert code == 0
+        assert json.loads(out)["routes"]["r"]["on_time"] == 1
+
+    @pytest.mark.parametrize("arguments", [(), ("/none.log",)])
+    def test_missing_files_are_named(self, run, arguments):
+        code, _, err = run("losses", *arguments)
+        assert code != 0
+        assert "log file" in err or "/none.log" in err
