--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -71,15 +71,21 @@
     What has not changed is told again from time to time only: the holder
     forgets it after two seconds. What is told is remembered, so that it is
     not counted twice when the holder tells all instances the sum.
+
+    A use that has ended is told as none. Guards against a place that is held
+    for the two seconds in which the holder believes the last word: it showed
+    as loads that waited for a place for 0.45 s at the median and over a second
+    in a quarter of all cases, while half of the places were idle.
     """
     same = load.running_by_weights == load.told_by_weights
     idle = not load.running and not load.told_running
     recent = now - load.told_at < REPEAT_PERIOD_S
     if same and not load.begun_by_weights and (idle or recent):
         return None
+    ended = load.told_by_weights.keys() - load.running_by_weights.keys()
+    weights = ended | load.running_by_weights.keys() | load.begun_by_weights.keys()
     load.told_at = now
     load.told_by_weights = dict(load.running_by_weights)
-    weights = load.running_by_weights.keys() | load.begun_by_weights.keys()
     uses = tuple(
         WeightUse(
             item.model,
--- a/tests/components/forward/test_parts.py
+++ b/tests/components/forward/test_parts.py
@@ -109,6 +109,21 @@
         assert make_use("e1", load, 0.0).running == 0
         assert make_use("e1", load, 0.0) is None
 
+    def test_end_of_one_use_among_others_is_told(self):
+        """A prompt waited for two seconds for a place that nobody used.
+
+        Its holder had heard that the adapter there was used, and heard nothing
+        when that ended; it believed the last word for two seconds.
+        """
+        load = EndpointLoad()
+        rings = Weights("m", "rings")
+        load.begin(CARDS, 0)
+        load.begin(rings, 0)
+        make_use("e1", load, 0.0)
+        load.end(CARDS, 0)
+        told = {use.adapter: use.running for use in make_use("e1", load, 0.1).uses}
+        assert told == {"cards": 0, "rings": 1}
+
     def test_unchanged_use_is_repeated_before_it_is_forgotten(self):
         """A holder unloaded an adapter under a long stream."""
         load = EndpointLoad()
