--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -331,7 +331,7 @@
             get_peer_link(self.instance).answer(message, answer)
             return
         weights = Weights(ask.model, ask.adapter)
-        if not holder.places.has_room_to_ask(weights, ask.spread):
+        if not holder.places.has_room_to_ask(weights, ask.spread, self.instance.now()):
             answer = LoadAnswer(False, LOADS_WAIT)
             get_peer_link(self.instance).answer(message, answer)
             return
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -71,6 +71,18 @@
 # For so long after its turn a prompt counts as a use of its weights, unless
 # its instance tells of it: what an instance takes to tell, and as long again.
 GRANT_TTL_S: Final = 0.6
+# An endpoint that refuses orders is given the next one after this, doubled
+# at each refusal up to the second figure.
+ORDER_RETRY_S: Final = 0.05
+ORDER_RETRY_MAX_S: Final = 0.4
+# It counts as blocked once it has refused all orders for so long: a load takes
+# no longer, and asks go elsewhere.
+BLOCKED_S: Final = 0.3
+# Uses that nobody has told for this long are not believed any more, also while
+# an endpoint runs more than is told: streams take six seconds at most.
+STALE_USE_TTL_S: Final = 8.0
+# How long instances take to tell a new holder of their uses.
+USES_TOLD_S: Final = 1.0
 IDLE_LOOK_S: Final = 1.0
 # An order that no report has shown after this was lost, or failed.
 ORDER_LOST_S: Final = 2.5
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -10,6 +10,7 @@
 
 from fescuekeel.components.placement.const import (
     ASK_WAIT_S,
+    BLOCKED_S,
     CHECK_PERIOD_S,
     LOAD_S,
     MAX_ASKS,
@@ -19,6 +20,8 @@
     MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
     ORDER_LOST_S,
+    ORDER_RETRY_MAX_S,
+    ORDER_RETRY_S,
     REPORT_LAG_S,
     WARM_ADAPTERS,
     WARM_LOAD_S,
@@ -55,6 +58,9 @@
     usage: WeightUsage = field(default_factory=WeightUsage)
     running: int = 0
     _foreign_pending: frozenset[Weights] = frozenset()
+    _refused_since: float | None = None
+    _refused_until: float = float("-inf")
+    _retry_s: float = ORDER_RETRY_S
     _loads: dict[Weights, LoadTimes] = field(default_factory=dict)
     _model_asked: float = float("-inf")
     _dropped_at: dict[Weights, float] = field(default_factory=dict)
@@ -99,8 +105,15 @@
 
     # Events.
 
-    def has_room_to_ask(self, weights: Weights, spread: bool) -> bool:
+    def is_blocked(self, now: float) -> bool:
+        """Tell whether the endpoint has refused all orders for a while."""
+        since = self._refused_since
+        return since is not None and now - since > BLOCKED_S
+
+    def has_room_to_ask(self, weights: Weights, spread: bool, now: float) -> bool:
         """Tell whether one more wish can be met in reasonable time."""
+        if self.is_blocked(now):
+            return False
         waited_for = {
             ask.weights for ask in self.asks_by_number.values() if not ask.spread
         }
@@ -121,6 +134,7 @@
         """
         self.known = True
         self.running = report.running
+        self.usage.note_report(report.running, now)
         self._merge_held(report, asked, now)
         own = self.orders_by_weights
         self._foreign_pending = frozenset(report.pending - own.keys())
@@ -192,6 +206,23 @@
             under_way.accepted = True
         else:
             del self.orders_by_weights[weights]
+        self._note_taken(reply, now)
+
+    def _note_taken(self, reply: OrderReply | None, now: float) -> None:
+        """Wait before the next order to an endpoint that refuses them.
+
+        Guards against a new order in place of each one that was refused: an
+        endpoint that waited for a stream before an unload got thirty orders
+        a second for as long as that took.
+        """
+        if reply not in (OrderReply.BUSY, OrderReply.UNAVAILABLE):
+            self._refused_since = None
+            self._retry_s = ORDER_RETRY_S
+            return
+        if self._refused_since is None:
+            self._refused_since = now
+        self._refused_until = now + self._retry_s
+        self._retry_s = min(ORDER_RETRY_MAX_S, 2 * self._retry_s)
 
     def _note_dropped(self, weights: Weights, now: float) -> None:
         self._dropped_at.pop(weights, None)
@@ -217,6 +248,8 @@
             return effects
         if not self.has_model:
             return effects + (self._load_model(now) if may_load_model else [])
+        if now < self._refused_until:
+            return effects
         effects += self._check_orders(now)
         effects += self._renew(versions_by_weights, now)
         effects += self._serve_asks(now)
@@ -224,10 +257,11 @@
 
     def get_next_check(self) -> float:
         """Return when ``step`` is due again."""
-        return min(
+        due = min(
             (order.next_check for order in self.orders_by_weights.values()),
             default=float("inf"),
         )
+        return max(due, self._refused_until)
 
     def _check_orders(self, now: float) -> list[Effect]:
         """Give the loads under way again, to learn whether they are done."""
--- a/fescuekeel/components/placement/usage.py
+++ b/fescuekeel/components/placement/usage.py
@@ -6,7 +6,9 @@
 from fescuekeel.components.placement.const import (
     GRANT_TTL_S,
     NO_DEMAND,
+    STALE_USE_TTL_S,
     USE_TTL_S,
+    USES_TOLD_S,
 )
 from fescuekeel.components.placement.model import Demand, Use
 from fescuekeel.helpers.published import Weights
@@ -34,6 +36,22 @@
     _expected: Counter[Weights] = field(default_factory=Counter)
     _granted_until: dict[Weights, float] = field(default_factory=dict)
     _demand: dict[Weights, Demand] = field(default_factory=dict)
+    _first_report: float | None = None
+    _untold_runs: int = 0
+
+    def note_report(self, running: int, now: float) -> None:
+        """Take how many requests the endpoint says it runs.
+
+        Guards against an unload of weights that are in use unknown to the
+        holder: it waits for their runs, and the endpoint refuses all other
+        orders meanwhile, for up to six seconds. It shows right after a
+        takeover, before all instances have told of their uses, and for
+        instances behind a cut, whose streams the endpoint goes on making.
+        """
+        if self._first_report is None:
+            self._first_report = now
+        told = sum(self.count_running(weights, now) for weights in self._uses)
+        self._untold_runs = running - told
 
     def expect(self, weights: Weights) -> None:
         """Note that a prompt waits for its turn."""
@@ -64,7 +82,12 @@
         """Tell whether a request runs on weights, or is about to."""
         if weights in self._expected or now < self._granted_until.get(weights, 0.0):
             return True
-        return self.count_running(weights, now) > 0
+        if self._untold_runs <= 0:
+            return self.count_running(weights, now) > 0
+        if self._first_report is None or now - self._first_report < USES_TOLD_S:
+            return True
+        uses = self._uses.get(weights, {}).values()
+        return any(use.running and now - use.told < STALE_USE_TTL_S for use in uses)
 
     def read_demand(self, weights: Weights, now: float) -> float:
         """Return how much weights are asked for."""
@@ -77,7 +100,7 @@
             if demand.read(now) < NO_DEMAND:
                 del self._demand[weights]
         for weights, uses in list(self._uses.items()):
-            if all(now - use.told > USE_TTL_S for use in uses.values()):
+            if all(now - use.told > STALE_USE_TTL_S for use in uses.values()):
                 del self._uses[weights]
         for weights, until in list(self._granted_until.items()):
             if now >= until:
--- a/tests/components/placement/test_places.py
+++ b/tests/components/placement/test_places.py
@@ -166,6 +166,35 @@
         assert places._choose_victim(adapter(2), False, 5.0) == adapter(1)
 
 
+class TestRefusedOrders:
+    def refuse(self, places, now):
+        (order, *_) = take(places.step({}, now))
+        places.note_reply(order, OrderReply.BUSY, now)
+
+    def test_order_is_not_repeated_at_once(self):
+        """An engine got thirty orders a second, and refused each of them."""
+        places = make_places(places=1, held=[adapter(1)])
+        places.ask(make_ask(1, adapter(2), since=5.0))
+        self.refuse(places, 5.0)
+        assert take(places.step({}, 5.01)) == []
+        given = sum(bool(self.try_once(places, 5.0 + n / 100)) for n in range(2, 102))
+        assert 2 <= given <= 6
+
+    def try_once(self, places, now):
+        orders = take(places.step({}, now))
+        for order in orders:
+            places.note_reply(order, OrderReply.BUSY, now)
+        return orders
+
+    def test_blocked_endpoint_takes_no_asks(self):
+        places = make_places(places=1, held=[adapter(1)])
+        places.ask(make_ask(1, adapter(2), since=5.0))
+        self.refuse(places, 5.0)
+        assert places.has_room_to_ask(adapter(3), False, 5.1)
+        self.refuse(places, 5.2)
+        assert not places.has_room_to_ask(adapter(3), False, 5.5)
+
+
 class TestVersions:
     def test_named_version_replaces_the_one_held(self):
         places = make_places(held=[adapter(1)])
--- a/tests/components/placement/test_usage.py
+++ b/tests/components/placement/test_usage.py
@@ -1,6 +1,10 @@
 """Tests of how an endpoint's weights are used."""
 
-from fescuekeel.components.placement.const import GRANT_TTL_S, USE_TTL_S
+from fescuekeel.components.placement.const import (
+    GRANT_TTL_S,
+    USE_TTL_S,
+    USES_TOLD_S,
+)
 from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.published import Weights
 
@@ -38,6 +42,32 @@
         assert usage.is_in_use(CUPS, USE_TTL_S - 0.1)
         assert not usage.is_in_use(CUPS, USE_TTL_S + 0.1)
 
+    def test_stream_behind_a_cut_still_counts(self):
+        """An engine refused all orders for five seconds.
+
+        It had been ordered to unload an adapter whose streams an instance
+        behind a cut had begun, and waited for them. Nobody told of them any
+        more, but the engine's own report counted them.
+        """
+        usage = WeightUsage()
+        usage.note_report(0, now=0.0)
+        usage.note_use("i1", CUPS, running=1, begun=1, now=1.0)
+        usage.note_report(1, now=4.0)
+        assert usage.is_in_use(CUPS, 4.1)
+        usage.note_report(0, now=5.0)
+        assert not usage.is_in_use(CUPS, 5.1)
+
+    def test_new_holder_waits_until_uses_are_told(self):
+        usage = WeightUsage()
+        usage.note_report(3, now=0.0)
+        assert usage.is_in_use(CUPS, 0.1)
+        assert not usage.is_in_use(CUPS, USES_TOLD_S)
+
+    def test_new_holder_of_an_idle_endpoint_does_not_wait(self):
+        usage = WeightUsage()
+        usage.note_report(0, now=0.0)
+        assert not usage.is_in_use(CUPS, 0.1)
+
     def test_what_is_over_is_forgotten(self):
         usage = WeightUsage()
         usage.note_use("i1", CUPS, running=1, begun=1, now=0.0)
