--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -51,8 +51,8 @@
 TOKEN_S: Final = 0.045 / 1000
 MAX_TOKEN_S: Final = 1.0 / 1000
 SPEED_WEIGHT: Final = 0.2
-# A prompt of so many tokens that was sent alone shows how fast an engine
-# reads; one step and the way there and back are taken off.
+# A prompt of so many tokens shows how fast an engine reads at least; the fixed
+# part of a first piece is taken off.
 SPEED_TOKENS: Final = 500
 # It counts as alone while no more than this share of it was ahead; half of
 # that was read already, on average.
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -135,8 +135,9 @@
         if tokens <= 0:
             return
         reading_s = max(STEP_S, wait_s - overhead_s)
-        if is_alone(tokens, ahead) and tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
-            self.speeds.append((tokens + ahead / 2) / reading_s)
+        if tokens >= SPEED_TOKENS and wait_s > 2 * STEP_S:
+            # A lower bound: the engine may have read others' prompts besides.
+            self.speeds.append(tokens / reading_s)
         sample = min(MAX_TOKEN_S, reading_s / (tokens + ahead))
         self.token_s = self._read_token_s(now)
         self.token_s += SPEED_WEIGHT * (sample - self.token_s)
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -16,11 +16,12 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.placement.const import (
+    FASTER_WEIGHT,
     MAX_TURN_QUEUE_S,
     PROMPT_SHARE,
     PROMPT_TOKENS_PER_S,
+    SLOWER_WEIGHT,
     SPEED_RANGE,
-    SPEED_WEIGHT,
 )
 
 __all__ = ["Prompt", "PromptPacer", "Turn"]
@@ -79,11 +80,21 @@
         return self.window_s * PROMPT_SHARE * self.tokens_per_s
 
     def note_speed(self, tokens_per_s: float) -> None:
-        """Learn how fast the engine reads, from a prompt read alone."""
+        """Learn how fast the engine reads, from a prompt that it has read.
+
+        A sample is a lower bound, so that a higher one counts for more. Where
+        only prompts that were read alone were believed, none was under load,
+        and an engine that reads 38,000 tokens a second was taken to read
+        21,000: prompts waited for their turn for 0.13 s at the median and
+        0.43 s in a tenth of all cases, at an engine that was idle half of the
+        time.
+        """
         slowest = PROMPT_TOKENS_PER_S / SPEED_RANGE
         fastest = PROMPT_TOKENS_PER_S * SPEED_RANGE
         sample = min(fastest, max(slowest, tokens_per_s))
-        self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
+        faster = sample > self.tokens_per_s
+        weight = FASTER_WEIGHT if faster else SLOWER_WEIGHT
+        self.tokens_per_s += weight * (sample - self.tokens_per_s)
 
     def ask(self, prompt: Prompt) -> None:
         """Take a prompt that wants to be sent; ``step`` decides on it."""
--- a/tests/components/forward/test_overhead.py
+++ b/tests/components/forward/test_overhead.py
@@ -38,6 +38,19 @@
         load.note_first_piece(1200, 0, wait_s, FIRST_S, 0.0)
         assert abs(load.speeds[0] - TOKENS_PER_S) < 1
 
+    def test_speed_is_learned_from_a_prompt_behind_others(self):
+        """Prompts waited for their turn at an engine that was idle half the time.
+
+        Its speed was learned only from prompts that were read alone, and under
+        load none was.
+        """
+        load = EndpointLoad()
+        load.begin(None, 4000)
+        load.begin(None, 1200)
+        wait_s = FIRST_S + 1200 / TOKENS_PER_S
+        load.note_first_piece(1200, 4000, wait_s, FIRST_S, 0.0)
+        assert abs(load.speeds[0] - TOKENS_PER_S) < 1
+
     def test_little_is_believed_before_enough_is_known(self):
         assert FirstPieceFit().overhead_s == STEP_S
         assert make_fit(samples=3).overhead_s == STEP_S
