--- a/tests/components/forward/test_overhead.py
+++ b/tests/components/forward/test_overhead.py
@@ -39,7 +39,7 @@
         assert abs(load.speeds[0] - TOKENS_PER_S) < 1
 
     def test_speed_is_learned_from_a_prompt_behind_others(self):
-        """Prompts waited for their turn at an engine that was idle half the time.
+        """Prompts waited for their turn at an engine that idled half the time.
 
         Its speed was learned only from prompts that were read alone, and under
         load none was.
