--- a/fescuekeel/components/forward/attempts.py
+++ b/fescuekeel/components/forward/attempts.py
@@ -75,6 +75,11 @@
         """Tell whether it may run more than once."""
         return self.safe or self.resumable
 
+    @property
+    def may_go_elsewhere(self) -> bool:
+        """Tell whether one more endpoint may be handed the request."""
+        return len(self.endpoints) < self.max_attempts and self.sends < MAX_SENDS
+
     def note_sent(self, endpoint: str) -> None:
         """Note that bytes leave for an endpoint."""
         self.endpoints.add(endpoint)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -69,6 +69,7 @@
         self._fits_by_service: dict[str, FirstPieceFit] = {}
         self._table: RouteTable | None = None
         self._open: set[asyncio.Task[None]] = set()
+        self._requests: set[ForwardedRequest] = set()
         self._shutdown: Shutdown | None = None
 
     @property
@@ -164,7 +165,11 @@
         task = asyncio.current_task()
         assert task is not None
         caller.on_close(lambda: request.lose_caller(task))
-        await request.run()
+        self._requests.add(request)
+        try:
+            await request.run()
+        finally:
+            self._requests.discard(request)
 
     def _admit(
         self,
@@ -347,6 +352,7 @@
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             now = self.instance.now()
+            self._leave_silent_endpoints(now)
             known = self._placer.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
                 pool.close_idle(now)
@@ -356,3 +362,14 @@
             for id in list(self.loads_by_id):
                 if id not in known and self.loads_by_id[id].running <= 0:
                     del self.loads_by_id[id]
+
+    def _leave_silent_endpoints(self, now: float) -> None:
+        """Take requests that may run twice from endpoints that are silent."""
+        silent = {
+            id for id, load in self.loads_by_id.items() if load.health.is_silent(now)
+        }
+        for request in list(self._requests) if silent else ():
+            endpoint = request.endpoint_now
+            if endpoint in silent and request.leave_silent_endpoint():
+                self.loads_by_id[endpoint].health.note_unreachable(now)
+                self.instance.metrics.count("left_silent_endpoint")
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -79,10 +79,16 @@
         return spec.engine if spec else None
 
     async def place(self, request: ForwardedRequest) -> Choice | Failure:
-        """Choose an endpoint; wait for its weights and the prompt's turn."""
+        """Choose an endpoint; wait for its weights and the prompt's turn.
+
+        A stream that is to go on elsewhere has a patience of its own: its
+        caller, who has read a part, would wait in vain for the rest if the
+        time since its arrival counted.
+        """
         began = self._instance.now()
+        since = began if request.state.delivered else request.arrived
         until = min(
-            request.arrived + PATIENCE_TARGETS * request.route.target_s,
+            since + PATIENCE_TARGETS * request.route.target_s,
             began + LOAD_WAIT_SHARE * (request.deadline - began),
         )
         result = await self._place_until(request, until)
@@ -184,7 +190,8 @@
         if holder is None or board is None or request.weights is None:
             return AdmitAnswer(granted=True)
         asked = self._instance.now()
-        on_time = request.arrived + request.route.target_s - READING_S
+        since = asked if request.state.delivered else request.arrived
+        on_time = since + request.route.target_s - READING_S
         patience_s = max(0.0, until - asked)
         ask = AdmitAsk(
             choice.endpoint,
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -57,7 +57,7 @@
     connection: Connection | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class ForwardedRequest:
     """Carry a request to an endpoint and the answer back.
 
@@ -83,6 +83,7 @@
     longest_gap_s: float = 0.0
     longest_gap_at: float = 0.0
     waited_s: float = 0.0
+    _attempt_now: Attempt | None = None
     _splitter: EventSplitter | None = None
     _closed_by_caller: bool = field(default=False)
 
@@ -114,6 +115,26 @@
         self._closed_by_caller = True
         task.cancel()
 
+    def leave_silent_endpoint(self) -> bool:
+        """Break the attempt under way off, if another endpoint may go on.
+
+        Guards against a stream that waits for the bytes of an endpoint behind
+        a cut until its caller leaves, four targets later: another endpoint
+        can go on with it from the last event. Returns whether it was left.
+        """
+        attempt = self._attempt_now
+        if attempt is None or attempt.connection is None:
+            return False
+        if not self.state.repeatable or not self.state.may_go_elsewhere:
+            return False
+        attempt.connection.close()
+        return True
+
+    @property
+    def endpoint_now(self) -> str:
+        """Return the endpoint that the request is at, if any."""
+        return self._attempt_now.endpoint if self._attempt_now else ""
+
     async def _serve(self) -> None:
         unsent = 0
         while True:
@@ -184,13 +205,14 @@
         load = self.forwarder.get_load(choice.endpoint)
         tokens = self.head.prompt_tokens if self.weights else 0
         ahead = self.forwarder.count_ahead(choice.endpoint, tokens)
-        attempt = Attempt(choice.endpoint, now, tokens, ahead)
+        attempt = self._attempt_now = Attempt(choice.endpoint, now, tokens, ahead)
         load.begin(self.weights, tokens)
         load.health.note_sent(now)
         end: AttemptEnd | None = AttemptEnd.BROKEN
         try:
             end = await self._exchange(attempt, choice)
         finally:
+            self._attempt_now = None
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_piece else tokens
             load.end(self.weights, left)
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -35,7 +35,8 @@
     """Run requests, and hold weights if it is an engine.
 
     Of the next requests, ``fail`` run and answer 500, ``shed`` are refused
-    without running, and ``cut`` break off after some events. ``overrun``
+    without running, ``cut`` break off after some events and ``stall`` send
+    nothing after some events. ``overrun``
     says that it was ordered to hold more than ``places``, and ``fences`` are
     the fencing numbers of its orders in turn.
     """
@@ -63,6 +64,7 @@
     fail: int = 0
     shed: int = 0
     cut: int = 0
+    stall: int = 0
 
     def control(self, orders: dict[str, Any]) -> None:
         """Take ``fail``, ``shed`` and ``cut``."""
@@ -189,6 +191,11 @@
 class RunHandler(WorkerHandler):
     """Run a request, as a stream if it names a model."""
 
+    def initialize(self, *arguments: Any, **options: Any) -> None:
+        """Make ready to hear that the other side has closed."""
+        super().initialize(*arguments, **options)
+        self.closed = asyncio.Event()
+
     async def run_any(self) -> None:
         """Refuse, fail or run."""
         worker = self.standin
@@ -229,6 +236,7 @@
         worker = self.standin
         first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
         broken = worker.spend("cut")
+        stalled = worker.spend("stall")
         self.set_header("Content-Type", "text/event-stream")
         worker.running += 1
         try:
@@ -236,6 +244,9 @@
                 if broken and number == first + 2:
                     self.request.connection.stream.close()  # type: ignore[union-attr]
                     return
+                if stalled and number == first + 2:
+                    await self.wait_for_close()
+                    return
                 self.write(f"id: {number}\ndata: piece {number}\n\n")
                 await self.flush()
                 await asyncio.sleep(worker.event_s)
@@ -245,6 +256,16 @@
         finally:
             worker.running -= 1
 
+    async def wait_for_close(self) -> None:
+        """Send nothing until the other side has closed."""
+        await self.closed.wait()
+        self.standin.stopped += 1
+
+    def on_connection_close(self) -> None:
+        """Note that nobody reads any more."""
+        super().on_connection_close()
+        self.closed.set()
+
 
 def start_worker(worker: Worker) -> Server:
     """Start a worker on a free loopback port."""
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,6 +1,7 @@
 """Tests of the whole path: a stand-in platform and several instances."""
 
 import asyncio
+import re
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
@@ -294,6 +295,46 @@
 
         run(work)
 
+    def test_stream_that_breaks_off_late_goes_on_too(self):
+        """Long answers broke off for good when their endpoint crashed.
+
+        They could have gone on elsewhere, but the time for which a request
+        waits for an endpoint counted from its arrival, and was long over.
+        """
+
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.cut, worker.event_s = 1, 0.8
+                    break
+                for _ in range(2):
+                    answer, _ = await world.ask_stream("/explain/1", adapter="")
+                    ids = re.findall(rb"id: (\d)", answer.body)
+                    assert ids == [b"1", b"2", b"3", b"4", b"5", b"6"]
+                    worker.event_s = 0.005
+
+        run(work)
+
+    def test_stream_of_an_endpoint_that_falls_silent_goes_on_elsewhere(self):
+        """A reader saw half of an answer and nothing more, and left.
+
+        The endpoint was behind a cut. Its connection stood, so that the entry
+        waited for the next piece for as long as the reader did.
+        """
+
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.stall = 1
+                    break
+                for _ in range(2):
+                    answer, _ = await world.ask_stream("/explain/1", adapter="")
+                    ids = re.findall(rb"id: (\d)", answer.body)
+                    assert ids == [b"1", b"2", b"3", b"4", b"5", b"6"]
+                assert worker.stopped == 1
+
+        run(work)
+
     def test_broken_stream_never_looks_whole(self):
         async def work():
             async with start_world() as world:
