--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import statistics
 
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.core import Instance
@@ -94,7 +95,7 @@
         )
         for item in weights
     )
-    speed = int(max(load.speeds, default=0))
+    speed = int(statistics.median(load.speeds)) if load.speeds else 0
     load.speeds.clear()
     load.begun_by_weights.clear()
     load.told_running = max(0, load.running)
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -110,11 +110,9 @@
 PROMPT_SHARE: Final = 0.75
 # A speed that differs from that by more than this factor is not believed.
 SPEED_RANGE: Final = 8.0
-# How much a sample of an engine's speed counts: five that show it faster are
-# believed within a second, and an engine that has turned slow, of which all
-# samples are low, is within some three.
-FASTER_WEIGHT: Final = 0.2
-SLOWER_WEIGHT: Final = 0.05
+# How much a sample of an engine's speed counts: an engine that has turned slow
+# is seen within ten, a second or two under load.
+SPEED_WEIGHT: Final = 0.1
 # No more prompts wait at one engine than are read within this time.
 MAX_TURN_QUEUE_S: Final = 1.2
 # No more adapters are waited for at one endpoint: at four at a time, of a
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -16,12 +16,11 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.placement.const import (
-    FASTER_WEIGHT,
     MAX_TURN_QUEUE_S,
     PROMPT_SHARE,
     PROMPT_TOKENS_PER_S,
-    SLOWER_WEIGHT,
     SPEED_RANGE,
+    SPEED_WEIGHT,
 )
 
 __all__ = ["Prompt", "PromptPacer", "Turn"]
@@ -82,19 +81,17 @@
     def note_speed(self, tokens_per_s: float) -> None:
         """Learn how fast the engine reads, from a prompt that it has read.
 
-        A sample is a lower bound, so that a higher one counts for more. Where
-        only prompts that were read alone were believed, none was under load,
-        and an engine that reads 38,000 tokens a second was taken to read
-        21,000: prompts waited for their turn for 0.13 s at the median and
-        0.43 s in a tenth of all cases, at an engine that was idle half of the
-        time.
+        Samples of prompts that were read beside others are low, so that an
+        engine which is crowded gets fewer prompts. Where only those read alone
+        were believed, none came under load, and an engine that reads 38,000
+        tokens a second was taken to read 21,000: prompts waited for their
+        turn for 0.13 s at the median and 0.43 s in a tenth of all cases, at
+        an engine that was idle half of the time.
         """
         slowest = PROMPT_TOKENS_PER_S / SPEED_RANGE
         fastest = PROMPT_TOKENS_PER_S * SPEED_RANGE
         sample = min(fastest, max(slowest, tokens_per_s))
-        faster = sample > self.tokens_per_s
-        weight = FASTER_WEIGHT if faster else SLOWER_WEIGHT
-        self.tokens_per_s += weight * (sample - self.tokens_per_s)
+        self.tokens_per_s += SPEED_WEIGHT * (sample - self.tokens_per_s)
 
     def ask(self, prompt: Prompt) -> None:
         """Take a prompt that wants to be sent; ``step`` decides on it."""
