--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -20,6 +20,7 @@
     DRAIN_RETRY_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.forward.isolation import Isolation
 from fescuekeel.components.forward.overhead import FirstPieceFit
 from fescuekeel.components.forward.placing import Placer
 from fescuekeel.components.forward.records import RequestRecords
@@ -70,13 +71,20 @@
         self._table: RouteTable | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._requests: set[ForwardedRequest] = set()
+        self._isolation = Isolation(settings.instance.data_centre)
+        self._cut_off = False
         self._shutdown: Shutdown | None = None
 
     @property
     def ready(self) -> bool:
         """Tell whether new requests are welcome."""
         known = self._table is not None and bool(self._placer.records_by_service)
-        return known and not self.instance.draining
+        return known and not self.instance.draining and not self._cut_off
+
+    @property
+    def turns_callers_away(self) -> bool:
+        """Tell whether callers are to close their connections."""
+        return self.instance.draining or self._cut_off
 
     async def start(self) -> None:
         """Listen."""
@@ -138,7 +146,7 @@
         body: bytes,
     ) -> None:
         """Begin to serve a request that was read whole."""
-        caller = CallerConnection(connection, lambda: self.instance.draining)
+        caller = CallerConnection(connection, lambda: self.turns_callers_away)
         work = self._serve(caller, line, headers, body)
         task = self.instance.spawn(work, f"{DOMAIN}.request")
         self._open.add(task)
@@ -265,6 +273,7 @@
         except NotConnectedError as error:
             now = self.instance.now()
             health.note_unreachable(now)
+            self._note_missed(endpoint, now)
             log_event(
                 "endpoint_unreachable",
                 endpoint=endpoint,
@@ -273,8 +282,38 @@
             )
             raise
         health.note_connected()
+        self._note_reached(endpoint)
         return connection
 
+    def _note_missed(self, endpoint: str, now: float) -> None:
+        record = self._placer.find_record(endpoint)
+        if record is not None:
+            self._isolation.note_missed(record.data_centre, now)
+
+    def _note_reached(self, endpoint: str) -> None:
+        record = self._placer.find_record(endpoint)
+        if record is not None:
+            self._isolation.note_reached(record.data_centre, self.instance.now())
+
+    def _look_at_isolation(self, now: float) -> None:
+        """Say that this instance is not ready while it is cut off."""
+        board = self.instance.bus.latest(PlacementBoard) or PlacementBoard()
+        for id, state in board.states_by_endpoint.items():
+            record = self._placer.find_record(id)
+            if record is not None:
+                self._isolation.note_reached(record.data_centre, state.heard)
+        cut_off = self._isolation.is_cut_off(now)
+        if cut_off == self._cut_off:
+            return
+        self._cut_off = self._placer.cut_off = cut_off
+        self.instance.metrics.count(f"cut_off.{cut_off}")
+        log_event(
+            "isolation_changed",
+            cut_off=cut_off,
+            open=len(self._requests),
+            outcome="not_ready" if cut_off else "ready",
+        )
+
     def get_priority(self, request: ForwardedRequest) -> int | None:
         """Return the priority that an engine gets, none at plain services."""
         if request.weights is None:
@@ -324,6 +363,7 @@
         metrics.add_gauge("members", self._read_members)
         metrics.add_gauge("endpoints", self._read_endpoints)
         metrics.add_gauge("retry_budget_left", self._read_budget)
+        metrics.add_gauge("cut_off", lambda: {"": float(self._cut_off)})
         metrics.add_gauge("requests_open", lambda: {"": float(len(self._open))})
 
     def read_version(self) -> int:
@@ -353,6 +393,7 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             now = self.instance.now()
             self._leave_silent_endpoints(now)
+            self._look_at_isolation(now)
             known = self._placer.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
                 pool.close_idle(now)
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -47,6 +47,20 @@
 # Nothing came for so long although something was due: the endpoint is silent.
 SILENCE_S: Final = 0.9
 
+# An instance counts as cut off once nothing came from any other data centre
+# for so long: three pieces of holders' news, which are 0.4 s apart, one second
+# in a large fleet.
+ISOLATION_SILENCE_S: Final = 1.2
+# A connection that failed counts for so long: longer than the longest pause in
+# which an endpoint is not tried again.
+ISOLATION_MEMORY_S: Final = 5.0
+# So many other data centres must be out of reach: one alone may be lost.
+MIN_MISSED_CENTRES: Final = 2
+# What callers of an instance that is cut off are told to wait: the platform
+# takes two missed probes, a second apart, to lead them elsewhere.
+CUT_OFF_RETRY_FROM_S: Final = 2.2
+CUT_OFF_RETRY_TO_S: Final = 3.2
+
 # Waits at engines. Prompts are read at some 20 to 26 tokens a millisecond.
 TOKEN_S: Final = 0.045 / 1000
 MAX_TOKEN_S: Final = 1.0 / 1000
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -11,6 +11,8 @@
     choose_plain,
 )
 from fescuekeel.components.forward.const import (
+    CUT_OFF_RETRY_FROM_S,
+    CUT_OFF_RETRY_TO_S,
     LOAD_WAIT_SHARE,
     MAX_REFUSALS,
     NO_HOLDER_POLL_S,
@@ -47,6 +49,7 @@
         self, instance: Instance, get_load: Callable[[str], EndpointLoad]
     ) -> None:
         self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
+        self.cut_off = False
         self._instance = instance
         self._get_load = get_load
         self._asker = LoadAsker(instance)
@@ -111,6 +114,8 @@
                 # model in a moment.
                 await asyncio.sleep(NO_HOLDER_POLL_S)
                 continue
+            if choice.needs_load and self.cut_off:
+                return _refuse_cut_off()
             if choice.needs_load:
                 asked = self._instance.now()
                 detail = await self._wait_for_load(request, choice, until)
@@ -262,6 +267,12 @@
         )
 
 
+def _refuse_cut_off() -> Failure:
+    """Refuse what cannot be loaded behind a cut; others get the callers soon."""
+    retry_after_s = random.uniform(CUT_OFF_RETRY_FROM_S, CUT_OFF_RETRY_TO_S)
+    return Failure(ErrorKind.LOAD_FAILED, "cut off", retry_after_s=retry_after_s)
+
+
 def _refuse_for_load(kind: ErrorKind, detail: str) -> Failure:
     retry_after_s = random.uniform(RETRY_FROM_S, RETRY_TO_S)
     return Failure(kind, detail, retry_after_s=retry_after_s)
