--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -268,7 +268,7 @@
 
 
 def _refuse_cut_off() -> Failure:
-    """Refuse what cannot be loaded behind a cut; others get the callers soon."""
+    """Refuse what cannot be loaded behind a cut, and lead callers away."""
     retry_after_s = random.uniform(CUT_OFF_RETRY_FROM_S, CUT_OFF_RETRY_TO_S)
     return Failure(ErrorKind.LOAD_FAILED, "cut off", retry_after_s=retry_after_s)
 
