Count an endpoint as blocked only while it refuses; know uses before anything is unloaded

The adapter was in use unknown to the holder: it unloaded in the moment of its takeover, before uses were told to it, or half a second after a cut began.

Change: a block ends a moment after the last refusal; uses count as unknown for a second from the takeover, not from the first report; a prompt's turn counts until its instance tells of it, for as long as a stream if it falls silent.

--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -73,6 +73,8 @@
         while True:
             now = self._instance.now()
             held = self._claims.is_held(self.record.name)
+            if held and not self.has_held:
+                self.places.usage.begin(now)
             self.has_held = self.has_held or held
             self._looked_while_held = self._looked_while_held and held
             if now >= next_look or (held and not self._looked_while_held):
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -106,9 +106,15 @@
     # Events.
 
     def is_blocked(self, now: float) -> bool:
-        """Tell whether the endpoint has refused all orders for a while."""
+        """Tell whether the endpoint has refused all orders for a while.
+
+        That ends by itself a moment after the last refusal, so that the next
+        ask shows whether it still does.
+        """
         since = self._refused_since
-        return since is not None and now - since > BLOCKED_S
+        if since is None or now - since <= BLOCKED_S:
+            return False
+        return now < self._refused_until + BLOCKED_S
 
     def has_room_to_ask(self, weights: Weights, spread: bool, now: float) -> bool:
         """Tell whether one more wish can be met in reasonable time."""
--- a/fescuekeel/components/placement/turns.py
+++ b/fescuekeel/components/placement/turns.py
@@ -119,7 +119,12 @@
 
     def _answer(self, turn: Turn, answer: AdmitAnswer) -> None:
         question = self._questions_by_number.pop(turn.number)
-        question.usage.settle(question.weights, turn.granted, self._instance.now())
+        question.usage.settle(
+            question.weights,
+            question.message.sender,
+            turn.granted,
+            self._instance.now(),
+        )
         get_peer_link(self._instance).answer(question.message, answer)
         word = "granted" if turn.granted else "refused"
         self._instance.metrics.count(f"turn.{word}")
--- a/fescuekeel/components/placement/usage.py
+++ b/fescuekeel/components/placement/usage.py
@@ -27,18 +27,26 @@
 
     >>> usage, cups = WeightUsage(), Weights("m", "cups")
     >>> usage.expect(cups)
-    >>> usage.settle(cups, granted=True, now=0.0)
-    >>> usage.is_in_use(cups, now=0.1), usage.is_in_use(cups, now=5.0)
-    (True, False)
+    >>> usage.settle(cups, "i1", granted=True, now=0.0)
+    >>> usage.is_in_use(cups, now=0.1)
+    True
+    >>> usage.note_use("i1", cups, running=0, begun=1, now=0.5)
+    >>> usage.is_in_use(cups, now=0.6)
+    False
     """
 
     _uses: dict[Weights, dict[str, Use]] = field(default_factory=dict)
     _expected: Counter[Weights] = field(default_factory=Counter)
-    _granted_until: dict[Weights, float] = field(default_factory=dict)
+    _granted: dict[Weights, dict[str, float]] = field(default_factory=dict)
+    _heard: dict[str, float] = field(default_factory=dict)
     _demand: dict[Weights, Demand] = field(default_factory=dict)
-    _first_report: float | None = None
+    _held_since: float | None = None
     _untold_runs: int = 0
 
+    def begin(self, now: float) -> None:
+        """Note that this instance orders the endpoint from now on."""
+        self._held_since = now
+
     def note_report(self, running: int, now: float) -> None:
         """Take how many requests the endpoint says it runs.
 
@@ -48,8 +56,6 @@
         takeover, before all instances have told of their uses, and for
         instances behind a cut, whose streams the endpoint goes on making.
         """
-        if self._first_report is None:
-            self._first_report = now
         told = sum(self.count_running(weights, now) for weights in self._uses)
         self._untold_runs = running - told
 
@@ -57,20 +63,22 @@
         """Note that a prompt waits for its turn."""
         self._expected[weights] += 1
 
-    def settle(self, weights: Weights, granted: bool, now: float) -> None:
+    def settle(self, weights: Weights, user: str, granted: bool, now: float) -> None:
         """Note that a prompt waits no longer; once granted, it is sent."""
         self._expected[weights] -= 1
         if self._expected[weights] <= 0:
             del self._expected[weights]
         if granted:
-            self._granted_until[weights] = now + GRANT_TTL_S
+            self._granted.setdefault(weights, {})[user] = now
 
     def note_use(
         self, user: str, weights: Weights, running: int, begun: int, now: float
     ) -> None:
         """Take what an instance tells of its requests."""
         self._uses.setdefault(weights, {})[user] = Use(running, now)
+        self._heard[user] = now
         if begun:
+            self._granted.get(weights, {}).pop(user, None)
             self._demand.setdefault(weights, Demand()).add(begun, now)
 
     def count_running(self, weights: Weights, now: float) -> int:
@@ -80,15 +88,28 @@
 
     def is_in_use(self, weights: Weights, now: float) -> bool:
         """Tell whether a request runs on weights, or is about to."""
-        if weights in self._expected or now < self._granted_until.get(weights, 0.0):
+        if weights in self._expected or self._is_granted(weights, now):
             return True
         if self._untold_runs <= 0:
             return self.count_running(weights, now) > 0
-        if self._first_report is None or now - self._first_report < USES_TOLD_S:
+        if self._held_since is None or now - self._held_since < USES_TOLD_S:
             return True
         uses = self._uses.get(weights, {}).values()
         return any(use.running and now - use.told < STALE_USE_TTL_S for use in uses)
 
+    def _is_granted(self, weights: Weights, now: float) -> bool:
+        """Tell whether a prompt got its turn of which nothing was told yet.
+
+        Guards against an unload under a prompt whose instance was cut off
+        right after its turn: it tells nothing at all any more, so that its
+        turn counts for as long as a stream may take.
+        """
+        for user, granted in self._granted.get(weights, {}).items():
+            told = self._heard.get(user, float("-inf")) > granted
+            if now - granted < (GRANT_TTL_S if told else STALE_USE_TTL_S):
+                return True
+        return False
+
     def read_demand(self, weights: Weights, now: float) -> float:
         """Return how much weights are asked for."""
         demand = self._demand.get(weights)
@@ -102,6 +123,9 @@
         for weights, uses in list(self._uses.items()):
             if all(now - use.told > STALE_USE_TTL_S for use in uses.values()):
                 del self._uses[weights]
-        for weights, until in list(self._granted_until.items()):
-            if now >= until:
-                del self._granted_until[weights]
+        for weights in list(self._granted):
+            if not self._is_granted(weights, now):
+                del self._granted[weights]
+        for user, heard in list(self._heard.items()):
+            if now - heard > STALE_USE_TTL_S:
+                del self._heard[user]
--- a/tests/components/placement/test_places.py
+++ b/tests/components/placement/test_places.py
@@ -121,11 +121,11 @@
         places = make_places(places=2, held=[adapter(1), adapter(2)])
         places.usage.expect(adapter(1))
         places.usage.expect(adapter(2))
-        places.usage.settle(adapter(2), granted=True, now=5.0)
+        places.usage.settle(adapter(2), "i1", granted=True, now=5.0)
         places.ask(make_ask(9, adapter(9), since=5.0))
         assert take(places.step({}, 5.1)) == []
         assert places.list_servable().keys() == {MODEL, adapter(1), adapter(2)}
-        places.usage.settle(adapter(1), granted=True, now=5.2)
+        places.usage.settle(adapter(1), "i1", granted=True, now=5.2)
         for number in (1, 2):
             places.usage.note_use("i1", adapter(number), running=1, begun=1, now=5.3)
         assert take(places.step({}, 5.3 + GRANT_TTL_S)) == []
@@ -192,7 +192,20 @@
         self.refuse(places, 5.0)
         assert places.has_room_to_ask(adapter(3), False, 5.1)
         self.refuse(places, 5.2)
+        assert not places.has_room_to_ask(adapter(3), False, 5.4)
+
+    def test_endpoint_that_was_blocked_takes_asks_again(self):
+        """An engine got no order for eleven seconds.
+
+        It had refused some, so that asks went elsewhere; and since none came
+        any more, nothing showed that it took orders again.
+        """
+        places = make_places(places=1, held=[adapter(1)])
+        places.ask(make_ask(1, adapter(2), since=5.0))
+        self.refuse(places, 5.0)
+        self.refuse(places, 5.4)
         assert not places.has_room_to_ask(adapter(3), False, 5.5)
+        assert places.has_room_to_ask(adapter(3), False, 6.0)
 
 
 class TestVersions:
