--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -68,9 +68,6 @@
 # A prompt of so many tokens shows how fast an engine reads at least; the fixed
 # part of a first piece is taken off.
 SPEED_TOKENS: Final = 500
-# It counts as alone while no more than this share of it was ahead; half of
-# that was read already, on average.
-SPEED_AHEAD_SHARE: Final = 0.3
 STEP_S: Final = 0.012
 # How many prompts the fixed part of a first piece is learned from, how many
 # must have come before it is believed, and the most that it is taken for.
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -10,7 +10,6 @@
     MAX_TOKEN_S,
     RESULT_WEIGHT,
     SILENCE_S,
-    SPEED_AHEAD_SHARE,
     SPEED_TOKENS,
     SPEED_WEIGHT,
     STEP_S,
@@ -21,7 +20,7 @@
 from fescuekeel.helpers.placement import EndpointState
 from fescuekeel.helpers.published import Weights
 
-__all__ = ["EndpointHealth", "EndpointLoad", "is_alone"]
+__all__ = ["EndpointHealth", "EndpointLoad"]
 
 
 @dataclass(slots=True)
@@ -86,11 +85,6 @@
         return now < self.unreachable_until or self.is_silent(now)
 
 
-def is_alone(tokens: int, ahead: int) -> bool:
-    """Tell whether a prompt's wait shows how fast it was read itself."""
-    return ahead <= tokens * SPEED_AHEAD_SHARE
-
-
 @dataclass(slots=True)
 class EndpointLoad:
     """Estimate how long a new request waits at an endpoint.
--- a/fescuekeel/components/forward/overhead.py
+++ b/fescuekeel/components/forward/overhead.py
@@ -1,8 +1,9 @@
 """Learn what a first piece takes besides the reading of its prompt; pure.
 
 Some engines add a fixed time to each first piece, which other prompts do not
-wait for. Taken for reading time, it makes an engine look half as fast as it
-is: prompts are spaced out twice as far, and refused while it idles.
+wait for, and under load a prompt waits for the one that is being read. Taken
+for reading time, that makes an engine look half as fast as it is: prompts are
+spaced out twice as far, and refused while it idles.
 """
 
 from dataclasses import dataclass
@@ -21,7 +22,9 @@
 class FirstPieceFit:
     """Fit a line through waits by prompt tokens; its start is the overhead.
 
-    Older samples count less. Only prompts that were read alone belong here.
+    Older samples count less. What a prompt waits for others does not depend on
+    its own size, so that it shows in the start of the line and not in its
+    slope, which is how fast prompts are read.
 
     >>> fit = FirstPieceFit()
     >>> for tokens in (200, 400, 800, 1600, 300, 600, 1200, 2400):
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -22,7 +22,6 @@
     MIN_SEND_S,
     UNSENT_PAUSE_S,
 )
-from fescuekeel.components.forward.endpoints import is_alone
 from fescuekeel.components.forward.events import EventSplitter
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import AnswerHead, CallerHead, Header, SendHead
@@ -386,8 +385,7 @@
         load.note_first_piece(
             attempt.tokens, attempt.tokens_ahead, wait_s, fit.overhead_s, now
         )
-        alone = is_alone(attempt.tokens, attempt.tokens_ahead)
-        if attempt.tokens and alone and wait_s < MAX_FIT_WAIT_S:
+        if attempt.tokens and wait_s < MAX_FIT_WAIT_S:
             fit.note(attempt.tokens, wait_s)
         if self.route.kind is not RouteKind.STREAM:
             load.note_service(wait_s)
