Load first what can still be in time, and nothing that nobody waits for any more

Change: an ask tells how long its load may take for an answer in time, and how long anybody waits for it.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -18,6 +18,7 @@
     DOMAIN,
     DRAIN_POLL_S,
     DRAIN_RETRY_S,
+    LOWEST_PRIORITY,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.isolation import Isolation
@@ -44,7 +45,6 @@
 __all__ = ["Forwarder"]
 
 SWEEP_PERIOD_S = 0.5
-LOWEST_PRIORITY = 9
 
 
 class Forwarder:
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -61,6 +61,9 @@
 CUT_OFF_RETRY_FROM_S: Final = 2.2
 CUT_OFF_RETRY_TO_S: Final = 3.2
 
+# The priority of what nobody waits for; engines know ten, 0 is the first.
+LOWEST_PRIORITY: Final = 9
+
 # Waits at engines. Prompts are read at some 20 to 26 tokens a millisecond.
 TOKEN_S: Final = 0.045 / 1000
 MAX_TOKEN_S: Final = 1.0 / 1000
--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -4,6 +4,7 @@
 
 from fescuekeel.components.forward.const import (
     LOAD_ASK_TIMEOUT_S,
+    LOWEST_PRIORITY,
     SPREAD_PERIOD_S,
 )
 from fescuekeel.core import Instance
@@ -26,14 +27,13 @@
         self._tasks_by_wanted: dict[Wanted, asyncio.Task[str]] = {}
         self._spread_at: dict[tuple[str, Weights], float] = {}
 
-    async def load(
-        self, endpoint: str, weights: Weights, version: int, priority: int
-    ) -> str:
+    async def load(self, ask: LoadAsk) -> str:
         """Have weights loaded; return why not, empty once they are there."""
-        wanted = (endpoint, weights, version)
+        weights = Weights(ask.model, ask.adapter)
+        wanted = (ask.endpoint, weights, ask.version)
         task = self._tasks_by_wanted.get(wanted)
         if task is None:
-            work = self._ask(endpoint, weights, version, priority, spread=False)
+            work = self._ask(ask)
             task = self._instance.spawn(work, "forward.load")
             self._tasks_by_wanted[wanted] = task
             task.add_done_callback(lambda _: self._tasks_by_wanted.pop(wanted, None))
@@ -49,19 +49,24 @@
         if len(self._spread_at) > 1000:
             self._spread_at.clear()
         self._spread_at[key] = now
-        work = self._ask(endpoint, weights, version, 9, spread=True)
+        work = self._ask(
+            LoadAsk(
+                endpoint,
+                weights.model,
+                weights.adapter,
+                version,
+                LOWEST_PRIORITY,
+                spread=True,
+            )
+        )
         self._instance.spawn(work, "forward.spread")
 
-    async def _ask(
-        self, endpoint: str, weights: Weights, version: int, priority: int, spread: bool
-    ) -> str:
+    async def _ask(self, ask: LoadAsk) -> str:
         board = self._instance.bus.latest(PlacementBoard)
-        holder = board.holders_by_endpoint.get(endpoint) if board else None
+        holder = board.holders_by_endpoint.get(ask.endpoint) if board else None
         if holder is None:
             return "no holder"
-        ask = LoadAsk(
-            endpoint, weights.model, weights.adapter, version, priority, spread
-        )
+        weights = Weights(ask.model, ask.adapter)
         asked = self._instance.now()
         link = get_peer_link(self._instance)
         answer = (await link.ask(holder, ask, LOAD_ASK_TIMEOUT_S)).value_or(None)
@@ -69,15 +74,15 @@
         if isinstance(answer, LoadAnswer):
             detail = "" if answer.loaded else answer.detail or "refused"
             if answer.loaded and board is not None:
-                board.note_held(endpoint, weights, answer.version)
+                board.note_held(ask.endpoint, weights, answer.version)
         self._instance.metrics.observe("load_wait", self._instance.now() - asked)
         log_event(
             "load_asked",
-            endpoint=endpoint,
+            endpoint=ask.endpoint,
             weights=str(weights),
-            version=version,
+            version=ask.version,
             holder=holder,
-            spread=spread,
+            spread=ask.spread,
             waited_ms=round((self._instance.now() - asked) * 1000),
             outcome=detail or "loaded",
         )
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -37,7 +37,7 @@
     PlacementBoard,
 )
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
-from fescuekeel.messages import AdmitAnswer, AdmitAsk
+from fescuekeel.messages import AdmitAnswer, AdmitAsk, LoadAsk
 
 __all__ = ["Placer"]
 
@@ -223,13 +223,19 @@
         self, request: ForwardedRequest, choice: Choice, until: float
     ) -> str:
         assert request.weights is not None
-        left_s = max(0.01, until - self._instance.now())
-        asking = self._asker.load(
+        now = self._instance.now()
+        left_s = max(0.01, until - now)
+        on_time_s = request.arrived + request.route.target_s - READING_S - now
+        ask = LoadAsk(
             choice.endpoint,
-            request.weights,
+            request.weights.model,
+            request.weights.adapter,
             self._versions.get_newest(request.weights),
             request.route.priority,
+            on_time_ms=int(max(0.0, on_time_s) * 1000),
+            patience_ms=int(left_s * 1000),
         )
+        asking = self._asker.load(ask)
         try:
             detail = await asyncio.wait_for(asking, left_s)
         except TimeoutError:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -9,6 +9,7 @@
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     DOMAIN,
+    SPREAD_WAIT_S,
     TICK_S,
 )
 from fescuekeel.components.placement.holder import EndpointHolder
@@ -334,6 +335,8 @@
             answer = LoadAnswer(False, LOADS_WAIT)
             get_peer_link(self.instance).answer(message, answer)
             return
+        now = self.instance.now()
+        until = now + (SPREAD_WAIT_S if ask.spread else ask.patience_ms / 1000)
         number = next(self._ask_numbers)
         self._questions_by_ask[number] = LoadQuestion(message, ask)
         holder.places.ask(
@@ -343,7 +346,9 @@
                 ask.version,
                 ask.priority,
                 ask.spread,
-                self.instance.now(),
+                now,
+                now + ask.on_time_ms / 1000,
+                until,
             )
         )
         holder.wake()
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -134,7 +134,7 @@
 NO_DEMAND: Final = 0.001
 # The half-life of what counts as an adapter's demand.
 DEMAND_HALF_LIFE_S: Final = 6.0
-# A request for an adapter waits no longer for a place.
-ASK_WAIT_S: Final = 3.0
+# A wish for one more copy, which nobody waits for, ends after this.
+SPREAD_WAIT_S: Final = 3.0
 # How long after a use was last told it still counts as running.
 USE_TTL_S: Final = 2.0
--- a/fescuekeel/components/placement/model.py
+++ b/fescuekeel/components/placement/model.py
@@ -23,6 +23,8 @@
     """A wish to have weights loaded; ``number`` names it.
 
     ``spread`` is a wish for one more copy, which nobody waits for.
+    ``on_time_until`` is when the load must be done for an answer within its
+    target, and ``until`` when nobody waits for it any more.
     """
 
     number: int
@@ -31,6 +33,8 @@
     priority: int
     spread: bool
     since: float
+    on_time_until: float
+    until: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.placement.const import (
-    ASK_WAIT_S,
     BLOCKED_S,
     CHECK_PERIOD_S,
     LOAD_S,
@@ -286,7 +285,7 @@
             if servable and self.held[ask.weights] >= ask.version:
                 del self.asks_by_number[ask.number]
                 yield self._end_loaded(ask)
-            elif now - ask.since > ASK_WAIT_S:
+            elif now >= ask.until:
                 del self.asks_by_number[ask.number]
                 yield AskEnded(ask.number, loaded=False, detail="no place in time")
 
@@ -339,7 +338,8 @@
         effects: list[Effect] = []
         pending = self._count_pending()
         served: set[Weights] = set()
-        for ask in sorted(self.asks_by_number.values(), key=self._rank_ask):
+        asks = self.asks_by_number.values()
+        for ask in sorted(asks, key=lambda ask: self._rank_ask(ask, now)):
             weights = ask.weights
             if weights in self.orders_by_weights or weights in self._foreign_pending:
                 continue
@@ -362,8 +362,13 @@
         )
         return loads + len(self._foreign_pending)
 
-    def _rank_ask(self, ask: Ask) -> tuple[bool, int, float]:
-        return ask.spread, ask.priority, ask.since
+    def _rank_ask(self, ask: Ask, now: float) -> tuple[bool, bool, int, float]:
+        """Rank the asks that can still be in time first, by urgency.
+
+        One that is late already is worth a third to its caller whenever it
+        comes, and must not make others late.
+        """
+        return ask.spread, now > ask.on_time_until, ask.priority, ask.since
 
     def _make_room(self, weights: Weights, spread: bool, now: float) -> list[Effect]:
         """Unload the least wanted adapter that nobody uses.
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -153,7 +153,9 @@
     """Ask the holder of an endpoint's orders to have weights loaded there.
 
     ``version`` is the version that is needed, 0 for any. ``spread`` asks for
-    one more copy, which nobody waits for.
+    one more copy, which nobody waits for. ``on_time_ms`` is how long the load
+    may take for an answer within its target, and ``patience_ms`` how long
+    anybody waits for it.
     """
 
     endpoint: str
@@ -162,6 +164,8 @@
     version: int
     priority: int
     spread: bool = False
+    on_time_ms: int = 0
+    patience_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -204,6 +204,8 @@
   version @3 :UInt64;
   priority @4 :UInt8;
   spread @5 :Bool;
+  onTimeMs @6 :UInt32;
+  patienceMs @7 :UInt32;
 }
 struct LoadAnswer {
   loaded @0 :Bool;
--- a/tests/components/placement/test_places.py
+++ b/tests/components/placement/test_places.py
@@ -27,8 +27,9 @@
     return known
 
 
-def make_ask(number, weights, priority=1, spread=False, since=0.0):
-    return Ask(number, weights, 0, priority, spread, since)
+def make_ask(number, weights, priority=1, spread=False, since=0.0, on_time_s=5.0):
+    on_time_until = since + on_time_s
+    return Ask(number, weights, 0, priority, spread, since, on_time_until, since + 9.0)
 
 
 def take(effects, kind=GiveOrder):
@@ -72,6 +73,25 @@
         assert orders[0].weights == adapter(99)
         assert len(orders) == MAX_PENDING
 
+    def test_late_ask_does_not_make_others_late(self):
+        places = make_places(places=1)
+        places.ask(make_ask(1, adapter(1), priority=0, on_time_s=0.5))
+        places.ask(make_ask(2, adapter(2), priority=2))
+        (order,) = take(places.step({}, 1.0))
+        assert order.weights == adapter(2)
+
+    def test_ask_that_nobody_waits_for_ends(self):
+        """Under a burst places went to adapters that nobody waited for.
+
+        The ask for a load outlived the patience of those who had asked for it.
+        """
+        places = make_places(places=1, held=[adapter(1)])
+        places.usage.expect(adapter(1))
+        places.ask(make_ask(1, adapter(2), since=5.0))
+        (ended,) = take(places.step({}, 14.0), AskEnded)
+        assert not ended.loaded
+        assert places.asks_by_number == {}
+
 
 class TestRoom:
     def test_unanswered_load_keeps_its_place(self):
