Tell whoever takes over an endpoint what still runs there

Change: where an endpoint has no holder, uses are told to its candidate, and an instance that shuts down goes on to work that out.

--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -56,10 +56,10 @@
         now = self._instance.now()
         uses_by_holder: dict[str, list[EndpointUse]] = {}
         for id, load in self._loads_by_id.items():
-            holder = board.holders_by_endpoint.get(id)
-            use = make_use(id, load, now) if holder is not None else None
-            if holder is not None and use is not None:
-                uses_by_holder.setdefault(holder, []).append(use)
+            listener = board.find_listener(id)
+            use = make_use(id, load, now) if listener is not None else None
+            if listener is not None and use is not None:
+                uses_by_holder.setdefault(listener, []).append(use)
         link = get_peer_link(self._instance)
         for holder, uses in uses_by_holder.items():
             link.send(holder, UseNews(tuple(uses)))
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from fescuekeel.components.placement.claims import Claims, OwnClaim
+from fescuekeel.components.placement.claims import (
+    Claims,
+    OwnClaim,
+    choose_candidate,
+)
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     DOMAIN,
@@ -118,12 +122,13 @@
 
     def _tick(self) -> None:
         now = self.instance.now()
+        engines = self._list_engines()
         if self.instance.draining:
             self._release(list(self._claims.own_by_endpoint))
+            self._share_board(engines, now)
             return
         catalog = self.instance.bus.latest(Catalog)
         view = self.instance.bus.latest(MemberView) or MemberView()
-        engines = self._list_engines()
         newly = self._claims.step(
             {record.name: record for record in engines.values()},
             view.members_by_id,
@@ -278,6 +283,13 @@
             for id, record in engines.items()
             if (holder := self._claims.find_holder(record.name, now)) is not None
         }
+        members = (self.instance.bus.latest(MemberView) or MemberView()).members_by_id
+        self.board.candidates_by_endpoint = {
+            id: candidate
+            for id, record in engines.items()
+            if id not in self.board.holders_by_endpoint
+            and (candidate := choose_candidate(record, members)) is not None
+        }
         self.board.forget_except(engines)
 
     # Messages.
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -46,11 +46,23 @@
     """Hold the last state of each endpoint; the placement component owns it.
 
     Others read it from the bus. ``holders_by_endpoint`` names who to ask for
-    a load.
+    a load, and ``candidates_by_endpoint`` who will hold what nobody does.
     """
 
     states_by_endpoint: dict[str, EndpointState] = field(default_factory=dict)
     holders_by_endpoint: dict[str, str] = field(default_factory=dict)
+    candidates_by_endpoint: dict[str, str] = field(default_factory=dict)
+
+    def find_listener(self, endpoint: str) -> str | None:
+        """Return who is to hear of the uses of an endpoint.
+
+        Guards against a holder that takes over and does not know what runs:
+        an instance that shuts down goes on with its streams for seconds, and
+        hears no more who orders their endpoints. It shows as an unload that
+        waits for one of them, while the endpoint refuses all other orders.
+        """
+        holder = self.holders_by_endpoint.get(endpoint)
+        return holder or self.candidates_by_endpoint.get(endpoint)
 
     def hear(self, holder: str, state: PlacementState, now: float) -> None:
         """Take the state that a holder has told.
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -37,7 +37,8 @@
     Of the next requests, ``fail`` run and answer 500, ``shed`` are refused
     without running, ``cut`` break off after some events and ``stall`` send
     nothing after some events. ``overrun``
-    says that it was ordered to hold more than ``places``, and ``fences`` are
+    says that it was ordered to hold more than ``places``, ``unloaded_in_use``
+    which adapters it was ordered to drop while they ran, and ``fences`` are
     the fencing numbers of its orders in turn.
     """
 
@@ -61,6 +62,8 @@
     fences: list[int] = field(default_factory=list)
     holders: list[str] = field(default_factory=list)
     overrun: bool = False
+    running_by_adapter: Counter[str] = field(default_factory=Counter)
+    unloaded_in_use: list[str] = field(default_factory=list)
     fail: int = 0
     shed: int = 0
     cut: int = 0
@@ -175,6 +178,8 @@
         worker.holders.append(order["holder"])
         adapter = order.get("adapter", "")
         if order["operation"] == "unload":
+            if worker.running_by_adapter[adapter]:
+                worker.unloaded_in_use.append(adapter)
             worker.versions_by_adapter.pop(adapter, None)
             await self.answer(200, {})
             return
@@ -223,7 +228,11 @@
         if worker.spend("fail"):
             await self.answer(500, {})
         elif model:
-            await self.stream_events()
+            worker.running_by_adapter[adapter] += 1
+            try:
+                await self.stream_events()
+            finally:
+                worker.running_by_adapter[adapter] -= 1
         else:
             echo = f"{self.request.method} {self.request.uri} "
             self.set_status(200)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -29,7 +29,7 @@
 [instance]
 id = {id}
 data_centre = {data_centre}
-shutdown_s = 2
+shutdown_s = {shutdown_s}
 
 [callers]
 address = 127.0.0.1:0
@@ -63,7 +63,8 @@
 class World:
     """A stand-in platform with instances in front of it."""
 
-    def __init__(self):
+    def __init__(self, shutdown_s=2):
+        self.shutdown_s = shutdown_s
         self.platform = StandInPlatform()
         self.instances = []
         self.client = AsyncHTTPClient(force_instance=True, max_clients=500)
@@ -77,6 +78,7 @@
         text = SETTINGS.format(
             id=f"i{len(self.instances) + 1}",
             data_centre=data_centre,
+            shutdown_s=self.shutdown_s,
             seeds=",".join(seeds),
             store=self.platform.store_server.address,
         )
@@ -142,8 +144,8 @@
 
 
 @asynccontextmanager
-async def start_world(instances=2):
-    world = World()
+async def start_world(instances=2, shutdown_s=2):
+    world = World(shutdown_s)
     world.platform.start()
     for number in range(instances):
         await world.start_instance("ab"[number % 2])
@@ -543,6 +545,44 @@
 
         run(work)
 
+    def test_next_holder_unloads_nothing_that_the_last_one_uses(self):
+        """An engine refused all orders until a stream of five seconds ended.
+
+        Its holder shut down with that stream under way, and the next one did
+        not hear of it: it ordered to unload the stream's adapter.
+        """
+
+        async def work():
+            async with start_world(shutdown_s=6) as world:
+                patient = make_route("patient", "stream", ENGINES, **PATIENT)
+                configuration = make_configuration(2, patient)
+                world.platform.publish_configuration(configuration)
+                await eventually(lambda: world.find_version() == 2)
+
+                def ask(number):
+                    work = world.ask_stream(
+                        "/patient/1", f"a{number}", **PATIENT_HEADERS
+                    )
+                    return asyncio.ensure_future(work)
+
+                engines = world.platform.list_workers(ENGINES)
+                for worker in engines:
+                    worker.events, worker.event_s = 60, 0.05
+                streams = [ask(number) for number in range(1, 7)]
+                await eventually(lambda: sum(w.running for w in engines) == 6)
+                for worker in engines:
+                    worker.events = 2
+                first = world.instances.pop(0)
+                stopping = asyncio.ensure_future(first.stop())
+                await asyncio.sleep(0.7)
+                asked = [ask(number) for number in range(11, 19)]
+                answers = await asyncio.gather(*asked, *streams)
+                assert {answer.code for answer, _ in answers} == {200}
+                await stopping
+                assert [worker.unloaded_in_use for worker in engines] == [[], []]
+
+        run(work)
+
 
 class TestClosing:
     def test_instance_that_closes_begins_nothing(self):
