Ask for a load elsewhere before waiting for a place

Change: the first ask at each engine is answered at once where no place is free or can be freed; only when all are full does an ask wait, at the first in rank.

--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -16,7 +16,7 @@
 
 __all__ = ["LoadAsker"]
 
-Wanted = tuple[str, Weights, int]
+Wanted = tuple[str, Weights, int, bool]
 
 
 class LoadAsker:
@@ -30,7 +30,7 @@
     async def load(self, ask: LoadAsk) -> str:
         """Have weights loaded; return why not, empty once they are there."""
         weights = Weights(ask.model, ask.adapter)
-        wanted = (ask.endpoint, weights, ask.version)
+        wanted = (ask.endpoint, weights, ask.version, ask.patient)
         task = self._tasks_by_wanted.get(wanted)
         if task is None:
             work = self._ask(ask)
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -32,6 +32,7 @@
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import (
     LOADS_WAIT,
+    NO_ROOM,
     NOT_HELD,
     NOT_HOLDER,
     PlacementBoard,
@@ -118,7 +119,8 @@
                 return _refuse_cut_off()
             if choice.needs_load:
                 asked = self._instance.now()
-                detail = await self._wait_for_load(request, choice, until)
+                patient = choice.endpoint in full
+                detail = await self._wait_for_load(request, choice, until, patient)
                 log_event(
                     "load_waited",
                     request_id=request.head.request_id,
@@ -129,6 +131,9 @@
                     waited_ms=round((self._instance.now() - asked) * 1000),
                     outcome=detail or "loaded",
                 )
+                if detail == NO_ROOM:
+                    full.add(choice.endpoint)
+                    continue
                 if detail == LOADS_WAIT:
                     full.add(choice.endpoint)
                     refusals += 1
@@ -220,8 +225,14 @@
         return answer
 
     async def _wait_for_load(
-        self, request: ForwardedRequest, choice: Choice, until: float
+        self, request: ForwardedRequest, choice: Choice, until: float, patient: bool
     ) -> str:
+        """Ask for a load; return why there is none, empty once it is done.
+
+        While another endpoint may have a place that is free now, the ask is
+        not ``patient``: a load there takes a quarter of a second, and a place
+        here often frees only after a stream of seconds.
+        """
         assert request.weights is not None
         now = self._instance.now()
         left_s = max(0.01, until - now)
@@ -234,6 +245,7 @@
             request.route.priority,
             on_time_ms=int(max(0.0, on_time_s) * 1000),
             patience_ms=int(left_s * 1000),
+            patient=patient,
         )
         asking = self._asker.load(ask)
         try:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -30,6 +30,7 @@
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import (
     LOADS_WAIT,
+    NO_ROOM,
     NOT_HELD,
     NOT_HOLDER,
     PlacementBoard,
@@ -346,11 +347,14 @@
             get_peer_link(self.instance).answer(message, answer)
             return
         weights = Weights(ask.model, ask.adapter)
-        if not holder.places.has_room_to_ask(weights, ask.spread, self.instance.now()):
+        now = self.instance.now()
+        if not ask.patient and not holder.places.can_load_now(weights, now):
+            get_peer_link(self.instance).answer(message, LoadAnswer(False, NO_ROOM))
+            return
+        if not holder.places.has_room_to_ask(weights, ask.spread, now):
             answer = LoadAnswer(False, LOADS_WAIT)
             get_peer_link(self.instance).answer(message, answer)
             return
-        now = self.instance.now()
         until = now + (SPREAD_WAIT_S if ask.spread else ask.patience_ms / 1000)
         number = next(self._ask_numbers)
         self._questions_by_ask[number] = LoadQuestion(message, ask)
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -126,6 +126,20 @@
             return True
         return len(waited_for) < (MAX_ASKS_BEFORE_SPREAD if spread else MAX_ASKS)
 
+    def can_load_now(self, weights: Weights, now: float) -> bool:
+        """Tell whether a load could be ordered at once, or is under way."""
+        if weights in self.held or weights in self.orders_by_weights:
+            return True
+        waiting = {ask.weights for ask in self.asks_by_number.values()}
+        if weights in waiting:
+            return True
+        unserved = waiting - self.held.keys() - self.orders_by_weights.keys()
+        if unserved or self._count_pending() >= MAX_PENDING:
+            return False
+        if self.count_taken() < self.places:
+            return True
+        return self._choose_victim(weights, False, now) is not None
+
     def ask(self, ask: Ask) -> None:
         """Take a wish."""
         self.asks_by_number[ask.number] = ask
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -10,6 +10,7 @@
     "LOADS_WAIT",
     "NOT_HELD",
     "NOT_HOLDER",
+    "NO_ROOM",
     "TURNS_WAIT",
     "EndpointState",
     "PlacementBoard",
@@ -17,6 +18,8 @@
 
 # Why a holder refuses to load at once.
 LOADS_WAIT = "too many loads wait"
+# Why a load can't begin now, though it could after a wait.
+NO_ROOM = "no place is free"
 # Why an instance cannot say: the asker's belief of who orders is old.
 NOT_HOLDER = "not the holder"
 # Why a prompt gets no turn: its weights are not there (any more), or too many
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -157,7 +157,8 @@
     ``version`` is the version that is needed, 0 for any. ``spread`` asks for
     one more copy, which nobody waits for. ``on_time_ms`` is how long the load
     may take for an answer within its target, and ``patience_ms`` how long
-    anybody waits for it.
+    anybody waits for it. Without ``patient`` the answer comes at once where no
+    place is free, so that the load can be asked for elsewhere.
     """
 
     endpoint: str
@@ -168,6 +169,7 @@
     spread: bool = False
     on_time_ms: int = 0
     patience_ms: int = 0
+    patient: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -207,6 +207,7 @@
   spread @5 :Bool;
   onTimeMs @6 :UInt32;
   patienceMs @7 :UInt32;
+  patient @8 :Bool;
 }
 struct LoadAnswer {
   loaded @0 :Bool;
--- a/tests/components/placement/test_pacing.py
+++ b/tests/components/placement/test_pacing.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 
 from fescuekeel.components.placement.const import (
+    LONG_PAUSE,
     MAX_PROMPT_SHARE,
     MAX_TURN_QUEUE_S,
     MIN_PROMPT_SHARE,
@@ -65,16 +66,16 @@
 
 
 class TestPauses:
-    def run_windows(self, pacer, windows, pause, waiting=True):
+    def run_windows(self, pacer, windows, pause, waiting=True, first=0):
         """Let each window have a pause that depends on what it may hold."""
         paused = 0
-        for window in range(windows):
+        for window in range(first, first + windows):
             now = window * (pacer.window_s + 0.001)
             if waiting:
                 pacer.ask(make_prompt(window, tokens=100_000, until=now + 0.1))
             pacer.step(now)
             share = pause(pacer.share)
-            paused += share > 1.0
+            paused += share >= LONG_PAUSE
             pacer.note_pause(share, now)
         return paused
 
@@ -90,7 +91,7 @@
     def test_few_windows_have_a_long_pause_in_the_end(self):
         pacer = make_pacer()
         self.run_windows(pacer, 200, lambda share: 2.0 * share)
-        paused = self.run_windows(pacer, 200, lambda share: 2.0 * share)
+        paused = self.run_windows(pacer, 200, lambda share: 2.0 * share, first=200)
         assert 10 < paused < 40
 
     def test_one_pause_that_all_instances_tell_counts_once(self):
--- a/tests/components/placement/test_places.py
+++ b/tests/components/placement/test_places.py
@@ -186,6 +186,26 @@
         assert places._choose_victim(adapter(2), False, 5.0) == adapter(1)
 
 
+class TestRoomNow:
+    """Asks waited for a place while another engine had ten idle ones."""
+
+    def test_idle_adapter_makes_room(self):
+        places = make_places(places=1, held=[adapter(1)])
+        assert places.can_load_now(adapter(2), 5.0)
+
+    def test_adapters_in_use_leave_no_room(self):
+        places = make_places(places=1, held=[adapter(1)])
+        places.usage.expect(adapter(1))
+        assert not places.can_load_now(adapter(2), 5.0)
+        assert places.can_load_now(adapter(1), 5.0)
+
+    def test_those_that_wait_come_first(self):
+        places = make_places(places=2, held=[adapter(1), adapter(2)])
+        places.ask(make_ask(1, adapter(3), since=5.0))
+        assert not places.can_load_now(adapter(4), 5.0)
+        assert places.can_load_now(adapter(3), 5.0)
+
+
 class TestRefusedOrders:
     def refuse(self, places, now):
         (order, *_) = take(places.step({}, now))
