--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -18,7 +18,7 @@
 # A use that has ended is told within this time: its place may be waited for.
 USE_ENDED_S = 0.03
 # A pause of at least this share of what its route allows is told at once.
-TOLD_PAUSE = 0.9
+TOLD_PAUSE = 0.8
 # What has not changed is told again this often: half of the time for which a
 # holder believes it.
 REPEAT_PERIOD_S = 1.0
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -110,15 +110,16 @@
 # today read 19 to 26 tokens a millisecond. The rest of a window goes to the
 # tokens of three steps and to the way.
 PROMPT_TOKENS_PER_S: Final = 21_000
-PROMPT_SHARE: Final = 0.6
-# That share follows the pauses of running streams: a tenth less after one that
-# is so long, of what callers accept, and a little more in each window in which
-# prompts wait. So one window in eight has a pause that is too long. A fixed
-# share of three quarters made a fifth of all streams pause for too long at
-# engines that read 38,000 tokens a second.
-LONG_PAUSE: Final = 0.97
-SHARE_DOWN: Final = 0.9
-SHARE_UP: Final = 1.015
+PROMPT_SHARE: Final = 0.5
+# That share follows the pauses of running streams: an eighth less after one
+# that comes near what callers accept, a little more in each window in which
+# prompts wait. So one window in twelve has such a pause, and one in fifty or so
+# one that is too long; a stream lives for some five windows, and one that is
+# too long spoils all that run. With one window in eight beyond the bound a
+# fifth of all streams paused for too long.
+LONG_PAUSE: Final = 0.85
+SHARE_DOWN: Final = 0.875
+SHARE_UP: Final = 1.01
 MIN_PROMPT_SHARE: Final = 0.15
 MAX_PROMPT_SHARE: Final = 1.5
 # A speed that differs from that by more than this factor is not believed.
