--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -113,10 +113,10 @@
 PROMPT_SHARE: Final = 0.5
 # That share follows the pauses of running streams: an eighth less after one
 # that comes near what callers accept, a little more in each window in which
-# prompts wait. So one window in twelve has such a pause, and one in fifty or so
-# one that is too long; a stream lives for some five windows, and one that is
-# too long spoils all that run. With one window in eight beyond the bound a
-# fifth of all streams paused for too long.
+# prompts wait. So one window in twelve has such a pause, and one in fifty
+# or so one that is too long; a stream lives for some five windows, and a long
+# pause spoils all that run. With one window in eight beyond the bound a fifth
+# of all streams paused for too long.
 LONG_PAUSE: Final = 0.85
 SHARE_DOWN: Final = 0.875
 SHARE_UP: Final = 1.01
