--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -63,9 +63,12 @@
 # held lately a tenth of that. A report lags by 100 ms and is priced as a
 # probe; the order itself, given again, is answered at once with whether it
 # holds already, for a seventh of the price.
-LOAD_S: Final = 0.24
+LOAD_S: Final = 0.26
 WARM_LOAD_S: Final = 0.02
-CHECK_PERIOD_S: Final = 0.03
+CHECK_PERIOD_S: Final = 0.012
+# How much the time of one load counts for what the next ones are expected to
+# take: that is followed within ten loads, two seconds under load.
+LOAD_TIME_WEIGHT: Final = 0.2
 LOOK_PERIOD_S: Final = 0.25
 # What a report shows may be older than this, in seconds, than its answer.
 REPORT_LAG_S: Final = 0.5
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from fescuekeel.components.placement.backoff import OrderBackoff
 from fescuekeel.components.placement.const import (
-    BLOCKED_S,
     CHECK_PERIOD_S,
     LOAD_S,
     MAX_ASKS,
@@ -19,12 +19,10 @@
     MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
     ORDER_LOST_S,
-    ORDER_RETRY_MAX_S,
-    ORDER_RETRY_S,
     REPORT_LAG_S,
     WARM_ADAPTERS,
-    WARM_LOAD_S,
 )
+from fescuekeel.components.placement.load_clock import LoadClock
 from fescuekeel.components.placement.model import (
     Ask,
     AskEnded,
@@ -55,11 +53,10 @@
     orders_by_weights: dict[Weights, Order] = field(default_factory=dict)
     asks_by_number: dict[int, Ask] = field(default_factory=dict)
     usage: WeightUsage = field(default_factory=WeightUsage)
+    backoff: OrderBackoff = field(default_factory=OrderBackoff)
     running: int = 0
+    _clock: LoadClock = field(default_factory=LoadClock)
     _foreign_pending: frozenset[Weights] = frozenset()
-    _refused_since: float | None = None
-    _refused_until: float = float("-inf")
-    _retry_s: float = ORDER_RETRY_S
     _loads: dict[Weights, LoadTimes] = field(default_factory=dict)
     _model_asked: float = float("-inf")
     _dropped_at: dict[Weights, float] = field(default_factory=dict)
@@ -104,20 +101,9 @@
 
     # Events.
 
-    def is_blocked(self, now: float) -> bool:
-        """Tell whether the endpoint has refused all orders for a while.
-
-        That ends by itself a moment after the last refusal, so that the next
-        ask shows whether it still does.
-        """
-        since = self._refused_since
-        if since is None or now - since <= BLOCKED_S:
-            return False
-        return now < self._refused_until + BLOCKED_S
-
     def has_room_to_ask(self, weights: Weights, spread: bool, now: float) -> bool:
         """Tell whether one more wish can be met in reasonable time."""
-        if self.is_blocked(now):
+        if self.backoff.is_blocked(now):
             return False
         waited_for = {
             ask.weights for ask in self.asks_by_number.values() if not ask.spread
@@ -220,28 +206,13 @@
             else:
                 self.held[weights] = max(order.version or 0, self.held.get(weights, 0))
                 self._note_loaded(weights, under_way.given, now)
-                self._dropped_at.pop(weights, None)
+                warm = self._dropped_at.pop(weights, None) is not None
+                self._clock.note(now - under_way.given, warm or not order.again)
         elif reply is None or reply is OrderReply.ACCEPTED or order.again:
             under_way.accepted = True
         else:
             del self.orders_by_weights[weights]
-        self._note_taken(reply, now)
-
-    def _note_taken(self, reply: OrderReply | None, now: float) -> None:
-        """Wait before the next order to an endpoint that refuses them.
-
-        Guards against a new order in place of each one that was refused: an
-        endpoint that waited for a stream before an unload got thirty orders
-        a second for as long as that took.
-        """
-        if reply not in (OrderReply.BUSY, OrderReply.UNAVAILABLE):
-            self._refused_since = None
-            self._retry_s = ORDER_RETRY_S
-            return
-        if self._refused_since is None:
-            self._refused_since = now
-        self._refused_until = now + self._retry_s
-        self._retry_s = min(ORDER_RETRY_MAX_S, 2 * self._retry_s)
+        self.backoff.note(reply, now)
 
     def _note_dropped(self, weights: Weights, now: float) -> None:
         self._dropped_at.pop(weights, None)
@@ -267,7 +238,7 @@
             return effects
         if not self.has_model:
             return effects + (self._load_model(now) if may_load_model else [])
-        if now < self._refused_until:
+        if not self.backoff.may_order(now):
             return effects
         effects += self._check_orders(now)
         effects += self._renew(versions_by_weights, now)
@@ -280,7 +251,7 @@
             (order.next_check for order in self.orders_by_weights.values()),
             default=float("inf"),
         )
-        return max(due, self._refused_until)
+        return max(due, self.backoff.until)
 
     def _check_orders(self, now: float) -> list[Effect]:
         """Give the loads under way again, to learn whether they are done."""
@@ -327,10 +298,10 @@
     def _order(
         self, kind: OrderKind, weights: Weights, version: int | None, now: float
     ) -> GiveOrder:
-        load_s = WARM_LOAD_S if weights in self._dropped_at else LOAD_S
+        look_s = self._clock.get_first_look_s(warm=weights in self._dropped_at)
         if kind is OrderKind.UNLOAD or not weights.adapter:
-            load_s = float("inf")
-        self.orders_by_weights[weights] = Order(kind, version, now, now + load_s)
+            look_s = float("inf")
+        self.orders_by_weights[weights] = Order(kind, version, now, now + look_s)
         return GiveOrder(kind, weights, version)
 
     def _renew(
