--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -139,7 +139,7 @@
         """
         self.known = True
         self.running = report.running
-        self.usage.note_report(report.running, now)
+        self.usage.note_report(report.running)
         self._merge_held(report, asked, now)
         own = self.orders_by_weights
         self._foreign_pending = frozenset(report.pending - own.keys())
--- a/fescuekeel/components/placement/usage.py
+++ b/fescuekeel/components/placement/usage.py
@@ -41,23 +41,15 @@
     _heard: dict[str, float] = field(default_factory=dict)
     _demand: dict[Weights, Demand] = field(default_factory=dict)
     _held_since: float | None = None
-    _untold_runs: int = 0
+    _reported_runs: int = 0
 
     def begin(self, now: float) -> None:
         """Note that this instance orders the endpoint from now on."""
         self._held_since = now
 
-    def note_report(self, running: int, now: float) -> None:
-        """Take how many requests the endpoint says it runs.
-
-        Guards against an unload of weights that are in use unknown to the
-        holder: it waits for their runs, and the endpoint refuses all other
-        orders meanwhile, for up to six seconds. It shows right after a
-        takeover, before all instances have told of their uses, and for
-        instances behind a cut, whose streams the endpoint goes on making.
-        """
-        told = sum(self.count_running(weights, now) for weights in self._uses)
-        self._untold_runs = running - told
+    def note_report(self, running: int) -> None:
+        """Take how many requests the endpoint says it runs."""
+        self._reported_runs = running
 
     def expect(self, weights: Weights) -> None:
         """Note that a prompt waits for its turn."""
@@ -90,13 +82,29 @@
         """Tell whether a request runs on weights, or is about to."""
         if weights in self._expected or self._is_granted(weights, now):
             return True
-        if self._untold_runs <= 0:
-            return self.count_running(weights, now) > 0
+        if self.count_running(weights, now) > 0:
+            return True
+        return self._may_be_untold(weights, now) and self._has_untold_runs(now)
+
+    def _may_be_untold(self, weights: Weights, now: float) -> bool:
+        """Tell whether weights may be used by what nobody tells of.
+
+        Guards against an unload of weights that are in use unknown to the
+        holder: it waits for their runs, and the endpoint refuses all other
+        orders meanwhile, for up to six seconds. It shows right after a
+        takeover, before all instances have told of their uses, and for
+        instances behind a cut, whose streams the endpoint goes on making.
+        """
         if self._held_since is None or now - self._held_since < USES_TOLD_S:
             return True
         uses = self._uses.get(weights, {}).values()
         return any(use.running and now - use.told < STALE_USE_TTL_S for use in uses)
 
+    def _has_untold_runs(self, now: float) -> bool:
+        """Tell whether the endpoint runs more than instances tell of now."""
+        told = sum(self.count_running(weights, now) for weights in self._uses)
+        return self._reported_runs > told
+
     def _is_granted(self, weights: Weights, now: float) -> bool:
         """Tell whether a prompt got its turn of which nothing was told yet.
 
--- a/tests/components/placement/test_usage.py
+++ b/tests/components/placement/test_usage.py
@@ -64,12 +64,13 @@
         more, but the engine's own report counted them.
         """
         usage = WeightUsage()
-        usage.note_report(0, now=0.0)
+        usage.begin(now=-9.0)
         usage.note_use("i1", CUPS, running=1, begun=1, now=1.0)
-        usage.note_report(1, now=4.0)
-        assert usage.is_in_use(CUPS, 4.1)
-        usage.note_report(0, now=5.0)
-        assert not usage.is_in_use(CUPS, 5.1)
+        # The report comes while the last word of the use is still fresh.
+        usage.note_report(1)
+        assert usage.is_in_use(CUPS, 1.0 + USE_TTL_S + 0.5)
+        usage.note_report(0)
+        assert not usage.is_in_use(CUPS, 1.0 + USE_TTL_S + 0.6)
 
     def test_new_holder_waits_until_uses_are_told(self):
         """An engine refused all orders for five seconds after a takeover.
@@ -79,14 +80,14 @@
         uses are told to holders only.
         """
         usage = WeightUsage()
-        usage.note_report(3, now=0.0)
+        usage.note_report(3)
         usage.begin(now=5.0)
         assert usage.is_in_use(CUPS, 5.1)
         assert not usage.is_in_use(CUPS, 5.0 + USES_TOLD_S)
 
     def test_new_holder_of_an_idle_endpoint_does_not_wait(self):
         usage = WeightUsage()
-        usage.note_report(0, now=0.0)
+        usage.note_report(0)
         usage.begin(now=0.0)
         assert not usage.is_in_use(CUPS, 0.1)
 
