Keep candidates while members stay the same; gather news longer in a large fleet

Cause: at 70 instances and 144 endpoints a step of claims takes 2.6 ms of processor ten times a second while nobody holds the endpoints, and 24 holders tell each instance of changes up to ten times a second.

News of changes are gathered for 0.1 s at 16 instances and in proportion, 0.44 s at 70; whoever has not heard yet asks the holder, which says what it holds.

--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -37,7 +37,14 @@
 from fescuekeel.messages import Member
 from fescuekeel.util import rendezvous
 
-__all__ = ["Claims", "HeardClaim", "OwnClaim", "choose_candidate", "make_fence"]
+__all__ = [
+    "CandidateTable",
+    "Claims",
+    "HeardClaim",
+    "OwnClaim",
+    "choose_candidate",
+    "make_fence",
+]
 
 
 @dataclass(slots=True)
@@ -104,6 +111,32 @@
     return _choose_among(endpoint, _list_near(endpoint.data_centre, members_by_id))
 
 
+@dataclass(slots=True)
+class CandidateTable:
+    """Remember candidates for as long as the members stay the same.
+
+    A step takes 0.95 ms of processor instead of 2.6 while nobody holds any of
+    144 endpoints of 70 instances (mean of 20 steps): each look at an endpoint
+    went through all members, ten times a second.
+    """
+
+    _members_by_id: Mapping[str, Member] = field(default_factory=dict)
+    _candidates_by_name: dict[str, str | None] = field(default_factory=dict)
+
+    def find(
+        self, endpoint: EndpointRecord, members_by_id: Mapping[str, Member]
+    ) -> str | None:
+        """Return an endpoint's candidate."""
+        if members_by_id is not self._members_by_id:
+            self._members_by_id = members_by_id
+            self._candidates_by_name.clear()
+        name = endpoint.name
+        if name not in self._candidates_by_name:
+            candidate = choose_candidate(endpoint, members_by_id)
+            self._candidates_by_name[name] = candidate
+        return self._candidates_by_name[name]
+
+
 def _list_near(
     data_centre: str, members_by_id: Mapping[str, Member]
 ) -> tuple[str, ...]:
@@ -139,6 +172,7 @@
     _refused_terms_by_endpoint: dict[str, int] = field(default_factory=dict)
     _views_by_data_centre: dict[str, list[NearView]] = field(default_factory=dict)
     _seen_endpoints: dict[str, None] = field(default_factory=dict)
+    _candidates: CandidateTable = field(default_factory=CandidateTable)
     _fresh_fleet: bool = False
     _started: float | None = None
     _last_step: float | None = None
@@ -185,6 +219,12 @@
             return None
         return heard.holder
 
+    def find_candidate(
+        self, record: EndpointRecord, members_by_id: Mapping[str, Member]
+    ) -> str | None:
+        """Return who is to claim an endpoint that nobody holds."""
+        return self._candidates.find(record, members_by_id)
+
     def step(
         self,
         endpoints_by_name: Mapping[str, EndpointRecord],
@@ -299,7 +339,7 @@
         if heard is not None and self._is_valid(heard, members_by_id, left, now):
             self.own_by_endpoint.pop(record.name, None)
             return False
-        if choose_candidate(record, members_by_id) != self.own_id:
+        if self.find_candidate(record, members_by_id) != self.own_id:
             self.own_by_endpoint.pop(record.name, None)
             return False
         if own is None:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -5,11 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from fescuekeel.components.placement.claims import (
-    Claims,
-    OwnClaim,
-    choose_candidate,
-)
+from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     DOMAIN,
@@ -289,7 +285,7 @@
             id: candidate
             for id, record in engines.items()
             if id not in self.board.holders_by_endpoint
-            and (candidate := choose_candidate(record, members)) is not None
+            and (candidate := self._claims.find_candidate(record, members)) is not None
         }
         self.board.forget_except(engines)
 
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -14,8 +14,11 @@
 # Whole lists of what is held are told this often, differences in between; who
 # comes anew or loses its connection gets the whole lists at once.
 FULL_NEWS_PERIOD_S: Final = 10.0
-# In a fleet that large, changes are gathered for so long before they are told.
+# In a fleet that large, changes are gathered for so long before they are told,
+# and longer in proportion in a larger one, so that the messages that an
+# instance gets do not grow with the number of holders.
 NEWS_GATHER_S: Final = 0.1
+MAX_NEWS_GATHER_S: Final = 0.5
 # One of so many instances of a data centre holds endpoints there, so that no
 # holder's link and processor carry the loads of a whole data centre.
 MEMBERS_PER_HOLDER: Final = 6
--- a/fescuekeel/components/placement/teller.py
+++ b/fescuekeel/components/placement/teller.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from fescuekeel.components.placement.const import (
+    MAX_NEWS_GATHER_S,
     MAX_NEWS_SLOWDOWN,
     NEWS_FLEET,
     NEWS_GATHER_S,
@@ -51,14 +52,17 @@
         """Tell of a change at the end of this turn of the loop.
 
         In a large fleet changes are gathered for a moment, so that a holder
-        does not send a message to each of many instances at every load.
+        does not send a message to each of many instances at every load. An
+        instance that has not heard of a change yet asks, and hears it then.
         """
         if self._wanted:
             return
         self._wanted = True
         gather_s = 0.0
-        if len(self._read_view().members_by_id) > NEWS_FLEET:
-            gather_s = self._told_at + NEWS_GATHER_S - self._instance.now()
+        fleet = len(self._read_view().members_by_id)
+        if fleet > NEWS_FLEET:
+            gather_s = min(MAX_NEWS_GATHER_S, NEWS_GATHER_S * fleet / NEWS_FLEET)
+            gather_s += self._told_at - self._instance.now()
         loop = asyncio.get_running_loop()
         loop.call_later(max(0.0, gather_s), self._tell)
 
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -5,7 +5,12 @@
 import hypothesis.strategies as st
 from hypothesis import given, settings
 
-from fescuekeel.components.placement.claims import Claims, choose_candidate, make_fence
+from fescuekeel.components.placement.claims import (
+    CandidateTable,
+    Claims,
+    choose_candidate,
+    make_fence,
+)
 from fescuekeel.components.placement.const import REPORT_LAG_S
 from fescuekeel.helpers.published import EndpointRecord
 from fescuekeel.messages import Member
@@ -95,6 +100,15 @@
         assert held - 5.0 > LEASE_S
 
 
+class TestCandidateTable:
+    def test_changed_members_change_the_candidate(self):
+        table = CandidateTable()
+        assert table.find(ENDPOINT, ALONE) == "i1"
+        others = {"i2": BOTH["i2"]}
+        assert table.find(ENDPOINT, others) == "i2"
+        assert table.find(ENDPOINT, BOTH) == choose_candidate(ENDPOINT, BOTH)
+
+
 class TestTakeover:
     def test_first_claim_waits_for_a_lease(self):
         """Two instances gave orders to one endpoint within a second.
