--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -88,9 +88,8 @@
 # much above the shortest one.
 LOAD_SLACK_S: Final = 0.3
 SPREAD_PERIOD_S: Final = 1.0
-# A request waits no longer for weights than this share of its time: less made
-# requests with three seconds in all give up before their target of one second.
-LOAD_WAIT_SHARE: Final = 0.5
+# A request waits no longer for weights than this share of its time.
+LOAD_WAIT_SHARE: Final = 0.3
 # Callers leave a stream whose first piece takes four times its target; what
 # is not sent by two and a half targets is told so, while they can come again.
 PATIENCE_TARGETS: Final = 2.5
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -148,10 +148,6 @@
 MAX_ASKS: Final = 10
 # Copies that nobody waits for are not made while so many loads are waited for.
 MAX_ASKS_BEFORE_SPREAD: Final = 2
-# How much sooner work counts as due for each step of its priority: a quarter
-# of the shortest target seen, so that urgent work goes first unless other work
-# has waited for about as long as it has left.
-HEAD_START_S: Final = 0.15
 # The window where no route names the pause that its callers accept.
 DEFAULT_WINDOW_S: Final = 0.3
 
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -7,9 +7,9 @@
 holder of an engine's orders, who hears of all its prompts, spaces them out.
 
 What waits is bounded. Prompts that can still be answered within their target
-go first, in the order in which they are due, the urgent ones with a head
-start; what is late already gets what is left. A prompt for which there is no
-room is refused at once, so that its caller can come again while that helps.
+go first, the most urgent of them before the others; what is late already gets
+what is left. A prompt for which there is no room is refused at once, so that
+its caller can come again while that still helps.
 """
 
 from collections import deque
@@ -27,7 +27,6 @@
     SPEED_RANGE,
     SPEED_WEIGHT,
 )
-from fescuekeel.components.placement.urgency import rank_due
 
 __all__ = ["Prompt", "PromptPacer", "Turn"]
 
@@ -162,9 +161,8 @@
         """Grant all that waits: nobody keeps this engine's turns any more."""
         return [self._take(prompt, granted=True) for prompt in list(self._waiting)]
 
-    def _rank(self, prompt: Prompt, now: float) -> tuple[bool, float, int]:
-        due = rank_due(prompt.on_time_until, prompt.priority)
-        return now > prompt.on_time_until, due, prompt.number
+    def _rank(self, prompt: Prompt, now: float) -> tuple[bool, int, int]:
+        return now > prompt.on_time_until, prompt.priority, prompt.number
 
     def _take(self, prompt: Prompt, granted: bool) -> Turn:
         self._waiting.remove(prompt)
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -31,7 +31,6 @@
     LoadTimes,
     Order,
 )
-from fescuekeel.components.placement.urgency import rank_due
 from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
@@ -348,14 +347,13 @@
         )
         return loads + len(self._foreign_pending)
 
-    def _rank_ask(self, ask: Ask, now: float) -> tuple[bool, bool, float, float]:
-        """Rank the asks that can still be in time first, by when they are due.
+    def _rank_ask(self, ask: Ask, now: float) -> tuple[bool, bool, int, float]:
+        """Rank the asks that can still be in time first, by urgency.
 
         One that is late already is worth a third to its caller whenever it
         comes, and must not make others late.
         """
-        due = rank_due(ask.on_time_until, ask.priority)
-        return ask.spread, now > ask.on_time_until, due, ask.since
+        return ask.spread, now > ask.on_time_until, ask.priority, ask.since
 
     def _make_room(self, weights: Weights, spread: bool, now: float) -> list[Effect]:
         """Unload the least wanted adapter that nobody uses.
