--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -21,9 +21,9 @@
     LOWEST_PRIORITY,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
-from fescuekeel.components.forward.isolation import Isolation
 from fescuekeel.components.forward.overhead import FirstPieceFit
 from fescuekeel.components.forward.placing import Placer
+from fescuekeel.components.forward.reach import ReachWatch
 from fescuekeel.components.forward.records import RequestRecords
 from fescuekeel.components.forward.request import Attempt, ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
@@ -65,26 +65,25 @@
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
         self._placer = Placer(instance, self.get_load)
+        self._reach = ReachWatch(instance, self.loads_by_id, self._placer.find_record)
         self._use = UseReporter(instance, self.loads_by_id)
         self._pools_by_id: dict[str, ConnectionPool] = {}
         self._fits_by_service: dict[str, FirstPieceFit] = {}
         self._table: RouteTable | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._requests: set[ForwardedRequest] = set()
-        self._isolation = Isolation(settings.instance.data_centre)
-        self._cut_off = False
         self._shutdown: Shutdown | None = None
 
     @property
     def ready(self) -> bool:
         """Tell whether new requests are welcome."""
         known = self._table is not None and bool(self._placer.records_by_service)
-        return known and not self.instance.draining and not self._cut_off
+        return known and not self.instance.draining and not self._reach.cut_off
 
     @property
     def turns_callers_away(self) -> bool:
         """Tell whether callers are to close their connections."""
-        return self.instance.draining or self._cut_off
+        return self.instance.draining or self._reach.cut_off
 
     async def start(self) -> None:
         """Listen."""
@@ -273,7 +272,7 @@
         except NotConnectedError as error:
             now = self.instance.now()
             health.note_unreachable(now)
-            self._note_missed(endpoint, now)
+            self._reach.note_missed(endpoint)
             log_event(
                 "endpoint_unreachable",
                 endpoint=endpoint,
@@ -282,38 +281,9 @@
             )
             raise
         health.note_connected()
-        self._note_reached(endpoint)
+        self._reach.note_reached(endpoint)
         return connection
 
-    def _note_missed(self, endpoint: str, now: float) -> None:
-        record = self._placer.find_record(endpoint)
-        if record is not None:
-            self._isolation.note_missed(record.data_centre, now)
-
-    def _note_reached(self, endpoint: str) -> None:
-        record = self._placer.find_record(endpoint)
-        if record is not None:
-            self._isolation.note_reached(record.data_centre, self.instance.now())
-
-    def _look_at_isolation(self, now: float) -> None:
-        """Say that this instance is not ready while it is cut off."""
-        board = self.instance.bus.latest(PlacementBoard) or PlacementBoard()
-        for id, state in board.states_by_endpoint.items():
-            record = self._placer.find_record(id)
-            if record is not None:
-                self._isolation.note_reached(record.data_centre, state.heard)
-        cut_off = self._isolation.is_cut_off(now)
-        if cut_off == self._cut_off:
-            return
-        self._cut_off = self._placer.cut_off = cut_off
-        self.instance.metrics.count(f"cut_off.{cut_off}")
-        log_event(
-            "isolation_changed",
-            cut_off=cut_off,
-            open=len(self._requests),
-            outcome="not_ready" if cut_off else "ready",
-        )
-
     def get_priority(self, request: ForwardedRequest) -> int | None:
         """Return the priority that an engine gets, none at plain services."""
         if request.weights is None:
@@ -363,7 +333,7 @@
         metrics.add_gauge("members", self._read_members)
         metrics.add_gauge("endpoints", self._read_endpoints)
         metrics.add_gauge("retry_budget_left", self._read_budget)
-        metrics.add_gauge("cut_off", lambda: {"": float(self._cut_off)})
+        metrics.add_gauge("cut_off", lambda: {"": float(self._reach.cut_off)})
         metrics.add_gauge("requests_open", lambda: {"": float(len(self._open))})
 
     def read_version(self) -> int:
@@ -392,8 +362,8 @@
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             now = self.instance.now()
-            self._leave_silent_endpoints(now)
-            self._look_at_isolation(now)
+            self._reach.leave_silent_endpoints(self._requests)
+            self._placer.cut_off = self._reach.look()
             known = self._placer.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
                 pool.close_idle(now)
@@ -403,14 +373,3 @@
             for id in list(self.loads_by_id):
                 if id not in known and self.loads_by_id[id].running <= 0:
                     del self.loads_by_id[id]
-
-    def _leave_silent_endpoints(self, now: float) -> None:
-        """Take requests that may run twice from endpoints that are silent."""
-        silent = {
-            id for id, load in self.loads_by_id.items() if load.health.is_silent(now)
-        }
-        for request in list(self._requests) if silent else ():
-            endpoint = request.endpoint_now
-            if endpoint in silent and request.leave_silent_endpoint():
-                self.loads_by_id[endpoint].health.note_unreachable(now)
-                self.instance.metrics.count("left_silent_endpoint")
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from fescuekeel.components.forward.choice import (
     Choice,
@@ -43,6 +44,31 @@
 __all__ = ["Placer"]
 
 
+@dataclass(slots=True)
+class Search:
+    """How far the search for a request's endpoint has come.
+
+    ``full`` endpoints had no room for it, ``failure`` is what its caller is
+    told if it ends now.
+    """
+
+    until: float
+    full: set[str] = field(default_factory=set)
+    refusals: int = 0
+    failure: Failure = field(
+        default_factory=lambda: _refuse_for_load(ErrorKind.NO_ENDPOINT, "no endpoint")
+    )
+
+    def refuse(self, endpoint: str) -> None:
+        """Note that an endpoint has refused the request."""
+        self.full.add(endpoint)
+        self.refusals += 1
+
+    def is_over(self, now: float) -> bool:
+        """Tell whether there is no time, or no endpoint worth asking, left."""
+        return now >= self.until or self.refusals >= MAX_REFUSALS
+
+
 class Placer:
     """Choose endpoints by what the catalog, the board and requests tell."""
 
@@ -102,68 +128,74 @@
     async def _place_until(
         self, request: ForwardedRequest, until: float
     ) -> Choice | Failure:
-        failure = _refuse_for_load(ErrorKind.NO_ENDPOINT, "no endpoint")
-        full: set[str] = set()
-        refusals = 0
+        search = Search(until)
+        found: Choice | Failure | None
         while True:
-            choice = self._choose(request, full)
+            choice = self._choose(request, search.full)
             if choice is None:
-                if self._instance.now() >= until:
-                    return failure
                 # Guards against a refusal right before an endpoint is there:
                 # all of a service's were replaced, and the first has its
                 # model in a moment.
+                if self._instance.now() >= until:
+                    return search.failure
                 await asyncio.sleep(NO_HOLDER_POLL_S)
                 continue
-            if choice.needs_load and self.cut_off:
-                return _refuse_cut_off()
             if choice.needs_load:
-                asked = self._instance.now()
-                patient = choice.endpoint in full
-                detail = await self._wait_for_load(request, choice, until, patient)
-                log_event(
-                    "load_waited",
-                    request_id=request.head.request_id,
-                    endpoint=choice.endpoint,
-                    weights=str(request.weights),
-                    version=choice.version or 0,
-                    cost_ms=round(choice.cost_s * 1000),
-                    waited_ms=round((self._instance.now() - asked) * 1000),
-                    outcome=detail or "loaded",
-                )
-                if detail == NO_ROOM:
-                    full.add(choice.endpoint)
-                    continue
-                if detail == LOADS_WAIT:
-                    full.add(choice.endpoint)
-                    refusals += 1
-                late = self._instance.now() >= until
-                if late or refusals >= MAX_REFUSALS:
-                    return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
-                if detail:
-                    # The next holder may be known in a moment.
-                    await asyncio.sleep(NO_HOLDER_POLL_S)
-                continue
-            if request.weights is None:
+                found = await self._take_load(request, choice, search)
+            elif request.weights is None:
                 return choice
-            self._spread(request, choice)
-            answer = await self._wait_for_turn(request, choice, until)
-            late = self._instance.now() >= until
-            if answer.granted:
-                if self._still_serves(request, choice):
-                    return choice
-                continue
-            if answer.reason == NOT_HELD:
-                self._note_missing(request, choice)
-                if late:
-                    return failure
-                continue
-            full.add(choice.endpoint)
-            refusals += 1
-            wait_s = answer.wait_ms / 1000
-            failure = _refuse_for_load(ErrorKind.QUEUE_FULL, f"{wait_s:.1f} s wait")
-            if late or refusals >= MAX_REFUSALS:
-                return failure
+            else:
+                found = await self._take_turn(request, choice, search)
+            if found is not None:
+                return found
+
+    async def _take_load(
+        self, request: ForwardedRequest, choice: Choice, search: Search
+    ) -> Failure | None:
+        """Have the weights loaded; ``None`` to look again."""
+        if self.cut_off:
+            return _refuse_cut_off()
+        asked = self._instance.now()
+        patient = choice.endpoint in search.full
+        detail = await self._wait_for_load(request, choice, search.until, patient)
+        log_event(
+            "load_waited",
+            request_id=request.head.request_id,
+            endpoint=choice.endpoint,
+            weights=str(request.weights),
+            version=choice.version or 0,
+            cost_ms=round(choice.cost_s * 1000),
+            waited_ms=round((self._instance.now() - asked) * 1000),
+            outcome=detail or "loaded",
+        )
+        if detail == NO_ROOM:
+            search.full.add(choice.endpoint)
+            return None
+        if detail == LOADS_WAIT:
+            search.refuse(choice.endpoint)
+        if search.is_over(self._instance.now()):
+            return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
+        if detail:
+            # The next holder may be known in a moment.
+            await asyncio.sleep(NO_HOLDER_POLL_S)
+        return None
+
+    async def _take_turn(
+        self, request: ForwardedRequest, choice: Choice, search: Search
+    ) -> Choice | Failure | None:
+        """Wait for the prompt's turn; ``None`` to look again."""
+        self._spread(request, choice)
+        answer = await self._wait_for_turn(request, choice, search.until)
+        if answer.granted:
+            return choice if self._still_serves(request, choice) else None
+        if answer.reason == NOT_HELD:
+            self._note_missing(request, choice)
+            search.failure = _refuse_for_load(ErrorKind.LOAD_FAILED, answer.reason)
+        else:
+            search.refuse(choice.endpoint)
+            detail = f"{answer.wait_ms / 1000:.1f} s wait"
+            search.failure = _refuse_for_load(ErrorKind.QUEUE_FULL, detail)
+        return search.failure if search.is_over(self._instance.now()) else None
 
     def _note_missing(self, request: ForwardedRequest, choice: Choice) -> None:
         board = self._instance.bus.latest(PlacementBoard)
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -11,12 +11,16 @@
 there otherwise.
 """
 
-import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
 
+from fescuekeel.components.placement.candidates import (
+    CandidateTable,
+    choose_among,
+    list_near,
+)
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     CONTACT_LOST_S,
@@ -24,7 +28,6 @@
     IDENTITY_BITS,
     MAX_SEEN_ENDPOINTS,
     MAX_TERM,
-    MEMBERS_PER_HOLDER,
     NEW_ENDPOINT_WAIT_S,
     PAUSE_S,
     RELEASE_FRESH_S,
@@ -35,16 +38,8 @@
 )
 from fescuekeel.helpers.published import EndpointRecord
 from fescuekeel.messages import Member
-from fescuekeel.util import rendezvous
 
-__all__ = [
-    "CandidateTable",
-    "Claims",
-    "HeardClaim",
-    "OwnClaim",
-    "choose_candidate",
-    "make_fence",
-]
+__all__ = ["Claims", "HeardClaim", "OwnClaim", "make_fence"]
 
 
 @dataclass(slots=True)
@@ -99,61 +94,6 @@
     return (term << IDENTITY_BITS) | identity
 
 
-def choose_candidate(
-    endpoint: EndpointRecord, members_by_id: Mapping[str, Member]
-) -> str | None:
-    """Return who is to claim an endpoint that nobody holds.
-
-    A few instances take the endpoints of their data centre, one where it is
-    small, so that one message tells of several. Another data centre's step in
-    only when none is left there.
-    """
-    return _choose_among(endpoint, _list_near(endpoint.data_centre, members_by_id))
-
-
-@dataclass(slots=True)
-class CandidateTable:
-    """Remember candidates for as long as the members stay the same.
-
-    A step takes 0.95 ms of processor instead of 2.6 while nobody holds any of
-    144 endpoints of 70 instances (mean of 20 steps): each look at an endpoint
-    went through all members, ten times a second.
-    """
-
-    _members_by_id: Mapping[str, Member] = field(default_factory=dict)
-    _candidates_by_name: dict[str, str | None] = field(default_factory=dict)
-
-    def find(
-        self, endpoint: EndpointRecord, members_by_id: Mapping[str, Member]
-    ) -> str | None:
-        """Return an endpoint's candidate."""
-        if members_by_id is not self._members_by_id:
-            self._members_by_id = members_by_id
-            self._candidates_by_name.clear()
-        name = endpoint.name
-        if name not in self._candidates_by_name:
-            candidate = choose_candidate(endpoint, members_by_id)
-            self._candidates_by_name[name] = candidate
-        return self._candidates_by_name[name]
-
-
-def _list_near(
-    data_centre: str, members_by_id: Mapping[str, Member]
-) -> tuple[str, ...]:
-    near = [
-        member.id
-        for member in members_by_id.values()
-        if member.data_centre == data_centre
-    ]
-    return tuple(sorted(near or members_by_id))
-
-
-def _choose_among(endpoint: EndpointRecord, near: Collection[str]) -> str | None:
-    holders = math.ceil(len(near) / MEMBERS_PER_HOLDER)
-    group = rendezvous.rank(endpoint.data_centre, near)[:holders]
-    return rendezvous.choose(endpoint.name, group)
-
-
 @dataclass(slots=True)
 class Claims:
     """Hold what is claimed, by whom, and since when.
@@ -291,7 +231,7 @@
         centres = {record.data_centre for record in endpoints_by_name.values()}
         for centre in centres | self._views_by_data_centre.keys():
             views = self._views_by_data_centre.setdefault(centre, [])
-            near = _list_near(centre, members_by_id)
+            near = list_near(centre, members_by_id)
             if not views or views[-1].near != near:
                 views.append(NearView(now, near))
             while len(views) > 1 and now - views[1].since >= self._view_memory_s:
@@ -322,7 +262,7 @@
         views = self._views_by_data_centre[record.data_centre]
         if now - views[0].since < self._view_memory_s:
             return False
-        return all(_choose_among(record, view.near) == self.own_id for view in views)
+        return all(choose_among(record, view.near) == self.own_id for view in views)
 
     def _step_endpoint(
         self,
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -62,7 +62,7 @@
         endpoint_changed endpoint state revision
         endpoint_restarted endpoint
         endpoint_unreachable endpoint error avoided_ms
-        isolation_changed cut_off open outcome
+        isolation_changed cut_off outcome
         livelist_changed entries
         load_asked endpoint weights version holder waited_ms outcome
         load_ended endpoint weights version place_ms took_ms outcome
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -5,12 +5,11 @@
 import hypothesis.strategies as st
 from hypothesis import given, settings
 
-from fescuekeel.components.placement.claims import (
+from fescuekeel.components.placement.candidates import (
     CandidateTable,
-    Claims,
     choose_candidate,
-    make_fence,
 )
+from fescuekeel.components.placement.claims import Claims, make_fence
 from fescuekeel.components.placement.const import REPORT_LAG_S
 from fescuekeel.helpers.published import EndpointRecord
 from fescuekeel.messages import Member
