--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -80,7 +80,7 @@
 SLOWED_LOAD: Final = 1.5
 FEWER_AT_ONCE: Final = 0.8
 MORE_AT_ONCE: Final = 0.1
-# The fastest time is forgotten slowly: it doubles within some 350 loads.
+# The fastest time is forgotten slowly: by half in some 350 loads.
 FASTEST_FADES: Final = 1.002
 LOOK_PERIOD_S: Final = 0.25
 # What a report shows may be older than this, in seconds, than its answer.
