--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -230,6 +230,16 @@
         assert held is not None
         assert held < WAIT_S + 0.3
 
+    def run_after_hand_over(self, claims):
+        """Hear a holder, then its release; return when it is held here."""
+        for tenth in range(100):
+            claims.hear("e1", "i2", 5, False, 0.0, tenth / 10)
+            step(claims, tenth / 10, members=BOTH)
+        claims.hear("e1", "i2", 5, True, LONG_AGO_S, 10.0)
+        held = run(claims, 10.0, 20.0, members=ALONE)
+        assert held is not None
+        return held
+
     def test_handed_over_claim_is_followed_at_once(self):
         """Loads were refused at each replaced instance, for want of a holder.
 
@@ -238,12 +248,7 @@
         engines refuse the orders of an earlier one.
         """
         claims = Claims("i1", LEASE_S, fenced=True)
-        for tenth in range(100):
-            claims.hear("e1", "i2", 5, False, 0.0, tenth / 10)
-            step(claims, tenth / 10, members=BOTH)
-        claims.hear("e1", "i2", 5, True, LONG_AGO_S, 10.0)
-        held = run(claims, 10.0, 20.0, members=ALONE)
-        assert held is not None
+        held = self.run_after_hand_over(claims)
         # Its last orders must show in the next report.
         assert REPORT_LAG_S <= held - 10.0 < 1.0
 
@@ -254,12 +259,7 @@
         a second both may count as the candidate.
         """
         claims = Claims("i1", LEASE_S)
-        for tenth in range(100):
-            claims.hear("e1", "i2", 5, False, 0.0, tenth / 10)
-            step(claims, tenth / 10, members=BOTH)
-        claims.hear("e1", "i2", 5, True, LONG_AGO_S, 10.0)
-        held = run(claims, 10.0, 20.0, members=ALONE)
-        assert held is not None
+        held = self.run_after_hand_over(claims)
         assert UNFENCED_HANDOVER_S <= held - 10.0 < LEASE_S
 
     def test_release_of_long_ago_is_not_believed(self):
