Tell near instances what endpoints hold; all others ask

Cause: each of 33 holders told all 194 others of its endpoints at each change and once a second, of which hardly any instance needed anything. Change: in a fleet of more than 16, holders tell their own data centre only. Others go by what endpoints have published and by what holders answer: answers tell the load, the version and who holds the endpoint instead, and count until the published list can show it. A holder that does not answer is not asked for a second. An adapter's homes are the first four in rank, whatever the load; copies are chosen by the request's own rank among equal ones, near ones first, and no more than eight are compared. Word of other data centres is any message of a peer there. Where base models are missing is read from the same board.

--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -4,9 +4,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from fescuekeel.components.forward.const import LOAD_SLACK_S, SPREAD_WAIT_S
+from fescuekeel.components.forward.const import (
+    FAR_COST_S,
+    HOMES,
+    LOAD_SLACK_S,
+    MAX_COMPARED,
+    SPREAD_WAIT_S,
+)
 from fescuekeel.components.forward.endpoints import EndpointLoad
-from fescuekeel.helpers.placement import EndpointState
+from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.helpers.published import EndpointRecord, Weights
 from fescuekeel.util import rendezvous
 
@@ -44,7 +50,9 @@
     """What the choice of an engine endpoint rests on.
 
     ``newest`` is the newest version that was named of the adapter, 0 if none
-    was, and ``oldest_allowed`` the one that may still serve.
+    was, and ``oldest_allowed`` the one that may still serve. Between endpoints
+    that cost as much, the request's own ``key`` decides, so that instances
+    which know as little do not all choose the same one.
     """
 
     weights: Weights
@@ -52,6 +60,8 @@
     slots: int
     newest: int
     oldest_allowed: int
+    key: str = ""
+    data_centre: str = ""
 
 
 def choose_plain(
@@ -91,7 +101,7 @@
     question: EngineQuestion,
     endpoints_by_id: Mapping[str, EndpointRecord],
     loads_by_id: Callable[[str], EndpointLoad],
-    states_by_id: Mapping[str, EndpointState],
+    board: PlacementBoard,
     tried: Collection[str],
     full: Collection[str],
     now: float,
@@ -105,40 +115,57 @@
     there, its weights are loaded at one of them rather than refused.
     """
     model = Weights(question.weights.model)
-
-    def read_held(id: str) -> Mapping[Weights, int]:
-        # What an endpoint has published itself counts until a holder tells:
-        # one that has just started is empty, and after all instances were
-        # restarted the first holder is known only seconds later.
-        state = states_by_id.get(id)
-        return state.held if state is not None else endpoints_by_id[id].held
-
-    usable = {id: rec for id, rec in endpoints_by_id.items() if model in read_held(id)}
+    usable = {
+        id: record
+        for id, record in endpoints_by_id.items()
+        if board.find_version(record, model, now) is not None
+    }
     candidates = _list_candidates(usable, loads_by_id, tried, now)
     candidates = [id for id in candidates if id not in full] or candidates
     if not candidates:
         return None
-    costs_by_id = {
-        id: loads_by_id(id).estimate_engine_s(
-            question.prompt_tokens, question.slots, states_by_id.get(id), now
+
+    def estimate_s(id: str) -> float:
+        cost_s = loads_by_id(id).estimate_engine_s(
+            question.prompt_tokens, question.slots, board.read_load(id, now), now
         )
-        for id in candidates
-    }
+        far = endpoints_by_id[id].data_centre != question.data_centre
+        return cost_s + (FAR_COST_S if far else 0.0)
+
     if not question.weights.adapter:
-        best = min(costs_by_id, key=lambda id: (costs_by_id[id], id))
-        return Choice(best, ChoiceReason.LEAST_COST, costs_by_id[best])
+        best, cost_s = _choose_cheapest(question, candidates, estimate_s)
+        return Choice(best, ChoiceReason.LEAST_COST, cost_s)
     versions_by_id = {
-        id: held[question.weights]
+        id: version
         for id in candidates
-        if question.weights in (held := read_held(id))
+        if (version := board.find_version(usable[id], question.weights, now))
+        is not None
     }
-    return _choose_for_adapter(question, costs_by_id, versions_by_id)
+    return _choose_for_adapter(question, candidates, versions_by_id, estimate_s)
+
+
+def _choose_cheapest(
+    question: EngineQuestion,
+    ids: Collection[str],
+    estimate_s: Callable[[str], float],
+) -> tuple[str, float]:
+    """Return the cheapest of some endpoints, and what it costs.
+
+    Of many only some are compared, others for each request: the work of one
+    choice does not grow with the number of endpoints, and the best of eight at
+    random is hardly ever a loaded one.
+    """
+    compared = rendezvous.rank(question.key, ids)[:MAX_COMPARED]
+    costs_by_id = {id: estimate_s(id) for id in compared}
+    best = min(compared, key=costs_by_id.__getitem__)
+    return best, costs_by_id[best]
 
 
 def _choose_for_adapter(
     question: EngineQuestion,
-    costs_by_id: dict[str, float],
+    candidates: Collection[str],
     versions_by_id: dict[str, int],
+    estimate_s: Callable[[str], float],
 ) -> Choice:
     current = [id for id, held in versions_by_id.items() if held >= question.newest]
     older = [
@@ -148,39 +175,36 @@
     ]
     # A copy of a newer version cannot replace an older one that has runs, so
     # it is made where there is none.
-    target = _choose_target(question, costs_by_id, versions_by_id)
+    free = [id for id in candidates if id not in versions_by_id]
+    target = _choose_target(question, free, estimate_s)
     serving = current or older
     if not serving:
-        home = target or min(costs_by_id, key=lambda id: (costs_by_id[id], id))
-        return Choice(
-            home, ChoiceReason.TO_LOAD, costs_by_id[home], True, "", question.newest
-        )
-    best = min(serving, key=lambda id: (costs_by_id[id], id))
+        home, cost_s = target or _choose_cheapest(question, candidates, estimate_s)
+        return Choice(home, ChoiceReason.TO_LOAD, cost_s, True, "", question.newest)
+    best, cost_s = _choose_cheapest(question, serving, estimate_s)
     reason = ChoiceReason.HOLDS if current else ChoiceReason.OLDER_VERSION
     spread_to = ""
-    if target:
-        gain_s = costs_by_id[best] - costs_by_id[target]
-        if not current or gain_s > SPREAD_WAIT_S:
-            spread_to = target
-    version = versions_by_id[best]
-    return Choice(best, reason, costs_by_id[best], False, spread_to, version)
+    if target is not None:
+        home, home_cost_s = target
+        if not current or cost_s - home_cost_s > SPREAD_WAIT_S:
+            spread_to = home
+    return Choice(best, reason, cost_s, False, spread_to, versions_by_id[best])
 
 
 def _choose_target(
     question: EngineQuestion,
-    costs_by_id: dict[str, float],
-    versions_by_id: dict[str, int],
-) -> str:
-    """Return where a copy is loaded: by rank, but not where it is crowded.
-
-    Rank makes all instances ask for the same place, and brings an adapter
-    back to where its last copy may still be at hand.
+    free: Collection[str],
+    estimate_s: Callable[[str], float],
+) -> tuple[str, float] | None:
+    """Return where a copy is loaded, and what it costs to be served there.
+
+    Of all endpoints the first in rank for an adapter are its homes: all
+    instances ask for the same ones, and it comes back to where its last copy
+    may still be at hand. A home that is crowded passes on to the next one.
     """
-    free = [id for id in costs_by_id if id not in versions_by_id]
-    if not free:
-        return ""
-    least_s = min(costs_by_id[id] for id in free)
-    for id in rendezvous.rank(str(question.weights), free):
-        if costs_by_id[id] <= least_s + LOAD_SLACK_S:
-            return id
-    return ""
+    homes = rendezvous.rank(str(question.weights), free)[:HOMES]
+    if not homes:
+        return None
+    costs_by_id = {id: estimate_s(id) for id in homes}
+    most_s = min(costs_by_id.values()) + LOAD_SLACK_S
+    return next((id, cost_s) for id, cost_s in costs_by_id.items() if cost_s <= most_s)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -249,10 +249,10 @@
         """
         own = self.get_load(endpoint).pending_tokens
         board = self.instance.bus.latest(PlacementBoard)
-        state = board.states_by_endpoint.get(endpoint) if board else None
-        if state is None:
+        known = board.read_load(endpoint, self.instance.now()) if board else None
+        if known is None:
             return own
-        return max(own, state.pending_tokens - tokens, 0)
+        return max(own, known.pending_tokens - tokens, 0)
 
     def get_pool(self, endpoint: str) -> ConnectionPool:
         """Return the connections to an endpoint."""
@@ -319,7 +319,8 @@
         if end is AttemptEnd.MISDIRECTED and request.weights is not None:
             board = self.instance.bus.latest(PlacementBoard)
             if board is not None:
-                board.note_missing(choice.endpoint, request.weights)
+                now = self.instance.now()
+                board.note_missing(choice.endpoint, request.weights, now)
         self.records.attempt(request, choice, attempt, end)
 
     # What is believed.
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -87,6 +87,13 @@
 # A load goes to the adapter's first endpoint in rank whose wait is at most so
 # much above the shortest one.
 LOAD_SLACK_S: Final = 0.3
+# So many endpoints, the first in rank, are an adapter's homes. Between four,
+# one is hardly ever without room; each further one holds a copy more rarely.
+HOMES: Final = 4
+# So many endpoints that could serve a request are compared, at most.
+MAX_COMPARED: Final = 8
+# What the way to another data centre costs, there and back.
+FAR_COST_S: Final = 0.003
 SPREAD_PERIOD_S: Final = 1.0
 # A request waits no longer for weights than this share of its time.
 LOAD_WAIT_SHARE: Final = 0.3
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -17,7 +17,7 @@
     UNREACHABLE_FIRST_S,
     UNREACHABLE_MAX_S,
 )
-from fescuekeel.helpers.placement import EndpointState
+from fescuekeel.helpers.placement import KnownLoad
 from fescuekeel.helpers.published import Weights
 
 __all__ = ["EndpointHealth", "EndpointLoad"]
@@ -164,7 +164,7 @@
         return TOKEN_S + (self.token_s - TOKEN_S) * fade
 
     def estimate_engine_s(
-        self, tokens: int, slots: int, told: EndpointState | None, now: float
+        self, tokens: int, slots: int, told: KnownLoad | None, now: float
     ) -> float:
         """Return the cost of one more prompt, in seconds until it is read."""
         others_tokens = others_running = 0
--- /dev/null
+++ b/fescuekeel/components/forward/holders.py
@@ -0,0 +1,88 @@
+"""Ask the holder of an endpoint's orders, whoever that is by now."""
+
+from fescuekeel.core import Instance
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.peer_link import get_peer_link
+from fescuekeel.helpers.placement import NOT_HOLDER, PlacementBoard
+from fescuekeel.messages import AdmitAnswer, AdmitAsk, LoadAnswer, LoadAsk
+
+__all__ = ["HolderLink"]
+
+# Whoever was asked in vain may name the holder; that one is asked, too. One
+# who does not hold it either has heard as little as we have.
+MAX_ASKED = 2
+
+
+class HolderLink:
+    """Send a question to the holder of an endpoint, as far as it is known."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+
+    def find(self, endpoint: str) -> str | None:
+        """Return who would be asked about an endpoint."""
+        board = self._instance.bus.latest(PlacementBoard)
+        return board.find_holder(endpoint, self._instance.now()) if board else None
+
+    async def ask_load(self, ask: LoadAsk, timeout_s: float) -> LoadAnswer | None:
+        """Ask for a load; ``None`` if nobody has answered."""
+        answer = await self._ask(ask, timeout_s)
+        return answer if isinstance(answer, LoadAnswer) else None
+
+    async def ask_turn(self, ask: AdmitAsk, timeout_s: float) -> AdmitAnswer | None:
+        """Ask for a prompt's turn; ``None`` if no holder has answered."""
+        answer = await self._ask(ask, timeout_s)
+        if not isinstance(answer, AdmitAnswer) or answer.reason == NOT_HOLDER:
+            return None
+        return answer
+
+    async def _ask(
+        self, ask: LoadAsk | AdmitAsk, timeout_s: float
+    ) -> LoadAnswer | AdmitAnswer | None:
+        answer: LoadAnswer | AdmitAnswer | None = None
+        until = self._instance.now() + timeout_s
+        for _ in range(MAX_ASKED):
+            holder = self.find(ask.endpoint)
+            if holder is None:
+                break
+            answer = await self._ask_one(holder, ask, until)
+            if answer is None or not self._is_elsewhere(ask.endpoint, holder, answer):
+                break
+        return answer
+
+    async def _ask_one(
+        self, holder: str, ask: LoadAsk | AdmitAsk, until: float
+    ) -> LoadAnswer | AdmitAnswer | None:
+        now = self._instance.now()
+        link = get_peer_link(self._instance)
+        answered = await link.ask(holder, ask, max(0.0, until - now))
+        answer = answered.value_or(None)
+        if isinstance(answer, LoadAnswer | AdmitAnswer):
+            return answer
+        # A wait that has ended is no silence: turns and loads may take long.
+        if self._instance.now() < until:
+            self._note_silent(holder, ask.endpoint, now)
+        return None
+
+    def _note_silent(self, holder: str, endpoint: str, asked: float) -> None:
+        now = self._instance.now()
+        board = self._instance.bus.latest(PlacementBoard)
+        if board is not None:
+            board.note_silent(holder, now)
+        log_event(
+            "holder_silent",
+            holder=holder,
+            endpoint=endpoint,
+            waited_ms=round((now - asked) * 1000),
+            outcome="not_asked",
+        )
+
+    def _is_elsewhere(
+        self, endpoint: str, asked: str, answer: LoadAnswer | AdmitAnswer
+    ) -> bool:
+        """Tell whether another instance was named that is worth asking."""
+        reason = answer.detail if isinstance(answer, LoadAnswer) else answer.reason
+        board = self._instance.bus.latest(PlacementBoard)
+        if reason != NOT_HOLDER or board is None:
+            return False
+        return board.note_not_holder(endpoint, asked, answer.holder)
--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -7,12 +7,12 @@
     LOWEST_PRIORITY,
     SPREAD_PERIOD_S,
 )
+from fescuekeel.components.forward.holders import HolderLink
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.helpers.published import Weights
-from fescuekeel.messages import LoadAnswer, LoadAsk
+from fescuekeel.messages import LoadAsk
 
 __all__ = ["LoadAsker"]
 
@@ -22,8 +22,9 @@
 class LoadAsker:
     """Share one ask among all requests that wait for the same load."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(self, instance: Instance, holders: HolderLink) -> None:
         self._instance = instance
+        self._holders = holders
         self._tasks_by_wanted: dict[Wanted, asyncio.Task[str]] = {}
         self._spread_at: dict[tuple[str, Weights], float] = {}
 
@@ -62,19 +63,17 @@
         self._instance.spawn(work, "forward.spread")
 
     async def _ask(self, ask: LoadAsk) -> str:
-        board = self._instance.bus.latest(PlacementBoard)
-        holder = board.holders_by_endpoint.get(ask.endpoint) if board else None
+        holder = self._holders.find(ask.endpoint)
         if holder is None:
             return "no holder"
         weights = Weights(ask.model, ask.adapter)
         asked = self._instance.now()
-        link = get_peer_link(self._instance)
-        answer = (await link.ask(holder, ask, LOAD_ASK_TIMEOUT_S)).value_or(None)
+        answer = await self._holders.ask_load(ask, LOAD_ASK_TIMEOUT_S)
         detail = "no answer"
-        if isinstance(answer, LoadAnswer):
+        if answer is not None:
             detail = "" if answer.loaded else answer.detail or "refused"
-            if answer.loaded and board is not None:
-                board.note_held(ask.endpoint, weights, answer.version)
+            if answer.loaded:
+                self._note_held(ask.endpoint, weights, answer.version)
         self._instance.metrics.observe("load_wait", self._instance.now() - asked)
         log_event(
             "load_asked",
@@ -87,3 +86,8 @@
             outcome=detail or "loaded",
         )
         return detail
+
+    def _note_held(self, endpoint: str, weights: Weights, version: int) -> None:
+        board = self._instance.bus.latest(PlacementBoard)
+        if board is not None:
+            board.note_held(endpoint, weights, version, self._instance.now())
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from fescuekeel.components.forward.choice import (
     Choice,
@@ -24,18 +24,17 @@
     TURN_GRACE_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.forward.holders import HolderLink
 from fescuekeel.components.forward.loading import LoadAsker
 from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.components.forward.versions import VersionClock
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import (
     LOADS_WAIT,
     NO_ROOM,
     NOT_HELD,
-    NOT_HOLDER,
     PlacementBoard,
 )
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
@@ -79,7 +78,8 @@
         self.cut_off = False
         self._instance = instance
         self._get_load = get_load
-        self._asker = LoadAsker(instance)
+        self._holders = HolderLink(instance)
+        self._asker = LoadAsker(instance, self._holders)
         self._versions = VersionClock()
 
     def take_catalog(self, catalog: Catalog, now: float) -> None:
@@ -186,7 +186,9 @@
         """Wait for the prompt's turn; ``None`` to look again."""
         self._spread(request, choice)
         answer = await self._wait_for_turn(request, choice, search.until)
-        if answer.granted:
+        if answer is None or answer.granted:
+            if answer is not None:
+                choice = _take_version(choice, answer)
             return choice if self._still_serves(request, choice) else None
         if answer.reason == NOT_HELD:
             self._note_missing(request, choice)
@@ -200,7 +202,8 @@
     def _note_missing(self, request: ForwardedRequest, choice: Choice) -> None:
         board = self._instance.bus.latest(PlacementBoard)
         if board is not None and request.weights is not None:
-            board.note_missing(choice.endpoint, request.weights)
+            now = self._instance.now()
+            board.note_missing(choice.endpoint, request.weights, now)
 
     def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
         """Look again at what may have changed while a prompt waited.
@@ -208,11 +211,14 @@
         Guards against work for an endpoint that has announced its leaving
         meanwhile, and against a prompt for an adapter that was told to go.
         """
-        if self.find_record(choice.endpoint) is None:
+        record = self.find_record(choice.endpoint)
+        if record is None:
             return False
         board = self._instance.bus.latest(PlacementBoard)
-        state = board.states_by_endpoint.get(choice.endpoint) if board else None
-        return state is None or request.weights in state.held
+        if board is None or request.weights is None:
+            return True
+        now = self._instance.now()
+        return board.find_version(record, request.weights, now) is not None
 
     def _spread(self, request: ForwardedRequest, choice: Choice) -> None:
         if choice.spread_to and request.weights is not None:
@@ -221,16 +227,15 @@
 
     async def _wait_for_turn(
         self, request: ForwardedRequest, choice: Choice, until: float
-    ) -> AdmitAnswer:
+    ) -> AdmitAnswer | None:
         """Wait until the engine's holder lets the prompt go there.
 
         Without a holder, or its answer, the prompt goes at once: pacing is a
         favour to others' streams and must never lose a request.
         """
-        board = self._instance.bus.latest(PlacementBoard)
-        holder = board.holders_by_endpoint.get(choice.endpoint) if board else None
-        if holder is None or board is None or request.weights is None:
-            return AdmitAnswer(granted=True)
+        holder = self._holders.find(choice.endpoint)
+        if holder is None or request.weights is None:
+            return None
         asked = self._instance.now()
         since = asked if request.state.delivered else request.arrived
         on_time = since + request.route.target_s - READING_S
@@ -245,15 +250,17 @@
             request.weights.adapter,
             self._versions.get_oldest_allowed(request.weights, asked),
         )
-        link = get_peer_link(self._instance)
-        answered = await link.ask(holder, ask, patience_s + TURN_GRACE_S)
-        answer = answered.value_or(None)
-        self._instance.metrics.observe("turn_wait", self._instance.now() - asked)
-        if not isinstance(answer, AdmitAnswer) or answer.reason == NOT_HOLDER:
+        answer = await self._holders.ask_turn(ask, patience_s + TURN_GRACE_S)
+        now = self._instance.now()
+        self._instance.metrics.observe("turn_wait", now - asked)
+        if answer is None:
             self._instance.metrics.count("turn_missed")
-            return AdmitAnswer(granted=True)
-        if answer.reason != NOT_HELD:
-            board.note_pending(choice.endpoint, answer.pending_tokens)
+            return None
+        board = self._instance.bus.latest(PlacementBoard)
+        if board is not None and answer.reason != NOT_HELD:
+            board.note_load(choice.endpoint, answer.running, answer.pending_tokens, now)
+            if answer.granted:
+                board.note_held(choice.endpoint, request.weights, answer.version, now)
         return answer
 
     async def _wait_for_load(
@@ -305,16 +312,21 @@
             engine.slots,
             self._versions.get_newest(weights),
             self._versions.get_oldest_allowed(weights, now),
+            request.head.request_id,
+            self._instance.settings.instance.data_centre,
         )
-        return choose_engine(
-            question,
-            allowed,
-            self._get_load,
-            board.states_by_endpoint,
-            tried,
-            full,
-            now,
-        )
+        return choose_engine(question, allowed, self._get_load, board, tried, full, now)
+
+
+def _take_version(choice: Choice, answer: AdmitAnswer) -> Choice:
+    """Expect the version that the holder has just said is there.
+
+    Guards against a refusal by an endpoint whose adapter was replaced by a
+    newer version: what this instance knows of far endpoints is seconds old.
+    """
+    if choice.version is None:
+        return choice
+    return replace(choice, version=answer.version)
 
 
 def _refuse_cut_off() -> Failure:
--- a/fescuekeel/components/forward/reach.py
+++ b/fescuekeel/components/forward/reach.py
@@ -7,14 +7,15 @@
 from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.published import EndpointRecord
+from fescuekeel.messages import MemberView
 
 __all__ = ["ReachWatch"]
 
 
 class ReachWatch:
-    """Take what requests and holders' news show, and act on it.
+    """Take what requests and peers' messages show, and act on it.
 
     ``cut_off`` says that no other data centre is within reach: this instance
     is not ready then, and asks callers to close their connections.
@@ -60,12 +61,13 @@
         return cut_off
 
     def _take_news(self) -> None:
-        """Take news of endpoints as word from their data centres."""
-        board = self._instance.bus.latest(PlacementBoard) or PlacementBoard()
-        for id, state in board.states_by_endpoint.items():
-            record = self._find_record(id)
-            if record is not None:
-                self._isolation.note_reached(record.data_centre, state.heard)
+        """Take what peers have sent as word from their data centres."""
+        view = self._instance.bus.latest(MemberView) or MemberView()
+        heard_by_id = get_peer_link(self._instance).heard_by_id
+        for id, heard in heard_by_id.items():
+            member = view.members_by_id.get(id)
+            if member is not None:
+                self._isolation.note_reached(member.data_centre, heard)
 
     def leave_silent_endpoints(self, requests: Collection[ForwardedRequest]) -> None:
         """Take requests that may run twice from endpoints that are silent."""
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from returns.pipeline import is_successful
 from returns.result import Failure as Err, Result, Success
@@ -71,6 +71,12 @@
         self._own_asked_by_number: dict[int, Asked] = {}
         self._ask_numbers = itertools.count(1)
         self._stopping = False
+        self._heard_by_id: dict[str, float] = {}
+
+    @property
+    def heard_by_id(self) -> Mapping[str, float]:
+        """Return when each peer was last heard, in the instance's seconds."""
+        return self._heard_by_id
 
     @property
     def address(self) -> str:
@@ -239,6 +245,7 @@
                     self._lose(outgoing, "bad frame")
                     return
                 envelope = decoded.unwrap()
+                self._heard_by_id[outgoing.peer_id] = self._instance.now()
                 asked = outgoing.asked_by_number.get(envelope.answers)
                 if asked is not None:
                     _resolve(asked, envelope.body)
@@ -278,6 +285,12 @@
             last = now
             for outgoing in list(self._outgoing_by_id.values()):
                 self._check(outgoing, now, paused)
+            self._forget_silent(now)
+
+    def _forget_silent(self, now: float) -> None:
+        for id, heard in list(self._heard_by_id.items()):
+            if now - heard > IDLE_S:
+                del self._heard_by_id[id]
 
     def _check(self, outgoing: Outgoing, now: float, paused: bool) -> None:
         connection = outgoing.connection
@@ -340,6 +353,7 @@
         )
 
     def _handle_incoming(self, connection: Connection, envelope: Envelope) -> None:
+        self._heard_by_id[connection.peer_id] = self._instance.now()
         number = 0
         if envelope.number:
             number = self._questions.add(connection, envelope.number)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -7,17 +7,17 @@
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
-    CLAIM_TTL_S,
     DOMAIN,
     SPREAD_WAIT_S,
     TICK_S,
 )
+from fescuekeel.components.placement.engines import EngineTable
 from fescuekeel.components.placement.holder import EndpointHolder
 from fescuekeel.components.placement.model import Ask, AskEnded
 from fescuekeel.components.placement.model_turns import may_load_model
 from fescuekeel.components.placement.news import EndpointNews
 from fescuekeel.components.placement.places import EndpointPlaces
-from fescuekeel.components.placement.teller import NewsTeller
+from fescuekeel.components.placement.teller import NewsTeller, tells_all
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.dialect import get_dialect
@@ -71,6 +71,10 @@
         self._ask_numbers = itertools.count(1)
         self._turns = TurnKeeper(instance)
         self._teller = NewsTeller(instance, self.board, self._list_news)
+        self._engines = EngineTable()
+        self._shared_engines: dict[str, EndpointRecord] = {}
+        self.board.find_candidate = self._find_candidate
+        self.board.is_near = self._is_near
 
     async def start(self) -> None:
         """Subscribe and begin to step."""
@@ -100,15 +104,25 @@
     # Claims.
 
     def _list_engines(self) -> dict[str, EndpointRecord]:
-        catalog = self.instance.bus.latest(Catalog)
-        if catalog is None or catalog.configuration is None:
-            return {}
-        services = catalog.configuration.services_by_name
-        return {
-            id: record
-            for id, record in catalog.endpoints_by_id.items()
-            if record.service in services and services[record.service].engine
-        }
+        self._engines.take(self.instance.bus.latest(Catalog))
+        return self._engines.records_by_id
+
+    def _read_members(self) -> MemberView:
+        return self.instance.bus.latest(MemberView) or MemberView()
+
+    def _find_candidate(self, endpoint: str) -> str | None:
+        record = self._list_engines().get(endpoint)
+        if record is None:
+            return None
+        members = self._read_members().members_by_id
+        return self._claims.find_candidate(record, members)
+
+    def _is_near(self, endpoint: str) -> bool:
+        """Tell whether the holder of an endpoint tells this instance of it."""
+        record = self._list_engines().get(endpoint)
+        if record is None or tells_all(self._read_members()):
+            return True
+        return record.data_centre == self.instance.settings.instance.data_centre
 
     def _get_engine(self, record: EndpointRecord) -> EngineSpec | None:
         catalog = self.instance.bus.latest(Catalog)
@@ -125,9 +139,9 @@
             self._share_board(engines, now)
             return
         catalog = self.instance.bus.latest(Catalog)
-        view = self.instance.bus.latest(MemberView) or MemberView()
+        view = self._read_members()
         newly = self._claims.step(
-            {record.name: record for record in engines.values()},
+            self._engines.records_by_name,
             view.members_by_id,
             view.left,
             catalog.revision if catalog else 0,
@@ -164,9 +178,9 @@
 
     def _match_holders(self, engines: dict[str, EndpointRecord]) -> None:
         claimed = {
-            id
-            for id, record in engines.items()
-            if record.name in self._claims.own_by_endpoint
+            self._engines.records_by_name[name].id
+            for name in self._claims.own_by_endpoint
+            if name in self._engines.records_by_name
         }
         for id in self._holders_by_endpoint.keys() - claimed:
             self._drop_holder(id)
@@ -199,16 +213,18 @@
         if engine is None:
             return False
         model = Weights(next(iter(engine.models_by_name)))
-        states = self.board.states_by_endpoint
-        known = [
-            id
-            for id, other in self._list_engines().items()
+        others = [
+            other
+            for other in self._list_engines().values()
             if other.service == record.service
-            and id in states
-            and now - states[id].heard < CLAIM_TTL_S
+            and self.board.is_answered_for(other.id, now)
+        ]
+        without = [
+            other.id
+            for other in others
+            if self.board.find_version(other, model, now) is None
         ]
-        without = [id for id in known if model not in states[id].held]
-        return may_load_model(record.id, len(known) - len(without), without)
+        return may_load_model(record.id, len(others) - len(without), without)
 
     def _drop_holder(self, endpoint: str) -> None:
         holder = self._holders_by_endpoint.pop(endpoint)
@@ -276,18 +292,14 @@
 
     def _share_board(self, engines: dict[str, EndpointRecord], now: float) -> None:
         self.board.holders_by_endpoint = {
-            id: holder
-            for id, record in engines.items()
-            if (holder := self._claims.find_holder(record.name, now)) is not None
-        }
-        members = (self.instance.bus.latest(MemberView) or MemberView()).members_by_id
-        self.board.candidates_by_endpoint = {
-            id: candidate
-            for id, record in engines.items()
-            if id not in self.board.holders_by_endpoint
-            and (candidate := self._claims.find_candidate(record, members)) is not None
+            record.id: holder
+            for name in self._claims.list_claimed()
+            if (record := self._engines.records_by_name.get(name)) is not None
+            and (holder := self._claims.find_holder(name, now)) is not None
         }
-        self.board.forget_except(engines)
+        if engines is not self._shared_engines:
+            self._shared_engines = engines
+            self.board.forget_except(engines)
 
     # Messages.
 
@@ -339,7 +351,8 @@
     def _take_ask(self, message: PeerMessage, ask: LoadAsk) -> None:
         holder = self._holders_by_endpoint.get(ask.endpoint)
         if holder is None or not self._holds(ask.endpoint):
-            answer = LoadAnswer(False, NOT_HOLDER)
+            holder_id = self._find_other_holder(ask.endpoint)
+            answer = LoadAnswer(False, NOT_HOLDER, holder=holder_id)
             get_peer_link(self.instance).answer(message, answer)
             return
         weights = Weights(ask.model, ask.adapter)
@@ -381,14 +394,22 @@
         holder = self._holders_by_endpoint.get(ask.endpoint)
         link = get_peer_link(self.instance)
         if holder is None or not self._holds(ask.endpoint):
-            link.answer(message, AdmitAnswer(False, reason=NOT_HOLDER))
+            holder_id = self._find_other_holder(ask.endpoint)
+            answer = AdmitAnswer(False, reason=NOT_HOLDER, holder=holder_id)
+            link.answer(message, answer)
             return
         weights = Weights(ask.model, ask.adapter)
         version = holder.places.read_version(weights)
         if version is None or version < ask.version:
             link.answer(message, AdmitAnswer(False, reason=NOT_HELD))
             return
-        self._turns.take(message, ask, holder.record, holder.places.usage)
+        self._turns.take(message, ask, holder.record, holder.places)
+
+    def _find_other_holder(self, endpoint: str) -> str:
+        """Return who holds an endpoint, for whoever has asked here in vain."""
+        name = Incarnation.parse(endpoint).name
+        holder = self._claims.find_holder(name, self.instance.now())
+        return "" if holder is None or holder == self.instance.id else holder
 
 
 def _log_load(ask: LoadAsk, ended: AskEnded) -> None:
--- a/fescuekeel/components/placement/teller.py
+++ b/fescuekeel/components/placement/teller.py
@@ -1,4 +1,4 @@
-"""Tell all instances what the endpoints that are held here hold."""
+"""Tell the instances near the endpoints that are held here what these hold."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -16,7 +16,18 @@
 from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.messages import MemberView, PeerLost, PlacementNews, PlacementState
 
-__all__ = ["NewsTeller"]
+__all__ = ["NewsTeller", "tells_all"]
+
+
+def tells_all(view: MemberView) -> bool:
+    """Tell whether holders tell all instances, not only those near.
+
+    In a small fleet a message to everybody is cheap and spares questions. In
+    a large one it would make what each instance hears grow with the number of
+    holders: with 33 holders before 195 instances, their news were 80 messages
+    and 20 KB a second at each instance, of which hardly one was needed.
+    """
+    return len(view.members_by_id) <= NEWS_FLEET
 
 
 class NewsTeller:
@@ -36,6 +47,7 @@
         self._list_news = list_news
         self._writer = NewsWriter()
         self._told_incarnations: dict[str, int] = {}
+        self._told_view: MemberView | None = None
         self._told_at = float("-inf")
         self._due = 0.0
         self._wanted = False
@@ -92,14 +104,29 @@
             self.send(tuple(states))
 
     def send(self, states: tuple[PlacementState, ...]) -> None:
-        """Send states to all instances, and take them in here."""
+        """Send states to all who are told, and take them in here."""
         now = self._instance.now()
         own_id = self._instance.id
         for state in states:
             if not state.released:
                 self._board.hear(own_id, state, now)
-        peers = [id for id in self._read_view().members_by_id if id != own_id]
-        get_peer_link(self._instance).send_all(peers, PlacementNews(states))
+        link = get_peer_link(self._instance)
+        link.send_all(self._list_told(), PlacementNews(states))
+
+    def _list_told(self) -> dict[str, int]:
+        """Return the incarnations of those who are told, by instance.
+
+        Those of this data centre may have to follow as holders of its
+        endpoints, so that all of them know who holds what.
+        """
+        view = self._read_view()
+        centre = self._instance.settings.instance.data_centre
+        everybody = tells_all(view)
+        return {
+            id: member.incarnation
+            for id, member in view.members_by_id.items()
+            if id != self._instance.id and (everybody or member.data_centre == centre)
+        }
 
     def _tell_newcomers(self) -> None:
         """Tell whole lists to who has not heard the last ones.
@@ -108,11 +135,11 @@
         just come, or whose connection was lost with a message on it, would
         send nothing to an endpoint's adapters until the next whole list.
         """
-        incarnations = {
-            id: member.incarnation
-            for id, member in self._read_view().members_by_id.items()
-            if id != self._instance.id
-        }
+        view = self._read_view()
+        if view is self._told_view:
+            return
+        self._told_view = view
+        incarnations = self._list_told()
         newcomers = [
             id
             for id, incarnation in incarnations.items()
@@ -131,6 +158,7 @@
 
     def _note_lost(self, lost: PeerLost) -> None:
         self._told_incarnations.pop(lost.instance_id, None)
+        self._told_view = None
 
     def _read_view(self) -> MemberView:
         return self._instance.bus.latest(MemberView) or MemberView()
--- a/fescuekeel/components/placement/turns.py
+++ b/fescuekeel/components/placement/turns.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fescuekeel.components.placement.const import (
     DEFAULT_WINDOW_S,
     PROMPT_TOKENS_PER_S,
 )
 from fescuekeel.components.placement.pacing import Prompt, PromptPacer, Turn
-from fescuekeel.components.placement.usage import WeightUsage
+from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.core import Instance
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import TURNS_WAIT
@@ -21,11 +21,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Question:
-    """A prompt that waits for its turn; ``usage`` is that of its endpoint."""
+    """A prompt that waits for its turn; ``places`` are its endpoint's."""
 
     message: PeerMessage
     weights: Weights
-    usage: WeightUsage
+    places: EndpointPlaces
 
 
 class TurnKeeper:
@@ -80,14 +80,14 @@
         message: PeerMessage,
         ask: AdmitAsk,
         record: EndpointRecord,
-        usage: WeightUsage,
+        places: EndpointPlaces,
     ) -> None:
         """Take a prompt; it is answered when its turn comes, or is refused."""
         pacer = self._get_pacer(record)
         number = next(self._numbers)
         weights = Weights(ask.model, ask.adapter)
-        usage.expect(weights)
-        self._questions_by_number[number] = Question(message, weights, usage)
+        places.usage.expect(weights)
+        self._questions_by_number[number] = Question(message, weights, places)
         now = self._instance.now()
         pacer.ask(
             Prompt(
@@ -123,7 +123,13 @@
 
     def _answer(self, turn: Turn, answer: AdmitAnswer) -> None:
         question = self._questions_by_number.pop(turn.number)
-        question.usage.settle(
+        places = question.places
+        answer = replace(
+            answer,
+            running=max(0, places.running),
+            version=places.read_version(question.weights) or 0,
+        )
+        places.usage.settle(
             question.weights,
             question.message.sender,
             turn.granted,
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -62,6 +62,7 @@
         endpoint_changed endpoint state revision
         endpoint_restarted endpoint
         endpoint_unreachable endpoint error avoided_ms
+        holder_silent holder endpoint waited_ms outcome
         isolation_changed cut_off outcome
         livelist_changed entries
         load_asked endpoint weights version holder waited_ms outcome
--- a/fescuekeel/helpers/peer_link.py
+++ b/fescuekeel/helpers/peer_link.py
@@ -1,6 +1,6 @@
 """What components ask of the connection to other instances."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Protocol, cast
 
 from returns.result import Result
@@ -19,9 +19,14 @@
 
     Messages to one peer arrive in the order in which they were sent, as long
     as the connection lasts. A message may be lost with its connection and is
-    never sent twice.
+    never sent twice. ``heard_by_id`` is when the last message of a peer came,
+    in the instance's seconds, for the peers of the last minutes.
     """
 
+    @property
+    def heard_by_id(self) -> Mapping[str, float]:
+        """Return when each peer was last heard."""
+
     def send(self, instance_id: str, body: WireMessage) -> bool:
         """Queue a message; return false when the peer is not known."""
 
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -176,12 +176,14 @@
 class LoadAnswer:
     """Answer once the weights are held, or cannot be had now.
 
-    ``version`` is the one that is held then.
+    ``version`` is the one that is held then. Whoever does not hold the
+    endpoint's orders names its ``holder``, if it knows one.
     """
 
     loaded: bool
     detail: str = ""
     version: int = 0
+    holder: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,11 +210,16 @@
     """Answer when the prompt may be sent, or that it may not.
 
     ``pending_tokens`` are the prompt tokens that wait there now, or are being
-    read, and ``wait_ms`` how long all that waits will take. ``reason`` says
-    why a prompt may not be sent.
+    read, ``running`` the requests that run there, and ``wait_ms`` how long all
+    that waits will take. ``version`` is that of the weights which are held
+    then. ``reason`` says why a prompt may not be sent. Whoever does not hold
+    the endpoint's orders names its ``holder``, if it knows one.
     """
 
     granted: bool
     pending_tokens: int = 0
     wait_ms: int = 0
     reason: str = ""
+    running: int = 0
+    holder: str = ""
+    version: int = 0
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -213,6 +213,7 @@
   loaded @0 :Bool;
   detail @1 :Text;
   version @2 :UInt64;
+  holder @3 :Text;
 }
 struct AdmitAsk {
   endpoint @0 :Text;
@@ -229,6 +230,9 @@
   pendingTokens @1 :UInt32;
   waitMs @2 :UInt32;
   reason @3 :Text;
+  running @4 :UInt32;
+  holder @5 :Text;
+  version @6 :UInt64;
 }
 struct Envelope {
   number @0 :UInt32;
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -1,13 +1,17 @@
 """Tests of the choice of an endpoint."""
 
+from collections import Counter
+from dataclasses import replace
+
 from fescuekeel.components.forward.choice import (
     ChoiceReason,
     EngineQuestion,
     choose_engine,
     choose_plain,
 )
+from fescuekeel.components.forward.const import HOMES, MAX_COMPARED
 from fescuekeel.components.forward.endpoints import EndpointLoad
-from fescuekeel.helpers.placement import EndpointState
+from fescuekeel.helpers.placement import EndpointState, PlacementBoard
 from fescuekeel.helpers.published import EndpointRecord, Weights
 
 MODEL = Weights("m")
@@ -38,7 +42,7 @@
 
     def __init__(self, states=None, records=None):
         self.records = records or make_records()
-        self.states = states if states is not None else {}
+        self.board = PlacementBoard(states_by_endpoint=states or {})
         self.loads = {id: EndpointLoad() for id in self.records}
 
     def choose(self, question, tried=(), full=()):
@@ -46,7 +50,7 @@
             question,
             self.records,
             self.loads.__getitem__,
-            self.states,
+            self.board,
             tried,
             full,
             NOW,
@@ -121,6 +125,70 @@
         assert World().choose(ask(), tried=IDS) is None
 
 
+class TestLargeFleet:
+    """Sixty engines, of which an instance knows only what is published."""
+
+    def make_world(self, held=None, size=60):
+        ids = [f"e{number:02}" for number in range(size)]
+        records = make_records(ids)
+        for id in held or ():
+            records[id] = replace(records[id], held={MODEL: 1, CARDS: 1})
+        return World({}, records)
+
+    def test_load_of_others_does_not_move_an_adapters_homes(self):
+        """Adapters were brought from the weight store again and again.
+
+        As engines filled, an adapter's requests went to ever other ones, and
+        the copies that the first ones had kept at hand served nobody.
+        """
+        homes = set()
+        for loaded in range(20):
+            world = self.make_world()
+            for number in range(loaded * 3):
+                world.board.note_load(f"e{number:02}", 12, 20_000, NOW)
+            homes.add(world.choose(ask()).endpoint)
+        assert len(homes) <= HOMES
+
+    def test_copies_share_the_requests_of_instances_that_know_no_loads(self):
+        """One engine was three and a half times as busy as the mean.
+
+        All instances took the first of the copies that seemed equal to them.
+        """
+        world = self.make_world(held=["e03", "e17", "e42", "e55"])
+        chosen = Counter(
+            world.choose(replace(ask(), key=f"request-{number}")).endpoint
+            for number in range(400)
+        )
+        assert set(chosen) == {"e03", "e17", "e42", "e55"}
+        assert max(chosen.values()) < 2 * 400 / 4
+
+    def test_work_of_a_choice_does_not_grow_with_the_endpoints(self):
+        for size in (60, 600):
+            world = self.make_world(size=size)
+            estimated = []
+
+            class CountedLoad(EndpointLoad):
+                def estimate_engine_s(self, *arguments, estimated=estimated):
+                    estimated.append(self)
+                    return super().estimate_engine_s(*arguments)
+
+            world.loads = {id: CountedLoad() for id in world.records}
+            world.choose(ask())
+            world.choose(ask(MODEL))
+            assert len(estimated) <= HOMES + MAX_COMPARED
+
+    def test_the_near_one_of_two_equal_copies_is_chosen(self):
+        world = self.make_world(held=["e03", "e17"])
+        near = world.records["e17"].data_centre
+        chosen = {
+            world.choose(
+                replace(ask(), key=f"request-{number}", data_centre=near)
+            ).endpoint
+            for number in range(50)
+        }
+        assert chosen == {"e17"}
+
+
 class TestHealth:
     def test_endpoint_that_fails_more_than_others_is_left(self):
         """A third of the lookups failed although two endpoints were sound.
