Pass prompts on from crowded engines at once

Change: a holder answers at once that an engine is crowded, where a prompt would wait longer than a load takes, or no slot is free, unless the prompt has nowhere better to go; prompts that wait for loads count. The entry asks up to eight endpoints in the adapter's own order before it waits. Turns of one engine are one record; where a search goes next is its own pure module.

--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -90,6 +90,10 @@
 # So many endpoints, the first in rank, are an adapter's homes. Between four,
 # one is hardly ever without room; each further one holds a copy more rarely.
 HOMES: Final = 4
+# A request waits in a queue once so many endpoints were crowded. The most
+# wanted of 24,000 adapters fills seven engines of 62 by itself; at three
+# milliseconds a question, eight cost a caller no more than a token does.
+MAX_CROWDED: Final = 8
 # So many endpoints that could serve a request are compared, at most.
 MAX_COMPARED: Final = 8
 # What the way to another data centre costs, there and back.
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -1,9 +1,8 @@
 """Find the endpoint of a request, and wait until it may be sent there."""
 
 import asyncio
-import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from fescuekeel.components.forward.choice import (
     Choice,
@@ -12,21 +11,21 @@
     choose_plain,
 )
 from fescuekeel.components.forward.const import (
-    CUT_OFF_RETRY_FROM_S,
-    CUT_OFF_RETRY_TO_S,
     LOAD_WAIT_SHARE,
-    MAX_REFUSALS,
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     READING_S,
-    RETRY_FROM_S,
-    RETRY_TO_S,
     TURN_GRACE_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.holders import HolderLink
 from fescuekeel.components.forward.loading import LoadAsker
 from fescuekeel.components.forward.request import ForwardedRequest
+from fescuekeel.components.forward.search import (
+    Search,
+    refuse_cut_off,
+    refuse_for_load,
+)
 from fescuekeel.components.forward.versions import VersionClock
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
@@ -43,31 +42,6 @@
 __all__ = ["Placer"]
 
 
-@dataclass(slots=True)
-class Search:
-    """How far the search for a request's endpoint has come.
-
-    ``full`` endpoints had no room for it, ``failure`` is what its caller is
-    told if it ends now.
-    """
-
-    until: float
-    full: set[str] = field(default_factory=set)
-    refusals: int = 0
-    failure: Failure = field(
-        default_factory=lambda: _refuse_for_load(ErrorKind.NO_ENDPOINT, "no endpoint")
-    )
-
-    def refuse(self, endpoint: str) -> None:
-        """Note that an endpoint has refused the request."""
-        self.full.add(endpoint)
-        self.refusals += 1
-
-    def is_over(self, now: float) -> bool:
-        """Tell whether there is no time, or no endpoint worth asking, left."""
-        return now >= self.until or self.refusals >= MAX_REFUSALS
-
-
 class Placer:
     """Choose endpoints by what the catalog, the board and requests tell."""
 
@@ -131,7 +105,7 @@
         search = Search(until)
         found: Choice | Failure | None
         while True:
-            choice = self._choose(request, search.full)
+            choice = self._choose(request, search.avoided)
             if choice is None:
                 # Guards against a refusal right before an endpoint is there:
                 # all of a service's were replaced, and the first has its
@@ -154,9 +128,9 @@
     ) -> Failure | None:
         """Have the weights loaded; ``None`` to look again."""
         if self.cut_off:
-            return _refuse_cut_off()
+            return refuse_cut_off()
         asked = self._instance.now()
-        patient = choice.endpoint in search.full
+        patient = search.waits_at(choice.endpoint)
         detail = await self._wait_for_load(request, choice, search.until, patient)
         log_event(
             "load_waited",
@@ -169,12 +143,12 @@
             outcome=detail or "loaded",
         )
         if detail == NO_ROOM:
-            search.full.add(choice.endpoint)
+            search.note_crowded(choice.endpoint)
             return None
         if detail == LOADS_WAIT:
             search.refuse(choice.endpoint)
         if search.is_over(self._instance.now()):
-            return _refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
+            return refuse_for_load(ErrorKind.LOAD_FAILED, detail or "late")
         if detail:
             # The next holder may be known in a moment.
             await asyncio.sleep(NO_HOLDER_POLL_S)
@@ -185,18 +159,16 @@
     ) -> Choice | Failure | None:
         """Wait for the prompt's turn; ``None`` to look again."""
         self._spread(request, choice)
-        answer = await self._wait_for_turn(request, choice, search.until)
-        if answer is None or answer.granted:
-            if answer is not None:
-                choice = _take_version(choice, answer)
+        patient = search.waits_at(choice.endpoint)
+        answer = await self._wait_for_turn(request, choice, search.until, patient)
+        if answer is None:
+            return choice if self._still_serves(request, choice) else None
+        if answer.granted:
+            choice = _take_version(choice, answer)
             return choice if self._still_serves(request, choice) else None
         if answer.reason == NOT_HELD:
             self._note_missing(request, choice)
-            search.failure = _refuse_for_load(ErrorKind.LOAD_FAILED, answer.reason)
-        else:
-            search.refuse(choice.endpoint)
-            detail = f"{answer.wait_ms / 1000:.1f} s wait"
-            search.failure = _refuse_for_load(ErrorKind.QUEUE_FULL, detail)
+        search.note_no_turn(choice.endpoint, answer, patient)
         return search.failure if search.is_over(self._instance.now()) else None
 
     def _note_missing(self, request: ForwardedRequest, choice: Choice) -> None:
@@ -226,7 +198,7 @@
             self._asker.spread(choice.spread_to, request.weights, newest)
 
     async def _wait_for_turn(
-        self, request: ForwardedRequest, choice: Choice, until: float
+        self, request: ForwardedRequest, choice: Choice, until: float, patient: bool
     ) -> AdmitAnswer | None:
         """Wait until the engine's holder lets the prompt go there.
 
@@ -249,6 +221,7 @@
             request.weights.model,
             request.weights.adapter,
             self._versions.get_oldest_allowed(request.weights, asked),
+            patient,
         )
         answer = await self._holders.ask_turn(ask, patience_s + TURN_GRACE_S)
         now = self._instance.now()
@@ -285,6 +258,7 @@
             on_time_ms=int(max(0.0, on_time_s) * 1000),
             patience_ms=int(left_s * 1000),
             patient=patient,
+            tokens=request.head.prompt_tokens,
         )
         asking = self._asker.load(ask)
         try:
@@ -327,14 +301,3 @@
     if choice.version is None:
         return choice
     return replace(choice, version=answer.version)
-
-
-def _refuse_cut_off() -> Failure:
-    """Refuse what cannot be loaded behind a cut, and lead callers away."""
-    retry_after_s = random.uniform(CUT_OFF_RETRY_FROM_S, CUT_OFF_RETRY_TO_S)
-    return Failure(ErrorKind.LOAD_FAILED, "cut off", retry_after_s=retry_after_s)
-
-
-def _refuse_for_load(kind: ErrorKind, detail: str) -> Failure:
-    retry_after_s = random.uniform(RETRY_FROM_S, RETRY_TO_S)
-    return Failure(kind, detail, retry_after_s=retry_after_s)
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -337,10 +337,11 @@
             if holder is None:
                 continue
             if endpoint.tokens_per_s:
-                self._turns.note_speed(holder.record, endpoint.tokens_per_s)
+                speed = endpoint.tokens_per_s
+                self._turns.note_speed(holder.record, holder.places, speed)
             if endpoint.pause_percent:
                 pause = endpoint.pause_percent / 100
-                self._turns.note_pause(holder.record, pause)
+                self._turns.note_pause(holder.record, holder.places, pause)
             for use in endpoint.uses:
                 weights = Weights(use.model, use.adapter)
                 holder.places.usage.note_use(
@@ -357,7 +358,7 @@
             return
         weights = Weights(ask.model, ask.adapter)
         now = self.instance.now()
-        if not ask.patient and not holder.places.can_load_now(weights, now):
+        if not ask.patient and not self._has_room_now(holder, weights, now):
             get_peer_link(self.instance).answer(message, LoadAnswer(False, NO_ROOM))
             return
         if not holder.places.has_room_to_ask(weights, ask.spread, now):
@@ -377,10 +378,19 @@
                 now,
                 now + ask.on_time_ms / 1000,
                 until,
+                ask.tokens,
             )
         )
         holder.wake()
 
+    def _has_room_now(
+        self, holder: EndpointHolder, weights: Weights, now: float
+    ) -> bool:
+        """Tell whether weights can be loaded, and be of use, at once."""
+        if not holder.places.can_load_now(weights, now):
+            return False
+        return not self._turns.is_crowded(holder.record, holder.places)
+
     def _end_ask(self, ended: AskEnded) -> None:
         question = self._questions_by_ask.pop(ended.number, None)
         if question is None:
--- a/fescuekeel/components/placement/model.py
+++ b/fescuekeel/components/placement/model.py
@@ -24,7 +24,8 @@
 
     ``spread`` is a wish for one more copy, which nobody waits for.
     ``on_time_until`` is when the load must be done for an answer within its
-    target, and ``until`` when nobody waits for it any more.
+    target, and ``until`` when nobody waits for it any more. ``tokens`` are
+    those of the prompt that waits.
     """
 
     number: int
@@ -35,6 +36,7 @@
     since: float
     on_time_until: float
     until: float
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -30,13 +30,17 @@
 
 __all__ = ["Prompt", "PromptPacer", "Turn"]
 
+# How many more requests an engine can run where nobody says.
+UNBOUNDED_ROOM = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class Prompt:
     """A prompt that wants to be sent; times in seconds.
 
     ``on_time_until`` is when its turn must come at the latest for an answer
-    within its target, and ``until`` when waiting makes no sense any more.
+    within its target, and ``until`` when waiting makes no sense any more. One
+    that is not ``patient`` would rather go elsewhere than wait for long.
     """
 
     number: int
@@ -44,6 +48,7 @@
     priority: int
     on_time_until: float
     until: float
+    patient: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,12 +137,18 @@
         self._forget(now)
         return self.waiting_tokens + self._granted_tokens
 
-    def estimate_wait_s(self) -> float:
-        """Return how long all that waits will take."""
-        return self.waiting_tokens * self.window_s / self.limit
+    def estimate_wait_s(self, coming_tokens: int = 0) -> float:
+        """Return how long all that waits, and is about to come, will take."""
+        return (self.waiting_tokens + coming_tokens) * self.window_s / self.limit
+
+    def step(
+        self, now: float, room: int = UNBOUNDED_ROOM, elsewhere_s: float = float("inf")
+    ) -> list[Turn]:
+        """Return the prompts that are granted or refused now.
 
-    def step(self, now: float) -> list[Turn]:
-        """Return the prompts that are granted or refused now."""
+        ``room`` is how many more requests the engine can run, and
+        ``elsewhere_s`` how long it takes to get the same weights elsewhere.
+        """
         self._forget(now)
         self._grow_share(now)
         turns = [
@@ -145,6 +156,8 @@
             for prompt in list(self._waiting)
             if now >= prompt.until
         ]
+        if room <= 0:
+            turns += self._turn_away(self._list_impatient())
         while self._waiting:
             first = min(self._waiting, key=lambda prompt: self._rank(prompt, now))
             if self._granted and self._granted_tokens + first.tokens > self.limit:
@@ -152,11 +165,37 @@
             self._granted.append((now, first.tokens))
             self._granted_tokens += first.tokens
             turns.append(self._take(first, granted=True))
+        turns += self._turn_away(self._list_better_elsewhere(elsewhere_s, now))
         while self.estimate_wait_s() > MAX_TURN_QUEUE_S and len(self._waiting) > 1:
             last = max(self._waiting, key=lambda prompt: self._rank(prompt, now))
             turns.append(self._take(last, granted=False))
         return turns
 
+    def _list_impatient(self) -> list[Prompt]:
+        return [prompt for prompt in self._waiting if not prompt.patient]
+
+    def _list_better_elsewhere(self, elsewhere_s: float, now: float) -> list[Prompt]:
+        """Return the prompts that would wait here for longer than elsewhere.
+
+        Guards against an adapter that one of many engines serves to all: each
+        instance sees few of its requests and knows little of the engine's
+        load, so that all of them queue here while the others stand idle. A
+        fifth of all requests waited for their turn for 1.0 s at the median.
+        """
+        if not self._list_impatient():
+            return []
+        better = []
+        ahead = 0
+        for prompt in sorted(self._waiting, key=lambda item: self._rank(item, now)):
+            ahead += prompt.tokens
+            wait_s = ahead * self.window_s / self.limit
+            if not prompt.patient and wait_s > elsewhere_s:
+                better.append(prompt)
+        return better
+
+    def _turn_away(self, prompts: list[Prompt]) -> list[Turn]:
+        return [self._take(prompt, granted=False) for prompt in prompts]
+
     def drain(self) -> list[Turn]:
         """Grant all that waits: nobody keeps this engine's turns any more."""
         return [self._take(prompt, granted=True) for prompt in list(self._waiting)]
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -66,6 +66,11 @@
         """Tell whether the base model is there, without which nothing is."""
         return Weights(self.model) in self.held
 
+    @property
+    def load_s(self) -> float:
+        """Return how long a load from the weight store takes, by the last."""
+        return self._clock.cold_s
+
     def needs_report(self, now: float) -> bool:
         """Tell whether something is under way that only a report will show."""
         overdue = any(
@@ -75,6 +80,10 @@
         )
         return overdue or bool(self._foreign_pending) or not self.has_model
 
+    def count_waiting_tokens(self) -> int:
+        """Return the tokens of the prompts that wait for loads here."""
+        return sum(ask.tokens for ask in self.asks_by_number.values())
+
     def list_servable(self) -> dict[Weights, int]:
         """Return what requests can be sent to: held, and not to be dropped."""
         return {
--- a/fescuekeel/components/placement/turns.py
+++ b/fescuekeel/components/placement/turns.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from fescuekeel.components.placement.const import (
     DEFAULT_WINDOW_S,
@@ -21,15 +21,46 @@
 
 @dataclass(frozen=True, slots=True)
 class Question:
-    """A prompt that waits for its turn; ``places`` are its endpoint's."""
+    """A prompt that waits for its turn."""
 
     message: PeerMessage
     weights: Weights
+
+
+@dataclass(slots=True)
+class EngineTurns:
+    """The prompts of one engine, and what is known of it."""
+
+    record: EndpointRecord
     places: EndpointPlaces
+    pacer: PromptPacer
+    questions_by_number: dict[int, Question] = field(default_factory=dict)
+    timer: asyncio.TimerHandle | None = None
+
+    def stop_timer(self) -> None:
+        """Forget when the next step was due."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def count_room(self, now: float) -> int:
+        """Return how many more requests the engine can run at once."""
+        usage = self.places.usage
+        running = usage.count_all_running(now) + usage.count_starting(now)
+        return self.record.slots - running
+
+    def is_crowded(self, now: float) -> bool:
+        """Tell whether a prompt should rather go to another engine.
+
+        Prompts that wait for a load here will want their turn all at once.
+        """
+        coming = self.places.count_waiting_tokens()
+        wait_s = self.pacer.estimate_wait_s(coming)
+        return wait_s > self.places.load_s or self.count_room(now) <= 0
 
 
 class TurnKeeper:
-    """Own the pacer of each engine whose orders this instance holds.
+    """Own the turns of each engine whose orders this instance holds.
 
     Engines of one service read alike, so that what is learned of one's speed
     serves the next one that is held here.
@@ -38,42 +69,52 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._numbers = itertools.count(1)
-        self._pacers_by_endpoint: dict[str, PromptPacer] = {}
-        self._questions_by_number: dict[int, Question] = {}
+        self._turns_by_endpoint: dict[str, EngineTurns] = {}
         self._speeds_by_service: dict[str, float] = {}
-        self._timers_by_endpoint: dict[str, asyncio.TimerHandle] = {}
 
     def drop(self, endpoint: str) -> None:
         """Forget an engine whose orders are not held here any more.
 
         What waits goes at once, as all prompts do while nobody holds it.
         """
-        pacer = self._pacers_by_endpoint.pop(endpoint, None)
-        timer = self._timers_by_endpoint.pop(endpoint, None)
-        if timer is not None:
-            timer.cancel()
-        for turn in pacer.drain() if pacer is not None else ():
-            self._answer(turn, AdmitAnswer(turn.granted))
-
-    def note_speed(self, record: EndpointRecord, tokens_per_s: float) -> None:
+        engine = self._turns_by_endpoint.pop(endpoint, None)
+        if engine is None:
+            return
+        engine.stop_timer()
+        for turn in engine.pacer.drain():
+            self._answer(engine, turn, AdmitAnswer(turn.granted))
+
+    def note_speed(
+        self, record: EndpointRecord, places: EndpointPlaces, tokens_per_s: float
+    ) -> None:
         """Take what an instance has seen of an engine's speed."""
-        pacer = self._get_pacer(record)
+        pacer = self._get_engine(record, places).pacer
         pacer.note_speed(tokens_per_s)
         self._speeds_by_service[record.service] = pacer.tokens_per_s
 
-    def note_pause(self, record: EndpointRecord, pause: float) -> None:
+    def note_pause(
+        self, record: EndpointRecord, places: EndpointPlaces, pause: float
+    ) -> None:
         """Take the longest pause in a stream that an instance has seen."""
-        self._get_pacer(record).note_pause(pause, self._instance.now())
-
-    def _get_pacer(self, record: EndpointRecord) -> PromptPacer:
-        pacer = self._pacers_by_endpoint.get(record.id)
-        if pacer is None:
+        pacer = self._get_engine(record, places).pacer
+        pacer.note_pause(pause, self._instance.now())
+
+    def _get_engine(
+        self, record: EndpointRecord, places: EndpointPlaces
+    ) -> EngineTurns:
+        engine = self._turns_by_endpoint.get(record.id)
+        if engine is None:
             pacer = PromptPacer(self._get_window_s(record.service))
             pacer.tokens_per_s = self._speeds_by_service.get(
                 record.service, PROMPT_TOKENS_PER_S
             )
-            self._pacers_by_endpoint[record.id] = pacer
-        return pacer
+            engine = EngineTurns(record, places, pacer)
+            self._turns_by_endpoint[record.id] = engine
+        return engine
+
+    def is_crowded(self, record: EndpointRecord, places: EndpointPlaces) -> bool:
+        """Tell whether a prompt should rather go to another engine."""
+        return self._get_engine(record, places).is_crowded(self._instance.now())
 
     def take(
         self,
@@ -83,58 +124,51 @@
         places: EndpointPlaces,
     ) -> None:
         """Take a prompt; it is answered when its turn comes, or is refused."""
-        pacer = self._get_pacer(record)
+        engine = self._get_engine(record, places)
         number = next(self._numbers)
         weights = Weights(ask.model, ask.adapter)
         places.usage.expect(weights)
-        self._questions_by_number[number] = Question(message, weights, places)
+        engine.questions_by_number[number] = Question(message, weights)
         now = self._instance.now()
-        pacer.ask(
+        engine.pacer.ask(
             Prompt(
                 number,
                 ask.tokens,
                 ask.priority,
                 now + ask.on_time_ms / 1000,
                 now + ask.patience_ms / 1000,
+                ask.patient,
             )
         )
-        self._step(ask.endpoint)
-
-    def _step(self, endpoint: str) -> None:
-        timer = self._timers_by_endpoint.pop(endpoint, None)
-        if timer is not None:
-            timer.cancel()
-        pacer = self._pacers_by_endpoint.get(endpoint)
-        if pacer is None:
-            return
+        self._step(engine)
+
+    def _step(self, engine: EngineTurns) -> None:
+        engine.stop_timer()
+        pacer = engine.pacer
         now = self._instance.now()
-        for turn in pacer.step(now):
+        for turn in pacer.step(now, engine.count_room(now), engine.places.load_s):
             pending = pacer.count_pending(now)
             wait_ms = int(pacer.estimate_wait_s() * 1000)
             reason = "" if turn.granted else TURNS_WAIT
             answer = AdmitAnswer(turn.granted, pending, wait_ms, reason)
-            self._answer(turn, answer)
+            self._answer(engine, turn, answer)
         due = pacer.get_next_step()
         if due < float("inf"):
             loop = asyncio.get_running_loop()
-            self._timers_by_endpoint[endpoint] = loop.call_later(
-                max(0.001, due - now), self._step, endpoint
-            )
+            delay_s = max(0.001, due - now)
+            engine.timer = loop.call_later(delay_s, self._step, engine)
 
-    def _answer(self, turn: Turn, answer: AdmitAnswer) -> None:
-        question = self._questions_by_number.pop(turn.number)
-        places = question.places
+    def _answer(self, engine: EngineTurns, turn: Turn, answer: AdmitAnswer) -> None:
+        question = engine.questions_by_number.pop(turn.number)
+        now = self._instance.now()
+        places = engine.places
         answer = replace(
             answer,
-            running=max(0, places.running),
+            running=places.usage.count_all_running(now),
             version=places.read_version(question.weights) or 0,
         )
-        places.usage.settle(
-            question.weights,
-            question.message.sender,
-            turn.granted,
-            self._instance.now(),
-        )
+        sender = question.message.sender
+        places.usage.settle(question.weights, sender, turn.granted, now)
         get_peer_link(self._instance).answer(question.message, answer)
         word = "granted" if turn.granted else "refused"
         self._instance.metrics.count(f"turn.{word}")
@@ -154,5 +188,5 @@
 
     def count_pending(self, endpoint: str) -> int:
         """Return the prompt tokens that wait at an engine, or are read."""
-        pacer = self._pacers_by_endpoint.get(endpoint)
-        return pacer.count_pending(self._instance.now()) if pacer else 0
+        engine = self._turns_by_endpoint.get(endpoint)
+        return engine.pacer.count_pending(self._instance.now()) if engine else 0
--- a/fescuekeel/components/placement/usage.py
+++ b/fescuekeel/components/placement/usage.py
@@ -78,6 +78,18 @@
         uses = self._uses.get(weights, {})
         return sum(use.running for use in uses.values() if now - use.told < USE_TTL_S)
 
+    def count_all_running(self, now: float) -> int:
+        """Return how many requests run here, as far as instances tell."""
+        return sum(self.count_running(weights, now) for weights in self._uses)
+
+    def count_starting(self, now: float) -> int:
+        """Return how many have had their turn, and are not told of yet."""
+        return sum(
+            now - granted < GRANT_TTL_S
+            for granted_by_user in self._granted.values()
+            for granted in granted_by_user.values()
+        )
+
     def is_in_use(self, weights: Weights, now: float) -> bool:
         """Tell whether a request runs on weights, or is about to."""
         if weights in self._expected or self._is_granted(weights, now):
@@ -102,8 +114,7 @@
 
     def _has_untold_runs(self, now: float) -> bool:
         """Tell whether the endpoint runs more than instances tell of now."""
-        told = sum(self.count_running(weights, now) for weights in self._uses)
-        return self._reported_runs > told
+        return self._reported_runs > self.count_all_running(now)
 
     def _is_granted(self, weights: Weights, now: float) -> bool:
         """Tell whether a prompt got its turn of which nothing was told yet.
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -158,7 +158,8 @@
     one more copy, which nobody waits for. ``on_time_ms`` is how long the load
     may take for an answer within its target, and ``patience_ms`` how long
     anybody waits for it. Without ``patient`` the answer comes at once where no
-    place is free, so that the load can be asked for elsewhere.
+    place is free, or the engine is crowded, so that the load can be asked for
+    elsewhere. ``tokens`` are those of the prompt that waits for it.
     """
 
     endpoint: str
@@ -170,6 +171,7 @@
     on_time_ms: int = 0
     patience_ms: int = 0
     patient: bool = True
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,7 +194,9 @@
 
     ``on_time_ms`` is how long its turn may take for an answer within its
     target, and ``patience_ms`` how long waiting makes sense at all.
-    ``version`` is the oldest one of the weights that may serve it.
+    ``version`` is the oldest one of the weights that may serve it. Without
+    ``patient`` the answer comes at once where the engine is crowded, so that
+    the prompt can go elsewhere.
     """
 
     endpoint: str
@@ -203,6 +207,7 @@
     model: str = ""
     adapter: str = ""
     version: int = 0
+    patient: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -208,6 +208,7 @@
   onTimeMs @6 :UInt32;
   patienceMs @7 :UInt32;
   patient @8 :Bool;
+  tokens @9 :UInt32;
 }
 struct LoadAnswer {
   loaded @0 :Bool;
@@ -224,6 +225,7 @@
   model @5 :Text;
   adapter @6 :Text;
   version @7 :UInt64;
+  patient @8 :Bool;
 }
 struct AdmitAnswer {
   granted @0 :Bool;
--- a/tests/components/placement/test_pacing.py
+++ b/tests/components/placement/test_pacing.py
@@ -191,3 +191,38 @@
             turns += pacer.step(tenth / 10)
         assert sorted(turn.number for turn in turns) == list(range(len(asked)))
         assert pacer.waiting_tokens == 0
+
+
+class TestCrowded:
+    """One engine of many serves an adapter that all instances ask for."""
+
+    def make_impatient(self, number, priority=1, tokens=2000):
+        return Prompt(number, tokens, priority, 9.0, 99.0, patient=False)
+
+    def test_prompt_that_would_wait_longer_than_elsewhere_is_told_so(self):
+        pacer = make_pacer()
+        for number in range(6):
+            pacer.ask(self.make_impatient(number))
+        turns = pacer.step(0.0, elsewhere_s=0.25)
+        assert granted(turns) == [0, 1]
+        assert refused(turns) == [3, 4, 5]
+
+    def test_patient_prompt_keeps_its_place(self):
+        pacer = make_pacer()
+        for number in range(4):
+            pacer.ask(make_prompt(number))
+        assert refused(pacer.step(0.0, elsewhere_s=0.25)) == []
+
+    def test_urgent_prompt_is_not_sent_away_for_those_behind_it(self):
+        pacer = make_pacer()
+        for number in range(4):
+            pacer.ask(make_prompt(number))
+        pacer.ask(self.make_impatient(9, priority=0))
+        assert 9 in granted(pacer.step(0.0, elsewhere_s=0.25))
+
+    def test_engine_without_a_free_slot_takes_only_who_waits_for_one(self):
+        pacer = make_pacer()
+        pacer.ask(make_prompt(1))
+        pacer.ask(self.make_impatient(2))
+        turns = pacer.step(0.0, room=0)
+        assert (granted(turns), refused(turns)) == ([1], [2])
--- a/tests/components/placement/test_usage.py
+++ b/tests/components/placement/test_usage.py
@@ -98,3 +98,16 @@
         usage.settle(CUPS, "i1", granted=True, now=0.0)
         usage.prune(1000.0)
         assert usage == WeightUsage()
+
+
+class TestRoom:
+    def test_prompt_counts_from_its_turn_until_it_is_told_of(self):
+        """An engine of twelve slots was sent twenty requests at once.
+
+        Its holder counted those it was told of, up to 0.2 s after their turn.
+        """
+        usage = WeightUsage()
+        usage.settle(CUPS, "i1", granted=True, now=0.0)
+        assert (usage.count_all_running(0.1), usage.count_starting(0.1)) == (0, 1)
+        usage.note_use("i1", CUPS, running=1, begun=1, now=0.2)
+        assert (usage.count_all_running(0.3), usage.count_starting(0.3)) == (1, 0)
