--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -1,5 +1,15 @@
 """Typed messages between components and between instances."""
 
+from fescuekeel.messages.fleet import (
+    Hello,
+    HelloAnswer,
+    News,
+    NewsKind,
+    Ping,
+    PingAnswer,
+    ProbeAnswer,
+    ProbeAsk,
+)
 from fescuekeel.messages.forwarding import (
     AdmitAnswer,
     AdmitAsk,
@@ -16,6 +26,15 @@
     UseNews,
     WeightUse,
 )
+from fescuekeel.messages.keys import (
+    KeyAnswer,
+    KeyClaim,
+    KeyCopy,
+    KeyPeer,
+    KeyPull,
+    KeyRecord,
+    KeySettle,
+)
 from fescuekeel.messages.local import (
     DrainRequested,
     EndpointLeaving,
@@ -35,42 +54,30 @@
     TreeHeard,
     TreeHeld,
 )
-from fescuekeel.messages.wire import (
-    AdapterRef,
-    CancelWork,
+from fescuekeel.messages.ownership import (
     CopyAnswer,
     CopyAsk,
-    Envelope,
     HandoverAnswer,
     HandoverOffer,
-    Hello,
-    HelloAnswer,
-    KeyAnswer,
-    KeyClaim,
-    KeyCopy,
-    KeyPeer,
-    KeyPull,
-    KeyRecord,
-    KeySettle,
-    News,
-    NewsKind,
-    Ping,
-    PingAnswer,
-    ProbeAnswer,
-    ProbeAsk,
     RunningAnswer,
     RunningAsk,
     RunningWork,
-    StartAnswer,
-    StartAsk,
-    Submit,
-    SubmitAnswer,
+)
+from fescuekeel.messages.tree import (
     TreeAsk,
     TreePart,
     TurnAnswer,
     TurnAsk,
     TurnDone,
-    WireMessage,
+)
+from fescuekeel.messages.wire import Envelope, WireMessage
+from fescuekeel.messages.work import (
+    AdapterRef,
+    CancelWork,
+    StartAnswer,
+    StartAsk,
+    Submit,
+    SubmitAnswer,
     WorkChunk,
     WorkEnd,
     WorkStarted,
--- a/fescuekeel/messages/local.py
+++ b/fescuekeel/messages/local.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from fescuekeel.messages.wire import AdapterRef, RunningWork, WireMessage
+from fescuekeel.messages.ownership import RunningWork
+from fescuekeel.messages.wire import WireMessage
+from fescuekeel.messages.work import AdapterRef
 
 __all__ = [
     "DrainRequested",
