Pause garbage collection while the daemon starts

Change: collection is paused until the start is over, and what it made is frozen. Three runs each of the imports alone on a busy machine: 0.50 to 0.58 s after 0.54 to 0.70 s.

--- /dev/null
+++ b/fescuekeel/collector.py
@@ -0,0 +1,27 @@
+"""Pause garbage collection while the daemon is imported and started.
+
+Imports make hundreds of thousands of objects that all stay, and each pass of
+the collector goes through them in vain: the imports of a daemon take 0.50 to
+0.58 s of processor with collection paused and 0.54 to 0.70 s without (three
+runs each on a busy machine). Importing this module pauses it, so that it has
+to come before the modules that are large.
+"""
+
+import gc
+
+__all__ = ["resume"]
+
+# Young objects between two passes. Streams make some hundred a second, most of
+# which are freed without the collector.
+YOUNG_OBJECTS = 10_000
+YOUNG_PASSES = 20
+OLD_PASSES = 20
+
+gc.disable()
+
+
+def resume() -> None:
+    """Collect again, but nothing of what the start has made."""
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, YOUNG_PASSES, OLD_PASSES)
+    gc.enable()
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -8,6 +8,7 @@
 import fire
 from returns.pipeline import is_successful
 
+from fescuekeel import collector
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import LineDestination, log_event
 from fescuekeel.helpers.settings import Settings, read_settings
@@ -37,6 +38,7 @@
         loop.add_signal_handler(signal.SIGHUP, reload_settings, instance, path)
         instance.spawn(watch_settings(instance, path), "settings")
     await instance.start()
+    collector.resume()
     log_event("instance_started", instance=instance.id)
     await stopping.wait()
     log_event("instance_stopping", instance=instance.id)
