--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -11,6 +11,8 @@
     CONNECT_TIMEOUT_S,
     DOMAIN,
     DUTY_POLL_S,
+    GATHER_SHARE,
+    MAX_GATHER_S,
     NEWS_FANOUT,
     NEWS_PERIOD_S,
 )
@@ -51,7 +53,11 @@
         self._dialect = get_dialect(instance.settings.platform)
         self._items = ItemStore()
         self._view = CatalogView(self._dialect)
-        self._follower = Follower(self._items)
+        bounds = instance.settings.forwarding
+        bound_s = min(bounds.change_bound_s, bounds.leaving_bound_s)
+        self._follower = Follower(
+            self._items, min(MAX_GATHER_S, GATHER_SHARE * bound_s)
+        )
         self._duty = WatchDuty(instance.id, instance.settings.instance.data_centre)
         self._watching = True
         # When the store or a watcher last said that nothing newer is there.
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -16,8 +16,12 @@
 LIST_TIMEOUT_S: Final = 2.0
 CONNECT_TIMEOUT_S: Final = 0.6
 # Changes come in bursts and each call has a price: a pause after each answer
-# with changes gathers them, well below the two seconds for a configuration.
-GATHER_S: Final = 0.8
+# with changes gathers them, for this share of the time within which they must
+# be in force. The rest is for a slow store and for peers, who tell each other
+# twice a second. No longer than the second figure: what endpoints publish of
+# their weights serves the choice among them, and gets old meanwhile.
+GATHER_SHARE: Final = 0.4
+MAX_GATHER_S: Final = 1.6
 # Calls that were refused or lost are repeated with growing pauses. The last
 # must let an instance catch up within four seconds of the store's return.
 FIRST_RETRY_S: Final = 0.15
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -4,7 +4,6 @@
 
 from fescuekeel.components.catalog.const import (
     FIRST_RETRY_S,
-    GATHER_S,
     LAST_RETRY_S,
     LIST_TIMEOUT_S,
     READ_TIMEOUT_S,
@@ -39,10 +38,11 @@
 class Follower:
     """Follow the store: list once, then watch; begin anew on lost history.
 
-    ``away`` says that the store's last call failed, and ``returned_revision``
-    is the store's revision when it answered again: what was removed up to it
-    may have lapsed while the store was away. The first listing counts as a
-    return, since nothing is known of the time before.
+    ``gather_s`` is the pause after changes. ``away`` says that the store's
+    last call failed, and ``returned_revision`` is the store's revision when it
+    answered again: what was removed up to it may have lapsed while the store
+    was away. The first listing counts as a return, since nothing is known of
+    the time before.
 
     >>> follower = Follower(ItemStore())
     >>> follower.plan()
@@ -54,6 +54,7 @@
     """
 
     store: ItemStore
+    gather_s: float = 0.0
     away: bool = True
     returned_revision: int = 0
     pause_s: float = 0.0
@@ -82,7 +83,7 @@
             return []
         if self._listing is not None:
             return self._take_page(self._listing, reply)
-        self.pause_s = GATHER_S if reply.items else 0.0
+        self.pause_s = self.gather_s if reply.items else 0.0
         return self.store.merge(reply.items, reply.revision)
 
     def _take_page(self, listing: list[PublishedItem], reply: SourceReply) -> list[str]:
--- a/fescuekeel/helpers/placement.py
+++ b/fescuekeel/helpers/placement.py
@@ -30,10 +30,10 @@
 
 # A holder's word counts for so long: two of its longest periods.
 STATE_TTL_S = 2.0
-# What an endpoint has published of its weights is up to two seconds old when
+# What an endpoint has published of its weights is up to three seconds old when
 # it arrives here: endpoints publish every 1.2 s or so, and the store's changes
 # are gathered. Until then what a holder has answered counts instead.
-CORRECTION_S = 3.0
+CORRECTION_S = 3.5
 # How many of these answers are remembered of one endpoint: more than it has
 # places, so that only very old ones are dropped.
 MAX_CORRECTIONS = 64
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -130,7 +130,9 @@
     ``lease_s`` is how long two holders of orders to one endpoint keep apart;
     ``fenced`` says that endpoints refuse the orders of an earlier holder. The
     retry budget is shared by all instances: ``retry_ratio`` of the requests in
-    ``retry_window_s``, and ``retry_slack`` more.
+    ``retry_window_s``, and ``retry_slack`` more. A configuration has to be in
+    force within ``change_bound_s`` after it was published, and an endpoint
+    gets nothing more from ``leaving_bound_s`` on after it said that it leaves.
     """
 
     ready_address: str = ""
@@ -140,6 +142,8 @@
     retry_ratio: float = Field(default=0.2, ge=0)
     retry_slack: float = Field(default=10.0, ge=0)
     retry_window_s: float = Field(default=10.0, gt=0)
+    change_bound_s: float = Field(default=2.0, gt=0)
+    leaving_bound_s: float = Field(default=2.0, gt=0)
 
 
 class Settings(Section):
--- a/tests/components/catalog/test_follower.py
+++ b/tests/components/catalog/test_follower.py
@@ -134,3 +134,12 @@
         follower.take(page(item("a", 8), revision=8))
         assert isinstance(follower.plan(), WatchChanges)
         assert follower.plan().after_revision == 8
+
+    def test_changes_are_gathered_but_no_answer_without_any(self):
+        follower = Follower(ItemStore(), gather_s=0.8)
+        follower.take(page(revision=7))
+        assert follower.pause_s == 0.0
+        follower.take(page(item("a", 8), revision=8))
+        assert follower.pause_s == 0.8
+        follower.take(page(revision=9))
+        assert follower.pause_s == 0.0
