Tell the data centre of an endpoint, too, who holds it

Cause, found by reading: after a data centre was lost, instances of another one hold its endpoints, and told only their own. Its instances, once back, would hear of no holder and claim them after a lease: two holders. Change: whoever holds an endpoint tells its own data centre and the endpoint's. The test of it plays the return, and fails without.

--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -70,7 +70,9 @@
         self._questions_by_ask: dict[int, LoadQuestion] = {}
         self._ask_numbers = itertools.count(1)
         self._turns = TurnKeeper(instance)
-        self._teller = NewsTeller(instance, self.board, self._list_news)
+        self._teller = NewsTeller(
+            instance, self.board, self._list_news, self._list_centres
+        )
         self._engines = EngineTable()
         self._shared_engines: dict[str, EndpointRecord] = {}
         self.board.find_candidate = self._find_candidate
@@ -290,6 +292,14 @@
             if self._holds(id)
         ]
 
+    def _list_centres(self) -> set[str]:
+        """Return the data centres of the endpoints that are held here."""
+        return {
+            holder.record.data_centre
+            for id, holder in self._holders_by_endpoint.items()
+            if self._holds(id)
+        }
+
     def _share_board(self, engines: dict[str, EndpointRecord], now: float) -> None:
         self.board.holders_by_endpoint = {
             record.id: holder
--- a/fescuekeel/components/placement/teller.py
+++ b/fescuekeel/components/placement/teller.py
@@ -33,7 +33,8 @@
 class NewsTeller:
     """Decide when what is told, and send it.
 
-    ``list_news`` returns the state of each endpoint that is held here.
+    ``list_news`` returns the state of each endpoint that is held here, and
+    ``list_centres`` the data centres that these are in.
     """
 
     def __init__(
@@ -41,13 +42,16 @@
         instance: Instance,
         board: PlacementBoard,
         list_news: Callable[[], Iterable[EndpointNews]],
+        list_centres: Callable[[], set[str]],
     ) -> None:
         self._instance = instance
         self._board = board
         self._list_news = list_news
+        self._list_centres = list_centres
         self._writer = NewsWriter()
         self._told_incarnations: dict[str, int] = {}
         self._told_view: MemberView | None = None
+        self._told_centres: set[str] = set()
         self._told_at = float("-inf")
         self._due = 0.0
         self._wanted = False
@@ -116,16 +120,19 @@
     def _list_told(self) -> dict[str, int]:
         """Return the incarnations of those who are told, by instance.
 
-        Those of this data centre may have to follow as holders of its
-        endpoints, so that all of them know who holds what.
+        Those of this data centre may have to follow as holders, so that all of
+        them know who holds what; and so do those of the endpoints' own.
+        Guards against a second holder: after a data centre was lost, others
+        hold its endpoints, and its instances, come back, would find none.
         """
         view = self._read_view()
-        centre = self._instance.settings.instance.data_centre
+        centres = self._list_centres()
+        centres.add(self._instance.settings.instance.data_centre)
         everybody = tells_all(view)
         return {
             id: member.incarnation
             for id, member in view.members_by_id.items()
-            if id != self._instance.id and (everybody or member.data_centre == centre)
+            if id != self._instance.id and (everybody or member.data_centre in centres)
         }
 
     def _tell_newcomers(self) -> None:
@@ -136,9 +143,11 @@
         send nothing to an endpoint's adapters until the next whole list.
         """
         view = self._read_view()
-        if view is self._told_view:
+        centres = self._list_centres()
+        if view is self._told_view and centres == self._told_centres:
             return
         self._told_view = view
+        self._told_centres = centres
         incarnations = self._list_told()
         newcomers = [
             id
