Split the answers to peers from the placement actor, and history from claims

What other instances ask is answered in questions.py; who could have held an endpoint is remembered beside its candidates. No change of behaviour: type check and the tests of placement and forwarding pass.

--- a/fescuekeel/components/placement/candidates.py
+++ b/fescuekeel/components/placement/candidates.py
@@ -4,12 +4,16 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from fescuekeel.components.placement.const import MEMBERS_PER_HOLDER
+from fescuekeel.components.placement.const import (
+    MAX_SEEN_ENDPOINTS,
+    MEMBERS_PER_HOLDER,
+)
 from fescuekeel.helpers.published import EndpointRecord
 from fescuekeel.messages import Member
 from fescuekeel.util import rendezvous
 
 __all__ = [
+    "CandidateHistory",
     "CandidateTable",
     "choose_among",
     "choose_candidate",
@@ -98,3 +102,76 @@
     """Return the one of some instances that is to claim an endpoint."""
     group: Iterable[str] = list_group(endpoint.data_centre, near)
     return rendezvous.choose(endpoint.name, group)
+
+
+@dataclass(frozen=True, slots=True)
+class NearView:
+    """Which instances counted as near some endpoints, and since when."""
+
+    since: float
+    near: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class CandidateHistory:
+    """Remember which endpoints were there, and who could have held them.
+
+    Tells an endpoint that nobody can have held, which needs no wait for a
+    lease, from one that another instance may hold still.
+    """
+
+    _views_by_data_centre: dict[str, list[NearView]] = field(default_factory=dict)
+    _seen_endpoints: dict[str, None] = field(default_factory=dict)
+
+    def note_near(
+        self,
+        data_centres: Collection[str],
+        candidates: CandidateTable,
+        members_by_id: Mapping[str, Member],
+        now: float,
+    ) -> None:
+        """Remember who is near each data centre's endpoints.
+
+        A data centre whose endpoints are all gone is remembered: the next one
+        there is what this is for.
+        """
+        for centre in self._views_by_data_centre.keys() | set(data_centres):
+            views = self._views_by_data_centre.setdefault(centre, [])
+            near = candidates.list_near(centre, members_by_id)
+            if not views or views[-1].near != near:
+                views.append(NearView(now, near))
+
+    def forget_old(self, now: float, memory_s: float) -> None:
+        """Forget who was near before the time that matters."""
+        for views in self._views_by_data_centre.values():
+            while len(views) > 1 and now - views[1].since >= memory_s:
+                del views[0]
+
+    def forget_views(self) -> None:
+        """Forget who was near, after a pause in which nothing was seen."""
+        self._views_by_data_centre.clear()
+
+    def note_seen(self, endpoints: Collection[str]) -> None:
+        """Remember which endpoints are there."""
+        self._seen_endpoints.update(dict.fromkeys(endpoints))
+        excess = len(self._seen_endpoints) - MAX_SEEN_ENDPOINTS
+        for name in list(self._seen_endpoints)[: max(0, excess)]:
+            del self._seen_endpoints[name]
+
+    def is_unheld(
+        self, record: EndpointRecord, own_id: str, now: float, memory_s: float
+    ) -> bool:
+        """Tell whether no other instance can have held an endpoint.
+
+        Saves the wait for a lease in front of the first load of each new
+        endpoint, 2.5 of 3.5 seconds in which it serves nobody. It is safe
+        where the endpoint was never seen before and nobody else would have
+        been its candidate for as long as a claim takes to begin and to be
+        forgotten.
+        """
+        if record.name in self._seen_endpoints:
+            return False
+        views = self._views_by_data_centre[record.data_centre]
+        if now - views[0].since < memory_s:
+            return False
+        return all(choose_among(record, view.near) == own_id for view in views)
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -16,12 +16,14 @@
 
 import xxhash
 
-from fescuekeel.components.placement.candidates import CandidateTable, choose_among
+from fescuekeel.components.placement.candidates import (
+    CandidateHistory,
+    CandidateTable,
+)
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     CONTACT_LOST_S,
     IDENTITY_BITS,
-    MAX_SEEN_ENDPOINTS,
     MAX_TERM,
     NEW_ENDPOINT_WAIT_S,
     PAUSE_S,
@@ -52,14 +54,6 @@
     released: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class NearView:
-    """Which instances counted as near some endpoints, and since when."""
-
-    since: float
-    near: tuple[str, ...]
-
-
 @dataclass(slots=True)
 class OwnClaim:
     """Our own claim; orders are given once ``held`` is true.
@@ -106,9 +100,8 @@
     heard_by_endpoint: dict[str, HeardClaim] = field(default_factory=dict)
     own_by_endpoint: dict[str, OwnClaim] = field(default_factory=dict)
     _refused_terms_by_endpoint: dict[str, int] = field(default_factory=dict)
-    _views_by_data_centre: dict[str, list[NearView]] = field(default_factory=dict)
-    _seen_endpoints: dict[str, None] = field(default_factory=dict)
     _candidates: CandidateTable = field(default_factory=CandidateTable)
+    _history: CandidateHistory = field(default_factory=CandidateHistory)
     _looked_at: tuple[object, object] = (None, None)
     _own_candidacies: list[str] = field(default_factory=list)
     _started: float | None = None
@@ -182,7 +175,7 @@
         """
         if self._last_step is not None and now - self._last_step > PAUSE_S:
             self.own_by_endpoint.clear()
-            self._views_by_data_centre.clear()
+            self._history.forget_views()
             self._looked_at = (None, None)
         self._last_step = now
         if self._started is None:
@@ -194,7 +187,7 @@
             if self._step_endpoint(record, members_by_id, left, revision, now):
                 newly.append(name)
         if changed:
-            self._note_seen(endpoints_by_name)
+            self._history.note_seen(endpoints_by_name)
         return newly
 
     def _look_at(
@@ -208,12 +201,13 @@
         A step goes through its own endpoints only, so that an idle instance
         does not work for those of a whole fleet ten times a second.
         """
-        self._forget_old_views(now)
+        self._history.forget_old(now, self._claim_memory_s)
         known_endpoints, known_members = self._looked_at
         if endpoints_by_name is known_endpoints and members_by_id is known_members:
             return False
         self._looked_at = (endpoints_by_name, members_by_id)
-        self._note_views(endpoints_by_name, members_by_id, now)
+        centres = {record.data_centre for record in endpoints_by_name.values()}
+        self._history.note_near(centres, self._candidates, members_by_id, now)
         for known in list(self.own_by_endpoint):
             if known not in endpoints_by_name:
                 del self.own_by_endpoint[known]
@@ -228,56 +222,11 @@
         ]
         return True
 
-    def _note_views(
-        self,
-        endpoints_by_name: Mapping[str, EndpointRecord],
-        members_by_id: Mapping[str, Member],
-        now: float,
-    ) -> None:
-        """Remember who has been near each data centre's endpoints lately.
-
-        A data centre whose endpoints are all gone is remembered: the next one
-        there is what this is for.
-        """
-        centres = {record.data_centre for record in endpoints_by_name.values()}
-        for centre in centres | self._views_by_data_centre.keys():
-            views = self._views_by_data_centre.setdefault(centre, [])
-            near = self._candidates.list_near(centre, members_by_id)
-            if not views or views[-1].near != near:
-                views.append(NearView(now, near))
-
-    def _forget_old_views(self, now: float) -> None:
-        for views in self._views_by_data_centre.values():
-            while len(views) > 1 and now - views[1].since >= self._view_memory_s:
-                del views[0]
-
     @property
-    def _view_memory_s(self) -> float:
+    def _claim_memory_s(self) -> float:
         """Return how long a claim takes to begin and to be forgotten."""
         return self.lease_s + TAKEOVER_MARGIN_S + CLAIM_TTL_S
 
-    def _note_seen(self, endpoints: Collection[str]) -> None:
-        self._seen_endpoints.update(dict.fromkeys(endpoints))
-        excess = len(self._seen_endpoints) - MAX_SEEN_ENDPOINTS
-        for id in list(self._seen_endpoints)[: max(0, excess)]:
-            del self._seen_endpoints[id]
-
-    def _is_unheld(self, record: EndpointRecord, now: float) -> bool:
-        """Tell whether no other instance can have held an endpoint.
-
-        Saves the wait for a lease in front of the first load of each new
-        endpoint, 2.5 of 3.5 seconds in which it serves nobody. It is safe
-        where the endpoint was never seen before and nobody else would have
-        been its candidate for as long as a claim takes to begin and to be
-        forgotten.
-        """
-        if record.name in self._seen_endpoints:
-            return False
-        views = self._views_by_data_centre[record.data_centre]
-        if now - views[0].since < self._view_memory_s:
-            return False
-        return all(choose_among(record, view.near) == self.own_id for view in views)
-
     def _step_endpoint(
         self,
         record: EndpointRecord,
@@ -297,7 +246,9 @@
             self.own_by_endpoint.pop(record.name, None)
             return False
         if own is None:
-            unheld = heard is None and self._is_unheld(record, now)
+            unheld = heard is None and self._history.is_unheld(
+                record, self.own_id, now, self._claim_memory_s
+            )
             own = self.own_by_endpoint[record.name] = OwnClaim(now, unheld)
         # Guards against a claim from behind a cut: all other instances look
         # dead there, and the endpoint still gets the orders of one of them.
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -1,41 +1,32 @@
 """The actor that holds claims, and tells all what their endpoints hold."""
 
 import asyncio
-import itertools
-from dataclasses import dataclass
 from typing import Any
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
     DOMAIN,
-    SPREAD_WAIT_S,
     TICK_S,
 )
 from fescuekeel.components.placement.engines import EngineTable
 from fescuekeel.components.placement.holder import EndpointHolder
-from fescuekeel.components.placement.model import Ask, AskEnded
+from fescuekeel.components.placement.model import AskEnded
 from fescuekeel.components.placement.model_turns import may_load_model
 from fescuekeel.components.placement.news import EndpointNews
 from fescuekeel.components.placement.places import EndpointPlaces
+from fescuekeel.components.placement.questions import HolderQuestions
 from fescuekeel.components.placement.teller import NewsTeller, tells_all
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.dialect import get_dialect
 from fescuekeel.helpers.incarnation import Incarnation
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import (
-    LOADS_WAIT,
-    NO_ROOM,
-    NOT_HELD,
-    NOT_HOLDER,
     PlacementBoard,
 )
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec, Weights
 from fescuekeel.messages import (
-    AdmitAnswer,
     AdmitAsk,
-    LoadAnswer,
     LoadAsk,
     MemberView,
     PeerMessage,
@@ -50,14 +41,6 @@
 LONG_QUIET_S = 3600.0
 
 
-@dataclass(frozen=True, slots=True)
-class LoadQuestion:
-    """A peer's ask for a load, and the message to answer."""
-
-    message: PeerMessage
-    ask: LoadAsk
-
-
 class PlacementActor(Actor):
     """Own the claims of this instance and what others have told of theirs."""
 
@@ -67,9 +50,8 @@
         bounds = instance.settings.forwarding
         self._claims = Claims(instance.id, bounds.lease_s, bounds.fenced)
         self._holders_by_endpoint: dict[str, EndpointHolder] = {}
-        self._questions_by_ask: dict[int, LoadQuestion] = {}
-        self._ask_numbers = itertools.count(1)
         self._turns = TurnKeeper(instance)
+        self._questions = HolderQuestions(instance, self._turns, self._find_held)
         self._teller = NewsTeller(
             instance, self.board, self._list_news, self._list_centres
         )
@@ -200,7 +182,7 @@
                 self._claims,
                 record,
                 places,
-                self._end_ask,
+                self._questions.end_load,
                 self._teller.want,
                 self._may_load_model,
             )
@@ -244,13 +226,24 @@
                 outcome="lost",
             )
         for number in list(holder.places.asks_by_number):
-            self._end_ask(AskEnded(number, loaded=False, detail="claim lost"))
+            self._questions.end_load(
+                AskEnded(number, loaded=False, detail="claim lost")
+            )
 
     def _holds(self, endpoint: str) -> bool:
         name = Incarnation.parse(endpoint).name
         own = self._claims.own_by_endpoint.get(name)
         return own is not None and own.held
 
+    def _find_held(self, endpoint: str) -> EndpointHolder | str:
+        """Return the endpoint's holder here, or who holds it elsewhere."""
+        holder = self._holders_by_endpoint.get(endpoint)
+        if holder is not None and self._holds(endpoint):
+            return holder
+        name = Incarnation.parse(endpoint).name
+        other = self._claims.find_holder(name, self.instance.now())
+        return "" if other is None or other == self.instance.id else other
+
     def _release(self, names: list[str]) -> None:
         """Give up claims, and tell all since when no order was given."""
         now = self.instance.now()
@@ -322,9 +315,9 @@
             case UseNews() as news:
                 self._hear_use(message.sender, news)
             case LoadAsk() as ask:
-                self._take_ask(message, ask)
+                self._questions.take_load(message, ask)
             case AdmitAsk() as admit:
-                self._take_prompt(message, admit)
+                self._questions.take_prompt(message, admit)
 
     def _hear_states(self, sender: str, states: tuple[PlacementState, ...]) -> None:
         now = self.instance.now()
@@ -358,87 +351,3 @@
                     sender, weights, use.running, use.begun, now
                 )
             holder.wake_if_asked()
-
-    def _take_ask(self, message: PeerMessage, ask: LoadAsk) -> None:
-        holder = self._holders_by_endpoint.get(ask.endpoint)
-        if holder is None or not self._holds(ask.endpoint):
-            holder_id = self._find_other_holder(ask.endpoint)
-            answer = LoadAnswer(False, NOT_HOLDER, holder=holder_id)
-            get_peer_link(self.instance).answer(message, answer)
-            return
-        weights = Weights(ask.model, ask.adapter)
-        now = self.instance.now()
-        if not ask.patient and not self._has_room_now(holder, weights, now):
-            get_peer_link(self.instance).answer(message, LoadAnswer(False, NO_ROOM))
-            return
-        if not holder.places.has_room_to_ask(weights, ask.spread, now):
-            answer = LoadAnswer(False, LOADS_WAIT)
-            get_peer_link(self.instance).answer(message, answer)
-            return
-        until = now + (SPREAD_WAIT_S if ask.spread else ask.patience_ms / 1000)
-        number = next(self._ask_numbers)
-        self._questions_by_ask[number] = LoadQuestion(message, ask)
-        holder.places.ask(
-            Ask(
-                number,
-                weights,
-                ask.version,
-                ask.priority,
-                ask.spread,
-                now,
-                now + ask.on_time_ms / 1000,
-                until,
-                ask.tokens,
-            )
-        )
-        holder.wake()
-
-    def _has_room_now(
-        self, holder: EndpointHolder, weights: Weights, now: float
-    ) -> bool:
-        """Tell whether weights can be loaded, and be of use, at once."""
-        if not holder.places.can_load_now(weights, now):
-            return False
-        return not self._turns.is_crowded(holder.record, holder.places)
-
-    def _end_ask(self, ended: AskEnded) -> None:
-        question = self._questions_by_ask.pop(ended.number, None)
-        if question is None:
-            return
-        if ended.load_s:
-            _log_load(question.ask, ended)
-        answer = LoadAnswer(ended.loaded, ended.detail, version=ended.version)
-        get_peer_link(self.instance).answer(question.message, answer)
-
-    def _take_prompt(self, message: PeerMessage, ask: AdmitAsk) -> None:
-        holder = self._holders_by_endpoint.get(ask.endpoint)
-        link = get_peer_link(self.instance)
-        if holder is None or not self._holds(ask.endpoint):
-            holder_id = self._find_other_holder(ask.endpoint)
-            answer = AdmitAnswer(False, reason=NOT_HOLDER, holder=holder_id)
-            link.answer(message, answer)
-            return
-        weights = Weights(ask.model, ask.adapter)
-        version = holder.places.read_version(weights)
-        if version is None or version < ask.version:
-            link.answer(message, AdmitAnswer(False, reason=NOT_HELD))
-            return
-        self._turns.take(message, ask, holder.record, holder.places)
-
-    def _find_other_holder(self, endpoint: str) -> str:
-        """Return who holds an endpoint, for whoever has asked here in vain."""
-        name = Incarnation.parse(endpoint).name
-        holder = self._claims.find_holder(name, self.instance.now())
-        return "" if holder is None or holder == self.instance.id else holder
-
-
-def _log_load(ask: LoadAsk, ended: AskEnded) -> None:
-    log_event(
-        "load_ended",
-        endpoint=ask.endpoint,
-        weights=str(Weights(ask.model, ask.adapter)),
-        version=ended.version,
-        place_ms=round(ended.place_s * 1000),
-        took_ms=round(ended.load_s * 1000),
-        outcome="loaded",
-    )
