Tell changes with the periodic news in a large fleet; revisions once

Change: in a fleet of 160 and more, changes wait for the periodic news, one second; a wrong belief costs one question meanwhile. A watcher that has just told a change skips the periodic word. The rank of watchers is found anew only for other neighbours.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -66,6 +66,7 @@
         self._connection: Connection | None = None
         self._behind_since: float | None = None
         self._asking = False
+        self._told_at = float("-inf")
         self._contacts_view: MemberView | None = None
         self._contacts: list[str] = []
 
@@ -115,7 +116,7 @@
                 self._log_store(call)
             self._publish(changed, self._follower.returned_revision)
             if changed:
-                self._tell(set())
+                self._tell(self._choose_far_peers())
 
     def _note_duty(self) -> None:
         must_watch = self._must_watch()
@@ -192,7 +193,9 @@
         while True:
             await asyncio.sleep(NEWS_PERIOD_S)
             self._publish([])
-            self._tell(self._choose_far_peers())
+            # Who has just told neighbours of a change has told all by that.
+            if self._instance.now() - self._told_at >= NEWS_PERIOD_S / 2:
+                self._tell(self._choose_far_peers())
 
     def _choose_far_peers(self) -> set[str]:
         """Return whom to tell besides neighbours, some of the contacts.
@@ -214,6 +217,7 @@
             view = self._instance.bus.latest(MemberView)
             members = view.members_by_id.values() if view else ()
             peers = peers | set(self._duty.list_neighbours(members))
+        self._told_at = self._instance.now()
         news = CatalogNews(self._items.revision, watching)
         link = get_peer_link(self._instance)
         for peer in peers:
--- a/fescuekeel/components/catalog/duty.py
+++ b/fescuekeel/components/catalog/duty.py
@@ -37,6 +37,8 @@
     own_id: str
     data_centre: str
     _heard_by_watcher: dict[str, float] = field(default_factory=dict)
+    _ranked_neighbours: list[str] | None = None
+    _is_watcher: bool = True
 
     def note_watcher(self, peer: str, now: float) -> None:
         """Take a peer's word that the store answers it."""
@@ -62,7 +64,9 @@
                 del self._heard_by_watcher[peer]
         if not self._heard_by_watcher:
             return True
-        ranked = rendezvous.rank(
-            RANK_KEY, [self.own_id, *self.list_neighbours(members)]
-        )
-        return self.own_id in ranked[:WATCHERS]
+        neighbours = self.list_neighbours(members)
+        if neighbours != self._ranked_neighbours:
+            ranked = rendezvous.rank(RANK_KEY, [self.own_id, *neighbours])
+            self._ranked_neighbours = neighbours
+            self._is_watcher = self.own_id in ranked[:WATCHERS]
+        return self._is_watcher
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -18,7 +18,7 @@
 # and longer in proportion in a larger one, so that the messages that an
 # instance gets do not grow with the number of holders.
 NEWS_GATHER_S: Final = 0.1
-MAX_NEWS_GATHER_S: Final = 0.5
+MAX_NEWS_GATHER_S: Final = 1.0
 # One of so many instances of a data centre holds endpoints there, so that no
 # holder's link and processor carry the loads of a whole data centre.
 MEMBERS_PER_HOLDER: Final = 6
