Let the periodic work of an instance happen at the same moments

Cause: a profile of six seconds at 195 instances shows 314,623 calls, some 4 ms of work a second, in 2,640 turns of the loop; what such an instance is charged is some ten times as much, so that turns and wake-ups count more than work. Change: periodic tasks sleep to the next multiple of their period on a grid of the process, whose phase is drawn at its start.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -33,6 +33,7 @@
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.published import PublishedItem
+from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import (
     CatalogAsk,
     CatalogItem,
@@ -100,7 +101,7 @@
             await asyncio.sleep(self._follower.pause_s)
             self._note_duty()
             if not self._watching:
-                await asyncio.sleep(DUTY_POLL_S)
+                await sleep_to_tick(DUTY_POLL_S)
                 continue
             call = self._follower.plan()
             before = self._follower.away
@@ -191,7 +192,7 @@
 
     async def _tell_forever(self) -> None:
         while True:
-            await asyncio.sleep(NEWS_PERIOD_S)
+            await sleep_to_tick(NEWS_PERIOD_S)
             self._publish([])
             # Who has just told neighbours of a change has told all by that.
             if self._instance.now() - self._told_at >= NEWS_PERIOD_S / 2:
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -40,6 +40,7 @@
     Catalog,
     RouteKind,
 )
+from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import MemberView, SettingsReloaded
 
 __all__ = ["Forwarder"]
@@ -361,7 +362,7 @@
 
     async def _sweep_forever(self) -> None:
         while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
+            await sleep_to_tick(SWEEP_PERIOD_S)
             now = self.instance.now()
             self._reach.leave_silent_endpoints(self._requests)
             self._placer.cut_off = self._reach.look()
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -8,6 +8,7 @@
 from fescuekeel.core import Instance
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.ticks import get_next_tick_s
 from fescuekeel.messages import EndpointUse, UseNews, WeightUse
 
 __all__ = ["UseReporter"]
@@ -36,7 +37,8 @@
     async def tell_forever(self) -> None:
         """Tell all holders what has changed, when it is due."""
         while True:
-            self._due = self._instance.now() + USE_PERIOD_S
+            wait_s = get_next_tick_s(USE_PERIOD_S, asyncio.get_running_loop().time())
+            self._due = self._instance.now() + wait_s
             while (left_s := self._due - self._instance.now()) > 0:
                 self._woken.clear()
                 with contextlib.suppress(TimeoutError):
--- a/fescuekeel/components/membership/component.py
+++ b/fescuekeel/components/membership/component.py
@@ -1,6 +1,5 @@
 """The task that probes, gossips and publishes the view."""
 
-import asyncio
 from random import Random
 from typing import Any, cast
 
@@ -32,6 +31,7 @@
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import PEERS_DOMAIN
+from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import (
     EndpointLeaving,
     LiveList,
@@ -94,7 +94,7 @@
             if self.instance.draining:
                 self.post(Leave())
             self.post(Tick())
-            await asyncio.sleep(TICK_S)
+            await sleep_to_tick(TICK_S)
 
     async def handle(self, message: Any) -> None:
         """Handle one message."""
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -29,6 +29,7 @@
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.helpers.wire import decode, encode
 from fescuekeel.messages import (
     Envelope,
@@ -278,7 +279,7 @@
     async def _check_forever(self) -> None:
         last = self._instance.now()
         while True:
-            await asyncio.sleep(CHECK_PERIOD_S)
+            await sleep_to_tick(CHECK_PERIOD_S)
             now = self._instance.now()
             # Guards against our own pause: at wake-up every connection looks
             # silent, while the bytes wait in the socket's buffer.
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -1,6 +1,5 @@
 """The actor that holds claims, and tells all what their endpoints hold."""
 
-import asyncio
 from typing import Any
 
 from fescuekeel.components.placement.claims import Claims, OwnClaim
@@ -25,6 +24,7 @@
     PlacementBoard,
 )
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec, Weights
+from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import (
     AdmitAsk,
     LoadAsk,
@@ -83,7 +83,7 @@
             except Exception as error:
                 self.instance.metrics.count(f"actor_error.{DOMAIN}")
                 log_event("actor_error", actor=DOMAIN, error=repr(error))
-            await asyncio.sleep(TICK_S)
+            await sleep_to_tick(TICK_S)
 
     # Claims.
 
