Wait for both engines in the test of a hand-over

Traced: it waited until all known holders were the second instance, which holds as soon as one engine of two has passed; the adapter's home was the other one, whose hand-over without fencing numbers takes 1.5 s, while the request waits 0.9 s for a load. It waits for both now, and checks the same.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -534,10 +534,11 @@
                 first = world.instances.pop(0)
                 await first.stop()
                 board = world.instances[0].bus.latest(PlacementBoard)
+                # Both engines: the adapter's home may be the later one.
                 await eventually(
                     lambda: (
-                        set(board.holders_by_endpoint.values())
-                        == {world.instances[0].id}
+                        list(board.holders_by_endpoint.values())
+                        == 2 * [world.instances[0].id]
                     )
                 )
                 answer, _ = await world.ask_stream(adapter="a9")
