--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -12,7 +12,7 @@
     SPREAD_WAIT_S,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.published import EndpointRecord, Weights
 from fescuekeel.util import rendezvous
 
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -32,10 +32,10 @@
 from fescuekeel.components.forward.use import UseReporter
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.dialect import CallerHead, get_dialect
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.helpers.published import (
     Catalog,
     RouteKind,
@@ -65,7 +65,7 @@
         )
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
-        self._placer = Placer(instance, self.get_load)
+        self._placer = Placer(instance, self.get_load, self._read_cut_off)
         self._reach = ReachWatch(instance, self.loads_by_id, self._placer.find_record)
         self._use = UseReporter(instance, self.loads_by_id)
         self._pools_by_id: dict[str, ConnectionPool] = {}
@@ -116,6 +116,9 @@
         for pool in self._pools_by_id.values():
             pool.close()
 
+    def _read_cut_off(self) -> bool:
+        return self._reach.cut_off
+
     # What others tell.
 
     def _take_catalog(self, catalog: Catalog) -> None:
@@ -365,7 +368,7 @@
             await sleep_to_tick(SWEEP_PERIOD_S)
             now = self.instance.now()
             self._reach.leave_silent_endpoints(self._requests)
-            self._placer.cut_off = self._reach.look()
+            self._reach.look()
             known = self._placer.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
                 pool.close_idle(now)
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -17,7 +17,7 @@
     UNREACHABLE_FIRST_S,
     UNREACHABLE_MAX_S,
 )
-from fescuekeel.helpers.placement import KnownLoad
+from fescuekeel.helpers.board import KnownLoad
 from fescuekeel.helpers.published import Weights
 
 __all__ = ["EndpointHealth", "EndpointLoad"]
--- a/fescuekeel/components/forward/holders.py
+++ b/fescuekeel/components/forward/holders.py
@@ -1,9 +1,9 @@
 """Ask the holder of an endpoint's orders, whoever that is by now."""
 
 from fescuekeel.core import Instance
+from fescuekeel.helpers.board import NOT_HOLDER, PlacementBoard
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import NOT_HOLDER, PlacementBoard
 from fescuekeel.messages import AdmitAnswer, AdmitAsk, LoadAnswer, LoadAsk
 
 __all__ = ["HolderLink"]
--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -9,8 +9,8 @@
 )
 from fescuekeel.components.forward.holders import HolderLink
 from fescuekeel.core import Instance
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.helpers.published import Weights
 from fescuekeel.messages import LoadAsk
 
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -29,13 +29,13 @@
 from fescuekeel.components.forward.versions import VersionClock
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.placement import (
+from fescuekeel.helpers.board import (
     LOADS_WAIT,
     NO_ROOM,
     NOT_HELD,
     PlacementBoard,
 )
+from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
 from fescuekeel.messages import AdmitAnswer, AdmitAsk, LoadAsk
 
@@ -46,12 +46,15 @@
     """Choose endpoints by what the catalog, the board and requests tell."""
 
     def __init__(
-        self, instance: Instance, get_load: Callable[[str], EndpointLoad]
+        self,
+        instance: Instance,
+        get_load: Callable[[str], EndpointLoad],
+        is_cut_off: Callable[[], bool],
     ) -> None:
         self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
-        self.cut_off = False
         self._instance = instance
         self._get_load = get_load
+        self._is_cut_off = is_cut_off
         self._holders = HolderLink(instance)
         self._asker = LoadAsker(instance, self._holders)
         self._versions = VersionClock()
@@ -127,7 +130,7 @@
         self, request: ForwardedRequest, choice: Choice, search: Search
     ) -> Failure | None:
         """Have the weights loaded; ``None`` to look again."""
-        if self.cut_off:
+        if self._is_cut_off():
             return refuse_cut_off()
         asked = self._instance.now()
         patient = search.waits_at(choice.endpoint)
--- a/fescuekeel/components/forward/reach.py
+++ b/fescuekeel/components/forward/reach.py
@@ -45,12 +45,12 @@
         if record is not None:
             self._isolation.note_reached(record.data_centre, self._instance.now())
 
-    def look(self) -> bool:
-        """Return whether this instance is cut off now; tell if that is new."""
+    def look(self) -> None:
+        """Find whether this instance is cut off now; tell if that is new."""
         self._take_news()
         cut_off = self._isolation.is_cut_off(self._instance.now())
         if cut_off == self.cut_off:
-            return cut_off
+            return
         self.cut_off = cut_off
         self._instance.metrics.count(f"cut_off.{cut_off}")
         log_event(
@@ -58,7 +58,6 @@
             cut_off=cut_off,
             outcome="not_ready" if cut_off else "ready",
         )
-        return cut_off
 
     def _take_news(self) -> None:
         """Take what peers have sent as word from their data centres."""
--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -12,7 +12,7 @@
     RETRY_TO_S,
 )
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.placement import NOT_HELD
+from fescuekeel.helpers.board import NOT_HELD
 from fescuekeel.messages import AdmitAnswer
 
 __all__ = ["Search", "refuse_cut_off", "refuse_for_load"]
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -6,8 +6,8 @@
 
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.core import Instance
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.helpers.ticks import get_next_tick_s
 from fescuekeel.messages import EndpointUse, UseNews, WeightUse
 
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -17,12 +17,12 @@
 from fescuekeel.components.placement.teller import NewsTeller, tells_all
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Actor, Instance
+from fescuekeel.helpers.board import (
+    PlacementBoard,
+)
 from fescuekeel.helpers.dialect import get_dialect
 from fescuekeel.helpers.incarnation import Incarnation
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.placement import (
-    PlacementBoard,
-)
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec, Weights
 from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import (
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -80,7 +80,8 @@
 SLOWED_LOAD: Final = 1.5
 FEWER_AT_ONCE: Final = 0.8
 MORE_AT_ONCE: Final = 0.1
-# The fastest time is forgotten slowly: by half in some 350 loads.
+# The fastest time is forgotten slowly: it counts as twice as long after some
+# 350 loads.
 FASTEST_FADES: Final = 1.002
 LOOK_PERIOD_S: Final = 0.25
 # What a report shows may be older than this, in seconds, than its answer.
@@ -162,6 +163,6 @@
 # The half-life of what counts as an adapter's demand.
 DEMAND_HALF_LIFE_S: Final = 6.0
 # A wish for one more copy, which nobody waits for, ends after this.
-SPREAD_WAIT_S: Final = 3.0
+SPREAD_ASK_TTL_S: Final = 3.0
 # How long after a use was last told it still counts as running.
 USE_TTL_S: Final = 2.0
--- a/fescuekeel/components/placement/questions.py
+++ b/fescuekeel/components/placement/questions.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from fescuekeel.components.placement.const import SPREAD_WAIT_S
+from fescuekeel.components.placement.const import SPREAD_ASK_TTL_S
 from fescuekeel.components.placement.holder import EndpointHolder
 from fescuekeel.components.placement.model import Ask, AskEnded
 from fescuekeel.components.placement.turns import TurnKeeper
 from fescuekeel.core import Instance
+from fescuekeel.helpers.board import LOADS_WAIT, NO_ROOM, NOT_HELD, NOT_HOLDER
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import LOADS_WAIT, NO_ROOM, NOT_HELD, NOT_HOLDER
 from fescuekeel.helpers.published import Weights
 from fescuekeel.messages import (
     AdmitAnswer,
@@ -66,7 +66,7 @@
         if not holder.places.has_room_to_ask(weights, ask.spread, now):
             link.answer(message, LoadAnswer(False, LOADS_WAIT))
             return
-        until = now + (SPREAD_WAIT_S if ask.spread else ask.patience_ms / 1000)
+        until = now + (SPREAD_ASK_TTL_S if ask.spread else ask.patience_ms / 1000)
         number = next(self._ask_numbers)
         self._questions_by_ask[number] = LoadQuestion(message, ask)
         holder.places.ask(
--- a/fescuekeel/components/placement/teller.py
+++ b/fescuekeel/components/placement/teller.py
@@ -12,8 +12,8 @@
 )
 from fescuekeel.components.placement.news import EndpointNews, NewsWriter
 from fescuekeel.core import Instance
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import PlacementBoard
 from fescuekeel.messages import MemberView, PeerLost, PlacementNews, PlacementState
 
 __all__ = ["NewsTeller", "tells_all"]
--- a/fescuekeel/components/placement/turns.py
+++ b/fescuekeel/components/placement/turns.py
@@ -11,8 +11,8 @@
 from fescuekeel.components.placement.pacing import Prompt, PromptPacer, Turn
 from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.core import Instance
+from fescuekeel.helpers.board import TURNS_WAIT
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.placement import TURNS_WAIT
 from fescuekeel.helpers.published import Catalog, EndpointRecord, Weights
 from fescuekeel.messages import AdmitAnswer, AdmitAsk, PeerMessage
 
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -11,7 +11,7 @@
 )
 from fescuekeel.components.forward.const import HOMES, MAX_COMPARED
 from fescuekeel.components.forward.endpoints import EndpointLoad
-from fescuekeel.helpers.placement import EndpointState, PlacementBoard
+from fescuekeel.helpers.board import EndpointState, PlacementBoard
 from fescuekeel.helpers.published import EndpointRecord, Weights
 
 MODEL = Weights("m")
--- a/tests/components/forward/test_holders.py
+++ b/tests/components/forward/test_holders.py
@@ -7,7 +7,7 @@
 from fescuekeel.components.forward.holders import HolderLink
 from fescuekeel.core import Bus
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.placement import NOT_HOLDER, PlacementBoard
+from fescuekeel.helpers.board import NOT_HOLDER, PlacementBoard
 from fescuekeel.messages import AdmitAnswer, AdmitAsk, LoadAnswer, LoadAsk
 
 LOAD = LoadAsk("e1", "m", "cards", 0, 1)
--- a/tests/components/forward/test_search.py
+++ b/tests/components/forward/test_search.py
@@ -10,7 +10,7 @@
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.search import Search
 from fescuekeel.components.placement.pacing import Prompt, PromptPacer
-from fescuekeel.helpers.placement import NOT_HELD, TURNS_WAIT, PlacementBoard
+from fescuekeel.helpers.board import NOT_HELD, TURNS_WAIT, PlacementBoard
 from fescuekeel.helpers.published import EndpointRecord, Weights
 from fescuekeel.messages import AdmitAnswer
 
--- a/tests/components/placement/test_news.py
+++ b/tests/components/placement/test_news.py
@@ -5,7 +5,7 @@
 
 from fescuekeel.components.placement.const import FULL_NEWS_PERIOD_S
 from fescuekeel.components.placement.news import EndpointNews, NewsWriter
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.published import Weights
 
 ADAPTERS = [Weights("m", f"a{number}") for number in range(6)]
--- a/tests/components/placement/test_teller.py
+++ b/tests/components/placement/test_teller.py
@@ -6,7 +6,7 @@
 from fescuekeel.components.placement.news import EndpointNews
 from fescuekeel.components.placement.teller import NewsTeller
 from fescuekeel.core import Bus
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.published import Weights
 from fescuekeel.messages import Member, MemberView
 
--- a/tests/helpers/test_placement.py
+++ b/tests/helpers/test_board.py
@@ -1,6 +1,6 @@
 """Tests of the board of placements."""
 
-from fescuekeel.helpers.placement import (
+from fescuekeel.helpers.board import (
     CORRECTION_S,
     MAX_CORRECTIONS,
     SILENT_HOLDER_S,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -10,7 +10,7 @@
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from fescuekeel.core import Instance
-from fescuekeel.helpers.placement import PlacementBoard
+from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.published import Catalog
 from fescuekeel.helpers.settings import parse_settings
 from fescuekeel.messages import MemberView
