Let a test of the stand-in engine take its loads in any order

The four loads are sent at once on four connections, and the store's own count shows that c came before b, which nothing forbids; the statuses were as expected. It checks now, whichever come first, that two models are loaded once each, that all asks for them succeed and that the third one is refused.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -124,14 +124,23 @@
                 EngineSettings(slots=2), store_server.url
             )
             client = Client(server)
+            models = ("a@1", "a@1", "b@1", "c@1")
             answers = await asyncio.gather(
-                *(
-                    client.post("/v1/load_lora_adapter", model=model)
-                    for model in ("a@1", "a@1", "b@1", "c@1")
-                )
+                *(client.post("/v1/load_lora_adapter", model=model) for model in models)
             )
-            assert sorted(status for status, _ in answers) == [200, 200, 200, 507]
-            assert store.counts_by_model == {"a@1": 1, "b@1": 1}
+            # Four connections at once may be served in any order: the first
+            # two models get the slots, and both asks for one of them share it.
+            statuses_by_model: dict[str, set[int]] = {}
+            for model, (status, _) in zip(models, answers, strict=True):
+                statuses_by_model.setdefault(model, set()).add(status)
+            loaded = [
+                model for model, found in statuses_by_model.items() if found == {200}
+            ]
+            refused = [
+                model for model, found in statuses_by_model.items() if found == {507}
+            ]
+            assert (len(loaded), len(refused)) == (2, 1)
+            assert store.counts_by_model == dict.fromkeys(loaded, 1)
             assert store.most_at_once == 2
             # Two at once at 20 a second take a tenth of a second each.
             assert all(body["took_ms"] >= 90 for code, body in answers if code == 200)
