Put right three figures in comments that no run gave as they stood

Cause, found by one more read: the table of candidates named 62 endpoints and 195 instances for a figure that was measured at 144 and 70; the pacer said a fifth of all requests for 80 of 688 of one route; the teller gave an arithmetic figure as if measured.

--- a/fescuekeel/components/placement/candidates.py
+++ b/fescuekeel/components/placement/candidates.py
@@ -38,9 +38,9 @@
 class CandidateTable:
     """Remember candidates for as long as the members stay the same.
 
-    A look at an endpoint goes through no list of members: with 62 endpoints
-    and 195 instances, a step of the claims took 2.6 ms of processor when each
-    did, ten times a second.
+    A look at an endpoint goes through no list of members: remembering took a
+    step of the claims from 2.6 to 0.95 ms of processor, with 144 endpoints
+    that nobody holds and 70 instances (mean of 20 steps).
     """
 
     _members_by_id: Mapping[str, Member] = field(default_factory=dict)
--- a/fescuekeel/components/placement/pacing.py
+++ b/fescuekeel/components/placement/pacing.py
@@ -179,8 +179,9 @@
 
         Guards against an adapter that one of many engines serves to all: each
         instance sees few of its requests and knows little of the engine's
-        load, so that all of them queue here while the others stand idle. A
-        fifth of all requests waited for their turn for 1.0 s at the median.
+        load, so that all of them queue here while the others stand idle. Of
+        688 requests of one route 80 were late or refused for their turn, with
+        a wait of 1.02 s at the median, in eight seconds at 195 instances.
         """
         if not self._list_impatient():
             return []
--- a/fescuekeel/components/placement/teller.py
+++ b/fescuekeel/components/placement/teller.py
@@ -24,8 +24,8 @@
 
     In a small fleet a message to everybody is cheap and spares questions. In
     a large one it would make what each instance hears grow with the number of
-    holders: with 33 holders before 195 instances, their news were 80 messages
-    and 20 KB a second at each instance, of which hardly one was needed.
+    holders: by arithmetic 80 messages and 20 KB a second at each of 195
+    instances with 33 holders, of which hardly one is needed.
     """
     return len(view.members_by_id) <= NEWS_FLEET
 
