Count what wakes an idle instance, and the time of each cause

script/bench wakeups starts nine forwarding instances before the stand-in platform and shows callbacks a second and wake-ups of one of them.

--- /dev/null
+++ b/bench/wakeups/__init__.py
@@ -0,0 +1,5 @@
+"""Wake-ups and processor time of an idle instance, by cause."""
+
+from bench.wakeups.command import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/bench/wakeups/command.py
@@ -0,0 +1,88 @@
+"""Start a small fleet, let it idle, and show what wakes one instance."""
+
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from standins.fleet import free_addresses
+from standins.forwarding.daemons import DaemonAddresses, DaemonSpec, start_daemon
+from standins.forwarding.platform import ZONES, StandInPlatform
+
+__all__ = ["main"]
+
+SETTLE_S = 6.0
+CAUSES_SHOWN = 24
+
+
+async def measure(instances: int, seconds: float, folder: Path) -> dict[str, Any]:
+    """Return the counts of the last of the instances started."""
+    platform = StandInPlatform()
+    platform.start()
+    free = iter(free_addresses(4 * instances))
+    addresses = [
+        DaemonAddresses(next(free), next(free), next(free), next(free))
+        for _ in range(instances)
+    ]
+    seeds = tuple(item.peers for item in addresses[:2])
+    processes = []
+    try:
+        for number, item in enumerate(addresses):
+            spec = DaemonSpec(
+                f"i{number + 1}",
+                ZONES[number % len(ZONES)],
+                item,
+                item.peers,
+                seeds,
+                platform.store_server.address,
+            )
+            if number < instances - 1:
+                processes.append(await start_daemon(spec, folder))
+        settings = spec.write_settings(folder)
+        target = folder / "counts.json"
+        measured = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "bench.wakeups.measured"),
+            *(str(settings), str(target), str(SETTLE_S)),
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        processes.append(measured)
+        await asyncio.sleep(SETTLE_S + seconds)
+        measured.send_signal(signal.SIGTERM)
+        await measured.wait()
+        counts: dict[str, Any] = json.loads(target.read_text("utf-8"))
+        return counts
+    finally:
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        await platform.stop()
+
+
+def show(instances: int = 9, seconds: float = 10.0) -> None:
+    """Count the wake-ups of one of INSTANCES idle ones for some SECONDS."""
+    with tempfile.TemporaryDirectory() as folder:
+        counts = asyncio.run(measure(instances, seconds, Path(folder)))
+    span = counts["seconds"]
+    by_calls = sorted(counts["calls"].items(), key=lambda item: -item[1])
+    print("calls/s  cpu s/s  callback")
+    for name, calls in by_calls[:CAUSES_SHOWN]:
+        print(f"{calls / span:7.2f}  {counts['cpu_by_cause'][name] / span:.5f}  {name}")
+    print(
+        f"instances={instances} seconds={span:.1f}"
+        f" wakeups_per_s={counts['wakeups'] / span:.1f}"
+        f" callbacks_per_s={sum(counts['calls'].values()) / span:.1f}"
+        f" cpu_share={counts['cpu_s'] / span:.4f}"
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Read the command line."""
+    fire.Fire(show, arguments, name="wakeups")
+    return 0
