Hand frames of peers over as their bytes arrive

Cause: each frame took three turns of the loop: the stream's event, the future of its read, and the task that awaited it, with as many waits for the selector. A connection is an asyncio protocol now that calls its listener. A hello that is followed by more before its answer is still refused; idle connections are closed by the periodic check instead of a timer a frame.

--- a/fescuekeel/components/peers/acceptor.py
+++ b/fescuekeel/components/peers/acceptor.py
@@ -4,10 +4,7 @@
 import ssl
 from collections.abc import Callable
 
-from returns.pipeline import is_successful
 from returns.result import Failure as Err, Result, Success
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
 
 from fescuekeel.components.peers.connection import Connection
 from fescuekeel.components.peers.const import (
@@ -27,7 +24,21 @@
 __all__ = ["Acceptor"]
 
 
-class Acceptor(TCPServer):
+class IncomingConnection(Connection):
+    """Tell the acceptor of a connection once it stands."""
+
+    on_made: Callable[[Connection, object], None]
+
+    def __init__(self, keys: tuple[bytes, ...], now: Callable[[], float]) -> None:
+        super().__init__(keys, Direction.ACCEPTING, now)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin, then tell."""
+        super().connection_made(transport)
+        self.on_made(self, transport.get_extra_info("peername"))
+
+
+class Acceptor:
     """Own the listening socket and the connections that peers opened."""
 
     def __init__(
@@ -37,87 +48,102 @@
         tls: ssl.SSLContext | None,
         on_hello: Callable[[Hello], HelloAnswer],
     ) -> None:
-        super().__init__(ssl_options=tls)
         self.address = ""
         self.connections: set[Connection] = set()
         self.on_message: Callable[[Connection, Envelope], None] = lambda *_: None
         self.on_lost: Callable[[Connection], None] = lambda *_: None
         self._instance = instance
         self._keys = keys
+        self._tls = tls
         self._on_hello = on_hello
+        self._servers: list[asyncio.Server] = []
 
-    def listen_at(self, address: str) -> None:
+    async def listen_at(self, address: str) -> None:
         """Listen; port 0 takes a free one, which ``address`` then shows."""
         sockets, self.address = bind_address(address)
-        self.add_sockets(sockets)
+        loop = asyncio.get_running_loop()
+        for socket in sockets:
+            server = await loop.create_server(
+                self._make_connection, sock=socket, ssl=self._tls
+            )
+            self._servers.append(server)
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        """Serve one connection until it ends or breaks a rule.
+    def stop(self) -> None:
+        """Accept no further connection."""
+        for server in self._servers:
+            server.close()
 
-        Guards against strangers and damage: either shows as a frame that
-        fails a check. Only this connection is closed, nothing of the frame is
-        decoded before its signature holds, and the reason is counted.
-        """
+    def close_idle(self, now: float) -> None:
+        """Close connections that nothing has come on for long."""
+        for connection in list(self.connections):
+            if now - connection.heard > 2 * IDLE_S:
+                connection.ended_well = True
+                connection.close()
+
+    def _make_connection(self) -> asyncio.Protocol:
+        connection = IncomingConnection(self._keys, self._instance.now)
+        connection.on_made = self._begin
+        return connection
+
+    def _begin(self, connection: Connection, address: object) -> None:
         if len(self.connections) >= MAX_INCOMING:
             self._refuse("too_many", address)
-            stream.close()
+            connection.close()
             return
-        connection = Connection(
-            stream, self._keys, Direction.ACCEPTING, self._instance.now
-        )
         self.connections.add(connection)
-        try:
-            result = await self._serve(connection)
-        finally:
-            connection.close()
-            self.connections.discard(connection)
-        failure = result.failure()
-        if failure.kind is not ErrorKind.PEER_UNREACHABLE:
-            self._refuse(failure.detail or failure.kind.value, address)
-        self.on_lost(connection)
+        self._instance.spawn(self._greet(connection, address), "peers.accept")
 
     def _refuse(self, reason: str, address: object) -> None:
         self._instance.metrics.count(f"peers.refused.{reason}")
         log_event("peer_refused", reason=reason, address=address)
 
-    async def _serve(self, connection: Connection) -> Result[None, Failure]:
+    async def _greet(self, connection: Connection, address: object) -> None:
+        """Await the hello, then listen until the end or a broken rule.
+
+        Guards against strangers and damage: either shows as a frame that
+        fails a check. Only this connection is closed, nothing of the frame is
+        decoded before its signature holds, and the reason is counted.
+        """
         try:
             async with asyncio.timeout(HELLO_TIMEOUT_S):
-                await connection.open()
                 greeted = await self._await_hello(connection)
-        except (StreamClosedError, TimeoutError):
-            return Err(Failure(ErrorKind.PEER_UNREACHABLE, "no hello"))
-        if not is_successful(greeted):
-            return Err(greeted.failure())
-        while True:
-            try:
-                async with asyncio.timeout(2 * IDLE_S):
-                    result = await connection.read()
-            except TimeoutError:
-                connection.ended_well = True
-                return Err(Failure(ErrorKind.PEER_UNREACHABLE, "idle"))
-            if not is_successful(result):
-                return Err(_name(result.failure()))
-            for payload in result.unwrap():
-                decoded = decode(payload)
-                if not is_successful(decoded):
-                    return Err(_name(decoded.failure()))
-                self.on_message(connection, decoded.unwrap())
+        except TimeoutError:
+            greeted = Err(Failure(ErrorKind.PEER_UNREACHABLE, "no hello"))
+        if isinstance(greeted, Err):
+            self._end(connection, address, greeted.failure())
+            return
+        connection.listen(
+            lambda payload: self._take(connection, address, payload),
+            lambda failure: self._end(connection, address, _name(failure)),
+        )
+
+    def _take(self, connection: Connection, address: object, payload: bytes) -> None:
+        decoded = decode(payload)
+        if isinstance(decoded, Err):
+            self._end(connection, address, _name(decoded.failure()))
+            return
+        self.on_message(connection, decoded.unwrap())
+
+    def _end(self, connection: Connection, address: object, failure: Failure) -> None:
+        if connection not in self.connections:
+            return
+        self.connections.discard(connection)
+        connection.close()
+        if failure.kind is not ErrorKind.PEER_UNREACHABLE:
+            self._refuse(failure.detail or failure.kind.value, address)
+        self.on_lost(connection)
 
     async def _await_hello(self, connection: Connection) -> Result[None, Failure]:
-        payloads: list[bytes] = []
-        while not payloads:
-            result = await connection.read()
-            if not is_successful(result):
-                return Err(_name(result.failure()))
-            payloads = result.unwrap()
-        decoded = decode(payloads[0])
-        if not is_successful(decoded):
+        result = await connection.read()
+        if isinstance(result, Err):
+            return Err(_name(result.failure()))
+        decoded = decode(result.unwrap())
+        if isinstance(decoded, Err):
             return Err(_name(decoded.failure()))
         envelope = decoded.unwrap()
         hello = envelope.body
         # The connecting side sends nothing more until it has the answer.
-        if not isinstance(hello, Hello) or len(payloads) > 1:
+        if not isinstance(hello, Hello) or connection.has_payloads:
             return Err(Failure(ErrorKind.BAD_FRAME, ErrorKind.BAD_FRAME.value))
         if hello.version != PROTOCOL_VERSION:
             return Err(Failure(ErrorKind.BAD_FRAME, "version"))
--- a/fescuekeel/components/peers/const.py
+++ b/fescuekeel/components/peers/const.py
@@ -20,7 +20,7 @@
 RETRY_S: Final = 0.1
 GOODBYE_TIMEOUT_S: Final = 1.0
 IDLE_S: Final = 60.0
-CHECK_PERIOD_S: Final = 0.2
+CHECK_PERIOD_S: Final = 0.25
 # A sign of life is asked for when nothing came for so long: sooner while a
 # question waits for its answer, which a silent connection would hold up. With
 # 0.3 s for all messages, half of all frames were heartbeats and their answers.
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Iterable, Mapping
 
-from returns.pipeline import is_successful
 from returns.result import Failure as Err, Result, Success
 
 from fescuekeel.components.peers.acceptor import Acceptor
@@ -87,7 +86,7 @@
 
     async def start(self) -> None:
         """Listen."""
-        self._acceptor.listen_at(self._settings.address)
+        await self._acceptor.listen_at(self._settings.address)
         self._instance.spawn(self._check_forever(), "peers.check")
         self._instance.spawn(self._meet_seeds(), "peers.seeds")
 
@@ -211,7 +210,7 @@
 
     async def _run_outgoing(self, outgoing: Outgoing, address: str) -> None:
         dialed = await self._dialer.dial(address, self._make_hello())
-        if not is_successful(dialed):
+        if isinstance(dialed, Err):
             self._lose(outgoing, dialed.failure().detail)
             return
         connection, answer = dialed.unwrap()
@@ -232,25 +231,22 @@
         self._meet(answer, address)
         if outgoing.replaces:
             self._instance.bus.publish(PeerLost(outgoing.peer_id, reachable=True))
-        await self._read_answers(outgoing, connection)
+        connection.listen(
+            lambda payload: self._take_answer(outgoing, payload),
+            lambda failure: self._lose(outgoing, failure.detail),
+        )
 
-    async def _read_answers(self, outgoing: Outgoing, connection: Connection) -> None:
-        while True:
-            result = await connection.read()
-            if not is_successful(result):
-                self._lose(outgoing, result.failure().detail)
-                return
-            for payload in result.unwrap():
-                decoded = decode(payload)
-                if not is_successful(decoded):
-                    self._instance.metrics.count("peers.refused.bad_frame")
-                    self._lose(outgoing, "bad frame")
-                    return
-                envelope = decoded.unwrap()
-                self._heard_by_id[outgoing.peer_id] = self._instance.now()
-                asked = outgoing.asked_by_number.get(envelope.answers)
-                if asked is not None:
-                    _resolve(asked, envelope.body)
+    def _take_answer(self, outgoing: Outgoing, payload: bytes) -> None:
+        decoded = decode(payload)
+        if isinstance(decoded, Err):
+            self._instance.metrics.count("peers.refused.bad_frame")
+            self._lose(outgoing, "bad frame")
+            return
+        envelope = decoded.unwrap()
+        self._heard_by_id[outgoing.peer_id] = self._instance.now()
+        asked = outgoing.asked_by_number.get(envelope.answers)
+        if asked is not None:
+            _resolve(asked, envelope.body)
 
     def _lose(self, outgoing: Outgoing, reason: str) -> None:
         peer_id = outgoing.peer_id
@@ -287,6 +283,7 @@
             last = now
             for outgoing in list(self._outgoing_by_id.values()):
                 self._check(outgoing, now, paused)
+            self._acceptor.close_idle(now)
             self._forget_silent(now)
 
     def _forget_silent(self, now: float) -> None:
@@ -330,7 +327,7 @@
                 if address == self.address:
                     continue
                 dialed = await self._dialer.dial(address, self._make_hello())
-                if is_successful(dialed):
+                if isinstance(dialed, Success):
                     connection, answer = dialed.unwrap()
                     self._meet(answer, address)
                     await connection.say_goodbye()
--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -7,10 +7,12 @@
 from pathlib import Path
 
 import pytest
+from msgspec import structs
 from returns.pipeline import is_successful
 
 from fescuekeel.components.peers import Peers, link as link_module
 from fescuekeel.components.peers.connection import Connection
+from fescuekeel.components.peers.const import NONCE_BYTES
 from fescuekeel.components.peers.frames import Direction, FrameWriter
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Ran
@@ -41,8 +43,8 @@
         update["tls_certificate"] = str(TLS / "certificate.pem")
         update["tls_key"] = str(TLS / "key.pem")
         update["tls_ca"] = str(TLS / "certificate.pem")
-    peers = settings.peers.model_copy(update=update)
-    return Instance(settings.model_copy(update={"peers": peers}))
+    peers = structs.replace(settings.peers, **update)
+    return Instance(structs.replace(settings, peers=peers))
 
 
 def tell_addresses(*instances, address_by_id=None):
@@ -335,27 +337,26 @@
 
 class TestConnection:
     def test_what_is_sent_in_one_turn_goes_out_in_one_write(self):
-        class Stream:
+        class Transport(asyncio.Transport):
             def __init__(self):
                 self.writes = []
 
-            def closed(self):
-                return False
-
             def write(self, data):
                 self.writes.append(data)
-                future = asyncio.get_running_loop().create_future()
-                future.set_result(None)
-                return future
+
+            def get_write_buffer_size(self):
+                return 0
 
         async def run():
-            stream = Stream()
-            connection = Connection(stream, (b"k",), Direction.CONNECTING, lambda: 0.0)
-            connection._writer = FrameWriter(b"k", b"", Direction.CONNECTING)
+            transport = Transport()
+            connection = Connection((b"k",), Direction.CONNECTING, lambda: 0.0)
+            connection.connection_made(transport)
+            connection.data_received(b"n" * NONCE_BYTES)
+            transport.writes.clear()
             for payload in (b"one", b"two", b"three"):
                 connection.send(payload)
             await asyncio.sleep(0)
-            assert len(stream.writes) == 1
+            assert len(transport.writes) == 1
             assert connection.queued_bytes == 0
 
         asyncio.run(run())
