Start without the libraries that a forwarding daemon does not need

Of the imports, the library of models took about half, eliot a sixth, fire and the web framework a tenth each (importtime, on a busy machine). Periodic work shares four moments a second.

--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -10,7 +10,7 @@
 __all__ = ["main"]
 
 LIBRARIES = "tornado.web capnp pydantic"
-LIBRARIES += " returns.result eliot hdrh.histogram orjson xxhash fire"
+LIBRARIES += " returns.result msgspec hdrh.histogram orjson xxhash fire"
 
 
 def main() -> None:
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -41,7 +41,7 @@
 # new configuration must be in force.
 WATCHER_SILENT_S: Final = 1.2
 # How often an instance that does not watch looks whether it has to.
-DUTY_POLL_S: Final = 0.2
+DUTY_POLL_S: Final = 0.25
 # A value longer than this travels compressed: a configuration with hundreds of
 # routes takes 100 KB, and a watcher sends it to every neighbour.
 COMPRESS_BYTES: Final = 1024
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -27,7 +28,7 @@
 from fescuekeel.components.forward.records import RequestRecords
 from fescuekeel.components.forward.request import Attempt, ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
-from fescuekeel.components.forward.server import CallersServer, ReadyServer
+from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.components.forward.use import UseReporter
 from fescuekeel.core import Instance
@@ -36,6 +37,7 @@
 from fescuekeel.helpers.dialect import CallerHead, get_dialect
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
 from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.pages import Page, PageServer
 from fescuekeel.helpers.published import (
     Catalog,
     RouteKind,
@@ -57,9 +59,7 @@
         self.instance = instance
         self.dialect = get_dialect(instance.settings.platform)
         self.server = CallersServer(self, settings.callers.address)
-        self.ready_server = ReadyServer(
-            self, bounds.ready_address, self.dialect.ready_path
-        )
+        self.ready_server = PageServer({self.dialect.ready_path: self._tell_ready})
         self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
@@ -86,6 +86,12 @@
         """Tell whether callers are to close their connections."""
         return self.instance.draining or self._reach.cut_off
 
+    def _tell_ready(self) -> Page:
+        """Tell the platform whether this instance wants connections."""
+        if self.ready:
+            return Page()
+        return Page(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
     async def start(self) -> None:
         """Listen."""
         bus = self.instance.bus
@@ -94,7 +100,8 @@
         bus.subscribe(SettingsReloaded, self._take_settings)
         self._add_gauges()
         self.server.start()
-        self.ready_server.start()
+        bounds = self.instance.settings.forwarding
+        self.ready_server.start(bounds.ready_address)
         self.instance.spawn(self._sweep_forever(), f"{DOMAIN}.sweep")
         self.instance.spawn(self._use.tell_forever(), f"{DOMAIN}.use")
         log_event("callers_listening", address=self.server.address)
--- a/fescuekeel/components/forward/server.py
+++ b/fescuekeel/components/forward/server.py
@@ -1,4 +1,4 @@
-"""The servers that callers and the platform's probes connect to."""
+"""The server that callers connect to."""
 
 import asyncio
 import contextlib
@@ -13,7 +13,6 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.web import Application, RequestHandler
 
 from fescuekeel.components.forward.const import (
     IDLE_TIMEOUT_S,
@@ -25,7 +24,7 @@
 if TYPE_CHECKING:
     from fescuekeel.components.forward.component import Forwarder
 
-__all__ = ["CallersServer", "ReadyServer"]
+__all__ = ["CallersServer"]
 
 
 class RequestReader(HTTPMessageDelegate):
@@ -114,39 +113,3 @@
         self, server_conn: object, request_conn: object
     ) -> HTTPMessageDelegate:
         return self._delegate.start_request(server_conn, request_conn)
-
-
-class ReadyHandler(RequestHandler):
-    """Tell the platform whether this instance wants connections."""
-
-    def initialize(self, forwarder: "Forwarder") -> None:
-        """Take the forwarder that knows."""
-        self.forwarder = forwarder
-
-    def get(self) -> None:
-        """Answer 200 while new requests are welcome."""
-        self.set_status(200 if self.forwarder.ready else 503)
-
-
-class ReadyServer:
-    """Own the socket of the readiness probes."""
-
-    def __init__(self, forwarder: "Forwarder", address: str, path: str) -> None:
-        self.address = address
-        application = Application(
-            [(path, ReadyHandler, {"forwarder": forwarder})],
-            log_function=lambda handler: None,
-        )
-        self._server = HTTPServer(application)
-
-    def start(self) -> None:
-        """Listen."""
-        sockets, self.address = bind_address(self.address)
-        self._server.add_sockets(sockets)
-
-    async def stop(self) -> None:
-        """Close."""
-        self._server.stop()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.5):
-                await self._server.close_all_connections()
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -15,7 +15,7 @@
 
 # A use that began is told within this time; until then the holder counts the
 # prompt's turn.
-USE_PERIOD_S = 0.2
+USE_PERIOD_S = 0.25
 # A use that has ended is told within this time: its place may be waited for.
 USE_ENDED_S = 0.03
 # A pause of at least this share of what its route allows is told at once.
--- a/fescuekeel/components/metrics/server.py
+++ b/fescuekeel/components/metrics/server.py
@@ -1,20 +1,17 @@
 """Serve counters and histograms as text that usual scrapers read."""
 
-import contextlib
 import re
 from collections.abc import Iterable
 from typing import Final
 
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
-
 from fescuekeel.core import Instance, Metrics
-from fescuekeel.helpers.listen import bind_address
+from fescuekeel.helpers.pages import Page, PageServer
 
 __all__ = ["DOMAIN", "MetricsServer", "format_metrics"]
 
 DOMAIN: Final = "metrics"
 PATH: Final = "/metrics"
+CONTENT_TYPE: Final = "text/plain; version=0.0.4"
 QUANTILES: Final = (50.0, 90.0, 99.0, 99.9)
 US_PER_S: Final = 1_000_000
 ILLEGAL = re.compile(r"[^a-zA-Z0-9_]")
@@ -64,39 +61,28 @@
         yield f"fescuekeel_{ILLEGAL.sub('_', base)}_total{label} {value}"
 
 
-class MetricsHandler(RequestHandler):
-    """Answer a scraper."""
-
-    def initialize(self, instance: Instance) -> None:
-        """Take the instance whose metrics are shown."""
-        self.instance = instance
-
-    def get(self) -> None:
-        """Answer with all metrics."""
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(format_metrics(self.instance.metrics))
-
-
 class MetricsServer:
     """Own the metrics socket, if the settings name an address."""
 
     def __init__(self, instance: Instance) -> None:
-        self._settings = instance.settings.forwarding
-        application = Application(
-            [(PATH, MetricsHandler, {"instance": instance})],
-            log_function=lambda handler: None,
-        )
-        self._server = HTTPServer(application)
-        self.address = ""
+        self._instance = instance
+        self._server = PageServer({PATH: self._make_page})
+
+    @property
+    def address(self) -> str:
+        """Return where the metrics are served, empty if nowhere."""
+        return self._server.address
 
     async def start(self) -> None:
         """Listen."""
-        if self._settings.metrics_address:
-            sockets, self.address = bind_address(self._settings.metrics_address)
-            self._server.add_sockets(sockets)
+        address = self._instance.settings.forwarding.metrics_address
+        if address:
+            self._server.start(address)
 
     async def stop(self) -> None:
         """Close."""
-        self._server.stop()
-        with contextlib.suppress(TimeoutError):
-            await self._server.close_all_connections()
+        await self._server.stop()
+
+    def _make_page(self) -> Page:
+        text = format_metrics(self._instance.metrics)
+        return Page(text.encode(), content_type=CONTENT_TYPE)
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -5,8 +5,8 @@
 DOMAIN: Final = "placement"
 
 # How often a holder looks at its endpoints, and tells all what they hold.
-TICK_S: Final = 0.1
-NEWS_PERIOD_S: Final = 0.4
+TICK_S: Final = 0.25
+NEWS_PERIOD_S: Final = 0.5
 # Instances beyond this many make the news rarer in proportion, so that the
 # messages that one instance gets do not grow with the fleet.
 NEWS_FLEET: Final = 16
@@ -22,10 +22,8 @@
 # One of so many instances of a data centre holds endpoints there, so that no
 # holder's link and processor carry the loads of a whole data centre.
 MEMBERS_PER_HOLDER: Final = 6
-# How often an instance tells holders how it uses their endpoints.
-USE_PERIOD_S: Final = 0.2
 
-# A claim that was not heard for so long is over: five pieces of news.
+# A claim that was not heard for so long is over: four pieces of news.
 CLAIM_TTL_S: Final = 2.0
 # A holder that the endpoint has not answered for so long gives it up.
 CONTACT_LOST_S: Final = 1.5
@@ -38,8 +36,8 @@
 NEW_ENDPOINT_WAIT_S: Final = 1.0
 # Instead of the lease, right after the start, where endpoints refuse the
 # orders of an earlier holder: instances find each other within half a second,
-# and a holder tells a newcomer within a tenth. No order of an earlier life of
-# this process can follow. Where endpoints check nothing this is too short: two
+# and a holder tells a newcomer within a quarter. No order of an earlier life
+# of this process can follow. Where endpoints check nothing this is too short: two
 # instances that had not found each other after a second both gave orders.
 START_WAIT_S: Final = 1.0
 # A candidacy counts as begun at the start for so long after it: instances
--- a/fescuekeel/components/placement/orders.py
+++ b/fescuekeel/components/placement/orders.py
@@ -1,5 +1,7 @@
 """The connection over which one endpoint gets orders and gives reports."""
 
+from collections.abc import Callable
+
 from fescuekeel.components.placement.const import (
     CONNECT_TIMEOUT_S,
     KEEP_S,
@@ -14,7 +16,6 @@
     OrderReply,
     WeightOrder,
 )
-from fescuekeel.helpers.driver import Guard
 from fescuekeel.helpers.exchange import (
     AnswerBrokenError,
     Connection,
@@ -27,6 +28,8 @@
 
 __all__ = ["OrderLink"]
 
+Guard = Callable[[], bool]
+
 
 class OrderLink:
     """Own one connection to an endpoint, one call at a time."""
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -5,8 +5,7 @@
 import sys
 from pathlib import Path
 
-import fire
-from returns.pipeline import is_successful
+from returns.result import Failure as Err
 
 from fescuekeel import collector
 from fescuekeel.core import Instance
@@ -17,6 +16,7 @@
 __all__ = ["main", "run"]
 
 EXIT_BAD_SETTINGS = 2
+USAGE = "usage: fescuekeeld [--settings] SETTINGS.ini\n"
 
 
 # How often the settings file is looked at: it may change without a signal.
@@ -49,7 +49,7 @@
 def reload_settings(instance: Instance, path: Path) -> None:
     """Read the settings again; invalid ones leave the old in force."""
     result = read_settings(path)
-    if not is_successful(result):
+    if isinstance(result, Err):
         instance.metrics.count("reload.refused")
         log_event("reload", outcome="refused", detail=result.failure().detail)
         return
@@ -84,9 +84,9 @@
 
 def start(settings: str) -> None:
     """Start the daemon with the INI file SETTINGS."""
-    path = Path(str(settings))
+    path = Path(settings)
     result = read_settings(path)
-    if not is_successful(result):
+    if isinstance(result, Err):
         sys.stderr.write(f"fescuekeeld: {result.failure().detail}\n")
         raise SystemExit(EXIT_BAD_SETTINGS)
     destination = LineDestination()
@@ -98,8 +98,20 @@
 
 
 def main() -> None:
-    """Read the command line."""
-    fire.Fire(start, name="fescuekeeld")
+    """Read the command line: the path of the settings file and nothing else.
+
+    By hand, since a library for it takes a tenth of the time to start.
+    """
+    arguments = sys.argv[1:]
+    if arguments in (["-h"], ["--help"]):
+        sys.stdout.write(USAGE)
+        return
+    if arguments[:1] == ["--settings"]:
+        del arguments[0]
+    if len(arguments) != 1 or arguments[0].startswith("-"):
+        sys.stderr.write(USAGE)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    start(arguments[0])
 
 
 if __name__ == "__main__":
--- a/fescuekeel/helpers/logging.py
+++ b/fescuekeel/helpers/logging.py
@@ -1,14 +1,26 @@
-"""Logging: eliot messages written as one line of key=value pairs."""
+"""Logging: events written as one line of key=value pairs each.
+
+An event is a mapping with ``timestamp``, ``message_type`` and its fields, as
+eliot has it, which costs too much on small machines: a sixth of a daemon's
+start, and a random number from the kernel for each line.
+"""
 
 import sys
 import threading
 import time
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any, TextIO
 
-from eliot import add_destinations, log_message, remove_destination
+__all__ = [
+    "LineDestination",
+    "add_destination",
+    "format_line",
+    "log_event",
+    "remove_destination",
+]
 
-__all__ = ["LineDestination", "format_line", "log_event"]
+Destination = Callable[[dict[str, Any]], None]
 
 QUEUE_LINES = 10_000
 # Lines a second of one event, for those that tell of success and for all
@@ -18,11 +30,11 @@
 OTHER_LINES_PER_S = 400
 SUCCESSES = frozenset({"answered", "loaded", "accepted", "holds_already", "granted"})
 PAUSE_S = 0.05
-HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type"})
+HIDDEN_FIELDS = frozenset({"timestamp", "message_type"})
 
 
 def format_line(message: dict[str, Any]) -> str:
-    r"""Format an eliot message as ``key=value`` pairs, time and event first.
+    r"""Format an event as ``key=value`` pairs, time and event first.
 
     >>> format_line({"timestamp": 1.5, "message_type": "started", "port": 80})
     'time=1.500 event=started port=80'
@@ -34,7 +46,7 @@
         f"event={message.get('message_type', 'unnamed')}",
     ]
     for key, value in message.items():
-        if key == "timestamp" or key in HIDDEN_FIELDS:
+        if key in HIDDEN_FIELDS:
             continue
         pairs.append(f"{key}={_format_value(value)}")
     return " ".join(pairs)
@@ -51,7 +63,7 @@
 class LineDestination:
     """Write log lines from a thread of its own.
 
-    Guards against a slow log sink: eliot calls its destinations in line, so
+    Guards against a slow log sink: destinations are called in line, so that
     a blocked pipe would stop every stream. The queue is bounded and a line
     that finds it full is dropped and counted in ``dropped``.
     """
@@ -113,7 +125,7 @@
     def start(self) -> None:
         """Begin to receive messages."""
         self._thread.start()
-        add_destinations(self)
+        add_destination(self)
 
     def stop(self) -> None:
         """Write what is queued and end."""
@@ -139,9 +151,26 @@
             self._stream.flush()
 
 
+_destinations: list[Destination] = []
+
+
+def add_destination(destination: Destination) -> None:
+    """Have a function called with each event from now on."""
+    _destinations.append(destination)
+
+
+def remove_destination(destination: Destination) -> None:
+    """Call a function with no further event."""
+    _destinations.remove(destination)
+
+
 def log_event(event: str, **fields: object) -> None:
     """Log one event.
 
     >>> log_event("started", port=80)
     """
-    log_message(event, **fields)
+    if not _destinations:
+        return
+    message = {"timestamp": time.time(), "message_type": event, **fields}
+    for destination in _destinations:
+        destination(message)
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -2,15 +2,10 @@
 
 import configparser
 from pathlib import Path
+from typing import Annotated, Any, get_origin
 
-from pydantic import (
-    BaseModel,
-    ConfigDict,
-    Field,
-    ValidationError,
-    field_validator,
-    model_validator,
-)
+import msgspec
+from msgspec import Meta
 from returns.result import Failure as Err, Result, Success
 
 from fescuekeel.errors import ErrorKind, Failure
@@ -28,21 +23,27 @@
 ]
 
 
-class Section(BaseModel):
-    """Validate one section; unknown keys are errors."""
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+
+SHORTEST_KEY = 16
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+
+class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Validate one section; unknown keys are errors."""
 
 
-class InstanceSettings(Section):
+class InstanceSettings(Section, frozen=True):
     """Name this instance and say where it is."""
 
-    id: str = Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")
-    data_centre: str = Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")
-    shutdown_s: float = Field(default=30.0, gt=0)
+    id: Name
+    data_centre: Name
+    shutdown_s: Positive = 30.0
 
 
-class CallersSettings(Section):
+class CallersSettings(Section, frozen=True):
     """Where callers connect."""
 
     address: str
@@ -50,14 +51,14 @@
     tls_key: str = ""
 
 
-class OperatorsSettings(Section):
+class OperatorsSettings(Section, frozen=True):
     """Where operators connect, and the SHA-256 of their token in hex."""
 
     address: str
-    token_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+    token_sha256: Digest
 
 
-class PeersSettings(Section):
+class PeersSettings(Section, frozen=True, kw_only=True):
     """Where other instances connect, and the keys that they share.
 
     ``keys`` holds one or two secrets separated by commas: the first signs,
@@ -75,26 +76,15 @@
     tls_key: str = ""
     tls_ca: str = ""
 
-    @field_validator("keys", "seeds", mode="before")
-    @classmethod
-    def split_commas(cls, value: object) -> object:
-        """Split a comma-separated text."""
-        if not isinstance(value, str):
-            return value
-        return tuple(part.strip() for part in value.split(",") if part.strip())
-
-    @field_validator("keys")
-    @classmethod
-    def check_keys(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+    def __post_init__(self) -> None:
         """Ask for one or two keys of 16 characters or more."""
-        if not 1 <= len(value) <= 2:
-            raise ValueError("one or two keys are needed")
-        if any(len(key) < 16 for key in value):
-            raise ValueError("a key has 16 characters or more")
-        return value
+        if not 1 <= len(self.keys) <= 2:
+            raise ValueError("keys: one or two keys are needed")
+        if any(len(key) < SHORTEST_KEY for key in self.keys):
+            raise ValueError(f"keys: a key has {SHORTEST_KEY} characters or more")
 
 
-class PlatformSettings(Section):
+class PlatformSettings(Section, frozen=True):
     """Where the platform's services are.
 
     Either the two URLs are given, and the instance serves completions from
@@ -111,8 +101,7 @@
     dialect_module: str = ""
     store: str = ""
 
-    @model_validator(mode="after")
-    def check_one_interface(self) -> "PlatformSettings":
+    def __post_init__(self) -> None:
         """Ask for the URLs or for a dialect, and not for both."""
         urls = bool(self.config_url and self.live_url)
         spoken = bool(self.dialect and self.dialect_module and self.store)
@@ -121,10 +110,9 @@
                 "either config_url and live_url are needed,"
                 " or dialect, dialect_module and store"
             )
-        return self
 
 
-class ForwardingSettings(Section):
+class ForwardingSettings(Section, frozen=True):
     """The bounds that the platform sets for forwarding.
 
     ``lease_s`` is how long two holders of orders to one endpoint keep apart;
@@ -137,16 +125,16 @@
 
     ready_address: str = ""
     metrics_address: str = ""
-    lease_s: float = Field(default=3.0, gt=0)
+    lease_s: Positive = 3.0
     fenced: bool = False
-    retry_ratio: float = Field(default=0.2, ge=0)
-    retry_slack: float = Field(default=10.0, ge=0)
-    retry_window_s: float = Field(default=10.0, gt=0)
-    change_bound_s: float = Field(default=2.0, gt=0)
-    leaving_bound_s: float = Field(default=2.0, gt=0)
+    retry_ratio: NotNegative = 0.2
+    retry_slack: NotNegative = 10.0
+    retry_window_s: Positive = 10.0
+    change_bound_s: Positive = 2.0
+    leaving_bound_s: Positive = 2.0
 
 
-class Settings(Section):
+class Settings(Section, frozen=True):
     """All settings of one daemon, a field for each section."""
 
     instance: InstanceSettings
@@ -178,16 +166,61 @@
     parser.optionxform = str  # type: ignore[assignment,method-assign]
     try:
         parser.read_string(text)
-        raw = {name: dict(parser[name]) for name in parser.sections()}
-        return Success(Settings.model_validate(raw))
-    except configparser.Error as error:
+        sections = {name: dict(parser[name]) for name in parser.sections()}
+        return Success(_read_sections(sections))
+    except (configparser.Error, ValueError) as error:
         return Err(Failure(ErrorKind.INVALID_SETTINGS, str(error)))
-    except ValidationError as error:
-        lines = [
-            f"{'.'.join(map(str, item['loc']))}: {item['msg']}"
-            for item in error.errors()
-        ]
-        return Err(Failure(ErrorKind.INVALID_SETTINGS, "; ".join(lines)))
+
+
+def _read_sections(sections: dict[str, dict[str, str]]) -> Settings:
+    known = msgspec.structs.fields(Settings)
+    types_by_name: dict[str, type[Section]] = {item.name: item.type for item in known}
+    read: dict[str, Section] = {}
+    for name, texts in sections.items():
+        if name not in types_by_name:
+            raise ValueError(f"{name}: no such section")
+        read[name] = _read_section(name, texts, types_by_name[name])
+    for item in known:
+        if item.required and item.name not in read:
+            raise ValueError(f"{item.name}: the section is missing")
+    return Settings(**read)  # type: ignore[arg-type]
+
+
+def _read_section(name: str, texts: dict[str, str], kind: type[Section]) -> Section:
+    """Read one section, whose values are all texts in INI."""
+    fields_by_key = {item.name: item for item in msgspec.structs.fields(kind)}
+    for key, item in fields_by_key.items():
+        if item.required and key not in texts:
+            raise ValueError(f"{name}.{key}: the key is missing")
+    values = {}
+    for key, text in texts.items():
+        if key not in fields_by_key:
+            raise ValueError(f"{name}.{key}: no such key")
+        values[key] = _read_text(text, fields_by_key[key].type)
+    try:
+        return msgspec.convert(values, kind, strict=False)
+    except msgspec.ValidationError as error:
+        raise ValueError(_name_place(name, str(error))) from error
+
+
+def _read_text(text: str, kind: Any) -> object:
+    """Return what INI can't say by itself: a list, or yes and no."""
+    if kind is bool:
+        return configparser.ConfigParser.BOOLEAN_STATES.get(text.lower(), text)
+    if get_origin(kind) is tuple:
+        return tuple(part.strip() for part in text.split(",") if part.strip())
+    return text
+
+
+def _name_place(section: str, error: str) -> str:
+    """Put section and key before what msgspec says.
+
+    >>> _name_place("peers", "Expected `float`, got `str` - at `$.lease_s`")
+    'peers.lease_s: Expected `float`, got `str`'
+    """
+    message, _, path = error.partition(" - at `$")
+    key = path.rstrip("`")
+    return f"{section}{key}: {message}"
 
 
 def read_settings(path: Path) -> Result[Settings, Failure]:
--- a/fescuekeel/helpers/ticks.py
+++ b/fescuekeel/helpers/ticks.py
@@ -1,8 +1,7 @@
 """Let the periodic work of one instance happen at the same moments.
 
-Each wake-up of an idle process costs more than most of what is done in it. By
-their periods, seven tasks woke an instance some 35 times a second, each on its
-own clock; on a common grid they do so 13 times, which a test counts.
+Each wake-up of an idle process costs more than most of what is done in it. On
+a common grid of quarters of a second seven tasks wake it four times a second.
 """
 
 import asyncio
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from msgspec import structs
 from returns.result import Failure as Err
 
 from fescuekeel.components.tree.model import TreeInForce
@@ -439,11 +440,11 @@
         async def run():
             async with open_bench() as bench:
                 bench.owner.play = bench.owner.answer_start_only
-                short = bench.instance.settings.instance.model_copy(
-                    update={"shutdown_s": 0.1}
+                short = structs.replace(
+                    bench.instance.settings.instance, shutdown_s=0.1
                 )
-                bench.instance.settings = bench.instance.settings.model_copy(
-                    update={"instance": short}
+                bench.instance.settings = structs.replace(
+                    bench.instance.settings, instance=short
                 )
                 task = asyncio.create_task(bench.fetch(path, body=b"{}"))
                 await eventually(lambda: bench.owner.submits)
--- a/tests/components/livelist/test_poller.py
+++ b/tests/components/livelist/test_poller.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from msgspec import structs
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
@@ -96,10 +97,8 @@
     sock, port = bind_unused_port()
     server.add_socket(sock)
     settings = make_settings()
-    platform = settings.platform.model_copy(
-        update={"live_url": f"http://127.0.0.1:{port}"}
-    )
-    instance = Instance(settings.model_copy(update={"platform": platform}))
+    platform = structs.replace(settings.platform, live_url=f"http://127.0.0.1:{port}")
+    instance = Instance(structs.replace(settings, platform=platform))
     published = []
     instance.bus.subscribe(LiveList, published.append)
     poller = LiveListPoller(instance, poll_s=0.01)
--- a/tests/components/operators/test_server.py
+++ b/tests/components/operators/test_server.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from msgspec import structs
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
@@ -31,8 +32,8 @@
 
 def make_instance():
     settings = make_settings()
-    operators = settings.operators.model_copy(update={"token_sha256": TOKEN_SHA256})
-    instance = Instance(settings.model_copy(update={"operators": operators}))
+    operators = structs.replace(settings.operators, token_sha256=TOKEN_SHA256)
+    instance = Instance(structs.replace(settings, operators=operators))
     parts = [parse_part(*item).unwrap() for item in make_contents().items()]
     instance.bus.publish_state(TreeInForce(build_intent(7, parts).unwrap()))
     instance.bus.publish_state(TreeHeld(7, "digest"))
--- a/tests/components/tree/test_component.py
+++ b/tests/components/tree/test_component.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from msgspec import structs
 from returns.result import Failure as Err, Success
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -113,8 +114,8 @@
 
     def __init__(self, instances_by_id, id, url):
         settings = make_settings(id=id)
-        platform = settings.platform.model_copy(update={"config_url": url})
-        self.instance = Instance(settings.model_copy(update={"platform": platform}))
+        platform = structs.replace(settings.platform, config_url=url)
+        self.instance = Instance(structs.replace(settings, platform=platform))
         self.instance.components_by_domain[PEERS_DOMAIN] = Link(instances_by_id, id)
         instances_by_id[id] = self.instance
         self.changed = asyncio.Event()
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -6,10 +6,12 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from eliot import add_destinations, remove_destination
-
 from fescuekeel.helpers.events import EVENTS_BY_NAME, Subject
-from fescuekeel.helpers.logging import format_line
+from fescuekeel.helpers.logging import (
+    add_destination,
+    format_line,
+    remove_destination,
+)
 from fescuekeel.helpers.trace import gather
 from standins.forwarding.platform import ENGINES, PLAIN
 from tests.platform.test_path import World, run, start_world
@@ -27,7 +29,7 @@
     def keep(message):
         lines.append(format_line(message))
 
-    add_destinations(keep)
+    add_destination(keep)
     try:
         yield lines
     finally:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from msgspec import structs
 
 from fescuekeel.core import (
     Actor,
@@ -112,8 +113,8 @@
                 stopped.append("quick")
 
         monkeypatch.setattr("fescuekeel.core.STOP_MARGIN_S", 0.0)
-        own = instance.settings.instance.model_copy(update={"shutdown_s": 0.5})
-        instance.settings = instance.settings.model_copy(update={"instance": own})
+        own = structs.replace(instance.settings.instance, shutdown_s=0.5)
+        instance.settings = structs.replace(instance.settings, instance=own)
         instance.components_by_domain = {"quick": Quick(), "slow": Slow()}
         asyncio.run(instance.stop())
         assert stopped == (["quick"] if cut else ["slow", "quick"])
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,4 +29,4 @@
         keys = {
             line.split("=")[0].strip() for line in section.splitlines() if "=" in line
         }
-        assert keys <= set(ForwardingSettings.model_fields)
+        assert keys <= set(ForwardingSettings.__struct_fields__)
--- a/tests/test_operators_page.py
+++ b/tests/test_operators_page.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec import structs
 
 from fescuekeel.components.tree.levels import KEYS
 from fescuekeel.components.tree.sections import PoolSection
@@ -36,10 +37,10 @@
         assert f"`{reason}`" in PAGE
 
     def test_each_setting_is_named(self):
-        for section, field in Settings.model_fields.items():
-            assert f"`[{section}] " in PAGE
-            for key in field.annotation.model_fields:
-                assert f"`{key}`" in PAGE or f"`[{section}] {key}`" in PAGE
+        for section in structs.fields(Settings):
+            assert f"`[{section.name}] " in PAGE
+            for key in section.type.__struct_fields__:
+                assert f"`{key}`" in PAGE or f"`[{section.name}] {key}`" in PAGE
         for key in (*KEYS, *(f"[pool] {key}" for key in PoolSection.model_fields)):
             assert f"`{key}`" in PAGE
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,6 +5,7 @@
 import json
 from contextlib import asynccontextmanager
 
+from msgspec import structs
 from tornado.httpclient import AsyncHTTPClient
 
 from fescuekeel.components.tree.model import Pool, PoolKind, TreeInForce
@@ -67,8 +68,8 @@
                 "config_url": self.platform.config_server.url,
                 "live_url": self.platform.live_server.url,
             }
-            changed = settings.platform.model_copy(update=urls)
-            settings = settings.model_copy(update={"platform": changed})
+            changed = structs.replace(settings.platform, **urls)
+            settings = structs.replace(settings, platform=changed)
             instance = Instance(settings)
             self.instances.append(instance)
             await instance.start()
