Check callers' keys, and share accounts' limits over all instances

Change: a key is looked up by its digest and never passed on; the account's name is set and its urgency goes before the route's. Each instance knows until when its configuration was the newest: the moment at which a question to the store was sent, passed on in answers only. Past the bound for keys that were taken away it turns requests with keys away. An account's home, found by hashing, grants parts of the limit; in a cut each side has its part; a silent home has a deputy, and without both each instance keeps to an even part.

--- /dev/null
+++ b/fescuekeel/components/allowance/const.py
@@ -0,0 +1,35 @@
+"""Constants of the allowance component."""
+
+from typing import Final
+
+DOMAIN: Final = "allowance"
+
+# A grant that is not spent lapses after this, in seconds. What is granted in a
+# window and spent in a later one exceeds a limit by no more than this adds.
+GRANT_TTL_S: Final = 1.5
+# What lies in a bucket unasked for is handed out in parts of this size beside
+# what is needed, so that few requests wait for an answer.
+SPARE_SHARE: Final = 1 / 8
+# A question to an account's home stays open for so long: a message there and
+# one back, several times over.
+ASK_TIMEOUT_S: Final = 0.25
+# A home that did not answer is left alone for so long. Its deputy is asked
+# meanwhile, and if that is silent, too, the account lives on this instance's
+# own part of the limit.
+HOME_SILENT_S: Final = 0.5
+# The home of an account, and its deputy while it does not answer.
+HOMES: Final = 2
+# Room that is there within this time is waited for instead of refusing, once.
+WORTH_WAITING_S: Final = 0.1
+# What callers beyond a limit are told to wait lies between these.
+SHORTEST_WAIT_S: Final = 0.1
+LONGEST_WAIT_S: Final = 4.0
+# Refused requests count towards the wait of later ones for so long.
+REFUSED_MEMORY_S: Final = 1.0
+# Instances that were lost count as spending for so long, where nothing makes
+# them stop sooner.
+LOST_MEMORY_S: Final = 60.0
+# Those that stop without word of the newest configuration do so within the
+# bound for keys that were taken away, and what is noticed late.
+LOST_MARGIN_S: Final = 2.0
+MAX_ACCOUNTS: Final = 4096
--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -4,6 +4,7 @@
 import random
 import zlib
 
+from fescuekeel.components.catalog.confirmation import Sources, find_confirmed
 from fescuekeel.components.catalog.const import (
     ASK_TIMEOUT_S,
     BEHIND_S,
@@ -30,6 +31,7 @@
     connect,
     fetch,
 )
+from fescuekeel.helpers.freshness import Freshness
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.published import PublishedItem
@@ -62,8 +64,9 @@
         )
         self._duty = WatchDuty(instance.id, instance.settings.instance.data_centre)
         self._watching = True
-        # When the store or a watcher last said that nothing newer is there.
-        self._confirmed_at = instance.now()
+        self._freshness = Freshness()
+        self._sources = Sources()
+        self._listing_asked = instance.now()
         self._connection: Connection | None = None
         self._behind_since: float | None = None
         self._asking = False
@@ -80,6 +83,7 @@
         metrics.add_gauge("catalog_revision", self._read_revision)
         metrics.add_gauge("catalog_age_seconds", self._read_age)
         metrics.add_gauge("catalog_watches", lambda: {"": float(self._watching)})
+        bus.publish_state(self._freshness)
         self._instance.spawn(self._follow_forever(), f"{DOMAIN}.follow")
         self._instance.spawn(self._tell_forever(), f"{DOMAIN}.tell")
 
@@ -92,7 +96,7 @@
         return {"": float(self._items.revision)}
 
     def _read_age(self) -> dict[str, float]:
-        return {"": self._instance.now() - self._confirmed_at}
+        return {"": self._freshness.read_age_s(self._instance.now())}
 
     # The store.
 
@@ -105,17 +109,25 @@
                 continue
             call = self._follower.plan()
             before = self._follower.away
+            asked = self._instance.now()
+            if isinstance(call, ListPage) and not call.after_key:
+                self._listing_asked = asked
             reply = await self._call(call)
             if reply is None:
                 self._follower.fail()
                 changed: list[str] = []
+                confirmed = None
             else:
                 changed = self._follower.take(reply)
-                if not self._follower.away:
-                    self._confirmed_at = self._instance.now()
+                confirmed = find_confirmed(
+                    call, reply, asked, self._instance.now(), self._listing_asked
+                )
             if before != self._follower.away:
                 self._log_store(call)
             self._publish(changed, self._follower.returned_revision)
+            if confirmed is not None:
+                # Only once what came with it is in force.
+                self._freshness.note_confirmed(confirmed, 0.0)
             if changed:
                 self._tell(self._choose_far_peers())
 
@@ -194,10 +206,21 @@
         while True:
             await sleep_to_tick(NEWS_PERIOD_S)
             self._publish([])
+            self._refresh()
             # Who has just told neighbours of a change has told all by that.
             if self._instance.now() - self._told_at >= NEWS_PERIOD_S / 2:
                 self._tell(self._choose_far_peers())
 
+    def _refresh(self) -> None:
+        """Ask a peer that knows of a later moment, where keys matter."""
+        configuration = self._view.configuration
+        if configuration is None or configuration.accounts_by_digest is None:
+            return
+        now = self._instance.now()
+        peer = self._sources.choose(self._freshness.read_age_s(now), now)
+        if peer is not None and not self._asking:
+            self._start_asking(peer)
+
     def _choose_far_peers(self) -> set[str]:
         """Return whom to tell besides neighbours, some of the contacts.
 
@@ -219,11 +242,14 @@
             members = view.members_by_id.values() if view else ()
             peers = peers | set(self._duty.list_neighbours(members))
         self._told_at = self._instance.now()
-        news = CatalogNews(self._items.revision, watching)
+        news = CatalogNews(self._items.revision, watching, self._read_age_ms())
         link = get_peer_link(self._instance)
         for peer in peers:
             link.send(peer, news)
 
+    def _read_age_ms(self) -> int:
+        return int(self._freshness.read_age_s(self._instance.now()) * 1000)
+
     @property
     def _own_id(self) -> str:
         return self._instance.id
@@ -239,20 +265,22 @@
         assert isinstance(message.body, CatalogNews)
         news = message.body
         now = self._instance.now()
+        self._sources.note_news(message.sender, news.age_ms / 1000, now)
         if news.watching and self._is_neighbour(message.sender):
             self._duty.note_watcher(message.sender, now)
         if news.revision <= self._items.revision:
             self._behind_since = None
-            if news.watching and news.revision == self._items.revision:
-                self._confirmed_at = now
             return
         if self._behind_since is None:
             self._behind_since = now
         patience_s = BEHIND_S if self._watching and self._items.revision else 0.0
         if self._asking or now - self._behind_since < patience_s:
             return
+        self._start_asking(message.sender)
+
+    def _start_asking(self, peer: str) -> None:
         self._asking = True
-        self._instance.spawn(self._ask(message.sender), f"{DOMAIN}.ask")
+        self._instance.spawn(self._ask(peer), f"{DOMAIN}.ask")
 
     def _is_neighbour(self, peer: str) -> bool:
         view = self._instance.bus.latest(MemberView)
@@ -261,6 +289,7 @@
 
     async def _ask(self, peer: str) -> None:
         since = self._items.revision
+        began = self._instance.now()
         try:
             link = get_peer_link(self._instance)
             asked = await link.ask(peer, CatalogAsk(since), ASK_TIMEOUT_S)
@@ -268,6 +297,7 @@
         finally:
             self._asking = False
         if not isinstance(answer, CatalogPart):
+            self._sources.note_silent(peer)
             return
         items = [unpack_item(item) for item in answer.items]
         if answer.whole:
@@ -275,15 +305,17 @@
         else:
             changed = self._items.merge(items, answer.revision)
         self._instance.metrics.count("catalog.from_peer")
-        log_event(
-            "catalog_from_peer",
-            peer=peer,
-            since=since,
-            revision=answer.revision,
-            changed=len(changed),
-            whole=answer.whole,
-        )
+        if changed or answer.whole:
+            log_event(
+                "catalog_from_peer",
+                peer=peer,
+                since=since,
+                revision=answer.revision,
+                changed=len(changed),
+                whole=answer.whole,
+            )
         self._publish(changed, answer.lapsed_until)
+        self._freshness.note_confirmed(began, answer.age_ms / 1000)
 
     def _answer_ask(self, message: PeerMessage) -> None:
         assert isinstance(message.body, CatalogAsk)
@@ -297,6 +329,7 @@
             tuple(pack_item(item) for item in items),
             whole,
             self._follower.returned_revision,
+            self._read_age_ms(),
         )
         get_peer_link(self._instance).answer(message, part)
 
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -57,3 +57,12 @@
 # Of how many endpoints the birth is remembered, also after they are gone: a
 # late entry of an earlier start may come then.
 MAX_KNOWN_BIRTHS: Final = 4096
+
+# Where keys can be taken away, an instance that was told nothing of the last
+# so many seconds asks a peer that knows more. It looks twice a second, so that
+# what it knows is at most two seconds older than what the watchers know.
+FRESH_ENOUGH_S: Final = 0.8
+# A peer is asked if it knows of a moment that is later by so much,
+WORTH_ASKING_S: Final = 0.3
+# and if its news has come within so long: four of its periods.
+HINT_TTL_S: Final = 2.0
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -3,10 +3,17 @@
 import asyncio
 from collections import Counter
 from http import HTTPStatus
+from typing import cast
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from fescuekeel.components.allowance import DOMAIN as ALLOWANCE_DOMAIN, Allowances
+from fescuekeel.components.forward.accounts import (
+    AccountBounds,
+    find_account,
+    is_too_old,
+)
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
 from fescuekeel.components.forward.budget import RetryBudget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
@@ -36,10 +43,13 @@
 from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.dialect import CallerHead, get_dialect
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
+from fescuekeel.helpers.freshness import Freshness
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.pages import Page, PageServer
 from fescuekeel.helpers.published import (
     Catalog,
+    ClientAccount,
+    Route,
     RouteKind,
 )
 from fescuekeel.helpers.ticks import sleep_to_tick
@@ -74,12 +84,17 @@
         self._open: set[asyncio.Task[None]] = set()
         self._requests: set[ForwardedRequest] = set()
         self._shutdown: Shutdown | None = None
+        self._freshness = Freshness()
+        self._allowances = cast(
+            Allowances, instance.components_by_domain[ALLOWANCE_DOMAIN]
+        )
 
     @property
     def ready(self) -> bool:
         """Tell whether new requests are welcome."""
         known = self._table is not None and bool(self._placer.records_by_service)
-        return known and not self.instance.draining and not self._reach.cut_off
+        cut_off = self._reach.cut_off or self._knows_too_little()
+        return known and not self.instance.draining and not cut_off
 
     @property
     def turns_callers_away(self) -> bool:
@@ -92,9 +107,18 @@
             return Page()
         return Page(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
+    def _knows_too_little(self) -> bool:
+        """Tell whether requests with keys have to be turned away."""
+        if self._table is None:
+            return True
+        age_s = self._freshness.read_age_s(self.instance.now())
+        revoked_s = self.instance.settings.forwarding.revoked_bound_s
+        return is_too_old(self._table.configuration, age_s, revoked_s)
+
     async def start(self) -> None:
         """Listen."""
         bus = self.instance.bus
+        self._freshness = bus.latest(Freshness) or self._freshness
         bus.subscribe(Catalog, self._take_catalog)
         bus.subscribe(MemberView, self._note_members)
         bus.subscribe(SettingsReloaded, self._take_settings)
@@ -174,7 +198,7 @@
         try:
             head = self.dialect.read_caller(headers)
             request_id = head.request_id
-            request = self._admit(caller, line, headers, body, head, arrived)
+            request = await self._admit(caller, line, headers, body, head, arrived)
         except ValueError as error:
             request = Failure(ErrorKind.BAD_REQUEST, str(error))
         if isinstance(request, Failure):
@@ -188,8 +212,11 @@
             await request.run()
         finally:
             self._requests.discard(request)
+            if request.account is not None and not request.state.may_have_run:
+                price = request.account.price(head.tokens)
+                self._allowances.give_back(request.account, price)
 
-    def _admit(
+    async def _admit(
         self,
         caller: CallerConnection,
         line: RequestStartLine,
@@ -208,6 +235,14 @@
         shutdown = self._shutdown
         if shutdown is not None and not shutdown.may_begin(route, arrived):
             return Failure(ErrorKind.DRAINING, retry_after_s=DRAIN_RETRY_S)
+        account = self.find_account(route, head)
+        if isinstance(account, Failure):
+            return account
+        if account is not None:
+            price = account.price(head.tokens)
+            refused = await self._allowances.admit(head.request_id, account, price)
+            if refused is not None:
+                return refused
         left_s = DEFAULT_TIME_LEFT_S if head.time_left_s is None else head.time_left_s
         service = choose_service(route, head.request_id)
         self.budget.note_request(service, arrived)
@@ -227,6 +262,7 @@
                 route.kind is RouteKind.SAFE, route.resumable, route.max_attempts
             ),
             resume_after=head.resume_after,
+            account=account,
         )
 
     async def _refuse(
@@ -241,6 +277,23 @@
 
     # What requests ask for.
 
+    def find_account(
+        self, route: Route, head: CallerHead
+    ) -> ClientAccount | Failure | None:
+        """Return whose request it is, by what is in force now."""
+        assert self._table is not None
+        return find_account(
+            self._table.configuration,
+            route,
+            head.key_digest,
+            self._freshness.read_age_s(self.instance.now()),
+            self._get_account_bounds(),
+        )
+
+    def _get_account_bounds(self) -> AccountBounds:
+        bounds = self.instance.settings.forwarding
+        return AccountBounds(bounds.change_bound_s, bounds.revoked_bound_s)
+
     def get_load(self, endpoint: str) -> EndpointLoad:
         """Return what is seen of an endpoint."""
         load = self.loads_by_id.get(endpoint)
@@ -299,7 +352,7 @@
         """Return the priority that an engine gets, none at plain services."""
         if request.weights is None:
             return None
-        return min(LOWEST_PRIORITY, max(0, request.route.priority))
+        return min(LOWEST_PRIORITY, max(0, request.priority))
 
     async def place(self, request: ForwardedRequest) -> Choice | Failure:
         """Choose an endpoint; wait for its weights and the prompt's turn."""
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -122,5 +122,9 @@
 # named, while that one is loaded. Five seconds are allowed from the naming.
 VERSION_GRACE_S: Final = 1.5
 
+# Requests with keys are turned away so much before the bound within which a
+# key that was taken away must serve nowhere.
+REVOKED_MARGIN_S: Final = 0.25
+
 # What callers are told to wait before they come again.
 RETRY_AFTER_S: Final = 0.3
--- a/fescuekeel/components/forward/placing.py
+++ b/fescuekeel/components/forward/placing.py
@@ -218,7 +218,7 @@
         ask = AdmitAsk(
             choice.endpoint,
             request.head.prompt_tokens,
-            request.route.priority,
+            request.priority,
             int(max(0.0, on_time - asked) * 1000),
             int(patience_s * 1000),
             request.weights.model,
@@ -257,7 +257,7 @@
             request.weights.model,
             request.weights.adapter,
             self._versions.get_newest(request.weights),
-            request.route.priority,
+            request.priority,
             on_time_ms=int(max(0.0, on_time_s) * 1000),
             patience_ms=int(left_s * 1000),
             patient=patient,
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -32,7 +32,7 @@
     ResponseHead,
 )
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.published import Route, RouteKind, Weights
+from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
 
 if TYPE_CHECKING:
     from fescuekeel.components.forward.component import Forwarder
@@ -75,6 +75,7 @@
     arrived: float
     deadline: float
     state: RequestState
+    account: ClientAccount | None = None
     resume_after: str = ""
     outcome: str = ""
     first_piece_at: float = 0.0
@@ -91,6 +92,13 @@
         """Return the weights that the request needs, if any."""
         return self.head.weights
 
+    @property
+    def priority(self) -> int:
+        """Return the urgency: the account's goes before the route's."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
     async def run(self) -> None:
         """Serve the request; every way out gives the caller its final word."""
         instance = self.forwarder.instance
@@ -141,6 +149,10 @@
             if isinstance(choice, Failure):
                 await self._refuse_unplaced(choice)
                 return
+            barred = self._find_bar()
+            if barred is not None:
+                await self._refuse_unplaced(barred)
+                return
             end = await self._attempt(choice)
             if end is None:
                 return
@@ -158,6 +170,17 @@
             await self._give_up(step.kind, end.value)
             return
 
+    def _find_bar(self) -> Failure | None:
+        """Look again whether the caller's key is good.
+
+        Guards against a request that waited for its weights or its turn, or
+        in a process that was suspended, while its key was taken away.
+        """
+        if self.account is None or self.state.delivered:
+            return None
+        found = self.forwarder.find_account(self.route, self.head)
+        return found if isinstance(found, Failure) else None
+
     async def _refuse_unplaced(self, failure: Failure) -> None:
         if self.state.may_have_run and not self.state.delivered:
             failure = Failure(ErrorKind.OUTCOME_UNKNOWN, failure.detail)
@@ -265,6 +288,7 @@
             self.forwarder.get_priority(self),
             choice.version or None,
             self.resume_after,
+            self.account.name if self.account else "",
         )
         headers = self.forwarder.dialect.write_request(self.head, send)
         framing: tuple[Header, ...] = ()
--- a/fescuekeel/components/forward/routes.py
+++ b/fescuekeel/components/forward/routes.py
@@ -19,6 +19,7 @@
     """
 
     def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
         self.version = configuration.version
         self._routes_by_host: dict[str, list[Route]] = defaultdict(list)
         for route in configuration.routes:
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -37,8 +37,8 @@
 # Instead of the lease, right after the start, where endpoints refuse the
 # orders of an earlier holder: instances find each other within half a second,
 # and a holder tells a newcomer within a quarter. No order of an earlier life
-# of this process can follow. Where endpoints check nothing this is too short: two
-# instances that had not found each other after a second both gave orders.
+# of this process can follow. Where endpoints check nothing this is too short:
+# two instances that had not found each other after a second gave orders both.
 START_WAIT_S: Final = 1.0
 # A candidacy counts as begun at the start for so long after it: instances
 # that are started together know each other after 1.5 s at the latest.
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -24,6 +24,7 @@
     UNKNOWN_ADAPTER = "unknown_adapter"
     UNKNOWN_VERSION = "unknown_version"
     TREE_NOT_READY = "tree_not_ready"
+    CONFIGURATION_STALE = "configuration_stale"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     TOO_LATE = "too_late"
@@ -87,6 +88,9 @@
     ErrorKind.UNKNOWN_ADAPTER: Answer(404, Ran.NO, False, "No such adapter."),
     ErrorKind.UNKNOWN_VERSION: Answer(404, Ran.NO, False, "No such version."),
     ErrorKind.TREE_NOT_READY: Answer(503, Ran.NO, True, "No settings in force yet."),
+    ErrorKind.CONFIGURATION_STALE: Answer(
+        503, Ran.NO, True, "The settings in force may be out of date."
+    ),
     ErrorKind.RATE_LIMITED: Answer(429, Ran.NO, True, "The limit is reached."),
     ErrorKind.QUEUE_FULL: Answer(503, Ran.NO, True, "The queue is full."),
     ErrorKind.TOO_LATE: Answer(503, Ran.NO, True, "It cannot be answered in time."),
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -51,7 +51,9 @@
     """What the head of a caller's request says.
 
     ``time_left_s`` is ``None`` where the caller set no limit. ``headers`` are
-    those that go on to the endpoint unchanged.
+    those that go on to the endpoint unchanged. ``key_digest`` stands for the
+    caller's key, empty without one. ``tokens`` counts those of the prompt and
+    the most that may be made, ``None`` if the caller does not tell.
     """
 
     request_id: str
@@ -60,17 +62,23 @@
     weights: Weights | None = None
     prompt_tokens: int = 0
     resume_after: str = ""
+    key_digest: bytes = b""
+    tokens: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class SendHead:
-    """What the product adds to a request on its way to an endpoint."""
+    """What the product adds to a request on its way to an endpoint.
+
+    ``account`` is the name of the caller's client account, empty if none.
+    """
 
     endpoint: str
     time_left_s: float
     priority: int | None = None
     version: int | None = None
     resume_after: str = ""
+    account: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -43,6 +43,7 @@
     **_list(
         Subject.REQUEST,
         """
+        allowance_refused request_id account price held home wait_ms outcome
         answer_broken request_id endpoint kept age_ms error outcome
         attempt_ended request_id endpoint reason cost_ms tokens_ahead took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
@@ -81,6 +82,7 @@
     **_list(
         Subject.DEPENDENCY,
         """
+        allowance_home_silent account home
         dependency_lost dependency call revision
         dependency_regained dependency call revision
         livelist_failed detail
--- a/fescuekeel/helpers/published.py
+++ b/fescuekeel/helpers/published.py
@@ -1,5 +1,6 @@
 """What the platform publishes, in the product's own terms."""
 
+import hashlib
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -10,6 +11,7 @@
     "BASE_VERSION",
     "CallerLimits",
     "Catalog",
+    "ClientAccount",
     "Configuration",
     "EndpointRecord",
     "EngineSpec",
@@ -20,6 +22,7 @@
     "ServiceSpec",
     "WeightedService",
     "Weights",
+    "digest_key",
 ]
 
 # The version of an adapter that nobody has named a version of.
@@ -64,7 +67,8 @@
     ``timeout_s`` bounds the whole answer and ``target_s`` is the time to the
     answer, or to its first piece, that callers hope for. Priority 0 is the
     most urgent. ``max_attempts`` bounds the endpoints that may be handed one
-    request. ``gap_target_s`` is the longest pause within a stream.
+    request. ``gap_target_s`` is the longest pause within a stream. An
+    ``open`` route asks for no key.
     """
 
     name: str
@@ -78,6 +82,7 @@
     max_attempts: int = 1
     resumable: bool = False
     gap_target_s: float = 0.0
+    open: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -126,14 +131,59 @@
     idle_timeout_s: float
 
 
+def digest_key(key: str) -> bytes:
+    """Return what stands for a caller's key wherever keys are compared.
+
+    A key itself is kept nowhere, so that no log, error or memory image of the
+    configuration shows one; and how long a look-up takes tells nothing of it.
+    """
+    return hashlib.sha256(key.encode()).digest()
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account, whose requests bear one of its keys.
+
+    ``priority`` goes before that of a route, ``None`` leaves the route's. Over
+    all instances the account may spend ``rate_per_s`` units a second, and
+    ``burst`` at once; a rate of zero is no limit. A unit is a request, or a
+    token if ``counts_tokens``: a request that tells no tokens counts as
+    ``plain_tokens`` then.
+    """
+
+    name: str
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    counts_tokens: bool = False
+    plain_tokens: int = 0
+
+    def price(self, tokens: int | None) -> float:
+        """Return what a request takes from the account's limit, in units.
+
+        >>> ClientAccount("a").price(1540)
+        1.0
+        >>> ClientAccount("a", counts_tokens=True).price(1540)
+        1540.0
+        """
+        if not self.counts_tokens:
+            return 1.0
+        return float(self.plain_tokens if tokens is None else tokens)
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the operators' intent, always whole."""
+    """One version of the operators' intent, always whole.
+
+    ``accounts_by_digest`` has the account of each key by the key's digest;
+    ``None`` says that requests need no key at all.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: dict[str, ServiceSpec]
     limits: CallerLimits
+    accounts_by_digest: dict[bytes, ClientAccount] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -121,6 +121,8 @@
     ``retry_window_s``, and ``retry_slack`` more. A configuration has to be in
     force within ``change_bound_s`` after it was published, and an endpoint
     gets nothing more from ``leaving_bound_s`` on after it said that it leaves.
+    A key that was taken away serves nowhere from ``revoked_bound_s`` on, on
+    instances that hear nothing either; zero sets no such bound.
     """
 
     ready_address: str = ""
@@ -132,6 +134,7 @@
     retry_window_s: Positive = 10.0
     change_bound_s: Positive = 2.0
     leaving_bound_s: Positive = 2.0
+    revoked_bound_s: NotNegative = 0.0
 
 
 class Settings(Section, frozen=True):
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -13,6 +13,8 @@
 from fescuekeel.messages.forwarding import (
     AdmitAnswer,
     AdmitAsk,
+    AllowanceAnswer,
+    AllowanceAsk,
     CatalogAsk,
     CatalogItem,
     CatalogNews,
@@ -87,6 +89,8 @@
     "AdapterRef",
     "AdmitAnswer",
     "AdmitAsk",
+    "AllowanceAnswer",
+    "AllowanceAsk",
     "CancelWork",
     "CatalogAsk",
     "CatalogItem",
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -9,6 +9,8 @@
 __all__ = [
     "AdmitAnswer",
     "AdmitAsk",
+    "AllowanceAnswer",
+    "AllowanceAsk",
     "CatalogAsk",
     "CatalogItem",
     "CatalogNews",
@@ -43,10 +45,13 @@
     """Tell up to which revision the sender knows what is published.
 
     ``watching`` says that it has this from the store, which answers it.
+    ``age_ms`` is how long ago the store is known to have had nothing newer: a
+    hint whom to ask, as news may be held up on its way.
     """
 
     revision: int
     watching: bool = False
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +68,15 @@
     ``whole`` says that the items are all that is published: the sender does
     not know what was removed since the revision asked for. What was removed
     up to ``lapsed_until`` may have lapsed while the store was away.
+    ``age_ms`` is how long before the answer the store is known to have had
+    nothing newer.
     """
 
     revision: int
     items: tuple[CatalogItem, ...] = ()
     whole: bool = False
     lapsed_until: int = 0
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,3 +236,24 @@
     running: int = 0
     holder: str = ""
     version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceAsk:
+    """Ask an account's home for a part of the account's limit.
+
+    ``needed`` is what a request that waits takes, in units of the limit. A
+    ``deputy`` is asked while the home does not answer.
+    """
+
+    account: str
+    needed: float
+    deputy: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceAnswer:
+    """Grant units; with none, ``wait_ms`` is when there is room again."""
+
+    units: float
+    wait_ms: int = 0
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -17,6 +17,8 @@
 from fescuekeel.messages.forwarding import (
     AdmitAnswer,
     AdmitAsk,
+    AllowanceAnswer,
+    AllowanceAsk,
     CatalogAsk,
     CatalogNews,
     CatalogPart,
@@ -100,6 +102,8 @@
     | LoadAnswer
     | AdmitAsk
     | AdmitAnswer
+    | AllowanceAsk
+    | AllowanceAnswer
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -167,13 +167,14 @@
   gone @3 :Bool;
   packed @4 :Bool;
 }
-struct CatalogNews { revision @0 :UInt64; watching @1 :Bool; }
+struct CatalogNews { revision @0 :UInt64; watching @1 :Bool; ageMs @2 :UInt32; }
 struct CatalogAsk { since @0 :UInt64; }
 struct CatalogPart {
   revision @0 :UInt64;
   items @1 :List(CatalogItem);
   whole @2 :Bool;
   lapsedUntil @3 :UInt64;
+  ageMs @4 :UInt32;
 }
 struct HeldWeights { model @0 :Text; adapter @1 :Text; version @2 :UInt64; }
 struct PlacementState {
@@ -236,6 +237,8 @@
   holder @5 :Text;
   version @6 :UInt64;
 }
+struct AllowanceAsk { account @0 :Text; needed @1 :Float64; deputy @2 :Bool; }
+struct AllowanceAnswer { units @0 :Float64; waitMs @1 :UInt32; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
@@ -279,5 +282,7 @@
     loadAnswer @38 :LoadAnswer;
     admitAsk @39 :AdmitAsk;
     admitAnswer @40 :AdmitAnswer;
+    allowanceAsk @41 :AllowanceAsk;
+    allowanceAnswer @42 :AllowanceAnswer;
   }
 }
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -14,6 +14,8 @@
 __all__ = ["RunRecord", "Worker", "start_worker"]
 
 NOT_EXECUTED = "Fescuekeel-Not-Executed"
+KEY = "X-Api-Key"
+TENANT = "Fescuekeel-Tenant"
 STAMP = "Fescuekeel-Server-Stamp"
 REQUEST_ID = "Fescuekeel-Request-Id"
 LOAD_S = 0.1
@@ -22,12 +24,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RunRecord:
-    """One run as the worker saw it begin; ``at`` is monotonic seconds."""
+    """One run as the worker saw it begin; ``at`` is monotonic seconds.
+
+    ``account`` is the client account that was named, and ``key`` a caller's
+    key that should not have come along.
+    """
 
     request_id: str
     at: float
     adapter: str = ""
     version: int = 0
+    account: str = ""
+    key: str = ""
 
 
 @dataclass(eq=False)
@@ -222,7 +230,11 @@
             await self.answer(421, {})
             return
         worker.runs[request_id] += 1
-        worker.records.append(RunRecord(request_id, time.monotonic(), adapter, version))
+        account = self.request.headers.get(TENANT, "")
+        key = self.request.headers.get(KEY, "")
+        worker.records.append(
+            RunRecord(request_id, time.monotonic(), adapter, version, account, key)
+        )
         worker.served_by_weights[f"{model}/{adapter}"] += 1
         self.set_header(STAMP, f"stamp-{worker.id}")
         if worker.spend("fail"):
--- /dev/null
+++ b/tests/components/allowance/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the allowance component."""
