Count accounts' limits over the users' windows

Change: an account's home counts what it granted in the last window; a new home lets the room grow with the rate; spare grants leave a fifth of a window to what is needed.

--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -45,7 +45,7 @@
             memory_s = bounds.revoked_bound_s + LOST_MARGIN_S
         self._instance = instance
         self._fleet = FleetShare(memory_s)
-        self._home = AccountHome(since=instance.now())
+        self._home = AccountHome(instance.now(), bounds.limit_window_s)
         self._holdings_by_name: dict[str, Holding] = {}
         self._asking_by_name: dict[str, asyncio.Task[None]] = {}
         self._accounts_by_name: dict[str, ClientAccount] = {}
@@ -231,5 +231,5 @@
     def _read_levels(self) -> dict[str, float]:
         now = self._instance.now()
         return {
-            name: self._home.read_level(name, now) for name in self._home.list_names()
+            name: self._home.read_room(name, now) for name in self._home.list_names()
         }
--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -6,19 +6,22 @@
 
 # A grant that is not spent lapses after this, in seconds. What is granted in a
 # window and spent in a later one exceeds a limit by no more than this adds.
-GRANT_TTL_S: Final = 1.5
-# What lies in a bucket unasked for is handed out in parts of this size beside
-# what is needed, so that few requests wait for an answer.
+GRANT_TTL_S: Final = 1.0
+# Beside what is needed, this part of what there is room for, or comes in while
+# a grant lasts, is granted, so that few requests wait for an answer.
 SPARE_SHARE: Final = 1 / 8
+# The part of a window that only what is needed is granted from.
+RESERVED_SHARE: Final = 0.2
 # A question to an account's home stays open for so long: a message there and
 # one back, several times over.
 ASK_TIMEOUT_S: Final = 0.25
-# A home that did not answer is left alone for so long. Its deputy is asked
-# meanwhile, and if that is silent, too, the account lives on this instance's
+# A home that did not answer is left alone for so long. Its deputies are asked
+# meanwhile, and if they are silent, too, the account lives on this instance's
 # own part of the limit.
-HOME_SILENT_S: Final = 0.5
-# The home of an account, and its deputy while it does not answer.
-HOMES: Final = 2
+HOME_SILENT_S: Final = 1.0
+# The home of an account, and its deputies in turn while it does not answer: of
+# four, one is within reach in nearly every cut.
+HOMES: Final = 4
 # Room that is there within this time is waited for instead of refusing, once.
 WORTH_WAITING_S: Final = 0.1
 # What callers beyond a limit are told to wait lies between these.
--- a/fescuekeel/components/allowance/holding.py
+++ b/fescuekeel/components/allowance/holding.py
@@ -56,7 +56,7 @@
     def change(self, account: ClientAccount, instances: int, now: float) -> None:
         """Take the limit and the number of instances that share it."""
         rate = account.rate_per_s / instances
-        burst = max(account.burst, account.rate_per_s) / instances
+        burst = account.burst / instances
         # An even part may be less than one request takes: it is saved up.
         self.own_part.change(rate, max(burst, self._largest_price), now)
 
--- a/fescuekeel/components/allowance/home.py
+++ b/fescuekeel/components/allowance/home.py
@@ -1,24 +1,26 @@
 """Decide what an account's home grants to the instances that ask; pure.
 
-One instance, found by hashing, keeps a bucket for each account and grants
-parts of it. Whatever the number of instances that ask, they are granted no
-more in any time than the limit allows. A home that follows on another begins
-with what has come in since it can have become the home, so that a change of
-homes grants nothing twice.
+One instance, found by hashing, counts what it grants of each account's limit.
+Whatever the number of instances that ask, they are granted no more in any
+window than the limit allows. A home that follows on another begins with what
+has come in since it can have become the home, so that a change of homes grants
+next to nothing twice.
 """
 
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fescuekeel.components.allowance.bucket import TokenBucket
 from fescuekeel.components.allowance.const import (
+    GRANT_TTL_S,
     LONGEST_WAIT_S,
     MAX_ACCOUNTS,
     REFUSED_MEMORY_S,
+    RESERVED_SHARE,
     SHORTEST_WAIT_S,
     SPARE_SHARE,
 )
+from fescuekeel.components.allowance.window import LimitWindow
 from fescuekeel.helpers.published import ClientAccount
 
 __all__ = ["AccountHome", "Grant"]
@@ -34,46 +36,56 @@
 
 @dataclass(slots=True)
 class AccountState:
-    """One account's bucket, and what it could not grant lately."""
+    """What was granted of one account's limit, and refused, lately.
 
-    bucket: TokenBucket
+    ``spare`` is what was granted unasked for: it may be spent a little later
+    than it was granted, so that there must not be much of it.
+    """
+
+    window: LimitWindow
+    spare: deque[tuple[float, float]] = field(default_factory=deque)
     refused: deque[tuple[float, float]] = field(default_factory=deque)
 
-    def note_refused(self, units: float, now: float) -> None:
-        """Count an amount towards the waits that come after it."""
-        self.refused.append((now, units))
+    def count_spare(self, now: float) -> float:
+        """Return what may lie unspent with those who were granted it."""
+        return _count_since(self.spare, now - GRANT_TTL_S)
 
     def count_refused(self, now: float) -> float:
         """Return what was refused lately and will be asked for again."""
-        while self.refused and now - self.refused[0][0] > REFUSED_MEMORY_S:
-            self.refused.popleft()
-        return sum(units for _, units in self.refused)
+        return _count_since(self.refused, now - REFUSED_MEMORY_S)
+
+
+def _count_since(entries: deque[tuple[float, float]], since: float) -> float:
+    while entries and entries[0][0] < since:
+        entries.popleft()
+    return sum(units for _, units in entries)
 
 
 @dataclass(slots=True)
 class AccountHome:
-    """Hold the buckets of the accounts that this instance is the home of.
+    """Hold what was granted of the accounts that have their home here.
 
     ``since`` is the latest time at which it can have become the home of an
-    account that it has no bucket of. ``share`` is the part of each limit that
+    account that it knows nothing of. ``share`` is the part of each limit that
     is granted here: in a cut each side has as much of it as of the instances.
 
-    >>> home = AccountHome(since=0.0)
-    >>> account = ClientAccount("a", rate_per_s=10.0, burst=20.0)
-    >>> home.grant(account, needed=8.0, now=1.0).units
-    8.25
-    >>> home.grant(account, needed=8.0, now=1.0).wait_s > 0
-    True
+    >>> home = AccountHome(since=0.0, window_s=1.0)
+    >>> account = ClientAccount("a", rate_per_s=10.0, burst=10.0)
+    >>> home.grant(account, needed=12.0, now=5.0).units
+    12.5
+    >>> home.grant(account, needed=12.0, now=5.0).wait_s
+    1.0
     """
 
     since: float
+    window_s: float = 8.0
     share: float = 1.0
     _states_by_name: dict[str, AccountState] = field(default_factory=dict)
 
     def change_members(
         self, share: float, kept_names: Iterable[str], now: float
     ) -> None:
-        """Take a new view of the fleet; forget the buckets of other homes."""
+        """Take a new view of the fleet; forget what has another home."""
         self.since = now
         self.share = share
         kept = set(kept_names)
@@ -81,12 +93,12 @@
             del self._states_by_name[name]
 
     def list_names(self) -> list[str]:
-        """Return the accounts that have a bucket here."""
+        """Return the accounts of which something is granted here."""
         return list(self._states_by_name)
 
-    def read_level(self, name: str, now: float) -> float:
+    def read_room(self, name: str, now: float) -> float:
         """Return what an account may be granted now."""
-        return self._states_by_name[name].bucket.read(now)
+        return self._states_by_name[name].window.count_room(now)
 
     def grant(
         self, account: ClientAccount, needed: float, now: float, deputy: bool = False
@@ -94,38 +106,52 @@
         """Grant what is needed, and a part of what lies there unasked for.
 
         As the ``deputy`` of a home that may only be out of the asker's reach,
-        a new bucket begins empty: its home may have granted the rest.
+        it begins with nothing: the home may have granted the rest.
         """
         state = self._get_state(account, now, now if deputy else self.since)
-        level = state.bucket.read(now)
-        # A request larger than the burst would never be served: it empties a
-        # full bucket.
-        needed = min(needed, max(state.bucket.burst, 1.0))
-        if level < needed:
-            return self._refuse(state, needed, level, now)
-        units = needed + (level - needed) * SPARE_SHARE
-        state.bucket.take(units, now)
-        return Grant(units)
-
-    def _refuse(
-        self, state: AccountState, needed: float, level: float, now: float
-    ) -> Grant:
-        rate = state.bucket.rate_per_s
-        missing = needed - level + state.count_refused(now)
-        state.note_refused(needed, now)
-        wait_s = missing / rate if rate > 0 else LONGEST_WAIT_S
-        return Grant(0.0, min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S / 10, wait_s)))
+        # A request larger than a window's whole room would never be served.
+        needed = min(needed, state.window.capacity)
+        room = state.window.count_room(now)
+        if room < needed or needed <= 0:
+            return self._refuse(state, needed, now)
+        spare = self._choose_spare(state, room - needed, now)
+        state.window.take(needed + spare, now)
+        return Grant(needed + spare)
+
+    def _choose_spare(self, state: AccountState, room: float, now: float) -> float:
+        """Choose what is granted unasked for, while there is plenty.
+
+        Guards against a window that is full of grants which lapsed unspent:
+        what is needed keeps a part of it.
+        """
+        most = state.window.rate_per_s * GRANT_TTL_S
+        plenty = room - RESERVED_SHARE * state.window.capacity
+        if plenty <= 0 or state.count_spare(now) >= most:
+            return 0.0
+        spare = SPARE_SHARE * min(plenty, most)
+        state.spare.append((now, spare))
+        return spare
+
+    def _refuse(self, state: AccountState, needed: float, now: float) -> Grant:
+        """Tell when there is room, behind those who were refused before."""
+        rate = state.window.rate_per_s
+        if rate <= 0:
+            return Grant(0.0, LONGEST_WAIT_S)
+        wait_s = state.window.find_wait_s(needed, now)
+        wait_s += state.count_refused(now) / rate
+        state.refused.append((now, needed))
+        return Grant(0.0, min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, wait_s)))
 
     def _get_state(
         self, account: ClientAccount, now: float, since: float
     ) -> AccountState:
         rate = account.rate_per_s * self.share
-        burst = max(account.burst, account.rate_per_s) * self.share
+        burst = account.burst * self.share
         state = self._states_by_name.get(account.name)
         if state is None:
             if len(self._states_by_name) >= MAX_ACCOUNTS:
                 del self._states_by_name[next(iter(self._states_by_name))]
-            bucket = TokenBucket(rate, burst, 0.0, since)
-            state = self._states_by_name[account.name] = AccountState(bucket)
-        state.bucket.change(rate, burst, now)
+            window = LimitWindow(rate, burst, self.window_s, since)
+            state = self._states_by_name[account.name] = AccountState(window)
+        state.window.change(rate, burst)
         return state
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -122,7 +122,8 @@
     force within ``change_bound_s`` after it was published, and an endpoint
     gets nothing more from ``leaving_bound_s`` on after it said that it leaves.
     A key that was taken away serves nowhere from ``revoked_bound_s`` on, on
-    instances that hear nothing either; zero sets no such bound.
+    instances that hear nothing either; zero sets no such bound. What a client
+    account may spend is counted over any window of ``limit_window_s``.
     """
 
     ready_address: str = ""
@@ -135,6 +136,7 @@
     change_bound_s: Positive = 2.0
     leaving_bound_s: Positive = 2.0
     revoked_bound_s: NotNegative = 0.0
+    limit_window_s: Positive = 8.0
 
 
 class Settings(Section, frozen=True):
