Show the fencing number before the first order, and look after it

An instance that starts behind a cut hears of no holder and holds after one second; its first order followed a report that may be half a second older than the last order of the real holder, which goes on until the endpoint has seen the newer number. Change: where endpoints check numbers, a new holder first gives an order that holds already, and its first real order follows a report asked for after the lag of reports since then. In return a hand-over needs no wait before it. Endpoints that check nothing are as before.

--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -23,12 +23,12 @@
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     CONTACT_LOST_S,
+    FENCED_HANDOVER_S,
     IDENTITY_BITS,
     MAX_TERM,
     NEW_ENDPOINT_WAIT_S,
     PAUSE_S,
     RELEASE_FRESH_S,
-    REPORT_LAG_S,
     START_WAIT_S,
     START_WINDOW_S,
     TAKEOVER_MARGIN_S,
@@ -275,9 +275,9 @@
             return max(own.since, own.contact_since) + wait_s
         due = heard.quiet_from + wait_s
         if heard.released and now - heard.heard < RELEASE_FRESH_S:
-            # The holder itself has just said that it gives no more orders;
-            # its last ones must show in the report that comes next.
-            handover_s = REPORT_LAG_S if self.fenced else UNFENCED_HANDOVER_S
+            # The holder itself has just said that it gives no more orders. A
+            # fencing number keeps out what it gave last.
+            handover_s = FENCED_HANDOVER_S if self.fenced else UNFENCED_HANDOVER_S
             return max(due, max(heard.heard, own.since) + handover_s)
         return max(due, own.contact_since + wait_s)
 
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -12,6 +12,7 @@
 from fescuekeel.components.placement.model import AskEnded, GiveOrder
 from fescuekeel.components.placement.orders import OrderLink
 from fescuekeel.components.placement.places import EndpointPlaces
+from fescuekeel.components.placement.takeover import Takeover
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import (
     Dialect,
@@ -50,7 +51,7 @@
         self._link = OrderLink(instance, dialect, record.id, record.address)
         self.has_held = False
         self._reported_at = 0.0
-        self._looked_while_held = False
+        self._takeover: Takeover | None = None
         self._woken = asyncio.Event()
         self._task = instance.spawn(self._run(), "placement.holder")
 
@@ -76,19 +77,41 @@
             if held and not self.has_held:
                 self.places.usage.begin(now)
             self.has_held = self.has_held or held
-            self._looked_while_held = self._looked_while_held and held
-            if now >= next_look or (held and not self._looked_while_held):
+            self._follow_claim(held)
+            takeover = self._takeover
+            due = takeover is not None and now >= takeover.next_look
+            if now >= next_look or due:
                 await self._look()
                 now = self._instance.now()
                 urgent = self.places.needs_report(now)
                 next_look = now + (LOOK_PERIOD_S if urgent else IDLE_LOOK_S)
-            if held and self._looked_while_held:
+            if takeover is not None and takeover.needs_fence:
+                await self._show_fence(takeover)
+            if takeover is not None and takeover.may_order:
                 await self._step()
                 now = self._instance.now()
                 if self.places.needs_report(now):
                     next_look = min(next_look, now + LOOK_PERIOD_S)
+            if takeover is not None:
+                next_look = min(next_look, takeover.next_look)
             await self._sleep(min(next_look, self.places.get_next_check()))
 
+    def _follow_claim(self, held: bool) -> None:
+        """Begin a takeover with each time that the endpoint is held anew."""
+        if not held:
+            self._takeover = None
+        elif self._takeover is None:
+            self._takeover = Takeover(self._claims.fenced)
+
+    async def _show_fence(self, takeover: Takeover) -> None:
+        """Show the endpoint the fencing number, by an order without effect."""
+        effect = self.places.choose_order_that_holds()
+        if effect is None:
+            # Next to nothing is held: there is room for what comes late.
+            takeover.note_fence(self._instance.now())
+        elif await self._give(effect):
+            takeover.note_fence(self._instance.now())
+
     async def _sleep(self, next_look: float) -> None:
         left_s = next_look - self._instance.now()
         self._woken.clear()
@@ -105,14 +128,15 @@
         places that they take would count as free. The first order follows a
         report that was asked for while the endpoint was held here.
         """
-        held = self._claims.is_held(self.record.name)
+        takeover = self._takeover
         asked = self._instance.now()
         report = await self._link.report()
         now = self._instance.now()
         self._claims.note_contact(self.record.name, report is not None, now)
         if report is None or not self._is_ours(report):
             return
-        self._looked_while_held = self._looked_while_held or held
+        if takeover is not None:
+            takeover.note_report(asked)
         self._reported_at = asked
         before = self.places.list_servable()
         self.places.note_report(report, asked, now)
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -231,6 +231,17 @@
 
     # The decision.
 
+    def choose_order_that_holds(self) -> GiveOrder | None:
+        """Return an order that changes nothing, ``None`` if none is sure to.
+
+        Only weights whose version is told: without one, an order brings the
+        newest version.
+        """
+        for weights, version in self.held.items():
+            if version and weights not in self.orders_by_weights:
+                return GiveOrder(OrderKind.LOAD, weights, version, True)
+        return None
+
     def step(
         self,
         versions_by_weights: dict[Weights, int],
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -14,6 +14,7 @@
     REPORT_LAG_S,
     UNFENCED_HANDOVER_S,
 )
+from fescuekeel.components.placement.takeover import Takeover
 from fescuekeel.helpers.published import EndpointRecord
 from fescuekeel.messages import Member
 
@@ -249,8 +250,12 @@
         """
         claims = Claims("i1", LEASE_S, fenced=True)
         held = self.run_after_hand_over(claims)
-        # Its last orders must show in the next report.
-        assert REPORT_LAG_S <= held - 10.0 < 1.0
+        takeover = Takeover(fenced=True)
+        takeover.note_report(held)
+        takeover.note_fence(held)
+        # Its last orders must show in the report before the first new order.
+        assert not takeover.may_order
+        assert 10.0 + REPORT_LAG_S <= takeover.next_look < 11.0
 
     def test_hand_over_is_slower_where_endpoints_check_nothing(self):
         """Two instances may take each other's release up in one moment.
