Play client accounts, their keys and a limit in the soak

Callers use keys of two accounts, some of them taken away during the run and one that never was any; checked are whose request ran, with which key, how long after the key was taken away, and how many ran in a window.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -74,15 +75,19 @@
     ending: Ending
     status: int = 0
     body: bytes = b""
+    key: str = ""
 
 
 class Caller:
     """Send requests one after the other, on one connection while it lasts."""
 
-    def __init__(self, addresses: list[str], seed: int) -> None:
+    def __init__(
+        self, addresses: list[str], seed: int, choose_key: Callable[[], str]
+    ) -> None:
         self.answers: list[Answer] = []
         self._addresses = addresses
         self._random = Random(seed)
+        self._choose_key = choose_key
         self._connection: Connection | None = None
         self._daemon = 0
 
@@ -115,7 +120,8 @@
         adapter = f"a{self._random.randint(1, ADAPTERS)}" if route.stream else ""
         method = "GET" if route is Route.LOOKUP else "POST"
         body = BODY if method == "POST" else None
-        headers = make_headers(request_id, TIME_LEFT_S, adapter, body)
+        key = self._choose_key()
+        headers = make_headers(request_id, TIME_LEFT_S, adapter, body, key)
         began = time.monotonic()
         try:
             connection.send(method, path, headers, body or b"")
@@ -133,6 +139,7 @@
             ending,
             status,
             came,
+            key,
         )
 
     async def _read(self, connection: Connection) -> tuple[int, bytes, Ending]:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -11,6 +11,7 @@
 
 from bench.soak.callers import Answer, Ending, Route
 from bench.soak.plan import Fault, FaultKind
+from bench.soak.violation import Violation
 from standins.forwarding.workers import Worker
 
 __all__ = ["Journal", "Leaving", "Violation", "check"]
@@ -27,14 +28,6 @@
 LEAVING_S = 2.5
 
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """One broken promise."""
-
-    promise: str
-    detail: str
-
-
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """When an endpoint announced that it leaves, in monotonic seconds."""
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -9,9 +9,11 @@
 
 import fire
 
+from bench.soak.accounts import Accounts, check_accounts
 from bench.soak.callers import Answer, Caller, Ending
-from bench.soak.checks import AFTERMATH_S, Journal, Violation, check
+from bench.soak.checks import AFTERMATH_S, Journal, check
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
+from bench.soak.violation import Violation
 from bench.soak.world import SoakWorld
 from fescuekeel.helpers.exchange import NotConnectedError, connect, fetch
 from standins.forwarding.caller import make_headers
@@ -31,14 +33,16 @@
     seed: int, seconds: float, folder: Path, per_s: float = FAULTS_PER_S
 ) -> list[Violation]:
     """Play one seed, ``per_s`` faults a second; return broken promises."""
-    world = SoakWorld(folder)
+    accounts = Accounts(seed)
+    world = SoakWorld(folder, accounts)
     faults = make_plan(seed, seconds, per_s)
     try:
         await world.start()
         began = time.monotonic()
         addresses = [daemon.spec.addresses.callers for daemon in world.daemons]
         callers = [
-            Caller(addresses, seed * CALLERS + number) for number in range(CALLERS)
+            Caller(addresses, seed * CALLERS + number, accounts.choose_key)
+            for number in range(CALLERS)
         ]
         until = began + max(seconds, max(fault.ends for fault in faults))
         load = asyncio.gather(*(caller.run(until) for caller in callers))
@@ -49,6 +53,7 @@
         workers = list(world.platform.workers_by_id.values())
         journal = Journal(began, faults, answers, workers, world.leavings)
         print_summary(seed, faults, answers)
+        violations += check_accounts(accounts, answers, workers)
         return violations + check(journal)
     finally:
         await world.stop()
@@ -63,7 +68,7 @@
     newest, older = f"/v{world.version}/x", f"/v{world.version - 1}/x"
     wanted = [(newest, "GET", "", 200), (older, "GET", "", 404)]
     wanted += [
-        (f"/script/healed-{adapter}", "POST", adapter, 200)
+        (f"/healed/{adapter}", "POST", adapter, 200)
         for adapter in sorted(world.adapter_versions)[:2] or ["a1"]
     ]
     for daemon in world.daemons:
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -39,11 +39,15 @@
     ADAPTER_VERSION = "adapter_version"
     ENDPOINT_RESTARTS = "endpoint_restarts"
     FOREIGN_ENTRY = "foreign_entry"
+    KEY_TAKEN = "key_taken"
 
 
 # Kinds that came later are drawn apart, so that a seed's other faults stay.
 LATER_KINDS = (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_ENTRY)
-FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
+ACCOUNT_KINDS = (FaultKind.KEY_TAKEN,)
+FIRST_KINDS = tuple(
+    kind for kind in FaultKind if kind not in LATER_KINDS + ACCOUNT_KINDS
+)
 # Planned work, which must not be seen by any caller.
 PLANNED = frozenset(
     {
@@ -53,6 +57,7 @@
         FaultKind.CONFIGURATION,
         FaultKind.ADAPTER_VERSION,
         FaultKind.FOREIGN_ENTRY,
+        FaultKind.KEY_TAKEN,
     }
 )
 MAX_LENGTH_S = 3.0
@@ -96,7 +101,11 @@
     later_share = len(LATER_KINDS) / len(FIRST_KINDS)
     first = _draw(Random(seed), FIRST_KINDS, seconds, per_s)
     later = _draw(Random(f"{seed} later"), LATER_KINDS, seconds, per_s * later_share)
-    return sorted(first + later, key=lambda fault: fault.at)
+    account_share = len(ACCOUNT_KINDS) / len(FIRST_KINDS)
+    account_faults = _draw(
+        Random(f"{seed} accounts"), ACCOUNT_KINDS, seconds, per_s * account_share
+    )
+    return sorted(first + later + account_faults, key=lambda fault: fault.at)
 
 
 def _draw(
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -10,6 +10,7 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
+from bench.soak.accounts import REVOKED_S, Accounts
 from bench.soak.checks import Leaving
 from bench.soak.plan import Fault, FaultKind
 from bench.soak.proxy import Proxy
@@ -64,8 +65,9 @@
 class SoakWorld:
     """Start everything, carry faults out, and end what was started."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, accounts: Accounts) -> None:
         self.platform = StandInPlatform()
+        self.accounts = accounts
         self.daemons: list[DaemonProcess] = []
         self.leavings: list[Leaving] = []
         self.version = 1
@@ -88,6 +90,7 @@
             FaultKind.ENDPOINT_RESTARTS: self._restart,
             FaultKind.FOREIGN_ENTRY: self._write_foreign_entry,
             FaultKind.CONFIGURATION: self._configure,
+            FaultKind.KEY_TAKEN: self._take_key,
             FaultKind.ADAPTER_VERSION: self._name_version,
         }
 
@@ -117,6 +120,7 @@
                 proxies[number].address,
                 seeds,
                 await store.start(),
+                revoked_bound_s=REVOKED_S,
             )
             self.daemons.append(DaemonProcess(spec, proxies[number], store))
         await asyncio.gather(*(self._start(daemon) for daemon in self.daemons))
@@ -144,8 +148,10 @@
 
     def publish_configuration(self) -> None:
         """Publish the configuration with the route of its version."""
-        route = make_route(f"v{self.version}", "safe", PLAIN)
-        configuration = make_configuration(self.version, route)
+        route = make_route(f"v{self.version}", "safe", PLAIN, public=True)
+        healed = make_route("healed", "stream", ENGINES, public=True)
+        configuration = make_configuration(self.version, route, healed)
+        configuration["tenants"] = self.accounts.describe()
         self.platform.publish_configuration(configuration)
 
     async def stop(self) -> None:
@@ -292,6 +298,11 @@
         self.version += 1
         self.publish_configuration()
 
+    async def _take_key(self, fault: Fault) -> None:
+        self.accounts.take(fault.target)
+        self.version += 1
+        self.publish_configuration()
+
     async def _name_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -235,12 +235,18 @@
         """Return an order that changes nothing, ``None`` if none is sure to.
 
         Only weights whose version is told: without one, an order brings the
-        newest version.
+        newest version. An adapter, if there is any: should it be gone by now,
+        it takes the place that it is believed to take.
         """
-        for weights, version in self.held.items():
-            if version and weights not in self.orders_by_weights:
-                return GiveOrder(OrderKind.LOAD, weights, version, True)
-        return None
+        told = [
+            weights
+            for weights, version in self.held.items()
+            if version and weights not in self.orders_by_weights
+        ]
+        if not told:
+            return None
+        weights = max(told, key=lambda item: bool(item.adapter))
+        return GiveOrder(OrderKind.LOAD, weights, self.held[weights], True)
 
     def step(
         self,
--- a/standins/forwarding/caller.py
+++ b/standins/forwarding/caller.py
@@ -10,7 +10,11 @@
 
 
 def make_headers(
-    request_id: str, time_left_s: float, adapter: str = "", body: bytes | None = None
+    request_id: str,
+    time_left_s: float,
+    adapter: str = "",
+    body: bytes | None = None,
+    key: str = "",
 ) -> list[Header]:
     """Return the headers of a request, with its model if it asks for one.
 
@@ -25,6 +29,8 @@
     if adapter:
         headers.append(("Fescuekeel-Model", f"{MODEL}/{adapter}"))
         headers.append(("Fescuekeel-Token-Count", f"{PROMPT_TOKENS},{MAX_TOKENS}"))
+    if key:
+        headers.append(("X-Api-Key", key))
     if body is not None:
         headers.append(("Content-Length", str(len(body))))
     return headers
--- a/standins/forwarding/daemons.py
+++ b/standins/forwarding/daemons.py
@@ -43,6 +43,7 @@
 lease_s = 1
 fenced = yes
 retry_slack = {retry_slack}
+revoked_bound_s = {revoked_bound_s}
 """
 
 
@@ -72,6 +73,7 @@
     store: str
     shutdown_s: float = 2.0
     retry_slack: float = 20.0
+    revoked_bound_s: float = 0.0
 
     def write_settings(self, folder: Path) -> Path:
         """Write the settings file and return its path."""
@@ -88,6 +90,7 @@
             dialect_path=ROOT / "platform",
             store=self.store,
             retry_slack=self.retry_slack,
+            revoked_bound_s=self.revoked_bound_s,
         )
         path = folder / f"{self.id}.ini"
         path.write_text(text, "utf-8")
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -191,6 +191,10 @@
             worker.versions_by_adapter.pop(adapter, None)
             await self.answer(200, {})
             return
+        if not adapter:
+            # The base model is there from the beginning.
+            await self.answer(200, {})
+            return
         version = order.get("version") or worker.newest_by_adapter.get(adapter, 1)
         if worker.versions_by_adapter.get(adapter, 0) >= version:
             await self.answer(200, {})
--- a/tests/components/placement/test_takeover.py
+++ b/tests/components/placement/test_takeover.py
@@ -77,6 +77,11 @@
         order = places.choose_order_that_holds()
         assert (order.kind, order.weights, order.version) == (OrderKind.LOAD, BASE, 1)
 
+    def test_an_adapter_is_named_before_the_base_model(self):
+        places = EndpointPlaces(4, "m", held={BASE: 1, HELD: 3})
+        order = places.choose_order_that_holds()
+        assert (order.weights, order.version) == (HELD, 3)
+
     def test_without_a_told_version_there_is_none(self):
         assert EndpointPlaces(4, "m").choose_order_that_holds() is None
         places = EndpointPlaces(4, "m", held={HELD: 0})
