Keep a limit when all instances lose power under a crowd

The account sent 4.8 times its usual, all instances were killed at 13.0 s, and the homes that started granted again at the full rate what the window already held. Change: the room of a new home grows at three quarters of the rate, and no half of a window holds more than its share and two bursts.

--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -12,6 +12,9 @@
 SPARE_SHARE: Final = 1 / 8
 # The part of a window that only what is needed is granted from.
 RESERVED_SHARE: Final = 0.2
+# How fast the room of a new home grows, as a share of the rate: others may
+# have granted a whole window just before.
+COME_IN_SHARE: Final = 0.75
 # A question to an account's home stays open for so long: a message there and
 # one back, several times over.
 ASK_TIMEOUT_S: Final = 0.25
--- a/fescuekeel/components/allowance/window.py
+++ b/fescuekeel/components/allowance/window.py
@@ -3,6 +3,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from fescuekeel.components.allowance.const import COME_IN_SHARE
+
 __all__ = ["LimitWindow"]
 
 
@@ -12,16 +14,20 @@
 
     A limit is a rate and a burst, and what it allows is counted over any
     window of ``window_s``. A token bucket of the same rate and burst refuses
-    crowds that the window still has room for. What was granted before
-    ``since`` is not known here: the room grows from nothing then, as fast as
-    the rate allows.
+    crowds that the window still has room for.
+
+    What was granted before ``since``, by another home or an earlier start of
+    this one, is not known here. So the room grows from nothing then, more
+    slowly than the rate, and no half of a window holds much more than its
+    share. Guards against a window that is used up in a moment, forgotten as
+    its home loses power, and granted again.
 
     >>> window = LimitWindow(10.0, burst=10.0, window_s=8.0, since=0.0)
     >>> window.count_room(now=2.0), window.count_room(now=20.0)
-    (20.0, 90.0)
-    >>> window.take(85.0, now=20.0)
+    (15.0, 60.0)
+    >>> window.take(55.0, now=20.0)
     >>> window.count_room(now=21.0), window.find_wait_s(10.0, now=21.0)
-    (5.0, 7.0)
+    (5.0, 3.0)
     """
 
     rate_per_s: float
@@ -40,8 +46,20 @@
         """Return what may be granted now."""
         while self._granted and now - self._granted[0][0] >= self.window_s:
             self._total -= self._granted.popleft()[1]
-        known = self.rate_per_s * max(0.0, now - self.since)
-        return max(0.0, min(self.capacity, known) - self._total)
+        known = self._count_come_in(now)
+        room = min(self.capacity, known) - self._total
+        return max(0.0, min(room, self._half_capacity - self._count_half(now)))
+
+    @property
+    def _half_capacity(self) -> float:
+        return self.rate_per_s * self.window_s / 2 + 2 * self.burst
+
+    def _count_half(self, now: float) -> float:
+        since = now - self.window_s / 2
+        return sum(units for at, units in self._granted if at > since)
+
+    def _count_come_in(self, now: float) -> float:
+        return self.rate_per_s * COME_IN_SHARE * max(0.0, now - self.since)
 
     def take(self, units: float, now: float) -> None:
         """Count a grant."""
@@ -52,25 +70,33 @@
         """Return after how long there is room for some units."""
         if units <= self.count_room(now):
             return 0.0
-        return max(self._find_wait_for_rate(units, now), self._find_wait(units, now))
+        half_s = self.window_s / 2
+        return max(
+            self._find_wait_for_rate(units, now),
+            self._find_wait(units, now, self.capacity, self.window_s),
+            self._find_wait(units, now, self._half_capacity, half_s),
+        )
 
     def _find_wait_for_rate(self, units: float, now: float) -> float:
         """Return after how long enough has come in since the beginning."""
         if self.rate_per_s <= 0:
             return self.window_s
-        missing = self._total + units - self.rate_per_s * max(0.0, now - self.since)
-        return min(self.window_s, missing / self.rate_per_s)
+        missing = self._total + units - self._count_come_in(now)
+        return min(self.window_s, missing / (self.rate_per_s * COME_IN_SHARE))
 
-    def _find_wait(self, units: float, now: float) -> float:
-        """Return after how long enough has left the window."""
-        room = self.capacity - self._total
+    def _find_wait(
+        self, units: float, now: float, capacity: float, window_s: float
+    ) -> float:
+        """Return after how long enough has left a window."""
+        inside = [(at, granted) for at, granted in self._granted if at > now - window_s]
+        room = capacity - sum(granted for _, granted in inside)
         if units <= room:
             return 0.0
-        for at, granted in self._granted:
+        for at, granted in inside:
             room += granted
             if units <= room:
-                return max(0.0, at + self.window_s - now)
-        return self.window_s
+                return max(0.0, at + window_s - now)
+        return window_s
 
     def change(self, rate_per_s: float, burst: float) -> None:
         """Take another limit; what was granted counts in its proportion.
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from returns.result import Failure as Err
@@ -16,7 +17,7 @@
 __all__ = ["main", "run"]
 
 EXIT_BAD_SETTINGS = 2
-USAGE = "usage: fescuekeeld [--settings] SETTINGS.ini\n"
+USAGE = "usage: fescuekeeld [--settings=]SETTINGS.ini\n"
 
 
 # How often the settings file is looked at: it may change without a signal.
@@ -106,12 +107,27 @@
     if arguments in (["-h"], ["--help"]):
         sys.stdout.write(USAGE)
         return
-    if arguments[:1] == ["--settings"]:
-        del arguments[0]
-    if len(arguments) != 1 or arguments[0].startswith("-"):
+    settings = find_settings(arguments)
+    if settings is None:
         sys.stderr.write(USAGE)
         raise SystemExit(EXIT_BAD_SETTINGS)
-    start(arguments[0])
+    start(settings)
+
+
+def find_settings(arguments: Sequence[str]) -> str | None:
+    """Return the path that the command line names, ``None`` if it is wrong.
+
+    >>> find_settings(["a.ini"]), find_settings(["--settings=a.ini"])
+    ('a.ini', 'a.ini')
+    >>> find_settings(["--settings", "a.ini"]), find_settings(["--port", "8"])
+    ('a.ini', None)
+    """
+    match arguments:
+        case ["--settings", path] | [path] if not path.startswith("-"):
+            return path
+        case [option] if option.startswith("--settings="):
+            return option.removeprefix("--settings=") or None
+    return None
 
 
 if __name__ == "__main__":
--- a/tests/components/allowance/fleet.py
+++ b/tests/components/allowance/fleet.py
@@ -124,6 +124,15 @@
         self.sides_apart = True
         self._events.append((self.now + DETECT_S, self.tell_members))
 
+    def lose_power(self, down_s):
+        """Start every instance anew, with nothing that it knew."""
+        self.now += down_s
+        for node in self.nodes.values():
+            node.home = AccountHome(since=self.now)
+            node.share = FleetShare(MEMORY_S)
+            node.holding = Holding(TokenBucket(0.0, 0.0, 0.0, self.now))
+        self.tell_members()
+
     def heal(self):
         self.sides_apart = False
         self._events.append((self.now + DETECT_S, self.tell_members))
--- a/tests/components/allowance/test_fleet.py
+++ b/tests/components/allowance/test_fleet.py
@@ -72,6 +72,23 @@
         fleet.play(16.0, count_per_s(LARGE, 2.0), PRICE)
         assert fleet.count_worst_window() <= fleet.allowed
 
+    @pytest.mark.parametrize("calm_share", [0.0, 0.02, 0.55])
+    @pytest.mark.parametrize("crowd_s", [1.0, 2.0, 3.0, 4.0, 5.0, 7.0])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_all_lose_power_in_a_crowd(self, calm_share, crowd_s, seed):
+        """An account ran more in eight seconds than is allowed.
+
+        It had used its whole window up when all instances lost power, and
+        those that started knew nothing of it.
+        """
+        fleet = Fleet(LARGE, 75, seed)
+        if calm_share:
+            fleet.play(15.0, count_per_s(LARGE, calm_share), PRICE)
+        fleet.play(crowd_s, count_per_s(LARGE, 6.0), PRICE)
+        fleet.lose_power(down_s=0.5)
+        fleet.play(10.0, count_per_s(LARGE, 6.0), PRICE)
+        assert fleet.count_worst_window() <= fleet.allowed
+
     @pytest.mark.parametrize("size", SIZES)
     @pytest.mark.parametrize("account", [LARGE, SMALL], ids=["large", "small"])
     def test_without_any_home_each_instance_keeps_to_its_part(self, size, account):
