Untie the forward component: requests see a protocol of what they ask for

Keys and limits get a module of their own (gate.py); the callers' server takes a function. No behaviour changes; tests of forward and of the whole path pass.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -3,17 +3,10 @@
 import asyncio
 from collections import Counter
 from http import HTTPStatus
-from typing import cast
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from fescuekeel.components.allowance import DOMAIN as ALLOWANCE_DOMAIN, Allowances
-from fescuekeel.components.forward.accounts import (
-    AccountBounds,
-    find_account,
-    is_too_old,
-)
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
 from fescuekeel.components.forward.budget import RetryBudget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
@@ -29,6 +22,7 @@
     LOWEST_PRIORITY,
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.forward.gate import AccountGate
 from fescuekeel.components.forward.overhead import FirstPieceFit
 from fescuekeel.components.forward.placing import Placer
 from fescuekeel.components.forward.reach import ReachWatch
@@ -43,7 +37,6 @@
 from fescuekeel.helpers.board import PlacementBoard
 from fescuekeel.helpers.dialect import CallerHead, get_dialect
 from fescuekeel.helpers.exchange import Connection, ConnectionPool, NotConnectedError
-from fescuekeel.helpers.freshness import Freshness
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.pages import Page, PageServer
 from fescuekeel.helpers.published import (
@@ -68,7 +61,7 @@
         bounds = settings.forwarding
         self.instance = instance
         self.dialect = get_dialect(instance.settings.platform)
-        self.server = CallersServer(self, settings.callers.address)
+        self.server = CallersServer(self.accept, settings.callers.address)
         self.ready_server = PageServer({self.dialect.ready_path: self._tell_ready})
         self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
@@ -84,10 +77,7 @@
         self._open: set[asyncio.Task[None]] = set()
         self._requests: set[ForwardedRequest] = set()
         self._shutdown: Shutdown | None = None
-        self._freshness = Freshness()
-        self._allowances = cast(
-            Allowances, instance.components_by_domain[ALLOWANCE_DOMAIN]
-        )
+        self._gate = AccountGate(instance)
 
     @property
     def ready(self) -> bool:
@@ -109,16 +99,12 @@
 
     def _knows_too_little(self) -> bool:
         """Tell whether requests with keys have to be turned away."""
-        if self._table is None:
-            return True
-        age_s = self._freshness.read_age_s(self.instance.now())
-        revoked_s = self.instance.settings.forwarding.revoked_bound_s
-        return is_too_old(self._table.configuration, age_s, revoked_s)
+        return self._table is None or self._gate.is_stale(self._table.configuration)
 
     async def start(self) -> None:
         """Listen."""
         bus = self.instance.bus
-        self._freshness = bus.latest(Freshness) or self._freshness
+        self._gate.start()
         bus.subscribe(Catalog, self._take_catalog)
         bus.subscribe(MemberView, self._note_members)
         bus.subscribe(SettingsReloaded, self._take_settings)
@@ -213,8 +199,7 @@
         finally:
             self._requests.discard(request)
             if request.account is not None and not request.state.may_have_run:
-                price = request.account.price(head.tokens)
-                self._allowances.give_back(request.account, price)
+                self._gate.give_back(request.account, head)
 
     async def _admit(
         self,
@@ -239,8 +224,7 @@
         if isinstance(account, Failure):
             return account
         if account is not None:
-            price = account.price(head.tokens)
-            refused = await self._allowances.admit(head.request_id, account, price)
+            refused = await self._gate.admit(account, head)
             if refused is not None:
                 return refused
         left_s = DEFAULT_TIME_LEFT_S if head.time_left_s is None else head.time_left_s
@@ -282,17 +266,7 @@
     ) -> ClientAccount | Failure | None:
         """Return whose request it is, by what is in force now."""
         assert self._table is not None
-        return find_account(
-            self._table.configuration,
-            route,
-            head.key_digest,
-            self._freshness.read_age_s(self.instance.now()),
-            self._get_account_bounds(),
-        )
-
-    def _get_account_bounds(self) -> AccountBounds:
-        bounds = self.instance.settings.forwarding
-        return AccountBounds(bounds.change_bound_s, bounds.revoked_bound_s)
+        return self._gate.find(self._table.configuration, route, head)
 
     def get_load(self, endpoint: str) -> EndpointLoad:
         """Return what is seen of an endpoint."""
@@ -387,6 +361,14 @@
                 board.note_missing(choice.endpoint, request.weights, now)
         self.records.attempt(request, choice, attempt, end)
 
+    def note_refused(self, request: ForwardedRequest, failure: Failure) -> None:
+        """Record a refusal."""
+        self.records.refused(request, failure)
+
+    def note_end(self, request: ForwardedRequest) -> None:
+        """Record the end of a request."""
+        self.records.end(request)
+
     # What is believed.
 
     def _add_gauges(self) -> None:
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -3,7 +3,6 @@
 import asyncio
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import TYPE_CHECKING
 
 from fescuekeel.components.forward.attempts import (
     AttemptEnd,
@@ -23,6 +22,7 @@
     UNSENT_PAUSE_S,
 )
 from fescuekeel.components.forward.events import EventSplitter
+from fescuekeel.components.forward.host import RequestHost
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import AnswerHead, CallerHead, Header, SendHead
 from fescuekeel.helpers.exchange import (
@@ -34,9 +34,6 @@
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
 
-if TYPE_CHECKING:
-    from fescuekeel.components.forward.component import Forwarder
-
 __all__ = ["Attempt", "ForwardedRequest"]
 
 FAILURE_STATUS = 500
@@ -63,7 +60,7 @@
     ``deadline`` is when the final answer is due, in the instance's seconds.
     """
 
-    forwarder: "Forwarder"
+    forwarder: "RequestHost[ForwardedRequest, Attempt]"
     caller: CallerConnection
     head: CallerHead
     method: str
@@ -115,7 +112,7 @@
             if not self._closed_by_caller:
                 await self._end_stopped()
         finally:
-            self.forwarder.records.end(self)
+            self.forwarder.note_end(self)
 
     def lose_caller(self, task: asyncio.Task[None]) -> None:
         """Stop the work for a caller that is gone."""
@@ -200,7 +197,7 @@
             self.head.request_id, failure.kind
         )
         await self.caller.refuse(failure, headers)
-        self.forwarder.records.refused(self, failure)
+        self.forwarder.note_refused(self, failure)
 
     async def _end_late(self) -> None:
         """Say that the time is over; only what was not sent "has not run"."""
--- a/fescuekeel/components/forward/server.py
+++ b/fescuekeel/components/forward/server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -21,17 +21,17 @@
 )
 from fescuekeel.helpers.listen import bind_address
 
-if TYPE_CHECKING:
-    from fescuekeel.components.forward.component import Forwarder
-
 __all__ = ["CallersServer"]
 
+# Takes a request that was read whole.
+Accept = Callable[[HTTP1Connection, RequestStartLine, HTTPHeaders, bytes], None]
+
 
 class RequestReader(HTTPMessageDelegate):
     """Read one request whole, then hand it over."""
 
-    def __init__(self, forwarder: "Forwarder", connection: HTTP1Connection) -> None:
-        self._forwarder = forwarder
+    def __init__(self, accept: Accept, connection: HTTP1Connection) -> None:
+        self._accept = accept
         self._connection = connection
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
@@ -52,9 +52,7 @@
     def finish(self) -> None:
         """Hand the whole request over."""
         assert self._line is not None
-        self._forwarder.accept(
-            self._connection, self._line, self._headers, bytes(self._body)
-        )
+        self._accept(self._connection, self._line, self._headers, bytes(self._body))
 
     def on_connection_close(self) -> None:
         """Drop a request that was never whole."""
@@ -64,9 +62,9 @@
 class CallersServer(HTTPServerConnectionDelegate):
     """Own the callers' listening socket."""
 
-    def __init__(self, forwarder: "Forwarder", address: str) -> None:
+    def __init__(self, accept: Accept, address: str) -> None:
         self.address = address
-        self._forwarder = forwarder
+        self._accept = accept
         self._server = _DelegateServer(
             self,
             max_buffer_size=4 * MAX_BODY_BYTES,
@@ -85,7 +83,7 @@
     ) -> HTTPMessageDelegate:
         """Read the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return RequestReader(self._forwarder, request_conn)
+        return RequestReader(self._accept, request_conn)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection."""
