Give the price of a request back only if it was never sent

Cause: found while reading: a request that was sent and ended with its caller's time, or whose caller left, was taken for one that had not run, and its price came back. Change: only what no byte was sent of gives its price back.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -198,7 +198,7 @@
             await request.run()
         finally:
             self._requests.discard(request)
-            if request.account is not None and not request.state.may_have_run:
+            if request.account is not None and not request.state.sends:
                 self._gate.give_back(request.account, head)
 
     async def _admit(
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -1,10 +1,11 @@
 """Tests of keys and limits of client accounts over the whole path."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from msgspec import structs
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from fescuekeel.helpers.freshness import Freshness
 from standins.forwarding.platform import PLAIN, make_configuration, make_route
@@ -129,3 +130,29 @@
                 assert 1 <= codes.count(200) <= (1 * 8 + 2) * 1.25
 
         run(work)
+
+    def test_a_request_that_was_sent_and_timed_out_counts(self):
+        """An account ran twice its limit at endpoints that had gone silent.
+
+        Each request ended with its caller's time, and its price was taken
+        back although the endpoint was at work on it.
+        """
+
+        async def work():
+            account = make_account("shop", "key-1", rate_per_s=1, burst=2)
+            async with start_keyed_world(account) as world:
+                for worker in world.platform.workers_by_id.values():
+                    worker.stall = 1000
+                await asyncio.sleep(4.0)
+                for _ in range(30):
+                    with suppress(HTTPStreamClosedError):
+                        await world.ask_stream(
+                            adapter="",
+                            X_Api_Key="key-1",
+                            Fescuekeel_Deadline_Ms="200",
+                        )
+                workers = world.platform.workers_by_id.values()
+                runs = sum(len(worker.records) for worker in workers)
+                assert 1 <= runs <= (1 * 8 + 2) * 1.25
+
+        run(work)
