--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -36,7 +36,7 @@
 
 
 class Allowances:
-    """Own what this instance holds, and the buckets that it is the home of."""
+    """Own what this instance was granted, and what it grants as a home."""
 
     def __init__(self, instance: Instance) -> None:
         bounds = instance.settings.forwarding
@@ -59,7 +59,7 @@
         bus.subscribe(Catalog, self._note_catalog)
         self._note_members(bus.latest(MemberView) or MemberView())
         self._note_catalog(bus.latest(Catalog) or Catalog(0, None, {}, {}))
-        self._instance.metrics.add_gauge("allowance_left", self._read_levels)
+        self._instance.metrics.add_gauge("allowance_left", self._read_room)
 
     async def stop(self) -> None:
         """End; the tasks are the instance's."""
@@ -70,7 +70,7 @@
         self, request_id: str, account: ClientAccount, price: float
     ) -> Failure | None:
         """Take a request's price from its account's limit, or refuse it."""
-        if account.rate_per_s <= 0:
+        if account.rate_per_s <= 0 or price <= 0:
             return None
         waited = False
         while True:
@@ -228,7 +228,7 @@
         for name in self._holdings_by_name.keys() - self._accounts_by_name.keys():
             del self._holdings_by_name[name]
 
-    def _read_levels(self) -> dict[str, float]:
+    def _read_room(self) -> dict[str, float]:
         now = self._instance.now()
         return {
             name: self._home.read_room(name, now) for name in self._home.list_names()
