--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -7,6 +7,7 @@
 from fescuekeel.components.placement.const import (
     IDLE_LOOK_S,
     LOOK_PERIOD_S,
+    RETRY_LOOK_S,
     TICK_S,
 )
 from fescuekeel.components.placement.model import AskEnded, GiveOrder
@@ -93,7 +94,10 @@
                 if self.places.needs_report(now):
                     next_look = min(next_look, now + LOOK_PERIOD_S)
             if takeover is not None:
-                next_look = min(next_look, takeover.next_look)
+                # A report that was not had is asked for again, but not in a
+                # loop: the endpoint may refuse connections at once.
+                soon = self._instance.now() + RETRY_LOOK_S
+                next_look = min(next_look, max(soon, takeover.next_look))
             await self._sleep(min(next_look, self.places.get_next_check()))
 
     def _follow_claim(self, held: bool) -> None:
