Prove sooner that the configuration is the newest, where keys can be taken away

With a bound of 5 s instances in touch would have turned all keys away. Change: where such a bound is set, a pause and a watch take a fifth of it each; a quiet watch speaks of its end although two clocks differ by a fiftieth; an unknown key is refused at once until touch is lost for twice the bound of a new configuration.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -4,7 +4,11 @@
 import random
 import zlib
 
-from fescuekeel.components.catalog.confirmation import Sources, find_confirmed
+from fescuekeel.components.catalog.confirmation import (
+    Sources,
+    choose_pace,
+    find_confirmed,
+)
 from fescuekeel.components.catalog.const import (
     ASK_TIMEOUT_S,
     BEHIND_S,
@@ -12,8 +16,6 @@
     CONNECT_TIMEOUT_S,
     DOMAIN,
     DUTY_POLL_S,
-    GATHER_SHARE,
-    MAX_GATHER_S,
     NEWS_FANOUT,
     NEWS_PERIOD_S,
     SECOND_HAND_FANOUT,
@@ -59,9 +61,8 @@
         self._view = CatalogView(self._dialect)
         bounds = instance.settings.forwarding
         bound_s = min(bounds.change_bound_s, bounds.leaving_bound_s)
-        self._follower = Follower(
-            self._items, min(MAX_GATHER_S, GATHER_SHARE * bound_s)
-        )
+        gather_s, wait_s = choose_pace(bound_s, bounds.revoked_bound_s)
+        self._follower = Follower(self._items, gather_s, wait_s)
         self._duty = WatchDuty(instance.id, instance.settings.instance.data_centre)
         self._watching = True
         self._freshness = Freshness()
--- a/fescuekeel/components/catalog/confirmation.py
+++ b/fescuekeel/components/catalog/confirmation.py
@@ -10,14 +10,19 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.catalog.const import (
+    CLOCK_TOLERANCE,
     FRESH_ENOUGH_S,
+    GATHER_SHARE,
     HINT_TTL_S,
+    MAX_GATHER_S,
+    REVOKED_SHARE,
+    WATCH_WAIT_S,
     WORTH_ASKING_S,
 )
 from fescuekeel.components.catalog.follower import ListPage, WatchChanges
 from fescuekeel.helpers.dialect import SourceReply, SourceStatus
 
-__all__ = ["Sources", "find_confirmed"]
+__all__ = ["Sources", "choose_pace", "find_confirmed"]
 
 
 def find_confirmed(
@@ -36,18 +41,41 @@
     >>> watch = WatchChanges(after_revision=7, wait_s=2.0)
     >>> quiet = SourceReply(SourceStatus.OK, (), revision=7)
     >>> find_confirmed(watch, quiet, 10.0, replied=12.1, listing_asked=0.0)
-    12.0
+    11.96
     """
     if reply.status is not SourceStatus.OK:
         return None
     if isinstance(call, ListPage):
         return None if reply.more and reply.items else listing_asked
     nothing_new = not reply.items and reply.revision == call.after_revision
-    if nothing_new and replied >= asked + call.wait_s:
-        return asked + call.wait_s
+    # Clocks and timers of two machines differ a little.
+    waited_until = asked + (1 - CLOCK_TOLERANCE) * call.wait_s
+    if nothing_new and replied >= waited_until:
+        return waited_until
     return asked
 
 
+def choose_pace(bound_s: float, revoked_s: float) -> tuple[float, float]:
+    """Return how long changes are gathered, and how long a watch waits.
+
+    ``bound_s`` is within what a change must be in force and ``revoked_s``
+    within what a key that was taken away serves nowhere, zero for no bound. A
+    watch that is answered with a change speaks of the time before its wait,
+    and the next one ends a pause and a wait later: these three, and what a
+    peer's word takes, stay below the second bound.
+
+    >>> choose_pace(bound_s=3.0, revoked_s=5.0)
+    (1.0, 1.0)
+    >>> choose_pace(bound_s=2.0, revoked_s=0.0)
+    (0.8, 2.3)
+    """
+    gather_s = min(MAX_GATHER_S, GATHER_SHARE * bound_s)
+    if revoked_s <= 0:
+        return gather_s, WATCH_WAIT_S
+    most_s = REVOKED_SHARE * revoked_s
+    return min(gather_s, most_s), min(WATCH_WAIT_S, most_s)
+
+
 @dataclass(frozen=True, slots=True)
 class Hint:
     """What a peer's news told of its own freshness, and when it came."""
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -58,6 +58,11 @@
 # late entry of an earlier start may come then.
 MAX_KNOWN_BIRTHS: Final = 4096
 
+# A pause and a wait at the store, as a share of the bound within which a key
+# that was taken away serves nowhere.
+REVOKED_SHARE: Final = 0.2
+# By which share of a time two machines may differ about its length.
+CLOCK_TOLERANCE: Final = 0.02
 # Where keys can be taken away, an instance that was told nothing of the last
 # so many seconds asks a peer that knows more. It looks twice a second, so that
 # what it knows is at most two seconds older than what the watchers know.
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -38,7 +38,8 @@
 class Follower:
     """Follow the store: list once, then watch; begin anew on lost history.
 
-    ``gather_s`` is the pause after changes. ``away`` says that the store's
+    ``gather_s`` is the pause after changes and ``wait_s`` how long a
+    watch waits for them. ``away`` says that the store's
     last call failed, and ``returned_revision`` is the store's revision when it
     answered again: what was removed up to it may have lapsed while the store
     was away. The first listing counts as a return, since nothing is known of
@@ -55,6 +56,7 @@
 
     store: ItemStore
     gather_s: float = 0.0
+    wait_s: float = WATCH_WAIT_S
     away: bool = True
     returned_revision: int = 0
     pause_s: float = 0.0
@@ -65,7 +67,8 @@
     def plan(self) -> ListPage | WatchChanges:
         """Return the next call, to be made after ``pause_s``."""
         if self._listing is None:
-            return WatchChanges(self.store.revision)
+            timeout_s = self.wait_s + READ_TIMEOUT_S
+            return WatchChanges(self.store.revision, self.wait_s, timeout_s)
         return ListPage(self._listing[-1].key if self._listing else "")
 
     def take(self, reply: SourceReply) -> list[str]:
--- a/fescuekeel/components/forward/accounts.py
+++ b/fescuekeel/components/forward/accounts.py
@@ -6,6 +6,7 @@
 from fescuekeel.components.forward.const import (
     CUT_OFF_RETRY_FROM_S,
     CUT_OFF_RETRY_TO_S,
+    MISSED_PERIODS,
     REVOKED_MARGIN_S,
 )
 from fescuekeel.errors import ErrorKind, Failure
@@ -48,8 +49,8 @@
 ) -> ClientAccount | Failure | None:
     """Return whose request it is, ``None`` where requests need no key.
 
-    A key that is not known is refused at once, unless this instance may have
-    missed its publication: then another one is to be asked.
+    A key that is not known is refused at once, unless this instance has lost
+    touch for longer than a new one takes: then another one is to be asked.
     """
     accounts = configuration.accounts_by_digest
     if accounts is None:
@@ -61,7 +62,7 @@
         return _refuse_stale(age_s)
     if account is not None:
         return account
-    if key_digest and age_s > bounds.change_s:
+    if key_digest and age_s > MISSED_PERIODS * bounds.change_s:
         return _refuse_stale(age_s)
     return Failure(ErrorKind.UNAUTHENTICATED, "unknown key" if key_digest else "no key")
 
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -125,6 +125,9 @@
 # Requests with keys are turned away so much before the bound within which a
 # key that was taken away must serve nowhere.
 REVOKED_MARGIN_S: Final = 0.25
+# An instance that hears nothing for so many times the bound of a new
+# configuration has lost touch: in a quiet hour it hears once in the bound.
+MISSED_PERIODS: Final = 2
 
 # What callers are told to wait before they come again.
 RETRY_AFTER_S: Final = 0.3
--- a/standins/forwarding/sample.py
+++ b/standins/forwarding/sample.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from standins.fleet import free_addresses
+from standins.forwarding.accounts import AccountShow, show_accounts
 from standins.forwarding.caller import make_headers
 from standins.forwarding.daemons import (
     DaemonAddresses,
@@ -116,6 +117,10 @@
                 doubled.append(Doubled(result.request.marker, f"ran {runs} times"))
         return doubled
 
+    async def show_accounts(self) -> AccountShow:
+        """Show a key that is not known, a limit, and a key taken away."""
+        return await show_accounts(self.platform, self.callers, self._client)
+
     async def stop(self) -> None:
         """End the daemons, then the platform."""
         for process in self._processes:
@@ -162,6 +167,7 @@
             await asyncio.gather(*(sample.send(request) for request in make_plan()))
         )
         doubled = sample.find_doubled(results)
+        accounts = await sample.show_accounts()
         overrun = [id for id, w in sample.platform.workers_by_id.items() if w.overrun]
     finally:
         await sample.stop()
@@ -169,6 +175,7 @@
     for id in overrun:
         print(f"overrun {id}: it was ordered to hold more than it has places for")
     print(format_summary(results, doubled))
+    print(accounts.format_line())
     lost = any(result.verdict is Verdict.LOST for result in results)
     return 1 if lost or doubled or overrun else 0
 
