--- a/fescuekeel/collector.py
+++ b/fescuekeel/collector.py
@@ -1,10 +1,8 @@
 """Pause garbage collection while the daemon is imported and started.
 
 Imports make hundreds of thousands of objects that all stay, and each pass of
-the collector goes through them in vain: the imports of a daemon take 0.50 to
-0.58 s of processor with collection paused and 0.54 to 0.70 s without (three
-runs each on a busy machine). Importing this module pauses it, so that it has
-to come before the modules that are large.
+the collector goes through them in vain. Importing this module pauses it, so
+that it has to come before the modules that are large.
 """
 
 import gc
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -294,8 +294,8 @@
     def _began_at_start(self, own: OwnClaim) -> bool:
         """Tell whether a candidacy began with the process.
 
-        Saves 2.5 of 3.5 seconds without loads after all instances were
-        restarted at once; seen in the claims' lines of a day that ends so.
+        Saves most of a lease without loads after all instances were restarted
+        at once.
         """
         return self._started is not None and own.since - self._started < START_WINDOW_S
 
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -101,7 +101,7 @@
 def main() -> None:
     """Read the command line: the path of the settings file and nothing else.
 
-    By hand, since a library for it takes a tenth of the time to start.
+    By hand, since loading a library for it would make each start longer.
     """
     arguments = sys.argv[1:]
     if arguments in (["-h"], ["--help"]):
--- a/fescuekeel/helpers/logging.py
+++ b/fescuekeel/helpers/logging.py
@@ -1,8 +1,8 @@
 """Logging: events written as one line of key=value pairs each.
 
 An event is a mapping with ``timestamp``, ``message_type`` and its fields, as
-eliot has it, which costs too much on small machines: a sixth of a daemon's
-start, and a random number from the kernel for each line.
+eliot has it. That library itself is too dear for small machines, in the time
+that a daemon takes to start and in what each line costs.
 """
 
 import sys
--- a/fescuekeel/helpers/pages.py
+++ b/fescuekeel/helpers/pages.py
@@ -1,7 +1,7 @@
 """A small HTTP server of pages that are made when somebody asks for them.
 
-The web framework of tornado takes a tenth of a daemon's start, and what
-probes and scrapers ask for needs no more than a path and a text.
+What probes and scrapers ask for needs no more than a path and a text, and
+loading a web framework for it would make each start of a daemon longer.
 """
 
 import asyncio
