--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -49,6 +49,7 @@
         self._holdings_by_name: dict[str, Holding] = {}
         self._asking_by_name: dict[str, asyncio.Task[None]] = {}
         self._accounts_by_name: dict[str, ClientAccount] = {}
+        self._homes_by_name: dict[str, list[str]] = {}
         self._silent_until_by_id: dict[str, float] = {}
 
     async def start(self) -> None:
@@ -174,15 +175,24 @@
     def _list_homes(self, name: str) -> list[str]:
         """Return the home and its deputy, less those that were just silent."""
         now = self._instance.now()
-        ranked = rendezvous.rank(f"{DOMAIN}/{name}", self._fleet.present)
         return [
             id
-            for id in ranked[:HOMES]
+            for id in self._rank_homes(name)
             if now >= self._silent_until_by_id.get(id, float("-inf"))
         ]
 
     def _find_home(self, name: str) -> str | None:
-        return rendezvous.choose(f"{DOMAIN}/{name}", self._fleet.present)
+        return next(iter(self._rank_homes(name)), None)
+
+    def _rank_homes(self, name: str) -> list[str]:
+        """Return the first in rank, remembered while the members stay."""
+        ranked = self._homes_by_name.get(name)
+        if ranked is None:
+            if len(self._homes_by_name) >= MAX_ACCOUNTS:
+                self._homes_by_name.clear()
+            all_ranked = rendezvous.rank(f"{DOMAIN}/{name}", self._fleet.present)
+            ranked = self._homes_by_name[name] = all_ranked[:HOMES]
+        return ranked
 
     def _grant(
         self, account: ClientAccount, needed: float, deputy: bool = False
@@ -210,6 +220,7 @@
         self._fleet.take(view.members_by_id, set(view.left), now)
         if self._fleet.present == before:
             return
+        self._homes_by_name.clear()
         own = [
             name
             for name in self._home.list_names()
