--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -30,6 +30,10 @@
     ErrorKind.TREE_NOT_READY: (
         f"{GATEWAY}::test_nothing_is_served_before_the_tree_is_known"
     ),
+    ErrorKind.CONFIGURATION_STALE: (
+        "components/forward/test_accounts.py::TestAge::"
+        "test_a_key_taken_away_is_served_nowhere_past_the_bound"
+    ),
     ErrorKind.RATE_LIMITED: (
         "components/gateway/test_limits.py::TestLimits::"
         "test_the_rate_holds_over_time_and_the_hint_is_right"
