Tell the home of an account its share with each grant

Cause: found while reading: the share of a limit that one side of a cut grants was kept twice, in what counts the instances and in the home, and set in two places; a grant with the older one would have been possible. Change: it is read from the count of instances when something is granted. No figure changes: the plays on the virtual clock pass as before (114 tests of the component and its doctests).

--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -198,9 +198,9 @@
         self, account: ClientAccount, needed: float, deputy: bool = False
     ) -> Grant:
         now = self._instance.now()
-        self._home.share = self._fleet.read(now)
         deputy = deputy or self._find_home(account.name) != self._instance.id
-        return self._home.grant(account, needed, now, deputy)
+        share = self._fleet.read(now)
+        return self._home.grant(account, needed, now, share, deputy)
 
     def _answer(self, message: PeerMessage) -> None:
         assert isinstance(message.body, AllowanceAsk)
@@ -226,7 +226,7 @@
             for name in self._home.list_names()
             if self._find_home(name) == self._instance.id
         ]
-        self._home.change_members(self._fleet.read(now), own, now)
+        self._home.change_members(own, now)
         for id in self._silent_until_by_id.keys() - self._fleet.present:
             del self._silent_until_by_id[id]
 
--- a/fescuekeel/components/allowance/home.py
+++ b/fescuekeel/components/allowance/home.py
@@ -66,8 +66,7 @@
     """Hold what was granted of the accounts that have their home here.
 
     ``since`` is the latest time at which it can have become the home of an
-    account that it knows nothing of. ``share`` is the part of each limit that
-    is granted here: in a cut each side has as much of it as of the instances.
+    account that it knows nothing of.
 
     >>> home = AccountHome(since=0.0, window_s=1.0)
     >>> account = ClientAccount("a", rate_per_s=10.0, burst=10.0)
@@ -79,15 +78,11 @@
 
     since: float
     window_s: float = 8.0
-    share: float = 1.0
     _states_by_name: dict[str, AccountState] = field(default_factory=dict)
 
-    def change_members(
-        self, share: float, kept_names: Iterable[str], now: float
-    ) -> None:
+    def change_members(self, kept_names: Iterable[str], now: float) -> None:
         """Take a new view of the fleet; forget what has another home."""
         self.since = now
-        self.share = share
         kept = set(kept_names)
         for name in self._states_by_name.keys() - kept:
             del self._states_by_name[name]
@@ -101,14 +96,22 @@
         return self._states_by_name[name].window.count_room(now)
 
     def grant(
-        self, account: ClientAccount, needed: float, now: float, deputy: bool = False
+        self,
+        account: ClientAccount,
+        needed: float,
+        now: float,
+        share: float = 1.0,
+        deputy: bool = False,
     ) -> Grant:
         """Grant what is needed, and a part of what lies there unasked for.
 
+        ``share`` is the part of the limit that is granted on this side of a
+        cut: as much of it as of the instances.
         As the ``deputy`` of a home that may only be out of the asker's reach,
         it begins with nothing: the home may have granted the rest.
         """
-        state = self._get_state(account, now, now if deputy else self.since)
+        since = now if deputy else self.since
+        state = self._get_state(account, share, since)
         # A request larger than a window's whole room would never be served.
         needed = min(needed, state.window.capacity)
         room = state.window.count_room(now)
@@ -143,10 +146,10 @@
         return Grant(0.0, min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, wait_s)))
 
     def _get_state(
-        self, account: ClientAccount, now: float, since: float
+        self, account: ClientAccount, share: float, since: float
     ) -> AccountState:
-        rate = account.rate_per_s * self.share
-        burst = account.burst * self.share
+        rate = account.rate_per_s * share
+        burst = account.burst * share
         state = self._states_by_name.get(account.name)
         if state is None:
             if len(self._states_by_name) >= MAX_ACCOUNTS:
--- a/tests/components/allowance/fleet.py
+++ b/tests/components/allowance/fleet.py
@@ -77,7 +77,7 @@
             node.share.take(seen, set(), self.now)
             if node.share.present != before and before:
                 kept = [self.account.name] if self.find_home(node) == node.id else []
-                node.home.change_members(node.share.read(self.now), kept, self.now)
+                node.home.change_members(kept, self.now)
 
     def find_home(self, node):
         return rendezvous.choose(self.account.name, node.share.present)
@@ -110,9 +110,9 @@
             self.asked += 1
             if not self.reaches(node, home):
                 continue
-            home.home.share = home.share.read(self.now)
+            share = home.share.read(self.now)
             deputy = self.find_home(home) != home.id or id != ranked[0]
-            grant = home.home.grant(self.account, price, self.now, deputy)
+            grant = home.home.grant(self.account, price, self.now, share, deputy)
             node.holding.take_grant(grant, self.now)
             return
         node.holding.note_silent(self.now)
