--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -1,7 +1,6 @@
 """The forwarder: it owns callers' requests and the pools of connections."""
 
 import asyncio
-from collections import Counter
 from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
@@ -23,6 +22,7 @@
 )
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.gate import AccountGate
+from fescuekeel.components.forward.gauges import BeliefGauges
 from fescuekeel.components.forward.overhead import FirstPieceFit
 from fescuekeel.components.forward.placing import Placer
 from fescuekeel.components.forward.reach import ReachWatch
@@ -377,9 +377,7 @@
         metrics.add_gauge(
             "configuration_version", lambda: {"": float(self.read_version())}
         )
-        metrics.add_gauge("members", self._read_members)
-        metrics.add_gauge("endpoints", self._read_endpoints)
-        metrics.add_gauge("retry_budget_left", self._read_budget)
+        BeliefGauges(self.instance, self._placer, self.budget, self.get_load).add()
         metrics.add_gauge("cut_off", lambda: {"": float(self._reach.cut_off)})
         metrics.add_gauge("requests_open", lambda: {"": float(len(self._open))})
 
@@ -387,24 +385,6 @@
         """Return the configuration in force, 0 before there is any."""
         return self._table.version if self._table else 0
 
-    def _read_members(self) -> dict[str, float]:
-        view = self.instance.bus.latest(MemberView) or MemberView()
-        states = Counter(member.state.value for member in view.members_by_id.values())
-        return {state: float(count) for state, count in states.items()}
-
-    def _read_endpoints(self) -> dict[str, float]:
-        now = self.instance.now()
-        known = self._placer.list_endpoints()
-        avoided = sum(self.get_load(id).health.is_avoided(now) for id in known)
-        return {"ready": float(len(known)), "avoided": float(avoided)}
-
-    def _read_budget(self) -> dict[str, float]:
-        now = self.instance.now()
-        return {
-            service: float(self.budget.count_left(service, now))
-            for service in self._placer.records_by_service
-        }
-
     async def _sweep_forever(self) -> None:
         while True:
             await sleep_to_tick(SWEEP_PERIOD_S)
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -107,6 +107,7 @@
             request_id=request.head.request_id,
             route=request.route.name,
             service=request.service,
+            account=request.account.name if request.account else "",
             configuration=self._read_version(),
             sends=request.state.sends,
             target_ms=round(request.route.target_s * 1000),
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -13,7 +13,10 @@
 from fescuekeel.components.placement.model import AskEnded, GiveOrder
 from fescuekeel.components.placement.orders import OrderLink
 from fescuekeel.components.placement.places import EndpointPlaces
-from fescuekeel.components.placement.takeover import Takeover
+from fescuekeel.components.placement.takeover import (
+    Takeover,
+    choose_order_that_holds,
+)
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import (
     Dialect,
@@ -109,7 +112,9 @@
 
     async def _show_fence(self, takeover: Takeover) -> None:
         """Show the endpoint the fencing number, by an order without effect."""
-        effect = self.places.choose_order_that_holds()
+        effect = choose_order_that_holds(
+            self.places.held, self.places.orders_by_weights
+        )
         if effect is None:
             # Next to nothing is held: there is room for what comes late.
             takeover.note_fence(self._instance.now())
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -231,23 +231,6 @@
 
     # The decision.
 
-    def choose_order_that_holds(self) -> GiveOrder | None:
-        """Return an order that changes nothing, ``None`` if none is sure to.
-
-        Only weights whose version is told: without one, an order brings the
-        newest version. An adapter, if there is any: should it be gone by now,
-        it takes the place that it is believed to take.
-        """
-        told = [
-            weights
-            for weights, version in self.held.items()
-            if version and weights not in self.orders_by_weights
-        ]
-        if not told:
-            return None
-        weights = max(told, key=lambda item: bool(item.adapter))
-        return GiveOrder(OrderKind.LOAD, weights, self.held[weights], True)
-
     def step(
         self,
         versions_by_weights: dict[Weights, int],
--- a/fescuekeel/components/placement/takeover.py
+++ b/fescuekeel/components/placement/takeover.py
@@ -5,11 +5,35 @@
 way, shows in none of them, and its place would count as free.
 """
 
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 
 from fescuekeel.components.placement.const import REPORT_LAG_S
+from fescuekeel.components.placement.model import GiveOrder
+from fescuekeel.helpers.dialect import OrderKind
+from fescuekeel.helpers.published import Weights
 
-__all__ = ["Takeover"]
+__all__ = ["Takeover", "choose_order_that_holds"]
+
+
+def choose_order_that_holds(
+    held: Mapping[Weights, int], under_way: Container[Weights]
+) -> GiveOrder | None:
+    """Return an order that changes nothing, ``None`` if none is sure to.
+
+    Only weights whose version is told: without one, an order brings the
+    newest version. An adapter, if there is any: should it be gone by now, it
+    takes the place that it is believed to take.
+    """
+    told = [
+        weights
+        for weights, version in held.items()
+        if version and weights not in under_way
+    ]
+    if not told:
+        return None
+    weights = max(told, key=lambda item: bool(item.adapter))
+    return GiveOrder(OrderKind.LOAD, weights, held[weights], True)
 
 
 @dataclass(slots=True)
--- a/tests/components/placement/test_takeover.py
+++ b/tests/components/placement/test_takeover.py
@@ -4,8 +4,10 @@
 from hypothesis import given
 
 from fescuekeel.components.placement.const import REPORT_LAG_S
-from fescuekeel.components.placement.places import EndpointPlaces
-from fescuekeel.components.placement.takeover import Takeover
+from fescuekeel.components.placement.takeover import (
+    Takeover,
+    choose_order_that_holds,
+)
 from fescuekeel.helpers.dialect import OrderKind
 from fescuekeel.helpers.published import Weights
 
@@ -73,16 +75,16 @@
 
 class TestOrderThatHolds:
     def test_it_names_what_is_held_in_its_version(self):
-        places = EndpointPlaces(4, "m", held={BASE: 1, HELD: 0})
-        order = places.choose_order_that_holds()
+        order = choose_order_that_holds({BASE: 1, HELD: 0}, ())
         assert (order.kind, order.weights, order.version) == (OrderKind.LOAD, BASE, 1)
 
     def test_an_adapter_is_named_before_the_base_model(self):
-        places = EndpointPlaces(4, "m", held={BASE: 1, HELD: 3})
-        order = places.choose_order_that_holds()
+        order = choose_order_that_holds({BASE: 1, HELD: 3}, ())
         assert (order.weights, order.version) == (HELD, 3)
 
     def test_without_a_told_version_there_is_none(self):
-        assert EndpointPlaces(4, "m").choose_order_that_holds() is None
-        places = EndpointPlaces(4, "m", held={HELD: 0})
-        assert places.choose_order_that_holds() is None
+        assert choose_order_that_holds({}, ()) is None
+        assert choose_order_that_holds({HELD: 0}, ()) is None
+
+    def test_what_is_under_way_is_left_alone(self):
+        assert choose_order_that_holds({HELD: 3}, {HELD}) is None
