--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -47,7 +47,7 @@
         answer_broken request_id endpoint kept age_ms error outcome
         attempt_ended request_id endpoint reason cost_ms tokens_ahead took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
-        request_ended request_id service account took_ms outcome
+        request_ended request_id service took_ms outcome
         request_refused request_id kind detail outcome
         retry_decided request_id reason sends left outcome
         work_failed request_id endpoint kind ran detail outcome
