--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -99,8 +99,9 @@
         route = self._name_route(request.route.name)
         metrics.observe(f"request.{route}", now - request.arrived)
         metrics.observe(f"endpoint.{route}", now - request.arrived - request.waited_s)
-        first_s = request.first_piece_at - request.arrived
-        if request.first_piece_at:
+        times = request.times
+        first_s = times.first_at - request.arrived
+        if times.first_at:
             metrics.observe(f"first_piece.{route}", first_s)
         log_event(
             "request_ended",
@@ -113,9 +114,9 @@
             target_ms=round(request.route.target_s * 1000),
             gap_target_ms=round(request.route.gap_target_s * 1000),
             waited_ms=round(request.waited_s * 1000),
-            first_ms=round(first_s * 1000) if request.first_piece_at else -1,
-            gap_ms=round(request.longest_gap_s * 1000),
-            gap_at_ms=round(max(0.0, request.longest_gap_at - request.arrived) * 1000),
+            first_ms=round(first_s * 1000) if times.first_at else -1,
+            gap_ms=round(times.longest_gap_s * 1000),
+            gap_at_ms=round(max(0.0, times.longest_gap_at - request.arrived) * 1000),
             took_ms=round((now - request.arrived) * 1000),
             outcome=request.outcome or "error",
         )
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -23,6 +23,7 @@
 )
 from fescuekeel.components.forward.events import EventSplitter
 from fescuekeel.components.forward.host import RequestHost
+from fescuekeel.components.forward.times import PieceTimes
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import AnswerHead, CallerHead, Header, SendHead
 from fescuekeel.helpers.exchange import (
@@ -75,10 +76,7 @@
     account: ClientAccount | None = None
     resume_after: str = ""
     outcome: str = ""
-    first_piece_at: float = 0.0
-    last_piece_at: float = 0.0
-    longest_gap_s: float = 0.0
-    longest_gap_at: float = 0.0
+    times: PieceTimes = field(default_factory=PieceTimes)
     waited_s: float = 0.0
     _attempt_now: Attempt | None = None
     _splitter: EventSplitter | None = None
@@ -389,19 +387,12 @@
     def _note_piece(self, attempt: Attempt) -> None:
         now = self.forwarder.instance.now()
         load = self.forwarder.get_load(attempt.endpoint)
-        if self.last_piece_at and attempt.first_piece:
-            gap_s = now - self.last_piece_at
-            if self.route.gap_target_s:
-                load.note_pause(gap_s / self.route.gap_target_s)
-            if gap_s > self.longest_gap_s:
-                self.longest_gap_s = gap_s
-                self.longest_gap_at = self.last_piece_at
-        self.last_piece_at = now
+        gap_s = self.times.note(now, attempt.first_piece)
+        if gap_s and self.route.gap_target_s:
+            load.note_pause(gap_s / self.route.gap_target_s)
         if attempt.first_piece:
             return
         attempt.first_piece = True
-        if not self.first_piece_at:
-            self.first_piece_at = now
         wait_s = now - attempt.began
         attempt.first_s = wait_s
         fit = self.forwarder.get_fit(self.service)
