Ask an account's home again soon after a refusal

Each instance took the wait that a large request was told, up to 3.4 s, for a bar on the account, also for requests of 200 tokens, and asked its home nothing. Change: callers are still told the whole wait; the home is asked again after half a second.

--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -30,6 +30,9 @@
 # What callers beyond a limit are told to wait lies between these.
 SHORTEST_WAIT_S: Final = 0.1
 LONGEST_WAIT_S: Final = 4.0
+# After a refusal its account's home is asked again so soon: a smaller request
+# may find room, and what others did not need comes back.
+RECHECK_S: Final = 0.5
 # Refused requests count towards the wait of later ones for so long.
 REFUSED_MEMORY_S: Final = 1.0
 # Instances that were lost count as spending for so long, where nothing makes
--- a/fescuekeel/components/allowance/holding.py
+++ b/fescuekeel/components/allowance/holding.py
@@ -6,6 +6,7 @@
 from fescuekeel.components.allowance.const import (
     GRANT_TTL_S,
     HOME_SILENT_S,
+    RECHECK_S,
     SHORTEST_WAIT_S,
 )
 from fescuekeel.components.allowance.home import Grant
@@ -50,7 +51,8 @@
     units: float = 0.0
     _largest_price: float = 0.0
     _valid_until: float = float("-inf")
-    _empty_until: float = float("-inf")
+    _ask_after: float = float("-inf")
+    _room_at: float = float("-inf")
     _silent_until: float = float("-inf")
 
     def change(self, account: ClientAccount, instances: int, now: float) -> None:
@@ -68,8 +70,8 @@
             return MayBegin()
         if now < self._silent_until:
             return self._spend_own(price, now)
-        if now < self._empty_until:
-            return Refuse(max(SHORTEST_WAIT_S, self._empty_until - now))
+        if now < self._ask_after:
+            return Refuse(max(SHORTEST_WAIT_S, self._room_at - now))
         return AskHome()
 
     def _spend_own(self, price: float, now: float) -> MayBegin | Refuse:
@@ -80,7 +82,8 @@
     def take_grant(self, grant: Grant, asked: float) -> None:
         """Take the home's answer to a question that was sent at ``asked``."""
         if grant.units <= 0:
-            self._empty_until = asked + grant.wait_s
+            self._room_at = asked + grant.wait_s
+            self._ask_after = asked + min(grant.wait_s, RECHECK_S)
             return
         if asked >= self._valid_until:
             self.units = 0.0
--- a/tests/components/allowance/test_fleet.py
+++ b/tests/components/allowance/test_fleet.py
@@ -118,6 +118,28 @@
         sent = len(fleet.admitted) + fleet.refused
         assert fleet.refused <= 0.02 * sent
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_beyond_a_limit_an_account_is_served_steadily(self, seed):
+        """For two seconds all of an account's requests were refused.
+
+        It sent half as much again as it may, ever since its limit had been
+        lowered. Whoever was refused once did not ask its home again for as
+        long as all that had been refused would take, four seconds at most.
+        """
+        before = replace(LARGE, rate_per_s=3 * LARGE.rate_per_s)
+        fleet = Fleet(before, 75, seed)
+        callers = list(fleet.nodes)[:16]
+        fleet.play(12.0, count_per_s(LARGE, 1.5), PRICE, callers)
+        fleet.account = LARGE
+        began = fleet.now
+        fleet.admitted.clear()
+        fleet.play(24.0, count_per_s(LARGE, 1.5), PRICE, callers)
+        times = [at - began for at, _ in fleet.admitted]
+        fair = count_per_s(LARGE, 2.0)
+        for start in range(0, 24, 2):
+            served = sum(start <= at < start + 2 for at in times)
+            assert served >= fair / 2
+
     def test_most_requests_wait_for_no_answer(self):
         fleet = Fleet(LARGE, 75)
         fleet.play(30.0, count_per_s(LARGE, 0.55), PRICE, list(fleet.nodes)[:16])
