Log how many orders an endpoint has taken, and orders of another holder

Cause: the lines could not tell whether an engine got one order too many from a second holder or from one that counts wrongly. Change: reports say how many orders the endpoint has taken; the holder counts its own beside it. order_given tells the fencing number and that count, and orders_of_another a report that shows more. The dialect can write the count into an order, which nothing does yet.

--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -11,6 +11,7 @@
     TICK_S,
 )
 from fescuekeel.components.placement.model import AskEnded, GiveOrder
+from fescuekeel.components.placement.order_count import ReportAge
 from fescuekeel.components.placement.orders import OrderLink
 from fescuekeel.components.placement.places import EndpointPlaces
 from fescuekeel.components.placement.takeover import (
@@ -147,11 +148,27 @@
         if takeover is not None:
             takeover.note_report(asked)
         self._reported_at = asked
+        self._log_orders_of_another(report)
         before = self.places.list_servable()
         self.places.note_report(report, asked, now)
         if self.places.list_servable() != before:
             self._on_changed()
 
+    def _log_orders_of_another(self, report: EndpointReport) -> None:
+        count = self.places.order_count
+        if count.compare(report.orders_taken) is not ReportAge.NEWER:
+            return
+        self._instance.metrics.count("placement.orders_of_another")
+        log_event(
+            "orders_of_another",
+            endpoint=self.record.id,
+            known=count.taken,
+            reported=report.orders_taken,
+            held=self.has_held,
+            taken=self.places.count_taken(),
+            outcome="seen",
+        )
+
     def _is_ours(self, report: EndpointReport) -> bool:
         """Tell whether a report is of the start that this task orders.
 
@@ -212,6 +229,7 @@
             make_fence(own.term, self._instance.id),
             effect.version,
         )
+        known = self.places.order_count.taken
         asked = self._instance.now()
         self._claims.note_order(name, asked)
         reply = await self._link.order(order, self._may_order)
@@ -232,6 +250,8 @@
             version=effect.version or 0,
             again=effect.again,
             term=own.term,
+            fence=order.fence,
+            after_orders=known,
             report_age_ms=round((asked - self._reported_at) * 1000),
             taken=self.places.count_taken(),
             places=self.places.places,
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -31,6 +31,7 @@
     LoadTimes,
     Order,
 )
+from fescuekeel.components.placement.order_count import OrderCount
 from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
@@ -54,6 +55,7 @@
     asks_by_number: dict[int, Ask] = field(default_factory=dict)
     usage: WeightUsage = field(default_factory=WeightUsage)
     backoff: OrderBackoff = field(default_factory=OrderBackoff)
+    order_count: OrderCount = field(default_factory=OrderCount)
     running: int = 0
     _clock: LoadClock = field(default_factory=LoadClock)
     _foreign_pending: frozenset[Weights] = frozenset()
@@ -147,6 +149,7 @@
         before the report is taken as done, or as lost.
         """
         self.known = True
+        self.order_count.note_report(report.orders_taken)
         self.running = report.running
         self.usage.note_report(report.running)
         self._merge_held(report, asked, now)
@@ -207,6 +210,7 @@
         under_way = self.orders_by_weights.get(weights)
         if under_way is None:
             return
+        self._count_order(order, reply)
         if reply is OrderReply.HOLDS_ALREADY:
             del self.orders_by_weights[weights]
             if order.kind is OrderKind.UNLOAD:
@@ -223,6 +227,18 @@
             del self.orders_by_weights[weights]
         self.backoff.note(reply, now)
 
+    def _count_order(self, order: GiveOrder, reply: OrderReply | None) -> None:
+        """Count an order if it was taken.
+
+        A load given again, and one of what is held, are not taken anew.
+        """
+        if reply is None:
+            self.order_count.note_doubt()
+            return
+        at_once = order.kind is OrderKind.UNLOAD and reply is OrderReply.HOLDS_ALREADY
+        if at_once or (reply is OrderReply.ACCEPTED and not order.again):
+            self.order_count.note_taken()
+
     def _note_dropped(self, weights: Weights, now: float) -> None:
         self._dropped_at.pop(weights, None)
         self._dropped_at[weights] = now
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -108,7 +108,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightOrder:
-    """An order to an endpoint; ``version`` ``None`` takes the newest one."""
+    """An order to an endpoint; ``version`` ``None`` takes the newest one.
+
+    The endpoint refuses it as busy unless it has taken ``after_orders`` orders
+    since its start, whoever gave them; ``None`` leaves that open.
+    """
 
     kind: OrderKind
     endpoint: str
@@ -116,6 +120,7 @@
     holder: str
     fence: int
     version: int | None = None
+    after_orders: int | None = None
 
 
 class OrderReply(StrEnum):
@@ -135,7 +140,8 @@
     """What an endpoint says of itself, some hundred milliseconds late.
 
     ``pending`` are the adapters on their way to it, which take places too.
-    ``born_ms`` tells which start of the endpoint wrote it.
+    ``born_ms`` tells which start of the endpoint wrote it. ``orders_taken``
+    counts the orders that it had taken by then since that start.
     """
 
     held: dict[Weights, int]
@@ -146,6 +152,7 @@
     kv_used: int
     kv_total: int
     born_ms: int = UNTOLD_BORN_MS
+    orders_taken: int = 0
 
 
 class SourceStatus(StrEnum):
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -69,7 +69,9 @@
         load_asked endpoint weights version holder waited_ms outcome
         load_ended endpoint weights version place_ms took_ms outcome
         member_changed member state incarnation
-        order_given endpoint kind weights version term report_age_ms taken outcome
+        order_given endpoint kind weights version term fence after_orders \
+            report_age_ms taken outcome
+        orders_of_another endpoint known reported held taken outcome
         owner_gained endpoint fence
         owner_lost endpoint
         stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
