--- /dev/null
+++ b/tests/components/placement/test_overrun.py
@@ -0,0 +1,268 @@
+"""Tests that no endpoint is ordered to hold more than it has places for."""
+
+import asyncio
+import random
+from collections import deque
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given, settings
+
+from fescuekeel.components.placement import holder as holder_module
+from fescuekeel.components.placement.claims import Claims, OwnClaim
+from fescuekeel.components.placement.holder import EndpointHolder
+from fescuekeel.components.placement.model import Ask
+from fescuekeel.components.placement.places import EndpointPlaces
+from fescuekeel.core import Bus, Metrics
+from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
+from fescuekeel.helpers.published import EndpointRecord, Weights
+from tests.fuzz.loop import VirtualLoop
+
+MODEL = Weights("m")
+ADAPTERS = [Weights("m", f"a{number}") for number in range(12)]
+PLACES = 3
+LOAD_S = 0.25
+STEP_S = 0.005
+# How long one play lasts.
+PLAY_S = 5.0
+
+
+class Endpoint:
+    """An endpoint with a few places and late reports.
+
+    ``fenced`` says that it refuses older fencing numbers, and ``lose`` is the
+    share of its answers to orders that never arrive.
+    """
+
+    def __init__(self, clock, lag_s, fenced=True, lose=0.0, seed=0):
+        self.clock = clock
+        self.lag_s = lag_s
+        self.fenced = fenced
+        self.lose = lose
+        self.random = random.Random(seed)
+        self.held = {MODEL, *ADAPTERS[:PLACES]}
+        self.done_by_pending = {}
+        self.fence = 0
+        self.taken = 0
+        self.most = 0
+        self.orders = 0
+        self.past = deque()
+        self.note()
+
+    def note(self):
+        """Remember this moment for later reports."""
+        now = self.clock()
+        for weights, done in list(self.done_by_pending.items()):
+            if done <= now:
+                del self.done_by_pending[weights]
+                self.held.add(weights)
+        state = set(self.held), frozenset(self.done_by_pending), self.taken
+        self.past.append((now, state))
+        while len(self.past) > 1 and self.past[1][0] <= now - self.lag_s:
+            self.past.popleft()
+
+    def report(self):
+        self.note()
+        held, pending, taken = self.past[0][1]
+        versions = dict.fromkeys(held, 1)
+        return EndpointReport(versions, pending, False, 0, 0, 0, 0, orders_taken=taken)
+
+    def order(self, order):
+        self.note()
+        reply = self.take(order)
+        self.note()
+        self.most = max(self.most, len(self.held | self.done_by_pending.keys()) - 1)
+        return None if self.random.random() < self.lose else reply
+
+    def take(self, order):
+        if self.fenced and order.fence < self.fence:
+            return OrderReply.FENCED
+        self.fence = max(self.fence, order.fence)
+        if order.after_orders is not None and order.after_orders != self.taken:
+            return OrderReply.BUSY
+        if order.kind is OrderKind.UNLOAD:
+            if order.weights in self.held:
+                self.held.discard(order.weights)
+                self.taken += 1
+            return OrderReply.HOLDS_ALREADY
+        if order.weights in self.held:
+            return OrderReply.HOLDS_ALREADY
+        if order.weights not in self.done_by_pending:
+            self.done_by_pending[order.weights] = self.clock() + LOAD_S
+            self.taken += 1
+            self.orders += 1
+        return OrderReply.ACCEPTED
+
+
+class Link:
+    """Carry calls to the endpoint in a few milliseconds each way."""
+
+    def __init__(self, endpoint, seed):
+        self.endpoint = endpoint
+        self.random = random.Random(seed)
+
+    async def travel(self):
+        await asyncio.sleep(self.random.uniform(0.001, 0.008))
+
+    async def report(self):
+        await self.travel()
+        report = self.endpoint.report()
+        await self.travel()
+        return report
+
+    async def order(self, order, guard):
+        if not guard():
+            return OrderReply.UNAVAILABLE
+        await self.travel()
+        reply = self.endpoint.order(order)
+        await self.travel()
+        return reply
+
+    def close(self):
+        """Have nothing to close."""
+
+
+class HeldFrom(Claims):
+    """A claim that begins at a set time; the endpoint always answers."""
+
+    def hold(self, term, since):
+        claim = OwnClaim(since, term=term, contact_since=since, contact=since)
+        self.own_by_endpoint["e1"] = claim
+
+    def begin(self, now):
+        self.own_by_endpoint["e1"].held = True
+        self.keep(now)
+
+    def keep(self, now):
+        self._last_step = now
+
+
+class World:
+    """One endpoint, two holders of it, and callers who ask both for adapters."""
+
+    def __init__(self, endpoint, seed, loop):
+        self.endpoint = endpoint
+        self.random = random.Random(seed)
+        self.loop = loop
+        self.numbers = iter(range(1, 1 << 20))
+        self.holders = []
+        self.claims = []
+        for term in (1, 2):
+            self.add_holder(term, seed + term)
+
+    def add_holder(self, term, seed):
+        claims = HeldFrom(f"i{term}", lease_s=3.0, fenced=self.endpoint.fenced)
+        claims.hold(term, self.loop.time())
+        instance = SimpleNamespace(
+            id=f"i{term}",
+            now=self.loop.time,
+            bus=Bus(),
+            metrics=Metrics(),
+            spawn=lambda work, name: self.loop.create_task(work),
+        )
+        holder = EndpointHolder(
+            instance,
+            None,
+            claims,
+            EndpointRecord("e1", "s", "127.0.0.1:1", "dc1", 8, False),
+            EndpointPlaces(PLACES, "m"),
+            lambda ended: None,
+            lambda: None,
+            lambda record: True,
+        )
+        holder._link = Link(self.endpoint, seed)
+        self.holders.append(holder)
+        self.claims.append(claims)
+
+    def ask(self):
+        """Ask every holder for some adapter."""
+        now = self.loop.time()
+        for holder in self.holders:
+            weights = self.random.choice(ADAPTERS)
+            number = next(self.numbers)
+            holder.places.ask(Ask(number, weights, 0, 1, False, now, now + 1, now + 2))
+            holder.wake()
+
+    async def play(self, second_from):
+        """Let the first hold from the start, and the second from some time on."""
+        self.claims[0].begin(self.loop.time())
+        end = self.loop.time() + PLAY_S
+        second_from += self.loop.time()
+        while self.loop.time() < end:
+            now = self.loop.time()
+            if now >= second_from and not self.claims[1].own_by_endpoint["e1"].held:
+                self.claims[1].begin(now)
+            for claims in self.claims:
+                claims.keep(now)
+            if self.random.random() < 0.1:
+                self.ask()
+            await asyncio.sleep(STEP_S)
+        for holder in self.holders:
+            holder.close()
+
+
+def play(seed, second_from, lag_s, fenced=True, lose=0.0):
+    """Play two holders and return the endpoint that they ordered."""
+    now = 100.0
+    loop = VirtualLoop(lambda: now)
+    asyncio.set_event_loop(loop)
+    endpoint = Endpoint(loop.time, lag_s, fenced, lose, seed)
+
+    async def begin():
+        await World(endpoint, seed, loop).play(second_from)
+
+    task = loop.create_task(begin())
+    while not task.done():
+        loop.run_due()
+        if task.done():
+            break
+        now = max(now, loop.next_time)
+    loop.kill()
+    asyncio.set_event_loop(None)
+    task.result()
+    return endpoint
+
+
+@pytest.fixture(autouse=True)
+def no_sockets(monkeypatch):
+    monkeypatch.setattr(
+        holder_module, "OrderLink", lambda *arguments: SimpleNamespace()
+    )
+
+
+seeds = st.integers(0, 1 << 30)
+starts = st.floats(0.5, 2.0)
+lags = st.floats(0.0, 0.4)
+
+
+class TestTwoHolders:
+    @settings(deadline=None, max_examples=60)
+    @given(seeds, starts, lags)
+    def test_a_second_holder_does_not_overrun_a_fenced_endpoint(
+        self, seed, second_from, lag_s
+    ):
+        """Guards against a first order that rests on a late report."""
+        endpoint = play(seed, second_from, lag_s)
+        assert endpoint.orders > PLACES
+        assert endpoint.most <= PLACES
+
+    @settings(deadline=None, max_examples=60)
+    @given(seeds, starts, lags)
+    def test_two_holders_do_not_overrun_an_endpoint_without_fencing(
+        self, seed, second_from, lag_s
+    ):
+        """Guards against two holders that each count on a late report."""
+        endpoint = play(seed, second_from, lag_s, fenced=False)
+        assert endpoint.orders > PLACES
+        assert endpoint.most <= PLACES
+
+
+class TestOneHolder:
+    @settings(deadline=None, max_examples=30)
+    @given(seeds, lags, st.sampled_from([0.0, 0.1, 0.3]))
+    def test_lost_answers_do_not_overrun_an_endpoint(self, seed, lag_s, lose):
+        """Guards against a place counted as free whose order went unanswered."""
+        endpoint = play(seed, PLAY_S, lag_s, lose=lose)
+        assert endpoint.orders > PLACES
+        assert endpoint.most <= PLACES
