Let stand-in engines count orders, and report late; kill all daemons in the soak

Cause: the soak marks an engine that is ordered to hold too much, but its engines showed each order in their reports at once, loaded always in the same time and read no count from orders, and no plan stopped all daemons together. A holder that believes an old report was never wrong there. Change: engines of the stand-in count loads and unloads, refuse an order after another count, show a report of a quarter of a second ago in the soak, and load longer while several loads run.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -40,13 +40,15 @@
     ENDPOINT_RESTARTS = "endpoint_restarts"
     FOREIGN_ENTRY = "foreign_entry"
     KEY_TAKEN = "key_taken"
+    KILL_ALL = "kill_all"
 
 
 # Kinds that came later are drawn apart, so that a seed's other faults stay.
 LATER_KINDS = (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_ENTRY)
 ACCOUNT_KINDS = (FaultKind.KEY_TAKEN,)
+WHOLE_KINDS = (FaultKind.KILL_ALL,)
 FIRST_KINDS = tuple(
-    kind for kind in FaultKind if kind not in LATER_KINDS + ACCOUNT_KINDS
+    kind for kind in FaultKind if kind not in LATER_KINDS + ACCOUNT_KINDS + WHOLE_KINDS
 )
 # Planned work, which must not be seen by any caller.
 PLANNED = frozenset(
@@ -105,7 +107,10 @@
     account_faults = _draw(
         Random(f"{seed} accounts"), ACCOUNT_KINDS, seconds, per_s * account_share
     )
-    return sorted(first + later + account_faults, key=lambda fault: fault.at)
+    whole_share = len(WHOLE_KINDS) / len(FIRST_KINDS)
+    whole = _draw(Random(f"{seed} whole"), WHOLE_KINDS, seconds, per_s * whole_share)
+    faults = first + later + account_faults + whole
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 def _draw(
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -42,6 +42,8 @@
 EVENT_S = 0.05
 STOP_TIMEOUT_S = 10.0
 DELAY_S = 0.15
+# Holders must not count on a report that shows an order right after it.
+REPORT_LAG_S = 0.25
 FOREIGN_BYTES = (b"\xff\x00\x17", b'{"service": 7}', b"[]")
 CALLERS_PORT, OPERATORS_PORT, PEERS_PORT, READY_PORT = range(4)
 
@@ -77,6 +79,7 @@
         self._proxies_by_worker: dict[str, Proxy] = {}
         self._apply_by_kind: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.KILL: self._kill,
+            FaultKind.KILL_ALL: self._kill_all,
             FaultKind.TERM: self._term,
             FaultKind.PAUSE: self._pause,
             FaultKind.RELOAD: self._reload,
@@ -140,6 +143,7 @@
         """Start a worker behind a proxy and publish it."""
         worker = Worker(service, MODEL if service == ENGINES else "")
         worker.event_s = EVENT_S
+        worker.report_lag_s = REPORT_LAG_S
         worker.newest_by_adapter = dict(self.adapter_versions)
         proxy = Proxy(self.platform.start_worker(worker, zone))
         self._proxies_by_worker[worker.id] = proxy
@@ -210,6 +214,14 @@
             await asyncio.sleep(fault.for_s)
             await self._start(daemon)
 
+    async def _kill_all(self, fault: Fault) -> None:
+        await asyncio.gather(
+            *(
+                self._kill(replace(fault, target=number))
+                for number in range(len(self.daemons))
+            )
+        )
+
     async def _term(self, fault: Fault) -> None:
         daemon = self._pick_daemon(fault)
         async with daemon.lock:
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,6 +19,8 @@
 STAMP = "Fescuekeel-Server-Stamp"
 REQUEST_ID = "Fescuekeel-Request-Id"
 LOAD_S = 0.1
+# More loads than this at a time slow each other down in proportion.
+LOADS_AT_FULL_SPEED = 2
 IDS = itertools.count(1)
 
 
@@ -47,7 +49,8 @@
     nothing after some events. ``overrun``
     says that it was ordered to hold more than ``places``, ``unloaded_in_use``
     which adapters it was ordered to drop while they ran, and ``fences`` are
-    the fencing numbers of its orders in turn.
+    the fencing numbers of its orders in turn. Reports show what was
+    ``report_lag_s`` ago.
     """
 
     service: str
@@ -55,6 +58,7 @@
     places: int = 4
     events: int = 6
     event_s: float = 0.005
+    report_lag_s: float = 0.0
     misbehaviour: Misbehaviour = field(default_factory=Misbehaviour)
     id: str = field(default_factory=lambda: f"w-{next(IDS)}")
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
@@ -76,6 +80,7 @@
     shed: int = 0
     cut: int = 0
     stall: int = 0
+    _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
     def control(self, orders: dict[str, Any]) -> None:
         """Take ``fail``, ``shed`` and ``cut``."""
@@ -94,6 +99,7 @@
         self.fences.clear()
         self.holders.clear()
         self.sequence = 0
+        self._past_states.clear()
 
     def spend(self, name: str) -> bool:
         """Count down a fault; return whether it is due."""
@@ -124,17 +130,60 @@
             "born": self.born,
         }
 
-    async def load(self, adapter: str, version: int) -> None:
-        """Bring an adapter in after a while, unless a restart comes first."""
-        born = self.born
+    def take(self, fence: int, holder: str, precondition: int | None) -> int:
+        """Return with which status an order is refused, zero if it is not."""
+        if fence < max(self.fences, default=0):
+            return 412
+        if precondition is not None and precondition != self.sequence:
+            return 409
+        self.fences.append(fence)
+        self.holders.append(holder)
+        return 0
+
+    def unload(self, adapter: str) -> None:
+        """Drop an adapter at once."""
+        if self.running_by_adapter[adapter]:
+            self.unloaded_in_use.append(adapter)
+        if self.versions_by_adapter.pop(adapter, None) is not None:
+            self.sequence += 1
+        self.remember_state()
+
+    def begin_load(self, adapter: str) -> None:
+        """Take a place for an adapter that is on its way from now on."""
+        self.sequence += 1
         self.pending.add(adapter)
         count = len(self.versions_by_adapter.keys() | self.pending)
         self.overrun = self.overrun or count > self.places
-        await asyncio.sleep(LOAD_S)
+        self.remember_state()
+
+    async def finish_load(self, adapter: str, version: int) -> None:
+        """Bring an adapter in after a while, unless a restart comes first."""
+        born = self.born
+        await asyncio.sleep(LOAD_S * max(1, len(self.pending) / LOADS_AT_FULL_SPEED))
         if self.born != born:
             return
         self.pending.discard(adapter)
         self.versions_by_adapter[adapter] = version
+        self.remember_state()
+
+    def remember_state(self) -> None:
+        """Keep the state of this moment for the reports that will show it."""
+        state = {
+            "models": self.list_models(),
+            "pending": [f"{self.model}/{name}@1" for name in self.pending],
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        self._past_states.append((time.monotonic(), state))
+
+    def report(self) -> dict[str, Any]:
+        """Return the report, as late as reports are."""
+        if not self._past_states:
+            self.remember_state()
+        shown_until = time.monotonic() - self.report_lag_s
+        while len(self._past_states) > 1 and self._past_states[1][0] <= shown_until:
+            self._past_states.popleft()
+        return self._past_states[0][1]
 
 
 class WorkerHandler(StandInHandler):
@@ -159,17 +208,13 @@
         worker = self.standin
         body = {
             "stage": "both",
-            "models": worker.list_models(),
-            "pending": [f"{worker.model}/{name}@1" for name in worker.pending],
             "busy": False,
-            "sequence": worker.sequence,
             "queued": 0,
             "running": worker.running,
             "kv_used": 0,
             "kv_total": 1000,
-            "born": worker.born,
         }
-        await self.answer(200, body)
+        await self.answer(200, body | worker.report())
 
 
 class OrderHandler(WorkerHandler):
@@ -179,16 +224,15 @@
         """Answer 200 if it holds already, 202 if it is carried out."""
         worker = self.standin
         order = self.read_json()
-        if order["fencing_token"] < max(worker.fences, default=0):
-            await self.answer(412, {})
+        refused = worker.take(
+            order["fencing_token"], order["holder"], order.get("precondition")
+        )
+        if refused:
+            await self.answer(refused, {})
             return
-        worker.fences.append(order["fencing_token"])
-        worker.holders.append(order["holder"])
         adapter = order.get("adapter", "")
         if order["operation"] == "unload":
-            if worker.running_by_adapter[adapter]:
-                worker.unloaded_in_use.append(adapter)
-            worker.versions_by_adapter.pop(adapter, None)
+            worker.unload(adapter)
             await self.answer(200, {})
             return
         if not adapter:
@@ -200,8 +244,9 @@
             await self.answer(200, {})
             return
         if adapter not in worker.pending:
-            worker.sequence += 1
-            self.load_task = asyncio.ensure_future(worker.load(adapter, version))
+            worker.begin_load(adapter)
+            work = worker.finish_load(adapter, version)
+            self.load_task = asyncio.ensure_future(work)
         await self.answer(202, {})
 
 
