Split what an endpoint holds, and the count of its orders, from its places

Change: Holdings follows reports and replies; OrderCount takes replies itself. No decision is changed.

--- a/fescuekeel/components/placement/order_count.py
+++ b/fescuekeel/components/placement/order_count.py
@@ -11,6 +11,8 @@
 from enum import Enum, auto
 
 from fescuekeel.components.placement.const import REPORT_LAG_S
+from fescuekeel.components.placement.model import GiveOrder
+from fescuekeel.helpers.dialect import OrderKind, OrderReply
 
 __all__ = ["OrderCount", "ReportAge"]
 
@@ -61,16 +63,27 @@
         self.confirmed = True
         return True
 
+    def note_reply(
+        self, order: GiveOrder, reply: OrderReply | None, now: float
+    ) -> None:
+        """Take how an own order was answered; ``None`` is no answer.
+
+        A load given again, and one of what is held, are not taken anew.
+        """
+        at_once = order.kind is OrderKind.UNLOAD and reply is OrderReply.HOLDS_ALREADY
+        if reply is None:
+            self.note_doubt()
+        elif reply is OrderReply.BUSY:
+            self.confirmed = False
+        elif at_once or (reply is OrderReply.ACCEPTED and not order.again):
+            self.note_taken(now)
+
     def note_taken(self, now: float) -> None:
         """Count an order of our own that the endpoint has taken."""
         if self.taken is not None:
             self.taken += 1
             self._taken_at = now
 
-    def note_refused(self) -> None:
-        """Note that the endpoint may have taken another number of orders."""
-        self.confirmed = False
-
     def note_doubt(self) -> None:
         """Note that an own order may have been taken, or not."""
         self.taken = None
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -19,15 +19,14 @@
     MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
     ORDER_LOST_S,
-    WARM_ADAPTERS,
 )
+from fescuekeel.components.placement.holdings import Holdings
 from fescuekeel.components.placement.load_clock import LoadClock
 from fescuekeel.components.placement.model import (
     Ask,
     AskEnded,
     Effect,
     GiveOrder,
-    LoadTimes,
     Order,
 )
 from fescuekeel.components.placement.order_count import OrderCount, ReportAge
@@ -48,7 +47,7 @@
 
     places: int
     model: str
-    held: dict[Weights, int] = field(default_factory=dict)
+    holdings: Holdings = field(default_factory=Holdings)
     orders_by_weights: dict[Weights, Order] = field(default_factory=dict)
     asks_by_number: dict[int, Ask] = field(default_factory=dict)
     usage: WeightUsage = field(default_factory=WeightUsage)
@@ -57,9 +56,12 @@
     running: int = 0
     _clock: LoadClock = field(default_factory=LoadClock)
     _foreign_pending: frozenset[Weights] = frozenset()
-    _loads: dict[Weights, LoadTimes] = field(default_factory=dict)
     _model_asked: float = float("-inf")
-    _dropped_at: dict[Weights, float] = field(default_factory=dict)
+
+    @property
+    def held(self) -> dict[Weights, int]:
+        """Return what the endpoint holds, with versions."""
+        return self.holdings.held
 
     @property
     def has_model(self) -> bool:
@@ -150,8 +152,8 @@
         current = self.order_count.compare(report.orders_taken) is ReportAge.CURRENT
         if not self.order_count.note_report(report.orders_taken, asked):
             return
-        self._take_held(report, current, now)
         own = self.orders_by_weights
+        self.holdings.take_report(report, current, own, now)
         self._foreign_pending = frozenset(report.pending - own.keys())
         for weights, order in list(own.items()):
             if self._is_done(weights, order, report):
@@ -161,26 +163,6 @@
             elif asked - order.given > self._get_patience_s(weights):
                 del own[weights]
 
-    def _take_held(self, report: EndpointReport, current: bool, now: float) -> None:
-        """Take what a report shows as held.
-
-        With no order since, what was on its way then has come since, if that
-        is known here.
-        """
-        held = dict(report.held)
-        if current:
-            for weights in report.pending & self.held.keys():
-                held[weights] = self.held[weights]
-        for weights in held.keys() - self.held.keys():
-            order = self.orders_by_weights.get(weights)
-            self._note_loaded(weights, order.given if order else now, now)
-        self.held = held
-        for weights in self._loads.keys() - held.keys():
-            del self._loads[weights]
-
-    def _note_loaded(self, weights: Weights, ordered: float, now: float) -> None:
-        self._loads[weights] = LoadTimes(ordered, now)
-
     def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
         # Guards against a report from before an unload: it still shows an
         # adapter that was unloaded and is being loaded again, and whose load
@@ -208,48 +190,29 @@
         under_way = self.orders_by_weights.get(weights)
         if under_way is None:
             return
-        self._count_order(order, reply, now)
+        self.order_count.note_reply(order, reply, now)
         if reply is OrderReply.HOLDS_ALREADY:
             del self.orders_by_weights[weights]
-            if order.kind is OrderKind.UNLOAD:
-                self.held.pop(weights, None)
-                self._note_dropped(weights, now)
-            else:
-                self.held[weights] = max(order.version or 0, self.held.get(weights, 0))
-                self._note_loaded(weights, under_way.given, now)
-                warm = self._dropped_at.pop(weights, None) is not None
-                self._clock.note(now - under_way.given, warm or not order.again)
+            self._note_done(order, under_way.given, now)
         elif reply is None or reply is OrderReply.ACCEPTED or order.again:
             under_way.accepted = True
         else:
             del self.orders_by_weights[weights]
         self.backoff.note(reply, now)
 
-    def _count_order(
-        self, order: GiveOrder, reply: OrderReply | None, now: float
-    ) -> None:
-        """Count an order if it was taken.
-
-        A load given again, and one of what is held, are not taken anew.
-        """
-        at_once = order.kind is OrderKind.UNLOAD and reply is OrderReply.HOLDS_ALREADY
-        if reply is None:
-            self.order_count.note_doubt()
-        elif reply is OrderReply.BUSY:
-            self.order_count.note_refused()
-        elif at_once or (reply is OrderReply.ACCEPTED and not order.again):
-            self.order_count.note_taken(now)
-
     def withdraw(self, order: GiveOrder) -> None:
         """Take back an order that was decided on, and not given."""
         if not order.again:
             self.orders_by_weights.pop(order.weights, None)
 
-    def _note_dropped(self, weights: Weights, now: float) -> None:
-        self._dropped_at.pop(weights, None)
-        self._dropped_at[weights] = now
-        if len(self._dropped_at) > WARM_ADAPTERS:
-            del self._dropped_at[next(iter(self._dropped_at))]
+    def _note_done(self, order: GiveOrder, given: float, now: float) -> None:
+        weights = order.weights
+        if order.kind is OrderKind.UNLOAD:
+            self.holdings.note_dropped(weights, now)
+            return
+        warm = self.holdings.is_warm(weights)
+        self.holdings.note_loaded(weights, order.version or 0, given, now)
+        self._clock.note(now - given, warm or not order.again)
 
     # The decision.
 
@@ -319,7 +282,7 @@
 
     def _end_loaded(self, ask: Ask) -> AskEnded:
         version = self.held[ask.weights]
-        times = self._loads.get(ask.weights)
+        times = self.holdings.get_load_times(ask.weights)
         if times is None:
             return AskEnded(ask.number, loaded=True, version=version)
         return AskEnded(
@@ -341,7 +304,7 @@
     def _order(
         self, kind: OrderKind, weights: Weights, version: int | None, now: float
     ) -> GiveOrder:
-        look_s = self._clock.get_first_look_s(warm=weights in self._dropped_at)
+        look_s = self._clock.get_first_look_s(warm=self.holdings.is_warm(weights))
         if kind is OrderKind.UNLOAD or not weights.adapter:
             look_s = float("inf")
         self.orders_by_weights[weights] = Order(kind, version, now, now + look_s)
@@ -439,5 +402,5 @@
         return victim if self.usage.read_demand(victim, now) < gain / 2 else None
 
     def _read_loaded(self, weights: Weights, now: float) -> float:
-        times = self._loads.get(weights)
+        times = self.holdings.get_load_times(weights)
         return times.held if times else now
--- a/tests/components/placement/test_order_count.py
+++ b/tests/components/placement/test_order_count.py
@@ -1,6 +1,7 @@
 """Tests of how the orders that an endpoint has taken are counted."""
 
 from fescuekeel.components.placement.const import REPORT_LAG_S
+from fescuekeel.components.placement.holdings import Holdings
 from fescuekeel.components.placement.model import Ask, Order
 from fescuekeel.components.placement.order_count import OrderCount, ReportAge
 from fescuekeel.components.placement.places import EndpointPlaces
@@ -100,7 +101,7 @@
 
     def test_without_a_told_version_there_is_none(self):
         assert EndpointPlaces(1, "m").choose_order_without_effect() is None
-        places = EndpointPlaces(1, "m", held={MODEL: 0})
+        places = EndpointPlaces(1, "m", Holdings({MODEL: 0}))
         assert places.choose_order_without_effect() is None
 
     def test_a_load_that_is_under_way_is_left_alone(self):
