Show the fencing number once a report was read; test that a new holder gets through

A new holder whose first report is lost knew of no base model, and took its number as shown; beside a holder that goes on behind a cut each of its orders can be refused then, as another came in between. Change: the number is shown after the first report. A test plays a new holder beside one that goes on, with up to three lost reports; it fails where no number is shown, and passed before this change too, since the holder before rests between its orders.

--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -78,7 +78,7 @@
             if newly or self._instance.now() >= next_look:
                 await self._look()
                 next_look = float("inf")
-            if self._held and not self._fence_shown:
+            if self._held and self.places.order_count.confirmed:
                 await self._show_fence()
             if self._held:
                 await self._step()
@@ -86,6 +86,7 @@
             await self._sleep(min(next_look, self.places.get_next_check()))
 
     def _get_next_look(self) -> float:
+        """Return when a report is due, soon if no order may be given before."""
         now = self._instance.now()
         if self._held and not self.places.order_count.confirmed:
             return max(now + RETRY_LOOK_S, self.places.backoff.until)
@@ -109,6 +110,8 @@
         Guards against a holder before that goes on ordering behind a cut, so
         that no report is ever new enough for an order of this one.
         """
+        if self._fence_shown:
+            return
         effect = self.places.choose_order_without_effect()
         self._fence_shown = effect is None or await self._give(effect, None)
 
@@ -191,8 +194,8 @@
                 elif stopped:
                     self.places.withdraw(effect)
                 else:
-                    known = self.places.order_count.taken
-                    stopped = not await self._give(effect, known)
+                    after_orders = self.places.order_count.taken
+                    stopped = not await self._give(effect, after_orders)
             if stopped:
                 return
 
--- a/tests/components/placement/test_overrun.py
+++ b/tests/components/placement/test_overrun.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import deque
+from collections import Counter, deque
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
@@ -31,15 +31,17 @@
 class Endpoint:
     """An endpoint with a few places and late reports.
 
-    ``fenced`` says that it refuses older fencing numbers, and ``lose`` is the
-    share of its answers to orders that never arrive.
+    ``fenced`` says that it refuses older fencing numbers, ``lose`` is the
+    share of its answers to orders that never arrive, and ``lost_reports`` how
+    many of its first reports the second holder does not get.
     """
 
-    def __init__(self, clock, lag_s, fenced=True, lose=0.0, seed=0):
+    def __init__(self, clock, lag_s, fenced=True, lose=0.0, seed=0, lost_reports=0):
         self.clock = clock
         self.lag_s = lag_s
         self.fenced = fenced
         self.lose = lose
+        self.lost_reports = lost_reports
         self.random = random.Random(seed)
         self.held = {MODEL, *ADAPTERS[:PLACES]}
         self.done_by_pending = {}
@@ -47,6 +49,7 @@
         self.taken = 0
         self.most = 0
         self.orders = 0
+        self.loads_by_holder = Counter()
         self.past = deque()
         self.note()
 
@@ -92,15 +95,20 @@
             self.done_by_pending[order.weights] = self.clock() + LOAD_S
             self.taken += 1
             self.orders += 1
+            self.loads_by_holder[order.holder] += 1
         return OrderReply.ACCEPTED
 
 
 class Link:
-    """Carry calls to the endpoint in a few milliseconds each way."""
+    """Carry calls to the endpoint in a few milliseconds each way.
 
-    def __init__(self, endpoint, seed):
+    Of the reports, the first ``lost_reports`` never come.
+    """
+
+    def __init__(self, endpoint, seed, lost_reports=0):
         self.endpoint = endpoint
         self.random = random.Random(seed)
+        self.lost_reports = lost_reports
 
     async def travel(self):
         await asyncio.sleep(self.random.uniform(0.001, 0.008))
@@ -109,6 +117,9 @@
         await self.travel()
         report = self.endpoint.report()
         await self.travel()
+        if self.lost_reports:
+            self.lost_reports -= 1
+            return None
         return report
 
     async def order(self, order, guard):
@@ -171,7 +182,8 @@
             lambda: None,
             lambda record: True,
         )
-        holder._link = Link(self.endpoint, seed)
+        lost_reports = self.endpoint.lost_reports if term > 1 else 0
+        holder._link = Link(self.endpoint, seed, lost_reports)
         self.holders.append(holder)
         self.claims.append(claims)
 
@@ -202,12 +214,12 @@
             holder.close()
 
 
-def play(seed, second_from, lag_s, fenced=True, lose=0.0):
+def play(seed, second_from, lag_s, fenced=True, lose=0.0, lost_reports=0):
     """Play two holders and return the endpoint that they ordered."""
     now = 100.0
     loop = VirtualLoop(lambda: now)
     asyncio.set_event_loop(loop)
-    endpoint = Endpoint(loop.time, lag_s, fenced, lose, seed)
+    endpoint = Endpoint(loop.time, lag_s, fenced, lose, seed, lost_reports)
 
     async def begin():
         await World(endpoint, seed, loop).play(second_from)
@@ -247,6 +259,15 @@
         assert endpoint.orders > PLACES
         assert endpoint.most <= PLACES
 
+    @settings(deadline=None, max_examples=30)
+    @given(seeds, starts, lags, st.integers(0, 3))
+    def test_a_second_holder_gets_through_beside_one_that_goes_on(
+        self, seed, second_from, lag_s, lost_reports
+    ):
+        """Guards against orders that are all refused, as each is too late."""
+        endpoint = play(seed, second_from, lag_s, lost_reports=lost_reports)
+        assert endpoint.loads_by_holder["i2"] > 0
+
     @settings(deadline=None, max_examples=60)
     @given(seeds, starts, lags)
     def test_two_holders_do_not_overrun_an_endpoint_without_fencing(
