Put right what comments of reports and their lag say

Cause: three comments told of takeovers and of reports from before an unload, which the count of orders has taken the place of. Change: comments and one doc string; no statement is changed.

--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -84,9 +84,9 @@
 # 350 loads.
 FASTEST_FADES: Final = 1.002
 LOOK_PERIOD_S: Final = 0.25
-# A report that a new holder did not get is asked for again after this.
+# A report that orders wait for is asked for again after this.
 RETRY_LOOK_S: Final = 0.1
-# What a report shows may be older than this, in seconds, than its answer.
+# A report shows each order that was taken so long before it was asked for.
 REPORT_LAG_S: Final = 0.5
 # How many adapters that an endpoint held lately it still has in its memory.
 WARM_ADAPTERS: Final = 100
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -86,7 +86,7 @@
             await self._sleep(min(next_look, self.places.get_next_check()))
 
     def _get_next_look(self) -> float:
-        """Return when a report is due, soon if no order may be given before."""
+        """Return when a report is due, soon if orders wait for one."""
         now = self._instance.now()
         if self._held and not self.places.order_count.confirmed:
             return max(now + RETRY_LOOK_S, self.places.backoff.until)
--- a/fescuekeel/components/placement/places.py
+++ b/fescuekeel/components/placement/places.py
@@ -164,9 +164,6 @@
                 del own[weights]
 
     def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
-        # Guards against a report from before an unload: it still shows an
-        # adapter that was unloaded and is being loaded again, and whose load
-        # would look done, so that its place counted as free.
         held = weights in self.held
         if order.kind is OrderKind.UNLOAD:
             return not held
