Let no change of settings end a daemon that is starting, or pass it by

Read beside it: the stamp of the settings file was first taken after the settings had been read, so that a change in between was never seen. Change: the daemon ignores SIGHUP from its first statement until it handles it, and compares the file with its stamp from before it was read. Two tests that fail without. A signal in the first some 40 ms, while the interpreter itself starts, still ends the process.

--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -1,7 +1,13 @@
 """The daemon, the same on every instance."""
 
-import asyncio
 import signal
+
+if __name__ == "__main__":
+    # Loading the libraries takes a while, in which a signal to read the
+    # settings again would end the process; they are read after that.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -18,16 +24,20 @@
 
 EXIT_BAD_SETTINGS = 2
 USAGE = "usage: fescuekeeld [--settings=]SETTINGS.ini\n"
-
+# A file's time of change in nanoseconds, and its size in bytes.
+Stamp = tuple[int, int]
 
 # How often the settings file is looked at: it may change without a signal.
 SETTINGS_PERIOD_S = 2.0
 
 
-async def run(settings: Settings, path: Path | None = None) -> None:
+async def run(
+    settings: Settings, path: Path | None = None, stamp: Stamp | None = None
+) -> None:
     """Run one instance until it is told to stop.
 
     The settings file at ``path`` is read again on SIGHUP and when it changes.
+    ``stamp`` is that of the file before ``settings`` were read from it.
     """
     instance = Instance(settings)
     stopping = asyncio.Event()
@@ -37,7 +47,7 @@
     instance.bus.subscribe(DrainRequested, lambda asked: stopping.set())
     if path is not None:
         loop.add_signal_handler(signal.SIGHUP, reload_settings, instance, path)
-        instance.spawn(watch_settings(instance, path), "settings")
+        instance.spawn(watch_settings(instance, path, stamp), "settings")
     await instance.start()
     collector.resume()
     log_event("instance_started", instance=instance.id)
@@ -63,9 +73,11 @@
     log_event("reload", outcome="taken", detail="")
 
 
-async def watch_settings(instance: Instance, path: Path) -> None:
-    """Read the settings again whenever the file's time or size changes."""
-    seen = _read_stamp(path)
+async def watch_settings(
+    instance: Instance, path: Path, seen: Stamp | None = None
+) -> None:
+    """Read the settings again whenever the file has another stamp."""
+    seen = seen or _read_stamp(path)
     while True:
         await asyncio.sleep(SETTINGS_PERIOD_S)
         stamp = _read_stamp(path)
@@ -74,7 +86,7 @@
             reload_settings(instance, path)
 
 
-def _read_stamp(path: Path) -> tuple[int, int] | None:
+def _read_stamp(path: Path) -> Stamp | None:
     try:
         stat = path.stat()
     except OSError:
@@ -86,6 +98,7 @@
 def start(settings: str) -> None:
     """Start the daemon with the INI file SETTINGS."""
     path = Path(settings)
+    stamp = _read_stamp(path)
     result = read_settings(path)
     if isinstance(result, Err):
         sys.stderr.write(f"fescuekeeld: {result.failure().detail}\n")
@@ -93,7 +106,7 @@
     destination = LineDestination()
     destination.start()
     try:
-        asyncio.run(run(result.unwrap(), path))
+        asyncio.run(run(result.unwrap(), path, stamp))
     finally:
         destination.stop()
 
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bench.soak.command import play_seed
+from bench.soak.plan import FAULTS_PER_S
 
 SHORT_SECONDS = 5.0
 SHORT_SEED = 1
@@ -28,6 +29,18 @@
         0.5,
         "a stream that began in the last moment of a short shutdown was cut",
     ),
+    FailedSeed(
+        1581583379,
+        12.0,
+        FAULTS_PER_S,
+        "a signal to read the settings again ended a daemon that was starting",
+    ),
+    FailedSeed(
+        1581583369,
+        12.0,
+        FAULTS_PER_S,
+        "a daemon that was starting ended by the same signal; another fell silent",
+    ),
 ]
 
 
--- a/tests/test_daemon_reload.py
+++ b/tests/test_daemon_reload.py
@@ -3,6 +3,10 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
 
 from fescuekeel import daemon
 from fescuekeel.core import Instance
@@ -67,3 +71,45 @@
             await running
 
         asyncio.run(work())
+
+    def test_change_during_the_start_is_read(self, tmp_path, monkeypatch):
+        """Guards against a change that nobody reads."""
+        monkeypatch.setattr(daemon, "SETTINGS_PERIOD_S", 0.01)
+        path, instance, heard = self.make(tmp_path)
+        stamp = daemon._read_stamp(path)
+        path.write_text(TEXT.replace("[platform]", "seeds = 127.0.0.1:9\n[platform]"))
+
+        async def work():
+            watching = asyncio.ensure_future(
+                daemon.watch_settings(instance, path, stamp)
+            )
+            await eventually(lambda: heard)
+            watching.cancel()
+
+        asyncio.run(work())
+
+
+class TestReloadDuringTheStart:
+    def test_signal_while_libraries_load_does_not_end_the_daemon(self, tmp_path):
+        """Guards against a daemon that a change of its settings ends."""
+        path = tmp_path / "settings.ini"
+        path.write_text(TEXT)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "fescuekeel.daemon", str(path)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            self.wait_until_libraries_load(process)
+            process.send_signal(signal.SIGHUP)
+            assert any("event=instance_started" in line for line in process.stdout)
+        finally:
+            process.kill()
+            process.communicate()
+
+    def wait_until_libraries_load(self, process):
+        maps = Path(f"/proc/{process.pid}/maps")
+        deadline = time.monotonic() + 30.0
+        while "_asyncio" not in maps.read_text():
+            assert time.monotonic() < deadline
+            time.sleep(0.001)
