Test that orders and reports carry the number of orders

Cause: the adapter's two new fields had no test of their own. Change: the order names the number only where it is given; the report tells it. No code is changed.

--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -4,6 +4,7 @@
 import json
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -194,6 +195,12 @@
         }
         assert ("Fescuekeel-Expect-Instance", "e1") in call.headers
 
+    def test_order_names_how_many_orders_it_follows(self):
+        order = WeightOrder(OrderKind.LOAD, "e1", Weights("m"), "i1", 7)
+        assert "precondition" not in json.loads(DIALECT.make_order(order).body)
+        counted = replace(order, after_orders=0)
+        assert json.loads(DIALECT.make_order(counted).body)["precondition"] == 0
+
     def test_replies_are_told_apart(self):
         read = DIALECT.read_order_reply
         assert read(202) is OrderReply.ACCEPTED
@@ -209,9 +216,11 @@
                 "running": 12,
                 "kv_used": 41000,
                 "kv_total": 90000,
+                "sequence": 17,
             }
         ).encode()
         report = DIALECT.read_report(body)
+        assert report.orders_taken == 17
         assert report.held == {Weights("m"): 1, Weights("m", "a3"): 2}
         assert report.pending == {Weights("m", "a7")}
 
