--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -41,6 +41,12 @@
         FAULTS_PER_S,
         "a daemon that was starting ended by the same signal; another fell silent",
     ),
+    FailedSeed(
+        1096561880,
+        12.0,
+        FAULTS_PER_S,
+        "a daemon fell silent a tenth of a second after its start; cause not known",
+    ),
 ]
 
 
