Notice messages that were lost on a peer's frozen connection

Callers saw requests hang to their deadline after the connections between two instances froze: streams ended as cut 15.5 s later, reads as outcome_unknown, charges as expired.

Cause: an instance sends its messages on a connection of its own. When both connections freeze, the entry notices first, reconnects and asks its streams anew; the owner answers on its own connection, which is frozen and not yet noticed. The receiver of a frozen connection sees no close, and the sender's later reconnection told it nothing, so nobody asked for what was lost.

Change: a hello carries the number of its connection among those that the process opened for messages. A later one closes the previous one at the receiver as lost, which publishes PeerConnectionLost there; the own connection to that peer gets a heartbeat at once. Discovery, a connection that arrives after a later one, and a restart with an earlier clock close nothing good. New line peer_connection_replaced, channel numbers in peer_connection_lost, counters peers.lost.replaced and peers.refused.obsolete.

--- a/fescuekeel/components/peers/acceptor.py
+++ b/fescuekeel/components/peers/acceptor.py
@@ -13,6 +13,7 @@
     MAX_INCOMING_CONNECTIONS,
 )
 from fescuekeel.components.peers.frames import Direction
+from fescuekeel.components.peers.incoming_channels import IncomingChannels
 from fescuekeel.const import PROTOCOL_VERSION
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
@@ -23,6 +24,8 @@
 
 __all__ = ["Acceptor"]
 
+MS_PER_S = 1000
+
 
 class IncomingConnection(Connection):
     """Connection that calls ``on_connected`` once it is established."""
@@ -56,6 +59,7 @@
         self._keys = keys
         self._tls = tls
         self._on_hello = on_hello
+        self._channels = IncomingChannels()
         self._servers: list[asyncio.Server] = []
 
     async def listen_at(self, address: str) -> None:
@@ -140,6 +144,7 @@
         if connection not in self.connections:
             return
         self.connections.discard(connection)
+        self._channels.discard(connection)
         connection.close()
         if failure.kind is not ErrorKind.PEER_UNREACHABLE:
             self._report_refusal(failure.detail or failure.kind.value, address)
@@ -159,11 +164,31 @@
             return Err(Failure(ErrorKind.BAD_FRAME, ErrorKind.BAD_FRAME.value))
         if hello.version != PROTOCOL_VERSION:
             return Err(Failure(ErrorKind.BAD_FRAME, "version"))
+        if self._channels.is_obsolete(hello):
+            return Err(Failure(ErrorKind.BAD_FRAME, "obsolete"))
         connection.mark_authenticated(hello.instance)
         answer = Envelope(0, envelope.number, self._on_hello(hello))
         connection.send(encode(answer))
+        self._close_previous(hello, connection)
         return Success(None)
 
+    def _close_previous(self, hello: Hello, connection: Connection) -> None:
+        """Close the connection that the peer has replaced, as lost."""
+        previous = self._channels.replace(hello, connection)
+        if previous is None or previous.closed:
+            return
+        silent_s = self._instance.now() - previous.last_received_at
+        self._instance.metrics.count("peers.lost.replaced")
+        log_event(
+            "peer_connection_replaced",
+            peer=hello.instance,
+            channel=hello.channel,
+            silent_ms=round(silent_s * MS_PER_S),
+            outcome="goodbye" if previous.closed_cleanly else "lost",
+        )
+        failure = Failure(ErrorKind.PEER_UNREACHABLE, "replaced")
+        self._close(previous, "", failure)
+
 
 def _use_kind_as_detail(failure: Failure) -> Failure:
     # The detail becomes part of a metric name and must come from a fixed set.
--- a/fescuekeel/components/peers/connection.py
+++ b/fescuekeel/components/peers/connection.py
@@ -219,6 +219,11 @@
         self._enqueue(payload)
         return True
 
+    def expect_answer(self, since: float) -> None:
+        """Count the connection as unanswered at least since this time."""
+        if self.unanswered_since is None or self.unanswered_since > since:
+            self.unanswered_since = since
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat unless one is already unanswered."""
         if not self._heartbeat_sent:
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -43,6 +43,7 @@
 
 __all__ = ["Peers"]
 
+MS_PER_S = 1000
 REQUEST_NUMBER_MODULUS = 2**32
 
 
@@ -72,6 +73,7 @@
         self._incoming_requests = IncomingRequests(instance.metrics)
         self._local_answers_by_number: dict[int, PendingAnswer] = {}
         self._request_numbers = itertools.count(1)
+        self._channel_numbers = itertools.count(1)
         self._stopping = False
         self._last_received_by_id: dict[str, float] = {}
 
@@ -209,22 +211,25 @@
             return None
         if now < self._retry_at_by_id.get(peer_id, now):
             return None
-        channel = OutgoingChannel(peer_id, is_replacement, now)
+        number = next(self._channel_numbers)
+        channel = OutgoingChannel(peer_id, number, is_replacement, now)
         self._channels_by_id[peer_id] = channel
         self._instance.spawn(self._run_channel(channel, address), "peers.outgoing")
         return channel
 
-    def _make_hello(self) -> Hello:
+    def _make_hello(self, channel: int = 0) -> Hello:
         return Hello(
             PROTOCOL_VERSION,
             self._instance.id,
             self._instance.settings.instance.data_centre,
             self.incarnation,
             self.address,
+            channel,
         )
 
     async def _run_channel(self, channel: OutgoingChannel, address: str) -> None:
-        dialed = await self._dialer.dial(address, self._make_hello())
+        hello = self._make_hello(channel.number)
+        dialed = await self._dialer.dial(address, hello)
         if isinstance(dialed, Err):
             self._drop_channel(channel, dialed.failure().detail)
             return
@@ -274,7 +279,13 @@
         if self._stopping:
             return
         now = self._instance.now()
-        log_event("peer_connection_lost", peer=peer_id, reason=reason)
+        log_event(
+            "peer_connection_lost",
+            peer=peer_id,
+            channel=channel.number,
+            reason=reason,
+            age_ms=round((now - channel.created_at) * MS_PER_S),
+        )
         self._instance.metrics.count("peers.lost.connection")
         # A middlebox may have dropped the connection while the peer is alive,
         # so a new connection decides whether the peer is reachable. Closing
@@ -324,15 +335,21 @@
                 self._instance.spawn(connection.close_gracefully(), "peers.goodbye")
             return
         unanswered_s = now - connection.unanswered_since
-        heartbeat_after_s = (
-            HEARTBEAT_S if channel.pending_answers_by_number else IDLE_HEARTBEAT_S
-        )
+        heartbeat_after_s = _get_heartbeat_after_s(channel)
         if unanswered_s > heartbeat_after_s + HEARTBEAT_TIMEOUT_S:
             self._instance.metrics.count("peers.lost.silent")
             self._drop_channel(channel, "silent")
         elif unanswered_s > heartbeat_after_s:
             connection.send_heartbeat()
 
+    def _probe(self, channel: OutgoingChannel) -> None:
+        """Send a heartbeat at once, even if no message is unanswered."""
+        connection = channel.connection
+        if connection is not None:
+            since = self._instance.now() - _get_heartbeat_after_s(channel)
+            connection.expect_answer(since)
+            connection.send_heartbeat()
+
     @property
     def _needs_seeds(self) -> bool:
         view = self._instance.bus.latest(MemberView)
@@ -386,9 +403,11 @@
         self._incoming_requests.discard_connection(connection)
         if connection.closed_cleanly or not connection.peer_id:
             return
-        # Answers in flight are lost with this connection. The outgoing one
+        # Messages in flight are lost with this connection. The outgoing one
         # may stay open, so the loss would otherwise go unnoticed.
         if connection.peer_id in self._channels_by_id:
+            # What froze or broke the peer's connection may have hit ours.
+            self._probe(self._channels_by_id[connection.peer_id])
             self._instance.bus.publish(
                 PeerConnectionLost(connection.peer_id, reachable=True)
             )
@@ -412,6 +431,10 @@
             self._instance.metrics.count(f"peers.unhandled.{name}")
 
 
+def _get_heartbeat_after_s(channel: OutgoingChannel) -> float:
+    return HEARTBEAT_S if channel.pending_answers_by_number else IDLE_HEARTBEAT_S
+
+
 def _resolve(pending: PendingAnswer, body: WireMessage) -> None:
     if not pending.done():
         pending.set_result(Success(body))
--- a/fescuekeel/components/peers/outgoing.py
+++ b/fescuekeel/components/peers/outgoing.py
@@ -21,8 +21,11 @@
     peer may have restarted before a later connection.
     """
 
-    def __init__(self, peer_id: str, is_replacement: bool, now: float) -> None:
+    def __init__(
+        self, peer_id: str, number: int, is_replacement: bool, now: float
+    ) -> None:
         self.peer_id = peer_id
+        self.number = number
         self.is_replacement = is_replacement
         self.created_at = now
         self.connection: Connection | None = None
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -92,7 +92,8 @@
         dependency_regained dependency call revision
         livelist_failed detail
         livelist_recovered
-        peer_connection_lost peer reason
+        peer_connection_lost peer channel reason age_ms
+        peer_connection_replaced peer channel silent_ms outcome
         store_call_failed call error
         report_failed endpoint error
         tree_fetch_error error
--- a/fescuekeel/messages/fleet.py
+++ b/fescuekeel/messages/fleet.py
@@ -48,13 +48,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First message on a connection: sender and protocol version."""
+    """First message on a connection: sender and protocol version.
+
+    ``channel`` numbers the connections on which the sender sends its messages
+    to this receiver, from 1 in each incarnation. It is 0 on a connection that
+    only discovers who listens at an address.
+    """
 
     version: int
     instance: str
     data_centre: str
     incarnation: int
     address: str
+    channel: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -15,6 +15,7 @@
   dataCentre @2 :Text;
   incarnation @3 :UInt64;
   address @4 :Text;
+  channel @5 :UInt32;
 }
 struct HelloAnswer {
   instance @0 :Text;
--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -23,11 +23,14 @@
     LiveEntry,
     LiveList,
     LiveRole,
+    Member,
+    MemberView,
     PeerConnectionLost,
     Ping,
     StartAnswer,
     StartAsk,
     WorkChunk,
+    WorkEnd,
 )
 from tests.common import make_settings
 
@@ -100,6 +103,10 @@
         port = self.server.sockets[0].getsockname()[1]
         return f"127.0.0.1:{port}"
 
+    def stall_open_connections(self):
+        for state in self.connections:
+            state["stalled"] = True
+
     async def serve(self, reader, writer):
         self.opened += 1
         state = {"stalled": False}
@@ -119,6 +126,20 @@
             writer.close()
 
 
+async def publish_relayed_addresses(*instances):
+    """Let the instances reach each other through relays, one for each."""
+    relays = []
+    members = {}
+    for instance in instances:
+        relay = StallingRelay(instance.components_by_domain["peers"].address)
+        address = await relay.start()
+        members[instance.id] = Member(instance.id, address, "dc1", 1)
+        relays.append(relay)
+    for instance in instances:
+        instance.bus.publish_state(MemberView(members))
+    return relays
+
+
 class TestPeers:
     def test_messages_and_answers_keep_their_order(self):
         async def run():
@@ -264,6 +285,52 @@
 
         asyncio.run(run())
 
+    def test_messages_lost_on_a_peers_frozen_connection_are_noticed(self):
+        """Guards against waiting for messages that a silent connection lost.
+
+        The peer notices after this instance has reconnected.
+        """
+
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            async with running(one, two) as (link, other):
+                relays = await publish_relayed_addresses(one, two)
+                grant_starts(one)
+                grant_starts(two)
+                assert is_successful(await link.ask("i2", StartAsk("r", 1), 5))
+                assert is_successful(await other.ask("i1", StartAsk("r", 1), 5))
+                lost = []
+                one.bus.subscribe(PeerConnectionLost, lost.append)
+                for relay in relays:
+                    relay.stall_open_connections()
+                await link.ask("i2", StartAsk("r", 2), 60)
+                await wait_for(lambda: lost)
+                lost.clear()
+                assert other.send("i1", WorkEnd("r", 2))
+                await wait_for(lambda: lost)
+                assert lost == [PeerConnectionLost("i2", reachable=True)]
+                assert is_successful(await other.ask("i1", StartAsk("r", 3), 5))
+
+        asyncio.run(run())
+
+    def test_discovery_leaves_the_peers_connection_open(self):
+        """Guards against losing messages whenever a seed is contacted."""
+
+        async def run():
+            one, two = make_instance("i1"), make_instance("i2")
+            lost = []
+            two.bus.subscribe(PeerConnectionLost, lost.append)
+            async with running(one, two) as (link, other):
+                grant_starts(two)
+                assert is_successful(await link.ask("i2", StartAsk("r", 1), 5))
+                contact = await link._dialer.dial(other.address, link._make_hello())
+                assert is_successful(await link.ask("i2", StartAsk("r", 2), 5))
+                assert two.metrics.counters_by_name["peers.lost.replaced"] == 0
+                assert not lost
+                contact.unwrap()[0].close()
+
+        asyncio.run(run())
+
     def test_the_queue_to_a_slow_peer_is_bounded(self, monkeypatch):
         # A peer that stops reading would make the daemon run out of memory.
         async def run():
--- a/tests/fuzz/network.py
+++ b/tests/fuzz/network.py
@@ -1,7 +1,8 @@
 """Fake peers component: connections between fake processes.
 
 A connection delivers its messages in order. A lost connection drops the
-messages in flight, which are not sent again.
+messages in flight, which are not sent again. A frozen one drops all messages
+from then on, and neither side is told.
 """
 
 import itertools
@@ -29,7 +30,10 @@
 
 @dataclass(eq=False)
 class Connection:
-    """A connection from one process to another."""
+    """A connection from one process to another.
+
+    Its opener notices ``late_s`` later than usual that it is silent.
+    """
 
     opener: object
     peer: object
@@ -37,6 +41,8 @@
     replaces: bool = False
     established: bool = False
     lost: bool = False
+    frozen: bool = False
+    late_s: float = 0.0
     futures_by_number: dict = field(default_factory=dict)
     queued: list = field(default_factory=list)
     unacked: list = field(default_factory=list)
@@ -53,6 +59,7 @@
         self.node = node
         self.incarnation = world.next_incarnation()
         self.connections_by_id = {}
+        self.incoming_by_id = {}
         self.requests_by_number = {}
         self.own_futures_by_number = {}
         self.retry_at = {}
@@ -167,6 +174,7 @@
         cut = self.world.is_cut(self.node, peer)
         if not (peer.dead or peer.paused or cut):
             connection.established = True
+            peer.loop.call_soon(peer.link.accept, connection)
             for number, body in connection.queued:
                 self._put(connection, number, body)
             connection.queued.clear()
@@ -181,11 +189,42 @@
             return
         self.node.loop.call_later(0.1, self._try_establish, connection)
 
+    def accept(self, connection):
+        """Accept a connection; the opener's previous one is lost."""
+        opener = connection.opener
+        previous = self.incoming_by_id.get(opener.id)
+        self.incoming_by_id[opener.id] = connection
+        if previous is not None:
+            previous.lost = True
+            self._handle_incoming_lost(opener)
+
+    def _handle_incoming_lost(self, opener):
+        own = self.connections_by_id.get(opener.id)
+        if own is None:
+            self._connect(opener.id, replaces=True)
+            return
+        self._probe(own)
+        lost = PeerConnectionLost(opener.id, reachable=True)
+        self.node.instance.bus.publish(lost)
+
+    def _probe(self, connection):
+        if connection.frozen:
+            connection.late_s = 0.0
+            connection.unacked.append([self.world.now - IDLE_HEARTBEAT_S])
+
+    def freeze(self, connection, late_s):
+        """Drop all messages on a connection from now on."""
+        connection.frozen = True
+        connection.late_s = late_s
+        if connection.futures_by_number:
+            connection.unacked.append([self.world.now])
+
     def check(self):
         """Drop the connections whose messages stay unacknowledged."""
         for connection in list(self.connections_by_id.values()):
             oldest = min((sent[0] for sent in connection.unacked), default=None)
-            if oldest is not None and self.world.now - oldest > MAX_SILENCE_S:
+            bound_s = MAX_SILENCE_S + connection.late_s
+            if oldest is not None and self.world.now - oldest > bound_s:
                 self.handle_loss(connection)
 
     def restart_timeouts(self):
--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -31,7 +31,7 @@
 class CallerRecord:
     """What one caller sent and received.
 
-    ``outcome`` is empty until the response ends.
+    ``outcome`` is empty and ``ended_at`` is ``None`` until the response ends.
     """
 
     request_id: str
@@ -44,6 +44,7 @@
     outcome: str = ""
     reported_ran: Ran | None = None
     caller_left: bool = False
+    ended_at: float | None = None
     runs: list = field(default_factory=list)
 
     @property
@@ -145,7 +146,7 @@
 
     def record_finish(self, record):
         self.check(not record.outcome, "the response ended twice", record)
-        record.outcome = "answered"
+        record.outcome, record.ended_at = "answered", self.world.now
         self.counts["answered"] += 1
         self.check(
             record.data == record.expected, "the response is not complete", record
@@ -154,6 +155,7 @@
     def record_failure(self, record, failure):
         self.check(not record.outcome, "the response ended twice", record)
         record.outcome, record.reported_ran = failure.kind.value, failure.outcome
+        record.ended_at = self.world.now
         self.counts[f"{failure.kind.value}.{failure.outcome.value}"] += 1
         if failure.outcome is Ran.NO:
             self.check(not record.runs, "reported as not run, but it ran", record)
--- a/tests/fuzz/test_requests.py
+++ b/tests/fuzz/test_requests.py
@@ -4,6 +4,7 @@
 from random import Random, seed
 from typing import ClassVar
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -13,10 +14,13 @@
     rule,
 )
 
+from tests.fuzz.network import MAX_SILENCE_S
 from tests.fuzz.world import ADAPTERS, FENCED_POOL, PLAIN_POOL, UNFENCED_POOL, World
 
 RUNNING_GRACE_S = 30.0
 MOST_NODES = 6
+# Three times the time to detect a silent connection, and a run of 20 tokens.
+MAX_FROZEN_WAIT_S = 3 * MAX_SILENCE_S + 2.0
 # Index of the endpoint without fencing.
 UNFENCED_INDEX = 2
 steps = st.sampled_from([0.02, 0.1, 0.5, 1.5, 3.0, 6.0])
@@ -199,6 +203,13 @@
     def drop_connections(self, one, two):
         self.world.drop_connections(self.node(one), self.node(two))
 
+    @rule(one=picks, pick=picks, late_s=st.sampled_from([0.0, 0.5, 3.0]), seed=seeds)
+    def freeze_owners_connections(self, one, pick, late_s, seed):
+        """Freeze connections of a busy owner, which may notice it later."""
+        self.serve(0.3, 10, seed)
+        self.world.freeze_connections(self.node(one), self.owner(pick)[1], late_s)
+        self.serve(0.3, 10, seed)
+
     @rule(one=picks, two=picks, delay_s=st.sampled_from([0.001, 0.05, 0.3]))
     def slow_link(self, one, two, delay_s):
         self.world.delays[self.node(one).id, self.node(two).id] = delay_s
@@ -276,6 +287,33 @@
             fleet.teardown()
 
 
+class TestFrozenConnections:
+    @pytest.mark.parametrize("number", range(12))
+    def test_no_response_waits_for_its_deadline(self, number):
+        """Guards against requests that hang because a message was lost.
+
+        The connections between an entry and an owner freeze, and the owner
+        notices seconds later than the entry.
+        """
+        random = Random(number)
+        fleet = Fleet()
+        fleet.begin()
+        fleet.serve(2.0, 4, number)
+        owner = fleet.owner(number)[1]
+        entries = [node for node in fleet.world.live_nodes if node is not owner]
+        entry = random.choice(entries)
+        fleet.world.freeze_connections(entry, owner, late_s=3.0)
+        frozen_at = fleet.world.now
+        fleet.serve(random.choice([0.5, 1.5, 3.0]), 4, number)
+        fleet.teardown()
+        records = fleet.world.oracle.records_by_id.values()
+        assert "expired" not in {record.outcome for record in records}
+        waits_s = [
+            record.ended_at - max(frozen_at, record.started_at) for record in records
+        ]
+        assert max(waits_s) < MAX_FROZEN_WAIT_S
+
+
 TestFleet = Fleet.TestCase
 TestFleet.settings = settings(
     derandomize=True,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -239,7 +239,7 @@
         connection.arrival_by_receiver[receiver.id] = arrival
 
         def arrive():
-            if connection.lost:
+            if connection.lost or connection.frozen:
                 return
             if self.is_cut(sender, receiver):
                 self.held_messages.append((connection, receiver, callback))
@@ -285,6 +285,17 @@
                     node, lambda node=node, c=connection: node.link.handle_loss(c)
                 )
 
+    def freeze_connections(self, one, two, late_s):
+        """Freeze the connections between two processes.
+
+        The second process notices ``late_s`` later than the first.
+        """
+        self.oracle.record_fault("freeze")
+        for node, peer, noticed_late_s in ((one, two, 0.0), (two, one, late_s)):
+            connection = node.link.connections_by_id.get(peer.id)
+            if connection is not None and not node.dead:
+                node.link.freeze(connection, noticed_late_s)
+
     def stall_orders(self, node, engine, seconds):
         """Delay a process's orders to an endpoint."""
         self.oracle.record_fault("stall")
