Bound the queries of a request to its account's home

Callers saw an instance stop serving at any moment: no answer, no probe, no line, its process at 100% of a core until it was killed.

Cause: Allowances kept the task of a query to an account's home until a done callback removed it. A request that ran between the task's end and its callback joined the ended task, which gives the event loop no turn; the grant did not cover it, so it asked again, found the same task, and the callback never ran.

Change: an ended query is not joined, its entry goes where it ends, and a request awaits at most two queries: the one under way, then its own, whose grant is spent for it before anybody else runs. A caller that disconnects leaves its grant to others.

--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -13,9 +13,11 @@
     MAX_ACCOUNTS,
     MAX_ADMISSION_WAIT_S,
     MAX_HOMES_ASKED,
+    RECHECK_S,
 )
 from fescuekeel.components.allowance.home import AccountHome, Grant
 from fescuekeel.components.allowance.local_allowance import (
+    Admit,
     AskHome,
     LocalAllowance,
     Refuse,
@@ -51,7 +53,7 @@
         self._share = PartitionShare(lost_ttl_s)
         self._home = AccountHome(instance.now(), bounds.limit_window_s)
         self._local_by_name: dict[str, LocalAllowance] = {}
-        self._ask_tasks_by_name: dict[str, asyncio.Task[None]] = {}
+        self._queries_by_name: dict[str, asyncio.Task[Admit | AskHome | Refuse]] = {}
         self._accounts_by_name: dict[str, ClientAccount] = {}
         self._homes_by_name: dict[str, list[str]] = {}
         self._backoff_until_by_id: dict[str, float] = {}
@@ -77,20 +79,13 @@
         """Deduct a request's price from its account's limit, or refuse it."""
         if account.rate_per_s <= 0 or price <= 0:
             return None
-        waited = False
-        while True:
-            now = self._instance.now()
-            local = self._get_local(account, now)
-            decision = local.spend(price, now)
-            if isinstance(decision, AskHome):
-                await self._ask_shared(account, price, local)
-                continue
-            if not isinstance(decision, Refuse):
-                return None
-            if waited or decision.wait_s > MAX_ADMISSION_WAIT_S:
-                return self._refuse(request_id, account, price, decision.wait_s)
-            waited = True
+        decision = await self._spend(account, price)
+        if isinstance(decision, Refuse) and decision.wait_s <= MAX_ADMISSION_WAIT_S:
             await asyncio.sleep(decision.wait_s)
+            decision = await self._spend(account, price)
+        if isinstance(decision, Refuse):
+            return self._refuse(request_id, account, price, decision.wait_s)
+        return None
 
     def refund(self, account: ClientAccount, price: float) -> None:
         """Return the price of a request that did not run."""
@@ -130,25 +125,68 @@
         local.set_limit(account, self._share.count_instances(now), now)
         return local
 
-    async def _ask_shared(
-        self, account: ClientAccount, price: float, local: LocalAllowance
-    ) -> None:
-        """Ask the account's home; concurrent requests await the same query."""
-        ask_task = self._ask_tasks_by_name.get(account.name)
-        if ask_task is None:
-            work = self._ask_home(account, price, local)
-            ask_task = self._instance.spawn(work, f"{DOMAIN}.ask")
-            self._ask_tasks_by_name[account.name] = ask_task
-            ask_task.add_done_callback(
-                lambda _: self._ask_tasks_by_name.pop(account.name, None)
-            )
-        # Cancelling one request must not cancel the query that others await.
-        await asyncio.shield(ask_task)
-
-    async def _ask_home(
-        self, account: ClientAccount, price: float, local: LocalAllowance
+    async def _spend(self, account: ClientAccount, price: float) -> Admit | Refuse:
+        """Deduct a price; await at most two queries to the account's home.
+
+        The first may be another request's, whose grant may cover this one,
+        too. The second is this request's own.
+        """
+        decision = self._spend_local(account, price)
+        pending = self._queries_by_name.get(account.name)
+        if isinstance(decision, AskHome) and pending is not None and not pending.done():
+            await asyncio.wait([pending])
+            decision = self._spend_local(account, price)
+        if isinstance(decision, AskHome):
+            decision = await self._ask_home_and_spend(account, price)
+        if isinstance(decision, AskHome):
+            # The price exceeds what the home grants at once.
+            return Refuse(RECHECK_S)
+        return decision
+
+    def _spend_local(
+        self, account: ClientAccount, price: float
+    ) -> Admit | AskHome | Refuse:
+        now = self._instance.now()
+        return self._get_local(account, now).spend(price, now)
+
+    async def _ask_home_and_spend(
+        self, account: ClientAccount, price: float
+    ) -> Admit | AskHome | Refuse:
+        """Ask the account's home, and deduct the price from its grant at once.
+
+        Guards against another request that spends the grant before the one
+        that asked for it runs again.
+        """
+
+        async def query() -> Admit | AskHome | Refuse:
+            try:
+                await self._ask_home(account, price)
+                return self._spend_local(account, price)
+            finally:
+                if self._queries_by_name.get(account.name) is task:
+                    del self._queries_by_name[account.name]
+
+        task = self._instance.spawn(query(), f"{DOMAIN}.ask")
+        self._queries_by_name[account.name] = task
+        try:
+            # Others may await the query of a request that is cancelled.
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(lambda _: self._refund_query(task, account, price))
+            raise
+
+    def _refund_query(
+        self,
+        query: asyncio.Task[Admit | AskHome | Refuse],
+        account: ClientAccount,
+        price: float,
     ) -> None:
+        if not query.cancelled() and isinstance(query.result(), Admit):
+            self.refund(account, price)
+
+    async def _ask_home(self, account: ClientAccount, price: float) -> None:
         """Ask the home, or its deputies in turn if it does not answer."""
+        local = self._get_local(account, self._instance.now())
         for deputy, id in enumerate(self._list_reachable_homes(account.name)):
             asked_at = self._instance.now()
             grant = await self._ask_instance(id, account, price, bool(deputy))
