Do not share a load that has ended

A request that came in the turn in which a load ended got that load's outcome, such as "too many loads wait", without asking: the entry was removed by a done callback, a turn after the result was visible.

Change: the entry goes where the load ends, and an ended task is not joined. Before: test_request_that_comes_as_a_load_ends_asks_again failed with the old outcome; now the holder is asked again.

--- a/fescuekeel/components/forward/loading.py
+++ b/fescuekeel/components/forward/loading.py
@@ -33,11 +33,10 @@
         weights = Weights(ask.model, ask.adapter)
         key = (ask.endpoint, weights, ask.version, ask.patient)
         task = self._tasks_by_key.get(key)
-        if task is None:
-            work = self._ask(ask)
+        if task is None or task.done():
+            work = self._ask_shared(key, ask)
             task = self._instance.spawn(work, "forward.load")
             self._tasks_by_key[key] = task
-            task.add_done_callback(lambda _: self._tasks_by_key.pop(key, None))
         # Other waiters still need the load if this caller disconnects.
         return await asyncio.shield(task)
 
@@ -62,6 +61,14 @@
         )
         self._instance.spawn(work, "forward.spread")
 
+    async def _ask_shared(self, key: LoadKey, ask: LoadAsk) -> str:
+        try:
+            return await self._ask(ask)
+        finally:
+            # Not in a done callback: the result would be visible before, and
+            # requests that come in between would share a load that has ended.
+            del self._tasks_by_key[key]
+
     async def _ask(self, ask: LoadAsk) -> str:
         holder = self._holders.find(ask.endpoint)
         if holder is None:
