End a daemon whose event loop is blocked

A coroutine that loops without waiting left a process that lived and answered nobody, and that no platform starts again.

Change: each second a tick of the loop restarts a timer. Where it fires, the handler compares the processor time used since the tick with [instance] blocked_loop_cpu_s (5): a stopped or suspended process has used none and goes on; a blocked one writes a line and the stacks of its threads and ends with status 70. The selector measures turns, histogram longest_turn.

A thread of the standard library's dump_traceback_later counts clock time and would end a process after a pause.

Shown by subprocesses: two kinds of spin end with status 70 and name the function, a loop that is busy in short turns and a process stopped for four times the limit go on.

--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -18,6 +18,7 @@
 from fescuekeel import collector
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import LineDestination, log_event
+from fescuekeel.helpers.loop_watchdog import LoopWatchdog, TurnSelector, make_loop
 from fescuekeel.helpers.settings import Settings, read_settings
 from fescuekeel.messages import DrainRequested
 
@@ -33,13 +34,17 @@
 
 
 async def run(
-    settings: Settings, path: Path | None = None, file_stamp: FileStamp | None = None
+    settings: Settings,
+    path: Path | None = None,
+    file_stamp: FileStamp | None = None,
+    selector: TurnSelector | None = None,
 ) -> None:
     """Run an instance until a signal or an operator stops it.
 
     The settings file at ``path`` is reloaded on SIGHUP and when it changes.
     ``file_stamp`` was taken before ``settings`` were read from the file, so
-    that a change during the start is detected.
+    that a change during the start is detected. With the ``selector`` of the
+    event loop, the process ends when the loop is blocked.
     """
     instance = Instance(settings)
     stop_requested = asyncio.Event()
@@ -50,6 +55,8 @@
     if path is not None:
         loop.add_signal_handler(signal.SIGHUP, reload_settings, instance, path)
         instance.spawn(watch_settings(instance, path, file_stamp), "settings")
+    if selector is not None:
+        instance.spawn(LoopWatchdog(instance, selector).run(), "loop_watchdog")
     await instance.start()
     collector.resume()
     log_event("instance_started", instance=instance.id)
@@ -107,8 +114,10 @@
         raise SystemExit(EXIT_BAD_SETTINGS)
     destination = LineDestination()
     destination.start()
+    selector = TurnSelector()
     try:
-        asyncio.run(run(result.unwrap(), path, file_stamp))
+        with asyncio.Runner(loop_factory=lambda: make_loop(selector)) as runner:
+            runner.run(run(result.unwrap(), path, file_stamp, selector))
     finally:
         destination.stop()
 
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -36,11 +36,16 @@
 
 
 class InstanceSettings(Section, frozen=True):
-    """Identity and location of this instance."""
+    """Identity, location and process of this instance.
+
+    The process ends when its event loop is blocked while it uses
+    ``blocked_loop_cpu_s`` seconds of processor time; zero disables that.
+    """
 
     id: Name
     data_centre: Name
     shutdown_s: Positive = 30.0
+    blocked_loop_cpu_s: NonNegative = 5.0
 
 
 class CallersSettings(Section, frozen=True):
--- /dev/null
+++ b/tests/helpers/test_loop_watchdog.py
@@ -0,0 +1,100 @@
+"""Tests that a blocked event loop terminates its process, and only that."""
+
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from fescuekeel.helpers.loop_watchdog import EXIT_LOOP_BLOCKED
+
+ROOT = Path(__file__).parent.parent.parent
+LIMIT_CPU_S = 0.4
+# Runs the watchdog beside the work of a test.
+PROGRAM = """
+import asyncio, time
+from msgspec import structs
+from fescuekeel.core import Instance
+from fescuekeel.helpers import loop_watchdog
+from tests.common import make_settings
+
+loop_watchdog.TICK_S = 0.1
+
+async def spin_in_coroutine():
+    while True:
+        pass
+
+async def join_an_ended_task():
+    ended = asyncio.ensure_future(asyncio.sleep(0))
+    await ended
+    while True:
+        await asyncio.shield(ended)
+
+async def work_in_short_turns():
+    until = time.monotonic() + 4 * {limit}
+    while time.monotonic() < until:
+        await asyncio.sleep(0)
+    print("done")
+
+async def be_stopped():
+    print("ready", flush=True)
+    time.sleep(0.01)
+    await asyncio.sleep(4 * {limit})
+    print("done")
+
+async def run(selector):
+    settings = make_settings("i1")
+    limited = structs.replace(settings.instance, blocked_loop_cpu_s={limit})
+    instance = Instance(structs.replace(settings, instance=limited))
+    watchdog = loop_watchdog.LoopWatchdog(instance, selector)
+    instance.spawn(watchdog.run(), "watchdog")
+    await asyncio.sleep(0.2)
+    await {work}()
+    longest = instance.metrics.histograms_by_name["longest_turn"]
+    print("ticks", longest.get_total_count())
+
+selector = loop_watchdog.TurnSelector()
+with asyncio.Runner(loop_factory=lambda: loop_watchdog.make_loop(selector)) as runner:
+    runner.run(run(selector))
+"""
+
+
+def start(work):
+    program = PROGRAM.format(work=work, limit=LIMIT_CPU_S)
+    return subprocess.Popen(
+        [sys.executable, "-c", program],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+class TestLoopWatchdog:
+    @pytest.mark.parametrize("work", ["spin_in_coroutine", "join_an_ended_task"])
+    def test_blocked_loop_ends_the_process_with_its_stacks(self, work):
+        """Guards against a process that lives on and serves nothing."""
+        process = start(work)
+        _, errors = process.communicate(timeout=60)
+        assert process.returncode == EXIT_LOOP_BLOCKED
+        assert work in errors
+
+    def test_busy_loop_that_turns_is_left_alone(self):
+        """Guards against ending a process that is only busy."""
+        process = start("work_in_short_turns")
+        output, errors = process.communicate(timeout=60)
+        assert process.returncode == 0, errors
+        assert "done" in output
+
+    def test_stopped_process_is_left_alone(self):
+        """Guards against ending a process that was paused or suspended."""
+        process = start("be_stopped")
+        assert process.stdout.readline() == "ready\n"
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(4 * LIMIT_CPU_S)
+        process.send_signal(signal.SIGCONT)
+        output, errors = process.communicate(timeout=60)
+        assert process.returncode == 0, errors
+        assert "done" in output
