Read settings again that are rewritten while the daemon starts

A daemon that started while its settings file was rewritten in place read it empty and ended with status 2 at once (soak). A file cut elsewhere could even be valid, with defaults in place of what was missing.

Cause: the first look was final, nothing told a cut file from a whole one, and the platform's template ended with a section whose keys have defaults.

Change: invalid settings at the start are read again, five times in half a second, with a line each. A last line without a line break is invalid, at a reload, too.

Ways: ending at once leaves the second look to the platform, half a second and a start's processor time later; reading again takes 0.1 s.

--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -10,10 +10,11 @@
 
 import asyncio
 import sys
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
-from returns.result import Failure as Err
+from returns.result import Failure as Err, Success
 
 from fescuekeel import collector
 from fescuekeel.core import Instance
@@ -31,6 +32,9 @@
 
 # Polls the settings file, since it may change without a SIGHUP.
 SETTINGS_POLL_INTERVAL_S = 2.0
+# Longer than it takes to write the file, shorter than a restart of the daemon.
+START_READS = 5
+START_READ_INTERVAL_S = 0.1
 
 
 async def run(
@@ -104,20 +108,32 @@
     return stat.st_mtime_ns, stat.st_size
 
 
+def read_initial_settings(path: Path) -> tuple[Settings, FileStamp | None]:
+    """Return the settings and the file's stamp from before they were read.
+
+    Guards against a file that is rewritten in place while the daemon starts:
+    invalid settings are read again a few times before the daemon ends.
+    """
+    for _ in range(START_READS):
+        file_stamp = _read_file_stamp(path)
+        result = read_settings(path)
+        if isinstance(result, Success):
+            return result.unwrap(), file_stamp
+        sys.stderr.write(f"fescuekeeld: {result.failure().detail}\n")
+        time.sleep(START_READ_INTERVAL_S)
+    raise SystemExit(EXIT_BAD_SETTINGS)
+
+
 def start(settings_path: str) -> None:
     """Run the daemon with the settings file at this path."""
     path = Path(settings_path)
-    file_stamp = _read_file_stamp(path)
-    result = read_settings(path)
-    if isinstance(result, Err):
-        sys.stderr.write(f"fescuekeeld: {result.failure().detail}\n")
-        raise SystemExit(EXIT_BAD_SETTINGS)
+    settings, file_stamp = read_initial_settings(path)
     destination = LineDestination()
     destination.start()
     selector = TurnSelector()
     try:
         with asyncio.Runner(loop_factory=lambda: make_loop(selector)) as runner:
-            runner.run(run(result.unwrap(), path, file_stamp, selector))
+            runner.run(run(settings, path, file_stamp, selector))
     finally:
         destination.stop()
 
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -237,9 +237,16 @@
 
 
 def read_settings(path: Path) -> Result[Settings, Failure]:
-    """Read and validate an INI file."""
+    """Read and validate an INI file.
+
+    A file that ends in the middle of a line is invalid: it may still be
+    written, and the part of a value that is there may be valid as well.
+    """
     try:
         text = path.read_text("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Err(Failure(ErrorKind.INVALID_SETTINGS, f"{path}: {error}"))
+    if text and not text.endswith("\n"):
+        detail = f"{path}: incomplete, the last line has no line break"
+        return Err(Failure(ErrorKind.INVALID_SETTINGS, detail))
     return parse_settings(text)
--- a/standins/forwarding/daemons.py
+++ b/standins/forwarding/daemons.py
@@ -14,11 +14,6 @@
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.1
 SETTINGS = """\
-[instance]
-id = {id}
-data_centre = {data_centre}
-shutdown_s = {shutdown_s}
-
 [callers]
 address = {callers}
 
@@ -44,6 +39,11 @@
 fenced = yes
 retry_slack = {retry_slack}
 revoked_bound_s = {revoked_bound_s}
+
+[instance]
+shutdown_s = {shutdown_s}
+id = {id}
+data_centre = {data_centre}
 """
 
 
@@ -75,9 +75,19 @@
     retry_slack: float = 20.0
     revoked_bound_s: float = 5.0
 
+    def get_settings_path(self, folder: Path) -> Path:
+        """Return the path of the settings file."""
+        return folder / f"{self.id}.ini"
+
     def write_settings(self, folder: Path) -> Path:
-        """Write the settings file and return its path."""
-        text = SETTINGS.format(
+        """Write the settings file in place and return its path."""
+        path = self.get_settings_path(folder)
+        path.write_text(self.format_settings(), "utf-8")
+        return path
+
+    def format_settings(self) -> str:
+        """Return the text of the settings file."""
+        return SETTINGS.format(
             id=self.id,
             data_centre=self.data_centre,
             shutdown_s=self.shutdown_s,
@@ -92,9 +102,6 @@
             retry_slack=self.retry_slack,
             revoked_bound_s=self.revoked_bound_s,
         )
-        path = folder / f"{self.id}.ini"
-        path.write_text(text, "utf-8")
-        return path
 
 
 async def start_daemon(spec: DaemonSpec, folder: Path) -> asyncio.subprocess.Process:
--- a/tests/helpers/test_settings.py
+++ b/tests/helpers/test_settings.py
@@ -4,6 +4,7 @@
 
 from fescuekeel.errors import ErrorKind
 from fescuekeel.helpers.settings import parse_settings, read_settings
+from tests.common import SETTINGS
 
 INSTANCE_SECTION = "[instance]\nid = i1\ndata_centre = dc1\n"
 
@@ -30,3 +31,11 @@
         failure = read_settings(path).failure()
         assert failure.kind is ErrorKind.INVALID_SETTINGS
         assert str(path) in failure.detail
+
+    @pytest.mark.parametrize("end", [-1, -2, -5])
+    def test_file_that_ends_within_a_line_is_invalid(self, tmp_path, end):
+        """Guards against a value that was cut while the file is written."""
+        path = tmp_path / "cut.ini"
+        path.write_text(SETTINGS.format(id="i1", data_centre="dc1")[:end])
+        failure = read_settings(path).failure()
+        assert "incomplete" in failure.detail
--- a/tests/test_daemon_reload.py
+++ b/tests/test_daemon_reload.py
@@ -8,6 +8,8 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from fescuekeel import daemon
 from fescuekeel.core import Instance
 from fescuekeel.helpers.settings import read_settings
@@ -88,6 +90,30 @@
         asyncio.run(work())
 
 
+class TestSettingsAtTheStart:
+    def test_file_that_is_being_written_is_read_again(self, tmp_path, monkeypatch):
+        """Guards against ending when the settings are rewritten in place."""
+        path = tmp_path / "settings.ini"
+        contents = iter(["", TEXT[:200], TEXT])
+        path.write_text("")
+        monkeypatch.setattr(
+            daemon.time, "sleep", lambda _: path.write_text(next(contents))
+        )
+        settings, file_stamp = daemon.read_initial_settings(path)
+        assert settings.instance.id == "i1"
+        assert file_stamp == daemon._read_file_stamp(path)
+
+    def test_lasting_error_ends_the_daemon(self, tmp_path, monkeypatch, capsys):
+        path = tmp_path / "settings.ini"
+        path.write_text("[instance]\n")
+        monkeypatch.setattr(daemon, "START_READ_INTERVAL_S", 0.0)
+        with pytest.raises(SystemExit) as error:
+            daemon.read_initial_settings(path)
+        assert error.value.code == daemon.EXIT_BAD_SETTINGS
+        lines = capsys.readouterr().err.splitlines()
+        assert lines == ["fescuekeeld: instance.id: missing key"] * daemon.START_READS
+
+
 class TestReloadDuringTheStart:
     def test_sighup_during_imports_does_not_terminate_the_daemon(self, tmp_path):
         path = tmp_path / "settings.ini"
