Let the soak restart daemons, and say how each one ended

A daemon that ended by SIGHUP before its first statement was never started again, and "a daemon never became ready" did not tell it from one that spins.

Change: each daemon is watched; one that ends by SIGHUP without a line of its own is started again after half a second, as the platform does, and counted. Any other end that no fault ordered is a violation with status and last lines. Of a daemon that is not ready the report says whether it ended, or its state and use of the processor.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -14,7 +14,7 @@
 from bench.soak.checks import RECOVERY_S, History, check
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.violation import Violation
-from bench.soak.world import SoakWorld
+from bench.soak.world import DAEMONS_PER_ZONE, SoakWorld
 from fescuekeel.helpers.http_connection import NotConnectedError, connect, fetch
 from standins.forwarding.caller import make_headers
 
@@ -30,11 +30,15 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: Path, faults_per_s: float = FAULTS_PER_S
+    seed: int,
+    seconds: float,
+    folder: Path,
+    faults_per_s: float = FAULTS_PER_S,
+    daemons_per_zone: int = DAEMONS_PER_ZONE,
 ) -> list[Violation]:
     """Run one seed; return its violations."""
     accounts = Accounts(seed)
-    world = SoakWorld(folder, accounts)
+    world = SoakWorld(folder, accounts, daemons_per_zone)
     faults = make_plan(seed, seconds, faults_per_s)
     try:
         await world.start()
@@ -49,6 +53,7 @@
         await world.inject(faults, started_at)
         await load
         violations = await check_recovery(world)
+        violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
         workers = list(world.platform.workers_by_id.values())
         history = History(started_at, faults, results, workers, world.drains)
@@ -61,8 +66,13 @@
 
 async def check_recovery(world: SoakWorld) -> list[Violation]:
     """Check that all daemons recover and serve the latest configuration."""
-    if not await world.wait_until_ready():
-        return [Violation("recovery", "a daemon never became ready")]
+    not_ready = await world.wait_until_ready()
+    if not_ready:
+        states = [await daemon.describe() for daemon in not_ready]
+        return [
+            Violation("recovery", f"a daemon never became ready: {state}")
+            for state in states
+        ]
     await asyncio.sleep(RECOVERY_S)
     violations = []
     newest, older = f"/v{world.version}/x", f"/v{world.version - 1}/x"
@@ -84,6 +94,18 @@
     return violations + check_versions(world)
 
 
+def list_exits(world: SoakWorld) -> list[Violation]:
+    """Return the ends that no fault ordered; count those by early signals."""
+    early = sum(daemon.early_signals for daemon in world.daemons)
+    if early:
+        print(f"restarted after a signal before the first statement: {early}")
+    return [
+        Violation("exit", str(found))
+        for daemon in world.daemons
+        for found in daemon.exits
+    ]
+
+
 async def request_until_status(
     address: str, path: str, method: str, adapter: str, status: int
 ) -> int:
@@ -145,7 +167,10 @@
 
 
 def run_seeds(
-    seeds: int = SEEDS, first_seed: int = 0, seconds: float = DEFAULT_SECONDS
+    seeds: int = SEEDS,
+    first_seed: int = 0,
+    seconds: float = DEFAULT_SECONDS,
+    daemons_per_zone: int = DAEMONS_PER_ZONE,
 ) -> int:
     """Run consecutive seeds, from a random one by default."""
     first = first_seed or secrets.randbelow(2**31)
@@ -153,7 +178,8 @@
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory(prefix="fescuekeel-soak-") as name:
             folder = Path(name)
-            violations = asyncio.run(run_seed(seed, seconds, folder))
+            work = run_seed(seed, seconds, folder, FAULTS_PER_S, daemons_per_zone)
+            violations = asyncio.run(work)
             if violations:
                 failed.append(seed)
                 keep_logs(seed, folder)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -41,6 +41,9 @@
     FOREIGN_ENTRY = "foreign_entry"
     KEY_TAKEN = "key_taken"
     KILL_ALL = "kill_all"
+    EARLY_SIGNALS = "early_signals"
+    SETTINGS_REWRITTEN = "settings_rewritten"
+    PEERS_FROZEN = "peers_frozen"
 
 
 # These kinds have their own random streams, so that a seed draws the same
@@ -48,10 +51,15 @@
 ADDED_KINDS = (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_ENTRY)
 ACCOUNT_KINDS = (FaultKind.KEY_TAKEN,)
 FULL_OUTAGE_KINDS = (FaultKind.KILL_ALL,)
+START_KINDS = (
+    FaultKind.EARLY_SIGNALS,
+    FaultKind.SETTINGS_REWRITTEN,
+    FaultKind.PEERS_FROZEN,
+)
 BASE_KINDS = tuple(
     kind
     for kind in FaultKind
-    if kind not in ADDED_KINDS + ACCOUNT_KINDS + FULL_OUTAGE_KINDS
+    if kind not in ADDED_KINDS + ACCOUNT_KINDS + FULL_OUTAGE_KINDS + START_KINDS
 )
 # Planned maintenance, which must not fail any request.
 PLANNED = frozenset(
@@ -117,7 +125,12 @@
     outage_faults = _draw_faults(
         Random(f"{seed} whole"), FULL_OUTAGE_KINDS, seconds, faults_per_s * outage_share
     )
+    start_share = len(START_KINDS) / len(BASE_KINDS)
+    start_faults = _draw_faults(
+        Random(f"{seed} starts"), START_KINDS, seconds, faults_per_s * start_share
+    )
     faults = base_faults + added_faults + account_faults + outage_faults
+    faults += start_faults
     return sorted(faults, key=lambda fault: fault.starts_at)
 
 
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -19,12 +19,13 @@
 class ProxiedConnection:
     """One connection through the proxy.
 
-    Once ``unresponsive``, it passes no more bytes.
+    Once unresponsive, it passes no more bytes to the target or from it.
     """
 
     downstream: asyncio.StreamWriter
     upstream: asyncio.StreamWriter
-    unresponsive: bool = False
+    unresponsive_to_target: bool = False
+    unresponsive_from_target: bool = False
 
 
 @dataclass(eq=False)
@@ -65,10 +66,14 @@
         self.to_target.set()
         self.from_target.set()
 
-    def stall_connections(self) -> None:
-        """Make open connections unresponsive; new ones work."""
+    def stall_connections(self, one_way: bool = False) -> None:
+        """Make open connections unresponsive; new ones work.
+
+        With ``one_way``, bytes from the target still pass.
+        """
         for connection in self._connections:
-            connection.unresponsive = True
+            connection.unresponsive_to_target = True
+            connection.unresponsive_from_target |= not one_way
 
     def reset_connections(self) -> None:
         """Reset open connections at both ends."""
@@ -140,7 +145,12 @@
         await passing.wait()
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
-        if connection.unresponsive:
+        to_target = passing is self.to_target
+        if (
+            connection.unresponsive_to_target
+            if to_target
+            else connection.unresponsive_from_target
+        ):
             await asyncio.Event().wait()
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,24 +1,24 @@
 """Daemon processes, proxies and stand-ins of one run; applies its faults."""
 
 import asyncio
-import contextlib
 import signal
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from pathlib import Path
+from random import Random
 
 from tornado.httpclient import AsyncHTTPClient
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
 from bench.soak.checks import Drain
+from bench.soak.daemon_process import DaemonProcess
 from bench.soak.plan import Fault, FaultKind
 from bench.soak.proxy import Proxy
 from standins.fleet import free_addresses
 from standins.forwarding.daemons import (
     DaemonAddresses,
     DaemonSpec,
-    start_daemon,
     wait_until_ready,
 )
 from standins.forwarding.platform import (
@@ -32,7 +32,7 @@
 )
 from standins.forwarding.workers import Worker
 
-__all__ = ["DaemonProcess", "SoakWorld"]
+__all__ = ["DAEMONS_PER_ZONE", "SoakWorld"]
 
 DAEMONS_PER_ZONE = 2
 ENDPOINT_ERRORS_PER_FAULT = 2
@@ -40,34 +40,25 @@
 PLATFORM_DELAY_S = 1.0
 # Makes a stream last 0.3 s, so that faults hit streams in progress.
 EVENT_S = 0.05
-STOP_TIMEOUT_S = 10.0
 DELAY_S = 0.15
 # Makes reports lag behind orders.
 REPORT_LAG_S = 0.25
 FOREIGN_BYTES = (b"\xff\x00\x17", b'{"service": 7}', b"[]")
+EARLY_SIGNALS = 4
+MAX_SIGNAL_GAP_S = 0.1
+# The time for which a file is incomplete, and the time between two rewrites.
+SETTINGS_REWRITES = 6
+REWRITE_S = 0.01
+REWRITE_GAP_S = 0.1
 CALLERS_PORT, OPERATORS_PORT, PEERS_PORT, READY_PORT = range(4)
 
 
-@dataclass(eq=False)
-class DaemonProcess:
-    """One daemon, with proxies before its peer port and the store."""
-
-    spec: DaemonSpec
-    peers: Proxy
-    store: Proxy
-    process: asyncio.subprocess.Process | None = None
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to this process if it is running."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-
 class SoakWorld:
     """Start the processes of a run, inject its faults and stop them."""
 
-    def __init__(self, folder: Path, accounts: Accounts) -> None:
+    def __init__(
+        self, folder: Path, accounts: Accounts, daemons_per_zone: int = DAEMONS_PER_ZONE
+    ) -> None:
         self.platform = StandInPlatform()
         self.accounts = accounts
         self.daemons: list[DaemonProcess] = []
@@ -76,6 +67,7 @@
         self.adapter_versions: dict[str, int] = {}
         self.client = AsyncHTTPClient(force_instance=True, max_clients=100)
         self._folder = folder
+        self._daemons_per_zone = daemons_per_zone
         self._proxies_by_worker: dict[str, Proxy] = {}
         self._apply_by_kind: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.KILL: self._kill,
@@ -83,6 +75,9 @@
             FaultKind.TERM: self._term,
             FaultKind.PAUSE: self._pause,
             FaultKind.RELOAD: self._reload,
+            FaultKind.EARLY_SIGNALS: self._signal_early,
+            FaultKind.SETTINGS_REWRITTEN: self._rewrite_settings,
+            FaultKind.PEERS_FROZEN: self._freeze_peers,
             FaultKind.STORE_REFUSES: self._make_store_unavailable,
             FaultKind.STORE_FORGETS: self._clear_store_history,
             FaultKind.ENDPOINT_FAILS: self._inject_endpoint_errors,
@@ -106,7 +101,7 @@
             await self.add_worker(ENGINES, zone)
             await self.add_worker(PLAIN, zone)
         self.publish_configuration()
-        zones = [zone for zone in ZONES for _ in range(DAEMONS_PER_ZONE)]
+        zones = [zone for zone in ZONES for _ in range(self._daemons_per_zone)]
         free = iter(free_addresses(4 * len(zones)))
         addresses = [
             DaemonAddresses(next(free), next(free), next(free), next(free))
@@ -125,19 +120,24 @@
                 await store.start(),
                 revoked_bound_s=REVOCATION_BOUND_S,
             )
-            self.daemons.append(DaemonProcess(spec, proxies[number], store))
-        await asyncio.gather(*(self._start(daemon) for daemon in self.daemons))
+            daemon = DaemonProcess(spec, self._folder, proxies[number], store)
+            self.daemons.append(daemon)
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         await self.wait_until_ready()
 
-    async def wait_until_ready(self) -> bool:
-        """Wait until all daemons are ready; return false on a timeout."""
+    async def wait_until_ready(self) -> list[DaemonProcess]:
+        """Wait until all daemons are ready; return those that are not."""
         ready = await asyncio.gather(
             *(
                 wait_until_ready(self.client, daemon.spec.addresses.ready)
                 for daemon in self.daemons
             )
         )
-        return all(ready)
+        return [
+            daemon
+            for daemon, is_ready in zip(self.daemons, ready, strict=True)
+            if not is_ready
+        ]
 
     async def add_worker(self, service: str, zone: str) -> Worker:
         """Start a worker behind a proxy and publish its address."""
@@ -160,30 +160,11 @@
 
     async def stop(self) -> None:
         """Stop the daemons, then the proxies and the platform."""
-        for daemon in self.daemons:
-            daemon.signal(signal.SIGCONT)
-            daemon.signal(signal.SIGTERM)
-        for daemon in self.daemons:
-            await self._wait_for_exit(daemon)
-            await daemon.peers.stop()
-            await daemon.store.stop()
+        await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
         for proxy in self._proxies_by_worker.values():
             await proxy.stop()
         await self.platform.stop()
 
-    async def _start(self, daemon: DaemonProcess) -> None:
-        daemon.process = await start_daemon(daemon.spec, self._folder)
-
-    async def _wait_for_exit(self, daemon: DaemonProcess) -> None:
-        if daemon.process is None:
-            return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(STOP_TIMEOUT_S):
-                await daemon.process.wait()
-        if daemon.process.returncode is None:
-            daemon.process.kill()
-            await daemon.process.wait()
-
     # Faults.
 
     async def inject(self, faults: list[Fault], started_at: float) -> None:
@@ -211,10 +192,9 @@
     async def _kill(self, fault: Fault) -> None:
         daemon = self._pick_daemon(fault)
         async with daemon.lock:
-            daemon.signal(signal.SIGKILL)
-            await self._wait_for_exit(daemon)
+            await daemon.end(signal.SIGKILL)
             await asyncio.sleep(fault.duration_s)
-            await self._start(daemon)
+            await daemon.start()
 
     async def _kill_all(self, fault: Fault) -> None:
         await asyncio.gather(
@@ -227,9 +207,8 @@
     async def _term(self, fault: Fault) -> None:
         daemon = self._pick_daemon(fault)
         async with daemon.lock:
-            daemon.signal(signal.SIGTERM)
-            await self._wait_for_exit(daemon)
-            await self._start(daemon)
+            await daemon.end(signal.SIGTERM)
+            await daemon.start()
 
     async def _pause(self, fault: Fault) -> None:
         daemon = self._pick_daemon(fault)
@@ -245,6 +224,37 @@
         daemon.spec.write_settings(self._folder)
         daemon.signal(signal.SIGHUP)
 
+    async def _signal_early(self, fault: Fault) -> None:
+        """Restart a daemon and announce changed settings while it starts."""
+        random = Random(f"{fault.starts_at} signals")
+        daemon = self._pick_daemon(fault)
+        async with daemon.lock:
+            await daemon.end(signal.SIGKILL)
+            await daemon.start()
+            for _ in range(EARLY_SIGNALS):
+                await asyncio.sleep(random.uniform(0.0, MAX_SIGNAL_GAP_S))
+                daemon.signal(signal.SIGHUP)
+
+    async def _rewrite_settings(self, fault: Fault) -> None:
+        """Restart a daemon and rewrite its settings in place meanwhile."""
+        daemon = self._pick_daemon(fault)
+        async with daemon.lock:
+            await daemon.end(signal.SIGKILL)
+            await daemon.start()
+            path = daemon.spec.get_settings_path(self._folder)
+            text = daemon.spec.format_settings()
+            for number in range(SETTINGS_REWRITES):
+                path.write_text(text[: len(text) * number // SETTINGS_REWRITES])
+                await asyncio.sleep(REWRITE_S)
+                path.write_text(text)
+                await asyncio.sleep(REWRITE_GAP_S)
+            daemon.signal(signal.SIGHUP)
+
+    async def _freeze_peers(self, fault: Fault) -> None:
+        """Silence one direction of all open connections between daemons."""
+        for daemon in self.daemons:
+            daemon.peers.stall_connections(one_way=True)
+
     async def _make_store_unavailable(self, fault: Fault) -> None:
         self.platform.store.refuse = 503
         await asyncio.sleep(fault.duration_s)
