Keep an adapter that serves another attempt of an ended request

An adapter was evicted while it served: the caller's answer was cut.

Cause: an owner left requests that had ended there out of the endpoint's reports for five seconds, by id. Another attempt of the request, dispatched by the owner in between, has the same id, so nothing held its adapter when the first owner took the endpoint over again. The same for an attempt that outlives a later one.

Change: an ended request is left out only if what ended was its only run: a first attempt under an unchanged fencing token of a fenced endpoint that was not lost or restarted since. Others hold their adapter while the latest report lists them; what did not run here is not recorded.

Conclusion: a fault of its own is mended.

--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -69,7 +69,7 @@
             self.ownership,
             self.post,
             self._is_serving,
-            self.requests.ended_recently,
+            self.requests.is_surely_ended,
         )
         self.draining = False
         self._boot_id = ""
@@ -243,6 +243,11 @@
             self.ownership.may_order(now) and now - self._reported_at <= UNRESPONSIVE_S
         )
 
+    @property
+    def fenced(self) -> bool:
+        """Return whether the endpoint refuses orders of previous owners."""
+        return self.assignment.pool.fenced
+
     def get_fence(self) -> int:
         """Return the fencing token for orders."""
         return self.ownership.fence
@@ -305,6 +310,7 @@
                 self._configure()
                 self._present_fence()
             case own.Lost():
+                self.requests.doubt_ended()
                 self.instance.metrics.count("owner.lost")
                 log_event("owner_lost", endpoint=self.endpoint)
                 self._configure()
@@ -380,6 +386,7 @@
             self.instance.metrics.count("owner.endpoint_restarted")
             log_event("endpoint_restarted", endpoint=self.endpoint)
             self.foreign.clear()
+            self.requests.doubt_ended()
         self._update_running(report, now)
         self.schedule(
             sched.Reported(report.loaded, self.foreign.adapters_by_id, restarted)
@@ -393,11 +400,12 @@
     def _update_running(self, report: Report, now: float) -> None:
         # A stream resumed from a previous owner stays foreign, since the
         # scheduler did not dispatch it.
-        dispatched = set(self.scheduler.running_ids)
-        own_ids = dispatched | {
-            call.request_id
-            for call in report.running
-            if self.requests.ended_recently(call.request_id)
-        }
-        self.foreign.update_from_report(report.running, own_ids, now)
+        own_ids = set(self.scheduler.running_ids)
+        ended_ids = set()
+        for call in report.running:
+            if self.requests.is_surely_ended(call.request_id):
+                own_ids.add(call.request_id)
+            elif self.requests.has_ended(call.request_id):
+                ended_ids.add(call.request_id)
+        self.foreign.update_from_report(report.running, own_ids, now, ended_ids)
         self.requests.forget_ended(now)
--- a/fescuekeel/components/owner/foreign.py
+++ b/fescuekeel/components/owner/foreign.py
@@ -1,5 +1,6 @@
 """Requests that run on an endpoint on behalf of other owners."""
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -57,9 +58,17 @@
             )
 
     def update_from_report(
-        self, running: Iterable[RunningCall], own_ids: Collection[str], now: float
+        self,
+        running: Iterable[RunningCall],
+        own_ids: Collection[str],
+        now: float,
+        ended_ids: Collection[str] = (),
     ) -> None:
-        """Update from the endpoint's report, which may lag."""
+        """Update from the endpoint's report, which may lag.
+
+        Requests in ``ended_ids`` have ended here, and another attempt of them
+        may run: they are kept until a report no longer lists them.
+        """
         listed = set()
         for call in running:
             if call.request_id in own_ids:
@@ -67,8 +76,9 @@
             listed.add(call.request_id)
             previous = self._work_by_id.get(call.request_id)
             expires_at = now + REPORT_LAG_S if previous is None else previous.expires_at
+            seen_at = -math.inf if call.request_id in ended_ids else now
             self._work_by_id[call.request_id] = ForeignRequest(
-                call.adapter, expires_at, now
+                call.adapter, expires_at, seen_at
             )
         for request_id, work in list(self._work_by_id.items()):
             if request_id in listed:
--- a/fescuekeel/components/owner/orders.py
+++ b/fescuekeel/components/owner/orders.py
@@ -122,21 +122,45 @@
         of: one named by a different view, or one that dispatched just before
         the takeover. The report shows all but the most recent requests.
         """
-        held = OrderOutcome(False, detail=HELD)
-        if self.is_serving(adapter) or not self._may_evict():
-            return held
+        if self.is_serving(adapter):
+            return self._hold(adapter, "serving")
+        if not self._may_evict():
+            return self._hold(adapter, "unsettled")
         report = await self.driver.report(REPORT_TIMEOUT_S)
         if report is None:
-            return held
+            return self._hold(adapter, "no_report")
         for call in report.running:
             if call.adapter == adapter and not self.is_ended(call.request_id):
-                return held
-        return await self.driver.evict(
+                return self._hold(adapter, "reported", call.request_id)
+        fence = self.ownership.fence
+        outcome = await self.driver.evict(
             adapter,
-            self.ownership.fence,
+            fence,
             EVICT_TIMEOUT_S,
             lambda: self._may_evict() and not self.is_serving(adapter),
         )
+        log_event(
+            "evict_ordered",
+            endpoint=self.endpoint,
+            adapter=adapter,
+            fence=fence,
+            listed=len(report.running),
+            outcome="evicted" if outcome.ok else outcome.detail or "unconfirmed",
+        )
+        return outcome
+
+    def _hold(
+        self, adapter: AdapterRef, reason: str, request_id: str = ""
+    ) -> OrderOutcome:
+        log_event(
+            "evict_held",
+            endpoint=self.endpoint,
+            adapter=adapter,
+            reason=reason,
+            request_id=request_id,
+            outcome=HELD,
+        )
+        return OrderOutcome(False, detail=HELD)
 
     def _may_order(self) -> bool:
         return self.ownership.may_order(self.instance.now())
--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -43,6 +43,10 @@
     def admit(self, work: sched.Work) -> sched.Refuse | None:
         """Pass a request to the scheduler; return its refusal, if any."""
 
+    @property
+    def fenced(self) -> bool:
+        """Return whether the endpoint refuses orders of previous owners."""
+
     def may_order(self) -> bool:
         """Return whether requests may be dispatched now."""
 
@@ -52,11 +56,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ActiveRun:
-    """A run, its task, and its start time in monotonic seconds."""
+    """A run, its task, its start in monotonic seconds and the fence then."""
 
     run: Run
     task: asyncio.Task[None]
     started_at: float
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """A run that has ended here; ``at`` is in monotonic seconds.
+
+    A lagging report may still list its request. If it is the ``only_run``, the
+    report cannot mean another attempt, at this or another owner.
+    """
+
+    at: float
+    only_run: bool
 
 
 class Requests:
@@ -68,7 +85,7 @@
         self.queued_by_id: dict[str, model.AcceptedRequest] = {}
         self.runs_by_id: dict[str, ActiveRun] = {}
         self._deferred_by_id: dict[str, model.SubmitReceived] = {}
-        self._ended_by_id: dict[str, float] = {}
+        self._ended_by_id: dict[str, EndedRun] = {}
         self._cancelling: Counter[str] = Counter()
 
     @property
@@ -90,16 +107,31 @@
             for active in self.runs_by_id.values()
         )
 
-    def ended_recently(self, request_id: str) -> bool:
-        """Return whether a request ended but a report may still list it."""
+    def is_surely_ended(self, request_id: str) -> bool:
+        """Return whether a report that lists a request is out of date."""
+        ended = self._ended_by_id.get(request_id)
+        return ended is not None and ended.only_run
+
+    def has_ended(self, request_id: str) -> bool:
+        """Return whether a report that lists a request may be out of date."""
         return request_id in self._ended_by_id
 
     def forget_ended(self, now: float) -> None:
         """Forget ended requests that reports no longer list."""
         self._ended_by_id = {
-            request_id: at
-            for request_id, at in self._ended_by_id.items()
-            if now - at < REPORT_LAG_S
+            request_id: ended
+            for request_id, ended in self._ended_by_id.items()
+            if now - ended.at < REPORT_LAG_S
+        }
+
+    def doubt_ended(self) -> None:
+        """Take into account that other runs of ended requests may follow.
+
+        Called when another owner may give orders, or the endpoint restarts.
+        """
+        self._ended_by_id = {
+            request_id: replace(ended, only_run=False)
+            for request_id, ended in self._ended_by_id.items()
         }
 
     def accept(self, received: model.SubmitReceived) -> None:
@@ -226,11 +258,29 @@
             self.host.foreign.add([self._describe_running(item)], now)
             self._spawn_cancel(item.request_id)
         else:
-            self.host.foreign.forget(item.request_id)
-            self._ended_by_id[item.request_id] = now
+            self._record_end(active, outcome, now)
         self.host.schedule(sched.Finished(item.request_id))
         self._retry_deferred(item.request_id)
 
+    def _record_end(
+        self, active: ActiveRun, outcome: Outcome | None, now: float
+    ) -> None:
+        submit = active.run.item.submit
+        if submit.resume:
+            self.host.foreign.forget(submit.request_id)
+        if outcome is None or outcome.ran is Ran.NO:
+            # What a report lists under this id is not this attempt.
+            return
+        # An earlier attempt may outlive this one. A later one at another owner
+        # makes a fenced endpoint refuse the orders of this owner.
+        only_run = (
+            submit.attempt == 1
+            and not submit.resume
+            and self.host.fenced
+            and active.fence == self.host.get_fence()
+        )
+        self._ended_by_id[submit.request_id] = EndedRun(now, only_run)
+
     def _make_item(self, received: model.SubmitReceived) -> model.AcceptedRequest:
         now = self.instance.now()
         deadline = now + received.submit.remaining_ms / MS_PER_S
@@ -288,7 +338,9 @@
             get_fence=self.host.get_fence,
         )
         task = self.instance.spawn(self._execute(run), f"{self.host.name}.run")
-        self.runs_by_id[item.request_id] = ActiveRun(run, task, self.instance.now())
+        self.runs_by_id[item.request_id] = ActiveRun(
+            run, task, self.instance.now(), self.host.get_fence()
+        )
 
     async def _execute(self, run: Run) -> None:
         try:
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -66,6 +66,8 @@
         endpoint_changed endpoint state revision
         endpoint_restarted endpoint
         endpoint_unreachable endpoint error avoided_ms
+        evict_held endpoint adapter reason request_id outcome
+        evict_ordered endpoint adapter fence listed outcome
         holder_silent holder endpoint waited_ms outcome
         isolation_changed cut_off outcome
         livelist_changed entries
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -192,9 +192,17 @@
             item for item in [*self.running, *self.waiting] if item.model == model
         ]
         if serving:
-            ids = [item.request_id for item in serving]
             now = time.monotonic()
-            violation = {"model": model, "request_ids": ids, "at": now}
+            violation = {
+                "model": model,
+                "request_ids": [item.request_id for item in serving],
+                "ages_s": [round(now - item.accepted_at, 3) for item in serving],
+                "runs": [
+                    sum(run.request_id == item.request_id for run in self.runs)
+                    for item in serving
+                ],
+                "at": now,
+            }
             self.evictions_while_serving.append(violation)
         for request in serving:
             self._end(request, Outcome.EVICTED)
