Count routed requests, and connections to engines apart from retries

TestGracefulShutdown ended once in a TimeoutError of until_routed, before SIGTERM: it took placements less retries for the requests routed.

Cause: retry.stream_resumed counted attempts of requests and also connections of the engine's driver that were replaced while an attempt went on; resumed and moved attempts choose no endpoint. The difference stayed too small for good. An operator could not tell a slow engine from lost owners.

Change: engine.reconnected counts the driver's connections; routed counts each request for which an endpoint was chosen once. The test waits for routed, which is as strict: each of its requests must be counted, and a retry, a move or a slow engine changes nothing.

The driver's and the entry's tests check both counters.

--- a/fescuekeel/components/engine/driver.py
+++ b/fescuekeel/components/engine/driver.py
@@ -38,7 +38,7 @@
     parse_refusal,
 )
 from fescuekeel.core import Instance
-from fescuekeel.errors import ErrorKind, Failure, Ran, RetryReason
+from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.helpers.driver import (
     CacheHints,
     Call,
@@ -153,7 +153,7 @@
         remaining_s = deadline - time.monotonic()
         if remaining_s <= 0:
             return Outcome.unknown("no response before the deadline")
-        self.instance.metrics.count(f"retry.{RetryReason.STREAM_RESUMED}")
+        self.instance.metrics.count("engine.reconnected")
         chunks: list[bytes] = []
         outcome = await self._stream(
             replace(call, remaining_s=remaining_s),
@@ -230,7 +230,7 @@
             resume = True
 
     def _count_resume(self, expired: bool) -> None:
-        self.instance.metrics.count(f"retry.{RetryReason.STREAM_RESUMED}")
+        self.instance.metrics.count("engine.reconnected")
         if expired:
             self.instance.metrics.count("engine.silent_stream")
 
--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -254,7 +254,9 @@
         self._post_submit_result(effect.attempt, placement, result)
 
     def _set_placement(self, placement: Placement, attempt: int) -> None:
-        if self.placement is not None:
+        if self.placement is None:
+            self.instance.metrics.count("routed")
+        else:
             self.router.record_done(self.placement)
         self.placement = placement
         self._placed_attempt = attempt
--- a/tests/components/engine/test_driver.py
+++ b/tests/components/engine/test_driver.py
@@ -164,6 +164,9 @@
             assert len(harness.engine.runs) == 1
             counters = harness.driver.instance.metrics.counters_by_name
             assert counters["engine.silent_stream"] == 2
+            assert counters["engine.reconnected"] == 2
+            # Guards against counting a connection as a request's attempt.
+            assert [name for name in counters if name.startswith("retry.")] == []
 
         run(scenario)
 
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -207,6 +207,7 @@
                 assert [submit.attempt for submit in owner.submits] == [1, 2]
                 counters = harness.instance.metrics.counters_by_name
                 assert counters[f"retry.{reason}"] == 1
+                assert counters["routed"] == 1
 
         asyncio.run(run())
 
--- a/tests/daemons/test_pauses.py
+++ b/tests/daemons/test_pauses.py
@@ -129,15 +129,9 @@
 
 async def until_routed(world, daemon, requests):
     """Wait until an instance has routed a number of callers' requests."""
-    routed = 0
     async with asyncio.timeout(STOP_BOUND_S):
-        while routed < requests:
-            counters = await world.get_counters(daemon)
-            routed = sum(
-                count if name.startswith("route.") else -count
-                for name, count in counters.items()
-                if name.startswith(("route.", "retry."))
-            )
+        while await world.count(daemon, "routed") < requests:  # noqa: ASYNC110
+            await asyncio.sleep(0)
 
 
 class TestGracefulShutdown:
