Count an attempt as submitted when it is sent, not when it is decided

Callers got outcome_unknown for requests that cannot have run, when their deadline ended the back-off before the next attempt.

Cause: the state machine entered "submitted" with the decision to retry; the end of a back-off by the deadline left doubt about an attempt that nobody had.

Change: the entry posts Submitted when the back-off has ended; until then the attempt is not in doubt, and needs no cancellation. Found by a new rule of the fuzz, owners that alternate as instances join and leave a busy endpoint.

--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -37,6 +37,7 @@
     ShutdownTimedOut,
     Started,
     StartRequested,
+    Submitted,
     TimerFired,
 )
 from fescuekeel.errors import ErrorKind, Failure, Ran, RetryReason
@@ -124,6 +125,8 @@
         match event:
             case Admitted():
                 return self._send(0.0)
+            case Submitted(attempt):
+                return self._submit(attempt)
             case Accepted(attempt):
                 return self._accept(attempt)
             case Refused(attempt, failure):
@@ -156,11 +159,17 @@
 
     def _send(self, delay_s: float) -> list[RequestEffect]:
         self.attempt += 1
-        self.phase = Phase.SUBMITTED
+        # During its back-off, nobody can run the attempt.
+        self.phase = Phase.RECEIVED if delay_s else Phase.SUBMITTED
         self._resuming = self._pending_resume
         self._pending_resume = False
         return [SendAttempt(self.attempt, delay_s, self._resuming, self.position)]
 
+    def _submit(self, attempt: int) -> list[RequestEffect]:
+        if attempt == self.attempt and self.phase is Phase.RECEIVED:
+            self.phase = Phase.SUBMITTED
+        return []
+
     def _accept(self, attempt: int) -> list[RequestEffect]:
         if attempt == self.attempt and self.phase is Phase.SUBMITTED:
             self.phase = Phase.QUEUED
--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -36,6 +36,7 @@
     SendAttempt,
     Started,
     StartRequested,
+    Submitted,
     TimerFired,
 )
 from fescuekeel.components.gateway.sink import AnswerHead, CallerSink
@@ -249,6 +250,7 @@
             self.post(Refused(effect.attempt, failure))
             return
         self._set_placement(placement, effect.attempt)
+        self.post(Submitted(effect.attempt))
         submit = self._make_submit(effect, placement)
         result = await self.link.ask(placement.owner, submit, SUBMIT_TIMEOUT_S)
         self._post_submit_result(effect.attempt, placement, result)
--- a/fescuekeel/components/gateway/request_events.py
+++ b/fescuekeel/components/gateway/request_events.py
@@ -27,6 +27,7 @@
     "ShutdownTimedOut",
     "StartRequested",
     "Started",
+    "Submitted",
     "TimerFired",
 ]
 
@@ -49,6 +50,13 @@
     """The request was admitted."""
 
 
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """The back-off of this attempt has ended, and it is sent to its owner."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Accepted:
     """The owner queued the attempt."""
@@ -130,6 +138,7 @@
 
 RequestEvent = (
     Admitted
+    | Submitted
     | Accepted
     | Refused
     | OwnerLost
--- a/tests/components/gateway/test_attempts.py
+++ b/tests/components/gateway/test_attempts.py
@@ -23,6 +23,7 @@
     ShutdownTimedOut,
     Started,
     StartRequested,
+    Submitted,
     TimerFired,
 )
 from fescuekeel.errors import ErrorKind, Failure, Ran
@@ -45,6 +46,19 @@
     return next(item.failure for item in effects if isinstance(item, Fail))
 
 
+class TestBackOff:
+    def test_attempt_that_was_never_sent_leaves_no_doubt(self):
+        """Guards against "unknown" when the deadline ends a back-off."""
+        refused = Refused(1, Failure(ErrorKind.ENDPOINT_REFUSED, ran=Ran.NO))
+        for sent, ran in ((False, Ran.NO), (True, Ran.UNKNOWN)):
+            state_machine = make_state_machine()
+            allow(state_machine, state_machine.handle(refused, 1.0))
+            if sent:
+                assert state_machine.handle(Submitted(2), 2.0) == []
+            effects = state_machine.handle(TimerFired(), DEADLINE + 1.0)
+            assert get_failure(effects).outcome is ran
+
+
 class TestStartPermission:
     def test_permission_is_granted_once(self):
         state_machine = make_state_machine(repeatable=False)
--- a/tests/fuzz/engines.py
+++ b/tests/fuzz/engines.py
@@ -49,6 +49,7 @@
         self.incarnation = 1
         self.leaving_since = None
         self.load_failures_left = 0
+        self.refusals_left = 0
         self.report_lag_s = 0.0
         self.boot_count = 0
         self.runs = []
@@ -93,7 +94,8 @@
             return Outcome.refused("stale", stale_fence=self.fence)
         if call.adapter and call.adapter not in self.loaded:
             return Outcome.refused("not_loaded", loaded=False)
-        if len(self.running) >= 2 * self.pool.max_running:
+        if self.refusals_left or len(self.running) >= 2 * self.pool.max_running:
+            self.refusals_left = max(0, self.refusals_left - 1)
             return Outcome.refused("full")
         self.world.oracle.record_run(self, call, written_at)
         now, tokens = self.world.now, max(1, call.max_tokens)
--- a/tests/fuzz/test_requests.py
+++ b/tests/fuzz/test_requests.py
@@ -185,6 +185,24 @@
         self.world.wake(node)
         self.serve(0.5, 8, seed)
 
+    @rule(pick=picks, lent_s=st.sampled_from([0.6, 1.0, 1.5]), seed=seeds)
+    def alternate_owners(self, pick, lent_s, seed):
+        """Let endpoints go to an instance that joins, and back when it leaves.
+
+        Requests whose first attempt a busy endpoint refused run at the owner
+        in between, and still do when the first owner takes over again.
+        """
+        for number in range(2):
+            _, node = self.owner(pick)
+            self.serve(0.2, 20, seed + number)
+            for engine in self.world.engines_by_id.values():
+                engine.refusals_left = 6
+            self.serve(0.4, 20, seed + number)
+            joined = self.world.add_node(node.data_centre)
+            self.serve(lent_s, 12, seed + number)
+            self.world.drain(joined)
+            self.serve(1.5, 20, seed + number)
+
     @rule(pick=picks, skew_s=st.sampled_from([-100.0, 0.0, 50.0]))
     def skew_clock(self, pick, skew_s):
         self.node(pick).loop.skew_s = skew_s
