Repeat settlements of keys to a home that connects anew

A caller's retry of a charge that did not run was refused with key_in_progress for up to ten minutes, if the connections to the key's homes were frozen or cut when its claim was settled.

Cause: KeySettle has no answer, and nobody sent it again; the class of messages lost on a frozen connection.

Change: settlements are kept for 30 s (10,000 at most) and sent again when their home authenticates on a new connection. They are dropped when the request claims its key again, so that a late repetition cannot release the new claim.

Before: test_settlement_lost_with_a_connection_is_repeated failed; without the drop test_repeated_settlement_does_not_release_a_new_claim fails. Both pass now.

--- a/fescuekeel/components/keys/component.py
+++ b/fescuekeel/components/keys/component.py
@@ -17,6 +17,7 @@
 )
 from fescuekeel.components.keys.decision import KeyHome
 from fescuekeel.components.keys.quorum import QuorumCounter
+from fescuekeel.components.keys.recent_settles import RecentSettles
 from fescuekeel.core import Actor, Instance
 from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.helpers.logging import log_event
@@ -28,6 +29,7 @@
     KeyPull,
     KeySettle,
     LiveList,
+    PeerAuthenticated,
     PeerMessage,
 )
 
@@ -42,6 +44,7 @@
         self._data_centre = instance.settings.instance.data_centre
         self._home = KeyHome(instance.id, self._data_centre)
         self._homes_by_request_id: dict[str, tuple[str, ...]] = {}
+        self._recent_settles = RecentSettles()
 
     async def start(self) -> None:
         """Subscribe, and start to pull the claims of the other homes."""
@@ -49,6 +52,7 @@
         for kind in (KeyClaim, KeySettle, KeyPull, KeyCopy):
             bus.subscribe_peer(kind, self.post)
         bus.subscribe(LiveList, self.post)
+        bus.subscribe(PeerAuthenticated, self._resend_settles)
         await super().start()
         live = bus.latest(LiveList)
         if live is not None:
@@ -98,6 +102,7 @@
                 Failure(ErrorKind.KEY_HOME_UNREACHABLE, "no list of instances yet")
             )
         claim = KeyClaim(key, request_id, digest, int(lifetime_s * 1000), homes)
+        self._recent_settles.forget(request_id)
         self._homes_by_request_id[request_id] = homes
         counter = QuorumCounter(len(homes))
         try:
@@ -124,8 +129,26 @@
         # Instances that have since become homes hold a copy of the claim.
         targets = dict.fromkeys([*homes, *self._home.find_homes(key, now)])
         link = get_peer_link(self.instance)
+        settle = KeySettle(key, request_id, ran.value)
         for home in targets:
-            link.send(home, KeySettle(key, request_id, ran.value))
+            link.send(home, settle)
+            if home != self.instance.id:
+                self._recent_settles.add(home, settle, now)
+
+    def _resend_settles(self, peer: PeerAuthenticated) -> None:
+        """Repeat settlements to a home that has connected anew.
+
+        Guards against a key that stays claimed for minutes, since its
+        settlement was lost with a connection.
+        """
+        home = peer.instance_id
+        settles = self._recent_settles.list_for(home, self.instance.now())
+        if not settles:
+            return
+        self.instance.metrics.count("keys.resettled", len(settles))
+        link = get_peer_link(self.instance)
+        for settle in settles:
+            link.send(home, settle)
 
     async def _ask_homes(self, claim: KeyClaim, counter: QuorumCounter) -> None:
         # The tasks keep running once the claim is decided, so that every home
--- a/fescuekeel/components/keys/const.py
+++ b/fescuekeel/components/keys/const.py
@@ -25,3 +25,7 @@
 MAX_CONCURRENT_PULLS: Final = 16
 EXPIRE_PERIOD_S: Final = 1.0
 TIE_RETRY_S: Final = 0.2
+# Longer than it takes to notice that a connection is silent, or that a
+# partition has healed.
+RESEND_SETTLE_S: Final = 30.0
+MAX_RECENT_SETTLES: Final = 10_000
--- a/tests/components/keys/test_component.py
+++ b/tests/components/keys/test_component.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from unittest import mock
 
 from returns.pipeline import is_successful
 
 from fescuekeel.components.keys import DEFAULT_LIFETIME_S, Keys
+from fescuekeel.components.peers.const import RETRY_S
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Ran
 from tests.common import make_settings
@@ -31,6 +33,15 @@
     return keys.claim("k", request, digest, DEFAULT_LIFETIME_S)
 
 
+async def replace_connections(link):
+    """Lose all connections that an instance has opened; wait for new ones."""
+    # Connections that close right after opening are not replaced.
+    await asyncio.sleep(2 * RETRY_S)
+    for channel in list(link._channels_by_id.values()):
+        link._drop_channel(channel, "silent")
+    await asyncio.sleep(0.5)
+
+
 class TestKeys:
     def test_a_key_is_won_once_across_instances(self):
         async def run():
@@ -63,6 +74,40 @@
 
         asyncio.run(run())
 
+    def test_settlement_lost_with_a_connection_is_repeated(self):
+        """Guards against a key that stays claimed although nothing ran."""
+
+        async def run():
+            async with running_keys() as all_keys:
+                first, second, *_ = all_keys
+                assert is_successful(await claim(first, "r1"))
+                link = first.instance.components_by_domain["peers"]
+                # The connections are frozen: what is sent arrives nowhere.
+                with mock.patch.object(link, "send", lambda *message: True):
+                    first.settle("k", "r1", Ran.NO)
+                failure = (await claim(second, "r2")).failure()
+                assert failure.kind is ErrorKind.KEY_IN_PROGRESS
+                await replace_connections(link)
+                assert is_successful(await claim(second, "r3"))
+
+        asyncio.run(run())
+
+    def test_repeated_settlement_does_not_release_a_new_claim(self):
+        """Guards against two winners after a request claims its key again."""
+
+        async def run():
+            async with running_keys() as all_keys:
+                first, second, *_ = all_keys
+                assert is_successful(await claim(first, "r1"))
+                first.settle("k", "r1", Ran.NO)
+                assert is_successful(await claim(first, "r1"))
+                link = first.instance.components_by_domain["peers"]
+                await replace_connections(link)
+                failure = (await claim(second, "r2")).failure()
+                assert failure.kind is ErrorKind.KEY_IN_PROGRESS
+
+        asyncio.run(run())
+
     def test_a_used_key_survives_the_loss_of_one_home(self):
         # Guards against running a request twice when it is retried after one
         # of the key's homes has failed.
