Reserve the ports of started daemons against other runs

One of some ten plays of TestGracefulShutdown, beside two other plays of tests with daemons, failed with "Address already in use": two processes had chosen the same free port before either daemon bound it.

Change: each port is reserved by a UDP socket on its number, held until the process that runs the daemons ends. Before: reserve() did not exist, and a port was known as allocated in its own process only; the new test asks for a port from another process.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,7 +21,8 @@
 
 LOOPBACK = "127.0.0.1"
 LISTENING_PORTS = range(20_000, 32_000)
-ALLOCATED_PORTS: set[int] = set()
+# Held until this process ends.
+RESERVATIONS_BY_PORT: dict[int, socket.socket] = {}
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.1
@@ -83,19 +84,37 @@
 def free_addresses(count: int) -> list[str]:
     """Return distinct free loopback addresses.
 
-    The ports are below the kernel's ephemeral range and each is allocated
-    once, so that no outgoing connection can take one before the daemon binds
-    it.
+    The ports are below the kernel's ephemeral range, so that no outgoing
+    connection can take one before the daemon binds it, and reserved against
+    other processes that run daemons.
     """
     addresses: list[str] = []
     while len(addresses) < count:
         port = random.choice(LISTENING_PORTS)
-        if port not in ALLOCATED_PORTS and is_free(port):
-            ALLOCATED_PORTS.add(port)
+        if port not in RESERVATIONS_BY_PORT and reserve(port):
             addresses.append(f"{LOOPBACK}:{port}")
     return addresses
 
 
+def reserve(port: int) -> bool:
+    """Reserve a port that can be bound, by a UDP socket on its number.
+
+    The socket does not stop a daemon from listening at the TCP port, but only
+    one process can have it.
+    """
+    reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        reservation.bind((LOOPBACK, port))
+    except OSError:
+        reservation.close()
+        return False
+    if not is_free(port):
+        reservation.close()
+        return False
+    RESERVATIONS_BY_PORT[port] = reservation
+    return True
+
+
 async def wait_until(ready: Callable[[], Awaitable[bool]], what: str) -> None:
     """Poll until ready; raise ``FleetError`` on timeout."""
     deadline = time.monotonic() + START_TIMEOUT_S
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,6 +1,8 @@
 """Tests of the address allocation for processes."""
 
 import socket
+import subprocess
+import sys
 
 from standins.fleet import LISTENING_PORTS, LOOPBACK, free_addresses, is_free
 
@@ -25,3 +27,14 @@
             listening.bind((LOOPBACK, 0))
             listening.listen()
             assert not is_free(listening.getsockname()[1])
+
+    def test_a_port_is_reserved_against_other_processes(self):
+        """Guards against two runs that choose the same port."""
+        (address,) = free_addresses(1)
+        port = int(address.split(":")[1])
+        assert is_free(port)
+        program = f"from standins import fleet; print(fleet.reserve({port}))"
+        run = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        )
+        assert run.stdout == "False\n"
