Leave the exit status of a soak's daemon to its watcher

Soak reported "i3 ended with status 255 after 0.10 s" in one of two plays: a daemon that an early SIGHUP had ended.

Cause: asyncio's Process.send_signal polls first, which collects the status of a process that has just ended; its watcher then reports 255 ("Unknown child process").

Change: signals are sent by process id while the process has no status.

--- a/bench/soak/daemon_process.py
+++ b/bench/soak/daemon_process.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import contextlib
+import os
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from signal import SIGCONT, SIGHUP, SIGTERM, Signals
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGTERM, Signals
 
 from bench.soak.proxy import Proxy
 from standins.forwarding.daemons import DaemonSpec, start_daemon
@@ -68,9 +69,14 @@
         task.add_done_callback(self._watch_tasks.discard)
 
     def signal(self, number: Signals) -> None:
-        """Send a signal to this process if it is running."""
+        """Send a signal to this process if it is running.
+
+        ``Process.send_signal`` would collect the exit status of a process that
+        has just ended, and its watcher would not get it.
+        """
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def end(self, number: Signals) -> None:
         """End the process by a signal; kill it if it does not end in time."""
@@ -82,7 +88,7 @@
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 await self.process.wait()
         if self.process.returncode is None:
-            self.process.kill()
+            self.signal(SIGKILL)
             await self.process.wait()
 
     async def stop(self) -> None:
