Move the decision whether a connection is alive to a module of its own

What is due for a channel (nothing, a heartbeat, a close, a loss) is a pure decision with tests of its own now; the link carries it out.

--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -12,9 +12,6 @@
 from fescuekeel.components.peers.connection import Connection
 from fescuekeel.components.peers.const import (
     CHECK_PERIOD_S,
-    HEARTBEAT_S,
-    HEARTBEAT_TIMEOUT_S,
-    IDLE_HEARTBEAT_S,
     IDLE_S,
     MAX_QUEUE_BYTES,
     RETRY_S,
@@ -22,6 +19,11 @@
 )
 from fescuekeel.components.peers.dialing import Dialer
 from fescuekeel.components.peers.incoming_requests import IncomingRequests
+from fescuekeel.components.peers.liveness import (
+    ChannelAction,
+    check_channel,
+    probe_channel,
+)
 from fescuekeel.components.peers.outgoing import OutgoingChannel, PendingAnswer
 from fescuekeel.components.peers.tls import make_client_context, make_server_context
 from fescuekeel.const import PROTOCOL_VERSION
@@ -303,8 +305,6 @@
         while True:
             await sleep_to_tick(CHECK_PERIOD_S)
             now = self._instance.now()
-            # After a pause of this process all connections look silent while
-            # data may be waiting in the sockets' buffers.
             was_suspended = now - last > 2 * CHECK_PERIOD_S
             last = now
             for channel in list(self._channels_by_id.values()):
@@ -323,32 +323,15 @@
         connection = channel.connection
         if connection is None:
             return
-        if was_suspended and connection.unanswered_since is not None:
-            connection.unanswered_since = now
-            return
-        if connection.unanswered_since is None:
-            if (
-                now - connection.last_message_at > IDLE_S
-                and not channel.pending_answers_by_number
-            ):
+        match check_channel(channel, now, was_suspended):
+            case ChannelAction.CLOSE_IDLE:
                 del self._channels_by_id[channel.peer_id]
                 self._instance.spawn(connection.close_gracefully(), "peers.goodbye")
-            return
-        unanswered_s = now - connection.unanswered_since
-        heartbeat_after_s = _get_heartbeat_after_s(channel)
-        if unanswered_s > heartbeat_after_s + HEARTBEAT_TIMEOUT_S:
-            self._instance.metrics.count("peers.lost.silent")
-            self._drop_channel(channel, "silent")
-        elif unanswered_s > heartbeat_after_s:
-            connection.send_heartbeat()
-
-    def _probe(self, channel: OutgoingChannel) -> None:
-        """Send a heartbeat at once, even if no message is unanswered."""
-        connection = channel.connection
-        if connection is not None:
-            since = self._instance.now() - _get_heartbeat_after_s(channel)
-            connection.expect_answer(since)
-            connection.send_heartbeat()
+            case ChannelAction.SEND_HEARTBEAT:
+                connection.send_heartbeat()
+            case ChannelAction.DROP_SILENT:
+                self._instance.metrics.count("peers.lost.silent")
+                self._drop_channel(channel, "silent")
 
     @property
     def _needs_seeds(self) -> bool:
@@ -407,7 +390,8 @@
         # may stay open, so the loss would otherwise go unnoticed.
         if connection.peer_id in self._channels_by_id:
             # What froze or broke the peer's connection may have hit ours.
-            self._probe(self._channels_by_id[connection.peer_id])
+            channel = self._channels_by_id[connection.peer_id]
+            probe_channel(channel, self._instance.now())
             self._instance.bus.publish(
                 PeerConnectionLost(connection.peer_id, reachable=True)
             )
@@ -431,10 +415,6 @@
             self._instance.metrics.count(f"peers.unhandled.{name}")
 
 
-def _get_heartbeat_after_s(channel: OutgoingChannel) -> float:
-    return HEARTBEAT_S if channel.pending_answers_by_number else IDLE_HEARTBEAT_S
-
-
 def _resolve(pending: PendingAnswer, body: WireMessage) -> None:
     if not pending.done():
         pending.set_result(Success(body))
--- a/fescuekeel/messages/fleet.py
+++ b/fescuekeel/messages/fleet.py
@@ -50,9 +50,9 @@
 class Hello:
     """First message on a connection: sender and protocol version.
 
-    ``channel`` numbers the connections on which the sender sends its messages
-    to this receiver, from 1 in each incarnation. It is 0 on a connection that
-    only discovers who listens at an address.
+    ``channel`` grows with each connection that an incarnation of the sender
+    opens to send messages. It is 0 on a connection that only discovers who
+    listens at an address.
     """
 
     version: int
