Count the wait for an old lease from the first contact with the endpoint

Cause: after a partition, the instance on the far side owned an endpoint without fencing at once: its wait of a lease had passed while it could not reach the endpoint, and the owner beside the endpoint had renewed its own. For 1.2 s, until the views agreed again, two owners dispatched and evicted.

Change: the waits of a takeover count from the endpoint's first report, and anew after more than a lease without one. Confirmed handovers need no wait as before.

Before: the new test failed, the endpoint was gained with the first report; after: it passes, as do the machine of ownership and the fuzz. One test gave its first report only as the lease ended; it gives one at the start as well now and checks the same. A takeover within reach of the endpoint is not longer: the first report comes within milliseconds.

--- a/fescuekeel/components/owner/ownership.py
+++ b/fescuekeel/components/owner/ownership.py
@@ -205,6 +205,8 @@
     _successor: str = ""
     _handed_over_at: float = -math.inf
     _reported: bool = False
+    _contact_at: float = -math.inf
+    _handover_confirmed: bool = False
     _pending_peers: set[str] = field(default_factory=set)
 
     def may_order(self, now: float) -> bool:
@@ -255,7 +257,8 @@
                 self._handle_peer_reply(event, now)
             case ReportReceived(fence, asked_at):
                 self._record_fence(fence)
-                self._reported |= asked_at >= self._acquiring_since
+                if asked_at >= self._acquiring_since:
+                    self._record_contact(now)
                 if fence == self.fence:
                     self._record_fence_seen(now)
             case OrderExecuted(fence):
@@ -305,15 +308,33 @@
         self.state = OwnershipState.ACQUIRING
         self._acquiring_since = now
         self._reported = False
+        self._handover_confirmed = False
+        self._start_waits(now)
+        self._successor = ""
+        self._pending_peers = set(peers)
+        return [AskPeers(peers)]
+
+    def _start_waits(self, now: float) -> None:
         self._previous_lease_until = now if self._fenced else now + OWNER_LEASE_S
         # Reports lag, so they show the previous owner's work late. A fenced
         # endpoint must first have seen the new token.
         self._evict_after = math.inf
         if not self._fenced:
             self._evict_after = self._previous_lease_until + REPORT_LAG_S
-        self._successor = ""
-        self._pending_peers = set(peers)
-        return [AskPeers(peers)]
+
+    def _record_contact(self, now: float) -> None:
+        """Record a report; the waits of a takeover count from the first one.
+
+        Guards against a second owner after a network partition: while this
+        instance cannot reach the endpoint, an owner on the other side keeps
+        renewing its lease, and the views take a moment to agree again.
+        """
+        regained = self._reported and now - self._contact_at > OWNER_LEASE_S
+        first = not self._reported and not self._handover_confirmed
+        if self.state is OwnershipState.ACQUIRING and (first or regained):
+            self._start_waits(now)
+        self._contact_at = now
+        self._reported = True
 
     def _handle_offer(self, event: HandoverOffered) -> list[OwnershipEffect]:
         """Ask the previous owner to confirm the offer, which may be stale."""
@@ -334,6 +355,7 @@
         fresh = now - event.asked_at <= PEERS_TIMEOUT_S
         if not event.handed_over or not fresh or self.state is OwnershipState.ABSENT:
             return
+        self._handover_confirmed = True
         self._previous_lease_until = min(self._previous_lease_until, now)
         self._evict_after = min(self._evict_after, now)
 
--- a/tests/components/owner/test_ownership.py
+++ b/tests/components/owner/test_ownership.py
@@ -77,6 +77,31 @@
             ownership.handle(own.ReportReceived(0, now), now, 0)
         assert not ownership.may_order(2.1)
 
+    def test_wait_for_the_previous_lease_counts_from_the_first_report(self) -> None:
+        """Guards against two owners after a network partition heals.
+
+        During the partition the endpoint is out of reach, and an owner on the
+        other side renews its lease.
+        """
+        ownership = Ownership("b")
+        now, healed_at, gained_at = 0.0, 10.0, None
+        while gained_at is None:
+            ownership.handle(own.ChosenAsOwner(NOBODY, False), now, 0)
+            if now >= healed_at:
+                ownership.handle(own.ReportReceived(0, now), now, 0)
+            gained_at = now if ownership.may_order(now) else None
+            now += TICK_S
+        assert gained_at - healed_at >= OWNER_LEASE_S - TICK_S
+        assert gained_at - healed_at < OWNER_LEASE_S + 2 * TICK_S
+        assert not ownership.may_evict(gained_at)
+
+    def test_confirmed_handover_is_not_undone_by_the_first_report(self) -> None:
+        ownership = Ownership("b")
+        ownership.handle(own.ChosenAsOwner(frozenset({"a"}), False), 0.0, 0)
+        ownership.handle(own.PeerReplied("a", 0.0, 0, handed_over=True), 0.1, 0)
+        ownership.handle(own.ReportReceived(0, 0.1), 0.2, 0)
+        assert ownership.may_order(0.2)
+
     def test_report_from_before_the_takeover_is_ignored(self) -> None:
         ownership = Ownership("b")
         ownership.handle(own.ChosenAsOwner(NOBODY, True), 5.0, 0)
@@ -124,6 +149,7 @@
     def test_owner_without_full_knowledge_offers_no_handover(self) -> None:
         ownership = Ownership("a")
         ownership.handle(own.ChosenAsOwner(NOBODY, False), 0.0, 0)
+        ownership.handle(own.ReportReceived(0, 0.0), 0.0, 0)
         ownership.handle(own.ReportReceived(0, 0.1), OWNER_LEASE_S, 0)
         assert ownership.may_order(OWNER_LEASE_S)
         effects = ownership.handle(own.NotChosen("b"), OWNER_LEASE_S, 0)
