Let the soak's process tests pass where SIGHUP is ignored

The process restores the default and says so before it gets the signal; the checks are the same.

After: both pass with SIGHUP ignored and with its default. A soak started with nohup sends early signals that end no daemon; started by the tests or a terminal it does.

--- a/tests/soak/test_daemon_process.py
+++ b/tests/soak/test_daemon_process.py
@@ -8,18 +8,31 @@
 from bench.soak.proxy import Proxy
 from standins.forwarding.daemons import DaemonAddresses, DaemonSpec
 
+SLEEP = """
+import signal, time
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+print("ready", flush=True)
+time.sleep(60)
+"""
 SPEC = DaemonSpec("i1", "a", DaemonAddresses("", "", "", ""), "", (), "")
 
 
+async def start_sleeping():
+    """Start a process that SIGHUP ends, even where the tests ignore it."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", SLEEP, stdout=asyncio.subprocess.PIPE
+    )
+    assert await process.stdout.readline() == b"ready\n"
+    return process
+
+
 class TestDaemonProcess:
     def test_signal_leaves_the_exit_status_to_the_watcher(self, tmp_path):
         """Guards against status 255 for a daemon that a signal has ended."""
 
         async def run():
             daemon = DaemonProcess(SPEC, tmp_path, Proxy(""), Proxy(""))
-            daemon.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", "import time; time.sleep(60)"
-            )
+            daemon.process = await start_sleeping()
             daemon.process.send_signal = None
             daemon.signal(SIGHUP)
             for _ in range(100):
@@ -37,9 +50,7 @@
             log = tmp_path / "i1.log"
             log.write_text("event=instance_stopped\n")
             log_bytes = log.stat().st_size
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", "import time; time.sleep(60)"
-            )
+            process = await start_sleeping()
             watch = asyncio.create_task(daemon._watch(process, log_bytes))
             if writes:
                 log.write_text("event=instance_stopped\nevent=instance_started\n")
