Drop a refused load once a later report shows that it is missing

A reply is lost, so the order count is unknown; a lagging report (19 orders) is accepted as the count, although the endpoint is at 20. 2. A load is sent with count 19 and refused; the refusal is lost. The load stays in progress, as it may have been accepted. 3. The next report confirms 20 and does not show the load. The load is repeated as a check, but with count 20, and the endpoint accepts it as a new load. Nothing checks the capacity for a repeat: 5 of 4 slots.

Change: an order remembers the count it was last sent with. A report with a higher count that shows the adapter neither held nor pending proves that the load is not in progress, and it is dropped at once.

--- a/fescuekeel/components/placement/model.py
+++ b/fescuekeel/components/placement/model.py
@@ -94,7 +94,9 @@
     """An order in progress, or an unload that is about to be sent.
 
     At ``next_check`` it is sent again, to learn whether it is done.
-    ``accepted`` says that the endpoint has accepted it.
+    ``accepted`` says that the endpoint may have accepted it.
+    ``after_orders`` is the order count that it was last sent with, ``None``
+    before it is sent.
     """
 
     kind: OrderKind
@@ -102,6 +104,7 @@
     sent_at: float
     next_check: float
     accepted: bool = False
+    after_orders: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/components/placement/scheduler.py
+++ b/fescuekeel/components/placement/scheduler.py
@@ -165,7 +165,9 @@
                 del own[weights]
             elif weights in report.pending:
                 continue
-            elif requested_at - order.sent_at > self._get_order_ttl_s(weights):
+            elif self._is_missing(weights, order, report) or (
+                requested_at - order.sent_at > self._get_order_ttl_s(weights)
+            ):
                 del own[weights]
 
     def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
@@ -176,6 +178,21 @@
             return False
         return order.version is None or self.held[weights] >= order.version
 
+    def _is_missing(
+        self, weights: Weights, order: Order, report: EndpointReport
+    ) -> bool:
+        """Return whether a report shows that a load is not in progress.
+
+        The endpoint has accepted another order in its place, or has ended it.
+        Guards against repeating the load with the current order count, which
+        the endpoint would accept as a new one without a free slot.
+        """
+        if order.kind is OrderKind.UNLOAD or not weights.adapter:
+            return False
+        if order.after_orders is None or weights in self.held:
+            return False
+        return report.orders_taken > order.after_orders
+
     def _get_order_ttl_s(self, weights: Weights) -> float:
         return ORDER_LOST_S if weights.adapter else MODEL_LOAD_LOST_S
 
@@ -192,6 +209,7 @@
         under_way = self.orders_by_weights.get(weights)
         if under_way is None:
             return
+        under_way.after_orders = self.order_count.value
         self.order_count.record_reply(order, reply, now)
         if reply is OrderReply.HOLDS_ALREADY:
             del self.orders_by_weights[weights]
--- a/tests/components/placement/test_overrun.py
+++ b/tests/components/placement/test_overrun.py
@@ -286,6 +286,14 @@
         assert endpoint.orders > CAPACITY
         assert endpoint.max_held <= CAPACITY
 
+    @pytest.mark.parametrize("answer_loss", [0.1, 0.3, 0.6])
+    def test_lost_replies_do_not_overrun_an_endpoint(self, answer_loss):
+        """Guards against repeating a load that was refused as a new one."""
+        for seed in range(20):
+            lag_s = 0.02 * seed
+            endpoint = simulate(seed, 1.0, lag_s, answer_loss=answer_loss)
+            assert endpoint.max_held <= CAPACITY, f"seed {seed}"
+
 
 class TestOneHolder:
     @settings(deadline=None, max_examples=30)
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -110,6 +110,35 @@
         loads = [item for item in orders if item.kind is OrderKind.LOAD]
         assert all(item.is_repeat for item in loads)
 
+    def test_missing_load_is_not_repeated_beyond_capacity(self):
+        """Guards against repeating a refused load whose reply was lost.
+
+        The endpoint would accept the repeated order as a new one.
+        """
+        scheduler = AdapterScheduler(2, "m")
+        scheduler.record_report(make_report([adapter(1)], orders_taken=5), 0.0, 0.0)
+        scheduler.usage.record_prompt_waiting(adapter(1))
+        scheduler.add_request(make_request(1, adapter(2), since=5.0))
+        (load,) = select(scheduler.step({}, 5.0))
+        scheduler.record_reply(load, None, 5.0)
+        held = [adapter(1), adapter(3)]
+        scheduler.record_report(make_report(held, orders_taken=6), 5.5, 5.5)
+        scheduler.usage.record_prompt_waiting(adapter(3))
+        assert scheduler.count_occupied() == 2
+        assert select(scheduler.step({}, 6.0)) == []
+
+    def test_load_is_repeated_until_a_later_report(self):
+        """Guards against dropping a load that the endpoint may yet accept."""
+        scheduler = AdapterScheduler(2, "m")
+        scheduler.record_report(make_report([adapter(1)], orders_taken=5), 0.0, 0.0)
+        scheduler.add_request(make_request(1, adapter(2), since=5.0))
+        (load,) = select(scheduler.step({}, 5.0))
+        scheduler.record_reply(load, None, 5.0)
+        scheduler.record_report(make_report([adapter(1)], orders_taken=5), 5.5, 5.5)
+        assert scheduler.count_occupied() == 2
+        (again,) = select(scheduler.step({}, 6.0))
+        assert (again.weights, again.is_repeat) == (adapter(2), True)
+
     def test_reload_after_unload_keeps_its_slot(self):
         """Guards against a report from before an unload.
 
