Count the slot of a pending adapter that has an unload order

Reports showed it as pending, but pending adapters with any own order were left out of the count, and the unload counts as done once the adapter is not held. Its slot was free here and taken at the endpoint: 5 of 4 slots.

Change: only own loads are left out, which are counted by themselves.

--- a/fescuekeel/components/placement/scheduler.py
+++ b/fescuekeel/components/placement/scheduler.py
@@ -159,7 +159,10 @@
             return
         own = self.orders_by_weights
         self.holdings.apply_report(report, current, own, now)
-        self._foreign_pending = frozenset(report.pending - own.keys())
+        loading = {
+            weights for weights, order in own.items() if order.kind is OrderKind.LOAD
+        }
+        self._foreign_pending = report.pending - loading
         for weights, order in list(own.items()):
             if self._is_done(weights, order, report):
                 del own[weights]
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -127,6 +127,17 @@
         assert scheduler.count_occupied() == 2
         assert select(scheduler.step({}, 6.0)) == []
 
+    def test_pending_adapter_with_an_unload_order_keeps_its_slot(self):
+        """Guards against unloading an adapter that another sender loads."""
+        scheduler = make_scheduler(capacity=1, held=[adapter(1)])
+        scheduler.add_request(make_request(1, adapter(2), since=5.0))
+        (unload,) = select(scheduler.step({}, 5.0))
+        scheduler.record_reply(unload, OrderReply.ACCEPTED, 5.0)
+        pending = make_report(pending=[adapter(1)], orders_taken=2)
+        scheduler.record_report(pending, requested_at=6.0, now=6.0)
+        assert scheduler.count_occupied() == 1
+        assert select(scheduler.step({}, 6.0)) == []
+
     def test_load_is_repeated_until_a_later_report(self):
         """Guards against dropping a load that the endpoint may yet accept."""
         scheduler = AdapterScheduler(2, "m")
