Take no report as current while the order count is unknown

A report that follows a lost reply counted as current, too, because the known count is empty then. So an adapter that an outdated report had shown as held stayed held while it was being loaded again: requests would have been sent to it, and it was chosen for an unload.

Change: a report is current only if its count equals the known one.

Before: the new test fails.

--- a/fescuekeel/components/placement/scheduler.py
+++ b/fescuekeel/components/placement/scheduler.py
@@ -29,7 +29,7 @@
     Order,
     SendOrder,
 )
-from fescuekeel.components.placement.order_count import OrderCount, ReportAge
+from fescuekeel.components.placement.order_count import OrderCount
 from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
@@ -154,7 +154,7 @@
         """
         self.running = report.running
         self.usage.record_report(report.running)
-        current = self.order_count.compare(report.orders_taken) is ReportAge.CURRENT
+        current = report.orders_taken == self.order_count.value
         if not self.order_count.record_report(report.orders_taken, requested_at):
             return
         own = self.orders_by_weights
--- a/tests/components/placement/test_order_count.py
+++ b/tests/components/placement/test_order_count.py
@@ -92,6 +92,19 @@
         assert scheduler.step({}, 3.0) == []
 
 
+class TestUnknownCount:
+    def test_pending_adapter_is_not_held(self):
+        """Guards against adapters of an outdated report that were reloaded."""
+        scheduler = make_scheduler(held=[CARDS])
+        scheduler.order_count.mark_unknown()
+        report = EndpointReport(
+            {MODEL: 1}, frozenset([CARDS]), False, 0, 0, 0, 0, orders_taken=7
+        )
+        scheduler.record_report(report, requested_at=1.0, now=1.0)
+        assert scheduler.get_servable_version(CARDS) is None
+        assert scheduler.count_occupied() == 1
+
+
 class TestNoopOrder:
     def test_it_names_the_base_model_and_no_adapter(self):
         """Guards against loading an adapter that has been unloaded since."""
