--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -23,7 +23,7 @@
 )
 from fescuekeel.helpers.incarnation import UNKNOWN_BORN_MS
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.published import Catalog, EndpointRecord
+from fescuekeel.helpers.published import Catalog, EndpointRecord, Weights
 
 __all__ = ["EndpointHolder"]
 
@@ -142,7 +142,8 @@
         self._report_requested_at = requested_at
         self._log_foreign_orders(report)
         before = self.scheduler.list_servable()
-        self.scheduler.record_report(report, requested_at, now)
+        missing = self.scheduler.record_report(report, requested_at, now)
+        self._log_missing_loads(missing, report)
         if self.scheduler.list_servable() != before:
             self._on_changed()
 
@@ -161,6 +162,21 @@
             outcome="seen",
         )
 
+    def _log_missing_loads(
+        self, missing: list[Weights], report: EndpointReport
+    ) -> None:
+        for weights in missing:
+            self._instance.metrics.count("placement.load_missing")
+            log_event(
+                "load_missing",
+                endpoint=self.record.id,
+                weights=str(weights),
+                reported=report.orders_taken,
+                taken=self.scheduler.count_occupied(),
+                places=self.scheduler.adapter_capacity,
+                outcome="dropped",
+            )
+
     def _is_current_incarnation(self, report: EndpointReport) -> bool:
         """Return whether a report is of the incarnation managed here.
 
--- a/fescuekeel/components/placement/scheduler.py
+++ b/fescuekeel/components/placement/scheduler.py
@@ -16,9 +16,7 @@
     MAX_AWAITED_BEFORE_REPLICA,
     MAX_PENDING,
     MIN_RESIDENCY_S,
-    MODEL_LOAD_LOST_S,
     MODEL_RETRY_S,
-    ORDER_LOST_S,
 )
 from fescuekeel.components.placement.holdings import Holdings
 from fescuekeel.components.placement.load_estimator import LoadTimeEstimator
@@ -30,6 +28,10 @@
     SendOrder,
 )
 from fescuekeel.components.placement.order_count import OrderCount
+from fescuekeel.components.placement.order_progress import (
+    OrderProgress,
+    read_progress,
+)
 from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
 from fescuekeel.helpers.published import Weights
@@ -147,57 +149,35 @@
 
     def record_report(
         self, report: EndpointReport, requested_at: float, now: float
-    ) -> None:
+    ) -> list[Weights]:
         """Apply a report that was requested at ``requested_at``.
 
-        Guards against a report that is older than an order, since reports lag.
+        Return the weights of own loads that it shows to be missing. Guards
+        against a report that is older than an order, since reports lag.
         """
         self.running = report.running
         self.usage.record_report(report.running)
         current = report.orders_taken == self.order_count.value
         if not self.order_count.record_report(report.orders_taken, requested_at):
-            return
+            return []
         own = self.orders_by_weights
         self.holdings.apply_report(report, current, own, now)
         loading = {
             weights for weights, order in own.items() if order.kind is OrderKind.LOAD
         }
         self._foreign_pending = report.pending - loading
-        for weights, order in list(own.items()):
-            if self._is_done(weights, order, report):
-                del own[weights]
-            elif weights in report.pending:
-                continue
-            elif self._is_missing(weights, order, report) or (
-                requested_at - order.sent_at > self._get_order_ttl_s(weights)
-            ):
+        progress_by_weights = {
+            weights: read_progress(weights, order, report, self.held, requested_at)
+            for weights, order in own.items()
+        }
+        for weights, progress in progress_by_weights.items():
+            if progress is not OrderProgress.PENDING:
                 del own[weights]
-
-    def _is_done(self, weights: Weights, order: Order, report: EndpointReport) -> bool:
-        held = weights in self.held
-        if order.kind is OrderKind.UNLOAD:
-            return not held
-        if weights in report.pending or not held:
-            return False
-        return order.version is None or self.held[weights] >= order.version
-
-    def _is_missing(
-        self, weights: Weights, order: Order, report: EndpointReport
-    ) -> bool:
-        """Return whether a report shows that a load is not in progress.
-
-        The endpoint has accepted another order in its place, or has ended it.
-        Guards against repeating the load with the current order count, which
-        the endpoint would accept as a new one without a free slot.
-        """
-        if order.kind is OrderKind.UNLOAD or not weights.adapter:
-            return False
-        if order.after_orders is None or weights in self.held:
-            return False
-        return report.orders_taken > order.after_orders
-
-    def _get_order_ttl_s(self, weights: Weights) -> float:
-        return ORDER_LOST_S if weights.adapter else MODEL_LOAD_LOST_S
+        return [
+            weights
+            for weights, progress in progress_by_weights.items()
+            if progress is OrderProgress.MISSING
+        ]
 
     def record_reply(
         self, order: SendOrder, reply: OrderReply | None, now: float
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -73,6 +73,7 @@
         livelist_changed entries
         load_asked endpoint weights version holder waited_ms outcome
         load_ended endpoint weights version place_ms took_ms outcome
+        load_missing endpoint weights reported taken places outcome
         member_changed member state incarnation
         order_given endpoint kind weights version term fence after_orders \
             report_age_ms taken outcome
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -122,7 +122,8 @@
         (load,) = select(scheduler.step({}, 5.0))
         scheduler.record_reply(load, None, 5.0)
         held = [adapter(1), adapter(3)]
-        scheduler.record_report(make_report(held, orders_taken=6), 5.5, 5.5)
+        report = make_report(held, orders_taken=6)
+        assert scheduler.record_report(report, 5.5, 5.5) == [adapter(2)]
         scheduler.usage.record_prompt_waiting(adapter(3))
         assert scheduler.count_occupied() == 2
         assert select(scheduler.step({}, 6.0)) == []
