Rank claims of one term by their fencing tokens, as endpoints do

Cause, from its logs: i4 held the endpoint in term 10. i2 started again, reached no peer within its start wait, and claimed it in term 10 too, which is the store's revision. The endpoint compares fencing tokens, a term and a hash of the instance id: it rejected i4 (outcome=fenced at 802.917), which gave up its claim. Instances compared the term and the id itself, so i3, which knew of i4's claim, ignored i2's (10, "i2" < "i4") for good, and i4's had expired.

Change: instances compare fencing tokens, too. The holder that an endpoint rejects also yields at once when it hears of the other, instead of at its next order.

Before: the two new tests fail (hypothesis finds i1, i2, i4). After: they pass.

--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -39,6 +39,19 @@
 __all__ = ["Claims", "OwnClaim", "PeerClaim", "make_fencing_token"]
 
 
+def make_fencing_token(term: int, instance_id: str) -> int:
+    """Return the fencing token of a holder's term.
+
+    Tokens of two holders in the same term differ, by 32 bits of a hash of the
+    instance id.
+
+    >>> make_fencing_token(2, "a") > make_fencing_token(1, "b")
+    True
+    """
+    identity = xxhash.xxh32_intdigest(instance_id.encode())
+    return (term << HOLDER_HASH_BITS) | identity
+
+
 @dataclass(slots=True)
 class PeerClaim:
     """The last received claim of another instance.
@@ -52,6 +65,13 @@
     latest_order_at: float
     released: bool = False
 
+    @property
+    def rank(self) -> int:
+        """Return the fencing token; the lowest of the term if not known."""
+        if not self.holder:
+            return self.term << HOLDER_HASH_BITS
+        return make_fencing_token(self.term, self.holder)
+
 
 @dataclass(slots=True)
 class OwnClaim:
@@ -70,18 +90,9 @@
     contact_since: float | None = None
     last_contact: float = 0.0
 
-
-def make_fencing_token(term: int, instance_id: str) -> int:
-    """Return the fencing token of a holder's term.
-
-    Tokens of two holders in the same term differ, by 32 bits of a hash of the
-    instance id.
-
-    >>> make_fencing_token(2, "a") > make_fencing_token(1, "b")
-    True
-    """
-    identity = xxhash.xxh32_intdigest(instance_id.encode())
-    return (term << HOLDER_HASH_BITS) | identity
+    def get_rank(self, own_id: str) -> int:
+        """Return the fencing token, by which claims are compared."""
+        return make_fencing_token(self.term, own_id)
 
 
 @dataclass(slots=True)
@@ -117,16 +128,17 @@
     ) -> bool:
         """Process another instance's claim; return whether it is in force.
 
-        The higher term wins, and among equal terms the greater holder id, so
-        that all instances that received both claims agree.
+        The higher fencing token wins, so that all instances that received
+        both claims agree with each other and with the endpoint.
         """
         if holder == self.own_id:
             return False
+        rank = make_fencing_token(term, holder)
         known = self.peer_claims_by_endpoint.get(endpoint)
-        if known is not None and (term, holder) < (known.term, known.holder):
+        if known is not None and rank < known.rank:
             return False
         own = self.own_claims_by_endpoint.get(endpoint)
-        if own is not None and own.held and (own.term, self.own_id) > (term, holder):
+        if own is not None and own.held and own.get_rank(self.own_id) > rank:
             return False
         latest_order_at = now - last_order_age_s if released else now
         if known is not None and known.holder != holder:
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -280,6 +280,35 @@
         assert claims.own_claims_by_endpoint["e1"].term == 6
 
 
+class TestPrecedence:
+    """Guards against an instance that finds no holder of a held endpoint."""
+
+    @given(
+        st.lists(st.integers(1, 99), min_size=3, max_size=3, unique=True),
+        st.booleans(),
+    )
+    def test_equal_terms_rank_as_at_the_endpoint(self, numbers, swapped):
+        """The endpoint rejects the holder with the lower fencing token."""
+        own_id, *holders = (f"i{number}" for number in numbers)
+        claims = Claims(own_id, LEASE_S, fenced=True)
+        for holder in reversed(holders) if swapped else holders:
+            claims.receive_claim("e1", holder, 10, False, 0.0, 0.0)
+        accepted = max(holders, key=lambda id: make_fencing_token(10, id))
+        assert claims.find_holder("e1", 0.0) == accepted
+
+    @given(st.lists(st.integers(1, 99), min_size=2, max_size=2, unique=True))
+    def test_holder_yields_where_the_endpoint_rejects_it(self, numbers):
+        own_id, other = (f"i{number}" for number in numbers)
+        claims = Claims(own_id, LEASE_S, fenced=True)
+        run(claims, 0.0, 10.0, members={own_id: Member(own_id, "", "dc1", 1)})
+        term = claims.own_claims_by_endpoint["e1"].term
+        claims.receive_claim("e1", other, term, False, 0.0, 10.0)
+        own_is_rejected = make_fencing_token(term, own_id) < make_fencing_token(
+            term, other
+        )
+        assert claims.is_held("e1") != own_is_rejected
+
+
 class TestFencing:
     def test_rejected_token_is_not_reused(self):
         """Guards against retrying a token that the endpoint has rejected."""
