Let a held claim replace an expired one of a higher term

A holder begins with a lower term if it has started again without reaching a peer. Where endpoints check fencing tokens it is rejected and takes a higher one; where they do not, it holds the endpoint for as long as it runs.

Change: a claim that has not been renewed for CLAIM_TTL_S, after which it names no holder anyway, no longer hides another one that is held. The higher term is remembered, so that an own claim still begins above it, and the time of its holder's last order still counts for the wait.

Before: the new test fails. After: it passes.

--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -109,7 +109,7 @@
     fenced: bool = False
     peer_claims_by_endpoint: dict[str, PeerClaim] = field(default_factory=dict)
     own_claims_by_endpoint: dict[str, OwnClaim] = field(default_factory=dict)
-    _refused_terms_by_endpoint: dict[str, int] = field(default_factory=dict)
+    _past_terms_by_endpoint: dict[str, int] = field(default_factory=dict)
     _candidates: CandidateTable = field(default_factory=CandidateTable)
     _history: CandidateHistory = field(default_factory=CandidateHistory)
     _last_inputs: tuple[object, object] = (None, None)
@@ -129,14 +129,17 @@
         """Process another instance's claim; return whether it is in force.
 
         The higher fencing token wins, so that all instances that received
-        both claims agree with each other and with the endpoint.
+        both claims agree with each other and with the endpoint. An expired
+        claim is replaced by any that is held, as its holder may be gone.
         """
         if holder == self.own_id:
             return False
         rank = make_fencing_token(term, holder)
         known = self.peer_claims_by_endpoint.get(endpoint)
         if known is not None and rank < known.rank:
-            return False
+            if released or now - known.received_at <= CLAIM_TTL_S:
+                return False
+            self._record_past_term(endpoint, known.term)
         own = self.own_claims_by_endpoint.get(endpoint)
         if own is not None and own.held and own.get_rank(self.own_id) > rank:
             return False
@@ -231,7 +234,7 @@
         for known in list(self.peer_claims_by_endpoint):
             if known not in endpoints_by_name:
                 del self.peer_claims_by_endpoint[known]
-                self._refused_terms_by_endpoint.pop(known, None)
+                self._past_terms_by_endpoint.pop(known, None)
         self._own_candidacies = [
             name
             for name, record in endpoints_by_name.items()
@@ -344,7 +347,7 @@
         peer_claim = self.peer_claims_by_endpoint.get(endpoint)
         lowest = max(
             peer_claim.term if peer_claim else 0,
-            self._refused_terms_by_endpoint.get(endpoint, 0),
+            self._past_terms_by_endpoint.get(endpoint, 0),
         )
         return min(MAX_TERM - 1, max(lowest + 1, min(revision, MAX_TERM // 2)))
 
@@ -408,11 +411,16 @@
         own = self.own_claims_by_endpoint.pop(endpoint, None)
         if own is None:
             return
-        self._refused_terms_by_endpoint[endpoint] = 2 * own.term
+        self._record_past_term(endpoint, 2 * own.term)
         self.peer_claims_by_endpoint[endpoint] = PeerClaim(
             "", own.term, now, now, released=True
         )
 
+    def _record_past_term(self, endpoint: str, term: int) -> None:
+        """Record a term above which own claims must begin."""
+        known = self._past_terms_by_endpoint.get(endpoint, 0)
+        self._past_terms_by_endpoint[endpoint] = max(known, term)
+
     def release_all(self) -> None:
         """Release every claim, before this instance leaves."""
         self.own_claims_by_endpoint.clear()
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -308,6 +308,24 @@
         )
         assert claims.is_held("e1") != own_is_rejected
 
+    def test_silent_claim_does_not_hide_a_lower_one(self):
+        """Guards against the claim of an instance that is gone."""
+        claims = Claims("i3", LEASE_S)
+        claims.receive_claim("e1", "i4", 30, False, 0.0, 0.0)
+        assert not claims.receive_claim("e1", "i2", 10, False, 0.0, CLAIM_TTL_S / 2)
+        later = 1.1 * CLAIM_TTL_S
+        assert not claims.receive_claim("e1", "i2", 10, True, 0.0, later)
+        assert claims.receive_claim("e1", "i2", 10, False, 0.0, later)
+        assert claims.find_holder("e1", later) == "i2"
+
+    def test_term_grows_over_all_that_were_known(self):
+        """Guards against a fencing token that the endpoint rejects."""
+        claims = Claims("i1", LEASE_S, fenced=True)
+        claims.receive_claim("e1", "i4", 30, False, 0.0, 0.0)
+        claims.receive_claim("e1", "i2", 10, False, 0.0, 1.1 * CLAIM_TTL_S)
+        run(claims, 3.0, 20.0)
+        assert claims.own_claims_by_endpoint["e1"].term == 31
+
 
 class TestFencing:
     def test_rejected_token_is_not_reused(self):
