--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -335,7 +335,9 @@
                 state.quiet_ms / 1000,
                 now,
             )
-            if in_force and not state.released:
+            if not in_force:
+                self.instance.metrics.count("placement.claim_ignored")
+            elif not state.released:
                 self.placement_view.apply_update(sender, state, now)
 
     def _receive_use(self, sender: str, update: UseNews) -> None:
