--- a/fescuekeel/components/keys/const.py
+++ b/fescuekeel/components/keys/const.py
@@ -28,4 +28,4 @@
 # Longer than it takes to notice that a connection is silent, or that a
 # partition has healed.
 RESEND_SETTLE_S: Final = 30.0
-MAX_RECENT_SETTLES: Final = 10_000
+MAX_RECENT_REQUESTS: Final = 4_000
--- a/fescuekeel/components/keys/recent_settles.py
+++ b/fescuekeel/components/keys/recent_settles.py
@@ -1,9 +1,8 @@
 """Settlements that may have been lost with the connection to a home; pure."""
 
-from collections import deque
 from dataclasses import dataclass, field
 
-from fescuekeel.components.keys.const import MAX_RECENT_SETTLES, RESEND_SETTLE_S
+from fescuekeel.components.keys.const import MAX_RECENT_REQUESTS, RESEND_SETTLE_S
 from fescuekeel.messages import KeySettle
 
 __all__ = ["RecentSettles"]
@@ -30,25 +29,27 @@
     ([], [])
     """
 
-    _sent: deque[SentSettle] = field(
-        default_factory=lambda: deque(maxlen=MAX_RECENT_SETTLES)
-    )
+    _sent_by_request_id: dict[str, list[SentSettle]] = field(default_factory=dict)
 
     def add(self, home: str, settle: KeySettle, now: float) -> None:
-        """Keep a settlement; the oldest is dropped beyond the limit."""
-        self._sent.append(SentSettle(home, now, settle))
+        """Keep a settlement; drop the oldest request beyond the limit."""
+        sent = self._sent_by_request_id.setdefault(settle.request_id, [])
+        sent.append(SentSettle(home, now, settle))
+        if len(self._sent_by_request_id) > MAX_RECENT_REQUESTS:
+            del self._sent_by_request_id[next(iter(self._sent_by_request_id))]
 
     def forget(self, request_id: str) -> None:
         """Drop the settlements of a request that claims its key again.
 
         Sent once more, they would release the new claim.
         """
-        kept = [item for item in self._sent if item.settle.request_id != request_id]
-        if len(kept) < len(self._sent):
-            self._sent = deque(kept, maxlen=MAX_RECENT_SETTLES)
+        self._sent_by_request_id.pop(request_id, None)
 
     def list_for(self, home: str, now: float) -> list[KeySettle]:
         """Return the recent settlements that were sent to a home."""
-        while self._sent and now - self._sent[0].sent_at > RESEND_SETTLE_S:
-            self._sent.popleft()
-        return [item.settle for item in self._sent if item.home == home]
+        return [
+            item.settle
+            for sent in self._sent_by_request_id.values()
+            for item in sent
+            if item.home == home and now - item.sent_at <= RESEND_SETTLE_S
+        ]
