Withdraw the soak's endpoint errors before its check of recovery

Cause: endpoint_breaks makes an endpoint cut its next two streams, whenever they come. A daemon passes a cut on, as the stream had begun.

Change: errors that no request has met are withdrawn when the load has ended, and counted. The check is as strict: an answer that is cut afterwards is a violation at once, with the logs kept, where it ended the whole soak.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -15,7 +15,12 @@
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.violation import Violation
 from bench.soak.world import DAEMONS_PER_ZONE, SoakWorld
-from fescuekeel.helpers.http_connection import NotConnectedError, connect, fetch
+from fescuekeel.helpers.http_connection import (
+    IncompleteResponseError,
+    NotConnectedError,
+    connect,
+    fetch,
+)
 from standins.forwarding.caller import make_headers
 
 __all__ = ["main", "run_seed"]
@@ -52,6 +57,9 @@
         load = asyncio.gather(*(caller.run(until) for caller in callers))
         await world.inject(faults, started_at)
         await load
+        withdrawn = world.withdraw_endpoint_errors()
+        if withdrawn:
+            print(f"endpoint errors that no request met: {withdrawn}")
         violations = await check_recovery(world)
         violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
@@ -109,7 +117,11 @@
 async def request_until_status(
     address: str, path: str, method: str, adapter: str, status: int
 ) -> int:
-    """Send a request until it gets the status; return the last status."""
+    """Send a request until it gets the status; return the last status.
+
+    Return zero at once for an answer that is cut: nothing may cut one after
+    the faults, whether or not the next one is whole.
+    """
     found = 0
     for _ in range(RECOVERY_ATTEMPTS):
         headers = make_headers(secrets.token_hex(8), RECOVERY_TIME_LEFT_S, adapter, b"")
@@ -119,6 +131,9 @@
         except (NotConnectedError, OSError) as error:
             print(f"{address}{path}: {error!r}")
             continue
+        except IncompleteResponseError as error:
+            print(f"{address}{path}: {error!r}")
+            return 0
         found = response.status
         connection.close()
         if found == status:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -272,6 +272,11 @@
         worker = self._pick_worker(fault)
         worker.control({names[fault.kind]: ENDPOINT_ERRORS_PER_FAULT})
 
+    def withdraw_endpoint_errors(self) -> int:
+        """Withdraw the errors that no request has met; return how many."""
+        workers = self.platform.workers_by_id.values()
+        return sum(worker.withdraw_faults() for worker in workers)
+
     async def _drain_endpoint(self, fault: Fault) -> None:
         """Add a replacement endpoint, then drain and remove the old one."""
         worker = self._pick_worker(fault)
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -87,6 +87,12 @@
         for name in ("fail", "shed", "cut"):
             setattr(self, name, int(commands.get(name, getattr(self, name))))
 
+    def withdraw_faults(self) -> int:
+        """Withdraw the faults that no request has met; return how many."""
+        left = self.fail + self.shed + self.cut
+        self.fail = self.shed = self.cut = 0
+        return left
+
     def journal(self) -> dict[str, Any]:
         """Return run counts by request and by weights."""
         return {"runs": dict(self.runs), "served": dict(self.served_by_weights)}
