--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -67,7 +67,7 @@
 
     @property
     def rank(self) -> int:
-        """Return the fencing token; the lowest of the term if not known."""
+        """Return the fencing token; the lowest of a term without a holder."""
         if not self.holder:
             return self.term << HOLDER_HASH_BITS
         return make_fencing_token(self.term, self.holder)
