Log a fingerprint of the request with each broken answer

Cause: logs could not tell a caller's repeat, which has a new request id, from a retry of one client attempt, and so not between the hypotheses on endpoints that a request crashes. Conclusion: the same request has the same fingerprint at every instance.

--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -31,6 +31,7 @@
     Header,
     ResponseMetadata,
 )
+from fescuekeel.helpers.fingerprint import compute_fingerprint
 from fescuekeel.helpers.http_connection import (
     Connection,
     IncompleteResponseError,
@@ -87,6 +88,21 @@
     _current_attempt: Attempt | None = None
     _splitter: EventSplitter | None = None
     _caller_closed: bool = field(default=False)
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the digest of what an endpoint is asked to run."""
+        if not self._fingerprint:
+            self._fingerprint = compute_fingerprint(
+                self.body,
+                self.method,
+                self.host,
+                self.target,
+                str(self.weights or ""),
+                self.account.name if self.account else "",
+            )
+        return self._fingerprint
 
     @property
     def weights(self) -> Weights | None:
@@ -267,6 +283,7 @@
             log_event(
                 "answer_broken",
                 request_id=self.metadata.request_id,
+                fingerprint=self.fingerprint,
                 endpoint=attempt.endpoint,
                 kept=not connection.fresh,
                 age_ms=round(
--- /dev/null
+++ b/fescuekeel/helpers/fingerprint.py
@@ -0,0 +1,29 @@
+"""Identify requests by what an endpoint is asked to run.
+
+A caller that repeats a request does so under a new id, at any instance. Its
+fingerprint is the same everywhere, and is short enough to be sent to peers.
+"""
+
+import xxhash
+
+__all__ = ["compute_fingerprint"]
+
+
+def compute_fingerprint(body: bytes, *parts: str) -> str:
+    """Return the fingerprint of a body and of further parts of a request.
+
+    Each part is hashed with its length, so that text cannot move from one part
+    to the next unnoticed.
+
+    >>> compute_fingerprint(b"x", "ab", "c") == compute_fingerprint(b"x", "a", "bc")
+    False
+    >>> len(compute_fingerprint(b""))
+    32
+    """
+    hasher = xxhash.xxh3_128(body)
+    for part in parts:
+        encoded = part.encode("utf-8", "surrogateescape")
+        hasher.update(b"%d:" % len(encoded))
+        hasher.update(encoded)
+    digest: str = hasher.hexdigest()
+    return digest
