--- a/fescuekeel/helpers/fingerprint.py
+++ b/fescuekeel/helpers/fingerprint.py
@@ -15,7 +15,8 @@
     Each part is hashed with its length, so that text cannot move from one part
     to the next unnoticed.
 
-    >>> compute_fingerprint(b"x", "ab", "c") == compute_fingerprint(b"x", "a", "bc")
+    >>> first = compute_fingerprint(b"x", "ab", "c")
+    >>> first == compute_fingerprint(b"x", "a", "bc")
     False
     >>> len(compute_fingerprint(b""))
     32
