Reproduce a request that crashes each endpoint that runs it

What callers see: a request whose body crashes endpoints comes four times a second under new ids, at any of four instances; six endpoints of its service end again and again, and other callers' requests fail with them.

--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -1,5 +1,6 @@
 """Stand-in platform: store, workers and a configuration."""
 
+import asyncio
 from typing import Any
 
 from standins.forwarding.store import PlatformStore, start_store
@@ -13,6 +14,8 @@
 ENGINES = "scripts"
 PLAIN = "storefront"
 ZONES = ("a", "b")
+# How long a worker stays down after a request has crashed it.
+CRASH_DOWN_S = 2.0
 
 
 def make_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -76,6 +79,7 @@
         self._servers_by_id: dict[str, Server] = {}
         self._zones_by_id: dict[str, str] = {}
         self._addresses_by_id: dict[str, str] = {}
+        self._restarts: set[asyncio.Task[None]] = set()
 
     def start_store(self) -> None:
         """Start an empty store, without workers."""
@@ -96,8 +100,26 @@
         self._servers_by_id[worker.id] = server
         self._zones_by_id[worker.id] = zone
         self._addresses_by_id[worker.id] = server.address
+        worker.crash = lambda: self._begin_crash(worker)
         return server.address
 
+    def _begin_crash(self, worker: Worker) -> None:
+        task = asyncio.ensure_future(self._crash_worker(worker))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _crash_worker(self, worker: Worker) -> None:
+        """Stop a worker and start it again as a new incarnation."""
+        server = self._servers_by_id.pop(worker.id, None)
+        if server is None:
+            return
+        await server.stop()
+        await asyncio.sleep(CRASH_DOWN_S)
+        worker.restart()
+        self._servers_by_id[worker.id] = start_worker(worker, server.port)
+        if self.is_published(worker):
+            self.publish_state(worker, "ready")
+
     def add(self, worker: Worker, zone: str) -> None:
         """Start a worker and publish its entry."""
         self.start_worker(worker, zone)
@@ -149,6 +171,8 @@
 
     async def stop(self) -> None:
         """Stop the workers and the store."""
+        for task in self._restarts:
+            task.cancel()
         for server in self._servers_by_id.values():
             await server.stop()
         await self.store_server.stop()
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -11,7 +12,14 @@
 
 from standins.server import ConnectionFaults, Server, StandInHandler
 
-__all__ = ["RunRecord", "Worker", "start_worker"]
+__all__ = [
+    "CRASH_AFTER_FIRST_EVENT",
+    "CRASH_BEFORE_FIRST_EVENT",
+    "CrashRecord",
+    "RunRecord",
+    "Worker",
+    "start_worker",
+]
 
 NOT_EXECUTED_HEADER = "Fescuekeel-Not-Executed"
 API_KEY_HEADER = "X-Api-Key"
@@ -22,6 +30,10 @@
 # Beyond this many concurrent loads, load time grows in proportion.
 LOADS_AT_FULL_SPEED = 2
 IDS = itertools.count(1)
+# A body that starts with one of these crashes each worker that runs it.
+CRASH_BEFORE_FIRST_EVENT = b"crash before the first event"
+CRASH_AFTER_FIRST_EVENT = b"crash after the first event"
+CRASH_DELAY_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +52,16 @@
     key: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A crash and the request that caused it, in monotonic seconds."""
+
+    request_id: str
+    path: str
+    body: bytes
+    crashed_at: float
+
+
 @dataclass(eq=False)
 class Worker:
     """A worker: a plain service, or an engine if it has a model.
@@ -50,7 +72,8 @@
     by a load beyond ``max_loaded_adapters``; ``unloaded_in_use`` lists
     adapters that were evicted while serving. ``fencing_tokens`` and
     ``holders`` are the tokens and senders of the accepted orders, in order of
-    arrival. Reports are ``report_lag_s`` old.
+    arrival. Reports are ``report_lag_s`` old. ``crash`` stops the worker's
+    server and starts it again later; ``None`` ignores bodies that crash it.
     """
 
     service: str
@@ -80,6 +103,8 @@
     shed: int = 0
     cut: int = 0
     stall: int = 0
+    crash: Callable[[], None] | None = None
+    crashes: list[CrashRecord] = field(default_factory=list)
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
     def control(self, commands: dict[str, Any]) -> None:
@@ -296,7 +321,11 @@
         )
         worker.served_by_weights[f"{model}/{adapter}"] += 1
         self.set_header(SERVER_STAMP_HEADER, f"stamp-{worker.id}")
-        if worker.consume_fault("fail"):
+        if worker.crash is not None and self.request.body.startswith(
+            (CRASH_BEFORE_FIRST_EVENT, CRASH_AFTER_FIRST_EVENT)
+        ):
+            await self.crash_worker(worker.crash)
+        elif worker.consume_fault("fail"):
             await self.respond(500, {})
         elif model:
             worker.running_by_adapter[adapter] += 1
@@ -311,6 +340,20 @@
 
     get = post = run_request
 
+    async def crash_worker(self, crash: Callable[[], None]) -> None:
+        """Crash the worker after a short run, as the body asks for."""
+        if self.request.body.startswith(CRASH_AFTER_FIRST_EVENT):
+            self.write("id: 1\ndata: piece 1\n\n")
+            await self.flush()
+        await asyncio.sleep(CRASH_DELAY_S)
+        request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
+        record = CrashRecord(
+            request_id, self.request.path, self.request.body, time.monotonic()
+        )
+        self.standin.crashes.append(record)
+        crash()
+        await self.hold_unanswered()
+
     async def stream_events(self) -> None:
         """Stream the events after ``Last-Event-Id``."""
         worker = self.standin
@@ -347,7 +390,7 @@
         self.closed.set()
 
 
-def start_worker(worker: Worker) -> Server:
-    """Start a worker on a free loopback port."""
+def start_worker(worker: Worker, port: int = 0) -> Server:
+    """Start a worker on a loopback port, by default a free one."""
     routes = [("/report", ReportHandler), ("/order", OrderHandler), (".*", RunHandler)]
-    return Server(worker, routes)
+    return Server(worker, routes, port)
--- a/standins/server.py
+++ b/standins/server.py
@@ -167,7 +167,9 @@
 class Server:
     """The HTTP server of one stand-in."""
 
-    def __init__(self, standin: StandIn, routes: Iterable[Route]) -> None:
+    def __init__(
+        self, standin: StandIn, routes: Iterable[Route], port: int = 0
+    ) -> None:
         shared = {"standin": standin}
         all_routes: Sequence[Any] = [
             ("/control", ControlHandler, shared),
@@ -176,7 +178,7 @@
         ]
         application = Application(list(all_routes), log_function=lambda handler: None)
         self._http = HTTPServer(application)
-        self._sockets = bind_sockets(0, LOOPBACK)
+        self._sockets = bind_sockets(port, LOOPBACK)
         self._http.add_sockets(self._sockets)
         self.port: int = self._sockets[0].getsockname()[1]
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -102,7 +102,9 @@
 
         await eventually(converged)
 
-    async def send_request(self, path, instance=0, method="GET", **headers):
+    async def send_request(
+        self, path, instance=0, method="GET", body=b"body", **headers
+    ):
         forward = self.instances[instance].components_by_domain["forward"]
         sent = {
             "Host": HOST,
@@ -113,7 +115,7 @@
             f"http://{forward.server.address}{path}",
             method=method,
             headers=sent,
-            body=b"body" if method == "POST" else None,
+            body=body if method == "POST" else None,
             raise_error=False,
             request_timeout=10,
         )
