Quarantine requests that crash the endpoints that run them

What callers see: a request that crashes each endpoint comes again under new ids at any instance; endpoints end one after the other, and others' requests with them. Cause: a request was known by its id only. MAX_SENDS, max_attempts and the retry budget end with the client attempt or count per service. Change: after an answer breaks, one call per endpoint tells a crash (connection refused, closed without an answer twice, another incarnation) from a reset or an invalid answer; a planned stop is known from the catalog. Fingerprints of the requests that ran there are gossiped to all instances (one message per crash and observer; digests with one contact each half second catch up whoever starts, wakes or was cut off; nothing is sent without crashes). A request in three crashes that no worse suspect explains is answered 400 at once, which callers do not repeat, and checked again right before each send. Verdicts end after 120 s without a crash; one more crash renews them.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from http import HTTPStatus
+from typing import cast
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -14,12 +15,14 @@
 )
 from fescuekeel.components.forward.const import (
     CONNECT_TIMEOUT_S,
+    CRASH_CHECK_WAIT_S,
     DEFAULT_TIME_LEFT_S,
     DOMAIN,
     DRAIN_POLL_S,
     DRAINING_RETRY_S,
     LOWEST_PRIORITY,
 )
+from fescuekeel.components.forward.crash_check import CrashChecker
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.gate import AccountGate
 from fescuekeel.components.forward.gauges import ForwardingGauges
@@ -32,6 +35,7 @@
 from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.components.forward.use import UseReporter
+from fescuekeel.components.quarantine import DOMAIN as QUARANTINE_DOMAIN, Quarantine
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata, get_dialect
@@ -86,6 +90,12 @@
         self._requests: set[ForwardedRequest] = set()
         self._shutdown: Shutdown | None = None
         self._gate = AccountGate(instance)
+        self._quarantine = cast(
+            Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
+        )
+        self._crash_checker = CrashChecker(
+            instance, self.dialect, self._selector.find_record
+        )
 
     @property
     def ready(self) -> bool:
@@ -153,7 +163,9 @@
         known = self._table.version if self._table is not None else None
         if configuration is not None and configuration.version != known:
             self._table = RouteTable(configuration)
-        self._selector.update_catalog(catalog, self.instance.now())
+        now = self.instance.now()
+        self._selector.update_catalog(catalog, now)
+        self._crash_checker.update_catalog(catalog, now)
 
     def _apply_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
@@ -336,6 +348,34 @@
         self._reachability.record_reached(endpoint)
         return connection
 
+    def find_quarantine_failure(self, request: ForwardedRequest) -> Failure | None:
+        """Return a failure if the request has crashed several endpoints."""
+        if self._quarantine.is_empty:
+            return None
+        return self._quarantine.check(request.fingerprint, request.state.may_have_run)
+
+    async def handle_broken(
+        self, request: ForwardedRequest, endpoint: str, began_at: float
+    ) -> None:
+        """Report a crash if the endpoint of a broken answer has crashed.
+
+        Returns once that is known, or after a short wait: a request that an
+        endpoint does not survive must not be retried before it is reported.
+        """
+        metadata, fingerprint = request.metadata, request.fingerprint
+        check = self._crash_checker.start_check(
+            endpoint, self.get_pool(endpoint).address
+        )
+
+        def report(check: asyncio.Task[bool]) -> None:
+            if not check.cancelled() and not check.exception() and check.result():
+                self._quarantine.record_crash(
+                    metadata.request_id, fingerprint, endpoint, began_at
+                )
+
+        check.add_done_callback(report)
+        await asyncio.wait({check}, timeout=CRASH_CHECK_WAIT_S)
+
     def get_priority(self, request: ForwardedRequest) -> int | None:
         """Return the priority for an engine, ``None`` for plain services."""
         if request.weights is None:
@@ -346,6 +386,10 @@
         """Select an endpoint; wait for its weights and for admission."""
         return await self._selector.select_endpoint(request)
 
+    def record_completed(self, request: ForwardedRequest) -> None:
+        """Record that an endpoint has completed the request."""
+        self._quarantine.record_completed(request.fingerprint)
+
     def record_use_ended(self) -> None:
         """Report the end of a use of weights to the holders soon."""
         self._use.record_ended()
--- /dev/null
+++ b/fescuekeel/components/forward/crash_check.py
@@ -0,0 +1,163 @@
+"""Find out whether an endpoint has crashed after an answer broke.
+
+An answer also breaks when a connection is reset, when an endpoint sends an
+invalid one, or at a planned stop. After a crash the endpoint refuses
+connections, closes them without an answer, or is another incarnation.
+"""
+
+import asyncio
+from collections.abc import Callable
+from enum import StrEnum
+
+from fescuekeel.components.forward.const import (
+    CRASH_CHECK_TIMEOUT_S,
+    CRASH_RECHECK_S,
+    DOMAIN,
+    SIMULTANEOUS_REMOVAL_S,
+)
+from fescuekeel.core import Instance
+from fescuekeel.helpers.dialect import Dialect
+from fescuekeel.helpers.http_connection import (
+    IncompleteResponseError,
+    NotConnectedError,
+    connect,
+    fetch,
+)
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.published import Catalog, EndpointRecord
+
+__all__ = ["CrashChecker", "Liveness", "has_crashed", "needs_recheck"]
+
+
+class Liveness(StrEnum):
+    """What a call to an endpoint shows.
+
+    ``REPLACED``: another incarnation answers. ``CLOSED``: the connection was
+    closed without an answer. ``SILENT``: there is no answer in time, as behind
+    a network partition.
+    """
+
+    ALIVE = "alive"
+    REFUSED = "refused"
+    CLOSED = "closed"
+    REPLACED = "replaced"
+    SILENT = "silent"
+
+
+def needs_recheck(first: Liveness) -> bool:
+    """Return whether a second call may tell more.
+
+    An endpoint that is about to stop listening may still answer the first one,
+    and one that resets some connections may have reset that of the check.
+
+    >>> needs_recheck(Liveness.ALIVE), needs_recheck(Liveness.REFUSED)
+    (True, False)
+    """
+    return first in (Liveness.ALIVE, Liveness.CLOSED)
+
+
+def has_crashed(first: Liveness, second: Liveness) -> bool:
+    """Return whether two calls, or one given twice, show a crash.
+
+    >>> has_crashed(Liveness.ALIVE, Liveness.CLOSED)
+    False
+    >>> has_crashed(Liveness.CLOSED, Liveness.CLOSED)
+    True
+    """
+    if second in (Liveness.REFUSED, Liveness.REPLACED):
+        return True
+    return first is second is Liveness.CLOSED
+
+
+class CrashChecker:
+    """Check each endpoint once for all answers that broke with it."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        dialect: Dialect,
+        find_record: Callable[[str], EndpointRecord | None],
+    ) -> None:
+        self._instance = instance
+        self._dialect = dialect
+        self._find_record = find_record
+        self._checks_by_endpoint: dict[str, asyncio.Task[bool]] = {}
+        self._known: set[str] = set()
+        self._removed_at_by_endpoint: dict[str, float] = {}
+
+    def update_catalog(self, catalog: Catalog, now: float) -> None:
+        """Record when endpoints announce that they leave, or are removed."""
+        removed = self._removed_at_by_endpoint
+        for endpoint in self._known - catalog.endpoints_by_id.keys():
+            removed[endpoint] = now
+        for endpoint, removed_at in list(removed.items()):
+            if now - removed_at > SIMULTANEOUS_REMOVAL_S:
+                del removed[endpoint]
+        self._known = set(catalog.endpoints_by_id)
+
+    def start_check(self, endpoint: str, address: str) -> asyncio.Task[bool]:
+        """Start a check, or return the one that is in progress."""
+        check = self._checks_by_endpoint.get(endpoint)
+        if check is None:
+            work = self._check(endpoint, address)
+            check = self._instance.spawn(work, f"{DOMAIN}.crash_check")
+            self._checks_by_endpoint[endpoint] = check
+            check.add_done_callback(lambda _: self._checks_by_endpoint.pop(endpoint))
+        return check
+
+    def _was_leaving(self, endpoint: str) -> bool:
+        """Return whether the endpoint was announced to end.
+
+        One whose entry is removed just as it crashes was not.
+        """
+        if self._find_record(endpoint) is not None:
+            return False
+        removed_at = self._removed_at_by_endpoint.get(endpoint)
+        now = self._instance.now()
+        return removed_at is None or now - removed_at > SIMULTANEOUS_REMOVAL_S
+
+    async def _check(self, endpoint: str, address: str) -> bool:
+        if self._was_leaving(endpoint):
+            return False
+        first = second = await self._call(endpoint, address)
+        if needs_recheck(first):
+            await asyncio.sleep(CRASH_RECHECK_S)
+            second = await self._call(endpoint, address)
+        crashed = has_crashed(first, second)
+        outcome = "crashed" if crashed else "not_crashed"
+        self._instance.metrics.count(f"crash_check.{outcome}")
+        log_event(
+            "crash_checked",
+            endpoint=endpoint,
+            first=first.value,
+            second=second.value,
+            outcome=outcome,
+        )
+        return crashed
+
+    async def _call(self, endpoint: str, address: str) -> Liveness:
+        call = self._dialect.make_report_call(endpoint)
+        try:
+            connection = await connect(address, CRASH_CHECK_TIMEOUT_S)
+        except NotConnectedError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Liveness.REFUSED if refused else Liveness.SILENT
+        try:
+            async with asyncio.timeout(CRASH_CHECK_TIMEOUT_S):
+                response = await fetch(
+                    connection,
+                    call.method,
+                    call.target,
+                    (("Host", address), *call.headers),
+                    call.body,
+                    2 * CRASH_CHECK_TIMEOUT_S,
+                )
+        except TimeoutError:
+            return Liveness.SILENT
+        except (IncompleteResponseError, NotConnectedError, ValueError):
+            return Liveness.CLOSED
+        finally:
+            connection.close()
+        headers = dict(response.headers)
+        replaced = self._dialect.read_response(response.status, headers).misdirected
+        return Liveness.REPLACED if replaced else Liveness.ALIVE
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -34,6 +34,9 @@
     ) -> ClientAccount | Failure | None:
         """Authenticate a request with the current configuration."""
 
+    def find_quarantine_failure(self, request: R) -> Failure | None:
+        """Return a failure if the request has crashed several endpoints."""
+
     async def select_endpoint(self, request: R) -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission."""
 
@@ -60,8 +63,14 @@
     async def open(self, endpoint: str, pool: ConnectionPool) -> Connection:
         """Open a connection, and record whether the endpoint is reachable."""
 
+    async def handle_broken(self, request: R, endpoint: str, began_at: float) -> None:
+        """Report a crash if the endpoint of a broken answer has crashed."""
+
     # Reports of requests.
 
+    def record_completed(self, request: R) -> None:
+        """Record that an endpoint has completed the request."""
+
     def record_use_ended(self) -> None:
         """Report the end of a use of weights to the holders soon."""
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -161,6 +161,10 @@
     async def _serve(self) -> None:
         unsent = 0
         while True:
+            quarantined = self.forwarder.find_quarantine_failure(self)
+            if quarantined is not None:
+                await self._fail(quarantined)
+                return
             choice = await self.forwarder.select_endpoint(self)
             if isinstance(choice, Failure):
                 await self._refuse_before_attempt(choice)
@@ -169,9 +173,12 @@
             if refusal is not None:
                 await self._refuse_before_attempt(refusal)
                 return
+            began_at = self.forwarder.instance.now()
             end = await self._attempt(choice)
             if end is None:
                 return
+            if end is AttemptEnd.BROKEN:
+                await self.forwarder.handle_broken(self, choice.endpoint, began_at)
             step = decide(self.state, end)
             if step.uses_budget and not self.forwarder.spend_retry(self, end):
                 await self._give_up(step.kind, "budget")
@@ -273,6 +280,9 @@
         except NotConnectedError:
             return AttemptEnd.UNSENT
         attempt.connection = connection
+        if self.forwarder.find_quarantine_failure(self) is not None:
+            # Others may have crashed endpoints while this one waited.
+            return AttemptEnd.UNSENT
         try:
             self._send(connection, choice)
         except NotConnectedError:
@@ -403,6 +413,7 @@
             raise IncompleteResponseError("stream ended within an event")
         self.outcome = "answered"
         self.state.may_have_run = True
+        self.forwarder.record_completed(self)
         await self.caller.finish()
 
     async def _begin(self, head: ResponseHead) -> None:
--- /dev/null
+++ b/fescuekeel/components/quarantine/component.py
@@ -0,0 +1,195 @@
+"""Share crashes of endpoints with peers, and judge requests by them."""
+
+from typing import cast
+
+from fescuekeel.components.gossip import (
+    DOMAIN as GOSSIP_DOMAIN,
+    Fact,
+    Gossip,
+    TopicLimits,
+)
+from fescuekeel.components.quarantine.const import (
+    CRASH_TTL_S,
+    DOMAIN,
+    MAX_RELEASES,
+    MAX_REPORTS,
+)
+from fescuekeel.components.quarantine.ledger import Crash, CrashLedger, Verdict
+from fescuekeel.components.quarantine.reports import (
+    OwnReports,
+    pack_fingerprints,
+    unpack_fingerprints,
+)
+from fescuekeel.core import Instance
+from fescuekeel.errors import ErrorKind, Failure, Ran
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.ticks import sleep_to_tick
+from fescuekeel.messages import SettingsReloaded
+
+__all__ = ["Quarantine"]
+
+CRASH_TOPIC = "crash"
+RELEASE_TOPIC = "release"
+# Separates the parts of a fact's key.
+SEPARATOR = "|"
+EXPIRY_PERIOD_S = 1.0
+
+
+class Quarantine:
+    """Own the ledger of crashes; entries ask it before they send a request."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._ledger = CrashLedger()
+        self._reports = OwnReports()
+        self._verdicts_by_fingerprint: dict[str, Verdict] = {}
+        self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
+
+    async def start(self) -> None:
+        """Register the topics, and release what the settings name."""
+        self._gossip.register(
+            CRASH_TOPIC, TopicLimits(CRASH_TTL_S, MAX_REPORTS), self._handle_report
+        )
+        self._gossip.register(
+            RELEASE_TOPIC, TopicLimits(CRASH_TTL_S, MAX_RELEASES), self._handle_release
+        )
+        self._instance.bus.subscribe(SettingsReloaded, self._handle_reload)
+        self._instance.metrics.add_gauge("quarantine_requests", self._count_verdicts)
+        self._instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
+
+    async def stop(self) -> None:
+        """Do nothing: the instance cancels the tasks."""
+
+    def _count_verdicts(self) -> dict[str, float]:
+        verdicts = list(self._verdicts_by_fingerprint.values())
+        return {
+            verdict.value: float(verdicts.count(verdict))
+            for verdict in (Verdict.SUSPECT, Verdict.QUARANTINED)
+        }
+
+    # The interface for entries.
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no request is suspected."""
+        return self._ledger.is_empty
+
+    def judge(self, fingerprint: str) -> Verdict:
+        """Return the verdict on a request."""
+        return self._ledger.judge(fingerprint, self._instance.now())
+
+    def check(self, fingerprint: str, may_have_run: bool) -> Failure | None:
+        """Return the failure of a quarantined request, ``None`` for others."""
+        if self.judge(fingerprint) is not Verdict.QUARANTINED:
+            return None
+        crashes = self._ledger.list_crashes(fingerprint)
+        detail = f"crashed {len(crashes)} endpoints, fingerprint {fingerprint}"
+        ran = Ran.YES if may_have_run else Ran.NO
+        return Failure(ErrorKind.QUARANTINED, detail, ran)
+
+    def record_crash(
+        self, request_id: str, fingerprint: str, endpoint: str, began_at: float
+    ) -> None:
+        """Report that a request ran on an endpoint that has crashed.
+
+        ``began_at`` is when it was sent there, on the instance's clock.
+        """
+        now = self._instance.now()
+        if self._ledger.has_completed_lately(fingerprint, now):
+            self._instance.metrics.count("quarantine.completed_lately")
+            return
+        report = self._reports.add(endpoint, fingerprint, began_at, now)
+        if report is None:
+            return
+        log_event(
+            "request_in_crash",
+            request_id=request_id,
+            fingerprint=fingerprint,
+            endpoint=report.crash,
+            crashes=len(self._ledger.list_crashes(fingerprint)) + 1,
+            outcome="reported",
+        )
+        self._gossip.publish(
+            CRASH_TOPIC,
+            f"{report.crash}{SEPARATOR}{self._instance.id}",
+            len(report.fingerprints),
+            pack_fingerprints(report.fingerprints),
+        )
+
+    def record_completed(self, fingerprint: str) -> None:
+        """Record that an endpoint has completed a request.
+
+        A request that was in several crashes is released everywhere. One that
+        was in a single one is not worth a message: its crash expires.
+        """
+        self._ledger.record_completed(fingerprint, self._instance.now())
+        if len(self._ledger.list_crashes(fingerprint)) > 1:
+            self._release(fingerprint, "completed")
+
+    # Facts of this instance and of others.
+
+    def _handle_report(self, fact: Fact) -> None:
+        endpoint, _, seen_by = fact.key.partition(SEPARATOR)
+        crash = Crash(endpoint, seen_by, fact.created_at)
+        for fingerprint in unpack_fingerprints(fact.payload):
+            key = f"{fingerprint}{SEPARATOR}{endpoint}"
+            if not self._gossip.knows(RELEASE_TOPIC, key):
+                self._ledger.record_crash(fingerprint, crash)
+        self._update_verdicts()
+
+    def _release(self, fingerprint: str, reason: str) -> None:
+        for crash in self._ledger.list_crashes(fingerprint):
+            key = f"{fingerprint}{SEPARATOR}{crash.endpoint}"
+            self._gossip.publish(RELEASE_TOPIC, key, 1, reason.encode())
+
+    def _handle_release(self, fact: Fact) -> None:
+        fingerprint, _, endpoint = fact.key.partition(SEPARATOR)
+        self._ledger.release(fingerprint, endpoint)
+        self._update_verdicts()
+
+    # Verdicts.
+
+    def _update_verdicts(self) -> None:
+        """Log and count the verdicts that have changed."""
+        now = self._instance.now()
+        before = self._verdicts_by_fingerprint
+        after = {
+            fingerprint: self._ledger.judge(fingerprint, now)
+            for fingerprint in self._ledger.list_suspects()
+        }
+        self._verdicts_by_fingerprint = after
+        for fingerprint in before.keys() | after.keys():
+            verdict = after.get(fingerprint, Verdict.CLEAR)
+            if before.get(fingerprint, Verdict.CLEAR) is not verdict:
+                self._log_verdict(fingerprint, verdict, now)
+
+    def _log_verdict(self, fingerprint: str, verdict: Verdict, now: float) -> None:
+        self._instance.metrics.count(f"quarantine.{verdict}")
+        crashes = self._ledger.list_crashes(fingerprint)
+        log_event(
+            "quarantine_changed",
+            fingerprint=fingerprint,
+            endpoints=",".join(crash.endpoint for crash in crashes),
+            seen_by=",".join(crash.seen_by for crash in crashes),
+            age_ms=round((now - crashes[-1].seen_at) * 1000) if crashes else 0,
+            outcome=verdict.value,
+        )
+
+    async def _expire_forever(self) -> None:
+        self._release_as_set()
+        while True:
+            await sleep_to_tick(EXPIRY_PERIOD_S)
+            if self._ledger.is_empty:
+                continue
+            self._ledger.expire(self._instance.now())
+            self._update_verdicts()
+
+    # Operators.
+
+    def _handle_reload(self, reloaded: SettingsReloaded) -> None:
+        self._release_as_set()
+
+    def _release_as_set(self) -> None:
+        """Release the requests that an operator names in the settings."""
+        for fingerprint in self._instance.settings.quarantine.released:
+            self._release(fingerprint, "operator")
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -33,6 +33,7 @@
     TREE_NOT_READY = "tree_not_ready"
     CONFIGURATION_STALE = "configuration_stale"
     RATE_LIMITED = "rate_limited"
+    QUARANTINED = "quarantined"
     QUEUE_FULL = "queue_full"
     TOO_LATE = "too_late"
     EXPIRED = "expired"
@@ -107,6 +108,10 @@
         503, Ran.NO, True, "The settings in force may be out of date."
     ),
     ErrorKind.RATE_LIMITED: ErrorResponse(429, Ran.NO, True, "The limit is reached."),
+    # A status that callers do not retry, whether or not the request ran.
+    ErrorKind.QUARANTINED: ErrorResponse(
+        400, Ran.NO, False, "It has crashed several endpoints."
+    ),
     ErrorKind.QUEUE_FULL: ErrorResponse(503, Ran.NO, True, "The queue is full."),
     ErrorKind.TOO_LATE: ErrorResponse(
         503, Ran.NO, True, "It cannot be answered in time."
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -51,6 +51,7 @@
         attempt_ended request_id endpoint reason cost_ms tokens_ahead took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         request_ended request_id service took_ms outcome
+        request_in_crash request_id fingerprint endpoint crashes outcome
         request_refused request_id kind detail outcome
         retry_decided request_id reason sends left outcome
         work_failed request_id endpoint kind ran detail outcome
@@ -80,6 +81,7 @@
         orders_of_another endpoint known reported held taken outcome
         owner_gained endpoint fence
         owner_lost endpoint
+        quarantine_changed fingerprint endpoints seen_by age_ms outcome
         stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
         tree_ignored reason revision digest source
         tree_in_force revision digest
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -17,6 +17,7 @@
     "OperatorsSettings",
     "PeersSettings",
     "PlatformSettings",
+    "QuarantineSettings",
     "Settings",
     "parse_settings",
     "read_settings",
@@ -25,6 +26,7 @@
 
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Fingerprint = Annotated[str, Meta(pattern=r"^[0-9a-f]{32}$")]
 Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
 
@@ -147,6 +149,16 @@
     limit_window_s: Positive = 8.0
 
 
+class QuarantineSettings(Section, frozen=True):
+    """Requests that are refused because they crash endpoints.
+
+    ``released`` has the fingerprints of requests, separated by commas, whose
+    past crashes are dropped by all instances.
+    """
+
+    released: tuple[Fingerprint, ...] = ()
+
+
 class Settings(Section, frozen=True):
     """All settings of one daemon, with a field per section."""
 
@@ -156,6 +168,7 @@
     peers: PeersSettings
     platform: PlatformSettings
     forwarding: ForwardingSettings = ForwardingSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
 
     @property
     def interface(self) -> str:
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -1,6 +1,9 @@
 """Typed messages between components and between instances."""
 
 from fescuekeel.messages.fleet import (
+    GossipDigest,
+    GossipFact,
+    GossipFacts,
     Hello,
     HelloAnswer,
     News,
@@ -103,6 +106,9 @@
     "EndpointUse",
     "EntryRunningWork",
     "Envelope",
+    "GossipDigest",
+    "GossipFact",
+    "GossipFacts",
     "HandoverAnswer",
     "HandoverOffer",
     "HeldWeights",
--- a/fescuekeel/messages/fleet.py
+++ b/fescuekeel/messages/fleet.py
@@ -7,6 +7,9 @@
 from enum import StrEnum
 
 __all__ = [
+    "GossipDigest",
+    "GossipFact",
+    "GossipFacts",
     "Hello",
     "HelloAnswer",
     "News",
@@ -101,3 +104,38 @@
 
     target: str
     alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class GossipFact:
+    """What some instance has observed, ``age_ms`` before this message.
+
+    Of two facts of the same topic and key the one with the higher ``rank``
+    replaces the other.
+    """
+
+    topic: str
+    key: str
+    rank: int
+    payload: bytes = b""
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class GossipFacts:
+    """Facts that the receiver may not know yet."""
+
+    facts: tuple[GossipFact, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class GossipDigest:
+    """Digest and number of the facts that the sender knows.
+
+    A receiver with another digest sends its facts, and its own digest unless
+    this one is itself such a reply.
+    """
+
+    digest: int
+    count: int
+    is_reply: bool = False
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 
 from fescuekeel.messages.fleet import (
+    GossipDigest,
+    GossipFacts,
     Hello,
     HelloAnswer,
     Ping,
@@ -104,6 +106,8 @@
     | AdmitAnswer
     | AllowanceAsk
     | AllowanceAnswer
+    | GossipFacts
+    | GossipDigest
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -240,6 +240,15 @@
 }
 struct AllowanceAsk { account @0 :Text; needed @1 :Float64; deputy @2 :Bool; }
 struct AllowanceAnswer { units @0 :Float64; waitMs @1 :UInt32; }
+struct GossipFact {
+  topic @0 :Text;
+  key @1 :Text;
+  rank @2 :UInt32;
+  payload @3 :Data;
+  ageMs @4 :UInt32;
+}
+struct GossipFacts { facts @0 :List(GossipFact); }
+struct GossipDigest { digest @0 :UInt64; count @1 :UInt32; isReply @2 :Bool; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
@@ -285,5 +294,7 @@
     admitAnswer @40 :AdmitAnswer;
     allowanceAsk @41 :AllowanceAsk;
     allowanceAnswer @42 :AllowanceAnswer;
+    gossipFacts @43 :GossipFacts;
+    gossipDigest @44 :GossipDigest;
   }
 }
