Quarantine crashing requests in the completions interface, too

Cause: the same class; an entry that loses an endpoint tries the next one, and a caller's repeat is a new request there as well. Change: the owner checks an endpoint after a run whose outcome is unknown, by a connection, its report and its boot id, and reports the crash; entries check a request before each submit, owners again right before it is written. Resumed streams are not checked: their run goes on.

--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -34,10 +34,9 @@
 MAX_UNSAFE_IDLE_S: Final = 1.5
 # Requests with less time left are not sent.
 MIN_TIME_LEFT_S: Final = 0.01
-# A call that checks whether an endpoint has crashed, the pause before the
-# second one, and how long a retry waits for the result.
+# A call that checks whether an endpoint has crashed, and how long a retry
+# waits for the result.
 CRASH_CHECK_TIMEOUT_S: Final = 0.25
-CRASH_RECHECK_S: Final = 0.05
 CRASH_CHECK_WAIT_S: Final = 0.03
 # An endpoint that was removed from the catalog less than this before its
 # answers broke has crashed: a planned stop is announced seconds before.
--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -1,17 +1,10 @@
-"""Find out whether an endpoint has crashed after an answer broke.
-
-An answer also breaks when a connection is reset, when an endpoint sends an
-invalid one, or at a planned stop. After a crash the endpoint refuses
-connections, closes them without an answer, or is another incarnation.
-"""
+"""Find out whether an endpoint has crashed after an answer broke."""
 
 import asyncio
 from collections.abc import Callable
-from enum import StrEnum
 
 from fescuekeel.components.forward.const import (
     CRASH_CHECK_TIMEOUT_S,
-    CRASH_RECHECK_S,
     DOMAIN,
     SIMULTANEOUS_REMOVAL_S,
 )
@@ -23,50 +16,11 @@
     connect,
     fetch,
 )
+from fescuekeel.helpers.liveness import Liveness, gather_evidence
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import Catalog, EndpointRecord
 
-__all__ = ["CrashChecker", "Liveness", "has_crashed", "needs_recheck"]
-
-
-class Liveness(StrEnum):
-    """What a call to an endpoint shows.
-
-    ``REPLACED``: another incarnation answers. ``CLOSED``: the connection was
-    closed without an answer. ``SILENT``: there is no answer in time, as behind
-    a network partition.
-    """
-
-    ALIVE = "alive"
-    REFUSED = "refused"
-    CLOSED = "closed"
-    REPLACED = "replaced"
-    SILENT = "silent"
-
-
-def needs_recheck(first: Liveness) -> bool:
-    """Return whether a second call may tell more.
-
-    An endpoint that is about to stop listening may still answer the first one,
-    and one that resets some connections may have reset that of the check.
-
-    >>> needs_recheck(Liveness.ALIVE), needs_recheck(Liveness.REFUSED)
-    (True, False)
-    """
-    return first in (Liveness.ALIVE, Liveness.CLOSED)
-
-
-def has_crashed(first: Liveness, second: Liveness) -> bool:
-    """Return whether two calls, or one given twice, show a crash.
-
-    >>> has_crashed(Liveness.ALIVE, Liveness.CLOSED)
-    False
-    >>> has_crashed(Liveness.CLOSED, Liveness.CLOSED)
-    True
-    """
-    if second in (Liveness.REFUSED, Liveness.REPLACED):
-        return True
-    return first is second is Liveness.CLOSED
+__all__ = ["CrashChecker"]
 
 
 class CrashChecker:
@@ -119,21 +73,17 @@
     async def _check(self, endpoint: str, address: str) -> bool:
         if self._was_leaving(endpoint):
             return False
-        first = second = await self._call(endpoint, address)
-        if needs_recheck(first):
-            await asyncio.sleep(CRASH_RECHECK_S)
-            second = await self._call(endpoint, address)
-        crashed = has_crashed(first, second)
-        outcome = "crashed" if crashed else "not_crashed"
+        evidence = await gather_evidence(lambda: self._call(endpoint, address))
+        outcome = "crashed" if evidence.shows_crash else "not_crashed"
         self._instance.metrics.count(f"crash_check.{outcome}")
         log_event(
             "crash_checked",
             endpoint=endpoint,
-            first=first.value,
-            second=second.value,
+            first=evidence.first.value,
+            second=evidence.second.value,
             outcome=outcome,
         )
-        return crashed
+        return evidence.shows_crash
 
     async def _call(self, endpoint: str, address: str) -> Liveness:
         call = self._dialect.make_report_call(endpoint)
--- a/fescuekeel/components/gateway/request.py
+++ b/fescuekeel/components/gateway/request.py
@@ -96,6 +96,11 @@
     def record_refusal(self, placement: Placement, failure: Failure) -> None:
         """Record what a rejection says about the endpoint."""
 
+    def find_quarantine_failure(
+        self, submit: Submit, may_have_run: bool
+    ) -> Failure | None:
+        """Return a failure if the request has crashed several endpoints."""
+
     def may_retry(self, admission: Admission, reason: RetryReason) -> bool:
         """Take one retry from the service's retry budget, if any is left."""
 
@@ -252,9 +257,21 @@
         self._set_placement(placement, effect.attempt)
         self.post(Submitted(effect.attempt))
         submit = self._make_submit(effect, placement)
+        quarantined = self._find_quarantine_failure(submit)
+        if quarantined is not None:
+            self.post(Refused(effect.attempt, quarantined))
+            return
         result = await self.link.ask(placement.owner, submit, SUBMIT_TIMEOUT_S)
         self._post_submit_result(effect.attempt, placement, result)
 
+    def _find_quarantine_failure(self, submit: Submit) -> Failure | None:
+        if submit.resume:
+            # Its run goes on; nothing is sent to another endpoint.
+            return None
+        return self.router.find_quarantine_failure(
+            submit, self.state_machine.may_have_run
+        )
+
     def _set_placement(self, placement: Placement, attempt: int) -> None:
         if self.placement is None:
             self.instance.metrics.count("routed")
--- a/fescuekeel/components/gateway/router.py
+++ b/fescuekeel/components/gateway/router.py
@@ -1,14 +1,18 @@
 """Routing of attempts with the latest membership view and routing hints."""
 
+from typing import cast
+
 from fescuekeel.components.gateway.admission import Admission
 from fescuekeel.components.gateway.limits import Limits
 from fescuekeel.components.gateway.ranking_cache import RankingCache
 from fescuekeel.components.gateway.request import Placement
 from fescuekeel.components.gateway.routing import Hints, choose
+from fescuekeel.components.quarantine import DOMAIN as QUARANTINE_DOMAIN, Quarantine
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure, RetryReason
+from fescuekeel.helpers.fingerprint import fingerprint_submit
 from fescuekeel.helpers.owners import choose_owner
-from fescuekeel.messages import MemberView
+from fescuekeel.messages import MemberView, Submit
 
 __all__ = ["GatewayRouter"]
 
@@ -23,6 +27,9 @@
         self._limits = limits
         self.hints = Hints()
         self._ranks = RankingCache()
+        self._quarantine = cast(
+            Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
+        )
 
     def place(
         self, admission: Admission, request_id: str, tried: frozenset[str]
@@ -92,6 +99,14 @@
         now = self._instance.now()
         self.hints.record_full(placement.endpoint, retry_after_s, now)
 
+    def find_quarantine_failure(
+        self, submit: Submit, may_have_run: bool
+    ) -> Failure | None:
+        """Return a failure if the request has crashed several endpoints."""
+        if self._quarantine.is_empty:
+            return None
+        return self._quarantine.check(fingerprint_submit(submit), may_have_run)
+
     def may_retry(self, admission: Admission, reason: RetryReason) -> bool:
         """Take one retry from the service's retry budget, if any is left."""
         return self._limits.may_retry(admission.policy, self._instance.now())
--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -13,6 +13,7 @@
     REPORT_TIMEOUT_S,
     UNRESPONSIVE_S,
 )
+from fescuekeel.components.owner.crashes import CrashReporter
 from fescuekeel.components.owner.estimates import Estimates
 from fescuekeel.components.owner.foreign import ForeignWork
 from fescuekeel.components.owner.orders import Orders
@@ -59,6 +60,7 @@
         self.ownership = own.Ownership(instance.id)
         self.scheduler = EndpointScheduler()
         self.foreign = ForeignWork()
+        self.crashes = CrashReporter(self)
         self.requests = Requests(self)
         self.arrivals = Arrivals(self)
         self.orders = Orders(
@@ -72,11 +74,11 @@
             self.requests.is_surely_ended,
         )
         self.draining = False
-        self._boot_id = ""
+        self.boot_id = ""
+        self.is_leaving = False
         self._reported_at = instance.now()
         self._configured: sched.Configured | None = None
         self._leaving_announced = False
-        self._is_leaving = False
 
     def launch(self) -> None:
         """Start the task."""
@@ -90,6 +92,11 @@
 
     # Called by the component.
 
+    @property
+    def address(self) -> str:
+        """Return the endpoint's ``IP:PORT``."""
+        return self.assignment.entry.address
+
     @property
     def is_idle(self) -> bool:
         """Return whether this owner has nothing left to do."""
@@ -236,7 +243,7 @@
         asked for, as it may show no later state. After a pause, a report may
         show that the endpoint is leaving before the view does.
         """
-        if self._is_leaving:
+        if self.is_leaving:
             return False
         now = self.instance.now()
         return (
@@ -379,9 +386,9 @@
                 self.requests.refuse_queued(ErrorKind.ENDPOINT_REFUSED)
             return
         self._reported_at = max(self._reported_at, asked_at)
-        self._is_leaving = report.leaving
-        restarted = self._boot_id not in ("", report.boot_id)
-        self._boot_id = report.boot_id
+        self.is_leaving = report.leaving
+        restarted = self.boot_id not in ("", report.boot_id)
+        self.boot_id = report.boot_id
         if restarted:
             self.instance.metrics.count("owner.endpoint_restarted")
             log_event("endpoint_restarted", endpoint=self.endpoint)
--- a/fescuekeel/components/owner/requests.py
+++ b/fescuekeel/components/owner/requests.py
@@ -7,6 +7,7 @@
 
 from fescuekeel.components.owner import model
 from fescuekeel.components.owner.const import REPORT_LAG_S, RETRY_AFTER_S
+from fescuekeel.components.owner.crashes import CrashReporter
 from fescuekeel.components.owner.estimates import Estimates
 from fescuekeel.components.owner.foreign import ForeignWork
 from fescuekeel.components.owner.run import Run, WaitTimes, make_work_end
@@ -33,6 +34,8 @@
     link: PeerLink
     estimates: Estimates
     foreign: ForeignWork
+    crashes: CrashReporter
+    boot_id: str
 
     def post(self, message: object) -> None:
         """Post a message to the owner's mailbox."""
@@ -334,7 +337,7 @@
             driver=self.host.driver,
             item=item,
             waits=waits,
-            guard=self.host.may_order,
+            guard=lambda: self._may_send(item),
             get_fence=self.host.get_fence,
         )
         task = self.instance.spawn(self._execute(run), f"{self.host.name}.run")
@@ -342,7 +345,11 @@
             run, task, self.instance.now(), self.host.get_fence()
         )
 
+    def _may_send(self, item: model.AcceptedRequest) -> bool:
+        return self.host.may_order() and self.host.crashes.may_send(item.submit)
+
     async def _execute(self, run: Run) -> None:
+        began_at, boot_id = self.instance.now(), self.host.boot_id
         try:
             outcome = await run.run()
         except Exception as error:
@@ -353,6 +360,8 @@
                 run.item.entry, make_work_end(run.item, outcome, run.waits)
             )
         self.host.post(model.RunEnded(run.item, outcome))
+        if outcome is not None:
+            await self.host.crashes.record_end(run.item, outcome, began_at, boot_id)
 
     def _record_outcome(
         self, item: model.AcceptedRequest, outcome: Outcome, took_s: float
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -64,6 +64,7 @@
         claim_held endpoint term before heard_age_ms waited_ms contact_ms outcome
         claim_lost endpoint after term outcome
         configuration_in_force version before routes revision
+        crash_checked endpoint first second outcome
         endpoint_changed endpoint state revision
         endpoint_restarted endpoint
         endpoint_unreachable endpoint error avoided_ms
--- a/fescuekeel/helpers/fingerprint.py
+++ b/fescuekeel/helpers/fingerprint.py
@@ -6,7 +6,9 @@
 
 import xxhash
 
-__all__ = ["compute_fingerprint"]
+from fescuekeel.messages import Submit
+
+__all__ = ["compute_fingerprint", "fingerprint_submit"]
 
 
 def compute_fingerprint(body: bytes, *parts: str) -> str:
@@ -28,3 +30,17 @@
         hasher.update(encoded)
     digest: str = hasher.hexdigest()
     return digest
+
+
+def fingerprint_submit(submit: Submit) -> str:
+    """Return the fingerprint of a request that is submitted to an owner."""
+    return compute_fingerprint(
+        submit.body,
+        submit.shop,
+        submit.service,
+        submit.adapter.name,
+        submit.adapter.version,
+        submit.method,
+        submit.path,
+        submit.content_type,
+    )
--- /dev/null
+++ b/fescuekeel/helpers/liveness.py
@@ -0,0 +1,65 @@
+"""Tell a crash of an endpoint from other reasons for a broken answer.
+
+An answer also breaks when a connection is reset, when an endpoint sends an
+invalid one, or at a planned stop. After a crash the endpoint refuses
+connections, closes them without an answer, or is another incarnation.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = ["RECHECK_S", "CrashEvidence", "Liveness", "gather_evidence"]
+
+# The pause between the two calls of a check.
+RECHECK_S = 0.05
+
+
+class Liveness(StrEnum):
+    """What a call to an endpoint shows.
+
+    ``REPLACED``: another incarnation answers. ``CLOSED``: the connection was
+    closed without an answer. ``SILENT``: there is no answer in time, as behind
+    a network partition.
+    """
+
+    ALIVE = "alive"
+    REFUSED = "refused"
+    CLOSED = "closed"
+    REPLACED = "replaced"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashEvidence:
+    """What two calls have shown; the second is the first if there was one.
+
+    >>> CrashEvidence(Liveness.ALIVE, Liveness.CLOSED).shows_crash
+    False
+    >>> CrashEvidence(Liveness.CLOSED, Liveness.CLOSED).shows_crash
+    True
+    """
+
+    first: Liveness
+    second: Liveness
+
+    @property
+    def shows_crash(self) -> bool:
+        """Return whether the endpoint has crashed."""
+        if self.second in (Liveness.REFUSED, Liveness.REPLACED):
+            return True
+        return self.first is self.second is Liveness.CLOSED
+
+
+async def gather_evidence(call: Callable[[], Awaitable[Liveness]]) -> CrashEvidence:
+    """Call an endpoint, and once more if the first call may mislead.
+
+    An endpoint that is about to stop listening may still answer the first one,
+    and one that resets some connections may have reset that of the check.
+    """
+    first = second = await call()
+    if first in (Liveness.ALIVE, Liveness.CLOSED):
+        await asyncio.sleep(RECHECK_S)
+        second = await call()
+    return CrashEvidence(first, second)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,6 +16,9 @@
 
 Fetcher = Callable[[str], Awaitable[bool]]
 BOOT_NUMBERS = count(1)
+# How long a run of the crash prompt takes, and how long the engine is down.
+CRASH_DELAY_S = 0.02
+CRASH_DOWN_S = 1.0
 SETTING_NAMES = frozenset(item.name for item in fields(EngineSettings))
 
 
@@ -39,6 +42,7 @@
         self.evictions_while_serving: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         self.stale_refusals = 0
+        self.crash_times: list[float] = []
         self.steps = 0
         self.filled = 0
         self._numbers = count()
@@ -76,6 +80,14 @@
             load.cancel()
         self._reset_state()
 
+    def crash(self) -> None:
+        """Lose all connections and state, and come back after a while."""
+        self.crash_times.append(time.monotonic())
+        self.connection_faults.control({"down": True})
+        self.restart()
+        loop = asyncio.get_running_loop()
+        loop.call_later(CRASH_DOWN_S, self.connection_faults.control, {"down": False})
+
     def control(self, commands: dict[str, Any]) -> None:
         """Apply ``restart``, ``loaded`` and any field of the settings."""
         for name in SETTING_NAMES & commands.keys():
@@ -267,6 +279,9 @@
                 request.prefill_steps_left = self.settings.prefill_steps
             self.cache.store(request.prompt, now)
             self.running.append(request)
+            if request.prompt and request.prompt == self.settings.crash_prompt:
+                loop = asyncio.get_running_loop()
+                loop.call_later(CRASH_DELAY_S, self.crash)
 
     def _step(self) -> None:
         if not self.running:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -27,7 +27,8 @@
 
     The next ``fail_loads`` loads fail partway. The next ``silent_streams``
     streams become unresponsive after ``silent_after`` tokens. Every
-    ``gap_every``-th cache event is omitted, none if zero.
+    ``gap_every``-th cache event is omitted, none if zero. A run of
+    ``crash_prompt`` crashes the engine.
     """
 
     slots: int = 8
@@ -45,6 +46,7 @@
     fail_loads: int = 0
     silent_streams: int = 0
     silent_after: int = 0
+    crash_prompt: str = ""
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/common.py
+++ b/tests/common.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
+from fescuekeel.components.gossip import Gossip
+from fescuekeel.components.quarantine import Quarantine
+from fescuekeel.core import Instance
 from fescuekeel.helpers.settings import Settings, parse_settings
 
 SETTINGS = """
@@ -32,6 +35,13 @@
     return parse_settings(SETTINGS.format(id=id, data_centre=data_centre)).unwrap()
 
 
+def add_quarantine(instance: Instance) -> None:
+    """Add the components that judge requests, without starting them."""
+    components = instance.components_by_domain
+    components["gossip"] = Gossip(instance)
+    components["quarantine"] = Quarantine(instance)
+
+
 POLL_INTERVAL_S = 0.005
 EVENTUALLY_TIMEOUT_S = 15.0
 
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -24,7 +24,7 @@
     WorkEnd,
     WorkStarted,
 )
-from tests.common import make_settings
+from tests.common import add_quarantine, make_settings
 
 TOKEN = "magic"
 ENGINE = Pool("script", PoolKind.ENGINE)
@@ -200,6 +200,7 @@
         self.instance.components_by_domain["keys"] = self.keys
         self.instance.bus.publish_state(make_view())
         self.instance.bus.publish_state(TreeInForce(FakeIntent(**changes)))
+        add_quarantine(self.instance)
         self.gateway = Gateway(self.instance)
 
     async def fetch(self, path, method="POST", body=None, token=TOKEN, **headers):
--- a/tests/components/owner/common.py
+++ b/tests/components/owner/common.py
@@ -36,7 +36,7 @@
 from standins.engine_http import start_engine
 from standins.engine_state import EngineSettings
 from standins.server import Server
-from tests.common import make_settings
+from tests.common import add_quarantine, make_settings
 
 __all__ = ["CUPS", "DRIVER_PACKAGES", "ENDPOINT", "Cluster", "Node", "run_scenario"]
 
@@ -221,6 +221,7 @@
         clock = Clock()
         instance = Instance(make_settings(id), clock=clock)
         instance.components_by_domain[PEERS_DOMAIN] = FakeLink(self, id)  # type: ignore[assignment]
+        add_quarantine(instance)
         instance.components_by_domain["turns"] = ImmediateTurns()  # type: ignore[assignment]
         pool = Pool(POOL, PoolKind.ENGINE, self.fenced, 2, 4, 0.002, 0.05)
         instance.bus.publish_state(TreeInForce(FakeIntent({POOL: pool})))
--- a/tests/fuzz/network.py
+++ b/tests/fuzz/network.py
@@ -73,6 +73,10 @@
 
     # Interface for other components.
 
+    def send_all(self, instance_ids, body):
+        for id in instance_ids:
+            self.send(id, body)
+
     def send(self, instance_id, body):
         if self.node.dead:
             return False
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -41,9 +41,19 @@
 PLAIN_POOL = Pool("store", PoolKind.PLAIN, False, 0, 3)
 POOLS_BY_NAME = {pool.name: pool for pool in (FENCED_POOL, UNFENCED_POOL, PLAIN_POOL)}
 ERROR_COUNTERS = frozenset({"task_error", "owner.run_error", "stop_timeout"})
-DOMAINS = ("peers", "membership", "turns", "owner", "gateway")
+DOMAINS = (
+    "peers",
+    "membership",
+    "gossip",
+    "quarantine",
+    "turns",
+    "owner",
+    "gateway",
+)
 real_setups = (
     fescuekeel.components.membership,
+    fescuekeel.components.gossip,
+    fescuekeel.components.quarantine,
     fescuekeel.components.turns,
     fescuekeel.components.owner,
 )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -56,8 +56,9 @@
 class World:
     """A stand-in platform with two instances in each of two data centres."""
 
-    def __init__(self, platform):
+    def __init__(self, platform, engines=2):
         self.platform = platform
+        self.engines = engines
         self.instances = []
 
     async def start(self):
@@ -84,7 +85,7 @@
             instance.bus.latest(TreeInForce) is not None
             and view is not None
             and len(view.members_by_id) == INSTANCES
-            and len(view.endpoints_by_id) == 4
+            and len(view.endpoints_by_id) == self.engines + 2
         )
 
     def count(self, name):
@@ -115,13 +116,13 @@
 
 
 @asynccontextmanager
-async def open_world():
+async def open_world(engines=2):
     """Start a platform with instances; stop them on exit."""
     platform = await Platform.start(("dc1", "dc2"), loads_per_s=50.0)
-    await platform.add_pool(Pool("script", PoolKind.ENGINE, slots=4), 2)
+    await platform.add_pool(Pool("script", PoolKind.ENGINE, slots=4), engines)
     await platform.add_pool(Pool("store", PoolKind.PLAIN), 2)
     platform.publish(1, {"main": TREE.encode()})
-    world = World(platform)
+    world = World(platform, engines)
     try:
         await world.start()
         yield world
