Reproduce endpoints that get more than the rate limit they name

What callers see: nothing; the endpoints get more than they can take. Evidence: four instances, six endpoints of a service that name 3 requests a second in each answer, 40 requests a second: up to 81 (plain service) and 35 (engines) in 4 s at one endpoint, 23 allowed.

--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -24,6 +24,7 @@
 NOT_EXECUTED_HEADER = "Fescuekeel-Not-Executed"
 API_KEY_HEADER = "X-Api-Key"
 TENANT_HEADER = "Fescuekeel-Tenant"
+SERVER_LIMIT_HEADER = "Fescuekeel-Server-Limit"
 SERVER_STAMP_HEADER = "Fescuekeel-Server-Stamp"
 REQUEST_ID_HEADER = "Fescuekeel-Request-Id"
 LOAD_S = 0.1
@@ -74,6 +75,8 @@
     ``holders`` are the tokens and senders of the accepted orders, in order of
     arrival. Reports are ``report_lag_s`` old. ``crash`` stops the worker's
     server and starts it again later; ``None`` ignores bodies that crash it.
+    While ``limit_per_s`` is set, answers name it as the worker's rate limit;
+    ``limit_named_at`` is when the first one did.
     """
 
     service: str
@@ -103,6 +106,8 @@
     shed: int = 0
     cut: int = 0
     stall: int = 0
+    limit_per_s: float | None = None
+    limit_named_at: float | None = None
     crash: Callable[[], None] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
@@ -297,6 +302,9 @@
         self.set_header(
             REQUEST_ID_HEADER, self.request.headers.get(REQUEST_ID_HEADER, "")
         )
+        if worker.limit_per_s is not None:
+            self.set_header(SERVER_LIMIT_HEADER, str(worker.limit_per_s))
+            worker.limit_named_at = worker.limit_named_at or time.monotonic()
         if worker.consume_fault("shed"):
             self.set_header(NOT_EXECUTED_HEADER, "1")
             await self.respond(503, {})
