Keep to the rate limits that endpoints name, over all instances

What callers see: nothing; an endpoint in need gets what it got before. Cause: no code read the limit in an endpoint's answers. Change: the dialect decodes it; a change is gossiped to all instances with a rank, and an answer only changes what is known if its request was sent afterwards, so that a late answer does not revive a limit. Requests take a part of the limit from the endpoint's home, as those of client accounts do (window of 2 s, nothing prefetched), right before admission; retries and resumed streams, too. Endpoints at their limits are chosen last. Where all are, a request waits if it stays on time, and is refused at once otherwise, with the time at which there is room. Invalid limits are ignored with a line; one below 0.5 a second is raised to that, since an endpoint without requests could not tell that it has ended. One instance with all callers uses at least 0.7 of the limit; others know before they have an answer of their own.

--- a/fescuekeel/components/allowance/__init__.py
+++ b/fescuekeel/components/allowance/__init__.py
@@ -1,10 +1,11 @@
-"""The allowance component: rate limits of client accounts on all instances."""
+"""The allowance component: rate limits over all instances."""
 
 from fescuekeel.components.allowance.component import Allowances
 from fescuekeel.components.allowance.const import DOMAIN
+from fescuekeel.components.allowance.limit import EndpointLimit
 from fescuekeel.core import REGISTRY, Instance
 
-__all__ = ["DOMAIN", "Allowances", "setup"]
+__all__ = ["DOMAIN", "Allowances", "EndpointLimit", "setup"]
 
 
 def setup(instance: Instance) -> Allowances:
--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -7,6 +7,8 @@
 from fescuekeel.components.allowance.const import (
     ASK_TIMEOUT_S,
     DOMAIN,
+    ENDPOINT_PREFIX,
+    ENDPOINT_WINDOW_S,
     HOME_BACKOFF_S,
     LOST_DETECTION_MARGIN_S,
     LOST_INSTANCE_TTL_S,
@@ -16,6 +18,7 @@
     RECHECK_S,
 )
 from fescuekeel.components.allowance.home import AccountHome, Grant
+from fescuekeel.components.allowance.limit import EndpointLimit, RateLimit
 from fescuekeel.components.allowance.local_allowance import (
     Admit,
     AskHome,
@@ -52,6 +55,9 @@
         self._instance = instance
         self._share = PartitionShare(lost_ttl_s)
         self._home = AccountHome(instance.now(), bounds.limit_window_s)
+        self._endpoint_home = AccountHome(
+            instance.now(), ENDPOINT_WINDOW_S, prefetch_share=0.0
+        )
         self._local_by_name: dict[str, LocalAllowance] = {}
         self._queries_by_name: dict[str, asyncio.Task[Admit | AskHome | Refuse]] = {}
         self._accounts_by_name: dict[str, ClientAccount] = {}
@@ -87,9 +93,17 @@
             return self._refuse(request_id, account, price, decision.wait_s)
         return None
 
-    def refund(self, account: ClientAccount, price: float) -> None:
+    async def take(self, limit: EndpointLimit) -> float:
+        """Take one request from an endpoint's limit.
+
+        Returns zero, or how many seconds to wait until there may be room.
+        """
+        decision = await self._spend(limit, 1.0)
+        return decision.wait_s if isinstance(decision, Refuse) else 0.0
+
+    def refund(self, limit: RateLimit, price: float) -> None:
         """Return the price of a request that did not run."""
-        local = self._local_by_name.get(account.name)
+        local = self._local_by_name.get(limit.name)
         if local is not None:
             local.refund(price, self._instance.now())
 
@@ -115,42 +129,40 @@
             ErrorKind.RATE_LIMITED, account.name, retry_after_s=retry_after_s
         )
 
-    def _get_local(self, account: ClientAccount, now: float) -> LocalAllowance:
-        local = self._local_by_name.get(account.name)
+    def _get_local(self, limit: RateLimit, now: float) -> LocalAllowance:
+        local = self._local_by_name.get(limit.name)
         if local is None:
             if len(self._local_by_name) >= MAX_ACCOUNTS:
                 del self._local_by_name[next(iter(self._local_by_name))]
             local = LocalAllowance(TokenBucket(0.0, 0.0, 0.0, now))
-            self._local_by_name[account.name] = local
-        local.set_limit(account, self._share.count_instances(now), now)
+            self._local_by_name[limit.name] = local
+        local.set_limit(limit, self._share.count_instances(now), now)
         return local
 
-    async def _spend(self, account: ClientAccount, price: float) -> Admit | Refuse:
+    async def _spend(self, limit: RateLimit, price: float) -> Admit | Refuse:
         """Deduct a price; await at most two queries to the account's home.
 
         The first may be another request's, whose grant may cover this one,
         too. The second is this request's own.
         """
-        decision = self._spend_local(account, price)
-        pending = self._queries_by_name.get(account.name)
+        decision = self._spend_local(limit, price)
+        pending = self._queries_by_name.get(limit.name)
         if isinstance(decision, AskHome) and pending is not None and not pending.done():
             await asyncio.wait([pending])
-            decision = self._spend_local(account, price)
+            decision = self._spend_local(limit, price)
         if isinstance(decision, AskHome):
-            decision = await self._ask_home_and_spend(account, price)
+            decision = await self._ask_home_and_spend(limit, price)
         if isinstance(decision, AskHome):
             # The price exceeds what the home grants at once.
             return Refuse(RECHECK_S)
         return decision
 
-    def _spend_local(
-        self, account: ClientAccount, price: float
-    ) -> Admit | AskHome | Refuse:
+    def _spend_local(self, limit: RateLimit, price: float) -> Admit | AskHome | Refuse:
         now = self._instance.now()
-        return self._get_local(account, now).spend(price, now)
+        return self._get_local(limit, now).spend(price, now)
 
     async def _ask_home_and_spend(
-        self, account: ClientAccount, price: float
+        self, limit: RateLimit, price: float
     ) -> Admit | AskHome | Refuse:
         """Ask the account's home, and deduct the price from its grant at once.
 
@@ -160,48 +172,48 @@
 
         async def query() -> Admit | AskHome | Refuse:
             try:
-                await self._ask_home(account, price)
-                return self._spend_local(account, price)
+                await self._ask_home(limit, price)
+                return self._spend_local(limit, price)
             finally:
-                if self._queries_by_name.get(account.name) is task:
-                    del self._queries_by_name[account.name]
+                if self._queries_by_name.get(limit.name) is task:
+                    del self._queries_by_name[limit.name]
 
         task = self._instance.spawn(query(), f"{DOMAIN}.ask")
-        self._queries_by_name[account.name] = task
+        self._queries_by_name[limit.name] = task
         try:
             # Others may await the query of a request that is cancelled.
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            task.add_done_callback(lambda _: self._refund_query(task, account, price))
+            task.add_done_callback(lambda _: self._refund_query(task, limit, price))
             raise
 
     def _refund_query(
         self,
         query: asyncio.Task[Admit | AskHome | Refuse],
-        account: ClientAccount,
+        limit: RateLimit,
         price: float,
     ) -> None:
         if not query.cancelled() and isinstance(query.result(), Admit):
-            self.refund(account, price)
+            self.refund(limit, price)
 
-    async def _ask_home(self, account: ClientAccount, price: float) -> None:
+    async def _ask_home(self, limit: RateLimit, price: float) -> None:
         """Ask the home, or its deputies in turn if it does not answer."""
-        local = self._get_local(account, self._instance.now())
-        for deputy, id in enumerate(self._list_reachable_homes(account.name)):
+        local = self._get_local(limit, self._instance.now())
+        for deputy, id in enumerate(self._list_reachable_homes(limit.name)):
             asked_at = self._instance.now()
-            grant = await self._ask_instance(id, account, price, bool(deputy))
+            grant = await self._ask_instance(id, limit, price, bool(deputy))
             if grant is not None:
                 local.apply_grant(grant, asked_at)
                 return
         local.start_fallback(self._instance.now())
 
     async def _ask_instance(
-        self, home: str, account: ClientAccount, price: float, deputy: bool
+        self, home: str, limit: RateLimit, price: float, deputy: bool
     ) -> Grant | None:
         if home == self._instance.id:
-            return self._grant(account, price, deputy)
+            return self._grant(limit, price, deputy)
         self._instance.metrics.count("allowance.asked")
-        query = AllowanceAsk(account.name, price, deputy)
+        query = AllowanceAsk(limit.name, price, deputy, _get_endpoint_rate(limit))
         link = get_peer_link(self._instance)
         answer = await link.ask(home, query, ASK_TIMEOUT_S)
         body = answer.value_or(None)
@@ -209,7 +221,7 @@
             return Grant(body.units, body.wait_ms / MS_PER_S)
         self._backoff_until_by_id[home] = self._instance.now() + HOME_BACKOFF_S
         self._instance.metrics.count("allowance.home_silent")
-        log_event("allowance_home_silent", account=account.name, home=home)
+        log_event("allowance_home_silent", account=limit.name, home=home)
         return None
 
     # This instance as the home of accounts.
@@ -236,26 +248,36 @@
             ranked = self._homes_by_name[name] = all_ranked[:MAX_HOMES_ASKED]
         return ranked
 
-    def _grant(
-        self, account: ClientAccount, needed: float, deputy: bool = False
-    ) -> Grant:
+    def _grant(self, limit: RateLimit, needed: float, deputy: bool = False) -> Grant:
         now = self._instance.now()
-        deputy = deputy or self._find_home(account.name) != self._instance.id
+        deputy = deputy or self._find_home(limit.name) != self._instance.id
         share = self._share.compute(now)
-        return self._home.grant(account, needed, now, share, deputy)
+        is_account = isinstance(limit, ClientAccount)
+        home = self._home if is_account else self._endpoint_home
+        return home.grant(limit, needed, now, share, deputy)
 
     def _handle_ask(self, message: PeerMessage) -> None:
         assert isinstance(message.body, AllowanceAsk)
-        account = self._accounts_by_name.get(message.body.account)
+        limit = self._find_limit(message.body)
         grant = Grant(0.0, ASK_TIMEOUT_S)
-        if account is not None and account.rate_per_s <= 0:
+        if limit is not None and limit.rate_per_s <= 0:
             # The limit was lifted; the asking instance does not know it yet.
             grant = Grant(message.body.needed)
-        elif account is not None:
-            grant = self._grant(account, message.body.needed, message.body.deputy)
+        elif limit is not None:
+            grant = self._grant(limit, message.body.needed, message.body.deputy)
         answer = AllowanceAnswer(grant.units, int(grant.wait_s * MS_PER_S))
         get_peer_link(self._instance).answer(message, answer)
 
+    def _find_limit(self, ask: AllowanceAsk) -> RateLimit | None:
+        """Return the limit asked for; that of an endpoint is in the query.
+
+        The home may not have heard of it yet.
+        """
+        if ask.rate_per_s > 0:
+            endpoint = ask.account.removeprefix(ENDPOINT_PREFIX)
+            return EndpointLimit(endpoint, ask.rate_per_s)
+        return self._accounts_by_name.get(ask.account)
+
     def _handle_members(self, view: MemberView) -> None:
         now = self._instance.now()
         before = self._share.reachable
@@ -263,12 +285,13 @@
         if self._share.reachable == before:
             return
         self._homes_by_name.clear()
-        own = [
-            name
-            for name in self._home.list_names()
-            if self._find_home(name) == self._instance.id
-        ]
-        self._home.retain_accounts(own, now)
+        for home in (self._home, self._endpoint_home):
+            own = [
+                name
+                for name in home.list_names()
+                if self._find_home(name) == self._instance.id
+            ]
+            home.retain_accounts(own, now)
         for id in self._backoff_until_by_id.keys() - self._share.reachable:
             del self._backoff_until_by_id[id]
 
@@ -279,7 +302,8 @@
             return
         self._accounts_by_name = {item.name: item for item in accounts.values()}
         for name in self._local_by_name.keys() - self._accounts_by_name.keys():
-            del self._local_by_name[name]
+            if not name.startswith(ENDPOINT_PREFIX):
+                del self._local_by_name[name]
 
     def _read_available(self) -> dict[str, float]:
         now = self._instance.now()
@@ -287,3 +311,8 @@
             name: self._home.read_available(name, now)
             for name in self._home.list_names()
         }
+
+
+def _get_endpoint_rate(limit: RateLimit) -> float:
+    """Return the rate of an endpoint's limit, zero for a client account."""
+    return limit.rate_per_s if isinstance(limit, EndpointLimit) else 0.0
--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -40,3 +40,10 @@
 # configuration stops admitting: the time to detect that.
 LOST_DETECTION_MARGIN_S: Final = 2.0
 MAX_ACCOUNTS: Final = 4096
+
+# Rate limits of endpoints. Their names begin with this prefix; an account that
+# is named like an endpoint would share its units.
+ENDPOINT_PREFIX: Final = "endpoint/"
+ENDPOINT_WINDOW_S: Final = 2.0
+# Requests that an endpoint may get at once beyond its rate.
+ENDPOINT_BURST: Final = 1.0
--- a/fescuekeel/components/allowance/home.py
+++ b/fescuekeel/components/allowance/home.py
@@ -19,8 +19,8 @@
     REFUSED_DEMAND_TTL_S,
     RESERVED_SHARE,
 )
+from fescuekeel.components.allowance.limit import RateLimit
 from fescuekeel.components.allowance.window import LimitWindow
-from fescuekeel.helpers.published import ClientAccount
 
 __all__ = ["AccountHome", "Grant"]
 
@@ -65,9 +65,11 @@
     """Track the grants of the accounts whose home is this instance.
 
     ``known_since`` is the latest time at which this instance can have become
-    the home of an account that it has no state of.
+    the home of an account that it has no state of. ``prefetch_share`` of the
+    free capacity is granted beyond the need.
 
     >>> home = AccountHome(known_since=0.0, window_s=1.0)
+    >>> from fescuekeel.helpers.published import ClientAccount
     >>> account = ClientAccount("a", rate_per_s=10.0, burst=10.0)
     >>> home.grant(account, needed=12.0, now=5.0).units
     12.5
@@ -77,6 +79,7 @@
 
     known_since: float
     window_s: float = 8.0
+    prefetch_share: float = PREFETCH_SHARE
     _states_by_name: dict[str, AccountState] = field(default_factory=dict)
 
     def retain_accounts(self, kept_names: Iterable[str], now: float) -> None:
@@ -96,7 +99,7 @@
 
     def grant(
         self,
-        account: ClientAccount,
+        limit: RateLimit,
         needed: float,
         now: float,
         share: float = 1.0,
@@ -109,7 +112,7 @@
         unreachable for the asking instance, and may have granted the rest.
         """
         known_since = now if deputy else self.known_since
-        state = self._get_state(account, share, known_since)
+        state = self._get_state(limit, share, known_since)
         # A request larger than a window's capacity would never be served.
         needed = min(needed, state.window.capacity)
         available = state.window.count_available(now)
@@ -131,7 +134,7 @@
         surplus = available - RESERVED_SHARE * state.window.capacity
         if surplus <= 0 or state.count_prefetched(now) >= max_prefetch:
             return 0.0
-        prefetch = PREFETCH_SHARE * min(surplus, max_prefetch)
+        prefetch = self.prefetch_share * min(surplus, max_prefetch)
         state.prefetched.append((now, prefetch))
         return prefetch
 
@@ -146,15 +149,15 @@
         return Grant(0.0, min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)))
 
     def _get_state(
-        self, account: ClientAccount, share: float, known_since: float
+        self, limit: RateLimit, share: float, known_since: float
     ) -> AccountState:
-        rate = account.rate_per_s * share
-        burst = account.burst * share
-        state = self._states_by_name.get(account.name)
+        rate = limit.rate_per_s * share
+        burst = limit.burst * share
+        state = self._states_by_name.get(limit.name)
         if state is None:
             if len(self._states_by_name) >= MAX_ACCOUNTS:
                 del self._states_by_name[next(iter(self._states_by_name))]
             window = LimitWindow(rate, burst, self.window_s, known_since)
-            state = self._states_by_name[account.name] = AccountState(window)
+            state = self._states_by_name[limit.name] = AccountState(window)
         state.window.set_limit(rate, burst)
         return state
--- a/fescuekeel/components/allowance/local_allowance.py
+++ b/fescuekeel/components/allowance/local_allowance.py
@@ -13,7 +13,7 @@
     RECHECK_S,
 )
 from fescuekeel.components.allowance.home import Grant
-from fescuekeel.helpers.published import ClientAccount
+from fescuekeel.components.allowance.limit import RateLimit
 
 __all__ = ["Admit", "AskHome", "LocalAllowance", "Refuse"]
 
@@ -58,10 +58,10 @@
     _available_at: float = float("-inf")
     _fallback_until: float = float("-inf")
 
-    def set_limit(self, account: ClientAccount, instances: int, now: float) -> None:
+    def set_limit(self, limit: RateLimit, instances: int, now: float) -> None:
         """Update the limit and the number of instances that share it."""
-        rate = account.rate_per_s / instances
-        burst = account.burst / instances
+        rate = limit.rate_per_s / instances
+        burst = limit.burst / instances
         # An even share may be smaller than one request's price; it has to
         # accumulate up to it.
         self.fallback.set_limit(rate, max(burst, self._largest_price), now)
--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -35,6 +35,8 @@
     With ``needs_load`` the weights must be loaded there first. ``spread_to``
     is an endpoint that should load an additional copy. ``version`` is the
     adapter version that the endpoint must have, ``None`` for a base model.
+    ``within_limit`` says that a part of the endpoint's rate limit was taken
+    for the request.
     """
 
     endpoint: str
@@ -43,6 +45,7 @@
     needs_load: bool = False
     spread_to: str = ""
     version: int | None = None
+    within_limit: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,10 +72,15 @@
     loads_by_id: Callable[[str], EndpointLoad],
     tried: Collection[str],
     data_centre: str,
+    full: Collection[str],
     now: float,
 ) -> Choice | None:
-    """Return the endpoint of least cost, preferring the own data centre."""
+    """Return the endpoint of least cost, preferring the own data centre.
+
+    Endpoints in ``full`` are used only if there is no other.
+    """
     candidates = _list_candidates(endpoints_by_id, loads_by_id, tried, now)
+    candidates = [id for id in candidates if id not in full] or candidates
     if not candidates:
         return None
 
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -23,6 +23,7 @@
     LOWEST_PRIORITY,
 )
 from fescuekeel.components.forward.crash_check import CrashChecker
+from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.gate import AccountGate
 from fescuekeel.components.forward.gauges import ForwardingGauges
@@ -78,7 +79,10 @@
         )
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
-        self._selector = EndpointSelector(instance, self.get_load, self._is_cut_off)
+        self._limiter = EndpointLimiter(instance)
+        self._selector = EndpointSelector(
+            instance, self.get_load, self._is_cut_off, self._limiter
+        )
         self._reachability = ReachabilityMonitor(
             instance, self.loads_by_id, self._selector.find_record
         )
@@ -123,6 +127,7 @@
         """Subscribe to updates and start the servers."""
         bus = self.instance.bus
         self._gate.start()
+        self._limiter.start()
         bus.subscribe(Catalog, self._handle_catalog)
         bus.subscribe(MemberView, self._update_members)
         bus.subscribe(SettingsReloaded, self._apply_settings)
@@ -166,6 +171,7 @@
         now = self.instance.now()
         self._selector.update_catalog(catalog, now)
         self._crash_checker.update_catalog(catalog, now)
+        self._limiter.update_catalog(catalog)
 
     def _apply_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
@@ -354,6 +360,22 @@
             return None
         return self._quarantine.check(request.fingerprint, request.state.may_have_run)
 
+    def may_send(self, request: ForwardedRequest, choice: Choice) -> bool:
+        """Return whether a chosen endpoint may still get the request.
+
+        While the request waited for a connection, it may have been quarantined
+        or the endpoint may have named a rate limit.
+        """
+        if self.find_quarantine_failure(request) is not None:
+            return False
+        return choice.within_limit or not self._limiter.is_limited(choice.endpoint)
+
+    def record_limit(
+        self, endpoint: str, limit_per_s: float | None, sent_at: float
+    ) -> None:
+        """Record the rate limit in the answer to a request sent at a time."""
+        self._limiter.record_answer(endpoint, limit_per_s, sent_at)
+
     async def handle_broken(
         self, request: ForwardedRequest, endpoint: str, began_at: float
     ) -> None:
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -41,6 +41,18 @@
 # An endpoint that was removed from the catalog less than this before its
 # answers broke has crashed: a planned stop is announced seconds before.
 SIMULTANEOUS_REMOVAL_S: Final = 0.5
+# Rate limits that endpoints name. A higher rate is taken for an error, and a
+# lower one than the minimum is raised to it: an endpoint that gets no requests
+# could not tell that its limit has ended.
+MAX_NAMED_RATE_PER_S: Final = 1e6
+MIN_ENDPOINT_RATE_PER_S: Final = 0.5
+# Others may not need what they have taken, so a limited endpoint is tried
+# again after this, however long its home says to wait.
+LIMIT_RECHECK_S: Final = 0.25
+# Spreads the retries of callers that were refused at the same time.
+LIMIT_RETRY_JITTER_S: Final = 0.5
+LIMIT_TTL_S: Final = 600.0
+MAX_LIMITED_ENDPOINTS: Final = 1024
 # Limit of sends per request, regardless of the retry budget.
 MAX_SENDS: Final = 4
 
--- /dev/null
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -0,0 +1,116 @@
+"""Keep to the rate limits of endpoints together with all instances."""
+
+from typing import cast
+
+from fescuekeel.components.allowance import (
+    DOMAIN as ALLOWANCE_DOMAIN,
+    Allowances,
+    EndpointLimit,
+)
+from fescuekeel.components.forward.const import (
+    LIMIT_TTL_S,
+    MAX_LIMITED_ENDPOINTS,
+    MAX_NAMED_RATE_PER_S,
+    MIN_ENDPOINT_RATE_PER_S,
+)
+from fescuekeel.components.forward.named_limits import LimitChange, NamedLimits
+from fescuekeel.components.gossip import (
+    DOMAIN as GOSSIP_DOMAIN,
+    Fact,
+    Gossip,
+    TopicLimits,
+)
+from fescuekeel.core import Instance
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.published import Catalog
+
+__all__ = ["EndpointLimiter"]
+
+LIMIT_TOPIC = "limit"
+MS_PER_S = 1000
+
+
+class EndpointLimiter:
+    """Share limits with peers, and take a part of them for each request."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._limits = NamedLimits()
+        components = instance.components_by_domain
+        self._gossip = cast(Gossip, components[GOSSIP_DOMAIN])
+        self._allowances = cast(Allowances, components[ALLOWANCE_DOMAIN])
+
+    def start(self) -> None:
+        """Register the topic and the gauge."""
+        self._gossip.register(
+            LIMIT_TOPIC,
+            TopicLimits(LIMIT_TTL_S, MAX_LIMITED_ENDPOINTS),
+            self._handle_fact,
+        )
+        self._instance.metrics.add_gauge("endpoint_limit", self._limits.list_limited)
+
+    def update_catalog(self, catalog: Catalog) -> None:
+        """Forget the limits of endpoints that are gone."""
+        if not self._limits.is_empty:
+            self._limits.retain(catalog.endpoints_by_id.keys())
+
+    # What endpoints name.
+
+    def record_answer(
+        self, endpoint: str, rate_per_s: float | None, sent_at: float
+    ) -> None:
+        """Read the limit of an answer to a request that was sent at a time."""
+        if rate_per_s is not None and not 0 <= rate_per_s <= MAX_NAMED_RATE_PER_S:
+            self._log_change(endpoint, rate_per_s, 0, "ignored")
+            return
+        now = self._instance.now()
+        change = self._limits.read_answer(endpoint, rate_per_s, sent_at, now)
+        if change is not None:
+            payload = b"" if rate_per_s is None else repr(rate_per_s).encode()
+            self._gossip.publish(LIMIT_TOPIC, endpoint, change.rank, payload)
+
+    def _handle_fact(self, fact: Fact) -> None:
+        rate_per_s = float(fact.payload) if fact.payload else None
+        now = self._instance.now()
+        if self._limits.apply(LimitChange(fact.key, rate_per_s, fact.rank, now)):
+            age_ms = round((now - fact.created_at) * MS_PER_S)
+            self._log_change(fact.key, rate_per_s, age_ms, "in_force")
+
+    def _log_change(
+        self, endpoint: str, rate_per_s: float | None, age_ms: int, outcome: str
+    ) -> None:
+        self._instance.metrics.count(f"endpoint_limit.{outcome}")
+        log_event(
+            "endpoint_limit_changed",
+            endpoint=endpoint,
+            rate_per_s="none" if rate_per_s is None else rate_per_s,
+            age_ms=age_ms,
+            outcome=outcome,
+        )
+
+    # Requests.
+
+    def is_limited(self, endpoint: str) -> bool:
+        """Return whether requests to an endpoint need a part of its limit."""
+        return self._limits.get_rate(endpoint) is not None
+
+    async def take(self, endpoint: str) -> float:
+        """Take one request from an endpoint's limit, if it has one.
+
+        Returns zero, or how many seconds to wait until there may be room.
+        """
+        rate_per_s = self._limits.get_rate(endpoint)
+        if rate_per_s is None:
+            return 0.0
+        # Without any requests an endpoint could not tell that its limit ended.
+        rate_per_s = max(rate_per_s, MIN_ENDPOINT_RATE_PER_S)
+        wait_s = await self._allowances.take(EndpointLimit(endpoint, rate_per_s))
+        outcome = "refused" if wait_s else "taken"
+        self._instance.metrics.count(f"endpoint_limit.{outcome}")
+        return wait_s
+
+    def refund(self, endpoint: str) -> None:
+        """Give back what a request has taken that is not sent."""
+        rate_per_s = self._limits.get_rate(endpoint)
+        if rate_per_s is not None:
+            self._allowances.refund(EndpointLimit(endpoint, rate_per_s), 1.0)
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -63,11 +63,19 @@
     async def open(self, endpoint: str, pool: ConnectionPool) -> Connection:
         """Open a connection, and record whether the endpoint is reachable."""
 
+    def may_send(self, request: R, choice: Choice) -> bool:
+        """Return whether a chosen endpoint may still get the request."""
+
     async def handle_broken(self, request: R, endpoint: str, began_at: float) -> None:
         """Report a crash if the endpoint of a broken answer has crashed."""
 
     # Reports of requests.
 
+    def record_limit(
+        self, endpoint: str, limit_per_s: float | None, sent_at: float
+    ) -> None:
+        """Record the rate limit in the answer to a request sent at a time."""
+
     def record_completed(self, request: R) -> None:
         """Record that an endpoint has completed the request."""
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -280,8 +280,7 @@
         except NotConnectedError:
             return AttemptEnd.UNSENT
         attempt.connection = connection
-        if self.forwarder.find_quarantine_failure(self) is not None:
-            # Others may have crashed endpoints while this one waited.
+        if not self.forwarder.may_send(self, choice):
             return AttemptEnd.UNSENT
         try:
             self._send(connection, choice)
@@ -341,6 +340,10 @@
         response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
         if response.request_id and response.request_id != self.metadata.request_id:
             raise IncompleteResponseError("answer has the id of another request")
+        if not response.misdirected:
+            self.forwarder.record_limit(
+                attempt.endpoint, response.limit_per_s, attempt.started_at
+            )
         if response.not_run:
             await self._drain(connection, attempt, response)
             if response.misdirected:
--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -35,8 +35,9 @@
     """The progress of the search for a request's endpoint.
 
     At a ``congested`` endpoint the request would have to queue, and at a
-    ``full`` one the queue has no room. ``failure`` is the caller's answer if
-    the search ends now.
+    ``full`` one the queue has no room. Endpoints that are at their rate limits
+    are so until a time. ``failure`` is the caller's answer if the search ends
+    now.
 
     >>> search = Search(until=10.0)
     >>> search.record_congested("e1")
@@ -47,6 +48,7 @@
     until: float
     congested: set[str] = field(default_factory=set)
     full: set[str] = field(default_factory=set)
+    limited_until_by_id: dict[str, float] = field(default_factory=dict)
     refusals: int = 0
     failure: Failure = field(
         default_factory=lambda: make_overload_failure(
@@ -72,6 +74,19 @@
         """Return whether the request may queue at an endpoint."""
         return self.patient or endpoint in self.avoided
 
+    def list_limited(self, now: float) -> set[str]:
+        """Return the endpoints that are at their rate limits."""
+        return {id for id, until in self.limited_until_by_id.items() if until > now}
+
+    def record_limited(self, endpoint: str, until: float) -> None:
+        """Record that an endpoint's rate limit has no room until a time."""
+        self.limited_until_by_id[endpoint] = until
+
+    def find_limit_wait_s(self, now: float) -> float:
+        """Return how long until some endpoint may be within its limit."""
+        limited = self.list_limited(now)
+        return min((self.limited_until_by_id[id] - now for id in limited), default=0.0)
+
     def record_congested(self, endpoint: str) -> None:
         """Record that the request would have to queue at an endpoint."""
         self.congested.add(endpoint)
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -1,6 +1,7 @@
 """Select a request's endpoint, and wait until it may be sent there."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -12,11 +13,14 @@
 )
 from fescuekeel.components.forward.const import (
     ADMISSION_GRACE_S,
+    LIMIT_RECHECK_S,
+    LIMIT_RETRY_JITTER_S,
     LOAD_WAIT_SHARE,
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     PREFILL_S,
 )
+from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.holders import HolderClient
 from fescuekeel.components.forward.loading import LoadRequester
@@ -50,11 +54,13 @@
         instance: Instance,
         get_load: Callable[[str], EndpointLoad],
         is_cut_off: Callable[[], bool],
+        limiter: EndpointLimiter,
     ) -> None:
         self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._instance = instance
         self._get_load = get_load
         self._is_cut_off = is_cut_off
+        self._limiter = limiter
         self._holders = HolderClient(instance)
         self._load_requester = LoadRequester(instance, self._holders)
         self._versions = VersionTracker()
@@ -107,7 +113,13 @@
         search = Search(until)
         found: Choice | Failure | None
         while True:
-            choice = self._choose(request, search.avoided)
+            limited = search.list_limited(self._instance.now())
+            choice = self._choose(request, search.avoided | limited)
+            if choice is not None and choice.endpoint in limited:
+                refused = await self._wait_for_limit(request, search)
+                if refused is not None:
+                    return refused
+                continue
             if choice is None:
                 # Guards against refusals while all endpoints of a service are
                 # replaced and the first is about to be ready.
@@ -117,13 +129,49 @@
                 continue
             if choice.needs_load:
                 found = await self._load_weights(request, choice, search)
-            elif request.weights is None:
-                return choice
             else:
-                found = await self._admit_prompt(request, choice, search)
+                found = await self._send_within_limit(request, choice, search)
             if found is not None:
                 return found
 
+    async def _wait_for_limit(
+        self, request: ForwardedRequest, search: Search
+    ) -> Failure | None:
+        """Wait while all endpoints are at their rate limits.
+
+        Returns a failure at once if the wait would make the answer late.
+        """
+        now = self._instance.now()
+        wait_s = search.find_limit_wait_s(now)
+        since = now if request.state.answer_started else request.arrived
+        if now + wait_s > since + request.route.target_s - PREFILL_S:
+            detail = "all endpoints are at their rate limits"
+            retry_after_s = wait_s + random.uniform(0.0, LIMIT_RETRY_JITTER_S)
+            return Failure(ErrorKind.QUEUE_FULL, detail, retry_after_s=retry_after_s)
+        await asyncio.sleep(wait_s)
+        return None
+
+    async def _send_within_limit(
+        self, request: ForwardedRequest, choice: Choice, search: Search
+    ) -> Choice | Failure | None:
+        """Take a part of the endpoint's limit, and wait for admission.
+
+        Returns ``None`` to choose again.
+        """
+        if self._limiter.is_limited(choice.endpoint):
+            wait_s = await self._limiter.take(choice.endpoint)
+            if wait_s > 0:
+                until = self._instance.now() + min(wait_s, LIMIT_RECHECK_S)
+                search.record_limited(choice.endpoint, until)
+                return None
+            choice = replace(choice, within_limit=True)
+        if request.weights is None:
+            return choice
+        found = await self._admit_prompt(request, choice, search)
+        if choice.within_limit and not isinstance(found, Choice):
+            self._limiter.refund(choice.endpoint)
+        return found
+
     async def _load_weights(
         self, request: ForwardedRequest, choice: Choice, search: Search
     ) -> Failure | None:
@@ -281,7 +329,7 @@
         weights = request.weights
         if engine is None or weights is None:
             centre = self._instance.settings.instance.data_centre
-            return choose_plain(allowed, self._get_load, tried, centre, now)
+            return choose_plain(allowed, self._get_load, tried, centre, full, now)
         view = self._instance.bus.latest(PlacementView) or PlacementView()
         query = EngineQuery(
             weights,
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -88,7 +88,9 @@
     With ``not_run`` the endpoint guarantees that the request has not run and
     will not. ``signed`` says that the response has the platform's server
     stamp. ``running`` and ``waiting`` are the endpoint's load, if given.
-    ``keep_alive_s`` is its keep-alive timeout, ``None`` if not given.
+    ``keep_alive_s`` is its keep-alive timeout, ``None`` if not given, and
+    ``limit_per_s`` the requests per second that it takes from all instances
+    together, ``None`` if it has no limit.
     """
 
     not_run: bool
@@ -98,6 +100,7 @@
     running: int | None = None
     waiting: int | None = None
     keep_alive_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class OrderKind(StrEnum):
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -66,6 +66,7 @@
         configuration_in_force version before routes revision
         crash_checked endpoint first second outcome
         endpoint_changed endpoint state revision
+        endpoint_limit_changed endpoint rate_per_s age_ms outcome
         endpoint_restarted endpoint
         endpoint_unreachable endpoint error avoided_ms
         evict_held endpoint adapter reason request_id outcome
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -242,15 +242,19 @@
 
 @dataclass(frozen=True, slots=True)
 class AllowanceAsk:
-    """Ask an account's home instance for a share of its rate limit.
+    """Ask a limit's home instance for a share of it.
 
-    ``needed`` is the cost of the waiting request in units of the limit.
-    ``deputy`` says that the receiver stands in for an unresponsive home.
+    ``account`` is the name of a client account, or of an endpoint after the
+    prefix ``endpoint/``. ``needed`` is the cost of the waiting request in
+    units of the limit. ``deputy`` says that the receiver stands in for an
+    unresponsive home. ``rate_per_s`` is an endpoint's limit as the sender
+    knows it, zero for a client account.
     """
 
     account: str
     needed: float
     deputy: bool = False
+    rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -238,7 +238,12 @@
   holder @5 :Text;
   version @6 :UInt64;
 }
-struct AllowanceAsk { account @0 :Text; needed @1 :Float64; deputy @2 :Bool; }
+struct AllowanceAsk {
+  account @0 :Text;
+  needed @1 :Float64;
+  deputy @2 :Bool;
+  ratePerS @3 :Float64;
+}
 struct AllowanceAnswer { units @0 :Float64; waitMs @1 :UInt32; }
 struct GossipFact {
   topic @0 :Text;
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -56,8 +56,10 @@
             NOW,
         )
 
-    def choose_plain(self, tried=(), centre="dc0"):
-        return choose_plain(self.records, self.loads.__getitem__, tried, centre, NOW)
+    def choose_plain(self, tried=(), centre="dc0", full=()):
+        return choose_plain(
+            self.records, self.loads.__getitem__, tried, centre, full, NOW
+        )
 
 
 class TestEngine:
--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -8,6 +8,7 @@
 import pytest
 
 from standins.forwarding.platform import ENGINES, MODEL, PLAIN
+from tests.common import eventually
 from tests.platform.test_path import run, start_world
 from tests.platform.test_quarantine import add_endpoints
 
@@ -18,6 +19,8 @@
 ALLOWED_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 REQUESTS_PER_S = 40.0
 SECONDS = 9.0
+# The share of a limit that must be used while there are enough requests.
+MIN_USE = 0.7
 SERVICES_BY_PATH = {"/lookup": PLAIN, "/explain": ENGINES}
 
 
@@ -52,6 +55,17 @@
     return max((sum(at <= t < at + WINDOW_S for t in times) for at in times), default=0)
 
 
+def count_after(worker, seconds):
+    """Return the runs of the last seconds of a worker's life."""
+    since = time.monotonic() - seconds
+    return sum(record.started_at >= since for record in worker.records)
+
+
+def is_limited(instance, worker):
+    limiter = instance.components_by_domain["forward"]._limiter
+    return any(id.startswith(f"{worker.id}@") for id in limiter._limits.list_limited())
+
+
 @pytest.mark.parametrize("path", SERVICES_BY_PATH, ids=["safe", "resumable"])
 class TestLimitOfAllEndpoints:
     # Guards against instances that send to an endpoint as before it named a
@@ -67,5 +81,93 @@
                 await send_at_rate(world, path)
                 most = [count_most_in_window(worker) for worker in workers]
                 assert max(most) <= ALLOWED_IN_WINDOW, most
+                served = sum(count_after(worker, SECONDS - 4.0) for worker in workers)
+                assert served >= MIN_USE * LIMIT_PER_S * len(workers) * 4.0, served
+
+        run(work)
+
+
+class TestOneInstance:
+    def test_the_others_know_before_they_have_an_answer(self):
+        async def work():
+            async with start_world(4) as world:
+                worker, *others = world.platform.list_workers(PLAIN)
+                for other in others:
+                    world.platform.remove(other)
+                worker.limit_per_s = LIMIT_PER_S
+                assert await send(world, "/lookup/x", 0) == 200
+                await eventually(
+                    lambda: all(
+                        is_limited(instance, worker) for instance in world.instances
+                    )
+                )
+
+        run(work)
+
+    def test_it_can_use_the_whole_limit(self):
+        async def work():
+            async with start_world(4) as world:
+                worker, *others = world.platform.list_workers(PLAIN)
+                for other in others:
+                    world.platform.remove(other)
+                worker.limit_per_s = LIMIT_PER_S
+                tasks = []
+                for number in range(100):
+                    tasks.append(
+                        asyncio.ensure_future(send(world, f"/lookup/{number}", 0))
+                    )
+                    await asyncio.sleep(0.08)
+                await asyncio.gather(*tasks)
+                assert count_most_in_window(worker) <= ALLOWED_IN_WINDOW
+                assert count_after(worker, 4.0) >= MIN_USE * LIMIT_PER_S * 4.0
+
+        run(work)
+
+
+class TestEnd:
+    def test_requests_go_there_again_when_the_limit_ends(self):
+        async def work():
+            async with start_world(2) as world:
+                worker, *others = world.platform.list_workers(PLAIN)
+                for other in others:
+                    world.platform.remove(other)
+                worker.limit_per_s = 0.0
+                assert await send(world, "/lookup/x", 0) == 200
+                await eventually(lambda: is_limited(world.instances[1], worker))
+                worker.limit_per_s = None
+                statuses = await send_at_rate(world, "/lookup", 10.0, 5.0)
+                assert not any(
+                    is_limited(instance, worker) for instance in world.instances
+                )
+                assert statuses[200] > 10
+
+        run(work)
+
+    @pytest.mark.parametrize("value", ["-1", "many", "1e99", "nan", "3, 4"])
+    def test_an_invalid_limit_is_ignored(self, value):
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.limit_per_s = value
+                statuses = await send_at_rate(world, "/lookup", 40.0, 0.5)
+                assert statuses == {200: 20}
+
+        run(work)
+
+
+class TestRefusal:
+    def test_a_request_is_refused_at_once_with_a_time_to_return(self):
+        async def work():
+            async with start_world(1) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.limit_per_s = 0.5
+                statuses = await send_at_rate(world, "/lookup", 40.0, 1.0)
+                assert statuses[503] > 20
+                started_at = time.monotonic()
+                answer, id = await world.send_request("/lookup/x")
+                assert answer.code == 503
+                assert float(answer.headers["Retry-After"]) > 0
+                assert time.monotonic() - started_at < 0.5
+                assert world.count_runs(id) == 0
 
         run(work)
