Soak: play requests that crash endpoints, and endpoints that name limits

Change: two kinds of faults with random streams of their own (a seed draws the same faults of the other kinds). Requests that crash each endpoint are repeated at random daemons until the end of the load, several at a time; after recovery each daemon must refuse those that crashed three endpoints, and no other request may be refused as one of them. Limits are named, fall and end; they must hold in windows in which no daemon was disturbed.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from bench.soak.callers import CallResult, Ending, Route
-from bench.soak.plan import Fault, FaultKind
+from bench.soak.plan import DAEMON_KINDS, Fault, FaultKind
 from bench.soak.violation import Violation
 from standins.forwarding.workers import Worker
 
@@ -23,6 +23,8 @@
 # How long a fault can affect requests after its end: request deadlines,
 # detection of unresponsive connections, and waiting for leases to expire.
 RECOVERY_S = 6.0
+# How long a daemon may take to hear of its peers again.
+DAEMON_RECOVERY_S = 3.0
 # A draining endpoint receives nothing after two seconds; the rest allows for
 # event loop lag.
 DRAIN_BOUND_S = 2.5
@@ -60,6 +62,15 @@
             if include_planned or not fault.planned
         )
 
+    def disturbs_daemons(self, start: float, end: float) -> bool:
+        """Return whether a fault of daemons or their connections overlaps."""
+        return any(
+            self.started_at + fault.starts_at <= end
+            and start <= self.started_at + fault.ends_at + DAEMON_RECOVERY_S
+            for fault in self.faults
+            if fault.kind in DAEMON_KINDS
+        )
+
 
 def check(history: History) -> list[Violation]:
     """Return all violations."""
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -12,6 +12,8 @@
 from bench.soak.accounts import Accounts, check_accounts
 from bench.soak.callers import Caller, CallResult, Ending
 from bench.soak.checks import RECOVERY_S, History, check
+from bench.soak.culprits import check_culprits, list_crash_faults
+from bench.soak.limits import check_limits
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.violation import Violation
 from bench.soak.world import DAEMONS_PER_ZONE, SoakWorld
@@ -54,6 +56,7 @@
             for number in range(CALLERS)
         ]
         until = started_at + max(seconds, max(fault.ends_at for fault in faults))
+        world.ends_at = until
         load = asyncio.gather(*(caller.run(until) for caller in callers))
         await world.inject(faults, started_at)
         await load
@@ -61,12 +64,16 @@
         if withdrawn:
             print(f"endpoint errors that no request met: {withdrawn}")
         violations = await check_recovery(world)
+        workers = list(world.platform.workers_by_id.values())
+        violations += await world.culprits.check_known_everywhere(workers)
         violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
-        workers = list(world.platform.workers_by_id.values())
+        faults += list_crash_faults(workers, started_at)
         history = History(started_at, faults, results, workers, world.drains)
         print_summary(seed, faults, results)
         violations += check_accounts(accounts, results, workers)
+        violations += check_culprits(workers, results, history.disturbs_daemons)
+        violations += check_limits(world.limits.periods, history.disturbs_daemons)
         return violations + check(history)
     finally:
         await world.stop()
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from random import Random
 
-__all__ = ["FAULTS_PER_S", "Fault", "FaultKind", "make_plan"]
+__all__ = ["DAEMON_KINDS", "FAULTS_PER_S", "Fault", "FaultKind", "make_plan"]
 
 
 class FaultKind(StrEnum):
@@ -44,6 +44,8 @@
     EARLY_SIGNALS = "early_signals"
     SETTINGS_REWRITTEN = "settings_rewritten"
     PEERS_FROZEN = "peers_frozen"
+    CRASHING_REQUEST = "crashing_request"
+    ENDPOINT_LIMIT = "endpoint_limit"
 
 
 # These kinds have their own random streams, so that a seed draws the same
@@ -56,10 +58,29 @@
     FaultKind.SETTINGS_REWRITTEN,
     FaultKind.PEERS_FROZEN,
 )
-BASE_KINDS = tuple(
+CRASHING_KINDS = (FaultKind.CRASHING_REQUEST,)
+LIMIT_KINDS = (FaultKind.ENDPOINT_LIMIT,)
+LATER_KINDS = (
+    *ADDED_KINDS,
+    *ACCOUNT_KINDS,
+    *FULL_OUTAGE_KINDS,
+    *START_KINDS,
+    *CRASHING_KINDS,
+    *LIMIT_KINDS,
+)
+BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
+# These disturb daemons or their connections to each other and to the store.
+DAEMON_KINDS = frozenset(
     kind
     for kind in FaultKind
-    if kind not in ADDED_KINDS + ACCOUNT_KINDS + FULL_OUTAGE_KINDS + START_KINDS
+    if kind.name.startswith(("PEERS_", "STORE_", "KILL"))
+    or kind
+    in (
+        FaultKind.TERM,
+        FaultKind.PAUSE,
+        FaultKind.EARLY_SIGNALS,
+        FaultKind.SETTINGS_REWRITTEN,
+    )
 )
 # Planned maintenance, which must not fail any request.
 PLANNED = frozenset(
@@ -71,6 +92,7 @@
         FaultKind.ADAPTER_VERSION,
         FaultKind.FOREIGN_ENTRY,
         FaultKind.KEY_TAKEN,
+        FaultKind.ENDPOINT_LIMIT,
     }
 )
 MAX_DURATION_S = 3.0
@@ -129,8 +151,19 @@
     start_faults = _draw_faults(
         Random(f"{seed} starts"), START_KINDS, seconds, faults_per_s * start_share
     )
+    crashing_share = len(CRASHING_KINDS) / len(BASE_KINDS)
+    crashing_faults = _draw_faults(
+        Random(f"{seed} crashing"),
+        CRASHING_KINDS,
+        seconds,
+        faults_per_s * crashing_share,
+    )
+    limit_share = len(LIMIT_KINDS) / len(BASE_KINDS)
+    limit_faults = _draw_faults(
+        Random(f"{seed} limits"), LIMIT_KINDS, seconds, faults_per_s * limit_share
+    )
     faults = base_faults + added_faults + account_faults + outage_faults
-    faults += start_faults
+    faults += start_faults + crashing_faults + limit_faults
     return sorted(faults, key=lambda fault: fault.starts_at)
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -12,7 +12,9 @@
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
 from bench.soak.checks import Drain
+from bench.soak.culprits import CULPRIT_ROUTES, Culprits
 from bench.soak.daemon_process import DaemonProcess
+from bench.soak.limits import EndpointLimits
 from bench.soak.plan import Fault, FaultKind
 from bench.soak.proxy import Proxy
 from standins.fleet import free_addresses
@@ -63,6 +65,9 @@
         self.accounts = accounts
         self.daemons: list[DaemonProcess] = []
         self.drains: list[Drain] = []
+        self.culprits = Culprits([])
+        self.limits = EndpointLimits()
+        self.ends_at = float("inf")
         self.version = 1
         self.adapter_versions: dict[str, int] = {}
         self.client = AsyncHTTPClient(force_instance=True, max_clients=100)
@@ -89,6 +94,8 @@
             FaultKind.FOREIGN_ENTRY: self._write_foreign_entry,
             FaultKind.CONFIGURATION: self._change_configuration,
             FaultKind.KEY_TAKEN: self._revoke_key,
+            FaultKind.CRASHING_REQUEST: self._repeat_crashing_request,
+            FaultKind.ENDPOINT_LIMIT: self._limit_endpoint,
             FaultKind.ADAPTER_VERSION: self._publish_adapter_version,
         }
 
@@ -122,6 +129,9 @@
             )
             daemon = DaemonProcess(spec, self._folder, proxies[number], store)
             self.daemons.append(daemon)
+        self.culprits.addresses += [
+            daemon.spec.addresses.callers for daemon in self.daemons
+        ]
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         await self.wait_until_ready()
 
@@ -154,7 +164,14 @@
         """Publish a configuration with a route named after its version."""
         route = make_route(f"v{self.version}", "safe", PLAIN, public=True)
         healed = make_route("healed", "stream", ENGINES, public=True)
-        configuration = make_configuration(self.version, route, healed)
+        plain, stream = CULPRIT_ROUTES
+        culprits = (
+            make_route(plain, "safe", PLAIN, public=True, max_attempts=2),
+            make_route(
+                stream, "stream", ENGINES, public=True, resumable=True, max_attempts=2
+            ),
+        )
+        configuration = make_configuration(self.version, route, healed, *culprits)
         configuration["tenants"] = self.accounts.describe()
         self.platform.publish_configuration(configuration)
 
@@ -332,6 +349,12 @@
         self.version += 1
         self.publish_configuration()
 
+    async def _repeat_crashing_request(self, fault: Fault) -> None:
+        await self.culprits.repeat(fault, lambda: self.ends_at)
+
+    async def _limit_endpoint(self, fault: Fault) -> None:
+        await self.limits.limit(self._pick_worker(fault), fault)
+
     async def _publish_adapter_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
