--- a/bench/soak/daemon_process.py
+++ b/bench/soak/daemon_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGTERM, Signals
@@ -11,7 +12,7 @@
 from bench.soak.proxy import Proxy
 from standins.forwarding.daemons import DaemonSpec, start_daemon
 
-__all__ = ["DaemonExit", "DaemonProcess"]
+__all__ = ["DaemonExit", "DaemonProcess", "ProcessLife", "find_total_loss"]
 
 STOP_TIMEOUT_S = 10.0
 RESTART_DELAY_S = 0.5
@@ -37,6 +38,38 @@
         )
 
 
+@dataclass(slots=True)
+class ProcessLife:
+    """Start and end of one process in monotonic seconds."""
+
+    started_at: float
+    ended_at: float = float("inf")
+
+
+def find_total_loss(lives: Iterable[ProcessLife], learning_s: float) -> float:
+    """Return when last no process ran that knew what others had told it.
+
+    A process knows that ``learning_s`` after its start.
+
+    >>> old, new = ProcessLife(0.0, 9.0), ProcessLife(8.0)
+    >>> find_total_loss([old, new], 3.0), find_total_loss([old, new], 0.5)
+    (9.0, -inf)
+    """
+    known = list(lives)
+    return max(
+        (
+            life.ended_at
+            for life in known
+            if life.ended_at < float("inf")
+            and not any(
+                other.started_at + learning_s <= life.ended_at < other.ended_at
+                for other in known
+            )
+        ),
+        default=float("-inf"),
+    )
+
+
 @dataclass(eq=False)
 class DaemonProcess:
     """One daemon, with proxies before its peer port and the store.
@@ -52,6 +85,7 @@
     process: asyncio.subprocess.Process | None = None
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     exits: list[DaemonExit] = field(default_factory=list)
+    lives: list[ProcessLife] = field(default_factory=list)
     early_signals: int = 0
     _ending: asyncio.subprocess.Process | None = None
     _watch_tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -64,7 +98,9 @@
         """Start the process, and watch it until it ends."""
         log_bytes = self._log.stat().st_size if self._log.exists() else 0
         self.process = await start_daemon(self.spec, self.folder)
-        task = asyncio.create_task(self._watch(self.process, log_bytes))
+        life = ProcessLife(time.monotonic())
+        self.lives.append(life)
+        task = asyncio.create_task(self._watch(self.process, life, log_bytes))
         self._watch_tasks.add(task)
         task.add_done_callback(self._watch_tasks.discard)
 
@@ -100,17 +136,19 @@
         await self.peers.stop()
         await self.store.stop()
 
-    async def _watch(self, process: asyncio.subprocess.Process, log_bytes: int) -> None:
+    async def _watch(
+        self, process: asyncio.subprocess.Process, life: ProcessLife, log_bytes: int
+    ) -> None:
         """Record an end that was not ordered, and restart the daemon."""
-        began = time.monotonic()
         status = await process.wait()
+        life.ended_at = time.monotonic()
         if process is self._ending:
             return
         has_written = self._log.stat().st_size > log_bytes
         if status == -SIGHUP and not has_written:
             self.early_signals += 1
         else:
-            age_s = time.monotonic() - began
+            age_s = life.ended_at - life.started_at
             last_lines = self._read_last_lines()
             self.exits.append(DaemonExit(self.spec.id, status, age_s, last_lines))
         await asyncio.sleep(RESTART_DELAY_S)
