--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -44,6 +44,7 @@
 # Rate limits of endpoints. Their names begin with this prefix; an account that
 # is named like an endpoint would share its units.
 ENDPOINT_PREFIX: Final = "endpoint/"
-ENDPOINT_WINDOW_S: Final = 2.0
-# Requests that an endpoint may get at once beyond its rate.
+ENDPOINT_WINDOW_S: Final = 4.0
+# Requests in each window beyond the rate: without one, the slowest endpoints
+# would never get a whole request.
 ENDPOINT_BURST: Final = 1.0
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import subprocess
 import sys
 from dataclasses import replace
@@ -173,6 +174,16 @@
     def test_response_tells_whether_the_request_ran(self, status, headers, not_run):
         assert DIALECT.read_response(status, headers).not_run is not_run
 
+    @pytest.mark.parametrize("name", ["fescuekeel-server-limit", "server-limit"])
+    def test_rate_limit_is_parsed(self, name):
+        assert DIALECT.read_response(200, {name: "3.1"}).limit_per_s == 3.1
+        assert DIALECT.read_response(200, {}).limit_per_s is None
+
+    @pytest.mark.parametrize("text", ["", "3, 4", "many"])
+    def test_invalid_rate_limit_is_no_number(self, text):
+        answer = DIALECT.read_response(200, {"server-limit": text})
+        assert math.isnan(answer.limit_per_s)
+
     def test_load_and_keep_alive_are_parsed(self):
         headers = {
             "fescuekeel-server-load": "3,1,8",
