Give requests refused at endpoints' rate limits an error of their own

Cause: they were answered as queue_full, whose cause in traces and in the operators' table is a queue at engines. Change: endpoints_limited, 503, with the time at which there is room; trace and losses know it.

--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -145,9 +145,8 @@
         wait_s = search.find_limit_wait_s(now)
         since = now if request.state.answer_started else request.arrived
         if now + wait_s > since + request.route.target_s - PREFILL_S:
-            detail = "all endpoints are at their rate limits"
             retry_after_s = wait_s + random.uniform(0.0, LIMIT_RETRY_JITTER_S)
-            return Failure(ErrorKind.QUEUE_FULL, detail, retry_after_s=retry_after_s)
+            return Failure(ErrorKind.ENDPOINTS_LIMITED, retry_after_s=retry_after_s)
         await asyncio.sleep(wait_s)
         return None
 
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -35,6 +35,7 @@
     RATE_LIMITED = "rate_limited"
     QUARANTINED = "quarantined"
     QUEUE_FULL = "queue_full"
+    ENDPOINTS_LIMITED = "endpoints_limited"
     TOO_LATE = "too_late"
     EXPIRED = "expired"
     NO_ENDPOINT = "no_endpoint"
@@ -113,6 +114,9 @@
         400, Ran.NO, False, "It has crashed several endpoints."
     ),
     ErrorKind.QUEUE_FULL: ErrorResponse(503, Ran.NO, True, "The queue is full."),
+    ErrorKind.ENDPOINTS_LIMITED: ErrorResponse(
+        503, Ran.NO, True, "All endpoints are at their rate limits."
+    ),
     ErrorKind.TOO_LATE: ErrorResponse(
         503, Ran.NO, True, "It cannot be answered in time."
     ),
--- a/fescuekeel/helpers/losses.py
+++ b/fescuekeel/helpers/losses.py
@@ -46,7 +46,14 @@
 # Outcomes that mean "not run". All others but ``answered`` and
 # ``caller_gone`` are failures.
 REFUSALS = frozenset(
-    {"load_failed", "queue_full", "no_endpoint", "too_late", "draining"}
+    {
+        "draining",
+        "endpoints_limited",
+        "load_failed",
+        "no_endpoint",
+        "queue_full",
+        "too_late",
+    }
 )
 CALLER_GONE = "caller_gone"
 ANSWERED = "answered"
--- a/fescuekeel/helpers/trace.py
+++ b/fescuekeel/helpers/trace.py
@@ -31,6 +31,7 @@
     "draining": "its instance was shutting down; it did not run",
     "endpoint_refused": "each permitted endpoint replied that it did not run it",
     "expired": "its deadline passed at an endpoint; it may have run",
+    "endpoints_limited": "all endpoints were at the rate limits that they name",
     "load_failed": "its adapter could not be loaded in time; see load_asked",
     "no_endpoint": "no endpoint of its service was left to try",
     "outcome_unknown": "it was sent, but the response was incomplete; it may have run",
