Send each report of a crash once, and release requests on SIGHUP only

Cause: a report grows as answers break, and each stage of it was sent although the next one followed within the same 20 ms; a release at the start finds no crashes yet and had no effect. Change: of the facts of one key only the latest is sent; the start reads no releases. Traces name the cause of a quarantined request. Evidence: tests of gossip, quarantine and the platform's path pass.

--- a/fescuekeel/components/gossip/component.py
+++ b/fescuekeel/components/gossip/component.py
@@ -55,7 +55,7 @@
         self._instance = instance
         self._table = FactTable({})
         self._handlers_by_topic: dict[str, Handler] = {}
-        self._pending: list[Fact] = []
+        self._pending_by_key: dict[tuple[str, str], Fact] = {}
         self._flush: asyncio.TimerHandle | None = None
         self._contacts: list[str] = []
         self._reaches_all = False
@@ -100,7 +100,7 @@
         return True
 
     def _queue(self, fact: Fact) -> None:
-        self._pending.append(fact)
+        self._pending_by_key[fact.topic, fact.key] = fact
         if self._flush is None:
             loop = asyncio.get_running_loop()
             self._flush = loop.call_later(FLUSH_S, self._send_pending)
@@ -118,7 +118,8 @@
 
     def _send_pending(self) -> None:
         self._flush = None
-        facts, self._pending = self._pending, []
+        facts = list(self._pending_by_key.values())
+        self._pending_by_key.clear()
         self._send_facts(self._contacts, facts)
 
     def _send_facts(self, peers: Iterable[str], facts: Iterable[Fact]) -> None:
--- a/fescuekeel/components/quarantine/component.py
+++ b/fescuekeel/components/quarantine/component.py
@@ -46,7 +46,7 @@
         self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
 
     async def start(self) -> None:
-        """Register the topics, and release what the settings name."""
+        """Register the topics, and subscribe to changes of the settings."""
         self._gossip.register(
             CRASH_TOPIC, TopicLimits(CRASH_TTL_S, MAX_REPORTS), self._handle_report
         )
@@ -176,7 +176,6 @@
         )
 
     async def _expire_forever(self) -> None:
-        self._release_as_set()
         while True:
             await sleep_to_tick(EXPIRY_PERIOD_S)
             if self._ledger.is_empty:
@@ -187,9 +186,6 @@
     # Operators.
 
     def _handle_reload(self, reloaded: SettingsReloaded) -> None:
-        self._release_as_set()
-
-    def _release_as_set(self) -> None:
         """Release the requests that an operator names in the settings."""
         for fingerprint in self._instance.settings.quarantine.released:
             self._release(fingerprint, "operator")
--- a/fescuekeel/helpers/trace.py
+++ b/fescuekeel/helpers/trace.py
@@ -36,6 +36,7 @@
     "no_endpoint": "no endpoint of its service was left to try",
     "outcome_unknown": "it was sent, but the response was incomplete; it may have run",
     "answer_cut": "its response broke off midway; see answer_broken",
+    "quarantined": "it has crashed several endpoints; see quarantine_changed",
     "queue_full": "too many prompts were queued at the engines that hold its adapter",
     "too_late": "its deadline passed before it was sent",
     "tree_not_ready": "its instance knew no configuration yet",
