Blame only requests that ran while their endpoint was alive

What callers see: a request that crashes nothing is refused as quarantined. Cause: a proxy accepts connections for an endpoint that is down, and closes them. Each try of a request there looked like a crash, three of them like a request that crashes endpoints. Change: where connections are closed instead of refused, a run only counts if the endpoint was alive when it began: its connection had been used before, it brought a part of the answer, or the endpoint had sent something within a second and not been found to have crashed since. Owners use its last report. Conclusion: where connections are refused nothing changes.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
+from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.budget import RetryBudget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
 from fescuekeel.components.forward.choice import (
@@ -45,6 +46,7 @@
     ConnectionPool,
     NotConnectedError,
 )
+from fescuekeel.helpers.liveness import CrashEvidence
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.pages import Page, PageServer
 from fescuekeel.helpers.placement_view import PlacementView
@@ -376,23 +378,29 @@
         """Record the rate limit in the answer to a request sent at a time."""
         self._limiter.record_answer(endpoint, limit_per_s, sent_at)
 
-    async def handle_broken(
-        self, request: ForwardedRequest, endpoint: str, began_at: float
-    ) -> None:
+    async def handle_broken(self, request: ForwardedRequest, run: BrokenRun) -> None:
         """Report a crash if the endpoint of a broken answer has crashed.
 
         Returns once that is known, or after a short wait: a request that an
         endpoint does not survive must not be retried before it is reported.
         """
-        metadata, fingerprint = request.metadata, request.fingerprint
+        request_id, fingerprint = request.metadata.request_id, request.fingerprint
+        health = self.get_load(run.endpoint).health
+        last_answer_at, last_crash_at = health.last_answer_at, health.last_crash_at
         check = self._crash_checker.start_check(
-            endpoint, self.get_pool(endpoint).address
+            run.endpoint, self.get_pool(run.endpoint).address
         )
 
-        def report(check: asyncio.Task[bool]) -> None:
-            if not check.cancelled() and not check.exception() and check.result():
+        def report(check: asyncio.Task[CrashEvidence | None]) -> None:
+            if check.cancelled() or check.exception() is not None:
+                return
+            evidence = check.result()
+            if evidence is None or not evidence.shows_crash:
+                return
+            health.last_crash_at = self.instance.now()
+            if run.was_in_crash(evidence, last_answer_at, last_crash_at):
                 self._quarantine.record_crash(
-                    metadata.request_id, fingerprint, endpoint, began_at
+                    request_id, fingerprint, run.endpoint, run.began_at
                 )
 
         check.add_done_callback(report)
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -38,6 +38,9 @@
 # waits for the result.
 CRASH_CHECK_TIMEOUT_S: Final = 0.25
 CRASH_CHECK_WAIT_S: Final = 0.03
+# An endpoint that has sent anything within this time before a run began was
+# alive then.
+RECENTLY_ALIVE_S: Final = 1.0
 # An endpoint that was removed from the catalog less than this before its
 # answers broke has crashed: a planned stop is announced seconds before.
 SIMULTANEOUS_REMOVAL_S: Final = 0.5
--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -16,7 +16,7 @@
     connect,
     fetch,
 )
-from fescuekeel.helpers.liveness import Liveness, gather_evidence
+from fescuekeel.helpers.liveness import CrashEvidence, Liveness, gather_evidence
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import Catalog, EndpointRecord
 
@@ -35,7 +35,7 @@
         self._instance = instance
         self._dialect = dialect
         self._find_record = find_record
-        self._checks_by_endpoint: dict[str, asyncio.Task[bool]] = {}
+        self._checks_by_endpoint: dict[str, asyncio.Task[CrashEvidence | None]] = {}
         self._known: set[str] = set()
         self._removed_at_by_endpoint: dict[str, float] = {}
 
@@ -49,8 +49,13 @@
                 del removed[endpoint]
         self._known = set(catalog.endpoints_by_id)
 
-    def start_check(self, endpoint: str, address: str) -> asyncio.Task[bool]:
-        """Start a check, or return the one that is in progress."""
+    def start_check(
+        self, endpoint: str, address: str
+    ) -> asyncio.Task[CrashEvidence | None]:
+        """Start a check, or return the one that is in progress.
+
+        Its result is ``None`` if the endpoint was announced to end.
+        """
         check = self._checks_by_endpoint.get(endpoint)
         if check is None:
             work = self._check(endpoint, address)
@@ -70,9 +75,9 @@
         now = self._instance.now()
         return removed_at is None or now - removed_at > SIMULTANEOUS_REMOVAL_S
 
-    async def _check(self, endpoint: str, address: str) -> bool:
+    async def _check(self, endpoint: str, address: str) -> CrashEvidence | None:
         if self._was_leaving(endpoint):
-            return False
+            return None
         evidence = await gather_evidence(lambda: self._call(endpoint, address))
         outcome = "crashed" if evidence.shows_crash else "not_crashed"
         self._instance.metrics.count(f"crash_check.{outcome}")
@@ -83,7 +88,7 @@
             second=evidence.second.value,
             outcome=outcome,
         )
-        return evidence.shows_crash
+        return evidence
 
     async def _call(self, endpoint: str, address: str) -> Liveness:
         call = self._dialect.make_report_call(endpoint)
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -3,6 +3,7 @@
 from typing import Protocol, TypeVar
 
 from fescuekeel.components.forward.attempts import AttemptEnd
+from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.overhead import OverheadEstimator
@@ -66,7 +67,7 @@
     def may_send(self, request: R, choice: Choice) -> bool:
         """Return whether a chosen endpoint may still get the request."""
 
-    async def handle_broken(self, request: R, endpoint: str, began_at: float) -> None:
+    async def handle_broken(self, request: R, run: BrokenRun) -> None:
         """Report a crash if the endpoint of a broken answer has crashed."""
 
     # Reports of requests.
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -10,6 +10,7 @@
     Step,
     decide,
 )
+from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.chunk_times import ChunkTimes
@@ -89,6 +90,7 @@
     _splitter: EventSplitter | None = None
     _caller_closed: bool = field(default=False)
     _fingerprint: str = ""
+    _broken_run: BrokenRun | None = None
 
     @property
     def fingerprint(self) -> str:
@@ -173,12 +175,11 @@
             if refusal is not None:
                 await self._refuse_before_attempt(refusal)
                 return
-            began_at = self.forwarder.instance.now()
             end = await self._attempt(choice)
             if end is None:
                 return
-            if end is AttemptEnd.BROKEN:
-                await self.forwarder.handle_broken(self, choice.endpoint, began_at)
+            if self._broken_run is not None:
+                await self.forwarder.handle_broken(self, self._broken_run)
             step = decide(self.state, end)
             if step.uses_budget and not self.forwarder.spend_retry(self, end):
                 await self._give_up(step.kind, "budget")
@@ -255,6 +256,7 @@
         attempt = self._current_attempt = Attempt(
             choice.endpoint, now, tokens, tokens_ahead
         )
+        self._broken_run = None
         load.begin(self.weights, tokens)
         load.health.record_sent(now)
         end: AttemptEnd | None = AttemptEnd.BROKEN
@@ -303,6 +305,10 @@
             )
             if self._splitter is not None:
                 self._splitter.drop_buffered()
+            shown_alive = not connection.fresh or attempt.head is not None
+            self._broken_run = BrokenRun(
+                attempt.endpoint, attempt.started_at, shown_alive
+            )
             return AttemptEnd.BROKEN
 
     async def _connect(self, endpoint: str) -> Connection:
--- a/fescuekeel/components/owner/const.py
+++ b/fescuekeel/components/owner/const.py
@@ -17,6 +17,9 @@
 REPORT_LAG_S: Final = 5.0
 # A call that checks whether an endpoint has crashed.
 CRASH_CHECK_TIMEOUT_S: Final = 0.5
+# An endpoint that has reported within this time before a run began was alive
+# then: two report periods.
+RECENTLY_ALIVE_S: Final = 1.0
 # How long a new owner waits for the other instances to report running work.
 PEERS_TIMEOUT_S: Final = 1.0
 # An endpoint that has not reported for this long gets no more work. Must be
--- a/fescuekeel/components/owner/crashes.py
+++ b/fescuekeel/components/owner/crashes.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol, cast
 
-from fescuekeel.components.owner.const import CRASH_CHECK_TIMEOUT_S
+from fescuekeel.components.owner.const import CRASH_CHECK_TIMEOUT_S, RECENTLY_ALIVE_S
 from fescuekeel.components.owner.model import AcceptedRequest
 from fescuekeel.components.quarantine import (
     DOMAIN as QUARANTINE_DOMAIN,
@@ -24,14 +24,16 @@
 class CrashHost(Protocol):
     """The parts of the endpoint's owner that ``CrashReporter`` uses.
 
-    ``boot_id`` is the endpoint's last reported start, empty if unknown, and
-    ``is_leaving`` says that it has announced that it stops.
+    ``boot_id`` is the endpoint's last reported start, empty if unknown,
+    ``reported_at`` when its last report was asked for, and ``is_leaving`` says
+    that it has announced that it stops.
     """
 
     instance: Instance
     endpoint: str
     driver: Driver
     boot_id: str
+    reported_at: float
     is_leaving: bool
 
     @property
@@ -77,7 +79,8 @@
             second=evidence.second.value,
             outcome="crashed" if evidence.shows_crash else "not_crashed",
         )
-        if evidence.shows_crash:
+        alive = self._host.reported_at >= began_at - RECENTLY_ALIVE_S
+        if evidence.shows_crash and (alive or not evidence.needs_life):
             self._quarantine.record_crash(
                 item.request_id,
                 fingerprint_submit(item.submit),
--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -76,7 +76,7 @@
         self.draining = False
         self.boot_id = ""
         self.is_leaving = False
-        self._reported_at = instance.now()
+        self.reported_at = instance.now()
         self._configured: sched.Configured | None = None
         self._leaving_announced = False
 
@@ -184,7 +184,7 @@
             return ErrorKind.DRAINING
         if self.ownership.state is own.OwnershipState.ABSENT:
             return ErrorKind.NOT_OWNER
-        if self.instance.now() - self._reported_at > UNRESPONSIVE_S:
+        if self.instance.now() - self.reported_at > UNRESPONSIVE_S:
             return ErrorKind.ENDPOINT_REFUSED
         return None
 
@@ -247,7 +247,7 @@
             return False
         now = self.instance.now()
         return (
-            self.ownership.may_order(now) and now - self._reported_at <= UNRESPONSIVE_S
+            self.ownership.may_order(now) and now - self.reported_at <= UNRESPONSIVE_S
         )
 
     @property
@@ -307,7 +307,7 @@
     def _apply_ownership(self, effect: own.OwnershipEffect) -> None:
         match effect:
             case own.AskPeers(peers):
-                self._reported_at = self.instance.now()
+                self.reported_at = self.instance.now()
                 self._spawn_poll()
                 for peer in peers:
                     self.instance.spawn(self._ask_peer(peer), f"{self.name}.ask")
@@ -382,10 +382,10 @@
         now = self.instance.now()
         if report is None:
             self.instance.metrics.count("owner.report_missing")
-            if now - self._reported_at > UNRESPONSIVE_S:
+            if now - self.reported_at > UNRESPONSIVE_S:
                 self.requests.refuse_queued(ErrorKind.ENDPOINT_REFUSED)
             return
-        self._reported_at = max(self._reported_at, asked_at)
+        self.reported_at = max(self.reported_at, asked_at)
         self.is_leaving = report.leaving
         restarted = self.boot_id not in ("", report.boot_id)
         self.boot_id = report.boot_id
--- a/fescuekeel/helpers/liveness.py
+++ b/fescuekeel/helpers/liveness.py
@@ -44,6 +44,15 @@
     first: Liveness
     second: Liveness
 
+    @property
+    def needs_life(self) -> bool:
+        """Return whether a run only counts if the endpoint was alive before.
+
+        Where connections are refused, the run's own connection shows that. A
+        proxy accepts connections for an endpoint that is down and closes them.
+        """
+        return self.second is Liveness.CLOSED
+
     @property
     def shows_crash(self) -> bool:
         """Return whether the endpoint has crashed."""
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -67,7 +67,8 @@
         try:
             first = checker.start_check(ENDPOINT, server.address)
             assert checker.start_check(ENDPOINT, server.address) is first
-            return await first
+            evidence = await first
+            return evidence is not None and evidence.shows_crash
         finally:
             if not self.stopped:
                 await server.stop()
