Count runs that lasted longer than a call to a dead endpoint

What callers see: behind proxies, a request that crashes endpoints is not recognised where nothing else has just been answered there. Change: a run also counts if it lasted longer than the calls of the check, by 10 ms: those show how fast connections to the dead endpoint end. Crashes are handled in a module of their own. Conclusion: a request that crashes an endpoint within 10 ms, behind a proxy, on an endpoint that has not answered since, is still not counted.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -2,13 +2,11 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import cast
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
-from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.budget import RetryBudget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
 from fescuekeel.components.forward.choice import (
@@ -16,14 +14,13 @@
 )
 from fescuekeel.components.forward.const import (
     CONNECT_TIMEOUT_S,
-    CRASH_CHECK_WAIT_S,
     DEFAULT_TIME_LEFT_S,
     DOMAIN,
     DRAIN_POLL_S,
     DRAINING_RETRY_S,
     LOWEST_PRIORITY,
 )
-from fescuekeel.components.forward.crash_check import CrashChecker
+from fescuekeel.components.forward.crashes import CrashReporter
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.gate import AccountGate
@@ -37,7 +34,6 @@
 from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.components.forward.use import UseReporter
-from fescuekeel.components.quarantine import DOMAIN as QUARANTINE_DOMAIN, Quarantine
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata, get_dialect
@@ -46,7 +42,6 @@
     ConnectionPool,
     NotConnectedError,
 )
-from fescuekeel.helpers.liveness import CrashEvidence
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.pages import Page, PageServer
 from fescuekeel.helpers.placement_view import PlacementView
@@ -81,9 +76,9 @@
         )
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
-        self._limiter = EndpointLimiter(instance)
+        self.limiter = EndpointLimiter(instance)
         self._selector = EndpointSelector(
-            instance, self.get_load, self._is_cut_off, self._limiter
+            instance, self.get_load, self._is_cut_off, self.limiter
         )
         self._reachability = ReachabilityMonitor(
             instance, self.loads_by_id, self._selector.find_record
@@ -96,12 +91,7 @@
         self._requests: set[ForwardedRequest] = set()
         self._shutdown: Shutdown | None = None
         self._gate = AccountGate(instance)
-        self._quarantine = cast(
-            Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
-        )
-        self._crash_checker = CrashChecker(
-            instance, self.dialect, self._selector.find_record
-        )
+        self.crashes = CrashReporter(instance, self.dialect, self._selector.find_record)
 
     @property
     def ready(self) -> bool:
@@ -129,7 +119,7 @@
         """Subscribe to updates and start the servers."""
         bus = self.instance.bus
         self._gate.start()
-        self._limiter.start()
+        self.limiter.start()
         bus.subscribe(Catalog, self._handle_catalog)
         bus.subscribe(MemberView, self._update_members)
         bus.subscribe(SettingsReloaded, self._apply_settings)
@@ -172,8 +162,8 @@
             self._table = RouteTable(configuration)
         now = self.instance.now()
         self._selector.update_catalog(catalog, now)
-        self._crash_checker.update_catalog(catalog, now)
-        self._limiter.update_catalog(catalog)
+        self.crashes.update_catalog(catalog, now)
+        self.limiter.update_catalog(catalog)
 
     def _apply_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
@@ -356,56 +346,6 @@
         self._reachability.record_reached(endpoint)
         return connection
 
-    def find_quarantine_failure(self, request: ForwardedRequest) -> Failure | None:
-        """Return a failure if the request has crashed several endpoints."""
-        if self._quarantine.is_empty:
-            return None
-        return self._quarantine.check(request.fingerprint, request.state.may_have_run)
-
-    def may_send(self, request: ForwardedRequest, choice: Choice) -> bool:
-        """Return whether a chosen endpoint may still get the request.
-
-        While the request waited for a connection, it may have been quarantined
-        or the endpoint may have named a rate limit.
-        """
-        if self.find_quarantine_failure(request) is not None:
-            return False
-        return choice.within_limit or not self._limiter.is_limited(choice.endpoint)
-
-    def record_limit(
-        self, endpoint: str, limit_per_s: float | None, sent_at: float
-    ) -> None:
-        """Record the rate limit in the answer to a request sent at a time."""
-        self._limiter.record_answer(endpoint, limit_per_s, sent_at)
-
-    async def handle_broken(self, request: ForwardedRequest, run: BrokenRun) -> None:
-        """Report a crash if the endpoint of a broken answer has crashed.
-
-        Returns once that is known, or after a short wait: a request that an
-        endpoint does not survive must not be retried before it is reported.
-        """
-        request_id, fingerprint = request.metadata.request_id, request.fingerprint
-        health = self.get_load(run.endpoint).health
-        last_answer_at, last_crash_at = health.last_answer_at, health.last_crash_at
-        check = self._crash_checker.start_check(
-            run.endpoint, self.get_pool(run.endpoint).address
-        )
-
-        def report(check: asyncio.Task[CrashEvidence | None]) -> None:
-            if check.cancelled() or check.exception() is not None:
-                return
-            evidence = check.result()
-            if evidence is None or not evidence.shows_crash:
-                return
-            health.last_crash_at = self.instance.now()
-            if run.was_in_crash(evidence, last_answer_at, last_crash_at):
-                self._quarantine.record_crash(
-                    request_id, fingerprint, run.endpoint, run.began_at
-                )
-
-        check.add_done_callback(report)
-        await asyncio.wait({check}, timeout=CRASH_CHECK_WAIT_S)
-
     def get_priority(self, request: ForwardedRequest) -> int | None:
         """Return the priority for an engine, ``None`` for plain services."""
         if request.weights is None:
@@ -416,10 +356,6 @@
         """Select an endpoint; wait for its weights and for admission."""
         return await self._selector.select_endpoint(request)
 
-    def record_completed(self, request: ForwardedRequest) -> None:
-        """Record that an endpoint has completed the request."""
-        self._quarantine.record_completed(request.fingerprint)
-
     def record_use_ended(self) -> None:
         """Report the end of a use of weights to the holders soon."""
         self._use.record_ended()
--- /dev/null
+++ b/fescuekeel/components/forward/crashes.py
@@ -0,0 +1,94 @@
+"""Report crashes of endpoints, and refuse the requests that cause them."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol, cast
+
+from fescuekeel.components.forward.attempts import RequestState
+from fescuekeel.components.forward.broken_run import BrokenRun
+from fescuekeel.components.forward.const import CRASH_CHECK_WAIT_S
+from fescuekeel.components.forward.crash_check import CrashChecker
+from fescuekeel.components.forward.endpoints import EndpointHealth
+from fescuekeel.components.quarantine import DOMAIN as QUARANTINE_DOMAIN, Quarantine
+from fescuekeel.core import Instance
+from fescuekeel.errors import Failure
+from fescuekeel.helpers.dialect import CallerMetadata, Dialect
+from fescuekeel.helpers.liveness import CrashEvidence
+from fescuekeel.helpers.published import Catalog, EndpointRecord
+
+__all__ = ["CrashReporter", "SuspectRequest"]
+
+
+class SuspectRequest(Protocol):
+    """The parts of a request by which it is judged.
+
+    The fingerprint is only computed when it is needed.
+    """
+
+    metadata: CallerMetadata
+    state: RequestState
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the digest of what an endpoint is asked to run."""
+
+
+class CrashReporter:
+    """Check endpoints after broken answers, and requests before each send."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        dialect: Dialect,
+        find_record: Callable[[str], EndpointRecord | None],
+    ) -> None:
+        self._instance = instance
+        self._checker = CrashChecker(instance, dialect, find_record)
+        self._quarantine = cast(
+            Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
+        )
+
+    def update_catalog(self, catalog: Catalog, now: float) -> None:
+        """Apply a new catalog."""
+        self._checker.update_catalog(catalog, now)
+
+    def find_failure(self, request: SuspectRequest) -> Failure | None:
+        """Return a failure if the request has crashed several endpoints."""
+        if self._quarantine.is_empty:
+            return None
+        return self._quarantine.check(request.fingerprint, request.state.may_have_run)
+
+    def record_completed(self, request: SuspectRequest) -> None:
+        """Record that an endpoint has completed the request."""
+        self._quarantine.record_completed(request.fingerprint)
+
+    async def handle_broken(
+        self,
+        request: SuspectRequest,
+        run: BrokenRun,
+        health: EndpointHealth,
+        address: str,
+    ) -> None:
+        """Report a crash if the endpoint of a broken answer has crashed.
+
+        Returns once that is known, or after a short wait: a request that an
+        endpoint does not survive must not be retried before it is reported.
+        """
+        request_id, fingerprint = request.metadata.request_id, request.fingerprint
+        last_answer_at, last_crash_at = health.last_answer_at, health.last_crash_at
+        check = self._checker.start_check(run.endpoint, address)
+
+        def report(check: asyncio.Task[CrashEvidence | None]) -> None:
+            if check.cancelled() or check.exception() is not None:
+                return
+            evidence = check.result()
+            if evidence is None or not evidence.shows_crash:
+                return
+            health.last_crash_at = self._instance.now()
+            if run.was_in_crash(evidence, last_answer_at, last_crash_at):
+                self._quarantine.record_crash(
+                    request_id, fingerprint, run.endpoint, run.began_at
+                )
+
+        check.add_done_callback(report)
+        await asyncio.wait({check}, timeout=CRASH_CHECK_WAIT_S)
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -3,8 +3,9 @@
 from typing import Protocol, TypeVar
 
 from fescuekeel.components.forward.attempts import AttemptEnd
-from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.choice import Choice
+from fescuekeel.components.forward.crashes import CrashReporter
+from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.overhead import OverheadEstimator
 from fescuekeel.core import Instance
@@ -27,6 +28,8 @@
 
     instance: Instance
     dialect: Dialect
+    crashes: CrashReporter
+    limiter: EndpointLimiter
 
     # Before a request is sent.
 
@@ -35,9 +38,6 @@
     ) -> ClientAccount | Failure | None:
         """Authenticate a request with the current configuration."""
 
-    def find_quarantine_failure(self, request: R) -> Failure | None:
-        """Return a failure if the request has crashed several endpoints."""
-
     async def select_endpoint(self, request: R) -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission."""
 
@@ -64,22 +64,8 @@
     async def open(self, endpoint: str, pool: ConnectionPool) -> Connection:
         """Open a connection, and record whether the endpoint is reachable."""
 
-    def may_send(self, request: R, choice: Choice) -> bool:
-        """Return whether a chosen endpoint may still get the request."""
-
-    async def handle_broken(self, request: R, run: BrokenRun) -> None:
-        """Report a crash if the endpoint of a broken answer has crashed."""
-
     # Reports of requests.
 
-    def record_limit(
-        self, endpoint: str, limit_per_s: float | None, sent_at: float
-    ) -> None:
-        """Record the rate limit in the answer to a request sent at a time."""
-
-    def record_completed(self, request: R) -> None:
-        """Record that an endpoint has completed the request."""
-
     def record_use_ended(self) -> None:
         """Report the end of a use of weights to the holders soon."""
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -163,7 +163,7 @@
     async def _serve(self) -> None:
         unsent = 0
         while True:
-            quarantined = self.forwarder.find_quarantine_failure(self)
+            quarantined = self.forwarder.crashes.find_failure(self)
             if quarantined is not None:
                 await self._fail(quarantined)
                 return
@@ -179,7 +179,7 @@
             if end is None:
                 return
             if self._broken_run is not None:
-                await self.forwarder.handle_broken(self, self._broken_run)
+                await self._report_broken(self._broken_run)
             step = decide(self.state, end)
             if step.uses_budget and not self.forwarder.spend_retry(self, end):
                 await self._give_up(step.kind, "budget")
@@ -282,7 +282,7 @@
         except NotConnectedError:
             return AttemptEnd.UNSENT
         attempt.connection = connection
-        if not self.forwarder.may_send(self, choice):
+        if not self._may_send(choice):
             return AttemptEnd.UNSENT
         try:
             self._send(connection, choice)
@@ -306,11 +306,31 @@
             if self._splitter is not None:
                 self._splitter.drop_buffered()
             shown_alive = not connection.fresh or attempt.head is not None
+            now = self.forwarder.instance.now()
             self._broken_run = BrokenRun(
-                attempt.endpoint, attempt.started_at, shown_alive
+                attempt.endpoint,
+                attempt.started_at,
+                now - attempt.started_at,
+                shown_alive,
             )
             return AttemptEnd.BROKEN
 
+    def _may_send(self, choice: Choice) -> bool:
+        """Return whether the chosen endpoint may still get the request.
+
+        While the request waited for a connection, it may have been quarantined
+        or the endpoint may have named a rate limit.
+        """
+        if self.forwarder.crashes.find_failure(self) is not None:
+            return False
+        limiter = self.forwarder.limiter
+        return choice.within_limit or not limiter.is_limited(choice.endpoint)
+
+    async def _report_broken(self, run: BrokenRun) -> None:
+        health = self.forwarder.get_load(run.endpoint).health
+        address = self.forwarder.get_pool(run.endpoint).address
+        await self.forwarder.crashes.handle_broken(self, run, health, address)
+
     async def _connect(self, endpoint: str) -> Connection:
         pool = self.forwarder.get_pool(endpoint)
         pooled = pool.take(self.forwarder.instance.now())
@@ -347,7 +367,7 @@
         if response.request_id and response.request_id != self.metadata.request_id:
             raise IncompleteResponseError("answer has the id of another request")
         if not response.misdirected:
-            self.forwarder.record_limit(
+            self.forwarder.limiter.record_answer(
                 attempt.endpoint, response.limit_per_s, attempt.started_at
             )
         if response.not_run:
@@ -422,7 +442,7 @@
             raise IncompleteResponseError("stream ended within an event")
         self.outcome = "answered"
         self.state.may_have_run = True
-        self.forwarder.record_completed(self)
+        self.forwarder.crashes.record_completed(self)
         await self.caller.finish()
 
     async def _begin(self, head: ResponseHead) -> None:
--- a/fescuekeel/helpers/liveness.py
+++ b/fescuekeel/helpers/liveness.py
@@ -35,6 +35,8 @@
 class CrashEvidence:
     """What two calls have shown; the second is the first if there was one.
 
+    ``took_s`` is how long the longer one took.
+
     >>> CrashEvidence(Liveness.ALIVE, Liveness.CLOSED).shows_crash
     False
     >>> CrashEvidence(Liveness.CLOSED, Liveness.CLOSED).shows_crash
@@ -43,6 +45,7 @@
 
     first: Liveness
     second: Liveness
+    took_s: float = 0.0
 
     @property
     def needs_life(self) -> bool:
@@ -67,8 +70,18 @@
     An endpoint that is about to stop listening may still answer the first one,
     and one that resets some connections may have reset that of the check.
     """
-    first = second = await call()
-    if first in (Liveness.ALIVE, Liveness.CLOSED):
-        await asyncio.sleep(RECHECK_S)
-        second = await call()
-    return CrashEvidence(first, second)
+    first, took_s = await _time_call(call)
+    if first not in (Liveness.ALIVE, Liveness.CLOSED):
+        return CrashEvidence(first, first, took_s)
+    await asyncio.sleep(RECHECK_S)
+    second, second_took_s = await _time_call(call)
+    return CrashEvidence(first, second, max(took_s, second_took_s))
+
+
+async def _time_call(
+    call: Callable[[], Awaitable[Liveness]],
+) -> tuple[Liveness, float]:
+    loop = asyncio.get_running_loop()
+    called_at = loop.time()
+    found = await call()
+    return found, loop.time() - called_at
--- a/tests/components/forward/test_broken_run.py
+++ b/tests/components/forward/test_broken_run.py
@@ -7,11 +7,13 @@
 
 NEVER = float("-inf")
 REFUSED = CrashEvidence(Liveness.REFUSED, Liveness.REFUSED)
-CLOSED = CrashEvidence(Liveness.CLOSED, Liveness.CLOSED)
+CLOSED = CrashEvidence(Liveness.CLOSED, Liveness.CLOSED, took_s=0.005)
 
 
-def was_in_crash(evidence, answer_at=NEVER, crash_at=NEVER, shown_alive=False):
-    run = BrokenRun("e1", 10.0, shown_alive)
+def was_in_crash(
+    evidence, answer_at=NEVER, crash_at=NEVER, lasted_s=0.004, shown_alive=False
+):
+    run = BrokenRun("e1", 10.0, lasted_s, shown_alive)
     return run.was_in_crash(evidence, answer_at, crash_at)
 
 
@@ -38,3 +40,4 @@
         # was down already, behind a proxy that accepts its connections.
         assert was_in_crash(CLOSED, answer_at, crash_at) is expected
         assert was_in_crash(CLOSED, answer_at, crash_at, shown_alive=True)
+        assert was_in_crash(CLOSED, answer_at, crash_at, lasted_s=0.02)
--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -62,7 +62,7 @@
 
 
 def is_limited(instance, worker):
-    limiter = instance.components_by_domain["forward"]._limiter
+    limiter = instance.components_by_domain["forward"].limiter
     return any(id.startswith(f"{worker.id}@") for id in limiter._limits.list_limited())
 
 
