--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -38,8 +38,8 @@
 # waits for the result.
 CRASH_CHECK_TIMEOUT_S: Final = 0.25
 CRASH_CHECK_WAIT_S: Final = 0.03
-# A request that an endpoint has begun to run lasts for longer than a call to an
-# endpoint that is down by at least this.
+# A request that an endpoint has begun to run lasts for longer than a call to
+# an endpoint that is down by at least this.
 MIN_RUN_S: Final = 0.01
 # An endpoint that has sent anything within this time before a run began was
 # alive then.
