Take a connect that is reset for a closed connection

What callers see: behind proxies, a request that crashes endpoints is not recognised. Cause: each failed connect of the check that was not refused counted as silent, as behind a partition. A proxy may reset a connection before it stands. Change: only a timeout or an unreachable host is silent. Conclusion: refused connections are classified as before.

--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -16,7 +16,12 @@
     connect,
     fetch,
 )
-from fescuekeel.helpers.liveness import CrashEvidence, Liveness, gather_evidence
+from fescuekeel.helpers.liveness import (
+    CrashEvidence,
+    Liveness,
+    classify_failed_connect,
+    gather_evidence,
+)
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import Catalog, EndpointRecord
 
@@ -95,8 +100,7 @@
         try:
             connection = await connect(address, CRASH_CHECK_TIMEOUT_S)
         except NotConnectedError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return Liveness.REFUSED if refused else Liveness.SILENT
+            return classify_failed_connect(error.__cause__)
         try:
             async with asyncio.timeout(CRASH_CHECK_TIMEOUT_S):
                 response = await fetch(
--- a/fescuekeel/components/owner/crashes.py
+++ b/fescuekeel/components/owner/crashes.py
@@ -14,7 +14,11 @@
 from fescuekeel.helpers.driver import Driver, Outcome
 from fescuekeel.helpers.fingerprint import fingerprint_submit
 from fescuekeel.helpers.http_connection import NotConnectedError, connect
-from fescuekeel.helpers.liveness import Liveness, gather_evidence
+from fescuekeel.helpers.liveness import (
+    Liveness,
+    classify_failed_connect,
+    gather_evidence,
+)
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.messages import Submit
 
@@ -92,8 +96,7 @@
         try:
             connection = await connect(self._host.address, CRASH_CHECK_TIMEOUT_S)
         except NotConnectedError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return Liveness.REFUSED if refused else Liveness.SILENT
+            return classify_failed_connect(error.__cause__)
         connection.close()
         asked_at = self._host.instance.now()
         report = await self._host.driver.report(CRASH_CHECK_TIMEOUT_S)
--- a/fescuekeel/helpers/liveness.py
+++ b/fescuekeel/helpers/liveness.py
@@ -10,7 +10,13 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["RECHECK_S", "CrashEvidence", "Liveness", "gather_evidence"]
+__all__ = [
+    "RECHECK_S",
+    "CrashEvidence",
+    "Liveness",
+    "classify_failed_connect",
+    "gather_evidence",
+]
 
 # The pause between the two calls of a check.
 RECHECK_S = 0.05
@@ -31,6 +37,25 @@
     SILENT = "silent"
 
 
+def classify_failed_connect(error: BaseException | None) -> Liveness:
+    """Return what the cause of a failed connect shows.
+
+    A proxy may reset a connection to an endpoint that is down before it stands.
+
+    >>> classify_failed_connect(ConnectionRefusedError()).value
+    'refused'
+    >>> classify_failed_connect(ConnectionResetError()).value
+    'closed'
+    >>> classify_failed_connect(TimeoutError()).value
+    'silent'
+    """
+    if isinstance(error, ConnectionRefusedError):
+        return Liveness.REFUSED
+    if isinstance(error, ConnectionError):
+        return Liveness.CLOSED
+    return Liveness.SILENT
+
+
 @dataclass(frozen=True, slots=True)
 class CrashEvidence:
     """What two calls have shown; the second is the first if there was one.
