--- a/fescuekeel/helpers/liveness.py
+++ b/fescuekeel/helpers/liveness.py
@@ -40,7 +40,7 @@
 def classify_failed_connect(error: BaseException | None) -> Liveness:
     """Return what the cause of a failed connect shows.
 
-    A proxy may reset a connection to an endpoint that is down before it stands.
+    A proxy may reset a connection to an endpoint that is down at once.
 
     >>> classify_failed_connect(ConnectionRefusedError()).value
     'refused'
