Keep limits of endpoints that the catalog does not show yet

What callers see: nothing; an endpoint's limit is not known to an instance that starts. Cause: limits of endpoints outside the catalog were dropped. A fact may arrive before the catalog, and an endpoint may be out of it for a while; the gossip still had the fact, so that the next answer with the limit, of rank 1 again, changed nothing. Change: limits are bounded in number instead, a change outranks what the gossip has, and a limit that goes on is told again before peers forget it. Conclusion: a new start of an endpoint has another id, and so no limit.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -163,7 +163,6 @@
         now = self.instance.now()
         self._selector.update_catalog(catalog, now)
         self.crashes.update_catalog(catalog, now)
-        self.limiter.update_catalog(catalog)
 
     def _apply_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -58,6 +58,8 @@
 # Spreads the retries of callers that were refused at the same time.
 LIMIT_RETRY_JITTER_S: Final = 0.5
 LIMIT_TTL_S: Final = 600.0
+# A limit that goes on is told again after this, before peers forget it.
+LIMIT_REFRESH_S: Final = 300.0
 MAX_LIMITED_ENDPOINTS: Final = 1024
 # Limit of sends per request, regardless of the retry budget.
 MAX_SENDS: Final = 4
--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -22,7 +22,6 @@
 )
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.published import Catalog
 
 __all__ = ["EndpointLimiter"]
 
@@ -49,11 +48,6 @@
         )
         self._instance.metrics.add_gauge("endpoint_limit", self._limits.list_limited)
 
-    def update_catalog(self, catalog: Catalog) -> None:
-        """Forget the limits of endpoints that are gone."""
-        if not self._limits.is_empty:
-            self._limits.retain(catalog.endpoints_by_id.keys())
-
     # What endpoints name.
 
     def record_answer(
@@ -67,7 +61,9 @@
         change = self._limits.read_answer(endpoint, rate_per_s, sent_at, now)
         if change is not None:
             payload = b"" if rate_per_s is None else repr(rate_per_s).encode()
-            self._gossip.publish(LIMIT_TOPIC, endpoint, change.rank, payload)
+            told = self._gossip.get_rank(LIMIT_TOPIC, endpoint)
+            rank = max(change.rank, told + 1)
+            self._gossip.publish(LIMIT_TOPIC, endpoint, rank, payload)
 
     def _handle_fact(self, fact: Fact) -> None:
         rate_per_s = float(fact.payload) if fact.payload else None
--- a/fescuekeel/components/forward/named_limits.py
+++ b/fescuekeel/components/forward/named_limits.py
@@ -6,9 +6,13 @@
 have been on its way for longer than the news of a change.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from fescuekeel.components.forward.const import (
+    LIMIT_REFRESH_S,
+    MAX_LIMITED_ENDPOINTS,
+)
+
 __all__ = ["LimitChange", "NamedLimits"]
 
 
@@ -51,11 +55,6 @@
 
     _changes_by_endpoint: dict[str, LimitChange] = field(default_factory=dict)
 
-    @property
-    def is_empty(self) -> bool:
-        """Return whether nothing is known of any endpoint."""
-        return not self._changes_by_endpoint
-
     def get_rate(self, endpoint: str) -> float | None:
         """Return the limit in force in requests per second, if any."""
         change = self._changes_by_endpoint.get(endpoint)
@@ -81,19 +80,24 @@
             if rate_per_s is None:
                 return None
             return LimitChange(endpoint, rate_per_s, 1, now)
-        if known.rate_per_s == rate_per_s or sent_at < known.known_since:
+        if sent_at < known.known_since:
+            return None
+        if known.rate_per_s == rate_per_s and not self._needs_refresh(known, now):
             return None
         return LimitChange(endpoint, rate_per_s, known.rank + 1, now)
 
+    def _needs_refresh(self, known: LimitChange, now: float) -> bool:
+        """Return whether a limit must be told again, as peers forget it."""
+        is_old = now - known.known_since >= LIMIT_REFRESH_S
+        return is_old and known.rate_per_s is not None
+
     def apply(self, change: LimitChange) -> bool:
         """Apply a change of any instance; return false if it is outdated."""
         known = self._changes_by_endpoint.get(change.endpoint)
         if known is not None and change.sort_key <= known.sort_key:
             return False
-        self._changes_by_endpoint[change.endpoint] = change
+        changes = self._changes_by_endpoint
+        if known is None and len(changes) >= MAX_LIMITED_ENDPOINTS:
+            del changes[next(iter(changes))]
+        changes[change.endpoint] = change
         return True
-
-    def retain(self, endpoints: Collection[str]) -> None:
-        """Forget endpoints that are gone; a new start begins without limit."""
-        for endpoint in self._changes_by_endpoint.keys() - set(endpoints):
-            del self._changes_by_endpoint[endpoint]
--- a/fescuekeel/components/gossip/component.py
+++ b/fescuekeel/components/gossip/component.py
@@ -89,6 +89,11 @@
         if self._merge(fact):
             self._queue(fact)
 
+    def get_rank(self, topic: str, key: str) -> int:
+        """Return the rank of the fact of a key, 0 if none is known."""
+        fact = self._table.find(topic, key)
+        return 0 if fact is None else fact.rank
+
     def knows(self, topic: str, key: str) -> bool:
         """Return whether a fact of this key is known."""
         return self._table.find(topic, key) is not None
--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -104,6 +104,23 @@
 
         run(work)
 
+    def test_an_instance_that_starts_later_knows(self):
+        # Guards against dropping what peers tell of endpoints that are not in
+        # the catalog yet.
+        async def work():
+            async with start_world(2) as world:
+                worker, *others = world.platform.list_workers(PLAIN)
+                for other in others:
+                    world.platform.remove(other)
+                worker.limit_per_s = LIMIT_PER_S
+                assert await send(world, "/lookup/x", 0) == 200
+                instance = await world.start_instance()
+                forward = instance.components_by_domain["forward"]
+                await eventually(lambda: forward.ready)
+                await eventually(lambda: is_limited(instance, worker))
+
+        run(work)
+
     def test_it_can_use_the_whole_limit(self):
         async def work():
             async with start_world(4) as world:
