Tell crashes of an endpoint apart that two instances saw

What callers see: a request crashes more endpoints than it should before it is refused. Cause: the second crash of an endpoint that had restarted under its name, seen by an instance that had not seen the first, was reported as the first one while the catalog was behind (the store refused). Change: an instance numbers a crash after the latest one that it knows of, also from peers, if the run began after it knew. Conclusion: two instances that saw the same crash still give it one number.

--- a/fescuekeel/components/quarantine/component.py
+++ b/fescuekeel/components/quarantine/component.py
@@ -131,6 +131,7 @@
     def _handle_report(self, fact: Fact) -> None:
         endpoint, _, seen_by = fact.key.partition(SEPARATOR)
         crash = Crash(endpoint, seen_by, fact.created_at)
+        self._reports.record_known(endpoint, self._instance.now())
         for fingerprint in unpack_fingerprints(fact.payload):
             key = f"{fingerprint}{SEPARATOR}{endpoint}"
             if not self._gossip.knows(RELEASE_TOPIC, key):
--- a/fescuekeel/components/quarantine/reports.py
+++ b/fescuekeel/components/quarantine/reports.py
@@ -12,6 +12,8 @@
 __all__ = ["OwnReports", "pack_fingerprints", "unpack_fingerprints"]
 
 FINGERPRINT_BYTES = 16
+# Before the number of a crash, from the second one on.
+NUMBER_SEPARATOR = "+"
 
 
 def pack_fingerprints(fingerprints: list[str]) -> bytes:
@@ -34,20 +36,27 @@
 
 @dataclass(slots=True)
 class OwnReport:
-    """The requests in one crash, and when the first one was added."""
+    """The requests of this instance in one crash of an endpoint."""
 
     crash: str
-    reported_at: float
     fingerprints: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class LatestCrash:
+    """The number of an endpoint's latest crash, and when it became known."""
+
+    number: int
+    known_since: float
+
+
 @dataclass(slots=True)
 class OwnReports:
-    """The latest report of this instance for each endpoint.
+    """The reports of this instance, and the latest crash of each endpoint.
 
-    An endpoint may crash, restart and crash again before this instance learns
-    of its new incarnation. A run that began after the first crash was reported
-    belongs to another crash, which gets a number.
+    An endpoint may crash, restart and crash again before instances learn of
+    its new incarnation. A run that began after a crash was known here belongs
+    to the next one, which gets the next number.
 
     >>> reports = OwnReports()
     >>> first = reports.add("e1", "f1", began_at=0.0, now=1.0)
@@ -59,28 +68,54 @@
     'e1+2'
     """
 
-    _reports_by_endpoint: dict[str, OwnReport] = field(default_factory=dict)
-    _counts_by_endpoint: dict[str, int] = field(default_factory=dict)
+    _reports_by_crash: dict[str, OwnReport] = field(default_factory=dict)
+    _latest_by_endpoint: dict[str, LatestCrash] = field(default_factory=dict)
+
+    def record_known(self, crash: str, now: float) -> None:
+        """Record that a crash has become known, whoever saw it."""
+        endpoint, number = split_crash(crash)
+        latest = self._latest_by_endpoint
+        known = latest.get(endpoint)
+        if known is not None and known.number >= number:
+            return
+        if known is None and len(latest) >= MAX_REPORTS:
+            del latest[next(iter(latest))]
+        latest[endpoint] = LatestCrash(number, now)
 
     def add(
         self, endpoint: str, fingerprint: str, began_at: float, now: float
     ) -> OwnReport | None:
         """Add a request; return its report, ``None`` if that is unchanged."""
-        report = self._reports_by_endpoint.get(endpoint)
-        if report is None or began_at > report.reported_at:
-            report = self._begin_report(endpoint, now)
+        number = self._find_number(endpoint, began_at)
+        crash = endpoint if number == 1 else f"{endpoint}{NUMBER_SEPARATOR}{number}"
+        self.record_known(crash, now)
+        report = self._get_report(crash)
         known = report.fingerprints
         if fingerprint in known or len(known) >= MAX_FINGERPRINTS:
             return None
         known.append(fingerprint)
         return report
 
-    def _begin_report(self, endpoint: str, now: float) -> OwnReport:
-        counts = self._counts_by_endpoint
-        if endpoint not in counts and len(counts) >= MAX_REPORTS:
-            oldest = next(iter(counts))
-            del counts[oldest], self._reports_by_endpoint[oldest]
-        number = counts[endpoint] = counts.get(endpoint, 0) + 1
-        crash = f"{endpoint}+{number}" if number > 1 else endpoint
-        report = self._reports_by_endpoint[endpoint] = OwnReport(crash, now)
-        return report
+    def _find_number(self, endpoint: str, began_at: float) -> int:
+        latest = self._latest_by_endpoint.get(endpoint)
+        if latest is None:
+            return 1
+        return latest.number + (began_at > latest.known_since)
+
+    def _get_report(self, crash: str) -> OwnReport:
+        reports = self._reports_by_crash
+        if crash not in reports and len(reports) >= MAX_REPORTS:
+            del reports[next(iter(reports))]
+        return reports.setdefault(crash, OwnReport(crash))
+
+
+def split_crash(crash: str) -> tuple[str, int]:
+    """Return the endpoint of a crash, and which crash of it this is.
+
+    >>> split_crash("e1"), split_crash("e1+2")
+    (('e1', 1), ('e1', 2))
+    """
+    endpoint, separator, number = crash.rpartition(NUMBER_SEPARATOR)
+    if not separator or not number.isdigit():
+        return crash, 1
+    return endpoint, int(number)
