--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from fescuekeel.errors import ErrorKind
 from standins.forwarding.platform import ENGINES, MODEL, PLAIN
 from tests.common import eventually
 from tests.platform.test_path import run, start_world
@@ -186,5 +187,7 @@
                 assert float(answer.headers["Retry-After"]) > 0
                 assert time.monotonic() - started_at < 0.5
                 assert world.count_runs(id) == 0
+                counters = world.instances[0].metrics.counters_by_name
+                assert counters[f"refused.{ErrorKind.ENDPOINTS_LIMITED}"] > 20
 
         run(work)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -39,8 +39,8 @@
         "test_rate_is_enforced_and_retry_after_is_exact"
     ),
     ErrorKind.QUARANTINED: (
-        "components/quarantine/test_ledger.py::TestVerdict::"
-        "test_three_crashes_quarantine_a_request"
+        "components/quarantine/test_component.py::TestCheck::"
+        "test_a_quarantined_request_is_refused"
     ),
     ErrorKind.ENDPOINTS_LIMITED: (
         "platform/test_endpoint_limits.py::TestRefusal::"
