Keep crash reports of two starts of an instance apart

Cause: a report replaces a shorter one of the same crash and instance; after a restart the next report begins with one request again, and peers that still know a longer one would not take it. Found by reading the diff. Change: the key has a number of the process's start. Evidence: tests of the component and of who knows.

--- a/fescuekeel/components/quarantine/component.py
+++ b/fescuekeel/components/quarantine/component.py
@@ -1,5 +1,6 @@
 """Share crashes of endpoints with peers, and judge requests by them."""
 
+import random
 from typing import cast
 
 from fescuekeel.components.gossip import (
@@ -42,6 +43,8 @@
         self._instance = instance
         self._ledger = CrashLedger()
         self._reports = OwnReports()
+        # Peers may still know reports of an earlier start of this instance.
+        self._start = f"{random.getrandbits(32):08x}"
         self._verdicts_by_fingerprint: dict[str, Verdict] = {}
         self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
 
@@ -111,7 +114,7 @@
         )
         self._gossip.publish(
             CRASH_TOPIC,
-            f"{report.crash}{SEPARATOR}{self._instance.id}",
+            SEPARATOR.join((report.crash, self._instance.id, self._start)),
             len(report.fingerprints),
             pack_fingerprints(report.fingerprints),
         )
@@ -129,7 +132,7 @@
     # Facts of this instance and of others.
 
     def _handle_report(self, fact: Fact) -> None:
-        endpoint, _, seen_by = fact.key.partition(SEPARATOR)
+        endpoint, seen_by, _ = fact.key.split(SEPARATOR)
         crash = Crash(endpoint, seen_by, fact.created_at)
         self._reports.record_known(endpoint, self._instance.now())
         for fingerprint in unpack_fingerprints(fact.payload):
