Name the home of a limit for what it is

Cause: AccountHome and AccountState count limits of endpoints, too. Change: LimitHome and LimitState, names and doc comments only. Evidence: tests of allowance, 170 with those beside them. Conclusion: no behaviour changed.

--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -1,4 +1,4 @@
-"""Request units from accounts' homes, and grant them as the home of some."""
+"""Request units of limits from their homes, and grant them as a home."""
 
 import asyncio
 import random
@@ -17,7 +17,7 @@
     MAX_HOMES_ASKED,
     RECHECK_S,
 )
-from fescuekeel.components.allowance.home import AccountHome, Grant
+from fescuekeel.components.allowance.home import Grant, LimitHome
 from fescuekeel.components.allowance.limit import EndpointLimit, RateLimit
 from fescuekeel.components.allowance.local_allowance import (
     Admit,
@@ -54,8 +54,8 @@
             lost_ttl_s = bounds.revoked_bound_s + LOST_DETECTION_MARGIN_S
         self._instance = instance
         self._share = PartitionShare(lost_ttl_s)
-        self._home = AccountHome(instance.now(), bounds.limit_window_s)
-        self._endpoint_home = AccountHome(
+        self._home = LimitHome(instance.now(), bounds.limit_window_s)
+        self._endpoint_home = LimitHome(
             instance.now(), ENDPOINT_WINDOW_S, prefetch_share=0.0
         )
         self._local_by_name: dict[str, LocalAllowance] = {}
@@ -291,7 +291,7 @@
                 for name in home.list_names()
                 if self._find_home(name) == self._instance.id
             ]
-            home.retain_accounts(own, now)
+            home.retain(own, now)
         for id in self._backoff_until_by_id.keys() - self._share.reachable:
             del self._backoff_until_by_id[id]
 
--- a/fescuekeel/components/allowance/home.py
+++ b/fescuekeel/components/allowance/home.py
@@ -1,9 +1,10 @@
-"""Decide what an account's home grants to the instances that ask; pure.
+"""Decide what a limit's home grants to the instances that ask; pure.
 
-Each account's limit is counted by one instance, its home, chosen by rendezvous
-hashing. However many instances ask, the home grants no more in any window than
-the limit allows. A new home grants only what has accrued since the latest time
-at which it can have become the home, so that almost nothing is granted twice.
+Each limit, of a client account or an endpoint, is counted by one instance, its
+home, chosen by rendezvous hashing. However many instances ask, the home grants
+no more in any window than the limit allows. A new home grants only what has
+accrued since the latest time at which it can have become the home, so that
+almost nothing is granted twice.
 """
 
 from collections import deque
@@ -22,7 +23,7 @@
 from fescuekeel.components.allowance.limit import RateLimit
 from fescuekeel.components.allowance.window import LimitWindow
 
-__all__ = ["AccountHome", "Grant"]
+__all__ = ["Grant", "LimitHome"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,8 +35,8 @@
 
 
 @dataclass(slots=True)
-class AccountState:
-    """Recent grants and refusals of one account.
+class LimitState:
+    """Recent grants and refusals of one limit.
 
     ``prefetched`` are units granted beyond what was needed. They may be spent
     later than they were granted, so their number is bounded.
@@ -61,14 +62,14 @@
 
 
 @dataclass(slots=True)
-class AccountHome:
-    """Track the grants of the accounts whose home is this instance.
+class LimitHome:
+    """Track the grants of the limits whose home is this instance.
 
     ``known_since`` is the latest time at which this instance can have become
-    the home of an account that it has no state of. ``prefetch_share`` of the
+    the home of a limit that it has no state of. ``prefetch_share`` of the
     free capacity is granted beyond the need.
 
-    >>> home = AccountHome(known_since=0.0, window_s=1.0)
+    >>> home = LimitHome(known_since=0.0, window_s=1.0)
     >>> from fescuekeel.helpers.published import ClientAccount
     >>> account = ClientAccount("a", rate_per_s=10.0, burst=10.0)
     >>> home.grant(account, needed=12.0, now=5.0).units
@@ -80,21 +81,21 @@
     known_since: float
     window_s: float = 8.0
     prefetch_share: float = PREFETCH_SHARE
-    _states_by_name: dict[str, AccountState] = field(default_factory=dict)
+    _states_by_name: dict[str, LimitState] = field(default_factory=dict)
 
-    def retain_accounts(self, kept_names: Iterable[str], now: float) -> None:
-        """Drop all other accounts after a change of the members."""
+    def retain(self, kept_names: Iterable[str], now: float) -> None:
+        """Drop all other limits after a change of the members."""
         self.known_since = now
         kept = set(kept_names)
         for name in self._states_by_name.keys() - kept:
             del self._states_by_name[name]
 
     def list_names(self) -> list[str]:
-        """Return the names of the accounts that have state here."""
+        """Return the names of the limits that have state here."""
         return list(self._states_by_name)
 
     def read_available(self, name: str, now: float) -> float:
-        """Return how many units an account may be granted now."""
+        """Return how many units of a limit may be granted now."""
         return self._states_by_name[name].window.count_available(now)
 
     def grant(
@@ -123,7 +124,7 @@
         return Grant(needed + prefetch)
 
     def _choose_prefetch(
-        self, state: AccountState, available: float, now: float
+        self, state: LimitState, available: float, now: float
     ) -> float:
         """Return how many units to grant beyond the need.
 
@@ -138,7 +139,7 @@
         state.prefetched.append((now, prefetch))
         return prefetch
 
-    def _refuse(self, state: AccountState, needed: float, now: float) -> Grant:
+    def _refuse(self, state: LimitState, needed: float, now: float) -> Grant:
         """Return when to retry, after those who were refused before."""
         rate = state.window.rate_per_s
         if rate <= 0:
@@ -150,7 +151,7 @@
 
     def _get_state(
         self, limit: RateLimit, share: float, known_since: float
-    ) -> AccountState:
+    ) -> LimitState:
         rate = limit.rate_per_s * share
         burst = limit.burst * share
         state = self._states_by_name.get(limit.name)
@@ -158,6 +159,6 @@
             if len(self._states_by_name) >= MAX_ACCOUNTS:
                 del self._states_by_name[next(iter(self._states_by_name))]
             window = LimitWindow(rate, burst, self.window_s, known_since)
-            state = self._states_by_name[limit.name] = AccountState(window)
+            state = self._states_by_name[limit.name] = LimitState(window)
         state.window.set_limit(rate, burst)
         return state
--- a/tests/components/allowance/simulation.py
+++ b/tests/components/allowance/simulation.py
@@ -6,7 +6,7 @@
 
 from fescuekeel.components.allowance.bucket import TokenBucket
 from fescuekeel.components.allowance.const import MAX_HOMES_ASKED
-from fescuekeel.components.allowance.home import AccountHome
+from fescuekeel.components.allowance.home import LimitHome
 from fescuekeel.components.allowance.local_allowance import (
     Admit,
     AskHome,
@@ -31,7 +31,7 @@
     """One instance: its state, and its side of a partition."""
 
     id: str
-    home: AccountHome
+    home: LimitHome
     share: PartitionShare
     local: LocalAllowance
     side: int = 0
@@ -56,7 +56,7 @@
         self.nodes = {
             f"i{number}": Node(
                 f"i{number}",
-                AccountHome(known_since=self.now - 10.0),
+                LimitHome(known_since=self.now - 10.0),
                 PartitionShare(LOST_TTL_S),
                 LocalAllowance(TokenBucket(0.0, 0.0, 0.0, self.now)),
             )
@@ -77,7 +77,7 @@
             node.share.update_members(seen, set(), self.now)
             if node.share.reachable != before and before:
                 kept = [self.account.name] if self.find_home(node) == node.id else []
-                node.home.retain_accounts(kept, self.now)
+                node.home.retain(kept, self.now)
 
     def find_home(self, node):
         return rendezvous.choose(self.account.name, node.share.reachable)
@@ -130,7 +130,7 @@
         """Restart every instance without its state."""
         self.now += down_s
         for node in self.nodes.values():
-            node.home = AccountHome(known_since=self.now)
+            node.home = LimitHome(known_since=self.now)
             node.share = PartitionShare(LOST_TTL_S)
             node.local = LocalAllowance(TokenBucket(0.0, 0.0, 0.0, self.now))
         self.update_members()
