Do not take a recent answer for life at an endpoint behind a proxy

Cause: an endpoint that had answered within a second counted as alive when the run began, unless this instance had found its crash. Change: only what the run itself shows counts: a connection that had been used, a part of the answer, or that it lasted longer than calls to the dead endpoint. Conclusion: a request that crashes an endpoint behind a proxy within 10 ms and before its answer begins is not counted there. Where connections are refused nothing changes.

--- a/fescuekeel/components/forward/broken_run.py
+++ b/fescuekeel/components/forward/broken_run.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from fescuekeel.components.forward.const import MIN_RUN_S, RECENTLY_ALIVE_S
+from fescuekeel.components.forward.const import MIN_RUN_S
 from fescuekeel.helpers.liveness import CrashEvidence
 
 __all__ = ["BrokenRun"]
@@ -22,29 +22,21 @@
     lasted_s: float = 0.0
     shown_alive: bool = False
 
-    def was_in_crash(
-        self, evidence: CrashEvidence, last_answer_at: float, last_crash_at: float
-    ) -> bool:
+    def was_in_crash(self, evidence: CrashEvidence) -> bool:
         """Return whether the run was in progress when the endpoint crashed.
 
         Guards against blaming requests that were sent to an endpoint that was
         down already: those end as fast as the calls of the check did.
-        ``last_answer_at`` is when the endpoint last sent anything, and
-        ``last_crash_at`` when it was last found to have crashed.
 
         >>> from fescuekeel.helpers.liveness import Liveness
-        >>> closed = CrashEvidence(Liveness.CLOSED, Liveness.CLOSED)
-        >>> run = BrokenRun("e1", began_at=10.0)
-        >>> run.was_in_crash(closed, last_answer_at=9.9, last_crash_at=5.0)
-        True
-        >>> run.was_in_crash(closed, last_answer_at=9.9, last_crash_at=9.95)
+        >>> closed = CrashEvidence(Liveness.CLOSED, Liveness.CLOSED, 0.003)
+        >>> BrokenRun("e1", 10.0, lasted_s=0.004).was_in_crash(closed)
         False
+        >>> BrokenRun("e1", 10.0, lasted_s=0.1).was_in_crash(closed)
+        True
         """
         if not evidence.shows_crash:
             return False
         if self.shown_alive or not evidence.needs_life:
             return True
-        if self.lasted_s > evidence.took_s + MIN_RUN_S:
-            return True
-        recently = last_answer_at >= self.began_at - RECENTLY_ALIVE_S
-        return recently and last_answer_at > last_crash_at
+        return self.lasted_s > evidence.took_s + MIN_RUN_S
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -41,9 +41,6 @@
 # A request that an endpoint has begun to run lasts for longer than a call to
 # an endpoint that is down by at least this.
 MIN_RUN_S: Final = 0.01
-# An endpoint that has sent anything within this time before a run began was
-# alive then.
-RECENTLY_ALIVE_S: Final = 1.0
 # An endpoint that was removed from the catalog less than this before its
 # answers broke has crashed: a planned stop is announced seconds before.
 SIMULTANEOUS_REMOVAL_S: Final = 0.5
--- a/fescuekeel/components/forward/crashes.py
+++ b/fescuekeel/components/forward/crashes.py
@@ -8,7 +8,6 @@
 from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.const import CRASH_CHECK_WAIT_S
 from fescuekeel.components.forward.crash_check import CrashChecker
-from fescuekeel.components.forward.endpoints import EndpointHealth
 from fescuekeel.components.quarantine import DOMAIN as QUARANTINE_DOMAIN, Quarantine
 from fescuekeel.core import Instance
 from fescuekeel.errors import Failure
@@ -42,7 +41,6 @@
         dialect: Dialect,
         find_record: Callable[[str], EndpointRecord | None],
     ) -> None:
-        self._instance = instance
         self._checker = CrashChecker(instance, dialect, find_record)
         self._quarantine = cast(
             Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
@@ -66,7 +64,6 @@
         self,
         request: SuspectRequest,
         run: BrokenRun,
-        health: EndpointHealth,
         address: str,
     ) -> None:
         """Report a crash if the endpoint of a broken answer has crashed.
@@ -75,17 +72,13 @@
         endpoint does not survive must not be retried before it is reported.
         """
         request_id, fingerprint = request.metadata.request_id, request.fingerprint
-        last_answer_at, last_crash_at = health.last_answer_at, health.last_crash_at
         check = self._checker.start_check(run.endpoint, address)
 
         def report(check: asyncio.Task[CrashEvidence | None]) -> None:
             if check.cancelled() or check.exception() is not None:
                 return
             evidence = check.result()
-            if evidence is None or not evidence.shows_crash:
-                return
-            health.last_crash_at = self._instance.now()
-            if run.was_in_crash(evidence, last_answer_at, last_crash_at):
+            if evidence is not None and run.was_in_crash(evidence):
                 self._quarantine.record_crash(
                     request_id, fingerprint, run.endpoint, run.began_at
                 )
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -27,9 +27,6 @@
 class EndpointHealth:
     """Track failures with exponential decay, and reachability.
 
-    ``last_answer_at`` is when the endpoint last sent anything, and
-    ``last_crash_at`` when it was last found to have crashed.
-
     Guards against an endpoint that fails requests while its own health probe
     passes. The failure rate is a cost relative to other endpoints, so failures
     that all of them have, such as invalid input, exclude none.
@@ -38,8 +35,6 @@
     failure_rate: float = 0.0
     updated_at: float = 0.0
     unreachable_until: float = 0.0
-    last_answer_at: float = float("-inf")
-    last_crash_at: float = float("-inf")
     _backoff_s: float = MIN_UNREACHABLE_S
     _waiting_since: float | None = None
     _outstanding: int = 0
@@ -72,7 +67,6 @@
 
     def record_received(self, now: float) -> None:
         """Record that bytes of an answer were received."""
-        self.last_answer_at = now
         self._waiting_since = now if self._outstanding else None
 
     def record_ended(self, now: float) -> None:
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -327,9 +327,8 @@
         return choice.within_limit or not limiter.is_limited(choice.endpoint)
 
     async def _report_broken(self, run: BrokenRun) -> None:
-        health = self.forwarder.get_load(run.endpoint).health
         address = self.forwarder.get_pool(run.endpoint).address
-        await self.forwarder.crashes.handle_broken(self, run, health, address)
+        await self.forwarder.crashes.handle_broken(self, run, address)
 
     async def _connect(self, endpoint: str) -> Connection:
         pool = self.forwarder.get_pool(endpoint)
