--- a/bench/soak/daemon_process.py
+++ b/bench/soak/daemon_process.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGTERM, Signals
 
-from bench.soak.proxy import Proxy
 from standins.forwarding.daemons import DaemonSpec, start_daemon
+from standins.proxy import Proxy
 
 __all__ = ["DaemonExit", "DaemonProcess", "ProcessLife", "find_total_loss"]
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,7 +16,6 @@
 from bench.soak.daemon_process import DaemonProcess
 from bench.soak.limits import EndpointLimits
 from bench.soak.plan import Fault, FaultKind
-from bench.soak.proxy import Proxy
 from standins.fleet import free_addresses
 from standins.forwarding.daemons import (
     DaemonAddresses,
@@ -33,6 +32,7 @@
     make_route,
 )
 from standins.forwarding.workers import Worker
+from standins.proxy import Proxy
 
 __all__ = ["DAEMONS_PER_ZONE", "SoakWorld"]
 
--- a/standins/forwarding/store.py
+++ b/standins/forwarding/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -9,7 +10,7 @@
 
 from standins.server import ConnectionFaults, Server, StandInHandler
 
-__all__ = ["PlatformStore", "start_store"]
+__all__ = ["Item", "PlatformStore", "serve_store", "start_store"]
 
 PAGE_ITEMS = 50
 
@@ -36,7 +37,8 @@
     """Items and their history.
 
     ``refuse`` is the status that rejects every call, zero for none, and
-    ``oldest`` the earliest revision that a watch can start after.
+    ``oldest`` the earliest revision that a watch can start after. ``copies``
+    are called with each item that is written.
     """
 
     revision: int = 1
@@ -47,6 +49,7 @@
     history: list[Item] = field(default_factory=list)
     connection_faults: ConnectionFaults = field(default_factory=ConnectionFaults)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    copies: list[Callable[[Item], None]] = field(default_factory=list)
 
     def put(self, key: str, value: Any) -> None:
         """Write a value; ``None`` removes the key."""
@@ -54,14 +57,20 @@
 
     def put_bytes(self, key: str, encoded: bytes | None) -> None:
         """Write arbitrary bytes; ``None`` removes the key."""
-        self.revision += 1
-        item = Item(key, encoded, self.revision)
-        self.items_by_key[key] = item
-        if encoded is None:
-            del self.items_by_key[key]
+        self.apply(Item(key, encoded, self.revision + 1))
+
+    def apply(self, item: Item) -> None:
+        """Store an item under its own revision."""
+        self.revision = item.revision
+        if item.value is None:
+            self.items_by_key.pop(item.key, None)
+        else:
+            self.items_by_key[item.key] = item
         self.history.append(item)
         self.changed.set()
         self.changed = asyncio.Event()
+        for copy in self.copies:
+            copy(item)
 
     def compact_history(self) -> None:
         """Drop the history, so that older watches have to start again."""
@@ -139,5 +148,10 @@
 def start_store() -> tuple[PlatformStore, Server]:
     """Start a store on a free loopback port."""
     store = PlatformStore()
+    return store, serve_store(store)
+
+
+def serve_store(store: PlatformStore) -> Server:
+    """Serve a store on a free loopback port."""
     routes = [("/kv-range", RangeHandler), ("/kv-watch", WatchHandler)]
-    return store, Server(store, routes)
+    return Server(store, routes)
--- a/bench/soak/proxy.py
+++ b/standins/proxy.py
@@ -6,15 +6,34 @@
 import struct
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any
 
-__all__ = ["Proxy"]
+__all__ = ["Cut", "Proxy"]
 
 LOOPBACK = "127.0.0.1"
 READ_BYTES = 64 * 1024
+LISTEN_BACKLOG = 100
+# A listener whose queue holds two connections drops further ones, so that
+# their connects hang.
+FULL_QUEUE_BACKLOG = 1
+FULL_QUEUE_CONNECTIONS = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class Cut(StrEnum):
+    """How a link fails.
+
+    ``HANG``: connects are never established, open connections pass nothing.
+    ``RESET``: connects are refused, open connections are reset. ``REFUSE``:
+    connects are refused, open connections go on.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"
+
+
 @dataclass(eq=False, slots=True)
 class ProxiedConnection:
     """One connection through the proxy.
@@ -45,14 +64,63 @@
     _connections: set[ProxiedConnection] = field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server: asyncio.Server | None = None
+    _full_queue: list[socket.socket] = field(default_factory=list)
 
     async def start(self) -> str:
         """Start to listen; return the address of the proxy."""
         self.heal()
-        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        await self._listen(0)
+        return self.address
+
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(
+            self._accept, LOOPBACK, port, backlog=LISTEN_BACKLOG
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
-        return self.address
+
+    @property
+    def port(self) -> int:
+        """Return the port that the proxy listens to."""
+        return int(self.address.rpartition(":")[2])
+
+    def cut(self, how: Cut) -> None:
+        """Cut the link until ``restore``."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self._release_queue()
+        if how is Cut.RESET:
+            self.reset_connections()
+        if how is Cut.HANG:
+            self.partition()
+            self._fill_queue()
+
+    def _fill_queue(self) -> None:
+        """Listen with a full queue, so that connects are never established."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((LOOPBACK, self.port))
+        listener.listen(FULL_QUEUE_BACKLOG)
+        self._full_queue.append(listener)
+        for _ in range(FULL_QUEUE_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect((LOOPBACK, self.port))
+            self._full_queue.append(filler)
+
+    def _release_queue(self) -> None:
+        for item in self._full_queue:
+            item.close()
+        self._full_queue.clear()
+
+    async def restore(self) -> None:
+        """End a cut; connects are accepted and held bytes pass again."""
+        self._release_queue()
+        self.heal()
+        if self._server is None:
+            await self._listen(self.port)
 
     def partition(self, one_way: bool = False) -> None:
         """Block both directions, or only the one to the target."""
@@ -83,6 +151,7 @@
 
     async def stop(self) -> None:
         """Close the listener and reset all connections."""
+        self._release_queue()
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -14,6 +14,7 @@
 from fescuekeel.helpers.published import Catalog
 from fescuekeel.helpers.settings import parse_settings
 from fescuekeel.messages import MemberView
+from standins.forwarding.links import InstanceLinks
 from standins.forwarding.platform import (
     ENGINES,
     HOST,
@@ -63,8 +64,10 @@
 class World:
     """A stand-in platform and the instances that serve it."""
 
-    def __init__(self, shutdown_s=2):
+    def __init__(self, shutdown_s=2, linked=False):
         self.shutdown_s = shutdown_s
+        self.linked = linked
+        self.links = []
         self.platform = StandInPlatform()
         self.instances = []
         self.client = AsyncHTTPClient(force_instance=True, max_clients=500)
@@ -75,12 +78,17 @@
             instance.components_by_domain["peers"].address
             for instance in self.instances
         ]
+        store = self.platform.store_server.address
+        if self.linked:
+            self.links.append(InstanceLinks(self.platform.store))
+            await self.links[-1].wait_until_copied()
+            store = self.links[-1].server.address
         text = SETTINGS.format(
             id=f"i{len(self.instances) + 1}",
             data_centre=data_centre,
             shutdown_s=self.shutdown_s,
             seeds=",".join(seeds),
-            store=self.platform.store_server.address,
+            store=store,
         )
         instance = Instance(parse_settings(text).unwrap())
         await instance.start()
@@ -148,8 +156,9 @@
 
 
 @asynccontextmanager
-async def start_world(instances=2, shutdown_s=2):
-    world = World(shutdown_s)
+async def start_world(instances=2, shutdown_s=2, linked=False):
+    """Start a platform and instances; ``linked`` gives each links to cut."""
+    world = World(shutdown_s, linked)
     world.platform.start()
     for number in range(instances):
         await world.start_instance("ab"[number % 2])
@@ -158,6 +167,7 @@
         yield world
     finally:
         await asyncio.gather(*(instance.stop() for instance in world.instances))
+        await asyncio.gather(*(links.stop() for links in world.links))
         await world.platform.stop()
 
 
--- a/tests/soak/test_daemon_process.py
+++ b/tests/soak/test_daemon_process.py
@@ -5,8 +5,8 @@
 from signal import SIGCONT, SIGHUP
 
 from bench.soak.daemon_process import DaemonProcess, ProcessLife
-from bench.soak.proxy import Proxy
 from standins.forwarding.daemons import DaemonAddresses, DaemonSpec
+from standins.proxy import Proxy
 
 SLEEP = """
 import signal, time
