Add byte streams between instances

Cause: an instance that loses its links to endpoints has no way to serve its callers, though its peers reach the endpoints. Change: PeerLink.open_stream opens an authenticated connection of its own to a peer, which becomes a stream of bytes once the peer accepts it, with backpressure in both directions and heartbeats; accepted connections that carry no channel no longer count as a lost peer when they close. Messages RelayAsk and RelayAnswer; an older instance closes the connection on them. A stream over the channel that both instances have already was weighed: its data would queue before heartbeats and answers, and a full queue closes the channel.

--- a/fescuekeel/components/peers/acceptor.py
+++ b/fescuekeel/components/peers/acceptor.py
@@ -80,6 +80,10 @@
         for server in self._servers:
             server.close()
 
+    def release(self, connection: Connection) -> None:
+        """Stop managing a connection that has become a byte stream."""
+        self.connections.discard(connection)
+
     def close_idle(self, now: float) -> None:
         """Close connections on which no data has arrived recently.
 
@@ -167,6 +171,7 @@
         if self._channels.is_obsolete(hello):
             return Err(Failure(ErrorKind.BAD_FRAME, "obsolete"))
         connection.mark_authenticated(hello.instance)
+        connection.carries_channel = hello.channel > 0
         answer = Envelope(0, envelope.number, self._on_hello(hello))
         connection.send(encode(answer))
         self._close_previous(hello, connection)
--- a/fescuekeel/components/peers/connection.py
+++ b/fescuekeel/components/peers/connection.py
@@ -36,6 +36,8 @@
     ``unanswered_since`` is the time of the first payload sent since data last
     arrived, ``last_message_at`` when a message was last sent or received,
     and ``last_received_at`` when data last arrived; all in monotonic seconds.
+    ``carries_channel`` says that an accepted connection carries a peer's
+    messages, rather than a stream or a single request.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         now: Callable[[], float],
     ) -> None:
         self.peer_id = ""
+        self.carries_channel = False
         self.unanswered_since: float | None = None
         self.last_message_at = self.last_received_at = now()
         self.closed_cleanly = False
@@ -68,6 +71,7 @@
         self._state_changed = asyncio.Event()
         self._on_payload: OnPayload | None = None
         self._on_close: OnClose | None = None
+        self._on_writable: Callable[[], None] = _do_nothing
 
     @property
     def queued_bytes(self) -> int:
@@ -123,6 +127,8 @@
         """Send the payloads held while the transport was paused."""
         self._paused = False
         self._flush()
+        if not self._paused:
+            self._on_writable()
 
     def _start_framing(self, peer_nonce: bytes) -> None:
         if self._direction is Direction.CONNECTING:
@@ -194,6 +200,20 @@
         if self._failure is not None:
             on_close(self._failure)
 
+    def set_writable_callback(self, on_writable: Callable[[], None]) -> None:
+        """Set the callback for when held payloads have been sent."""
+        self._on_writable = on_writable
+
+    def pause_reading(self) -> None:
+        """Stop reading from the socket, for backpressure."""
+        if self._transport is not None and not self.closed:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read from the socket again."""
+        if self._transport is not None and not self.closed:
+            self._transport.resume_reading()
+
     def mark_authenticated(self, peer_id: str) -> None:
         """Set the peer's id and allow frames up to ``MAX_FRAME_BYTES``."""
         self.peer_id = peer_id
@@ -248,6 +268,8 @@
         self._transport.write(b"".join([seal(payload) for payload in self._queue]))
         self._queue.clear()
         self._queued_bytes = 0
+        if not self._paused:
+            self._on_writable()
 
     # Closing.
 
@@ -275,3 +297,7 @@
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
+
+
+def _do_nothing() -> None:
+    """Stand for a callback that is not set."""
--- a/fescuekeel/components/peers/link.py
+++ b/fescuekeel/components/peers/link.py
@@ -25,11 +25,13 @@
     probe_channel,
 )
 from fescuekeel.components.peers.outgoing import OutgoingChannel, PendingAnswer
+from fescuekeel.components.peers.streams import Streams
 from fescuekeel.components.peers.tls import make_client_context, make_server_context
 from fescuekeel.const import PROTOCOL_VERSION
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure, Ran
 from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.peer_link import OpenedStream, PeerStream
 from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.helpers.wire import decode, encode
 from fescuekeel.messages import (
@@ -73,6 +75,7 @@
         self._retry_at_by_id: dict[str, float] = {}
         self._addresses = Addresses(instance)
         self._incoming_requests = IncomingRequests(instance.metrics)
+        self._streams = Streams(self._dialer)
         self._local_answers_by_number: dict[int, PendingAnswer] = {}
         self._request_numbers = itertools.count(1)
         self._channel_numbers = itertools.count(1)
@@ -108,6 +111,7 @@
         await asyncio.gather(*(item.close_gracefully() for item in connections))
         for channel in list(self._channels_by_id.values()):
             channel.fail("stopped")
+        self._streams.close()
 
     # The interface for other components.
 
@@ -182,6 +186,30 @@
         self._instance.metrics.count("peers.lost.slow")
         connection.close()
 
+    async def open_stream(
+        self, instance_id: str, body: WireMessage, timeout_s: float
+    ) -> Result[OpenedStream, Failure]:
+        """Open a connection for a byte stream, and wait for the answer."""
+        address = self._addresses.find(instance_id)
+        if self._stopping or not address:
+            return Err(Failure(ErrorKind.PEER_UNREACHABLE, "no address", Ran.NO))
+        hello = self._make_hello()
+        return await self._streams.open(instance_id, address, hello, body, timeout_s)
+
+    def accept_stream(
+        self, request: PeerMessage, body: WireMessage
+    ) -> PeerStream | None:
+        """Reply to a request that opens a stream, and take its connection."""
+        origin = self._incoming_requests.pop(request.number)
+        if origin is None:
+            return None
+        connection, number = origin
+        if connection is None or connection.closed:
+            return None
+        connection.send(encode(Envelope(0, number, body)))
+        self._acceptor.release(connection)
+        return self._streams.add(connection)
+
     def _fail_ask(self, detail: str) -> Result[WireMessage, Failure]:
         self._instance.metrics.count("peers.ask_failed")
         return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail, Ran.NO))
@@ -309,6 +337,7 @@
             last = now
             for channel in list(self._channels_by_id.values()):
                 self._check_channel(channel, now, was_suspended)
+            self._streams.check(now, was_suspended)
             self._acceptor.close_idle(now)
             self._expire_last_received(now)
 
@@ -384,7 +413,7 @@
 
     def _handle_incoming_lost(self, connection: Connection) -> None:
         self._incoming_requests.discard_connection(connection)
-        if connection.closed_cleanly or not connection.peer_id:
+        if connection.closed_cleanly or not connection.carries_channel:
             return
         # Messages in flight are lost with this connection. The outgoing one
         # may stay open, so the loss would otherwise go unnoticed.
--- a/fescuekeel/helpers/peer_link.py
+++ b/fescuekeel/helpers/peer_link.py
@@ -1,6 +1,7 @@
 """Interface of the peers component to other components."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Protocol, cast
 
 from returns.result import Result
@@ -9,11 +10,75 @@
 from fescuekeel.errors import Failure
 from fescuekeel.messages import PeerMessage, WireMessage
 
-__all__ = ["PEERS_DOMAIN", "PeerLink", "get_peer_link"]
+__all__ = [
+    "PEERS_DOMAIN",
+    "OpenedStream",
+    "PeerLink",
+    "PeerStream",
+    "StreamCallbacks",
+    "get_peer_link",
+]
 
 PEERS_DOMAIN = "peers"
 
 
+@dataclass(frozen=True, slots=True)
+class StreamCallbacks:
+    """Callbacks of a byte stream.
+
+    ``on_end``: the peer sends no more. ``on_lost``: the stream is closed or
+    broken; called once. ``on_writable``: queued bytes have been sent.
+    """
+
+    on_data: Callable[[bytes], None]
+    on_end: Callable[[], None]
+    on_lost: Callable[[str], None]
+    on_writable: Callable[[], None]
+
+
+class PeerStream(Protocol):
+    """A byte stream to a peer, on a connection of its own.
+
+    Bytes arrive in order; the stream is lost if some are.
+    """
+
+    peer_id: str
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes that are not yet sent."""
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the stream is closed or broken."""
+
+    def set_callbacks(self, callbacks: StreamCallbacks) -> None:
+        """Set the callbacks; bytes that have arrived are delivered at once."""
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes."""
+
+    def write_end(self) -> None:
+        """Tell the peer that no more bytes follow."""
+
+    def pause_reading(self) -> None:
+        """Stop reading, for backpressure."""
+
+    def resume_reading(self) -> None:
+        """Read again."""
+
+    def close(self) -> None:
+        """Abort the stream; queued bytes are lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class OpenedStream:
+    """A stream and the peer's answer to the message that opened it."""
+
+    stream: PeerStream
+    answer: WireMessage
+
+
 class PeerLink(Protocol):
     """Send typed messages to instances by id, including the local one.
 
@@ -45,6 +110,22 @@
     def answer(self, request: PeerMessage, body: WireMessage) -> None:
         """Reply to a request of a peer."""
 
+    async def open_stream(
+        self, instance_id: str, body: WireMessage, timeout_s: float
+    ) -> Result[OpenedStream, Failure]:
+        """Open a connection for a byte stream and wait for the peer's answer.
+
+        Unless the answer accepts the stream, the caller closes it.
+        """
+
+    def accept_stream(
+        self, request: PeerMessage, body: WireMessage
+    ) -> PeerStream | None:
+        """Reply to a request that opens a stream, and take its connection.
+
+        Returns ``None`` if the connection is lost already.
+        """
+
 
 def get_peer_link(instance: Instance) -> PeerLink:
     """Return the peers component of an instance."""
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -68,6 +68,7 @@
     RunningAsk,
     RunningWork,
 )
+from fescuekeel.messages.relay import RelayAnswer, RelayAsk
 from fescuekeel.messages.tree import (
     TreeAsk,
     TreePart,
@@ -142,6 +143,8 @@
     "PlacementState",
     "ProbeAnswer",
     "ProbeAsk",
+    "RelayAnswer",
+    "RelayAsk",
     "RunningAnswer",
     "RunningAsk",
     "RunningWork",
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -44,6 +44,7 @@
     RunningAnswer,
     RunningAsk,
 )
+from fescuekeel.messages.relay import RelayAnswer, RelayAsk
 from fescuekeel.messages.tree import (
     TreeAsk,
     TreePart,
@@ -108,6 +109,8 @@
     | AllowanceAnswer
     | GossipFacts
     | GossipDigest
+    | RelayAsk
+    | RelayAnswer
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -254,6 +254,8 @@
 }
 struct GossipFacts { facts @0 :List(GossipFact); }
 struct GossipDigest { digest @0 :UInt64; count @1 :UInt32; isReply @2 :Bool; }
+struct RelayAsk { endpoint @0 :Text; }
+struct RelayAnswer { outcome @0 :Text; reachesOthers @1 :Bool; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
@@ -301,5 +303,7 @@
     allowanceAnswer @42 :AllowanceAnswer;
     gossipFacts @43 :GossipFacts;
     gossipDigest @44 :GossipDigest;
+    relayAsk @45 :RelayAsk;
+    relayAnswer @46 :RelayAnswer;
   }
 }
