Reach endpoints through peers while the own links to them are cut

Cause: an instance took 'I cannot connect' for 'the endpoint cannot be reached'. It had no other path, kept claims to endpoints out of its reach or left them to nobody (the candidate stayed the same), and took a cut link for a crash. Change: a relay component keeps the path to each endpoint (direct, failed, relayed through a peer, down). Only bytes are relayed: choice, limits, accounts, deadline, retries, quarantine and the answer's checks stay with the entry, so that each is counted once. Peers' word decides whether an endpoint is down and whether it has crashed. Instances tell each other what they cannot reach; such an instance releases its claims and is no candidate. A silent endpoint is checked after 0.45 s and left after 1.6 s, or at once if its path is gone.

--- a/fescuekeel/components/forward/attempts.py
+++ b/fescuekeel/components/forward/attempts.py
@@ -76,10 +76,11 @@
         """Return whether the request may run more than once."""
         return self.safe or self.resumable
 
-    @property
-    def may_try_another_endpoint(self) -> bool:
-        """Return whether the request may be sent to one more endpoint."""
-        return len(self.endpoints) < self.max_attempts and self.sends < MAX_SENDS
+    def may_send_again(self, to_same_endpoint: bool) -> bool:
+        """Return whether the request may be sent once more."""
+        if self.sends >= MAX_SENDS:
+            return False
+        return to_same_endpoint or len(self.endpoints) < self.max_attempts
 
     def record_sent(self, endpoint: str) -> None:
         """Record that the request is sent to an endpoint."""
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from http import HTTPStatus
+from typing import cast
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -13,12 +14,12 @@
     Choice,
 )
 from fescuekeel.components.forward.const import (
-    CONNECT_TIMEOUT_S,
     DEFAULT_TIME_LEFT_S,
     DOMAIN,
     DRAIN_POLL_S,
     DRAINING_RETRY_S,
     LOWEST_PRIORITY,
+    MONITOR_PERIOD_S,
 )
 from fescuekeel.components.forward.crashes import CrashReporter
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
@@ -34,6 +35,7 @@
 from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.components.forward.use import UseReporter
+from fescuekeel.components.relay import DOMAIN as RELAY_DOMAIN, PathState, Relay
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata, get_dialect
@@ -74,6 +76,7 @@
         self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
+        self.relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
         self.limiter = EndpointLimiter(instance)
@@ -81,7 +84,7 @@
             instance, self.get_load, self._is_cut_off, self.limiter
         )
         self._reachability = ReachabilityMonitor(
-            instance, self.loads_by_id, self._selector.find_record
+            instance, self.loads_by_id, self._selector.find_record, self.relay
         )
         self._use = UseReporter(instance, self.loads_by_id)
         self._pools_by_id: dict[str, ConnectionPool] = {}
@@ -91,7 +94,9 @@
         self._requests: set[ForwardedRequest] = set()
         self._shutdown: Shutdown | None = None
         self._gate = AccountGate(instance)
-        self.crashes = CrashReporter(instance, self.dialect, self._selector.find_record)
+        self.crashes = CrashReporter(
+            instance, self.dialect, self._selector.find_record, self.relay
+        )
 
     @property
     def ready(self) -> bool:
@@ -123,11 +128,13 @@
         bus.subscribe(Catalog, self._handle_catalog)
         bus.subscribe(MemberView, self._update_members)
         bus.subscribe(SettingsReloaded, self._apply_settings)
+        self.relay.add_listener(self._handle_path_changed)
         self._add_gauges()
         self.server.start()
         bounds = self.instance.settings.forwarding
         self.ready_server.start(bounds.ready_address)
         self.instance.spawn(self._sweep_forever(), f"{DOMAIN}.sweep")
+        self.instance.spawn(self._monitor_forever(), f"{DOMAIN}.monitor")
         self.instance.spawn(self._use.report_forever(), f"{DOMAIN}.use")
         log_event("callers_listening", address=self.server.address)
 
@@ -164,6 +171,13 @@
         self._selector.update_catalog(catalog, now)
         self.crashes.update_catalog(catalog, now)
 
+    def _handle_path_changed(self, endpoint: str, state: PathState) -> None:
+        """Use an endpoint as soon as it is reached again."""
+        load = self.get_load(endpoint)
+        load.is_relayed = state is PathState.RELAYED
+        if state is PathState.DIRECT:
+            load.health.record_connected()
+
     def _apply_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
         self.budget.ratio = bounds.retry_ratio
@@ -329,7 +343,7 @@
         health = self.get_load(endpoint).health
         self.instance.metrics.count("endpoint.connections")
         try:
-            connection = await pool.open(CONNECT_TIMEOUT_S)
+            connection = await self.relay.connect(endpoint, pool.address)
         except NotConnectedError as error:
             now = self.instance.now()
             health.record_unreachable(now)
@@ -410,11 +424,15 @@
         """Return the version of the configuration, 0 if there is none."""
         return self._table.version if self._table else 0
 
+    async def _monitor_forever(self) -> None:
+        while True:
+            await sleep_to_tick(MONITOR_PERIOD_S)
+            self._reachability.check_silent(self._requests)
+
     async def _sweep_forever(self) -> None:
         while True:
             await sleep_to_tick(SWEEP_PERIOD_S)
             now = self.instance.now()
-            self._reachability.fail_over_unresponsive(self._requests)
             self._reachability.update()
             known = self._selector.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -19,9 +19,6 @@
 # Retry-After for requests that come later; other instances are ready.
 DRAINING_RETRY_S: Final = 0.05
 
-# Endpoints. Connections within a region take a few milliseconds; later ones
-# are to a host that is down or partitioned.
-CONNECT_TIMEOUT_S: Final = 0.25
 # Linear backoff of a request after failed connects.
 CONNECT_BACKOFF_S: Final = 0.02
 MAX_CONNECT_BACKOFF_S: Final = 0.3
@@ -32,6 +29,10 @@
 # Requests that must not run twice reuse only recently used connections: if a
 # connection breaks, their outcome is unknown.
 MAX_UNSAFE_IDLE_S: Final = 1.5
+# Relayed connections are reused for a short time only, and not for long: the
+# peer that relays closes them when it shuts down.
+MAX_RELAYED_IDLE_S: Final = 0.5
+MAX_RELAYED_AGE_S: Final = 2.0
 # Requests with less time left are not sent.
 MIN_TIME_LEFT_S: Final = 0.01
 # A call that checks whether an endpoint has crashed, and how long a retry
@@ -68,9 +69,18 @@
 FAILURE_COST_S: Final = 2.0
 MIN_UNREACHABLE_S: Final = 0.5
 MAX_UNREACHABLE_S: Final = 4.0
+# The cost of a connection through a peer in the choice between endpoints.
+RELAY_COST_S: Final = 0.01
 # An endpoint with outstanding requests that sends nothing for this time is
-# unresponsive.
+# avoided by further requests.
 UNRESPONSIVE_AFTER_S: Final = 0.9
+# After this it is checked whether the direct path to it still works, every
+# time that it is silent for as long again.
+SILENCE_CHECK_S: Final = 0.45
+# A sound endpoint may be silent for somewhat over a second. Callers leave a
+# stream after a pause of two seconds.
+FAILOVER_AFTER_S: Final = 1.6
+MONITOR_PERIOD_S: Final = 0.15
 
 # An instance is cut off once it has received nothing from any other data
 # centre for this time. Holders report every 0.4 s, in large fleets every 1 s.
--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -8,9 +8,11 @@
     DOMAIN,
     SIMULTANEOUS_REMOVAL_S,
 )
+from fescuekeel.components.relay import PathState, Relay, RelayFailedError
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import Dialect
 from fescuekeel.helpers.http_connection import (
+    Connection,
     IncompleteResponseError,
     NotConnectedError,
     connect,
@@ -24,6 +26,7 @@
 )
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import Catalog, EndpointRecord
+from fescuekeel.messages import MemberView
 
 __all__ = ["CrashChecker"]
 
@@ -36,7 +39,9 @@
         instance: Instance,
         dialect: Dialect,
         find_record: Callable[[str], EndpointRecord | None],
+        relay: Relay,
     ) -> None:
+        self._relay = relay
         self._instance = instance
         self._dialect = dialect
         self._find_record = find_record
@@ -84,6 +89,10 @@
         if self._was_leaving(endpoint):
             return None
         evidence = await gather_evidence(lambda: self._call(endpoint, address))
+        peer = Liveness.SILENT
+        if evidence.shows_crash and evidence.second is not Liveness.REPLACED:
+            peer = await self._ask_peer(endpoint, address, evidence.second)
+            evidence = evidence.add_peer(peer)
         outcome = "crashed" if evidence.shows_crash else "not_crashed"
         self._instance.metrics.count(f"crash_check.{outcome}")
         log_event(
@@ -91,16 +100,45 @@
             endpoint=endpoint,
             first=evidence.first.value,
             second=evidence.second.value,
+            peer=peer.value,
             outcome=outcome,
         )
         return evidence
 
+    async def _ask_peer(self, endpoint: str, address: str, own: Liveness) -> Liveness:
+        """Return what a call through a peer shows.
+
+        Without any peer, this instance's own call counts. Behind a cut link an
+        endpoint looks as if it had crashed.
+        """
+        view = self._instance.bus.latest(MemberView) or MemberView()
+        if view.members_by_id.keys() <= {self._instance.id}:
+            return own
+        try:
+            connection = await self._relay.connect_relayed(endpoint)
+        except RelayFailedError as error:
+            return Liveness.REFUSED if error.is_down else Liveness.SILENT
+        return await self._call_on(connection, endpoint, address)
+
     async def _call(self, endpoint: str, address: str) -> Liveness:
-        call = self._dialect.make_report_call(endpoint)
         try:
-            connection = await connect(address, CRASH_CHECK_TIMEOUT_S)
+            connection = await self._connect(endpoint, address)
+        except RelayFailedError:
+            return Liveness.SILENT
         except NotConnectedError as error:
             return classify_failed_connect(error.__cause__)
+        return await self._call_on(connection, endpoint, address)
+
+    async def _connect(self, endpoint: str, address: str) -> Connection:
+        """Connect by the path that the endpoint had before."""
+        if self._relay.get_state(endpoint) is PathState.RELAYED:
+            return await self._relay.connect_relayed(endpoint)
+        return await connect(address, CRASH_CHECK_TIMEOUT_S)
+
+    async def _call_on(
+        self, connection: Connection, endpoint: str, address: str
+    ) -> Liveness:
+        call = self._dialect.make_report_call(endpoint)
         try:
             async with asyncio.timeout(CRASH_CHECK_TIMEOUT_S):
                 response = await fetch(
--- a/fescuekeel/components/forward/crashes.py
+++ b/fescuekeel/components/forward/crashes.py
@@ -9,6 +9,7 @@
 from fescuekeel.components.forward.const import CRASH_CHECK_WAIT_S
 from fescuekeel.components.forward.crash_check import CrashChecker
 from fescuekeel.components.quarantine import DOMAIN as QUARANTINE_DOMAIN, Quarantine
+from fescuekeel.components.relay import Relay
 from fescuekeel.core import Instance
 from fescuekeel.errors import Failure
 from fescuekeel.helpers.dialect import CallerMetadata, Dialect
@@ -40,8 +41,9 @@
         instance: Instance,
         dialect: Dialect,
         find_record: Callable[[str], EndpointRecord | None],
+        relay: Relay,
     ) -> None:
-        self._checker = CrashChecker(instance, dialect, find_record)
+        self._checker = CrashChecker(instance, dialect, find_record, relay)
         self._quarantine = cast(
             Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
         )
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -7,13 +7,16 @@
     CONGESTION_SHARE,
     DEFAULT_PREFILL_TOKEN_S,
     ENGINE_STEP_S,
+    FAILOVER_AFTER_S,
     FAILURE_COST_S,
     HEALTH_HALF_LIFE_S,
     MAX_PREFILL_TOKEN_S,
     MAX_UNREACHABLE_S,
     MIN_SPEED_SAMPLE_TOKENS,
     MIN_UNREACHABLE_S,
+    RELAY_COST_S,
     RESULT_WEIGHT,
+    SILENCE_CHECK_S,
     SPEED_WEIGHT,
     UNRESPONSIVE_AFTER_S,
 )
@@ -38,6 +41,7 @@
     _backoff_s: float = MIN_UNREACHABLE_S
     _waiting_since: float | None = None
     _outstanding: int = 0
+    _checked_at: float = 0.0
 
     def read_failure_rate(self, now: float) -> float:
         """Return the failure rate, decayed with time."""
@@ -82,6 +86,31 @@
             and now - self._waiting_since > UNRESPONSIVE_AFTER_S
         )
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether answers are due and nothing came since a check."""
+        since = self._waiting_since
+        return since is not None and since <= self._checked_at
+
+    def needs_check(self, now: float) -> bool:
+        """Return whether to check the path to the silent endpoint now.
+
+        It then counts as checked.
+        """
+        if self._waiting_since is None:
+            return False
+        if now - max(self._waiting_since, self._checked_at) <= SILENCE_CHECK_S:
+            return False
+        self._checked_at = now
+        return True
+
+    def must_fail_over(self, now: float) -> bool:
+        """Return whether requests must not wait for the endpoint any more."""
+        return (
+            self._waiting_since is not None
+            and now - self._waiting_since > FAILOVER_AFTER_S
+        )
+
     def is_avoided(self, now: float) -> bool:
         """Return whether others are preferred regardless of their load."""
         return now < self.unreachable_until or self.is_unresponsive(now)
@@ -94,10 +123,12 @@
     ``pending_tokens`` are the prompt tokens of this instance's requests that
     wait for their first chunk, and ``running`` counts its open requests. The
     ``reported`` fields are this instance's last report to the holder, whose
-    totals include it.
+    totals include it. ``is_relayed`` says that the endpoint is reached through
+    a peer.
     """
 
     health: EndpointHealth = field(default_factory=EndpointHealth)
+    is_relayed: bool = False
     pending_tokens: int = 0
     running: int = 0
     prefill_token_s: float = DEFAULT_PREFILL_TOKEN_S
@@ -190,10 +221,19 @@
             waiting * self._read_prefill_token_s(now)
             + congested * CONGESTION_COST_S
             + failure_rate * FAILURE_COST_S
+            + self._path_cost_s
         )
 
     def estimate_plain_s(self, slots: int, now: float) -> float:
         """Return the cost of one more plain request, in seconds of waiting."""
         load_factor = (self.running + 1) / max(1, slots)
         failure_rate = self.health.read_failure_rate(now)
-        return self.service_s * (1 + load_factor) + failure_rate * FAILURE_COST_S
+        return (
+            self.service_s * (1 + load_factor)
+            + failure_rate * FAILURE_COST_S
+            + self._path_cost_s
+        )
+
+    @property
+    def _path_cost_s(self) -> float:
+        return RELAY_COST_S if self.is_relayed else 0.0
--- a/fescuekeel/components/forward/reachability.py
+++ b/fescuekeel/components/forward/reachability.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable, Collection
 
+from fescuekeel.components.forward.const import DOMAIN
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.isolation import Isolation
 from fescuekeel.components.forward.request import ForwardedRequest
+from fescuekeel.components.relay import Relay
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
@@ -26,8 +28,10 @@
         instance: Instance,
         loads_by_id: dict[str, EndpointLoad],
         find_record: Callable[[str], EndpointRecord | None],
+        relay: Relay,
     ) -> None:
         self.cut_off = False
+        self._relay = relay
         self._instance = instance
         self._loads_by_id = loads_by_id
         self._find_record = find_record
@@ -70,16 +74,50 @@
             if member is not None:
                 self._isolation.record_reached(member.data_centre, received_at)
 
-    def fail_over_unresponsive(self, requests: Collection[ForwardedRequest]) -> None:
-        """Fail over repeatable requests from unresponsive endpoints."""
+    def check_silent(self, requests: Collection[ForwardedRequest]) -> None:
+        """Check the paths to silent endpoints; fail over if they remain so."""
         now = self._instance.now()
-        unresponsive = {
-            id
-            for id, load in self._loads_by_id.items()
-            if load.health.is_unresponsive(now)
-        }
-        for request in list(requests) if unresponsive else ():
-            endpoint = request.current_endpoint
-            if endpoint in unresponsive and request.abort_for_failover():
-                self._loads_by_id[endpoint].health.record_unreachable(now)
-                self._instance.metrics.count("left_silent_endpoint")
+        for id, load in list(self._loads_by_id.items()):
+            if load.health.must_fail_over(now):
+                self._fail_over(id, requests, by_another_path=False)
+            elif load.health.needs_check(now):
+                work = self._check_path(id, requests)
+                self._instance.spawn(work, f"{DOMAIN}.check_path")
+
+    async def _check_path(
+        self, endpoint: str, requests: Collection[ForwardedRequest]
+    ) -> None:
+        """Fail over if an endpoint cannot be reached directly any more."""
+        record = self._find_record(endpoint)
+        if record is None:
+            return
+        health = self._loads_by_id[endpoint].health
+        reachable = await self._relay.is_reachable_directly(endpoint, record.address)
+        if not reachable and health.is_silent:
+            self._fail_over(endpoint, requests, by_another_path=True)
+
+    def _fail_over(
+        self,
+        endpoint: str,
+        requests: Collection[ForwardedRequest],
+        by_another_path: bool,
+    ) -> None:
+        """Abort the requests at an endpoint that may be sent once more."""
+        aborted = [
+            request
+            for request in list(requests)
+            if request.current_endpoint == endpoint
+            and request.abort_for_failover(by_another_path)
+        ]
+        if not aborted:
+            return
+        if not by_another_path:
+            self._loads_by_id[endpoint].health.record_unreachable(self._instance.now())
+        self._instance.metrics.count("left_silent_endpoint", len(aborted))
+        log_event(
+            "silent_endpoint_left",
+            endpoint=endpoint,
+            requests=len(aborted),
+            path=self._relay.get_state(endpoint).value,
+            outcome="by_another_path" if by_another_path else "elsewhere",
+        )
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -19,6 +19,8 @@
     DEFAULT_KEEP_ALIVE_S,
     KEEP_ALIVE_MARGIN_S,
     MAX_CONNECT_BACKOFF_S,
+    MAX_RELAYED_AGE_S,
+    MAX_RELAYED_IDLE_S,
     MAX_SAMPLE_WAIT_S,
     MAX_UNSAFE_IDLE_S,
     MIN_TIME_LEFT_S,
@@ -141,16 +143,20 @@
         self._caller_closed = True
         task.cancel()
 
-    def abort_for_failover(self) -> bool:
-        """Abort the current attempt if another endpoint may continue it.
+    def abort_for_failover(self, by_another_path: bool) -> bool:
+        """Abort the current attempt if the request may be sent once more.
 
         Guards against a stream that waits for an unreachable endpoint until
-        its caller gives up. Returns whether the attempt was aborted.
+        its caller gives up. With ``by_another_path`` the endpoint itself may
+        get it again, and only direct connections are affected. Returns whether
+        the attempt was aborted.
         """
         attempt = self._current_attempt
-        if attempt is None or attempt.connection is None:
+        if attempt is None or attempt.connection is None or not self.state.repeatable:
             return False
-        if not self.state.repeatable or not self.state.may_try_another_endpoint:
+        if by_another_path and attempt.connection.relayed_by:
+            return False
+        if not self.state.may_send_again(by_another_path):
             return False
         attempt.connection.close()
         return True
@@ -332,7 +338,8 @@
 
     async def _connect(self, endpoint: str) -> Connection:
         pool = self.forwarder.get_pool(endpoint)
-        pooled = pool.take(self.forwarder.instance.now())
+        failed_at = self.forwarder.relay.get_failed_at(endpoint)
+        pooled = pool.take(self.forwarder.instance.now(), failed_at)
         if pooled is not None:
             return pooled
         return await self.forwarder.open(endpoint, pool)
@@ -361,6 +368,8 @@
     ) -> AttemptEnd | None:
         head = await connection.read_head()
         self._record_received(attempt)
+        if not connection.relayed_by:
+            self.forwarder.relay.record_contact(attempt.endpoint)
         attempt.head = head
         response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
         if response.request_id and response.request_id != self.metadata.request_id:
@@ -414,8 +423,12 @@
             idle_s = max(0.0, response.keep_alive_s - KEEP_ALIVE_MARGIN_S)
         if not self.state.safe:
             idle_s = min(idle_s, MAX_UNSAFE_IDLE_S)
-        pool = self.forwarder.get_pool(attempt.endpoint)
-        pool.release(connection, self.forwarder.instance.now() + idle_s)
+        now = self.forwarder.instance.now()
+        until = now + idle_s
+        if connection.relayed_by:
+            until = min(until, now + MAX_RELAYED_IDLE_S)
+            until = min(until, connection.opened_at + MAX_RELAYED_AGE_S)
+        self.forwarder.get_pool(attempt.endpoint).release(connection, now, until)
 
     # Forwarding the answer.
 
--- a/fescuekeel/components/placement/candidates.py
+++ b/fescuekeel/components/placement/candidates.py
@@ -44,9 +44,24 @@
     _candidates_by_name: dict[str, str | None] = field(default_factory=dict)
 
     def find(
-        self, endpoint: EndpointRecord, members_by_id: Mapping[str, Member]
+        self,
+        endpoint: EndpointRecord,
+        members_by_id: Mapping[str, Member],
+        without_path: Collection[str] = (),
     ) -> str | None:
-        """Return an endpoint's candidate."""
+        """Return an endpoint's candidate.
+
+        Instances ``without_path`` to the endpoint cannot order anything there.
+        They are candidates only if no instance has one.
+        """
+        if without_path:
+            reaching = {
+                id: member
+                for id, member in members_by_id.items()
+                if id not in without_path
+            }
+            if reaching:
+                return choose_candidate(endpoint, reaching)
         self._reset_if_changed(members_by_id)
         name = endpoint.name
         if name not in self._candidates_by_name:
--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -33,6 +33,7 @@
     TAKEOVER_MARGIN_S,
     UNFENCED_HANDOVER_S,
 )
+from fescuekeel.components.relay import UnreachableEndpoints
 from fescuekeel.helpers.published import EndpointRecord
 from fescuekeel.messages import Member
 
@@ -101,18 +102,20 @@
 
     Times are seconds of a clock that also advances while the machine is
     suspended; on any other, a lease would outlive a suspension. ``fenced``
-    says that endpoints reject the orders of an earlier holder.
+    says that endpoints reject the orders of an earlier holder. Instances that
+    ``unreachable`` lists for an endpoint are not its candidates.
     """
 
     own_id: str
     lease_s: float
     fenced: bool = False
+    unreachable: UnreachableEndpoints = field(default_factory=UnreachableEndpoints)
     peer_claims_by_endpoint: dict[str, PeerClaim] = field(default_factory=dict)
     own_claims_by_endpoint: dict[str, OwnClaim] = field(default_factory=dict)
     _past_terms_by_endpoint: dict[str, int] = field(default_factory=dict)
     _candidates: CandidateTable = field(default_factory=CandidateTable)
     _history: CandidateHistory = field(default_factory=CandidateHistory)
-    _last_inputs: tuple[object, object] = (None, None)
+    _last_inputs: tuple[object, object, int] = (None, None, 0)
     _own_candidacies: list[str] = field(default_factory=list)
     _started: float | None = None
     _last_step: float | None = None
@@ -175,7 +178,8 @@
         self, record: EndpointRecord, members_by_id: Mapping[str, Member]
     ) -> str | None:
         """Return the instance that is to claim an unheld endpoint."""
-        return self._candidates.find(record, members_by_id)
+        without_path = self.unreachable.list_without(record.name)
+        return self._candidates.find(record, members_by_id, without_path)
 
     def step(
         self,
@@ -194,7 +198,7 @@
         if self._last_step is not None and now - self._last_step > SUSPENSION_GAP_S:
             self.own_claims_by_endpoint.clear()
             self._history.forget_eligible()
-            self._last_inputs = (None, None)
+            self._last_inputs = (None, None, 0)
         self._last_step = now
         if self._started is None:
             self._started = now
@@ -222,10 +226,15 @@
         does not grow with the fleet.
         """
         self._history.forget_old(now, self._claim_history_s)
-        known_endpoints, known_members = self._last_inputs
-        if endpoints_by_name is known_endpoints and members_by_id is known_members:
+        known_endpoints, known_members, known_version = self._last_inputs
+        if (
+            endpoints_by_name is known_endpoints
+            and members_by_id is known_members
+            and self.unreachable.version == known_version
+        ):
             return False
-        self._last_inputs = (endpoints_by_name, members_by_id)
+        version = self.unreachable.version
+        self._last_inputs = (endpoints_by_name, members_by_id, version)
         centres = {record.data_centre for record in endpoints_by_name.values()}
         self._history.record_eligible(centres, self._candidates, members_by_id, now)
         for known in list(self.own_claims_by_endpoint):
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -1,6 +1,6 @@
 """The actor that holds claims and sends updates about their endpoints."""
 
-from typing import Any
+from typing import Any, cast
 
 from fescuekeel.components.placement.admission import AdmissionController
 from fescuekeel.components.placement.claims import Claims, OwnClaim
@@ -16,6 +16,7 @@
 from fescuekeel.components.placement.publisher import UpdatePublisher, sends_to_all
 from fescuekeel.components.placement.scheduler import AdapterScheduler
 from fescuekeel.components.placement.updates import EndpointSnapshot
+from fescuekeel.components.relay import DOMAIN as RELAY_DOMAIN, PathState, Relay
 from fescuekeel.core import Actor, Instance
 from fescuekeel.helpers.dialect import get_dialect
 from fescuekeel.helpers.incarnation import Incarnation
@@ -48,7 +49,10 @@
         super().__init__(instance, DOMAIN)
         self.placement_view = PlacementView()
         bounds = instance.settings.forwarding
-        self._claims = Claims(instance.id, bounds.lease_s, bounds.fenced)
+        self._relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
+        self._claims = Claims(
+            instance.id, bounds.lease_s, bounds.fenced, self._relay.unreachable
+        )
         self._holders_by_endpoint: dict[str, EndpointHolder] = {}
         self._admission = AdmissionController(instance)
         self._peer_requests = PeerRequestHandler(
@@ -137,12 +141,25 @@
             self._log_held(name, now)
             self._publisher.schedule_update()
         self._release(self._claims.list_unreachable())
+        self._release(self._list_relayed_claims())
         self._sync_holders(engines)
         for holder in self._holders_by_endpoint.values():
             holder.scheduler.usage.prune(now)
         self._update_view(engines, now)
         self._publisher.step()
 
+    def _list_relayed_claims(self) -> list[str]:
+        """Return the held endpoints that peers reach and this instance not.
+
+        Orders must come from an instance with a path of its own.
+        """
+        return [
+            name
+            for name in self._claims.own_claims_by_endpoint
+            if (record := self._engines.records_by_name.get(name)) is not None
+            and self._relay.get_state(record.id) is PathState.RELAYED
+        ]
+
     def _read_held(self) -> dict[str, float]:
         return {"": float(sum(map(self._holds, self._holders_by_endpoint)))}
 
@@ -186,6 +203,7 @@
                 self._claims,
                 record,
                 scheduler,
+                self._relay,
                 self._peer_requests.answer_load,
                 self._publisher.schedule_update,
                 self._may_load_model,
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -14,6 +14,7 @@
 from fescuekeel.components.placement.order_count import ReportAge
 from fescuekeel.components.placement.orders import OrderLink
 from fescuekeel.components.placement.scheduler import AdapterScheduler
+from fescuekeel.components.relay import Relay
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import (
     Dialect,
@@ -38,6 +39,7 @@
         claims: Claims,
         record: EndpointRecord,
         scheduler: AdapterScheduler,
+        relay: Relay,
         on_load_ended: Callable[[LoadResult], None],
         on_changed: Callable[[], None],
         may_load_model: Callable[[EndpointRecord], bool],
@@ -49,7 +51,7 @@
         self._on_load_ended = on_load_ended
         self._on_changed = on_changed
         self._may_load_model = may_load_model
-        self._link = OrderLink(instance, dialect, record.id, record.address)
+        self._link = OrderLink(instance, dialect, relay, record)
         self.has_held = False
         self._report_requested_at = 0.0
         self._held = False
@@ -135,8 +137,10 @@
         """Request a report and apply it."""
         requested_at = self._instance.now()
         report = await self._link.fetch_report()
+        # A sound endpoint may be silent for somewhat over a second.
+        in_contact = report is not None or await self._link.is_reachable()
         now = self._instance.now()
-        self._claims.record_contact(self.record.name, report is not None, now)
+        self._claims.record_contact(self.record.name, in_contact, now)
         if report is None or not self._is_current_incarnation(report):
             return
         self._report_requested_at = requested_at
--- a/fescuekeel/components/placement/orders.py
+++ b/fescuekeel/components/placement/orders.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from fescuekeel.components.placement.const import (
-    CONNECT_TIMEOUT_S,
     KEEPALIVE_S,
     ORDER_TIMEOUT_S,
     REPORT_TIMEOUT_S,
 )
+from fescuekeel.components.relay import Relay
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import (
     Dialect,
@@ -21,10 +21,10 @@
     HttpResponse,
     IncompleteResponseError,
     NotConnectedError,
-    connect,
     fetch,
 )
 from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.published import EndpointRecord
 
 __all__ = ["OrderLink"]
 
@@ -35,12 +35,17 @@
     """Own one connection to an endpoint, with one call at a time."""
 
     def __init__(
-        self, instance: Instance, dialect: Dialect, endpoint: str, address: str
+        self,
+        instance: Instance,
+        dialect: Dialect,
+        relay: Relay,
+        record: EndpointRecord,
     ) -> None:
-        self.endpoint = endpoint
+        self.endpoint = record.id
         self._instance = instance
         self._dialect = dialect
-        self._address = address
+        self._relay = relay
+        self._address = record.address
         self._connection: Connection | None = None
         self._used = 0.0
 
@@ -58,6 +63,10 @@
             log_event("report_failed", endpoint=self.endpoint, error=str(error))
             return None
 
+    async def is_reachable(self) -> bool:
+        """Return whether the endpoint accepts connections."""
+        return await self._relay.is_reachable_directly(self.endpoint, self._address)
+
     async def send_order(self, order: WeightOrder, guard: Guard) -> OrderReply | None:
         """Send an order; ``None`` if it is unknown whether it was accepted.
 
@@ -99,7 +108,9 @@
             return kept
         if kept is not None:
             kept.close()
-        self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
+        self._connection = await self._relay.connect_directly(
+            self.endpoint, self._address
+        )
         self._instance.metrics.count("placement.connections")
         return self._connection
 
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -67,6 +67,7 @@
         crash_checked endpoint first second outcome
         endpoint_changed endpoint state revision
         endpoint_limit_changed endpoint rate_per_s age_ms outcome
+        endpoint_path_changed endpoint reason cut_off outcome
         endpoint_restarted endpoint
         endpoint_unreachable endpoint error avoided_ms
         evict_held endpoint adapter reason request_id outcome
@@ -84,10 +85,14 @@
         owner_gained endpoint fence
         owner_lost endpoint
         quarantine_changed fingerprint endpoints seen_by age_ms outcome
+        relay_asked peer endpoint age_ms outcome
+        relay_refused peer endpoint reaches_others outcome
+        silent_endpoint_left endpoint requests path outcome
         stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
         tree_ignored reason revision digest source
         tree_in_force revision digest
         tree_refused revision detail
+        unreachable_endpoints_changed instance cut_off endpoints age_ms outcome
         watch_duty_changed watching revision
         """,
     ),
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -85,10 +85,14 @@
 
     ``fresh`` is true until the first request has ended: a failure on a reused
     connection may only mean that the server closed it while it was idle.
+    ``relayed_by`` is the peer through which the connection goes, empty if it
+    is direct.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, relayed_by: str = "") -> None:
         self.fresh = True
+        self.relayed_by = relayed_by
+        self.opened_at = 0.0
         self.awaiting_response = False
         self._http = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -107,6 +111,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         raw = transport.get_extra_info("socket")
+        if raw is None:
+            return
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
@@ -271,6 +277,15 @@
     return connection
 
 
+@dataclass(frozen=True, slots=True)
+class IdleConnection:
+    """A connection that may be reused until a time."""
+
+    connection: Connection
+    released_at: float
+    until: float
+
+
 class ConnectionPool:
     """Idle connections to one endpoint, reused last in, first out.
 
@@ -281,42 +296,45 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self._idle: list[tuple[Connection, float]] = []
+        self._idle: list[IdleConnection] = []
 
-    def take(self, now: float) -> Connection | None:
-        """Return a usable idle connection, if there is one."""
+    def take(
+        self, now: float, direct_since: float = float("-inf")
+    ) -> Connection | None:
+        """Return a usable idle connection, if there is one.
+
+        Direct connections that were released before ``direct_since`` are not
+        used: connects have failed since, so these may be broken as well.
+        """
         while self._idle:
-            connection, until = self._idle.pop()
-            if connection.usable and now < until:
-                return connection
-            connection.close()
+            idle = self._idle.pop()
+            is_old = idle.released_at < direct_since and not idle.connection.relayed_by
+            if idle.connection.usable and now < idle.until and not is_old:
+                return idle.connection
+            idle.connection.close()
         return None
 
-    async def open(self, timeout_s: float) -> Connection:
-        """Open a new connection; raises ``NotConnectedError``."""
-        return await connect(self.address, timeout_s)
-
-    def release(self, connection: Connection, until: float) -> None:
+    def release(self, connection: Connection, now: float, until: float) -> None:
         """Return a connection whose request has ended to the pool."""
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        if len(self._idle) >= MAX_IDLE_CONNECTIONS or until <= now:
             connection.close()
             return
-        self._idle.append((connection, until))
+        self._idle.append(IdleConnection(connection, now, until))
 
     def close_idle(self, now: float) -> None:
         """Close expired and unusable connections."""
         kept = []
-        for connection, until in self._idle:
-            if connection.usable and now < until:
-                kept.append((connection, until))
+        for idle in self._idle:
+            if idle.connection.usable and now < idle.until:
+                kept.append(idle)
             else:
-                connection.close()
+                idle.connection.close()
         self._idle = kept
 
     def close(self) -> None:
         """Close every idle connection."""
-        for connection, _ in self._idle:
-            connection.close()
+        for idle in self._idle:
+            idle.connection.close()
         self._idle.clear()
 
 
--- a/fescuekeel/helpers/liveness.py
+++ b/fescuekeel/helpers/liveness.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 __all__ = [
@@ -60,17 +60,27 @@
 class CrashEvidence:
     """What two calls have shown; the second is the first if there was one.
 
-    ``took_s`` is how long the longer one took.
+    ``took_s`` is how long the longer one took. ``peer`` is what a call through
+    a peer has shown, ``None`` if there was none: a link that is cut looks like
+    a crash to the instance behind it.
 
     >>> CrashEvidence(Liveness.ALIVE, Liveness.CLOSED).shows_crash
     False
     >>> CrashEvidence(Liveness.CLOSED, Liveness.CLOSED).shows_crash
     True
+    >>> refused = CrashEvidence(Liveness.REFUSED, Liveness.REFUSED)
+    >>> refused.add_peer(Liveness.ALIVE).shows_crash
+    False
     """
 
     first: Liveness
     second: Liveness
     took_s: float = 0.0
+    peer: Liveness | None = None
+
+    def add_peer(self, peer: Liveness) -> "CrashEvidence":
+        """Return the evidence with what a call through a peer has shown."""
+        return replace(self, peer=peer)
 
     @property
     def needs_life(self) -> bool:
@@ -84,6 +94,8 @@
     @property
     def shows_crash(self) -> bool:
         """Return whether the endpoint has crashed."""
+        if self.peer in (Liveness.ALIVE, Liveness.SILENT):
+            return False
         if self.second in (Liveness.REFUSED, Liveness.REPLACED):
             return True
         return self.first is self.second is Liveness.CLOSED
--- a/standins/forwarding/links.py
+++ b/standins/forwarding/links.py
@@ -68,6 +68,10 @@
                 proxy.cut(self._cut)
         return proxy.address
 
+    def list_targets(self) -> list[str]:
+        """Return the addresses of all endpoints that were published."""
+        return list(self._proxies_by_target)
+
     def cut(self, how: Cut, *targets: str) -> None:
         """Cut the links to some endpoints' addresses, by default to all."""
         self._cut = how
--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -130,6 +130,10 @@
         self._addresses_by_id[worker.id] = address
         self.publish_state(worker, "ready")
 
+    def get_address(self, worker: Worker) -> str:
+        """Return the published address of a worker."""
+        return self._addresses_by_id[worker.id]
+
     def publish_state(self, worker: Worker, state: str) -> None:
         """Publish a worker's state, ``ready`` or ``draining``."""
         address = self._addresses_by_id[worker.id]
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -73,8 +73,9 @@
     by a load beyond ``max_loaded_adapters``; ``unloaded_in_use`` lists
     adapters that were evicted while serving. ``fencing_tokens`` and
     ``holders`` are the tokens and senders of the accepted orders, in order of
-    arrival. Reports are ``report_lag_s`` old. ``crash`` stops the worker's
-    server and starts it again later; ``None`` ignores bodies that crash it.
+    arrival. Reports are ``report_lag_s`` old, and plain runs take ``run_s``.
+    ``crash`` stops the worker's server and starts it again later; ``None``
+    ignores bodies that crash it.
     While ``limit_per_s`` is set, answers name it as the worker's rate limit;
     ``limit_named_at`` is when the first one did.
     """
@@ -84,6 +85,7 @@
     max_loaded_adapters: int = 4
     events: int = 6
     event_s: float = 0.005
+    run_s: float = 0.0
     report_lag_s: float = 0.0
     connection_faults: ConnectionFaults = field(default_factory=ConnectionFaults)
     id: str = field(default_factory=lambda: f"w-{next(IDS)}")
@@ -110,6 +112,7 @@
     limit_named_at: float | None = None
     crash: Callable[[], None] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
+    _silent_until: float = 0.0
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
     def control(self, commands: dict[str, Any]) -> None:
@@ -117,6 +120,14 @@
         for name in ("fail", "shed", "cut"):
             setattr(self, name, int(commands.get(name, getattr(self, name))))
 
+    def pause(self, seconds: float) -> None:
+        """Be silent for a while: accept everything, answer nothing."""
+        self._silent_until = time.monotonic() + seconds
+
+    async def wait_while_silent(self) -> None:
+        """Wait until a pause is over."""
+        await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
+
     def withdraw_faults(self) -> int:
         """Withdraw the faults that no request has met; return how many."""
         left = self.fail + self.shed + self.cut
@@ -230,6 +241,7 @@
     async def prepare(self) -> None:
         """Respond with 421 if another worker is expected."""
         await super().prepare()
+        await self.standin.wait_while_silent()
         expected = self.request.headers.get("Fescuekeel-Expect-Instance")
         if expected and expected != self.standin.id and not self._finished:
             self.set_header("Fescuekeel-Instance-Id", self.standin.id)
@@ -342,12 +354,22 @@
             finally:
                 worker.running_by_adapter[adapter] -= 1
         else:
-            echo = f"{self.request.method} {self.request.uri} "
-            self.set_status(200)
-            await self.finish(echo.encode() + self.request.body)
+            await self.run_plain()
 
     get = post = run_request
 
+    async def run_plain(self) -> None:
+        """Respond with the request, after the time of a run."""
+        worker = self.standin
+        worker.running += 1
+        try:
+            await asyncio.sleep(worker.run_s)
+        finally:
+            worker.running -= 1
+        echo = f"{self.request.method} {self.request.uri} "
+        self.set_status(200)
+        await self.finish(echo.encode() + self.request.body)
+
     async def crash_worker(self, crash: Callable[[], None]) -> None:
         """Crash the worker after a short run, as the body asks for."""
         if self.request.body.startswith(CRASH_AFTER_FIRST_EVENT):
@@ -378,6 +400,7 @@
                 if stalled and number == first + 2:
                     await self.wait_for_close()
                     return
+                await worker.wait_while_silent()
                 self.write(f"id: {number}\ndata: piece {number}\n\n")
                 await self.flush()
                 await asyncio.sleep(worker.event_s)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -64,7 +64,7 @@
     _connections: set[ProxiedConnection] = field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server: asyncio.Server | None = None
-    _full_queue: list[socket.socket] = field(default_factory=list)
+    _reserved: list[socket.socket] = field(default_factory=list)
 
     async def start(self) -> str:
         """Start to listen; return the address of the proxy."""
@@ -73,11 +73,11 @@
         return self.address
 
     async def _listen(self, port: int) -> None:
+        listener = _bind(port)
         self._server = await asyncio.start_server(
-            self._accept, LOOPBACK, port, backlog=LISTEN_BACKLOG
+            self._accept, sock=listener, backlog=LISTEN_BACKLOG
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{LOOPBACK}:{port}"
+        self.address = f"{LOOPBACK}:{listener.getsockname()[1]}"
 
     @property
     def port(self) -> int:
@@ -89,35 +89,35 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        self._release_queue()
+        self._release_port()
         if how is Cut.RESET:
             self.reset_connections()
+        # Kept bound, so that no other socket gets the port meanwhile. Connects
+        # to a socket that does not listen are refused.
+        listener = _bind(self.port)
+        self._reserved.append(listener)
         if how is Cut.HANG:
             self.partition()
-            self._fill_queue()
+            self._fill_queue(listener)
 
-    def _fill_queue(self) -> None:
+    def _fill_queue(self, listener: socket.socket) -> None:
         """Listen with a full queue, so that connects are never established."""
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((LOOPBACK, self.port))
         listener.listen(FULL_QUEUE_BACKLOG)
-        self._full_queue.append(listener)
         for _ in range(FULL_QUEUE_CONNECTIONS):
             filler = socket.socket()
             filler.setblocking(False)
             with contextlib.suppress(BlockingIOError):
                 filler.connect((LOOPBACK, self.port))
-            self._full_queue.append(filler)
+            self._reserved.append(filler)
 
-    def _release_queue(self) -> None:
-        for item in self._full_queue:
+    def _release_port(self) -> None:
+        for item in self._reserved:
             item.close()
-        self._full_queue.clear()
+        self._reserved.clear()
 
     async def restore(self) -> None:
         """End a cut; connects are accepted and held bytes pass again."""
-        self._release_queue()
+        self._release_port()
         self.heal()
         if self._server is None:
             await self._listen(self.port)
@@ -151,7 +151,7 @@
 
     async def stop(self) -> None:
         """Close the listener and reset all connections."""
-        self._release_queue()
+        self._release_port()
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
@@ -223,6 +223,13 @@
             await asyncio.Event().wait()
 
 
+def _bind(port: int) -> socket.socket:
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((LOOPBACK, port))
+    return listener
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     raw = writer.get_extra_info("socket")
     if raw is not None and raw.fileno() >= 0:
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from fescuekeel.components.forward.crash_check import CrashChecker
+from fescuekeel.components.relay import PathState
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import HttpCall, ResponseMetadata
 from fescuekeel.helpers.published import Catalog, EndpointRecord
@@ -41,6 +42,13 @@
     return Catalog(1, None, records, {})
 
 
+class FakeRelay:
+    """Paths that are all direct."""
+
+    def get_state(self, endpoint):
+        return PathState.DIRECT
+
+
 @dataclass
 class Scenario:
     """An endpoint, and the catalogs before its answers broke."""
@@ -57,7 +65,7 @@
         clock = [100.0]
         instance = Instance(make_settings(), clock=lambda: clock[0])
         record = None if self.removed_s is not None else object()
-        checker = CrashChecker(instance, FakeDialect(), lambda id: record)
+        checker = CrashChecker(instance, FakeDialect(), lambda id: record, FakeRelay())
         checker.update_catalog(make_catalog(ENDPOINT), clock[0])
         if self.removed_s is not None:
             checker.update_catalog(make_catalog(), clock[0])
--- a/tests/components/placement/test_overrun.py
+++ b/tests/components/placement/test_overrun.py
@@ -125,6 +125,10 @@
             return None
         return report
 
+    async def is_reachable(self):
+        await self.travel()
+        return False
+
     async def send_order(self, order, guard):
         if not guard():
             return OrderReply.UNAVAILABLE
@@ -181,6 +185,7 @@
             claims,
             EndpointRecord("e1", "s", "127.0.0.1:1", "dc1", 8, False),
             AdapterScheduler(CAPACITY, "m"),
+            None,
             lambda result: None,
             lambda: None,
             lambda record: True,
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -157,9 +157,9 @@
         async def work():
             async with Server([OK_RESPONSE, "close"]) as server:
                 pool = ConnectionPool(server.address)
-                connection = await pool.open(1.0)
+                connection = await connect(server.address, 1.0)
                 await get(connection)
-                pool.release(connection, until=1000.0)
+                pool.release(connection, now=0.0, until=1000.0)
                 await asyncio.sleep(0.1)
                 assert pool.take(now=0.0) is None
 
@@ -169,9 +169,9 @@
         async def work():
             async with Server([OK_RESPONSE], [OK_RESPONSE]) as server:
                 pool = ConnectionPool(server.address)
-                connection = await pool.open(1.0)
+                connection = await connect(server.address, 1.0)
                 await get(connection)
-                pool.release(connection, until=10.0)
+                pool.release(connection, now=0.0, until=10.0)
                 assert pool.take(now=10.0) is None
                 assert not connection.usable
 
