Soak: cut daemons' links to endpoints, and silence endpoints

Cause: the soak knew neither instances cut from endpoints nor sound endpoints that are silent for a second. Change: each daemon has a store and links of its own; faults cut them (connects hang or are refused, open connections hang, are reset or go on), to all endpoints or to half of them, overlapping with the others.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -15,6 +15,7 @@
 from bench.soak.culprits import KNOWN_WITHIN_S, check_culprits, list_crash_faults
 from bench.soak.daemon_process import find_total_loss
 from bench.soak.limits import check_limits
+from bench.soak.links import check_cut_service
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.violation import Violation
 from bench.soak.world import DAEMONS_PER_ZONE, SoakWorld
@@ -69,6 +70,7 @@
         lives = [life for daemon in world.daemons for life in daemon.lives]
         lost_at = find_total_loss(lives, KNOWN_WITHIN_S)
         violations += await world.culprits.check_known_everywhere(workers, lost_at)
+        violations += await check_cut_service(world.cuts, addresses, seed)
         violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
         faults += list_crash_faults(workers, started_at)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -46,6 +46,10 @@
     PEERS_FROZEN = "peers_frozen"
     CRASHING_REQUEST = "crashing_request"
     ENDPOINT_LIMIT = "endpoint_limit"
+    LINKS_HANG = "links_hang"
+    LINKS_RESET = "links_reset"
+    LINKS_REFUSE = "links_refuse"
+    ENDPOINT_PAUSES = "endpoint_pauses"
 
 
 # These kinds have their own random streams, so that a seed draws the same
@@ -60,6 +64,12 @@
 )
 CRASHING_KINDS = (FaultKind.CRASHING_REQUEST,)
 LIMIT_KINDS = (FaultKind.ENDPOINT_LIMIT,)
+LINK_KINDS = (
+    FaultKind.LINKS_HANG,
+    FaultKind.LINKS_RESET,
+    FaultKind.LINKS_REFUSE,
+    FaultKind.ENDPOINT_PAUSES,
+)
 LATER_KINDS = (
     *ADDED_KINDS,
     *ACCOUNT_KINDS,
@@ -67,13 +77,14 @@
     *START_KINDS,
     *CRASHING_KINDS,
     *LIMIT_KINDS,
+    *LINK_KINDS,
 )
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 # These disturb daemons or their connections to each other and to the store.
 DAEMON_KINDS = frozenset(
     kind
     for kind in FaultKind
-    if kind.name.startswith(("PEERS_", "STORE_", "KILL"))
+    if kind.name.startswith(("PEERS_", "STORE_", "KILL", "LINKS_"))
     or kind
     in (
         FaultKind.TERM,
@@ -162,8 +173,12 @@
     limit_faults = _draw_faults(
         Random(f"{seed} limits"), LIMIT_KINDS, seconds, faults_per_s * limit_share
     )
+    link_share = len(LINK_KINDS) / len(BASE_KINDS)
+    link_faults = _draw_faults(
+        Random(f"{seed} links"), LINK_KINDS, seconds, faults_per_s * link_share
+    )
     faults = base_faults + added_faults + account_faults + outage_faults
-    faults += start_faults + crashing_faults + limit_faults
+    faults += start_faults + crashing_faults + limit_faults + link_faults
     return sorted(faults, key=lambda fault: fault.starts_at)
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -15,6 +15,7 @@
 from bench.soak.culprits import CULPRIT_ROUTES, Culprits
 from bench.soak.daemon_process import DaemonProcess
 from bench.soak.limits import EndpointLimits
+from bench.soak.links import LinkCuts
 from bench.soak.plan import Fault, FaultKind
 from standins.fleet import free_addresses
 from standins.forwarding.daemons import (
@@ -22,6 +23,7 @@
     DaemonSpec,
     wait_until_ready,
 )
+from standins.forwarding.links import InstanceLinks
 from standins.forwarding.platform import (
     ENGINES,
     MODEL,
@@ -42,6 +44,7 @@
 PLATFORM_DELAY_S = 1.0
 # Makes a stream last 0.3 s, so that faults hit streams in progress.
 EVENT_S = 0.05
+MAX_PAUSE_S = 1.3
 DELAY_S = 0.15
 # Makes reports lag behind orders.
 REPORT_LAG_S = 0.25
@@ -67,6 +70,7 @@
         self.drains: list[Drain] = []
         self.culprits = Culprits([])
         self.limits = EndpointLimits()
+        self.cuts = LinkCuts()
         self.ends_at = float("inf")
         self.version = 1
         self.adapter_versions: dict[str, int] = {}
@@ -97,6 +101,10 @@
             FaultKind.CRASHING_REQUEST: self._repeat_crashing_request,
             FaultKind.ENDPOINT_LIMIT: self._limit_endpoint,
             FaultKind.ADAPTER_VERSION: self._publish_adapter_version,
+            FaultKind.LINKS_HANG: self._cut_links,
+            FaultKind.LINKS_RESET: self._cut_links,
+            FaultKind.LINKS_REFUSE: self._cut_links,
+            FaultKind.ENDPOINT_PAUSES: self._pause_endpoint,
         }
 
     # Start and stop.
@@ -117,7 +125,10 @@
         proxies = [Proxy(item.peers) for item in addresses]
         seeds = tuple([await proxy.start() for proxy in proxies][:2])
         for number, zone in enumerate(zones):
-            store = Proxy(self.platform.store_server.address)
+            links = InstanceLinks(self.platform.store)
+            await links.wait_until_copied()
+            self.cuts.links.append(links)
+            store = Proxy(links.server.address)
             spec = DaemonSpec(
                 f"i{number + 1}",
                 zone,
@@ -178,6 +189,8 @@
     async def stop(self) -> None:
         """Stop the daemons, then the proxies and the platform."""
         await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
+        for links in self.cuts.links:
+            await links.stop()
         for proxy in self._proxies_by_worker.values():
             await proxy.stop()
         await self.platform.stop()
@@ -273,12 +286,16 @@
             daemon.peers.stall_connections(one_way=True)
 
     async def _make_store_unavailable(self, fault: Fault) -> None:
-        self.platform.store.refuse = 503
+        stores = [links.store for links in self.cuts.links]
+        for store in stores:
+            store.refuse = 503
         await asyncio.sleep(fault.duration_s)
-        self.platform.store.refuse = 0
+        for store in stores:
+            store.refuse = 0
 
     async def _clear_store_history(self, fault: Fault) -> None:
-        self.platform.store.compact_history()
+        for links in self.cuts.links:
+            links.store.compact_history()
 
     async def _inject_endpoint_errors(self, fault: Fault) -> None:
         names = {
@@ -355,6 +372,13 @@
     async def _limit_endpoint(self, fault: Fault) -> None:
         await self.limits.limit(self._pick_worker(fault), fault)
 
+    async def _cut_links(self, fault: Fault) -> None:
+        await self.cuts.cut(fault)
+
+    async def _pause_endpoint(self, fault: Fault) -> None:
+        """Silence a sound endpoint for at most somewhat over a second."""
+        self._pick_worker(fault).pause(min(fault.duration_s, MAX_PAUSE_S))
+
     async def _publish_adapter_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
