Tell a peer that is idle from one that is cut off when it cannot relay

Cause: only a contact in the last two seconds counted as 'I reach others'. Change: a peer without recent contact connects to another endpoint before it answers; one that is itself reached by relay only never counts as a witness.

--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -1,6 +1,7 @@
 """Connect to endpoints directly or through a peer, and relay for peers."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from returns.result import Failure as Err
@@ -49,6 +50,7 @@
             self._find_record,
             self._report_change,
             self._handle_direct_failed,
+            self._probe_other,
         )
         self._checks_by_endpoint: dict[str, asyncio.Task[bool]] = {}
         self._asking_peers: set[str] = set()
@@ -290,6 +292,20 @@
         connection.close()
         return True
 
+    async def _probe_other(self, endpoint: str) -> bool:
+        """Return whether this instance reaches some other endpoint."""
+        catalog = self._instance.bus.latest(Catalog)
+        records = catalog.endpoints_by_id if catalog else {}
+        others = [
+            id
+            for id in records
+            if id != endpoint and self._paths.get_state(id) is PathState.DIRECT
+        ]
+        if not others:
+            return False
+        other = random.choice(others)
+        return await self.is_reachable_directly(other, records[other].address)
+
     def _describe_unreachable(self) -> Unreachable:
         if self.is_cut_off:
             return Unreachable(is_all=True)
--- a/fescuekeel/components/relay/server.py
+++ b/fescuekeel/components/relay/server.py
@@ -1,11 +1,11 @@
 """Connect to endpoints for peers that cannot reach them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from fescuekeel.components.relay.const import CONNECT_TIMEOUT_S, DOMAIN, MAX_RELAYED
 from fescuekeel.components.relay.outcome import RelayOutcome
-from fescuekeel.components.relay.paths import PathTable, Route
+from fescuekeel.components.relay.paths import PathState, PathTable, Route
 from fescuekeel.components.relay.splice import SplicedConnection
 from fescuekeel.core import Instance
 from fescuekeel.helpers.listen import split_address
@@ -31,12 +31,14 @@
         find_record: Callable[[str], EndpointRecord | None],
         report_change: Callable[[str, str], None],
         on_direct_failed: Callable[[str, str], None],
+        probe_other: Callable[[str], Awaitable[bool]],
     ) -> None:
         self._instance = instance
         self._paths = paths
         self._find_record = find_record
         self._report_change = report_change
         self._on_direct_failed = on_direct_failed
+        self._probe_other = probe_other
         self._relayed: set[SplicedConnection] = set()
         self._connecting = 0
         self._idle = asyncio.Event()
@@ -68,12 +70,15 @@
             self._refuse(message, endpoint, RelayOutcome.UNKNOWN)
             return
         refusal = self._find_refusal(endpoint)
+        if refusal is RelayOutcome.UNREACHABLE:
+            await self._refuse_unreachable(message, endpoint)
+            return
         if refusal is not None:
             self._refuse(message, endpoint, refusal)
             return
         spliced = await self._connect(endpoint, record.address)
         if spliced is None:
-            self._refuse(message, endpoint, RelayOutcome.UNREACHABLE)
+            await self._refuse_unreachable(message, endpoint)
             return
         answer = RelayAnswer(RelayOutcome.OPENED)
         stream = get_peer_link(self._instance).accept_stream(message, answer)
@@ -116,10 +121,25 @@
         if not self._relayed:
             self._idle.set()
 
+    async def _refuse_unreachable(self, message: PeerMessage, endpoint: str) -> None:
+        """Refuse, and tell whether the fault is the endpoint's.
+
+        An instance without recent contact checks whether it is cut off itself.
+        """
+        is_elsewhere = self._paths.get_state(endpoint) is PathState.RELAYED
+        reaches_others = not is_elsewhere and (
+            self._paths.reaches_others(endpoint, self._instance.now())
+            or await self._probe_other(endpoint)
+        )
+        self._refuse(message, endpoint, RelayOutcome.UNREACHABLE, reaches_others)
+
     def _refuse(
-        self, message: PeerMessage, endpoint: str, outcome: RelayOutcome
+        self,
+        message: PeerMessage,
+        endpoint: str,
+        outcome: RelayOutcome,
+        reaches_others: bool = False,
     ) -> None:
-        reaches_others = self._paths.reaches_others(endpoint, self._instance.now())
         self._instance.metrics.count(f"relay.served.{outcome}")
         log_event(
             "relay_refused",
