--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -16,6 +16,8 @@
 ZONES = ("a", "b")
 # How long a worker stays down after a request has crashed it.
 CRASH_DOWN_S = 2.0
+# The same after one that fell over since it rejected too many.
+FALL_DOWN_S = 3.0
 
 
 def make_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -100,21 +102,22 @@
         self._servers_by_id[worker.id] = server
         self._zones_by_id[worker.id] = zone
         self._addresses_by_id[worker.id] = server.address
-        worker.crash = lambda: self._begin_crash(worker)
+        worker.crash = lambda: self._begin_crash(worker, CRASH_DOWN_S)
+        worker.fall = lambda: self._begin_crash(worker, FALL_DOWN_S)
         return server.address
 
-    def _begin_crash(self, worker: Worker) -> None:
-        task = asyncio.ensure_future(self._crash_worker(worker))
+    def _begin_crash(self, worker: Worker, down_s: float) -> None:
+        task = asyncio.ensure_future(self._crash_worker(worker, down_s))
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
 
-    async def _crash_worker(self, worker: Worker) -> None:
+    async def _crash_worker(self, worker: Worker, down_s: float) -> None:
         """Stop a worker and start it again as a new incarnation."""
         server = self._servers_by_id.pop(worker.id, None)
         if server is None:
             return
         await server.stop()
-        await asyncio.sleep(CRASH_DOWN_S)
+        await asyncio.sleep(down_s)
         worker.restart()
         self._servers_by_id[worker.id] = start_worker(worker, server.port)
         if self.is_published(worker):
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -25,6 +25,7 @@
 API_KEY_HEADER = "X-Api-Key"
 TENANT_HEADER = "Fescuekeel-Tenant"
 SERVER_LIMIT_HEADER = "Fescuekeel-Server-Limit"
+SERVER_BRITTLE_HEADER = "Server-Brittle"
 SERVER_STAMP_HEADER = "Fescuekeel-Server-Stamp"
 REQUEST_ID_HEADER = "Fescuekeel-Request-Id"
 LOAD_S = 0.1
@@ -78,6 +79,11 @@
     ignores bodies that crash it.
     While ``limit_per_s`` is set, answers name it as the worker's rate limit;
     ``limit_named_at`` is when the first one did.
+
+    ``slots`` requests run at a time and ``max_waiting`` wait; all further ones
+    are rejected. While ``brittle_per_s`` is set, answers name it, and the
+    worker falls over when it rejects more than that within a second: ``fall``
+    stops it and starts it again empty. ``fell_at`` has the times.
     """
 
     service: str
@@ -112,7 +118,15 @@
     limit_named_at: float | None = None
     crash: Callable[[], None] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
+    slots: int = 8
+    max_waiting: int = 10_000
+    brittle_per_s: float | None = None
+    fall: Callable[[], None] | None = None
+    fell_at: list[float] = field(default_factory=list)
     _silent_until: float = 0.0
+    _busy: int = 0
+    _waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
+    _rejected_at: deque[float] = field(default_factory=deque)
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
     def control(self, commands: dict[str, Any]) -> None:
@@ -128,6 +142,45 @@
         """Wait until a pause is over."""
         await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
 
+    async def enter(self) -> bool:
+        """Wait for a place; return false if the request is rejected."""
+        if self._busy < self.slots:
+            self._busy += 1
+            return True
+        if len(self._waiting) >= self.max_waiting:
+            self._record_rejected()
+            return False
+        place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(place)
+        try:
+            await place
+        except asyncio.CancelledError:
+            if place.done() and not place.cancelled():
+                self.leave()
+            raise
+        return True
+
+    def leave(self) -> None:
+        """Give a place to the next request."""
+        while self._waiting:
+            place = self._waiting.popleft()
+            if not place.done():
+                place.set_result(None)
+                return
+        self._busy -= 1
+
+    def _record_rejected(self) -> None:
+        now = time.monotonic()
+        self._rejected_at.append(now)
+        while self._rejected_at[0] < now - 1.0:
+            self._rejected_at.popleft()
+        if self.brittle_per_s is None or self.fall is None:
+            return
+        if len(self._rejected_at) > self.brittle_per_s:
+            self._rejected_at.clear()
+            self.fell_at.append(now)
+            self.fall()
+
     def withdraw_faults(self) -> int:
         """Withdraw the faults that no request has met; return how many."""
         left = self.fail + self.shed + self.cut
@@ -169,7 +222,7 @@
             "address": address,
             "zone": zone,
             "version": "v1",
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
             "models": self.list_models(),
@@ -317,9 +370,10 @@
         if worker.limit_per_s is not None:
             self.set_header(SERVER_LIMIT_HEADER, str(worker.limit_per_s))
             worker.limit_named_at = worker.limit_named_at or time.monotonic()
+        if worker.brittle_per_s is not None:
+            self.set_header(SERVER_BRITTLE_HEADER, str(worker.brittle_per_s))
         if worker.consume_fault("shed"):
-            self.set_header(NOT_EXECUTED_HEADER, "1")
-            await self.respond(503, {})
+            await self.reject()
             return
         model, _, adapter = self.request.headers.get("Fescuekeel-Model", "").partition(
             "/"
@@ -333,6 +387,24 @@
         if expected and int(expected) != version:
             await self.respond(421, {})
             return
+        if not await worker.enter():
+            await self.reject()
+            return
+        try:
+            await self.run_admitted(request_id, model, adapter, version)
+        finally:
+            worker.leave()
+
+    async def reject(self) -> None:
+        """Respond that the request has not run."""
+        self.set_header(NOT_EXECUTED_HEADER, "1")
+        await self.respond(503, {})
+
+    async def run_admitted(
+        self, request_id: str, model: str, adapter: str, version: int
+    ) -> None:
+        """Run a request that has a place."""
+        worker = self.standin
         worker.runs[request_id] += 1
         account = self.request.headers.get(TENANT_HEADER, "")
         key = self.request.headers.get(API_KEY_HEADER, "")
@@ -356,7 +428,11 @@
         else:
             await self.run_plain()
 
-    get = post = run_request
+    async def get(self) -> None:
+        """Run the request."""
+        await self.run_request()
+
+    post = get
 
     async def run_plain(self) -> None:
         """Respond with the request, after the time of a run."""
