Let an instance's own calls show a crash if no peer can tell

Cause: without a peer's word a crash never counted. Change: then the instance's own two calls count, provided that it connects to another endpoint at that moment; an instance that is cut off cannot. Conclusion: kept; half of the endpoints cut and no peer within reach can still look like a crash.

--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -108,8 +108,9 @@
     async def _ask_peer(self, endpoint: str, address: str, own: Liveness) -> Liveness:
         """Return what a call through a peer shows.
 
-        Without any peer, this instance's own call counts. Behind a cut link an
-        endpoint looks as if it had crashed.
+        Behind a cut link an endpoint looks as if it had crashed. If no peer
+        can tell, this instance's own call counts while it reaches another
+        endpoint.
         """
         view = self._instance.bus.latest(MemberView) or MemberView()
         if view.members_by_id.keys() <= {self._instance.id}:
@@ -117,7 +118,9 @@
         try:
             connection = await self._relay.connect_relayed(endpoint)
         except RelayFailedError as error:
-            return Liveness.REFUSED if error.is_down else Liveness.SILENT
+            if error.is_down or await self._relay.reaches_another(endpoint):
+                return own
+            return Liveness.SILENT
         return await self._call_on(connection, endpoint, address)
 
     async def _call(self, endpoint: str, address: str) -> Liveness:
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -50,7 +50,7 @@
             self._find_record,
             self._report_change,
             self._handle_direct_failed,
-            self._probe_other,
+            self.reaches_another,
         )
         self._checks_by_endpoint: dict[str, asyncio.Task[bool]] = {}
         self._asking_peers: set[str] = set()
@@ -187,6 +187,20 @@
             check.add_done_callback(lambda _: self._checks_by_endpoint.pop(endpoint))
         return await asyncio.shield(check)
 
+    async def reaches_another(self, endpoint: str) -> bool:
+        """Return whether this instance reaches some other endpoint."""
+        catalog = self._instance.bus.latest(Catalog)
+        records = catalog.endpoints_by_id if catalog else {}
+        others = [
+            id
+            for id in records
+            if id != endpoint and self._paths.get_state(id) is PathState.DIRECT
+        ]
+        if not others:
+            return False
+        other = random.choice(others)
+        return await self.is_reachable_directly(other, records[other].address)
+
     # Connecting.
 
     async def _race(
@@ -292,20 +306,6 @@
         connection.close()
         return True
 
-    async def _probe_other(self, endpoint: str) -> bool:
-        """Return whether this instance reaches some other endpoint."""
-        catalog = self._instance.bus.latest(Catalog)
-        records = catalog.endpoints_by_id if catalog else {}
-        others = [
-            id
-            for id in records
-            if id != endpoint and self._paths.get_state(id) is PathState.DIRECT
-        ]
-        if not others:
-            return False
-        other = random.choice(others)
-        return await self.is_reachable_directly(other, records[other].address)
-
     def _describe_unreachable(self) -> Unreachable:
         if self.is_cut_off:
             return Unreachable(is_all=True)
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -1,13 +1,15 @@
 """Tests of the check whether an endpoint has crashed."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fescuekeel.components.forward.crash_check import CrashChecker
-from fescuekeel.components.relay import PathState
+from fescuekeel.components.relay import PathState, RelayFailedError
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import HttpCall, ResponseMetadata
+from fescuekeel.helpers.http_connection import connect
 from fescuekeel.helpers.published import Catalog, EndpointRecord
+from fescuekeel.messages import MemberView
 from standins.server import ConnectionFaults, Server, StandInHandler
 from tests.common import make_settings
 
@@ -42,12 +44,29 @@
     return Catalog(1, None, records, {})
 
 
+@dataclass
 class FakeRelay:
-    """Paths that are all direct."""
+    """Direct paths, and what a peer finds at the endpoint.
+
+    Without ``address`` no peer connects; ``is_down`` says that one reaches
+    other endpoints, and ``reaches_another`` that this instance does.
+    """
+
+    address: str = ""
+    is_down: bool = False
+    reaches_others: bool = True
 
     def get_state(self, endpoint):
         return PathState.DIRECT
 
+    async def connect_relayed(self, endpoint):
+        if not self.address:
+            raise RelayFailedError("no peer", self.is_down)
+        return await connect(self.address, 1.0)
+
+    async def reaches_another(self, endpoint):
+        return self.reaches_others
+
 
 @dataclass
 class Scenario:
@@ -57,6 +76,8 @@
     down: bool = False
     stopped: bool = False
     removed_s: float | None = None
+    relay: FakeRelay = field(default_factory=FakeRelay)
+    has_peers: bool = False
 
     async def check(self):
         standin = Endpoint(self.status)
@@ -65,7 +86,10 @@
         clock = [100.0]
         instance = Instance(make_settings(), clock=lambda: clock[0])
         record = None if self.removed_s is not None else object()
-        checker = CrashChecker(instance, FakeDialect(), lambda id: record, FakeRelay())
+        checker = CrashChecker(instance, FakeDialect(), lambda id: record, self.relay)
+        if self.has_peers:
+            members = {id: None for id in ("i1", "i2")}
+            instance.bus.publish_state(MemberView(members))
         checker.update_catalog(make_catalog(ENDPOINT), clock[0])
         if self.removed_s is not None:
             checker.update_catalog(make_catalog(), clock[0])
@@ -106,3 +130,29 @@
 
     def test_an_endpoint_that_is_removed_as_it_crashes(self):
         assert Scenario(stopped=True, removed_s=0.1).crashed
+
+
+class TestPeers:
+    # Guards against taking a cut link for a crash of the endpoint behind it.
+    def test_an_endpoint_that_a_peer_reaches_has_not_crashed(self):
+        async def work():
+            server = Server(Endpoint(200), [("/report", ReportHandler)])
+            relay = FakeRelay(server.address)
+            try:
+                return await Scenario(stopped=True, relay=relay, has_peers=True).check()
+            finally:
+                await server.stop()
+
+        assert not asyncio.run(work())
+
+    def test_an_endpoint_that_no_peer_reaches_either_has_crashed(self):
+        relay = FakeRelay(is_down=True)
+        assert Scenario(stopped=True, relay=relay, has_peers=True).crashed
+
+    # Guards against crashes that count for nothing while peers are away.
+    def test_without_an_answer_of_peers_its_own_call_counts(self):
+        assert Scenario(stopped=True, has_peers=True).crashed
+
+    def test_an_instance_that_is_cut_off_itself_has_no_evidence(self):
+        relay = FakeRelay(reaches_others=False)
+        assert not Scenario(stopped=True, relay=relay, has_peers=True).crashed
