Keep to the room of endpoints that fall over when they reject too many

What callers saw: endpoints that name how many rejections a second they stand fell over again and again under more requests than they had room for, and were empty and away for seconds each time. Cause: the number was not read, and each instance offered what it had; the room can shrink without a word, so that only rejections tell, to one instance each. Change: the dialect reads the number; it is a fact of the service that all instances know. While it holds each request takes a place from the endpoint's home, which learns the room from answers and rejections and sends nothing after three quarters of the rejections that the endpoint stands. Places are granted by urgency; the least urgent are refused at once with a time to return.

--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -26,6 +26,7 @@
     Refuse,
 )
 from fescuekeel.components.allowance.partition import PartitionShare
+from fescuekeel.components.allowance.places import Places
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.logging import log_event
@@ -58,6 +59,12 @@
         self._endpoint_home = LimitHome(
             instance.now(), ENDPOINT_WINDOW_S, prefetch_share=0.0
         )
+        self.places = Places(
+            instance,
+            self._list_reachable_homes,
+            self._record_home_silent,
+            lambda: self._share.count_instances(instance.now()),
+        )
         self._local_by_name: dict[str, LocalAllowance] = {}
         self._queries_by_name: dict[str, asyncio.Task[Admit | AskHome | Refuse]] = {}
         self._accounts_by_name: dict[str, ClientAccount] = {}
@@ -68,6 +75,7 @@
         """Subscribe to peers' queries, members and the catalog."""
         bus = self._instance.bus
         bus.subscribe_peer(AllowanceAsk, self._handle_ask)
+        self.places.start()
         bus.subscribe(MemberView, self._handle_members)
         bus.subscribe(Catalog, self._handle_catalog)
         self._handle_members(bus.latest(MemberView) or MemberView())
@@ -219,10 +227,13 @@
         body = answer.value_or(None)
         if isinstance(body, AllowanceAnswer):
             return Grant(body.units, body.wait_ms / MS_PER_S)
+        self._record_home_silent(limit.name, home)
+        return None
+
+    def _record_home_silent(self, name: str, home: str) -> None:
         self._backoff_until_by_id[home] = self._instance.now() + HOME_BACKOFF_S
         self._instance.metrics.count("allowance.home_silent")
-        log_event("allowance_home_silent", account=limit.name, home=home)
-        return None
+        log_event("allowance_home_silent", account=name, home=home)
 
     # This instance as the home of accounts.
 
@@ -285,6 +296,7 @@
         if self._share.reachable == before:
             return
         self._homes_by_name.clear()
+        self.places.drop_instances(before - self._share.reachable)
         for home in (self._home, self._endpoint_home):
             own = [
                 name
--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -48,3 +48,29 @@
 # Requests in each window beyond the rate: without one, the slowest endpoints
 # would never get a whole request.
 ENDPOINT_BURST: Final = 1.0
+
+# Places at endpoints that fall over when they reject too many requests. Their
+# names begin with this prefix.
+ROOM_PREFIX: Final = "room/"
+# Rejections are counted over this time.
+REJECTION_WINDOW_S: Final = 1.0
+# Places beyond those that run, as a share: an endpoint would be idle between
+# two requests if none waited.
+EXTRA_PLACES_SHARE: Final = 0.1
+# An endpoint that has just started begins with this share of its places.
+START_SHARE: Final = 0.25
+# An answer adds this much to the limit, and a rejection takes this much off
+# what was in use. After a rejection the limit is kept for a while.
+WIDENED_BY: Final = 0.5
+NARROWED_BY: Final = 0.5
+HOLD_S: Final = 3.0
+# Nothing is sent after this share of the rejections that an endpoint stands.
+REJECTED_SHARE: Final = 0.75
+# Rejections within this time are of the same moment.
+DECREASE_PERIOD_S: Final = 0.25
+# Added to the time after which a place is free without a word.
+PLACE_MARGIN_S: Final = 1.0
+# How long what an instance has told of its other requests counts.
+RUNNING_TTL_S: Final = 1.0
+# A room that nobody has asked for is forgotten after this.
+ROOM_TTL_S: Final = 30.0
--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -1,4 +1,4 @@
-"""Keep to the rate limits of endpoints together with all instances."""
+"""Keep to the rate limits and the room of endpoints with all instances."""
 
 from typing import cast
 
@@ -6,9 +6,14 @@
     DOMAIN as ALLOWANCE_DOMAIN,
     Allowances,
     EndpointLimit,
+    Place,
+    PlaceNeed,
+    PlaceOutcome,
 )
+from fescuekeel.components.forward.brittle_services import BrittleServices
 from fescuekeel.components.forward.const import (
     LIMIT_TTL_S,
+    MAX_BRITTLE_SERVICES,
     MAX_LIMITED_ENDPOINTS,
     MAX_NAMED_RATE_PER_S,
     MIN_ENDPOINT_RATE_PER_S,
@@ -26,6 +31,7 @@
 __all__ = ["EndpointLimiter"]
 
 LIMIT_TOPIC = "limit"
+BRITTLE_TOPIC = "brittle"
 MS_PER_S = 1000
 
 
@@ -35,6 +41,7 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._limits = NamedLimits()
+        self._brittle = BrittleServices()
         components = instance.components_by_domain
         self._gossip = cast(Gossip, components[GOSSIP_DOMAIN])
         self._allowances = cast(Allowances, components[ALLOWANCE_DOMAIN])
@@ -46,7 +53,17 @@
             TopicLimits(LIMIT_TTL_S, MAX_LIMITED_ENDPOINTS),
             self._handle_fact,
         )
-        self._instance.metrics.add_gauge("endpoint_limit", self._limits.list_limited)
+        self._gossip.register(
+            BRITTLE_TOPIC,
+            TopicLimits(LIMIT_TTL_S, MAX_BRITTLE_SERVICES),
+            self._handle_brittle_fact,
+        )
+        metrics = self._instance.metrics
+        metrics.add_gauge("endpoint_limit", self._limits.list_limited)
+        metrics.add_gauge(
+            "service_brittle",
+            lambda: self._brittle.list_in_force(self._instance.now()),
+        )
 
     # What endpoints name.
 
@@ -65,6 +82,37 @@
             rank = max(change.rank, told + 1)
             self._gossip.publish(LIMIT_TOPIC, endpoint, rank, payload)
 
+    def record_stood(self, service: str, stands_per_s: float | None) -> None:
+        """Read the rejections that an endpoint stands from its answer."""
+        if stands_per_s is None:
+            return
+        if not 0 <= stands_per_s <= MAX_NAMED_RATE_PER_S:
+            self._log_brittle(service, stands_per_s, 0, "ignored")
+            return
+        if self._brittle.record(service, stands_per_s, self._instance.now()):
+            rank = self._gossip.get_rank(BRITTLE_TOPIC, service) + 1
+            payload = repr(stands_per_s).encode()
+            self._gossip.publish(BRITTLE_TOPIC, service, rank, payload)
+            self._log_brittle(service, stands_per_s, 0, "in_force")
+
+    def _handle_brittle_fact(self, fact: Fact) -> None:
+        stands_per_s = float(fact.payload)
+        if self._brittle.apply(fact.key, stands_per_s, fact.created_at):
+            age_ms = round((self._instance.now() - fact.created_at) * MS_PER_S)
+            self._log_brittle(fact.key, stands_per_s, age_ms, "in_force")
+
+    def _log_brittle(
+        self, service: str, stands_per_s: float, age_ms: int, outcome: str
+    ) -> None:
+        self._instance.metrics.count(f"service_brittle.{outcome}")
+        log_event(
+            "service_brittle_changed",
+            service=service,
+            stands_per_s=stands_per_s,
+            age_ms=age_ms,
+            outcome=outcome,
+        )
+
     def _handle_fact(self, fact: Fact) -> None:
         rate_per_s = float(fact.payload) if fact.payload else None
         now = self._instance.now()
@@ -110,3 +158,21 @@
         rate_per_s = self._limits.get_rate(endpoint)
         if rate_per_s is not None:
             self._allowances.refund(EndpointLimit(endpoint, rate_per_s), 1.0)
+
+    # Places at endpoints that stand few rejections.
+
+    def get_stands_per_s(self, service: str) -> float | None:
+        """Return the rejections that a service's endpoints stand, if named."""
+        return self._brittle.get_stands_per_s(service, self._instance.now())
+
+    async def take_place(self, need: PlaceNeed) -> Place | float:
+        """Take a place; without one, return how many seconds to wait."""
+        return await self._allowances.places.take(need)
+
+    def end_place(self, place: Place, outcome: PlaceOutcome) -> None:
+        """Give a place back, and tell how its request ended."""
+        self._allowances.places.end(place, outcome)
+
+    def report_rejected(self, endpoint: str) -> None:
+        """Tell of a request without a place that was rejected."""
+        self._allowances.places.report_rejected(endpoint)
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from fescuekeel.components.allowance import PlaceOutcome
 from fescuekeel.components.forward.attempts import (
     AttemptEnd,
     RequestState,
@@ -179,6 +180,7 @@
                 return
             refusal = self._recheck_account()
             if refusal is not None:
+                self._end_place(choice, PlaceOutcome.UNUSED)
                 await self._refuse_before_attempt(refusal)
                 return
             end = await self._attempt(choice)
@@ -270,6 +272,7 @@
             end = await self._exchange(attempt, choice)
         finally:
             self._current_attempt = None
+            self._end_place(choice, _get_place_outcome(end))
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_chunk_received else tokens
             load.end(self.weights, left)
@@ -282,6 +285,15 @@
         self.forwarder.record_attempt(self, choice, attempt, end)
         return end
 
+    def _end_place(self, choice: Choice, outcome: PlaceOutcome) -> None:
+        limiter = self.forwarder.limiter
+        if choice.place is not None:
+            limiter.end_place(choice.place, outcome)
+            return
+        is_brittle = limiter.get_stands_per_s(self.service) is not None
+        if is_brittle and outcome is PlaceOutcome.REJECTED:
+            limiter.report_rejected(choice.endpoint)
+
     async def _exchange(self, attempt: Attempt, choice: Choice) -> AttemptEnd | None:
         try:
             connection = await self._connect(attempt.endpoint)
@@ -330,6 +342,8 @@
         if self.forwarder.crashes.find_failure(self) is not None:
             return False
         limiter = self.forwarder.limiter
+        if choice.place is None and limiter.get_stands_per_s(self.service) is not None:
+            return False
         return choice.within_limit or not limiter.is_limited(choice.endpoint)
 
     async def _report_broken(self, run: BrokenRun) -> None:
@@ -374,6 +388,7 @@
         response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
         if response.request_id and response.request_id != self.metadata.request_id:
             raise IncompleteResponseError("answer has the id of another request")
+        self.forwarder.limiter.record_stood(self.service, response.stands_per_s)
         if not response.misdirected:
             self.forwarder.limiter.record_answer(
                 attempt.endpoint, response.limit_per_s, attempt.started_at
@@ -485,3 +500,16 @@
             estimator.note(attempt.tokens, wait_s)
         if self.route.kind is not RouteKind.STREAM:
             load.record_service(wait_s)
+
+
+def _get_place_outcome(end: AttemptEnd | None) -> PlaceOutcome:
+    """Return what an attempt's end means for its place at the endpoint."""
+    match end:
+        case None | AttemptEnd.FAILED:
+            return PlaceOutcome.ANSWERED
+        case AttemptEnd.NOT_RUN:
+            return PlaceOutcome.REJECTED
+        case AttemptEnd.BROKEN:
+            return PlaceOutcome.BROKEN
+        case _:
+            return PlaceOutcome.UNUSED
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from fescuekeel.components.allowance import Place, PlaceNeed, PlaceOutcome
 from fescuekeel.components.forward.choice import (
     Choice,
     EngineQuery,
@@ -16,6 +17,7 @@
     LIMIT_RECHECK_S,
     LIMIT_RETRY_JITTER_S,
     LOAD_WAIT_SHARE,
+    NEW_ENDPOINT_S,
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     PREFILL_S,
@@ -64,6 +66,7 @@
         self._holders = HolderClient(instance)
         self._load_requester = LoadRequester(instance, self._holders)
         self._versions = VersionTracker()
+        self._seen_at_by_id: dict[str, float] = {}
 
     def update_catalog(self, catalog: Catalog, now: float) -> None:
         """Apply a new catalog."""
@@ -71,6 +74,12 @@
         for id, record in catalog.endpoints_by_id.items():
             by_service.setdefault(record.service, {})[id] = record
         self.records_by_service = by_service
+        # Endpoints of the first catalog may have started long before.
+        first_seen_at = now if self._seen_at_by_id else float("-inf")
+        self._seen_at_by_id = {
+            id: self._seen_at_by_id.get(id, first_seen_at)
+            for id in catalog.endpoints_by_id
+        }
         self._versions.update(catalog.versions_by_weights, now)
 
     def find_record(self, endpoint: str) -> EndpointRecord | None:
@@ -114,7 +123,8 @@
         found: Choice | Failure | None
         while True:
             limited = search.list_limited(self._instance.now())
-            choice = self._choose(request, search.avoided | limited)
+            passed_over = search.avoided | limited | search.without_room
+            choice = self._choose(request, passed_over)
             if choice is not None and choice.endpoint in limited:
                 refused = await self._wait_for_limit(request, search)
                 if refused is not None:
@@ -164,13 +174,77 @@
                 search.record_limited(choice.endpoint, until)
                 return None
             choice = replace(choice, within_limit=True)
-        if request.weights is None:
-            return choice
-        found = await self._admit_prompt(request, choice, search)
+        found = await self._send_with_place(request, choice, search)
         if choice.within_limit and not isinstance(found, Choice):
             self._limiter.refund(choice.endpoint)
         return found
 
+    async def _send_with_place(
+        self, request: ForwardedRequest, choice: Choice, search: Search
+    ) -> Choice | Failure | None:
+        """Take a place where endpoints need it, and wait for admission.
+
+        Returns ``None`` to choose again.
+        """
+        stands_per_s = self._limiter.get_stands_per_s(request.service)
+        if stands_per_s is not None:
+            place = await self._take_place(request, choice, search, stands_per_s)
+            if not isinstance(place, Place):
+                return place
+            choice = replace(choice, place=place)
+        if request.weights is None:
+            return choice
+        found: Choice | Failure | None = None
+        try:
+            found = await self._admit_prompt(request, choice, search)
+        finally:
+            if choice.place is not None and not isinstance(found, Choice):
+                self._limiter.end_place(choice.place, PlaceOutcome.UNUSED)
+        return found
+
+    async def _take_place(
+        self,
+        request: ForwardedRequest,
+        choice: Choice,
+        search: Search,
+        stands_per_s: float,
+    ) -> Place | Failure | None:
+        """Take a place at an endpoint that stands few rejections.
+
+        Several endpoints are asked for a free place, before the request waits
+        for one. What nobody has room for is refused at once.
+        """
+        record = self.find_record(choice.endpoint)
+        if record is None:
+            return None
+        now = self._instance.now()
+        patience_s = 0.0
+        if search.may_wait_for_room(choice.endpoint):
+            since = now if request.state.answer_started else request.arrived
+            on_time = min(search.until, since + request.route.target_s - PREFILL_S)
+            patience_s = max(0.0, on_time - now)
+        need = PlaceNeed(
+            choice.endpoint,
+            request.priority,
+            patience_s,
+            request.deadline - now,
+            self._get_load(choice.endpoint).running,
+            record.slots,
+            stands_per_s,
+            self._is_new(choice.endpoint, now),
+        )
+        taken = await self._limiter.take_place(need)
+        if isinstance(taken, Place):
+            return taken
+        if search.record_without_room(choice.endpoint) or patience_s > 0:
+            retry_after_s = taken + random.uniform(0.0, LIMIT_RETRY_JITTER_S)
+            return Failure(ErrorKind.ENDPOINTS_LIMITED, retry_after_s=retry_after_s)
+        return None
+
+    def _is_new(self, endpoint: str, now: float) -> bool:
+        """Return whether an endpoint has just started."""
+        return now - self._seen_at_by_id.get(endpoint, now) < NEW_ENDPOINT_S
+
     async def _load_weights(
         self, request: ForwardedRequest, choice: Choice, search: Search
     ) -> Failure | None:
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -20,6 +20,9 @@
     "HeldWeights",
     "LoadAnswer",
     "LoadAsk",
+    "PlaceAnswer",
+    "PlaceAsk",
+    "PlaceEnded",
     "PlacementNews",
     "PlacementState",
     "UseNews",
@@ -263,3 +266,45 @@
 
     units: float
     wait_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceAsk:
+    """Ask an endpoint's home for a place for one request there.
+
+    ``number`` identifies the place among those of the sender. The request may
+    wait for ``patience_ms`` and has ended after ``lasts_ms``. ``running`` are
+    the sender's other requests there without a place of this home.
+    ``stands_per_s`` are the rejections that the endpoint stands, and
+    ``is_new`` says that it started a moment ago.
+    """
+
+    endpoint: str
+    number: int
+    priority: int
+    patience_ms: int
+    lasts_ms: int
+    running: int
+    slots: int
+    stands_per_s: float
+    is_new: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceAnswer:
+    """Grant a place; without one, ``wait_ms`` says when to ask again."""
+
+    granted: bool
+    wait_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceEnded:
+    """Tell the home how a request ended; a value of ``PlaceOutcome``.
+
+    The number is 0 for a request without a place.
+    """
+
+    endpoint: str
+    number: int
+    outcome: str
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -26,6 +26,9 @@
     CatalogPart,
     LoadAnswer,
     LoadAsk,
+    PlaceAnswer,
+    PlaceAsk,
+    PlaceEnded,
     PlacementNews,
     UseNews,
 )
@@ -111,6 +114,9 @@
     | GossipDigest
     | RelayAsk
     | RelayAnswer
+    | PlaceAsk
+    | PlaceAnswer
+    | PlaceEnded
 )
 
 
