Soak: services whose endpoints fall over when they reject too many

Cause: the soak knew no endpoints with few places that fall over. Change: a fault makes the endpoints of a service brittle for eight seconds or more; they let fewer wait after three. Checked is that they fall over at most twice and a tenth of their number while nothing disturbs daemons. A stand-in worker drops a request that waits when its caller leaves.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -10,6 +10,7 @@
 import fire
 
 from bench.soak.accounts import Accounts, check_accounts
+from bench.soak.brittle import check_brittle, list_falls
 from bench.soak.callers import Caller, CallResult, Ending
 from bench.soak.checks import RECOVERY_S, History, check
 from bench.soak.culprits import KNOWN_WITHIN_S, check_culprits, list_crash_faults
@@ -74,6 +75,7 @@
         violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
         faults += list_crash_faults(workers, started_at)
+        faults += list_falls(workers, started_at)
         history = History(started_at, faults, results, workers, world.drains)
         print_summary(seed, faults, results)
         violations += check_accounts(accounts, results, workers)
@@ -81,6 +83,7 @@
             workers, results, lost_at, history.disturbs_daemons
         )
         violations += check_limits(world.limits.periods, history.disturbs_daemons)
+        violations += check_brittle(world.brittle.periods, history.disturbs_daemons)
         return violations + check(history)
     finally:
         await world.stop()
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -50,6 +50,7 @@
     LINKS_RESET = "links_reset"
     LINKS_REFUSE = "links_refuse"
     ENDPOINT_PAUSES = "endpoint_pauses"
+    SERVICE_BRITTLE = "service_brittle"
 
 
 # These kinds have their own random streams, so that a seed draws the same
@@ -70,6 +71,7 @@
     FaultKind.LINKS_REFUSE,
     FaultKind.ENDPOINT_PAUSES,
 )
+BRITTLE_KINDS = (FaultKind.SERVICE_BRITTLE,)
 LATER_KINDS = (
     *ADDED_KINDS,
     *ACCOUNT_KINDS,
@@ -78,6 +80,7 @@
     *CRASHING_KINDS,
     *LIMIT_KINDS,
     *LINK_KINDS,
+    *BRITTLE_KINDS,
 )
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 # These disturb daemons or their connections to each other and to the store.
@@ -177,8 +180,13 @@
     link_faults = _draw_faults(
         Random(f"{seed} links"), LINK_KINDS, seconds, faults_per_s * link_share
     )
+    brittle_share = len(BRITTLE_KINDS) / len(BASE_KINDS)
+    brittle_faults = _draw_faults(
+        Random(f"{seed} brittle"), BRITTLE_KINDS, seconds, faults_per_s * brittle_share
+    )
     faults = base_faults + added_faults + account_faults + outage_faults
     faults += start_faults + crashing_faults + limit_faults + link_faults
+    faults += brittle_faults
     return sorted(faults, key=lambda fault: fault.starts_at)
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
+from bench.soak.brittle import BrittleServices
 from bench.soak.checks import Drain
 from bench.soak.culprits import CULPRIT_ROUTES, Culprits
 from bench.soak.daemon_process import DaemonProcess
@@ -71,6 +72,7 @@
         self.culprits = Culprits([])
         self.limits = EndpointLimits()
         self.cuts = LinkCuts()
+        self.brittle = BrittleServices()
         self.ends_at = float("inf")
         self.version = 1
         self.adapter_versions: dict[str, int] = {}
@@ -105,6 +107,7 @@
             FaultKind.LINKS_RESET: self._cut_links,
             FaultKind.LINKS_REFUSE: self._cut_links,
             FaultKind.ENDPOINT_PAUSES: self._pause_endpoint,
+            FaultKind.SERVICE_BRITTLE: self._make_brittle,
         }
 
     # Start and stop.
@@ -379,6 +382,15 @@
         """Silence a sound endpoint for at most somewhat over a second."""
         self._pick_worker(fault).pause(min(fault.duration_s, MAX_PAUSE_S))
 
+    async def _make_brittle(self, fault: Fault) -> None:
+        service = self._pick_worker(fault).service
+        workers = [
+            worker
+            for worker in self.platform.list_workers(service)
+            if self.platform.is_published(worker)
+        ]
+        await self.brittle.make_brittle(workers, fault)
+
     async def _publish_adapter_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -6,6 +6,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import Any
 
 from tornado.iostream import StreamClosedError
@@ -36,6 +37,17 @@
 CRASH_BEFORE_FIRST_EVENT = b"crash before the first event"
 CRASH_AFTER_FIRST_EVENT = b"crash after the first event"
 CRASH_DELAY_S = 0.02
+UNBOUNDED = 10_000
+# What a worker publishes that runs any number of requests at a time.
+PUBLISHED_SLOTS = 8
+
+
+class Admission(Enum):
+    """Whether a request runs, is rejected or dropped with its connection."""
+
+    RUNS = auto()
+    REJECTED = auto()
+    DROPPED = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,8 +130,8 @@
     limit_named_at: float | None = None
     crash: Callable[[], None] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
-    slots: int = 8
-    max_waiting: int = 10_000
+    slots: int = UNBOUNDED
+    max_waiting: int = UNBOUNDED
     brittle_per_s: float | None = None
     fall: Callable[[], None] | None = None
     fell_at: list[float] = field(default_factory=list)
@@ -142,31 +154,41 @@
         """Wait until a pause is over."""
         await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
 
-    async def enter(self) -> bool:
-        """Wait for a place; return false if the request is rejected."""
+    def restore_room(self) -> None:
+        """End all bounds on the requests that run or wait."""
+        self.brittle_per_s = None
+        self.run_s = 0.0
+        self.max_waiting = UNBOUNDED
+        self.slots = UNBOUNDED
+        while self._waiting and self._busy < self.slots:
+            self._busy += 1
+            self._waiting.popleft().set_result(None)
+
+    async def enter(self, closed: asyncio.Event) -> Admission:
+        """Wait for a place until the caller disconnects."""
         if self._busy < self.slots:
             self._busy += 1
-            return True
+            return Admission.RUNS
         if len(self._waiting) >= self.max_waiting:
             self._record_rejected()
-            return False
+            return Admission.REJECTED
         place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(place)
-        try:
-            await place
-        except asyncio.CancelledError:
-            if place.done() and not place.cancelled():
-                self.leave()
-            raise
-        return True
+        left = asyncio.ensure_future(closed.wait())
+        ends: set[asyncio.Future[Any]] = {place, left}
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        left.cancel()
+        if place.done():
+            return Admission.RUNS
+        self._waiting.remove(place)
+        return Admission.DROPPED
 
     def leave(self) -> None:
         """Give a place to the next request."""
         while self._waiting:
             place = self._waiting.popleft()
-            if not place.done():
-                place.set_result(None)
-                return
+            place.set_result(None)
+            return
         self._busy -= 1
 
     def _record_rejected(self) -> None:
@@ -222,7 +244,7 @@
             "address": address,
             "zone": zone,
             "version": "v1",
-            "slots": self.slots,
+            "slots": min(self.slots, PUBLISHED_SLOTS),
             "state": state,
             "cold_remaining_ms": 0,
             "models": self.list_models(),
@@ -387,9 +409,13 @@
         if expected and int(expected) != version:
             await self.respond(421, {})
             return
-        if not await worker.enter():
+        admission = await worker.enter(self.closed)
+        if admission is Admission.REJECTED:
             await self.reject()
             return
+        if admission is Admission.DROPPED:
+            self._finished = True
+            return
         try:
             await self.run_admitted(request_id, model, adapter, version)
         finally:
@@ -444,7 +470,10 @@
             worker.running -= 1
         echo = f"{self.request.method} {self.request.uri} "
         self.set_status(200)
-        await self.finish(echo.encode() + self.request.body)
+        try:
+            await self.finish(echo.encode() + self.request.body)
+        except StreamClosedError:
+            self._finished = True
 
     async def crash_worker(self, crash: Callable[[], None]) -> None:
         """Crash the worker after a short run, as the body asks for."""
