Let another instance own endpoints that an owner cannot reach

What callers saw, in the completions interface: requests for endpoints whose owner had lost its link to them, but not its peers, were refused, although all other instances reached them. Cause: the owner is chosen among all members, whether or not they reach the endpoint; without reports it refused requests and stayed the owner. Such an owner goes on asking for reports, and owns the endpoint again once it has one.

--- a/fescuekeel/components/membership/component.py
+++ b/fescuekeel/components/membership/component.py
@@ -1,5 +1,6 @@
 """The actor that probes peers, gossips and publishes the member view."""
 
+from dataclasses import replace
 from random import Random
 from typing import Any, cast
 
@@ -45,6 +46,7 @@
     ProbeAnswer,
     ProbeAsk,
     TreeStored,
+    UnreachableChanged,
 )
 
 __all__ = ["MembershipActor"]
@@ -57,6 +59,7 @@
         super().__init__(instance, DOMAIN)
         self._random = random or Random(instance.id)
         self._decision: Membership
+        self._view = MemberView()
         self._link: Peers
 
     async def start(self) -> None:
@@ -79,6 +82,7 @@
             TreeStored,
         ):
             bus.subscribe(kind, self.post)
+        bus.subscribe(UnreachableChanged, self._handle_unreachable)
         bus.subscribe_peer(Ping, self.post)
         bus.subscribe_peer(ProbeAsk, self.post)
         self._decide(bus.latest(LiveList) or LiveList())
@@ -127,10 +131,27 @@
                 self.instance.spawn(self._probe_indirectly(effect), f"{DOMAIN}.ask")
             case PublishView(view):
                 self._log_changes(view)
-                self.instance.bus.publish_state(view)
+                self._view = view
+                self._publish_view()
             case PublishTree(tree):
                 self.instance.bus.publish(tree)
 
+    def _handle_unreachable(self, changed: UnreachableChanged) -> None:
+        """Publish the view again, with what instances cannot reach."""
+        self._publish_view()
+
+    def _publish_view(self) -> None:
+        changed = self.instance.bus.latest(UnreachableChanged)
+        names = changed.names_by_instance if changed else {}
+        view = self._view
+        if names:
+            members = {
+                id: replace(member, unreachable=names.get(id, frozenset()))
+                for id, member in view.members_by_id.items()
+            }
+            view = replace(view, members_by_id=members)
+        self.instance.bus.publish_state(view)
+
     async def _probe(self, probe: Probe) -> None:
         self.instance.metrics.count("membership.probes")
         answer = await self._link.ask(probe.target, Ping(probe.news), PROBE_TIMEOUT_S)
--- a/fescuekeel/components/owner/component.py
+++ b/fescuekeel/components/owner/component.py
@@ -15,6 +15,7 @@
 from fescuekeel.components.owner.endpoint import EndpointOwner
 from fescuekeel.components.owner.estimates import Estimates
 from fescuekeel.components.owner.placement import Placement
+from fescuekeel.components.relay import Unreachable, UnreachableReporter
 from fescuekeel.components.tree.model import Pool, TreeInForce
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind
@@ -34,6 +35,7 @@
     RunningAsk,
     Submit,
     SubmitAnswer,
+    UnreachableChanged,
 )
 
 __all__ = ["Owner"]
@@ -50,6 +52,7 @@
         self.owners_by_endpoint: dict[str, EndpointOwner] = {}
         self.estimates = Estimates(instance.bus)
         self.placement = Placement(instance.id, instance.settings.instance.data_centre)
+        self._reporter = UnreachableReporter(instance, self._publish_unreachable)
         self._view = MemberView()
         self._drained = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -64,6 +67,7 @@
         bus.subscribe_peer(CopyAsk, self._answer_copy)
         bus.subscribe(PeerConnectionLost, self._handle_peer_lost)
         bus.subscribe(MemberView, self._handle_view)
+        self._reporter.start()
         self._handle_view(bus.latest(MemberView) or MemberView())
         self._tasks = [
             self.instance.spawn(self._tick_forever(), "owner.tick"),
@@ -113,8 +117,21 @@
             self._update_assignments()
             for owner in self.owners_by_endpoint.values():
                 owner.post(model.TimePassed())
+            self._reporter.update(Unreachable(names=self._list_lost_endpoints()))
             await asyncio.sleep(TICK_S)
 
+    def _list_lost_endpoints(self) -> frozenset[str]:
+        """Return the endpoints that send no reports to this instance."""
+        return frozenset(
+            endpoint
+            for endpoint, owner in self.owners_by_endpoint.items()
+            if owner.has_lost_contact
+        )
+
+    def _publish_unreachable(self) -> None:
+        names_by_instance = self._reporter.table.list_names()
+        self.instance.bus.publish_state(UnreachableChanged(names_by_instance))
+
     def _update_assignments(self) -> None:
         """Post the current assignment to each endpoint's owner.
 
@@ -178,7 +195,9 @@
             )
 
     def _remove_idle(self, owner: EndpointOwner) -> bool:
-        if not owner.is_idle:
+        # One that is out of contact is polled, to notice when it is back.
+        is_listed = owner.endpoint in self._view.endpoints_by_id
+        if not owner.is_idle or (owner.has_lost_contact and is_listed):
             return False
         del self.owners_by_endpoint[owner.endpoint]
         owner.end()
--- a/fescuekeel/components/owner/endpoint.py
+++ b/fescuekeel/components/owner/endpoint.py
@@ -9,6 +9,7 @@
 from fescuekeel.components.owner.arrivals import Arrivals
 from fescuekeel.components.owner.const import (
     HANDOVER_TIMEOUT_S,
+    LOST_CONTACT_S,
     PEERS_TIMEOUT_S,
     REPORT_TIMEOUT_S,
     UNRESPONSIVE_S,
@@ -97,6 +98,11 @@
         """Return the endpoint's ``IP:PORT``."""
         return self.assignment.entry.address
 
+    @property
+    def has_lost_contact(self) -> bool:
+        """Return whether the endpoint has sent no report for a while."""
+        return self.instance.now() - self.reported_at > LOST_CONTACT_S
+
     @property
     def is_idle(self) -> bool:
         """Return whether this owner has nothing left to do."""
--- a/fescuekeel/components/owner/placement.py
+++ b/fescuekeel/components/owner/placement.py
@@ -63,6 +63,11 @@
         served_data_centres = {
             member.data_centre for member in view.members_by_id.values()
         }
+        unreachable = {
+            endpoint
+            for member in view.members_by_id.values()
+            for endpoint in member.unreachable
+        }
         owners = {}
         for endpoint, entry in view.endpoints_by_id.items():
             is_local = entry.data_centre == self.data_centre
@@ -70,11 +75,14 @@
                 not is_local
                 and entry.data_centre in served_data_centres
                 and endpoint not in owned
+                and endpoint not in unreachable
             ):
                 continue
             # For a local endpoint, members of other data centres are skipped:
-            # they do not affect its owner and would dominate the cost.
-            members = local_members if is_local else view.members_by_id.values()
+            # they do not affect its owner and would dominate the cost. They
+            # may own one that local members cannot reach.
+            is_local_only = is_local and endpoint not in unreachable
+            members = local_members if is_local_only else view.members_by_id.values()
             owner = self._choose(entry, members) or self.find_owner(entry, view)
             if owner == self.instance_id or endpoint in owned:
                 owners[endpoint] = owner
--- a/fescuekeel/components/relay/__init__.py
+++ b/fescuekeel/components/relay/__init__.py
@@ -4,7 +4,8 @@
 from fescuekeel.components.relay.const import DOMAIN
 from fescuekeel.components.relay.outcome import RelayFailedError
 from fescuekeel.components.relay.paths import PathState
-from fescuekeel.components.relay.unreachable import UnreachableEndpoints
+from fescuekeel.components.relay.reporter import UnreachableReporter
+from fescuekeel.components.relay.unreachable import Unreachable, UnreachableEndpoints
 from fescuekeel.core import REGISTRY, Instance
 
 __all__ = [
@@ -12,7 +13,9 @@
     "PathState",
     "Relay",
     "RelayFailedError",
+    "Unreachable",
     "UnreachableEndpoints",
+    "UnreachableReporter",
     "setup",
 ]
 
--- a/fescuekeel/components/relay/reporter.py
+++ b/fescuekeel/components/relay/reporter.py
@@ -1,5 +1,6 @@
 """Tell all instances which endpoints this one cannot reach."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
 
@@ -60,8 +61,11 @@
 class UnreachableReporter:
     """Publish this instance's state, and keep that of its peers."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(
+        self, instance: Instance, on_changed: Callable[[], None] = lambda: None
+    ) -> None:
         self.table = UnreachableEndpoints()
+        self._on_changed = on_changed
         self._instance = instance
         self._state = UnreachableState()
         self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
@@ -104,3 +108,4 @@
             age_ms=round((self._instance.now() - fact.created_at) * MS_PER_S),
             outcome="in_force",
         )
+        self._on_changed()
--- a/fescuekeel/components/relay/unreachable.py
+++ b/fescuekeel/components/relay/unreachable.py
@@ -77,6 +77,10 @@
         known[instance_id] = unreachable
         return True
 
+    def list_names(self) -> dict[str, frozenset[str]]:
+        """Return the endpoints by the instances that cannot reach them."""
+        return {id: item.names for id, item in self._unreachable_by_instance.items()}
+
     def list_cut_off(self) -> set[str]:
         """Return the instances that reach no endpoint."""
         return {id for id, item in self._unreachable_by_instance.items() if item.is_all}
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -61,6 +61,7 @@
     SettingsReloaded,
     TreeAnnounced,
     TreeStored,
+    UnreachableChanged,
 )
 from fescuekeel.messages.ownership import (
     CopyAnswer,
@@ -166,6 +167,7 @@
     "TurnAnswer",
     "TurnAsk",
     "TurnDone",
+    "UnreachableChanged",
     "UseNews",
     "WeightUse",
     "WireMessage",
--- a/fescuekeel/messages/local.py
+++ b/fescuekeel/messages/local.py
@@ -1,6 +1,6 @@
 """Messages and snapshots exchanged between components of one instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -26,6 +26,7 @@
     "SettingsReloaded",
     "TreeAnnounced",
     "TreeStored",
+    "UnreachableChanged",
 ]
 
 
@@ -112,13 +113,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """Instance in the membership view."""
+    """Instance in the membership view.
+
+    ``unreachable`` are the endpoints that it owned and cannot reach.
+    """
 
     id: str
     address: str
     data_centre: str
     incarnation: int
     state: InstanceState = InstanceState.ALIVE
+    unreachable: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class UnreachableChanged:
+    """The endpoints that each instance cannot reach, if there are any."""
+
+    names_by_instance: Mapping[str, frozenset[str]]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/daemons/test_network.py
+++ b/tests/daemons/test_network.py
@@ -150,6 +150,38 @@
         asyncio.run(run())
 
 
+class TestOwnerWithoutEndpoints:
+    # Guards against an owner that reaches its peers but not its endpoints,
+    # keeps them, and fails what others could serve.
+    def test_another_instance_owns_its_endpoints(self, tmp_path):
+        async def prepare(world):
+            await world.add_live_list(["i1"], far_centre="dc1")
+
+        async def run():
+            async with open_world(tmp_path, ONE_CENTRE, prepare) as world:
+                daemons = list(world.daemons_by_id.values())
+                endpoints = set(world.platform.endpoints_by_id)
+                world.network.cut(
+                    lambda source, target: source == "i1" and target == "dc1"
+                )
+                cut, *others = daemons
+                await eventually(
+                    lambda: (
+                        not world.list_owned(cut)
+                        and list_owned(world, others) == endpoints
+                    )
+                )
+                load = world.send_load(per_s=20.0)
+                await load.wait_for_answers(60)
+                results = await load.stop()
+                assert list_unanswered(results) == []
+                world.network.heal()
+                await eventually(lambda: world.list_owned(cut))
+                world.check(results)
+
+        asyncio.run(run())
+
+
 class TestLeavingEndpoint:
     def test_no_new_work_while_the_live_list_lags(self, tmp_path):
         """Guards against new requests to an engine that is about to stop.
