--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -91,8 +91,8 @@
         evidence = await gather_evidence(lambda: self._call(endpoint, address))
         peer = Liveness.SILENT
         if evidence.shows_crash and evidence.second is not Liveness.REPLACED:
-            peer = await self._ask_peer(endpoint, address, evidence.second)
-            evidence = evidence.add_peer(peer)
+            peer, took_s = await self._ask_peer(endpoint, address, evidence.second)
+            evidence = evidence.add_peer(peer, took_s)
         outcome = "crashed" if evidence.shows_crash else "not_crashed"
         self._instance.metrics.count(f"crash_check.{outcome}")
         log_event(
@@ -105,8 +105,10 @@
         )
         return evidence
 
-    async def _ask_peer(self, endpoint: str, address: str, own: Liveness) -> Liveness:
-        """Return what a call through a peer shows.
+    async def _ask_peer(
+        self, endpoint: str, address: str, own: Liveness
+    ) -> tuple[Liveness, float]:
+        """Return what a call through a peer shows, and how long it took.
 
         Behind a cut link an endpoint looks as if it had crashed. If no peer
         can tell, this instance's own call counts while it reaches another
@@ -114,14 +116,16 @@
         """
         view = self._instance.bus.latest(MemberView) or MemberView()
         if view.members_by_id.keys() <= {self._instance.id}:
-            return own
+            return own, float("inf")
         try:
             connection = await self._relay.connect_relayed(endpoint)
         except RelayFailedError as error:
             if error.is_down or await self._relay.reaches_another(endpoint):
-                return own
-            return Liveness.SILENT
-        return await self._call_on(connection, endpoint, address)
+                return own, float("inf")
+            return Liveness.SILENT, float("inf")
+        called_at = self._instance.now()
+        found = await self._call_on(connection, endpoint, address)
+        return found, self._instance.now() - called_at
 
     async def _call(self, endpoint: str, address: str) -> Liveness:
         try:
--- a/fescuekeel/helpers/liveness.py
+++ b/fescuekeel/helpers/liveness.py
@@ -70,7 +70,7 @@
     >>> CrashEvidence(Liveness.CLOSED, Liveness.CLOSED).shows_crash
     True
     >>> refused = CrashEvidence(Liveness.REFUSED, Liveness.REFUSED)
-    >>> refused.add_peer(Liveness.ALIVE).shows_crash
+    >>> refused.add_peer(Liveness.ALIVE, took_s=0.01).shows_crash
     False
     """
 
@@ -79,9 +79,14 @@
     took_s: float = 0.0
     peer: Liveness | None = None
 
-    def add_peer(self, peer: Liveness) -> "CrashEvidence":
-        """Return the evidence with what a call through a peer has shown."""
-        return replace(self, peer=peer)
+    def add_peer(self, peer: Liveness, took_s: float) -> "CrashEvidence":
+        """Return the evidence with what a call through a peer has shown.
+
+        ``took_s`` is how long it took once the peer had connected.
+        """
+        if peer is not Liveness.CLOSED:
+            return replace(self, peer=peer)
+        return replace(self, peer=peer, took_s=min(self.took_s, took_s))
 
     @property
     def needs_life(self) -> bool:
--- a/tests/helpers/test_liveness.py
+++ b/tests/helpers/test_liveness.py
@@ -27,6 +27,10 @@
         assert run.was_in_crash(gather(0.001, SLOW_S))
         assert run.was_in_crash(gather(SLOW_S, 0.001))
 
+    def test_a_fast_call_of_a_peer_counts_as_well(self):
+        evidence = gather(SLOW_S, SLOW_S).add_peer(Liveness.CLOSED, took_s=0.002)
+        assert BrokenRun("e1", 10.0, lasted_s=0.05).was_in_crash(evidence)
+
     def test_calls_that_are_all_slow_show_no_run(self):
         run = BrokenRun("e1", 10.0, lasted_s=0.05)
         assert not run.was_in_crash(gather(SLOW_S, SLOW_S))
