Ask a relay that failed last, and drop asks for places that were withdrawn

A single peer that failed once was not asked for a second, so that requests of an instance without endpoints failed; relayed connections were never reused, as their age was not set; a request whose caller had left while it waited for a place got it, until its deadline. Change: peers that have failed come last instead of not at all; a relayed connection has the time at which it was opened; a withdrawn ask leaves the queue.

--- a/fescuekeel/components/allowance/places.py
+++ b/fescuekeel/components/allowance/places.py
@@ -195,6 +195,7 @@
             outcome = PlaceOutcome.BROKEN
         before = int(room.limit)
         key = (message.sender, ended.number)
+        self._asks_by_key.pop((ended.endpoint, *key), None)
         decisions = room.end(key, outcome, self._instance.now())
         if outcome is PlaceOutcome.REJECTED:
             self._log_rejected(ended.endpoint, room, before)
--- a/fescuekeel/components/allowance/rooms.py
+++ b/fescuekeel/components/allowance/rooms.py
@@ -8,7 +8,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -158,8 +158,12 @@
     def end(
         self, key: tuple[str, int], outcome: PlaceOutcome, now: float
     ) -> list[PlaceDecision]:
-        """Free a place, and learn from how its request ended."""
+        """Free a place, and learn from how its request ended.
+
+        A request that has not got its place yet waits no more.
+        """
         self.updated_at = now
+        self._drop_waiting(lambda request: request.key == key)
         had_place = self._expiries_by_key.pop(key, None) is not None
         if outcome is PlaceOutcome.REJECTED:
             self._narrow(now)
@@ -195,12 +199,13 @@
             del self._expiries_by_key[key]
         for id in lost & self._running_by_instance.keys():
             del self._running_by_instance[id]
-        self._waiting = [
-            item for item in self._waiting if item.request.key[0] not in lost
-        ]
-        heapq.heapify(self._waiting)
+        self._drop_waiting(lambda request: request.instance in lost)
         return self.step(now)
 
+    def _drop_waiting(self, is_gone: Callable[[PlaceRequest], bool]) -> None:
+        self._waiting = [item for item in self._waiting if not is_gone(item.request)]
+        heapq.heapify(self._waiting)
+
     def _has_room(self, now: float) -> bool:
         if self._count_rejected(now) >= self._max_rejected:
             return False
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -227,7 +227,7 @@
             choice.endpoint,
             request.priority,
             patience_s,
-            request.deadline - now,
+            max(0.0, request.deadline - now),
             self._get_load(choice.endpoint).running,
             record.slots,
             stands_per_s,
--- a/fescuekeel/components/peers/stream.py
+++ b/fescuekeel/components/peers/stream.py
@@ -9,7 +9,7 @@
     STREAM_TIMEOUT_S,
 )
 from fescuekeel.errors import Failure
-from fescuekeel.helpers.peer_link import StreamCallbacks
+from fescuekeel.helpers.peer_link import SILENT, StreamCallbacks
 
 __all__ = ["ByteStream"]
 
@@ -100,7 +100,7 @@
             self._connection.last_received_at = now
         silent_s = now - self._connection.last_received_at
         if silent_s > STREAM_TIMEOUT_S:
-            self._lose("silent")
+            self._lose(SILENT)
         elif self._sends_heartbeats and now - self._asked_at > STREAM_HEARTBEAT_S:
             self._asked_at = now
             self._connection.send_heartbeat()
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -26,7 +26,7 @@
 from fescuekeel.helpers.http_connection import Connection, NotConnectedError, connect
 from fescuekeel.helpers.incarnation import Incarnation
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.peer_link import OpenedStream, get_peer_link
+from fescuekeel.helpers.peer_link import SILENT, OpenedStream, get_peer_link
 from fescuekeel.helpers.published import Catalog, EndpointRecord
 from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import MemberView, RelayAnswer, RelayAsk
@@ -133,16 +133,13 @@
         if self._paths.get_state(endpoint) is PathState.DIRECT:
             self._paths.record_contact(endpoint, self._instance.now())
 
-    async def connect_relayed(self, endpoint: str, avoided: str = "") -> Connection:
-        """Connect through a peer; raises ``RelayFailedError``.
-
-        ``avoided`` is a peer that is not asked.
-        """
+    async def connect_relayed(self, endpoint: str) -> Connection:
+        """Connect through a peer; raises ``RelayFailedError``."""
         errors: list[NotConnectedError] = []
         connection = await first_success(
             [
                 lambda peer=peer: self._ask(peer, endpoint)  # type: ignore[misc]
-                for peer in self._list_peers(endpoint, avoided)
+                for peer in self._list_peers(endpoint)
             ],
             RELAY_STAGGER_S,
             errors.append,
@@ -154,14 +151,13 @@
             self._report_change(endpoint, f"reached by {connection.relayed_by}")
         return connection
 
-    def _list_peers(self, endpoint: str, avoided: str) -> list[str]:
+    def _list_peers(self, endpoint: str) -> list[str]:
         """Return the peers to ask for a connection, in order."""
         name = Incarnation.parse(endpoint).name
         view = self._instance.bus.latest(MemberView) or MemberView()
         return self._peers.list_next(
             view.members_by_id.keys(),
             self.unreachable.list_without(name),
-            avoided,
             self._instance.now(),
         )
 
@@ -243,8 +239,8 @@
             raise RelayFailedError(f"{peer}: unexpected answer")
         self._log_asked(peer, endpoint, asked_at, answer.outcome)
         if answer.outcome == RelayOutcome.OPENED:
-            connection = Connection(relayed_by=peer)
-            StreamTransport(opened.stream, connection).start()
+            connection = Connection(peer, self._instance.now())
+            StreamTransport(opened.stream, connection, self._handle_lost).start()
             return connection
         opened.stream.close()
         is_down = answer.outcome == RelayOutcome.UNREACHABLE and answer.reaches_others
@@ -252,6 +248,11 @@
             self._peers.record_failed(peer, self._instance.now())
         raise RelayFailedError(f"{peer}: {answer.outcome}", is_down)
 
+    def _handle_lost(self, peer: str, reason: str) -> None:
+        """Ask other peers first if one fell silent."""
+        if reason == SILENT:
+            self._peers.record_failed(peer, self._instance.now())
+
     def _log_asked(
         self, peer: str, endpoint: str, asked_at: float, outcome: str
     ) -> None:
--- a/fescuekeel/components/relay/const.py
+++ b/fescuekeel/components/relay/const.py
@@ -16,7 +16,7 @@
 # between instances; several spread the load, and one of them may be cut too.
 MAX_RELAY_PEERS: Final = 4
 MAX_PEERS_ASKED: Final = 3
-# How long a peer that could not relay is not asked again.
+# How long others are asked before a peer that could not relay.
 PEER_BACKOFF_S: Final = 1.0
 # Connections that an instance relays for its peers at the same time.
 MAX_RELAYED: Final = 256
--- a/fescuekeel/components/relay/transport.py
+++ b/fescuekeel/components/relay/transport.py
@@ -1,6 +1,7 @@
 """A byte stream through a peer, as a transport for HTTP connections."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from fescuekeel.helpers.peer_link import PeerStream, StreamCallbacks
@@ -9,10 +10,19 @@
 
 
 class StreamTransport(asyncio.Transport):
-    """Let a protocol use a ``PeerStream`` like a socket."""
+    """Let a protocol use a ``PeerStream`` like a socket.
 
-    def __init__(self, stream: PeerStream, protocol: asyncio.Protocol) -> None:
+    ``on_lost`` is called with the peer and the reason if the stream is lost.
+    """
+
+    def __init__(
+        self,
+        stream: PeerStream,
+        protocol: asyncio.Protocol,
+        on_lost: Callable[[str, str], None],
+    ) -> None:
         super().__init__()
+        self._on_lost = on_lost
         self._stream = stream
         self._protocol = protocol
         self._lost = False
@@ -34,6 +44,7 @@
             self._close(None)
 
     def _handle_lost(self, reason: str) -> None:
+        self._on_lost(self._stream.peer_id, reason)
         self._close(ConnectionResetError(f"relay by {self._stream.peer_id}: {reason}"))
 
     def _close(self, error: Exception | None) -> None:
--- a/fescuekeel/components/relay/unreachable.py
+++ b/fescuekeel/components/relay/unreachable.py
@@ -17,9 +17,11 @@
     ``names`` are those of the endpoints, and ``is_all`` says that it reaches
     none.
 
-    >>> Unreachable.parse(Unreachable(False, frozenset({"e2", "e1"})).format())
-    Unreachable(is_all=False, names=frozenset({'e1', 'e2'}))
-    >>> Unreachable(True).format(), Unreachable().format()
+    >>> Unreachable(names=frozenset({"e2", "e1"})).format()
+    b'e1,e2'
+    >>> Unreachable.parse(b"e1,e2").covers("e2")
+    True
+    >>> Unreachable(is_all=True).format(), Unreachable().format()
     (b'*', b'')
     """
 
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -86,13 +86,13 @@
     ``fresh`` is true until the first request has ended: a failure on a reused
     connection may only mean that the server closed it while it was idle.
     ``relayed_by`` is the peer through which the connection goes, empty if it
-    is direct.
+    is direct, and ``opened_at`` when it was opened on the instance's clock.
     """
 
-    def __init__(self, relayed_by: str = "") -> None:
+    def __init__(self, relayed_by: str = "", opened_at: float = 0.0) -> None:
         self.fresh = True
         self.relayed_by = relayed_by
-        self.opened_at = 0.0
+        self.opened_at = opened_at
         self.awaiting_response = False
         self._http = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
--- a/fescuekeel/helpers/peer_link.py
+++ b/fescuekeel/helpers/peer_link.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "PEERS_DOMAIN",
+    "SILENT",
     "OpenedStream",
     "PeerLink",
     "PeerStream",
@@ -20,6 +21,8 @@
 ]
 
 PEERS_DOMAIN = "peers"
+# The reason of a stream that was lost since the peer sent nothing any more.
+SILENT = "silent"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/components/allowance/test_rooms.py
+++ b/tests/components/allowance/test_rooms.py
@@ -84,6 +84,16 @@
         assert not decision.granted
         assert decision.wait_s > 0
 
+    # Guards against a place that goes to a request whose caller has left.
+    def test_one_that_has_left_waits_no_more(self):
+        room = EndpointRoom(1, 4.0)
+        room.ask(make_request(number=1), 0.0)
+        room.ask(make_request(number=2, patience_s=1.0), 0.0)
+        room.ask(make_request(number=3, patience_s=1.0), 0.0)
+        assert room.end(("i1", 2), PlaceOutcome.UNUSED, 0.1) == []
+        (decision,) = room.end(("i1", 1), PlaceOutcome.ANSWERED, 0.2)
+        assert decision.request.number == 3
+
 
 class TestRejections:
     # Guards against sending on while an endpoint is close to falling over.
