--- a/bench/soak/brittle.py
+++ b/bench/soak/brittle.py
@@ -51,17 +51,18 @@
         stands_per_s = random.choice(REJECTIONS_PER_S)
         began_at = time.monotonic()
         for worker in workers:
-            worker.slots, worker.max_waiting = SLOTS, MAX_WAITING
+            worker.room.slots, worker.room.max_waiting = SLOTS, MAX_WAITING
             worker.run_s = RUN_S
-            worker.brittle_per_s = stands_per_s
+            worker.room.brittle_per_s = stands_per_s
         await asyncio.sleep(KNOWN_WITHIN_S)
         for worker in workers:
-            worker.max_waiting = random.choice(WAITING_THEN)
+            worker.room.max_waiting = random.choice(WAITING_THEN)
         await asyncio.sleep(fault.duration_s + PERIOD_S)
         period = BrittlePeriod(tuple(workers), began_at, time.monotonic())
         self.periods.append(period)
         for worker in workers:
-            worker.restore_room()
+            worker.run_s = 0.0
+            worker.room.unbind()
         self._brittle.discard(service)
 
 
@@ -73,7 +74,7 @@
         falls = [
             at
             for worker in period.workers
-            for at in worker.fell_at
+            for at in worker.room.fell_at
             if period.began_at <= at <= period.ended_at
             and not was_disturbed(at - KNOWN_WITHIN_S, at)
         ]
@@ -88,5 +89,5 @@
     return [
         Fault(FaultKind.SERVICE_BRITTLE, at - started_at, FALL_DOWN_S, 0)
         for worker in workers
-        for at in worker.fell_at
+        for at in worker.room.fell_at
     ]
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -7,6 +7,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from fescuekeel.components.forward.attempt import Attempt
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
 from fescuekeel.components.forward.budget import RetryBudget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
@@ -29,7 +30,7 @@
 from fescuekeel.components.forward.overhead import OverheadEstimator
 from fescuekeel.components.forward.reachability import ReachabilityMonitor
 from fescuekeel.components.forward.records import RequestRecords
-from fescuekeel.components.forward.request import Attempt, ForwardedRequest
+from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.components.forward.routes import RouteTable, choose_service
 from fescuekeel.components.forward.selection import EndpointSelector
 from fescuekeel.components.forward.server import CallersServer
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
+from fescuekeel.components.forward.attempt import Attempt
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.choice import Choice
-from fescuekeel.components.forward.request import Attempt, ForwardedRequest
+from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.core import Instance
 from fescuekeel.errors import Failure
 from fescuekeel.helpers.logging import log_event
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 from fescuekeel.components.allowance import PlaceOutcome
+from fescuekeel.components.forward.attempt import Attempt, get_place_outcome
 from fescuekeel.components.forward.attempts import (
     AttemptEnd,
     RequestState,
@@ -45,25 +46,11 @@
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
 
-__all__ = ["Attempt", "ForwardedRequest"]
+__all__ = ["ForwardedRequest"]
 
 FAILURE_STATUS = 500
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One attempt to send the request to an endpoint."""
-
-    endpoint: str
-    started_at: float
-    tokens: int
-    tokens_ahead: int
-    first_chunk_received: bool = False
-    first_s: float = -1.0
-    head: ResponseHead | None = None
-    connection: Connection | None = None
-
-
 @dataclass(slots=True, eq=False)
 class ForwardedRequest:
     """Forward a request to an endpoint and the answer to the caller.
@@ -272,7 +259,7 @@
             end = await self._exchange(attempt, choice)
         finally:
             self._current_attempt = None
-            self._end_place(choice, _get_place_outcome(end))
+            self._end_place(choice, get_place_outcome(end))
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_chunk_received else tokens
             load.end(self.weights, left)
@@ -500,16 +487,3 @@
             estimator.note(attempt.tokens, wait_s)
         if self.route.kind is not RouteKind.STREAM:
             load.record_service(wait_s)
-
-
-def _get_place_outcome(end: AttemptEnd | None) -> PlaceOutcome:
-    """Return what an attempt's end means for its place at the endpoint."""
-    match end:
-        case None | AttemptEnd.FAILED:
-            return PlaceOutcome.ANSWERED
-        case AttemptEnd.NOT_RUN:
-            return PlaceOutcome.REJECTED
-        case AttemptEnd.BROKEN:
-            return PlaceOutcome.BROKEN
-        case _:
-            return PlaceOutcome.UNUSED
--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -103,7 +103,7 @@
         self._zones_by_id[worker.id] = zone
         self._addresses_by_id[worker.id] = server.address
         worker.crash = lambda: self._begin_crash(worker, CRASH_DOWN_S)
-        worker.fall = lambda: self._begin_crash(worker, FALL_DOWN_S)
+        worker.room.fall = lambda: self._begin_crash(worker, FALL_DOWN_S)
         return server.address
 
     def _begin_crash(self, worker: Worker, down_s: float) -> None:
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -6,11 +6,11 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum, auto
 from typing import Any
 
 from tornado.iostream import StreamClosedError
 
+from standins.forwarding.room import Admission, WorkerRoom
 from standins.server import ConnectionFaults, Server, StandInHandler
 
 __all__ = [
@@ -37,19 +37,10 @@
 CRASH_BEFORE_FIRST_EVENT = b"crash before the first event"
 CRASH_AFTER_FIRST_EVENT = b"crash after the first event"
 CRASH_DELAY_S = 0.02
-UNBOUNDED = 10_000
 # What a worker publishes that runs any number of requests at a time.
 PUBLISHED_SLOTS = 8
 
 
-class Admission(Enum):
-    """Whether a request runs, is rejected or dropped with its connection."""
-
-    RUNS = auto()
-    REJECTED = auto()
-    DROPPED = auto()
-
-
 @dataclass(frozen=True, slots=True)
 class RunRecord:
     """A run as of its start; ``started_at`` is in monotonic seconds.
@@ -91,11 +82,7 @@
     ignores bodies that crash it.
     While ``limit_per_s`` is set, answers name it as the worker's rate limit;
     ``limit_named_at`` is when the first one did.
-
-    ``slots`` requests run at a time and ``max_waiting`` wait; all further ones
-    are rejected. While ``brittle_per_s`` is set, answers name it, and the
-    worker falls over when it rejects more than that within a second: ``fall``
-    stops it and starts it again empty. ``fell_at`` has the times.
+    ``room`` bounds the requests that run and wait.
     """
 
     service: str
@@ -130,15 +117,8 @@
     limit_named_at: float | None = None
     crash: Callable[[], None] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
-    slots: int = UNBOUNDED
-    max_waiting: int = UNBOUNDED
-    brittle_per_s: float | None = None
-    fall: Callable[[], None] | None = None
-    fell_at: list[float] = field(default_factory=list)
+    room: WorkerRoom = field(default_factory=WorkerRoom)
     _silent_until: float = 0.0
-    _busy: int = 0
-    _waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
-    _rejected_at: deque[float] = field(default_factory=deque)
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
     def control(self, commands: dict[str, Any]) -> None:
@@ -154,55 +134,6 @@
         """Wait until a pause is over."""
         await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
 
-    def restore_room(self) -> None:
-        """End all bounds on the requests that run or wait."""
-        self.brittle_per_s = None
-        self.run_s = 0.0
-        self.max_waiting = UNBOUNDED
-        self.slots = UNBOUNDED
-        while self._waiting and self._busy < self.slots:
-            self._busy += 1
-            self._waiting.popleft().set_result(None)
-
-    async def enter(self, closed: asyncio.Event) -> Admission:
-        """Wait for a place until the caller disconnects."""
-        if self._busy < self.slots:
-            self._busy += 1
-            return Admission.RUNS
-        if len(self._waiting) >= self.max_waiting:
-            self._record_rejected()
-            return Admission.REJECTED
-        place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append(place)
-        left = asyncio.ensure_future(closed.wait())
-        ends: set[asyncio.Future[Any]] = {place, left}
-        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
-        left.cancel()
-        if place.done():
-            return Admission.RUNS
-        self._waiting.remove(place)
-        return Admission.DROPPED
-
-    def leave(self) -> None:
-        """Give a place to the next request."""
-        while self._waiting:
-            place = self._waiting.popleft()
-            place.set_result(None)
-            return
-        self._busy -= 1
-
-    def _record_rejected(self) -> None:
-        now = time.monotonic()
-        self._rejected_at.append(now)
-        while self._rejected_at[0] < now - 1.0:
-            self._rejected_at.popleft()
-        if self.brittle_per_s is None or self.fall is None:
-            return
-        if len(self._rejected_at) > self.brittle_per_s:
-            self._rejected_at.clear()
-            self.fell_at.append(now)
-            self.fall()
-
     def withdraw_faults(self) -> int:
         """Withdraw the faults that no request has met; return how many."""
         left = self.fail + self.shed + self.cut
@@ -244,7 +175,7 @@
             "address": address,
             "zone": zone,
             "version": "v1",
-            "slots": min(self.slots, PUBLISHED_SLOTS),
+            "slots": min(self.room.slots, PUBLISHED_SLOTS),
             "state": state,
             "cold_remaining_ms": 0,
             "models": self.list_models(),
@@ -392,8 +323,8 @@
         if worker.limit_per_s is not None:
             self.set_header(SERVER_LIMIT_HEADER, str(worker.limit_per_s))
             worker.limit_named_at = worker.limit_named_at or time.monotonic()
-        if worker.brittle_per_s is not None:
-            self.set_header(SERVER_BRITTLE_HEADER, str(worker.brittle_per_s))
+        if worker.room.brittle_per_s is not None:
+            self.set_header(SERVER_BRITTLE_HEADER, str(worker.room.brittle_per_s))
         if worker.consume_fault("shed"):
             await self.reject()
             return
@@ -409,7 +340,7 @@
         if expected and int(expected) != version:
             await self.respond(421, {})
             return
-        admission = await worker.enter(self.closed)
+        admission = await worker.room.enter(self.closed)
         if admission is Admission.REJECTED:
             await self.reject()
             return
@@ -419,7 +350,7 @@
         try:
             await self.run_admitted(request_id, model, adapter, version)
         finally:
-            worker.leave()
+            worker.room.leave()
 
     async def reject(self) -> None:
         """Respond that the request has not run."""
--- a/tests/platform/test_brittle_endpoints.py
+++ b/tests/platform/test_brittle_endpoints.py
@@ -60,9 +60,9 @@
 
 def make_brittle(workers, slots, run_s):
     for worker in workers:
-        worker.slots, worker.max_waiting = slots, 20
+        worker.room.slots, worker.room.max_waiting = slots, 20
         worker.run_s, worker.event_s = run_s, run_s / worker.events
-        worker.brittle_per_s = REJECTIONS_PER_S
+        worker.room.brittle_per_s = REJECTIONS_PER_S
 
 
 async def play(path, slots, run_s, requests_per_s, senders=(0, 1, 2, 3)):
@@ -83,13 +83,13 @@
         running = asyncio.ensure_future(load.run(requests_per_s, SECONDS))
         await asyncio.sleep(SHRINKS_AFTER_S)
         for worker in workers:
-            worker.max_waiting = 1
+            worker.room.max_waiting = 1
         since = time.monotonic()
         await running
         until = since + SECONDS - SHRINKS_AFTER_S
         served = load.count_served(since, until)
         capacity = ENDPOINTS * slots / run_s * (until - since)
-        return sum(len(worker.fell_at) for worker in workers), served / capacity
+        return sum(len(worker.room.fell_at) for worker in workers), served / capacity
 
 
 @pytest.mark.parametrize(
