Count a crash of an endpoint that is reached through a peer

Cause: the calls of the check go by the path of the endpoint, and a relay that fails was taken for silence whatever the peers said. Change: peers that reach other endpoints and not this one show that it refuses. The new test failed before and passes now, beside one that a relay that merely fails is no crash.

--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -130,8 +130,8 @@
     async def _call(self, endpoint: str, address: str) -> Liveness:
         try:
             connection = await self._connect(endpoint, address)
-        except RelayFailedError:
-            return Liveness.SILENT
+        except RelayFailedError as error:
+            return Liveness.REFUSED if error.is_down else Liveness.SILENT
         except NotConnectedError as error:
             return classify_failed_connect(error.__cause__)
         return await self._call_on(connection, endpoint, address)
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -55,9 +55,10 @@
     address: str = ""
     is_down: bool = False
     reaches_others: bool = True
+    state: PathState = PathState.DIRECT
 
     def get_state(self, endpoint):
-        return PathState.DIRECT
+        return self.state
 
     async def connect_relayed(self, endpoint):
         if not self.address:
@@ -156,3 +157,12 @@
     def test_an_instance_that_is_cut_off_itself_has_no_evidence(self):
         relay = FakeRelay(reaches_others=False)
         assert not Scenario(stopped=True, relay=relay, has_peers=True).crashed
+
+    # Guards against crashes that count for nothing behind a cut link.
+    def test_an_endpoint_that_a_relay_does_not_reach_any_more_has_crashed(self):
+        relay = FakeRelay(is_down=True, state=PathState.RELAYED)
+        assert Scenario(relay=relay, has_peers=True).crashed
+
+    def test_a_relay_that_fails_is_no_crash(self):
+        relay = FakeRelay(reaches_others=False, state=PathState.RELAYED)
+        assert not Scenario(relay=relay, has_peers=True).crashed
