Do not ask all peers for each waiting request while none can relay

Cause: only an endpoint that peers had called down was left alone for a moment. Change: after all asked peers have failed nobody asks for that endpoint for 0.2 s, and a connect that was not tried is counted, not logged.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -36,7 +36,12 @@
 from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.components.forward.use import UseReporter
-from fescuekeel.components.relay import DOMAIN as RELAY_DOMAIN, PathState, Relay
+from fescuekeel.components.relay import (
+    DOMAIN as RELAY_DOMAIN,
+    PathState,
+    PathUnavailableError,
+    Relay,
+)
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata, get_dialect
@@ -345,6 +350,9 @@
         self.instance.metrics.count("endpoint.connections")
         try:
             connection = await self.relay.connect(endpoint, pool.address)
+        except PathUnavailableError:
+            self.instance.metrics.count("endpoint.no_path")
+            raise
         except NotConnectedError as error:
             now = self.instance.now()
             health.record_unreachable(now)
--- a/fescuekeel/components/relay/__init__.py
+++ b/fescuekeel/components/relay/__init__.py
@@ -2,7 +2,7 @@
 
 from fescuekeel.components.relay.component import Relay
 from fescuekeel.components.relay.const import DOMAIN
-from fescuekeel.components.relay.outcome import RelayFailedError
+from fescuekeel.components.relay.outcome import PathUnavailableError, RelayFailedError
 from fescuekeel.components.relay.paths import PathState
 from fescuekeel.components.relay.reporter import UnreachableReporter
 from fescuekeel.components.relay.unreachable import Unreachable, UnreachableEndpoints
@@ -11,6 +11,7 @@
 __all__ = [
     "DOMAIN",
     "PathState",
+    "PathUnavailableError",
     "Relay",
     "RelayFailedError",
     "Unreachable",
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -14,7 +14,11 @@
     RELAY_TIMEOUT_S,
     TICK_S,
 )
-from fescuekeel.components.relay.outcome import RelayFailedError, RelayOutcome
+from fescuekeel.components.relay.outcome import (
+    PathUnavailableError,
+    RelayFailedError,
+    RelayOutcome,
+)
 from fescuekeel.components.relay.paths import PathState, PathTable, Route
 from fescuekeel.components.relay.peers import RelayPeers
 from fescuekeel.components.relay.race import first_success
@@ -99,12 +103,12 @@
     async def connect(self, endpoint: str, address: str) -> Connection:
         """Connect to an endpoint, directly or through a peer.
 
-        Raises ``NotConnectedError`` if both fail, or at once if the endpoint
-        was down a moment ago.
+        Raises ``NotConnectedError`` if both fail, and ``PathUnavailableError``
+        at once if both have failed a moment ago.
         """
         match self._paths.choose(endpoint, self._instance.now()):
             case Route.NONE:
-                raise NotConnectedError("endpoint is down")
+                raise PathUnavailableError("no path a moment ago")
             case Route.RELAY:
                 return await self.connect_relayed(endpoint)
         direct = asyncio.ensure_future(self.connect_directly(endpoint, address))
@@ -165,6 +169,7 @@
         self, endpoint: str, errors: Iterable[NotConnectedError]
     ) -> RelayFailedError:
         """Record what the peers' answers show; return the error to raise."""
+        self._paths.record_relay_failed(endpoint, self._instance.now())
         is_down = any(
             isinstance(error, RelayFailedError) and error.is_down for error in errors
         )
--- a/fescuekeel/components/relay/const.py
+++ b/fescuekeel/components/relay/const.py
@@ -35,6 +35,8 @@
 # How long an endpoint that neither this instance nor a peer reaches is not
 # tried for requests.
 DOWN_S: Final = 0.4
+# How long no peer is asked for an endpoint after all asked ones have failed.
+RELAY_RETRY_S: Final = 0.2
 # A direct contact this recent shows that this instance is not cut off.
 RECENT_CONTACT_S: Final = 2.0
 
--- a/fescuekeel/components/relay/outcome.py
+++ b/fescuekeel/components/relay/outcome.py
@@ -4,7 +4,7 @@
 
 from fescuekeel.helpers.http_connection import NotConnectedError
 
-__all__ = ["RelayFailedError", "RelayOutcome"]
+__all__ = ["PathUnavailableError", "RelayFailedError", "RelayOutcome"]
 
 
 class RelayOutcome(StrEnum):
@@ -22,6 +22,10 @@
     DRAINING = "draining"
 
 
+class PathUnavailableError(NotConnectedError):
+    """No connect was tried, as all have failed a moment ago."""
+
+
 class RelayFailedError(NotConnectedError):
     """No peer has connected to the endpoint.
 
--- a/fescuekeel/components/relay/paths.py
+++ b/fescuekeel/components/relay/paths.py
@@ -15,6 +15,7 @@
     MAX_PROBES_PER_TICK,
     MIN_PROBE_S,
     RECENT_CONTACT_S,
+    RELAY_RETRY_S,
     WANTED_S,
 )
 
@@ -53,6 +54,7 @@
     changed_at: float = NEVER
     contact_at: float = NEVER
     failed_at: float = NEVER
+    relay_failed_at: float = NEVER
     wanted_at: float = NEVER
     probe_at: float = NEVER
     probe_s: float = MIN_PROBE_S
@@ -107,6 +109,8 @@
             return Route.DIRECT
         if path.state is PathState.DOWN and now - path.changed_at < DOWN_S:
             return Route.NONE
+        if now - path.relay_failed_at < RELAY_RETRY_S:
+            return Route.NONE
         return Route.RELAY
 
     def record_contact(self, endpoint: str, now: float) -> bool:
@@ -141,6 +145,10 @@
         path.changed_at = now
         return path.change(PathState.DOWN, now)
 
+    def record_relay_failed(self, endpoint: str, now: float) -> None:
+        """Record that no peer has connected to an endpoint."""
+        self._get(endpoint).relay_failed_at = now
+
     def is_cut_off(self, now: float) -> bool:
         """Return whether peers reach endpoints and this instance none."""
         relayed = False
--- a/tests/components/relay/test_paths.py
+++ b/tests/components/relay/test_paths.py
@@ -6,6 +6,7 @@
     DOWN_S,
     MAX_PROBES_PER_TICK,
     RECENT_CONTACT_S,
+    RELAY_RETRY_S,
 )
 from fescuekeel.components.relay.paths import PathState, PathTable, Route
 
@@ -56,6 +57,14 @@
         assert paths.choose("e1", 10.1) is Route.NONE
         assert paths.choose("e1", 10.1 + DOWN_S) is Route.RELAY
 
+    # Guards against each waiting request asking all peers by itself.
+    def test_peers_are_not_asked_again_at_once(self):
+        paths = PathTable()
+        paths.record_failed("e1", 10.0)
+        paths.record_relay_failed("e1", 10.0)
+        assert paths.choose("e1", 10.1) is Route.NONE
+        assert paths.choose("e1", 10.1 + RELAY_RETRY_S) is Route.RELAY
+
     def test_a_late_answer_of_a_peer_does_not_end_direct_contact(self):
         paths = PathTable()
         paths.record_failed("e1", 10.0)
