--- a/bench/soak/brittle.py
+++ b/bench/soak/brittle.py
@@ -62,7 +62,7 @@
         self.periods.append(period)
         for worker in workers:
             worker.run_s = 0.0
-            worker.room.unbind()
+            worker.room.remove_bounds()
         self._brittle.discard(service)
 
 
--- a/fescuekeel/components/allowance/__init__.py
+++ b/fescuekeel/components/allowance/__init__.py
@@ -1,19 +1,19 @@
 """The allowance component: rate limits over all instances."""
 
 from fescuekeel.components.allowance.component import Allowances
+from fescuekeel.components.allowance.concurrency import PermitOutcome
 from fescuekeel.components.allowance.const import DOMAIN
 from fescuekeel.components.allowance.limit import EndpointLimit
-from fescuekeel.components.allowance.places import Place, PlaceNeed
-from fescuekeel.components.allowance.rooms import PlaceOutcome
+from fescuekeel.components.allowance.permits import Permit, PermitNeed
 from fescuekeel.core import REGISTRY, Instance
 
 __all__ = [
     "DOMAIN",
     "Allowances",
     "EndpointLimit",
-    "Place",
-    "PlaceNeed",
-    "PlaceOutcome",
+    "Permit",
+    "PermitNeed",
+    "PermitOutcome",
     "setup",
 ]
 
--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -26,7 +26,7 @@
     Refuse,
 )
 from fescuekeel.components.allowance.partition import PartitionShare
-from fescuekeel.components.allowance.places import Places
+from fescuekeel.components.allowance.permits import Permits
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.logging import log_event
@@ -59,7 +59,7 @@
         self._endpoint_home = LimitHome(
             instance.now(), ENDPOINT_WINDOW_S, prefetch_share=0.0
         )
-        self.places = Places(
+        self.permits = Permits(
             instance,
             self._list_reachable_homes,
             self._record_home_silent,
@@ -75,7 +75,7 @@
         """Subscribe to peers' queries, members and the catalog."""
         bus = self._instance.bus
         bus.subscribe_peer(AllowanceAsk, self._handle_ask)
-        self.places.start()
+        self.permits.start()
         bus.subscribe(MemberView, self._handle_members)
         bus.subscribe(Catalog, self._handle_catalog)
         self._handle_members(bus.latest(MemberView) or MemberView())
@@ -296,7 +296,7 @@
         if self._share.reachable == before:
             return
         self._homes_by_name.clear()
-        self.places.drop_instances(before - self._share.reachable)
+        self.permits.drop_instances(before - self._share.reachable)
         for home in (self._home, self._endpoint_home):
             own = [
                 name
--- a/fescuekeel/components/allowance/rooms.py
+++ b/fescuekeel/components/allowance/concurrency.py
@@ -1,8 +1,8 @@
 """Bound the requests in progress at endpoints over all instances; pure.
 
-An endpoint that falls over when it rejects too many requests must not be
-offered more than it has room for. Its home grants a place for each request and
-learns the room: answers widen it, rejections narrow it. Nothing is sent after
+An endpoint that falls over when it rejects too many requests must not be sent
+more than it has capacity for. Its home grants a permit for each request and
+learns the limit: answers raise it, rejections lower it. Nothing is sent after
 some rejections within a second, since more may be on their way already.
 """
 
@@ -14,31 +14,31 @@
 
 from fescuekeel.components.allowance.const import (
     DECREASE_PERIOD_S,
-    EXTRA_PLACES_SHARE,
+    EXTRA_PERMITS_SHARE,
     HOLD_S,
+    LOWERED_BY,
     MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
-    NARROWED_BY,
-    PLACE_MARGIN_S,
+    PERMIT_MARGIN_S,
+    RAISED_BY,
     REJECTED_SHARE,
     REJECTION_WINDOW_S,
     RUNNING_TTL_S,
     START_SHARE,
-    WIDENED_BY,
 )
 
 __all__ = [
-    "EndpointRoom",
-    "PlaceDecision",
-    "PlaceOutcome",
-    "PlaceRequest",
+    "ConcurrencyLimit",
+    "PermitDecision",
+    "PermitOutcome",
+    "PermitRequest",
 ]
 
 
-class PlaceOutcome(StrEnum):
-    """How the request with a place has ended.
+class PermitOutcome(StrEnum):
+    """How the request with a permit has ended.
 
-    ``UNUSED``: it was not sent. ``REJECTED``: the endpoint had no room for it.
+    ``UNUSED``: it was not sent. ``REJECTED``: the endpoint had no capacity.
     """
 
     ANSWERED = "answered"
@@ -48,12 +48,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceRequest:
-    """A request of an instance for a place.
+class PermitRequest:
+    """A request of an instance for a permit.
 
     ``patience_s`` is how long it may wait, and ``lasts_s`` after how long it
     has ended at the latest. ``running`` are the instance's other requests at
-    the endpoint for which this home has granted no place.
+    the endpoint for which this home has granted no permit.
     """
 
     instance: str
@@ -65,15 +65,15 @@
 
     @property
     def key(self) -> tuple[str, int]:
-        """Return what identifies the place."""
+        """Return what identifies the permit."""
         return self.instance, self.number
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceDecision:
-    """A place that is granted, or refused with a time to ask again."""
+class PermitDecision:
+    """A permit that is granted, or refused with a time to ask again."""
 
-    request: PlaceRequest
+    request: PermitRequest
     granted: bool
     wait_s: float = 0.0
 
@@ -84,49 +84,49 @@
 
     priority: int
     order: int
-    request: PlaceRequest = field(compare=False)
+    request: PermitRequest = field(compare=False)
     until: float = field(compare=False, default=0.0)
 
 
 @dataclass(slots=True)
-class EndpointRoom:
-    """The places of one endpoint, at its home.
+class ConcurrencyLimit:
+    """The permits of one endpoint, at its home.
 
-    >>> room = EndpointRoom(slots=1, stands_per_s=4.0)
-    >>> first = PlaceRequest("i1", 1, 5, patience_s=0.0, lasts_s=2.0)
-    >>> second = PlaceRequest("i2", 1, 5, patience_s=1.0, lasts_s=2.0)
-    >>> room.ask(first, now=0.0)[0].granted, room.ask(second, now=0.1)
+    >>> limit = ConcurrencyLimit(slots=1, max_rejections_per_s=4.0)
+    >>> first = PermitRequest("i1", 1, 5, patience_s=0.0, lasts_s=2.0)
+    >>> second = PermitRequest("i2", 1, 5, patience_s=1.0, lasts_s=2.0)
+    >>> limit.ask(first, now=0.0)[0].granted, limit.ask(second, now=0.1)
     (True, [])
-    >>> ended = room.end(first.key, PlaceOutcome.ANSWERED, now=0.2)
+    >>> ended = limit.end(first.key, PermitOutcome.ANSWERED, now=0.2)
     >>> [(decision.request.instance, decision.granted) for decision in ended]
     [('i2', True)]
     """
 
     slots: int
-    stands_per_s: float
+    max_rejections_per_s: float
     is_new: bool = False
-    limit: float = 0.0
+    value: float = 0.0
     updated_at: float = 0.0
     _expiries_by_key: dict[tuple[str, int], float] = field(default_factory=dict)
     _running_by_instance: dict[str, tuple[int, float]] = field(default_factory=dict)
     _waiting: list[Waiting] = field(default_factory=list)
     _orders: int = 0
     _rejected_at: deque[float] = field(default_factory=deque)
-    _narrowed_at: float = float("-inf")
-    _narrowed_to: float = 0.0
+    _lowered_at: float = float("-inf")
+    _lowered_to: float = 0.0
     _interval_s: float = MIN_RETRY_AFTER_S
     _freed_at: float = float("-inf")
 
     def __post_init__(self) -> None:
         # An endpoint that has just started is empty and warms up.
         share = START_SHARE if self.is_new else 1.0
-        self.limit = max(1.0, self.slots * share)
-        self._narrowed_to = float(self.slots)
+        self.value = max(1.0, self.slots * share)
+        self._lowered_to = float(self.slots)
 
     @property
-    def max_limit(self) -> float:
-        """Return the most places: some beyond those that run may wait."""
-        return self.slots + max(1.0, self.slots * EXTRA_PLACES_SHARE)
+    def max_value(self) -> float:
+        """Return the most permits: some beyond those that run may wait."""
+        return self.slots + max(1.0, self.slots * EXTRA_PERMITS_SHARE)
 
     def count_in_use(self, now: float) -> int:
         """Return the requests that are or may be at the endpoint."""
@@ -140,11 +140,11 @@
         )
         return len(self._expiries_by_key) + running
 
-    def ask(self, request: PlaceRequest, now: float) -> list[PlaceDecision]:
+    def ask(self, request: PermitRequest, now: float) -> list[PermitDecision]:
         """Grant, queue or refuse a request."""
         self.updated_at = now
         self._running_by_instance[request.instance] = (request.running, now)
-        if not self._waiting and self._has_room(now):
+        if not self._waiting and self._has_capacity(now):
             return [self._grant(request, now)]
         if request.patience_s <= 0:
             return [self._refuse(request)]
@@ -156,30 +156,30 @@
         return self._shorten_queue() + self.step(now)
 
     def end(
-        self, key: tuple[str, int], outcome: PlaceOutcome, now: float
-    ) -> list[PlaceDecision]:
-        """Free a place, and learn from how its request ended.
+        self, key: tuple[str, int], outcome: PermitOutcome, now: float
+    ) -> list[PermitDecision]:
+        """Free a permit, and learn from how its request ended.
 
-        A request that has not got its place yet waits no more.
+        A request that has not got its permit yet waits no more.
         """
         self.updated_at = now
         self._drop_waiting(lambda request: request.key == key)
-        had_place = self._expiries_by_key.pop(key, None) is not None
-        if outcome is PlaceOutcome.REJECTED:
-            self._narrow(now)
-        elif outcome is PlaceOutcome.ANSWERED and had_place:
-            self._widen(now)
+        had_permit = self._expiries_by_key.pop(key, None) is not None
+        if outcome is PermitOutcome.REJECTED:
+            self._lower(now)
+        elif outcome is PermitOutcome.ANSWERED and had_permit:
+            self._raise(now)
         return self.step(now)
 
-    def step(self, now: float) -> list[PlaceDecision]:
-        """Grant places to those that wait; refuse those that waited enough."""
+    def step(self, now: float) -> list[PermitDecision]:
+        """Grant permits to those that wait; refuse those that waited long."""
         decisions = []
         for waiting in list(self._waiting):
             if now >= waiting.until:
                 self._waiting.remove(waiting)
                 heapq.heapify(self._waiting)
                 decisions.append(self._refuse(waiting.request))
-        while self._waiting and self._has_room(now):
+        while self._waiting and self._has_capacity(now):
             decisions.append(self._grant(heapq.heappop(self._waiting).request, now))
         return decisions
 
@@ -192,8 +192,8 @@
             times.append(min(self._expiries_by_key.values()))
         return max(0.0, min(times) - now) if times else float("inf")
 
-    def drop_instances(self, gone: Iterable[str], now: float) -> list[PlaceDecision]:
-        """Free the places of instances that are gone."""
+    def drop_instances(self, gone: Iterable[str], now: float) -> list[PermitDecision]:
+        """Free the permits of instances that are gone."""
         lost = set(gone)
         for key in [key for key in self._expiries_by_key if key[0] in lost]:
             del self._expiries_by_key[key]
@@ -202,66 +202,66 @@
         self._drop_waiting(lambda request: request.instance in lost)
         return self.step(now)
 
-    def _drop_waiting(self, is_gone: Callable[[PlaceRequest], bool]) -> None:
+    def _drop_waiting(self, is_gone: Callable[[PermitRequest], bool]) -> None:
         self._waiting = [item for item in self._waiting if not is_gone(item.request)]
         heapq.heapify(self._waiting)
 
-    def _has_room(self, now: float) -> bool:
+    def _has_capacity(self, now: float) -> bool:
         if self._count_rejected(now) >= self._max_rejected:
             return False
-        return self.count_in_use(now) < max(1, int(self.limit))
+        return self.count_in_use(now) < max(1, int(self.value))
 
     @property
     def _max_rejected(self) -> int:
         """Return after how many rejections nothing is sent for a while."""
-        return max(1, int(self.stands_per_s * REJECTED_SHARE))
+        return max(1, int(self.max_rejections_per_s * REJECTED_SHARE))
 
     def _count_rejected(self, now: float) -> int:
         while self._rejected_at and self._rejected_at[0] <= now - REJECTION_WINDOW_S:
             self._rejected_at.popleft()
         return len(self._rejected_at)
 
-    def _grant(self, request: PlaceRequest, now: float) -> PlaceDecision:
-        expires_at = now + request.lasts_s + PLACE_MARGIN_S
+    def _grant(self, request: PermitRequest, now: float) -> PermitDecision:
+        expires_at = now + request.lasts_s + PERMIT_MARGIN_S
         self._expiries_by_key[request.key] = expires_at
-        return PlaceDecision(request, granted=True)
+        return PermitDecision(request, granted=True)
 
-    def _refuse(self, request: PlaceRequest) -> PlaceDecision:
+    def _refuse(self, request: PermitRequest) -> PermitDecision:
         wait_s = self._interval_s * (len(self._waiting) + 1)
         wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return PlaceDecision(request, granted=False, wait_s=wait_s)
+        return PermitDecision(request, granted=False, wait_s=wait_s)
 
-    def _shorten_queue(self) -> list[PlaceDecision]:
+    def _shorten_queue(self) -> list[PermitDecision]:
         """Refuse the least urgent ones that would wait for too long."""
         decisions = []
-        while len(self._waiting) > max(2, int(self.limit)):
+        while len(self._waiting) > max(2, int(self.value)):
             last = max(self._waiting)
             self._waiting.remove(last)
             heapq.heapify(self._waiting)
             decisions.append(self._refuse(last.request))
         return decisions
 
-    def _widen(self, now: float) -> None:
+    def _raise(self, now: float) -> None:
         # Slowly beyond what is known, as each step too far costs a rejection.
-        if self.limit < self._narrowed_to:
-            self.limit = min(self._narrowed_to, self.limit + WIDENED_BY)
-        elif now - self._narrowed_at > HOLD_S:
-            step = WIDENED_BY / (10 * self.limit)
-            self.limit = min(self.max_limit, self.limit + step)
+        if self.value < self._lowered_to:
+            self.value = min(self._lowered_to, self.value + RAISED_BY)
+        elif now - self._lowered_at > HOLD_S:
+            step = RAISED_BY / (10 * self.value)
+            self.value = min(self.max_value, self.value + step)
         interval_s = min(1.0, max(0.0, now - self._freed_at))
         self._interval_s += 0.1 * (interval_s - self._interval_s)
         self._freed_at = now
 
-    def _narrow(self, now: float) -> None:
+    def _lower(self, now: float) -> None:
         """Lower the limit once for the rejections of the same moment.
 
-        The endpoint was full then, so it has no room for more than were there.
+        The endpoint was full then, so more than were there do not fit.
         Fewer were there than are counted here, as ends take a while to arrive.
         """
         self._rejected_at.append(now)
-        if now - self._narrowed_at < DECREASE_PERIOD_S:
+        if now - self._lowered_at < DECREASE_PERIOD_S:
             return
-        self._narrowed_at = now
+        self._lowered_at = now
         in_use = self.count_in_use(now)
-        self.limit = max(1.0, min(self.limit, float(in_use)) - NARROWED_BY)
-        self._narrowed_to = self.limit
+        self.value = max(1.0, min(self.value, float(in_use)) - LOWERED_BY)
+        self._lowered_to = self.value
--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -49,28 +49,28 @@
 # would never get a whole request.
 ENDPOINT_BURST: Final = 1.0
 
-# Places at endpoints that fall over when they reject too many requests. Their
-# names begin with this prefix.
-ROOM_PREFIX: Final = "room/"
+# Concurrency limits of endpoints that fall over when they reject too many
+# requests. Their names begin with this prefix.
+CONCURRENCY_PREFIX: Final = "concurrency/"
 # Rejections are counted over this time.
 REJECTION_WINDOW_S: Final = 1.0
-# Places beyond those that run, as a share: an endpoint would be idle between
+# Permits beyond the slots, as a share: an endpoint would be idle between
 # two requests if none waited.
-EXTRA_PLACES_SHARE: Final = 0.1
-# An endpoint that has just started begins with this share of its places.
+EXTRA_PERMITS_SHARE: Final = 0.1
+# An endpoint that has just started begins with this share of its slots.
 START_SHARE: Final = 0.25
 # An answer adds this much to the limit, and a rejection takes this much off
 # what was in use. After a rejection the limit is kept for a while.
-WIDENED_BY: Final = 0.5
-NARROWED_BY: Final = 0.5
+RAISED_BY: Final = 0.5
+LOWERED_BY: Final = 0.5
 HOLD_S: Final = 3.0
-# Nothing is sent after this share of the rejections that an endpoint stands.
+# Nothing is sent after this share of the rejections that an endpoint names.
 REJECTED_SHARE: Final = 0.75
-# Rejections within this time are of the same moment.
+# Rejections within this time lower the limit once.
 DECREASE_PERIOD_S: Final = 0.25
-# Added to the time after which a place is free without a word.
-PLACE_MARGIN_S: Final = 1.0
+# Added to the time after which a permit is free without a word.
+PERMIT_MARGIN_S: Final = 1.0
 # How long what an instance has told of its other requests counts.
 RUNNING_TTL_S: Final = 1.0
-# A room that nobody has asked for is forgotten after this.
-ROOM_TTL_S: Final = 30.0
+# A limit that nobody has asked for is forgotten after this.
+CONCURRENCY_TTL_S: Final = 30.0
--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from fescuekeel.components.allowance import PlaceOutcome
+from fescuekeel.components.allowance import PermitOutcome
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.helpers.http_connection import Connection, ResponseHead
 
-__all__ = ["Attempt", "get_place_outcome"]
+__all__ = ["Attempt", "get_permit_outcome"]
 
 
 @dataclass(slots=True)
@@ -23,14 +23,14 @@
     connection: Connection | None = None
 
 
-def get_place_outcome(end: AttemptEnd | None) -> PlaceOutcome:
-    """Return what an attempt's end means for its place at the endpoint."""
+def get_permit_outcome(end: AttemptEnd | None) -> PermitOutcome:
+    """Return what an attempt's end means for its permit at the endpoint."""
     match end:
         case None | AttemptEnd.FAILED:
-            return PlaceOutcome.ANSWERED
+            return PermitOutcome.ANSWERED
         case AttemptEnd.NOT_RUN:
-            return PlaceOutcome.REJECTED
+            return PermitOutcome.REJECTED
         case AttemptEnd.BROKEN:
-            return PlaceOutcome.BROKEN
+            return PermitOutcome.BROKEN
         case _:
-            return PlaceOutcome.UNUSED
+            return PermitOutcome.UNUSED
--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from fescuekeel.components.allowance import Place
+from fescuekeel.components.allowance import Permit
 from fescuekeel.components.forward.const import (
     CROSS_CENTRE_COST_S,
     HOME_COST_SLACK_S,
@@ -37,7 +37,7 @@
     is an endpoint that should load an additional copy. ``version`` is the
     adapter version that the endpoint must have, ``None`` for a base model.
     ``within_limit`` says that a part of the endpoint's rate limit was taken
-    for the request, and ``place`` is its place there, if it needs one.
+    for the request, and ``permit`` its permit there, if it needs one.
     """
 
     endpoint: str
@@ -47,7 +47,7 @@
     spread_to: str = ""
     version: int | None = None
     within_limit: bool = False
-    place: Place | None = None
+    permit: Permit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -62,14 +62,14 @@
 # Endpoints that fall over when they reject too many requests. What one has
 # named holds for its service until this long after the last answer with it:
 # endpoints that have fallen over are back after some seconds.
-BRITTLE_TTL_S: Final = 15.0
+REJECTION_LIMIT_TTL_S: Final = 15.0
 # The number is told again after this while endpoints go on to name it.
-BRITTLE_REFRESH_S: Final = 5.0
-MAX_BRITTLE_SERVICES: Final = 1024
-# A request asks this many endpoints for a place at once, then waits at this
+REJECTION_LIMIT_REFRESH_S: Final = 5.0
+MAX_REJECTION_LIMITS: Final = 1024
+# A request asks for this many permits at once, then waits at this
 # many.
-MAX_ROOMS_ASKED: Final = 4
-MAX_ROOMS_WAITED: Final = 2
+MAX_PERMITS_ASKED: Final = 4
+MAX_PERMITS_AWAITED: Final = 2
 # An endpoint first seen less than this before has just started.
 NEW_ENDPOINT_S: Final = 10.0
 # Limit of sends per request, regardless of the retry budget.
--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -1,4 +1,4 @@
-"""Keep to the rate limits and the room of endpoints with all instances."""
+"""Keep to the limits of endpoints together with all instances."""
 
 from typing import cast
 
@@ -6,19 +6,19 @@
     DOMAIN as ALLOWANCE_DOMAIN,
     Allowances,
     EndpointLimit,
-    Place,
-    PlaceNeed,
-    PlaceOutcome,
+    Permit,
+    PermitNeed,
+    PermitOutcome,
 )
-from fescuekeel.components.forward.brittle_services import BrittleServices
 from fescuekeel.components.forward.const import (
     LIMIT_TTL_S,
-    MAX_BRITTLE_SERVICES,
     MAX_LIMITED_ENDPOINTS,
     MAX_NAMED_RATE_PER_S,
+    MAX_REJECTION_LIMITS,
     MIN_ENDPOINT_RATE_PER_S,
 )
 from fescuekeel.components.forward.named_limits import LimitChange, NamedLimits
+from fescuekeel.components.forward.rejection_limits import RejectionLimits
 from fescuekeel.components.gossip import (
     DOMAIN as GOSSIP_DOMAIN,
     Fact,
@@ -31,7 +31,7 @@
 __all__ = ["EndpointLimiter"]
 
 LIMIT_TOPIC = "limit"
-BRITTLE_TOPIC = "brittle"
+REJECTION_TOPIC = "brittle"
 MS_PER_S = 1000
 
 
@@ -41,7 +41,7 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._limits = NamedLimits()
-        self._brittle = BrittleServices()
+        self._brittle = RejectionLimits()
         components = instance.components_by_domain
         self._gossip = cast(Gossip, components[GOSSIP_DOMAIN])
         self._allowances = cast(Allowances, components[ALLOWANCE_DOMAIN])
@@ -54,14 +54,14 @@
             self._handle_fact,
         )
         self._gossip.register(
-            BRITTLE_TOPIC,
-            TopicLimits(LIMIT_TTL_S, MAX_BRITTLE_SERVICES),
-            self._handle_brittle_fact,
+            REJECTION_TOPIC,
+            TopicLimits(LIMIT_TTL_S, MAX_REJECTION_LIMITS),
+            self._handle_rejection_fact,
         )
         metrics = self._instance.metrics
         metrics.add_gauge("endpoint_limit", self._limits.list_limited)
         metrics.add_gauge(
-            "service_brittle",
+            "rejection_limit",
             lambda: self._brittle.list_in_force(self._instance.now()),
         )
 
@@ -82,33 +82,35 @@
             rank = max(change.rank, told + 1)
             self._gossip.publish(LIMIT_TOPIC, endpoint, rank, payload)
 
-    def record_stood(self, service: str, stands_per_s: float | None) -> None:
+    def record_max_rejections(
+        self, service: str, max_rejections_per_s: float | None
+    ) -> None:
         """Read the rejections that an endpoint stands from its answer."""
-        if stands_per_s is None:
+        if max_rejections_per_s is None:
             return
-        if not 0 <= stands_per_s <= MAX_NAMED_RATE_PER_S:
-            self._log_brittle(service, stands_per_s, 0, "ignored")
+        if not 0 <= max_rejections_per_s <= MAX_NAMED_RATE_PER_S:
+            self._log_rejections(service, max_rejections_per_s, 0, "ignored")
             return
-        if self._brittle.record(service, stands_per_s, self._instance.now()):
-            rank = self._gossip.get_rank(BRITTLE_TOPIC, service) + 1
-            payload = repr(stands_per_s).encode()
-            self._gossip.publish(BRITTLE_TOPIC, service, rank, payload)
-            self._log_brittle(service, stands_per_s, 0, "in_force")
-
-    def _handle_brittle_fact(self, fact: Fact) -> None:
-        stands_per_s = float(fact.payload)
-        if self._brittle.apply(fact.key, stands_per_s, fact.created_at):
+        if self._brittle.record(service, max_rejections_per_s, self._instance.now()):
+            rank = self._gossip.get_rank(REJECTION_TOPIC, service) + 1
+            payload = repr(max_rejections_per_s).encode()
+            self._gossip.publish(REJECTION_TOPIC, service, rank, payload)
+            self._log_rejections(service, max_rejections_per_s, 0, "in_force")
+
+    def _handle_rejection_fact(self, fact: Fact) -> None:
+        max_rejections_per_s = float(fact.payload)
+        if self._brittle.apply(fact.key, max_rejections_per_s, fact.created_at):
             age_ms = round((self._instance.now() - fact.created_at) * MS_PER_S)
-            self._log_brittle(fact.key, stands_per_s, age_ms, "in_force")
+            self._log_rejections(fact.key, max_rejections_per_s, age_ms, "in_force")
 
-    def _log_brittle(
-        self, service: str, stands_per_s: float, age_ms: int, outcome: str
+    def _log_rejections(
+        self, service: str, max_rejections_per_s: float, age_ms: int, outcome: str
     ) -> None:
-        self._instance.metrics.count(f"service_brittle.{outcome}")
+        self._instance.metrics.count(f"rejection_limit.{outcome}")
         log_event(
-            "service_brittle_changed",
+            "rejection_limit_changed",
             service=service,
-            stands_per_s=stands_per_s,
+            max_rejections_per_s=max_rejections_per_s,
             age_ms=age_ms,
             outcome=outcome,
         )
@@ -159,20 +161,20 @@
         if rate_per_s is not None:
             self._allowances.refund(EndpointLimit(endpoint, rate_per_s), 1.0)
 
-    # Places at endpoints that stand few rejections.
+    # Permits for endpoints that stand few rejections.
 
-    def get_stands_per_s(self, service: str) -> float | None:
+    def get_max_rejections_per_s(self, service: str) -> float | None:
         """Return the rejections that a service's endpoints stand, if named."""
-        return self._brittle.get_stands_per_s(service, self._instance.now())
+        return self._brittle.get_max_rejections_per_s(service, self._instance.now())
 
-    async def take_place(self, need: PlaceNeed) -> Place | float:
-        """Take a place; without one, return how many seconds to wait."""
-        return await self._allowances.places.take(need)
+    async def take_permit(self, need: PermitNeed) -> Permit | float:
+        """Take a permit; without one, return how many seconds to wait."""
+        return await self._allowances.permits.take(need)
 
-    def end_place(self, place: Place, outcome: PlaceOutcome) -> None:
-        """Give a place back, and tell how its request ended."""
-        self._allowances.places.end(place, outcome)
+    def end_permit(self, permit: Permit, outcome: PermitOutcome) -> None:
+        """Return a permit, and tell how its request ended."""
+        self._allowances.permits.end(permit, outcome)
 
     def report_rejected(self, endpoint: str) -> None:
-        """Tell of a request without a place that was rejected."""
-        self._allowances.places.report_rejected(endpoint)
+        """Tell of a request without a permit that was rejected."""
+        self._allowances.permits.report_rejected(endpoint)
--- a/fescuekeel/components/forward/brittle_services.py
+++ b/fescuekeel/components/forward/rejection_limits.py
@@ -7,78 +7,79 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.forward.const import (
-    BRITTLE_REFRESH_S,
-    BRITTLE_TTL_S,
-    MAX_BRITTLE_SERVICES,
+    MAX_REJECTION_LIMITS,
+    REJECTION_LIMIT_REFRESH_S,
+    REJECTION_LIMIT_TTL_S,
 )
 
-__all__ = ["BrittleServices"]
+__all__ = ["RejectionLimits"]
 
 
 @dataclass(frozen=True, slots=True)
 class Named:
     """The rejections per second that a service's endpoints stand."""
 
-    stands_per_s: float
+    max_rejections_per_s: float
     named_at: float
 
 
 @dataclass(slots=True)
-class BrittleServices:
+class RejectionLimits:
     """What endpoints have named lately, at any instance.
 
-    >>> services = BrittleServices()
+    >>> services = RejectionLimits()
     >>> services.record("s", 4.0, now=1.0), services.record("s", 4.0, now=1.5)
     (True, False)
-    >>> services.get_stands_per_s("s", now=2.0)
+    >>> services.get_max_rejections_per_s("s", now=2.0)
     4.0
-    >>> services.get_stands_per_s("s", now=1.5 + BRITTLE_TTL_S) is None
+    >>> later = 1.5 + REJECTION_LIMIT_TTL_S
+    >>> services.get_max_rejections_per_s("s", now=later) is None
     True
     """
 
     _named_by_service: dict[str, Named] = field(default_factory=dict)
     _told_at_by_service: dict[str, float] = field(default_factory=dict)
 
-    def record(self, service: str, stands_per_s: float, now: float) -> bool:
+    def record(self, service: str, max_rejections_per_s: float, now: float) -> bool:
         """Record a number; return whether peers must be told."""
         known = self._named_by_service.get(service)
-        self._set(service, Named(stands_per_s, now))
-        is_new = known is None or known.stands_per_s != stands_per_s
+        self._set(service, Named(max_rejections_per_s, now))
+        is_new = known is None or known.max_rejections_per_s != max_rejections_per_s
         told_at = self._told_at_by_service.get(service, float("-inf"))
-        if not is_new and now - told_at < BRITTLE_REFRESH_S:
+        if not is_new and now - told_at < REJECTION_LIMIT_REFRESH_S:
             return False
         self._told_at_by_service[service] = now
         return True
 
-    def apply(self, service: str, stands_per_s: float, named_at: float) -> bool:
+    def apply(self, service: str, max_rejections_per_s: float, named_at: float) -> bool:
         """Apply what a peer has told; return whether it changes the number."""
         known = self._named_by_service.get(service)
         if known is not None and known.named_at >= named_at:
             return False
         told_at = self._told_at_by_service.get(service, named_at)
         self._told_at_by_service[service] = max(told_at, named_at)
-        self._set(service, Named(stands_per_s, named_at))
-        return known is None or known.stands_per_s != stands_per_s
+        self._set(service, Named(max_rejections_per_s, named_at))
+        return known is None or known.max_rejections_per_s != max_rejections_per_s
 
     def _set(self, service: str, named: Named) -> None:
         services = self._named_by_service
-        if service not in services and len(services) >= MAX_BRITTLE_SERVICES:
+        if service not in services and len(services) >= MAX_REJECTION_LIMITS:
             oldest = next(iter(services))
             del services[oldest]
             self._told_at_by_service.pop(oldest, None)
         services[service] = named
 
-    def get_stands_per_s(self, service: str, now: float) -> float | None:
+    def get_max_rejections_per_s(self, service: str, now: float) -> float | None:
         """Return the rejections that endpoints stand, if any are named."""
         named = self._named_by_service.get(service)
-        if named is None or now - named.named_at >= BRITTLE_TTL_S:
+        if named is None or now - named.named_at >= REJECTION_LIMIT_TTL_S:
             return None
-        return named.stands_per_s
+        return named.max_rejections_per_s
 
     def list_in_force(self, now: float) -> dict[str, float]:
         """Return the numbers in force by service."""
         return {
-            service: named.stands_per_s
+            service: named.max_rejections_per_s
             for service, named in self._named_by_service.items()
-            if now - named.named_at < BRITTLE_TTL_S
+            if now - named.named_at < REJECTION_LIMIT_TTL_S
         }
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from fescuekeel.components.allowance import PlaceOutcome
-from fescuekeel.components.forward.attempt import Attempt, get_place_outcome
+from fescuekeel.components.allowance import PermitOutcome
+from fescuekeel.components.forward.attempt import Attempt, get_permit_outcome
 from fescuekeel.components.forward.attempts import (
     AttemptEnd,
     RequestState,
@@ -167,7 +167,7 @@
                 return
             refusal = self._recheck_account()
             if refusal is not None:
-                self._end_place(choice, PlaceOutcome.UNUSED)
+                self._end_permit(choice, PermitOutcome.UNUSED)
                 await self._refuse_before_attempt(refusal)
                 return
             end = await self._attempt(choice)
@@ -259,7 +259,7 @@
             end = await self._exchange(attempt, choice)
         finally:
             self._current_attempt = None
-            self._end_place(choice, get_place_outcome(end))
+            self._end_permit(choice, get_permit_outcome(end))
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_chunk_received else tokens
             load.end(self.weights, left)
@@ -272,13 +272,13 @@
         self.forwarder.record_attempt(self, choice, attempt, end)
         return end
 
-    def _end_place(self, choice: Choice, outcome: PlaceOutcome) -> None:
+    def _end_permit(self, choice: Choice, outcome: PermitOutcome) -> None:
         limiter = self.forwarder.limiter
-        if choice.place is not None:
-            limiter.end_place(choice.place, outcome)
+        if choice.permit is not None:
+            limiter.end_permit(choice.permit, outcome)
             return
-        is_brittle = limiter.get_stands_per_s(self.service) is not None
-        if is_brittle and outcome is PlaceOutcome.REJECTED:
+        needs_permit = limiter.get_max_rejections_per_s(self.service) is not None
+        if needs_permit and outcome is PermitOutcome.REJECTED:
             limiter.report_rejected(choice.endpoint)
 
     async def _exchange(self, attempt: Attempt, choice: Choice) -> AttemptEnd | None:
@@ -329,7 +329,10 @@
         if self.forwarder.crashes.find_failure(self) is not None:
             return False
         limiter = self.forwarder.limiter
-        if choice.place is None and limiter.get_stands_per_s(self.service) is not None:
+        if (
+            choice.permit is None
+            and limiter.get_max_rejections_per_s(self.service) is not None
+        ):
             return False
         return choice.within_limit or not limiter.is_limited(choice.endpoint)
 
@@ -375,7 +378,9 @@
         response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
         if response.request_id and response.request_id != self.metadata.request_id:
             raise IncompleteResponseError("answer has the id of another request")
-        self.forwarder.limiter.record_stood(self.service, response.stands_per_s)
+        self.forwarder.limiter.record_max_rejections(
+            self.service, response.max_rejections_per_s
+        )
         if not response.misdirected:
             self.forwarder.limiter.record_answer(
                 attempt.endpoint, response.limit_per_s, attempt.started_at
--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -7,9 +7,9 @@
     MAX_CONGESTED,
     MAX_CUT_OFF_RETRY_S,
     MAX_OVERLOAD_RETRY_S,
+    MAX_PERMITS_ASKED,
+    MAX_PERMITS_AWAITED,
     MAX_REFUSALS,
-    MAX_ROOMS_ASKED,
-    MAX_ROOMS_WAITED,
     MIN_CUT_OFF_RETRY_S,
     MIN_OVERLOAD_RETRY_S,
 )
@@ -38,9 +38,9 @@
 
     At a ``congested`` endpoint the request would have to queue, and at a
     ``full`` one the queue has no room. Endpoints that are at their rate limits
-    are so until a time. Those ``without_room`` had no place for the request,
-    and some of them are waited for. ``failure`` is the caller's answer if the
-    search ends now.
+    are so until a time. For those ``without_permit`` the request got none, and
+    it waits for some of them. ``failure`` is the caller's answer if the search
+    ends now.
 
     >>> search = Search(until=10.0)
     >>> search.record_congested("e1")
@@ -53,9 +53,9 @@
     full: set[str] = field(default_factory=set)
     limited_until_by_id: dict[str, float] = field(default_factory=dict)
     refusals: int = 0
-    without_room: set[str] = field(default_factory=set)
-    rooms_asked: int = 0
-    rooms_waited: int = 0
+    without_permit: set[str] = field(default_factory=set)
+    permits_asked: int = 0
+    permits_awaited: int = 0
     failure: Failure = field(
         default_factory=lambda: make_overload_failure(
             ErrorKind.NO_ENDPOINT, "no endpoint"
@@ -88,17 +88,19 @@
         """Record that an endpoint's rate limit has no room until a time."""
         self.limited_until_by_id[endpoint] = until
 
-    def may_wait_for_room(self, endpoint: str) -> bool:
-        """Return whether to wait for a place rather than try elsewhere."""
-        return self.rooms_asked >= MAX_ROOMS_ASKED or endpoint in self.without_room
-
-    def record_without_room(self, endpoint: str) -> bool:
-        """Record that an endpoint has no place; return whether to give up."""
-        self.rooms_asked += 1
-        if endpoint in self.without_room:
-            self.rooms_waited += 1
-        self.without_room.add(endpoint)
-        return self.rooms_waited >= MAX_ROOMS_WAITED
+    def may_wait_for_permit(self, endpoint: str) -> bool:
+        """Return whether to wait for a permit rather than try elsewhere."""
+        return (
+            self.permits_asked >= MAX_PERMITS_ASKED or endpoint in self.without_permit
+        )
+
+    def record_without_permit(self, endpoint: str) -> bool:
+        """Record that an endpoint has no permit; return whether to give up."""
+        self.permits_asked += 1
+        if endpoint in self.without_permit:
+            self.permits_awaited += 1
+        self.without_permit.add(endpoint)
+        return self.permits_awaited >= MAX_PERMITS_AWAITED
 
     def find_limit_wait_s(self, now: float) -> float:
         """Return how long until some endpoint may be within its limit."""
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from fescuekeel.components.allowance import Place, PlaceNeed, PlaceOutcome
+from fescuekeel.components.allowance import Permit, PermitNeed, PermitOutcome
 from fescuekeel.components.forward.choice import (
     Choice,
     EngineQuery,
@@ -123,7 +123,7 @@
         found: Choice | Failure | None
         while True:
             limited = search.list_limited(self._instance.now())
-            passed_over = search.avoided | limited | search.without_room
+            passed_over = search.avoided | limited | search.without_permit
             choice = self._choose(request, passed_over)
             if choice is not None and choice.endpoint in limited:
                 refused = await self._wait_for_limit(request, search)
@@ -174,69 +174,71 @@
                 search.record_limited(choice.endpoint, until)
                 return None
             choice = replace(choice, within_limit=True)
-        found = await self._send_with_place(request, choice, search)
+        found = await self._send_with_permit(request, choice, search)
         if choice.within_limit and not isinstance(found, Choice):
             self._limiter.refund(choice.endpoint)
         return found
 
-    async def _send_with_place(
+    async def _send_with_permit(
         self, request: ForwardedRequest, choice: Choice, search: Search
     ) -> Choice | Failure | None:
-        """Take a place where endpoints need it, and wait for admission.
+        """Take a permit where endpoints need it, and wait for admission.
 
         Returns ``None`` to choose again.
         """
-        stands_per_s = self._limiter.get_stands_per_s(request.service)
-        if stands_per_s is not None:
-            place = await self._take_place(request, choice, search, stands_per_s)
-            if not isinstance(place, Place):
-                return place
-            choice = replace(choice, place=place)
+        max_rejections_per_s = self._limiter.get_max_rejections_per_s(request.service)
+        if max_rejections_per_s is not None:
+            permit = await self._take_permit(
+                request, choice, search, max_rejections_per_s
+            )
+            if not isinstance(permit, Permit):
+                return permit
+            choice = replace(choice, permit=permit)
         if request.weights is None:
             return choice
         found: Choice | Failure | None = None
         try:
             found = await self._admit_prompt(request, choice, search)
         finally:
-            if choice.place is not None and not isinstance(found, Choice):
-                self._limiter.end_place(choice.place, PlaceOutcome.UNUSED)
+            if choice.permit is not None and not isinstance(found, Choice):
+                self._limiter.end_permit(choice.permit, PermitOutcome.UNUSED)
         return found
 
-    async def _take_place(
+    async def _take_permit(
         self,
         request: ForwardedRequest,
         choice: Choice,
         search: Search,
-        stands_per_s: float,
-    ) -> Place | Failure | None:
-        """Take a place at an endpoint that stands few rejections.
+        max_rejections_per_s: float,
+    ) -> Permit | Failure | None:
+        """Take a permit at an endpoint that stands few rejections.
 
-        Several endpoints are asked for a free place, before the request waits
-        for one. What nobody has room for is refused at once.
+        Several endpoints are asked for a free permit, before the request waits
+        for one. What no endpoint has capacity for is refused at once.
         """
         record = self.find_record(choice.endpoint)
         if record is None:
             return None
         now = self._instance.now()
         patience_s = 0.0
-        if search.may_wait_for_room(choice.endpoint):
+        if search.may_wait_for_permit(choice.endpoint):
             since = now if request.state.answer_started else request.arrived
             on_time = min(search.until, since + request.route.target_s - PREFILL_S)
             patience_s = max(0.0, on_time - now)
-        need = PlaceNeed(
+        need = PermitNeed(
             choice.endpoint,
             request.priority,
             patience_s,
             max(0.0, request.deadline - now),
             self._get_load(choice.endpoint).running,
             record.slots,
-            stands_per_s,
+            max_rejections_per_s,
             self._is_new(choice.endpoint, now),
         )
-        taken = await self._limiter.take_place(need)
-        if isinstance(taken, Place):
+        taken = await self._limiter.take_permit(need)
+        if isinstance(taken, Permit):
             return taken
-        if search.record_without_room(choice.endpoint) or patience_s > 0:
+        if search.record_without_permit(choice.endpoint) or patience_s > 0:
             retry_after_s = taken + random.uniform(0.0, LIMIT_RETRY_JITTER_S)
             return Failure(ErrorKind.ENDPOINTS_LIMITED, retry_after_s=retry_after_s)
         return None
@@ -365,7 +367,7 @@
     ) -> str:
         """Request a load; return the reason of a failure, empty if loaded.
 
-        With ``patient`` the load may wait for a free place. Otherwise another
+        With ``patient`` the load may wait for a free permit. Otherwise another
         endpoint is tried first, since a load there is faster than the wait
         for a running stream here.
         """
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -19,7 +19,7 @@
     RelayFailedError,
     RelayOutcome,
 )
-from fescuekeel.components.relay.paths import PathState, PathTable, Route
+from fescuekeel.components.relay.paths import ConnectBy, PathState, PathTable
 from fescuekeel.components.relay.peers import RelayPeers
 from fescuekeel.components.relay.race import first_success
 from fescuekeel.components.relay.reporter import UnreachableReporter
@@ -107,9 +107,9 @@
         at once if both have failed a moment ago.
         """
         match self._paths.choose(endpoint, self._instance.now()):
-            case Route.NONE:
+            case ConnectBy.NONE:
                 raise PathUnavailableError("no path a moment ago")
-            case Route.RELAY:
+            case ConnectBy.RELAY:
                 return await self.connect_relayed(endpoint)
         direct = asyncio.ensure_future(self.connect_directly(endpoint, address))
         try:
--- a/fescuekeel/components/relay/paths.py
+++ b/fescuekeel/components/relay/paths.py
@@ -19,7 +19,7 @@
     WANTED_S,
 )
 
-__all__ = ["EndpointPath", "PathState", "PathTable", "Route"]
+__all__ = ["ConnectBy", "EndpointPath", "PathState", "PathTable"]
 
 NEVER = float("-inf")
 
@@ -38,7 +38,7 @@
     DOWN = "down"
 
 
-class Route(StrEnum):
+class ConnectBy(StrEnum):
     """How to connect now; ``NONE`` means not at all for the moment."""
 
     DIRECT = "direct"
@@ -101,17 +101,17 @@
             return NEVER
         return path.failed_at
 
-    def choose(self, endpoint: str, now: float) -> Route:
+    def choose(self, endpoint: str, now: float) -> ConnectBy:
         """Return how to connect to an endpoint."""
         path = self._get(endpoint)
         path.wanted_at = now
         if path.state is PathState.DIRECT:
-            return Route.DIRECT
+            return ConnectBy.DIRECT
         if path.state is PathState.DOWN and now - path.changed_at < DOWN_S:
-            return Route.NONE
+            return ConnectBy.NONE
         if now - path.relay_failed_at < RELAY_RETRY_S:
-            return Route.NONE
-        return Route.RELAY
+            return ConnectBy.NONE
+        return ConnectBy.RELAY
 
     def record_contact(self, endpoint: str, now: float) -> bool:
         """Record a direct connect that was established."""
--- a/fescuekeel/components/relay/server.py
+++ b/fescuekeel/components/relay/server.py
@@ -5,7 +5,7 @@
 
 from fescuekeel.components.relay.const import CONNECT_TIMEOUT_S, DOMAIN, MAX_RELAYED
 from fescuekeel.components.relay.outcome import RelayOutcome
-from fescuekeel.components.relay.paths import PathState, PathTable, Route
+from fescuekeel.components.relay.paths import ConnectBy, PathState, PathTable
 from fescuekeel.components.relay.splice import SplicedConnection
 from fescuekeel.core import Instance
 from fescuekeel.helpers.listen import split_address
@@ -97,7 +97,7 @@
         if len(self._relayed) + self._connecting >= MAX_RELAYED:
             return RelayOutcome.BUSY
         route = self._paths.choose(endpoint, self._instance.now())
-        return None if route is Route.DIRECT else RelayOutcome.UNREACHABLE
+        return None if route is ConnectBy.DIRECT else RelayOutcome.UNREACHABLE
 
     async def _connect(self, endpoint: str, address: str) -> SplicedConnection | None:
         spliced = SplicedConnection(self._forget)
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -90,8 +90,9 @@
     stamp. ``running`` and ``waiting`` are the endpoint's load, if given.
     ``keep_alive_s`` is its keep-alive timeout, ``None`` if not given, and
     ``limit_per_s`` the requests per second that it takes from all instances
-    together, ``None`` if it has no limit. ``stands_per_s`` are the rejections
-    per second beyond which it falls over, ``None`` if it names no number.
+    together, ``None`` if it has no limit. ``max_rejections_per_s`` are the
+    rejections per second beyond which it falls over, ``None`` if it names no
+    number.
     """
 
     not_run: bool
@@ -102,7 +103,7 @@
     waiting: int | None = None
     keep_alive_s: float | None = None
     limit_per_s: float | None = None
-    stands_per_s: float | None = None
+    max_rejections_per_s: float | None = None
 
 
 class OrderKind(StrEnum):
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -63,13 +63,13 @@
         catalog_from_peer peer since revision changed whole
         claim_held endpoint term before heard_age_ms waited_ms contact_ms outcome
         claim_lost endpoint after term outcome
+        concurrency_limit_lowered endpoint limit before slots in_use outcome
         configuration_in_force version before routes revision
         crash_checked endpoint first second outcome
         endpoint_changed endpoint state revision
         endpoint_limit_changed endpoint rate_per_s age_ms outcome
         endpoint_path_changed endpoint reason cut_off outcome
         endpoint_restarted endpoint
-        endpoint_room_narrowed endpoint limit before slots in_use stands_per_s outcome
         endpoint_unreachable endpoint error avoided_ms
         evict_held endpoint adapter reason request_id outcome
         evict_ordered endpoint adapter fence listed outcome
@@ -88,7 +88,7 @@
         quarantine_changed fingerprint endpoints seen_by age_ms outcome
         relay_asked peer endpoint age_ms outcome
         relay_refused peer endpoint reaches_others outcome
-        service_brittle_changed service stands_per_s age_ms outcome
+        rejection_limit_changed service max_rejections_per_s age_ms outcome
         silent_endpoint_left endpoint requests path outcome
         stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
         tree_ignored reason revision digest source
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -20,9 +20,9 @@
     "HeldWeights",
     "LoadAnswer",
     "LoadAsk",
-    "PlaceAnswer",
-    "PlaceAsk",
-    "PlaceEnded",
+    "PermitAnswer",
+    "PermitAsk",
+    "PermitEnded",
     "PlacementNews",
     "PlacementState",
     "UseNews",
@@ -269,13 +269,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceAsk:
-    """Ask an endpoint's home for a place for one request there.
+class PermitAsk:
+    """Ask an endpoint's home for a permit for one request.
 
-    ``number`` identifies the place among those of the sender. The request may
+    ``number`` identifies the permit among those of the sender. The request may
     wait for ``patience_ms`` and has ended after ``lasts_ms``. ``running`` are
-    the sender's other requests there without a place of this home.
-    ``stands_per_s`` are the rejections that the endpoint stands, and
+    the sender's other requests there without a permit of this home.
+    ``max_rejections_per_s`` are the rejections that the endpoint stands, and
     ``is_new`` says that it started a moment ago.
     """
 
@@ -286,23 +286,23 @@
     lasts_ms: int
     running: int
     slots: int
-    stands_per_s: float
+    max_rejections_per_s: float
     is_new: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceAnswer:
-    """Grant a place; without one, ``wait_ms`` says when to ask again."""
+class PermitAnswer:
+    """Grant a permit; without one, ``wait_ms`` says when to ask again."""
 
     granted: bool
     wait_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceEnded:
-    """Tell the home how a request ended; a value of ``PlaceOutcome``.
+class PermitEnded:
+    """Tell the home how a request ended; a value of ``PermitOutcome``.
 
-    The number is 0 for a request without a place.
+    The number is 0 for a request without a permit.
     """
 
     endpoint: str
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -26,9 +26,9 @@
     CatalogPart,
     LoadAnswer,
     LoadAsk,
-    PlaceAnswer,
-    PlaceAsk,
-    PlaceEnded,
+    PermitAnswer,
+    PermitAsk,
+    PermitEnded,
     PlacementNews,
     UseNews,
 )
@@ -114,9 +114,9 @@
     | GossipDigest
     | RelayAsk
     | RelayAnswer
-    | PlaceAsk
-    | PlaceAnswer
-    | PlaceEnded
+    | PermitAsk
+    | PermitAnswer
+    | PermitEnded
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -256,7 +256,7 @@
 struct GossipDigest { digest @0 :UInt64; count @1 :UInt32; isReply @2 :Bool; }
 struct RelayAsk { endpoint @0 :Text; }
 struct RelayAnswer { outcome @0 :Text; reachesOthers @1 :Bool; }
-struct PlaceAsk {
+struct PermitAsk {
   endpoint @0 :Text;
   number @1 :UInt32;
   priority @2 :UInt8;
@@ -264,11 +264,11 @@
   lastsMs @4 :UInt32;
   running @5 :UInt32;
   slots @6 :UInt32;
-  standsPerS @7 :Float64;
+  maxRejectionsPerS @7 :Float64;
   isNew @8 :Bool;
 }
-struct PlaceAnswer { granted @0 :Bool; waitMs @1 :UInt32; }
-struct PlaceEnded { endpoint @0 :Text; number @1 :UInt32; outcome @2 :Text; }
+struct PermitAnswer { granted @0 :Bool; waitMs @1 :UInt32; }
+struct PermitEnded { endpoint @0 :Text; number @1 :UInt32; outcome @2 :Text; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
@@ -318,8 +318,8 @@
     gossipDigest @44 :GossipDigest;
     relayAsk @45 :RelayAsk;
     relayAnswer @46 :RelayAnswer;
-    placeAsk @47 :PlaceAsk;
-    placeAnswer @48 :PlaceAnswer;
-    placeEnded @49 :PlaceEnded;
+    permitAsk @47 :PermitAsk;
+    permitAnswer @48 :PermitAnswer;
+    permitEnded @49 :PermitEnded;
   }
 }
--- a/standins/forwarding/room.py
+++ b/standins/forwarding/room.py
@@ -41,7 +41,7 @@
     _waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
     _rejected_at: deque[float] = field(default_factory=deque)
 
-    def unbind(self) -> None:
+    def remove_bounds(self) -> None:
         """End all bounds."""
         self.brittle_per_s = None
         self.max_waiting = UNBOUNDED
--- a/tests/components/forward/test_brittle_services.py
+++ b/tests/components/forward/test_rejection_limits.py
@@ -1,49 +1,51 @@
 """Tests of what endpoints name about the rejections they stand."""
 
-from fescuekeel.components.forward.brittle_services import BrittleServices
 from fescuekeel.components.forward.const import (
-    BRITTLE_REFRESH_S,
-    BRITTLE_TTL_S,
-    MAX_BRITTLE_SERVICES,
+    MAX_REJECTION_LIMITS,
+    REJECTION_LIMIT_REFRESH_S,
+    REJECTION_LIMIT_TTL_S,
 )
+from fescuekeel.components.forward.rejection_limits import RejectionLimits
 
 
 class TestTelling:
     # Guards against a message to all instances for each answer.
     def test_peers_are_told_once_in_a_while(self):
-        services = BrittleServices()
+        services = RejectionLimits()
         told = [services.record("s", 4.0, now / 100) for now in range(1000)]
-        assert sum(told) == 1 + int(10.0 / BRITTLE_REFRESH_S) - 1
+        assert sum(told) == 1 + int(10.0 / REJECTION_LIMIT_REFRESH_S) - 1
 
     def test_another_number_is_told_at_once(self):
-        services = BrittleServices()
+        services = RejectionLimits()
         assert services.record("s", 4.0, 0.0)
         assert services.record("s", 2.0, 0.1)
 
     def test_what_a_peer_told_is_not_told_again(self):
-        services = BrittleServices()
+        services = RejectionLimits()
         assert services.apply("s", 4.0, 1.0)
         assert not services.record("s", 4.0, 1.5)
 
 
 class TestEnd:
     def test_it_ends_some_time_after_the_last_answer(self):
-        services = BrittleServices()
+        services = RejectionLimits()
         services.record("s", 4.0, 0.0)
         services.record("s", 4.0, 10.0)
-        assert services.list_in_force(9.0 + BRITTLE_TTL_S) == {"s": 4.0}
-        assert services.list_in_force(11.0 + BRITTLE_TTL_S) == {}
+        assert services.list_in_force(9.0 + REJECTION_LIMIT_TTL_S) == {"s": 4.0}
+        assert services.list_in_force(11.0 + REJECTION_LIMIT_TTL_S) == {}
 
     def test_late_news_do_not_make_it_older(self):
-        services = BrittleServices()
+        services = RejectionLimits()
         services.record("s", 4.0, 10.0)
         assert not services.apply("s", 4.0, 2.0)
-        assert services.get_stands_per_s("s", 9.0 + BRITTLE_TTL_S) == 4.0
+        assert (
+            services.get_max_rejections_per_s("s", 9.0 + REJECTION_LIMIT_TTL_S) == 4.0
+        )
 
 
 class TestBound:
     def test_the_number_of_services_is_bounded(self):
-        services = BrittleServices()
-        for number in range(2 * MAX_BRITTLE_SERVICES):
+        services = RejectionLimits()
+        for number in range(2 * MAX_REJECTION_LIMITS):
             services.record(f"s{number}", 1.0, 0.0)
-        assert len(services.list_in_force(0.0)) == MAX_BRITTLE_SERVICES
+        assert len(services.list_in_force(0.0)) == MAX_REJECTION_LIMITS
--- a/tests/components/relay/test_paths.py
+++ b/tests/components/relay/test_paths.py
@@ -8,7 +8,7 @@
     RECENT_CONTACT_S,
     RELAY_RETRY_S,
 )
-from fescuekeel.components.relay.paths import PathState, PathTable, Route
+from fescuekeel.components.relay.paths import ConnectBy, PathState, PathTable
 
 
 def make_cut_table(endpoints, now=10.0):
@@ -54,16 +54,16 @@
         paths = PathTable()
         paths.record_failed("e1", 10.0)
         paths.record_unreachable("e1", 10.0)
-        assert paths.choose("e1", 10.1) is Route.NONE
-        assert paths.choose("e1", 10.1 + DOWN_S) is Route.RELAY
+        assert paths.choose("e1", 10.1) is ConnectBy.NONE
+        assert paths.choose("e1", 10.1 + DOWN_S) is ConnectBy.RELAY
 
     # Guards against each waiting request asking all peers by itself.
     def test_peers_are_not_asked_again_at_once(self):
         paths = PathTable()
         paths.record_failed("e1", 10.0)
         paths.record_relay_failed("e1", 10.0)
-        assert paths.choose("e1", 10.1) is Route.NONE
-        assert paths.choose("e1", 10.1 + RELAY_RETRY_S) is Route.RELAY
+        assert paths.choose("e1", 10.1) is ConnectBy.NONE
+        assert paths.choose("e1", 10.1 + RELAY_RETRY_S) is ConnectBy.RELAY
 
     def test_a_late_answer_of_a_peer_does_not_end_direct_contact(self):
         paths = PathTable()
@@ -71,7 +71,7 @@
         paths.record_contact("e1", 10.1)
         assert not paths.record_relayed("e1", 10.2)
         assert not paths.record_unreachable("e1", 10.2)
-        assert paths.choose("e1", 10.3) is Route.DIRECT
+        assert paths.choose("e1", 10.3) is ConnectBy.DIRECT
 
 
 class TestProbes:
