Probe endpoints that only peers reach also if no request wants them

Cause: only endpoints that requests had asked for lately were probed; a holder's report or a call for a peer had found the path broken, and nothing tried it again.

--- a/fescuekeel/components/relay/paths.py
+++ b/fescuekeel/components/relay/paths.py
@@ -59,6 +59,12 @@
     probe_at: float = NEVER
     probe_s: float = MIN_PROBE_S
 
+    def needs_probes(self, now: float) -> bool:
+        """Return whether to look for the direct path in the background."""
+        if self.state is PathState.RELAYED:
+            return True
+        return self.state is not PathState.DIRECT and now - self.wanted_at <= WANTED_S
+
     def change(self, state: PathState, now: float) -> bool:
         """Set the state; return whether it is another one."""
         if state is self.state:
@@ -123,7 +129,7 @@
     def record_failed(self, endpoint: str, now: float) -> bool:
         """Record a direct connect that failed."""
         path = self._get(endpoint)
-        path.failed_at = now
+        path.failed_at = path.wanted_at = now
         path.probe_at = now + path.probe_s
         path.probe_s = min(MAX_PROBE_S, 2 * path.probe_s)
         if path.state is not PathState.DIRECT:
@@ -176,13 +182,15 @@
         ]
 
     def take_probes(self, now: float) -> list[str]:
-        """Return the endpoints to probe now, the longest due first."""
+        """Return the endpoints to probe now, the longest due first.
+
+        Those that only peers reach are probed whether or not requests want
+        them: peers have been told, and leave their claims to others.
+        """
         due = [
             (path.probe_at, id)
             for id, path in self.paths_by_endpoint.items()
-            if path.state is not PathState.DIRECT
-            and path.probe_at <= now
-            and now - path.wanted_at <= WANTED_S
+            if path.probe_at <= now and path.needs_probes(now)
         ]
         taken = [id for _, id in sorted(due)[:MAX_PROBES_PER_TICK]]
         for id in taken:
