Time a run from when it was sent, not from the start of its connect

Two of its three crashes were sends to an endpoint that was down already, behind a proxy: 15 and 18 ms by way of a peer, of which the connect through the peer took half, while the check's call through a peer is timed without it. Cause: the time of a run included the connect, which is longer by way of a peer. Change: a run is timed from when the request was sent.

--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -11,12 +11,16 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt to send the request to an endpoint."""
+    """One attempt to send the request to an endpoint.
+
+    It was sent at ``sent_at``, once there was a connection.
+    """
 
     endpoint: str
     started_at: float
     tokens: int
     tokens_ahead: int
+    sent_at: float = 0.0
     first_chunk_received: bool = False
     first_s: float = -1.0
     head: ResponseHead | None = None
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -289,6 +289,7 @@
         attempt.connection = connection
         if not self._may_send(choice):
             return AttemptEnd.UNSENT
+        attempt.sent_at = self.forwarder.instance.now()
         try:
             self._send(connection, choice)
         except NotConnectedError:
@@ -314,8 +315,8 @@
             now = self.forwarder.instance.now()
             self._broken_run = BrokenRun(
                 attempt.endpoint,
-                attempt.started_at,
-                now - attempt.started_at,
+                attempt.sent_at,
+                now - attempt.sent_at,
                 shown_alive,
             )
             return AttemptEnd.BROKEN
