--- a/fescuekeel/components/operators/views.py
+++ b/fescuekeel/components/operators/views.py
@@ -48,7 +48,10 @@
         "data_centre": own.data_centre,
         "draining": instance.draining,
         "tree": asdict(held) if held else None,
-        "members": [asdict(member) for _, member in sorted(view.members_by_id.items())],
+        "members": [
+            asdict(member) | {"unreachable": sorted(member.unreachable)}
+            for _, member in sorted(view.members_by_id.items())
+        ],
         "endpoints": endpoints,
         "without_work": _list_without_work(bus.latest(LiveList), view),
         "owned": asdict(owned) if owned else None,
