--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -367,7 +367,7 @@
     ) -> str:
         """Request a load; return the reason of a failure, empty if loaded.
 
-        With ``patient`` the load may wait for a free permit. Otherwise another
+        With ``patient`` the load may wait for a free place. Otherwise another
         endpoint is tried first, since a load there is faster than the wait
         for a running stream here.
         """
