--- a/fescuekeel/components/owner/const.py
+++ b/fescuekeel/components/owner/const.py
@@ -25,9 +25,9 @@
 # An endpoint that has not reported for this long gets no more work. Must be
 # less than LEAVING_BOUND_S: its reports that it is leaving may be delayed.
 UNRESPONSIVE_S: Final = 2.5
-# Without a report for this long, another instance is to own the endpoint. A
-# sound one may be silent for somewhat over a second.
-LOST_CONTACT_S: Final = 2.0
+# Without a report for this long, another instance is to own the endpoint. One
+# report that is lost with a silent connection leaves a gap of 2.2 s.
+LOST_CONTACT_S: Final = 3.0
 # How long a handover overrides a view that still names the previous owner.
 HANDOVER_OVERRIDE_S: Final = 10.0
 # How long a previous owner confirms its handover. The sum with PEERS_TIMEOUT_S
