--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -85,7 +85,7 @@
     def record_max_rejections(
         self, service: str, max_rejections_per_s: float | None
     ) -> None:
-        """Read the rejections that an endpoint stands from its answer."""
+        """Read the rejection limit that an endpoint names in its answer."""
         if max_rejections_per_s is None:
             return
         if not 0 <= max_rejections_per_s <= MAX_NAMED_RATE_PER_S:
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -211,7 +211,7 @@
         search: Search,
         max_rejections_per_s: float,
     ) -> Permit | Failure | None:
-        """Take a permit at an endpoint that stands few rejections.
+        """Take a permit for an endpoint that has a rejection limit.
 
         Several endpoints are asked for a free permit, before the request waits
         for one. What no endpoint has capacity for is refused at once.
