Learn a concurrency limit faster, and keep what fitted after a rejection

Cause: the limit rose by a hundredth with each answer, so that it stayed at the slots for most of the play; an endpoint then stood idle between the end of a run and the next request, two messages later. Change: until the first rejection answers raise the limit as fast as to what is known; a rejection lowers it to what was in use beside the rejected one, no longer below it.

--- a/fescuekeel/components/allowance/concurrency.py
+++ b/fescuekeel/components/allowance/concurrency.py
@@ -34,6 +34,8 @@
     "PermitRequest",
 ]
 
+NEVER = float("-inf")
+
 
 class PermitOutcome(StrEnum):
     """How the request with a permit has ended.
@@ -112,16 +114,15 @@
     _waiting: list[Waiting] = field(default_factory=list)
     _orders: int = 0
     _rejected_at: deque[float] = field(default_factory=deque)
-    _lowered_at: float = float("-inf")
+    _lowered_at: float = NEVER
     _lowered_to: float = 0.0
     _interval_s: float = MIN_RETRY_AFTER_S
-    _freed_at: float = float("-inf")
+    _freed_at: float = NEVER
 
     def __post_init__(self) -> None:
         # An endpoint that has just started is empty and warms up.
         share = START_SHARE if self.is_new else 1.0
         self.value = max(1.0, self.slots * share)
-        self._lowered_to = float(self.slots)
 
     @property
     def max_value(self) -> float:
@@ -243,8 +244,10 @@
 
     def _raise(self, now: float) -> None:
         # Slowly beyond what is known, as each step too far costs a rejection.
-        if self.value < self._lowered_to:
-            self.value = min(self._lowered_to, self.value + RAISED_BY)
+        never_lowered = self._lowered_at == NEVER
+        known = self.max_value if never_lowered else self._lowered_to
+        if self.value < known:
+            self.value = min(known, self.value + RAISED_BY)
         elif now - self._lowered_at > HOLD_S:
             step = RAISED_BY / (10 * self.value)
             self.value = min(self.max_value, self.value + step)
@@ -255,13 +258,14 @@
     def _lower(self, now: float) -> None:
         """Lower the limit once for the rejections of the same moment.
 
-        The endpoint was full then, so more than were there do not fit.
-        Fewer were there than are counted here, as ends take a while to arrive.
+        The endpoint was full then, so that no more fit than were there beside
+        the rejected ones. Fewer may have been there than are counted here, as
+        ends take a while to arrive, so it is lowered in any case.
         """
         self._rejected_at.append(now)
         if now - self._lowered_at < DECREASE_PERIOD_S:
             return
         self._lowered_at = now
-        in_use = self.count_in_use(now)
-        self.value = max(1.0, min(self.value, float(in_use)) - LOWERED_BY)
+        in_use = float(self.count_in_use(now))
+        self.value = max(1.0, min(self.value - LOWERED_BY, in_use))
         self._lowered_to = self.value
--- a/tests/components/allowance/test_concurrency.py
+++ b/tests/components/allowance/test_concurrency.py
@@ -106,6 +106,19 @@
         assert not limit.ask(make_request(number=50), 0.2)[0].granted
         assert limit.ask(make_request(number=51), 1.2)[0].granted
 
+    # Guards against an endpoint that is idle in part after a single rejection.
+    def test_as_many_are_granted_as_fitted_beside_the_rejected_one(self):
+        limit = ConcurrencyLimit(4, 4.0)
+        fill(limit, 5)
+        for number in (1, 2):
+            limit.end(("i1", number), PermitOutcome.ANSWERED, 0.1)
+            assert limit.ask(make_request(number=number + 5), 0.1)[0].granted
+        assert limit.ask(make_request(number=8), 0.1)[0].granted
+        limit.end(("i1", 8), PermitOutcome.REJECTED, 0.2)
+        limit.end(("i1", 3), PermitOutcome.ANSWERED, 0.3)
+        assert limit.ask(make_request(number=9), 0.3)[0].granted
+        assert not limit.ask(make_request(number=10), 0.3)[0].granted
+
     def test_the_limit_falls_once_for_one_moment(self):
         limit = ConcurrencyLimit(10, 20.0)
         fill(limit, 10)
@@ -150,8 +163,9 @@
 class Simulation:
     """Instances, a home and an endpoint that exchange delayed messages."""
 
-    def __init__(self, endpoint, instances, requests_per_s, seed):
+    def __init__(self, endpoint, instances, requests_per_s, seed, max_delay_s=0.006):
         self.endpoint = endpoint
+        self.max_delay_s = max_delay_s
         self.limit = ConcurrencyLimit(endpoint.slots, endpoint.max_rejections_per_s)
         self.random = random.Random(seed)
         self.instances = instances
@@ -163,7 +177,7 @@
         heapq.heappush(self.events, (at, next(self.order), action, arguments))
 
     def delay(self, now):
-        return now + self.random.uniform(0.0005, 0.006)
+        return now + self.random.uniform(0.0005, self.max_delay_s)
 
     def run(self, seconds, shrinks_at, waiting_then):
         self.schedule(0.0, self.offer)
@@ -227,6 +241,17 @@
         assert falls == 0
         assert served >= 0.8 * capacity
 
+    # Guards against an endpoint that waits for messages while requests wait.
+    def test_an_endpoint_is_used_although_messages_take_long(self, instances):
+        use = []
+        for seed in range(6):
+            endpoint = Endpoint(slots=4, waiting=20, max_rejections_per_s=4, run_s=0.4)
+            simulation = Simulation(endpoint, instances, 13.0, seed, max_delay_s=0.1)
+            falls, served = simulation.run(12.0, shrinks_at=3.0, waiting_then=1)
+            assert falls == 0
+            use.append(served * 0.4 / 4 / 12.0)
+        assert min(use) >= 0.8
+
     @settings(max_examples=10, deadline=None)
     @given(
         st.integers(1, 12),
