Let a prompt with a permit queue at its endpoint's holder

Cause: the holder counts a run as ended only once its instance has told so, and refuses prompts that could go elsewhere while it counts no free slot. A request that had a permit from the endpoint's home was refused there and gave the permit back: 107 to 165 unused permits beside some 350 used ones in a play of test_brittle_endpoints[resumable], and slots were idle meanwhile. Change: a request with a permit may queue for its prompt's admission.

--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -76,9 +76,13 @@
         """Return the endpoints to use only if there is no other."""
         return self.full if self.patient else self.full | self.congested
 
-    def may_queue_at(self, endpoint: str) -> bool:
-        """Return whether the request may queue at an endpoint."""
-        return self.patient or endpoint in self.avoided
+    def may_queue_at(self, endpoint: str, has_permit: bool = False) -> bool:
+        """Return whether the request may queue at an endpoint.
+
+        With a permit it may: the endpoint has capacity for it, although the
+        holder may still count requests there that have just ended.
+        """
+        return has_permit or self.patient or endpoint in self.avoided
 
     def list_limited(self, now: float) -> set[str]:
         """Return the endpoints that are at their rate limits."""
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -283,7 +283,7 @@
     ) -> Choice | Failure | None:
         """Wait for the prompt's admission; return ``None`` to choose again."""
         self._spread(request, choice)
-        patient = search.may_queue_at(choice.endpoint)
+        patient = search.may_queue_at(choice.endpoint, choice.permit is not None)
         answer = await self._request_admission(request, choice, search.until, patient)
         if answer is None:
             return choice if self._still_serves(request, choice) else None
--- a/tests/components/forward/test_search.py
+++ b/tests/components/forward/test_search.py
@@ -29,6 +29,12 @@
         assert search.avoided == set()
         assert not search.is_exhausted(0.0)
 
+    # Guards against permits that are returned unused while slots are idle.
+    def test_request_with_a_permit_queues_at_the_endpoint_that_granted_it(self):
+        search = Search(until=10.0)
+        assert search.may_queue_at("e0", has_permit=True)
+        assert not search.may_queue_at("e0")
+
     def test_search_ends_after_the_limit_of_full_queues(self):
         search = Search(until=10.0)
         for number in range(MAX_REFUSALS):
