Fail a call at once when its connection is reset

What callers saw: in the completions interface, a request whose endpoint's connection was reset while it streamed got nothing more until its deadline: neither the rest by a resume nor an error. Cause: Tornado's simple client raises the error of a connection that was reset out of its close callback, to the event loop ("Uncaught exception"), and never ends the call. Orderly closes were handled, so tests that close connections did not show it. The live list's and the configuration service's readers use the same client. Change: a client of our own whose calls end with that error; all three use it. The class: a fault that only a reset shows; the forwarding interface's own client is not concerned.

--- a/fescuekeel/components/livelist/poller.py
+++ b/fescuekeel/components/livelist/poller.py
@@ -6,7 +6,6 @@
 from returns.pipeline import is_successful
 from returns.result import Failure as Err, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from fescuekeel.components.livelist.const import (
     CONNECT_TIMEOUT_S,
@@ -20,7 +19,7 @@
 from fescuekeel.components.livelist.parse import parse_live_list
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.http import begin_fetch
+from fescuekeel.helpers.http import HttpClient, begin_fetch
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.messages import LiveList
 
@@ -52,7 +51,7 @@
         """Start polling."""
         # The shared client of an event loop queues requests beyond ten, so the
         # poller uses a client of its own.
-        self._client = SimpleAsyncHTTPClient(
+        self._client = HttpClient(
             force_instance=True, max_clients=2, max_body_size=MAX_LIST_BYTES
         )
         self._task = self._instance.spawn(self._run(), DOMAIN)
--- a/fescuekeel/components/tree/config_service.py
+++ b/fescuekeel/components/tree/config_service.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from fescuekeel.components.tree.const import (
     CONNECT_TIMEOUT_S,
@@ -22,7 +21,7 @@
 )
 from fescuekeel.components.tree.events import SetReadMode
 from fescuekeel.core import Instance
-from fescuekeel.helpers.http import begin_fetch
+from fescuekeel.helpers.http import HttpClient, begin_fetch
 from fescuekeel.helpers.logging import log_event
 
 __all__ = ["ConfigServiceReader"]
@@ -54,7 +53,7 @@
 
     async def start(self) -> None:
         """Open the client; reading starts with ``set_read_mode``."""
-        self._client = SimpleAsyncHTTPClient(
+        self._client = HttpClient(
             force_instance=True, max_clients=MAX_CLIENTS, max_body_size=MAX_PART_BYTES
         )
 
--- a/fescuekeel/helpers/endpoint_http.py
+++ b/fescuekeel/helpers/endpoint_http.py
@@ -10,10 +10,9 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.iostream import IOStream
 from tornado.netutil import is_valid_ip
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.tcpclient import TCPClient
 
-from fescuekeel.helpers.http import begin_fetch
+from fescuekeel.helpers.http import HttpClient, begin_fetch
 
 __all__ = [
     "LEASE_LOST",
@@ -156,7 +155,7 @@
     return stream
 
 
-class NoRetryClient(SimpleAsyncHTTPClient):
+class NoRetryClient(HttpClient):
     """Tornado's HTTP client with ``TrackedTCPClient`` as its connector."""
 
     def initialize(self, **kwargs: Any) -> None:  # type: ignore[override]
--- a/fescuekeel/helpers/http.py
+++ b/fescuekeel/helpers/http.py
@@ -1,15 +1,39 @@
 """Helpers shared by HTTP clients and servers."""
 
 import asyncio
+import sys
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 
-__all__ = ["begin_fetch", "read_bearer"]
+__all__ = ["HttpClient", "begin_fetch", "read_bearer"]
 
 BEARER_PREFIX = "bearer "
 
 
+class HttpClient(SimpleAsyncHTTPClient):
+    """Tornado's HTTP client; a reset connection fails the call at once."""
+
+    def _connection_class(self) -> type:
+        return HttpConnection
+
+
+class HttpConnection(_HTTPConnection):
+    """One call of ``HttpClient``."""
+
+    def on_connection_close(self) -> None:
+        """Fail the call.
+
+        Tornado raises the error of a connection that was reset to the event
+        loop, and the call would wait for its timeout.
+        """
+        try:
+            super().on_connection_close()
+        except OSError:
+            self._handle_exception(*sys.exc_info())
+
+
 def begin_fetch(
     client: AsyncHTTPClient, request: HTTPRequest, **options: Any
 ) -> asyncio.Future[HTTPResponse]:
--- a/tests/helpers/test_http.py
+++ b/tests/helpers/test_http.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import gc
+import socket
+import struct
 
 import pytest
+from tornado.httpclient import HTTPRequest
 
-from fescuekeel.helpers.http import begin_fetch
+from fescuekeel.helpers.http import HttpClient, begin_fetch
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class FakeClient:
@@ -48,3 +53,49 @@
                 await fetching
 
         asyncio.run(run())
+
+
+class ResettingServer:
+    """Send a part of an answer to each request, then reset its connection."""
+
+    def __init__(self, part):
+        self.part = part
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.handle, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return f"http://127.0.0.1:{port}/"
+
+    async def handle(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.part)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+    ],
+    ids=["without an answer", "within a stream", "within a body"],
+)
+class TestResetConnection:
+    # Guards against calls that hang until their timeout after a reset.
+    def test_call_fails_at_once(self, part):
+        async def run():
+            server = ResettingServer(part)
+            url = await server.start()
+            client = HttpClient(force_instance=True)
+            request = HTTPRequest(url, request_timeout=30.0)
+            with pytest.raises(OSError, match="reset"):
+                await asyncio.wait_for(begin_fetch(client, request), 2.0)
+            client.close()
+            server.server.close()
+
+        asyncio.run(run())
