Ask peers before an owner takes a refused endpoint for a crash

What callers would see: in the completions interface, requests that ran at an owner whose link to its engine was reset and then refused count as having crashed it; after three such cuts they are refused everywhere. Cause: the owner's own calls were the whole evidence, and behind a cut link these say the same as after a crash. Each broken run made its own calls, too. Change: three peers, near ones first, call the endpoint before a crash counts. Alive there: no crash. A peer's failed call counts only if it reaches another endpoint; if no peer can tell, the owner's own calls count while it reaches another endpoint. One check for all runs that broke with a start of an endpoint.

--- a/fescuekeel/components/owner/component.py
+++ b/fescuekeel/components/owner/component.py
@@ -14,6 +14,7 @@
 )
 from fescuekeel.components.owner.endpoint import EndpointOwner
 from fescuekeel.components.owner.estimates import Estimates
+from fescuekeel.components.owner.peer_checks import LivenessServer
 from fescuekeel.components.owner.placement import Placement
 from fescuekeel.components.relay import Unreachable, UnreachableReporter
 from fescuekeel.components.tree.model import Pool, TreeInForce
@@ -53,6 +54,7 @@
         self.estimates = Estimates(instance.bus)
         self.placement = Placement(instance.id, instance.settings.instance.data_centre)
         self._reporter = UnreachableReporter(instance, self._publish_unreachable)
+        self._liveness_server = LivenessServer(instance, self._find_pool)
         self._view = MemberView()
         self._drained = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -68,6 +70,7 @@
         bus.subscribe(PeerConnectionLost, self._handle_peer_lost)
         bus.subscribe(MemberView, self._handle_view)
         self._reporter.start()
+        self._liveness_server.start()
         self._handle_view(bus.latest(MemberView) or MemberView())
         self._tasks = [
             self.instance.spawn(self._tick_forever(), "owner.tick"),
--- a/fescuekeel/components/owner/crashes.py
+++ b/fescuekeel/components/owner/crashes.py
@@ -1,9 +1,11 @@
 """Report the requests that ran on an endpoint when it crashed."""
 
+import asyncio
 from typing import Protocol, cast
 
-from fescuekeel.components.owner.const import CRASH_CHECK_TIMEOUT_S, RECENTLY_ALIVE_S
+from fescuekeel.components.owner.const import RECENTLY_ALIVE_S
 from fescuekeel.components.owner.model import AcceptedRequest
+from fescuekeel.components.owner.peer_checks import ask_peers, call_endpoint
 from fescuekeel.components.quarantine import (
     DOMAIN as QUARANTINE_DOMAIN,
     Quarantine,
@@ -13,12 +15,7 @@
 from fescuekeel.errors import ErrorKind
 from fescuekeel.helpers.driver import Driver, Outcome
 from fescuekeel.helpers.fingerprint import fingerprint_submit
-from fescuekeel.helpers.http_connection import NotConnectedError, connect
-from fescuekeel.helpers.liveness import (
-    Liveness,
-    classify_failed_connect,
-    gather_evidence,
-)
+from fescuekeel.helpers.liveness import CrashEvidence, Liveness, gather_evidence
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.messages import Submit
 
@@ -53,6 +50,7 @@
         self._quarantine = cast(
             Quarantine, host.instance.components_by_domain[QUARANTINE_DOMAIN]
         )
+        self._checks_by_boot_id: dict[str, asyncio.Task[CrashEvidence]] = {}
 
     def may_send(self, submit: Submit) -> bool:
         """Return whether a request may be sent to the endpoint."""
@@ -75,14 +73,7 @@
             return
         if failure.kind is not ErrorKind.OUTCOME_UNKNOWN or self._host.is_leaving:
             return
-        evidence = await gather_evidence(lambda: self._call(boot_id))
-        log_event(
-            "crash_checked",
-            endpoint=self._host.endpoint,
-            first=evidence.first.value,
-            second=evidence.second.value,
-            outcome="crashed" if evidence.shows_crash else "not_crashed",
-        )
+        evidence = await self._share_check(boot_id)
         alive = self._host.reported_at >= began_at - RECENTLY_ALIVE_S
         if evidence.shows_crash and (alive or not evidence.needs_life):
             self._quarantine.record_crash(
@@ -92,17 +83,34 @@
                 began_at,
             )
 
-    async def _call(self, boot_id: str) -> Liveness:
-        try:
-            connection = await connect(self._host.address, CRASH_CHECK_TIMEOUT_S)
-        except NotConnectedError as error:
-            return classify_failed_connect(error.__cause__)
-        connection.close()
-        asked_at = self._host.instance.now()
-        report = await self._host.driver.report(CRASH_CHECK_TIMEOUT_S)
-        if report is None:
-            waited_s = self._host.instance.now() - asked_at
-            quick = waited_s < CRASH_CHECK_TIMEOUT_S / 2
-            return Liveness.CLOSED if quick else Liveness.SILENT
-        replaced = boot_id not in ("", report.boot_id)
-        return Liveness.REPLACED if replaced else Liveness.ALIVE
+    async def _share_check(self, boot_id: str) -> CrashEvidence:
+        """Check the endpoint once for all runs that broke with it."""
+        check = self._checks_by_boot_id.get(boot_id)
+        if check is None:
+            check = self._host.instance.spawn(self._check(boot_id), "owner.crash_check")
+            self._checks_by_boot_id[boot_id] = check
+            check.add_done_callback(lambda _: self._checks_by_boot_id.pop(boot_id))
+        return await asyncio.shield(check)
+
+    async def _check(self, boot_id: str) -> CrashEvidence:
+        host = self._host
+        evidence = await gather_evidence(
+            lambda: call_endpoint(host.instance, host.address, host.driver, boot_id)
+        )
+        peers = Liveness.SILENT
+        if evidence.shows_crash and evidence.second is not Liveness.REPLACED:
+            peers = await ask_peers(
+                host.instance, host.endpoint, boot_id, evidence.second
+            )
+            evidence = evidence.add_peer(peers, took_s=float("inf"))
+        outcome = "crashed" if evidence.shows_crash else "not_crashed"
+        host.instance.metrics.count(f"crash_check.{outcome}")
+        log_event(
+            "crash_checked",
+            endpoint=host.endpoint,
+            first=evidence.first.value,
+            second=evidence.second.value,
+            peer=peers.value,
+            outcome=outcome,
+        )
+        return evidence
--- a/fescuekeel/messages/ownership.py
+++ b/fescuekeel/messages/ownership.py
@@ -12,6 +12,8 @@
     "CopyAsk",
     "HandoverAnswer",
     "HandoverOffer",
+    "LivenessAnswer",
+    "LivenessAsk",
     "RunningAnswer",
     "RunningAsk",
     "RunningWork",
@@ -90,3 +92,26 @@
 
     endpoint: str
     accepted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LivenessAsk:
+    """Ask a peer what its own call to an endpoint shows.
+
+    ``boot_id`` is the start in which the endpoint is known, empty if unknown.
+    """
+
+    endpoint: str
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class LivenessAnswer:
+    """What the peer's own call to the endpoint has shown.
+
+    ``liveness`` is a value of ``Liveness``. ``reaches_others`` says that the
+    peer reaches another endpoint, so that a failure is the endpoint's.
+    """
+
+    liveness: str
+    reaches_others: bool = False
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -44,6 +44,8 @@
     CopyAsk,
     HandoverAnswer,
     HandoverOffer,
+    LivenessAnswer,
+    LivenessAsk,
     RunningAnswer,
     RunningAsk,
 )
@@ -117,6 +119,8 @@
     | PermitAsk
     | PermitAnswer
     | PermitEnded
+    | LivenessAsk
+    | LivenessAnswer
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -269,6 +269,8 @@
 }
 struct PermitAnswer { granted @0 :Bool; waitMs @1 :UInt32; }
 struct PermitEnded { endpoint @0 :Text; number @1 :UInt32; outcome @2 :Text; }
+struct LivenessAsk { endpoint @0 :Text; bootId @1 :Text; }
+struct LivenessAnswer { liveness @0 :Text; reachesOthers @1 :Bool; }
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
@@ -321,5 +323,7 @@
     permitAsk @47 :PermitAsk;
     permitAnswer @48 :PermitAnswer;
     permitEnded @49 :PermitEnded;
+    livenessAsk @50 :LivenessAsk;
+    livenessAnswer @51 :LivenessAnswer;
   }
 }
--- a/tests/components/owner/common.py
+++ b/tests/components/owner/common.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -100,6 +100,10 @@
         asyncio.get_running_loop().call_soon(node.receive, message)
         return True
 
+    def send_all(self, instance_ids: Iterable[str], body: Any) -> None:
+        for instance_id in instance_ids:
+            self.send(instance_id, body)
+
     async def ask(
         self, instance_id: str, body: Any, timeout_s: float
     ) -> Result[Any, Failure]:
@@ -230,13 +234,32 @@
         await node.owner.start()
         return node
 
-    def publish_view(self, node: Node, *member_ids: str, endpoint: bool = True) -> None:
-        """Publish a view with these members to a node."""
+    def publish_view(
+        self,
+        node: Node,
+        *member_ids: str,
+        endpoint: bool = True,
+        address: str = "",
+        others: tuple[str, ...] = (),
+    ) -> None:
+        """Publish a view with these members to a node.
+
+        It reaches the endpoint at ``address``, by default the engine's own.
+        ``others`` are the addresses of further endpoints, of an unknown pool.
+        """
         entry = LiveEntry(
-            ENDPOINT, LiveRole.ENDPOINT, self.server.address, "dc1", 1, pool=POOL
+            ENDPOINT,
+            LiveRole.ENDPOINT,
+            address or self.server.address,
+            "dc1",
+            1,
+            pool=POOL,
         )
         members = {id: Member(id, "", "dc1", 1) for id in member_ids}
         endpoints = {ENDPOINT: entry} if endpoint else {}
+        for number, other in enumerate(others):
+            id = f"other-{number}"
+            endpoints[id] = LiveEntry(id, LiveRole.ENDPOINT, other, "dc1", 1)
         node.instance.bus.publish_state(MemberView(members, endpoints))
 
     async def stop(self) -> None:
