Order a load again when its connection falls silent

What callers saw: in the completions interface, requests for an adapter that was being loaded when its owner's connection to the engine fell silent waited for ten seconds, and all that needed the next load turn behind them as well. Cause: the reply was waited for with one timeout of ten seconds or twenty times the expected load, on one connection. One unanswered call cost all that waited its time. Change: without a reply the order is sent again after four times the expected load, a second at least, and after twice that each further time; it joins a load in progress. The order that shows a fencing token does the same. Evictions are not repeated: a late one could hit an adapter that serves again.

--- a/fescuekeel/components/owner/const.py
+++ b/fescuekeel/components/owner/const.py
@@ -49,6 +49,10 @@
 # A load is taken as failed after this many times its expected duration.
 LOAD_TIMEOUT_FACTOR: Final = 20.0
 MIN_LOAD_TIMEOUT_S: Final = 10.0
+# A load without a reply is ordered again after this many times its expected
+# duration, at least the second value. The time doubles with each repeat.
+LOAD_REPEAT_FACTOR: Final = 4.0
+MIN_REPEAT_S: Final = 1.0
 # How long a running request may continue past its deadline.
 RUNNING_GRACE_S: Final = 10.0
 RETRY_AFTER_S: Final = 0.2
--- a/fescuekeel/components/owner/orders.py
+++ b/fescuekeel/components/owner/orders.py
@@ -6,8 +6,10 @@
 from fescuekeel.components.owner import model
 from fescuekeel.components.owner.const import (
     EVICT_TIMEOUT_S,
+    LOAD_REPEAT_FACTOR,
     LOAD_TIMEOUT_FACTOR,
     MIN_LOAD_TIMEOUT_S,
+    MIN_REPEAT_S,
     REPORT_TIMEOUT_S,
 )
 from fescuekeel.components.owner.ownership import Ownership
@@ -20,6 +22,7 @@
 __all__ = ["Orders"]
 
 HELD = "held"
+MS_PER_S = 1000
 
 
 @dataclass(slots=True)
@@ -51,9 +54,9 @@
     def load(self, adapter: AdapterRef, load_s: float) -> None:
         """Order a load that is expected to take ``load_s`` seconds."""
         timeout_s = max(MIN_LOAD_TIMEOUT_S, LOAD_TIMEOUT_FACTOR * load_s)
-        self.instance.spawn(
-            self._load(adapter, timeout_s), f"owner.{self.endpoint}.load"
-        )
+        repeat_s = max(MIN_REPEAT_S, LOAD_REPEAT_FACTOR * load_s)
+        work = self._load(adapter, timeout_s, repeat_s)
+        self.instance.spawn(work, f"owner.{self.endpoint}.load")
 
     def evict(self, adapter: AdapterRef) -> None:
         """Order an eviction unless the adapter may be serving."""
@@ -99,18 +102,44 @@
         if granted:
             self.post(model.LoadTurnGranted(ask.adapter))
 
-    async def _load(self, adapter: AdapterRef, timeout_s: float) -> None:
-        outcome = await self.driver.load(
-            adapter, self.ownership.fence, timeout_s, self._may_order
-        )
+    async def _load(
+        self, adapter: AdapterRef, timeout_s: float, repeat_s: float
+    ) -> None:
+        outcome = await self._order_load(adapter, timeout_s, repeat_s)
         self.post(model.LoadDone(adapter, outcome))
 
     async def _present_fence(self, adapter: AdapterRef) -> None:
-        outcome = await self.driver.load(
-            adapter, self.ownership.fence, EVICT_TIMEOUT_S, self._may_order
-        )
+        outcome = await self._order_load(adapter, EVICT_TIMEOUT_S, MIN_REPEAT_S)
         self.post(model.FencePresented(outcome))
 
+    async def _order_load(
+        self, adapter: AdapterRef, timeout_s: float, repeat_s: float
+    ) -> OrderOutcome:
+        """Order a load, and order it again while no reply comes.
+
+        Guards against a connection that fell silent, whose requests would wait
+        for the timeout. A repeated order joins the load that is in progress.
+        """
+        ordered_at = self.instance.now()
+        until = ordered_at + timeout_s
+        while True:
+            left_s = until - self.instance.now()
+            outcome = await self.driver.load(
+                adapter, self.ownership.fence, min(repeat_s, left_s), self._may_order
+            )
+            now = self.instance.now()
+            if not outcome.unconfirmed or now >= until:
+                return outcome
+            self.instance.metrics.count("owner.load_repeated")
+            log_event(
+                "load_repeated",
+                endpoint=self.endpoint,
+                adapter=adapter,
+                waited_ms=round((now - ordered_at) * MS_PER_S),
+                outcome="repeated",
+            )
+            repeat_s *= 2
+
     async def _evict(self, adapter: AdapterRef) -> None:
         outcome = await self._order_evict(adapter)
         self.post(model.EvictDone(adapter, outcome))
