List two new log events, and call permits what they are in tests

Cause: load_repeated and liveness_checked_for_peer were logged and documented but not among the events that the trace of a request knows; five tests of permits still named them by an earlier word. Change: names only.

--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -77,8 +77,10 @@
         isolation_changed cut_off outcome
         livelist_changed entries
         load_asked endpoint weights version holder waited_ms outcome
+        liveness_checked_for_peer peer endpoint reaches_others outcome
         load_ended endpoint weights version place_ms took_ms outcome
         load_missing endpoint weights reported taken places outcome
+        load_repeated endpoint adapter waited_ms outcome
         member_changed member state incarnation
         order_given endpoint kind weights version term fence after_orders \
             report_age_ms taken outcome
--- a/tests/components/allowance/test_concurrency.py
+++ b/tests/components/allowance/test_concurrency.py
@@ -27,24 +27,24 @@
     return granted
 
 
-class TestPlaces:
+class TestPermits:
     def test_as_many_are_granted_as_the_endpoint_runs(self):
         assert fill(ConcurrencyLimit(4, 4.0), 10) == 4
 
     def test_a_new_endpoint_begins_slowly(self):
         assert fill(ConcurrencyLimit(8, 4.0, is_new=True), 10) == 2
 
-    def test_requests_without_a_place_count(self):
+    def test_requests_without_a_permit_count(self):
         limit = ConcurrencyLimit(4, 4.0)
         limit.ask(make_request("i2", 1, running=3), 0.0)
         assert fill(limit, 10) == 0
 
-    def test_a_place_of_a_request_without_a_word_is_free_in_the_end(self):
+    def test_a_permit_without_a_word_is_free_in_the_end(self):
         limit = ConcurrencyLimit(1, 4.0)
         assert fill(limit, 2) == 1
         assert fill(limit, 2, now=2.0 + PERMIT_MARGIN_S) == 1
 
-    def test_places_of_an_instance_that_is_gone_are_free(self):
+    def test_permits_of_an_instance_that_is_gone_are_free(self):
         limit = ConcurrencyLimit(1, 4.0)
         limit.ask(make_request("i1", 1), 0.0)
         limit.ask(make_request("i2", 1, patience_s=1.0), 0.0)
@@ -55,7 +55,7 @@
 
 
 class TestQueue:
-    def test_the_most_urgent_gets_the_next_place(self):
+    def test_the_most_urgent_gets_the_next_permit(self):
         limit = ConcurrencyLimit(1, 4.0)
         limit.ask(make_request(number=1), 0.0)
         limit.ask(make_request(number=2, priority=5, patience_s=1.0), 0.1)
