Fuzz: cut instances' links to endpoints, and silence sound endpoints

Cause: the fuzz of the completions interface knew cuts between data centres only, and no endpoint that is silent for a while and goes on.

--- a/tests/fuzz/engines.py
+++ b/tests/fuzz/engines.py
@@ -51,6 +51,7 @@
         self.load_failures_left = 0
         self.refusals_left = 0
         self.report_lag_s = 0.0
+        self.silent_until = 0.0
         self.boot_count = 0
         self.runs = []
         self.restart()
@@ -239,6 +240,8 @@
         silent_s = 0.0
         while self.world.now < until:
             await asyncio.sleep(POLL_S)
+            if self.world.now < self.engine.silent_until:
+                continue
             if self._unreachable or (reply_lost and not call.stream):
                 silent_s += POLL_S
                 if not call.stream and silent_s > SILENCE_S:
--- a/tests/fuzz/test_requests.py
+++ b/tests/fuzz/test_requests.py
@@ -21,10 +21,16 @@
 MOST_NODES = 6
 # Three times the time to detect a silent connection, and a run of 20 tokens.
 MAX_FROZEN_WAIT_S = 3 * MAX_SILENCE_S + 2.0
+# A lost owner is noticed after three seconds without a report, and the next
+# one waits out its lease.
+CUT_KNOWN_S = 8.0
+MIN_ANSWERED = 0.9
 # Index of the endpoint without fencing.
 UNFENCED_INDEX = 2
 steps = st.sampled_from([0.02, 0.1, 0.5, 1.5, 3.0, 6.0])
 stalls = st.sampled_from([0.0, 0.3, 2.0, 8.0])
+# A sound endpoint is silent for somewhat over a second at most.
+silences = st.sampled_from([0.5, 1.0, 1.3])
 # A message takes 1 ms, so these pause between a request and its order.
 gaps = st.sampled_from([0.0005, 0.0015, 0.0025, 0.0035])
 seeds = st.integers(0, 999)
@@ -213,6 +219,22 @@
     def cut(self, data_centre):
         self.world.cut(data_centre)
 
+    @rule(pick=picks, is_all=st.booleans(), seconds=steps, seed=seeds)
+    def cut_links_of_owner(self, pick, is_all, seconds, seed):
+        """Cut a busy owner from its endpoint, or from all of them."""
+        engine, node = self.owner(pick)
+        self.serve(0.3, 10, seed)
+        engines = self.world.engines_by_id.values() if is_all else [engine]
+        self.world.cut_links_of(node, *engines)
+        self.serve(seconds, 4, seed)
+
+    @rule(pick=picks, seconds=silences, seed=seeds)
+    def silence_endpoint(self, pick, seconds, seed):
+        """Let a sound and busy endpoint send nothing for a while."""
+        self.serve(0.3, 10, seed)
+        self.world.silence(self.engine(pick), seconds)
+        self.serve(seconds, 4, seed)
+
     @rule(deliver=st.booleans())
     def heal(self, deliver):
         self.world.heal(deliver)
@@ -305,6 +327,34 @@
             fleet.teardown()
 
 
+class TestCutLinks:
+    @pytest.mark.parametrize("number", range(6))
+    def test_another_instance_serves_what_an_owner_cannot_reach(self, number):
+        """Guards against an owner that is cut off and keeps its endpoints.
+
+        An instance loses its links to all endpoints, peers still reach it, and
+        a sound endpoint is silent for a while.
+        """
+        seed(number)
+        fleet = Fleet()
+        fleet.begin()
+        fleet.serve(2.0, 4, number)
+        owner = fleet.owner(number)[1]
+        engines = fleet.world.engines_by_id.values()
+        fleet.world.cut_links_of(owner, *engines)
+        fleet.serve(CUT_KNOWN_S, 4, number)
+        began_at = fleet.world.now
+        fleet.world.silence(fleet.engine(number + 1), 1.3)
+        fleet.serve(6.0, 4, number)
+        fleet.teardown()
+        outcomes = Counter(
+            record.outcome
+            for record in fleet.world.oracle.records_by_id.values()
+            if record.started_at >= began_at
+        )
+        assert outcomes["answered"] >= MIN_ANSWERED * outcomes.total(), outcomes
+
+
 class TestFrozenConnections:
     @pytest.mark.parametrize("number", range(12))
     def test_no_response_waits_for_its_deadline(self, number):
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -183,6 +183,7 @@
         self.nodes_by_id = {}
         self.engines_by_id = {}
         self.cut_centres = set()
+        self.cut_links = set()
         self.held_messages = []
         self.delays = {}
         self.stalled_until = {}
@@ -238,6 +239,8 @@
     # The network.
 
     def is_cut(self, one, two):
+        if (one.id, two.id) in self.cut_links:
+            return True
         centres = {one.data_centre, two.data_centre}
         return len(centres) > 1 and bool(centres & self.cut_centres)
 
@@ -274,11 +277,21 @@
         self.cut_centres.add(data_centre)
         self.oracle.record_fault("cut")
 
+    def cut_links_of(self, node, *engines):
+        """Cut a process from endpoints; peers and callers still reach it."""
+        self.cut_links |= {(node.id, engine.id) for engine in engines}
+        self.oracle.record_fault("cut links")
+
+    def silence(self, engine, seconds):
+        """Let an endpoint send nothing for a while; it is sound."""
+        engine.silent_until = self.now + seconds
+
     def heal(self, deliver):
         """End all cuts, and deliver or drop the messages held back."""
-        if self.cut_centres:
+        if self.cut_centres or self.cut_links:
             self.oracle.record_fault("heal")
         self.cut_centres.clear()
+        self.cut_links.clear()
         for connection, receiver, callback in self.held_messages:
             if deliver and not connection.lost:
                 self._put(receiver, callback)
@@ -312,7 +325,8 @@
         self.stalled_until[node.id, engine.id] = self.now + seconds
 
     def order_delay(self, node, engine):
-        until = self.stalled_until.get((node.id, engine.id), 0.0)
+        stalled_until = self.stalled_until.get((node.id, engine.id), 0.0)
+        until = max(stalled_until, engine.silent_until)
         return max(0.001, until - self.now)
 
     # Processes.
@@ -335,7 +349,7 @@
         """Return whether a fault is active now."""
         paused = any(node.paused for node in self.live_nodes)
         slow = any(delay_s > 0.01 for delay_s in self.delays.values())
-        return paused or slow or bool(self.cut_centres)
+        return paused or slow or bool(self.cut_centres or self.cut_links)
 
     def pause(self, node):
         self.oracle.record_fault("pause")
