--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -31,7 +31,7 @@
 __all__ = ["EndpointLimiter"]
 
 LIMIT_TOPIC = "limit"
-REJECTION_TOPIC = "brittle"
+REJECTION_TOPIC = "rejection_limit"
 MS_PER_S = 1000
 
 
@@ -41,7 +41,7 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._limits = NamedLimits()
-        self._brittle = RejectionLimits()
+        self._rejection_limits = RejectionLimits()
         components = instance.components_by_domain
         self._gossip = cast(Gossip, components[GOSSIP_DOMAIN])
         self._allowances = cast(Allowances, components[ALLOWANCE_DOMAIN])
@@ -62,7 +62,7 @@
         metrics.add_gauge("endpoint_limit", self._limits.list_limited)
         metrics.add_gauge(
             "rejection_limit",
-            lambda: self._brittle.list_in_force(self._instance.now()),
+            lambda: self._rejection_limits.list_in_force(self._instance.now()),
         )
 
     # What endpoints name.
@@ -91,7 +91,9 @@
         if not 0 <= max_rejections_per_s <= MAX_NAMED_RATE_PER_S:
             self._log_rejections(service, max_rejections_per_s, 0, "ignored")
             return
-        if self._brittle.record(service, max_rejections_per_s, self._instance.now()):
+        if self._rejection_limits.record(
+            service, max_rejections_per_s, self._instance.now()
+        ):
             rank = self._gossip.get_rank(REJECTION_TOPIC, service) + 1
             payload = repr(max_rejections_per_s).encode()
             self._gossip.publish(REJECTION_TOPIC, service, rank, payload)
@@ -99,7 +101,9 @@
 
     def _handle_rejection_fact(self, fact: Fact) -> None:
         max_rejections_per_s = float(fact.payload)
-        if self._brittle.apply(fact.key, max_rejections_per_s, fact.created_at):
+        if self._rejection_limits.apply(
+            fact.key, max_rejections_per_s, fact.created_at
+        ):
             age_ms = round((self._instance.now() - fact.created_at) * MS_PER_S)
             self._log_rejections(fact.key, max_rejections_per_s, age_ms, "in_force")
 
@@ -165,7 +169,9 @@
 
     def get_max_rejections_per_s(self, service: str) -> float | None:
         """Return the rejections that a service's endpoints stand, if named."""
-        return self._brittle.get_max_rejections_per_s(service, self._instance.now())
+        return self._rejection_limits.get_max_rejections_per_s(
+            service, self._instance.now()
+        )
 
     async def take_permit(self, need: PermitNeed) -> Permit | float:
         """Take a permit; without one, return how many seconds to wait."""
