Log how an answer was framed, what ended it, and whether within an event

Change: attempt_ended has framing, ended_by and within_event. Nothing decides by them yet. Conclusion: an answer that was broken off and counts as answered can now be seen.

--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -5,6 +5,7 @@
 from fescuekeel.components.allowance import PermitOutcome
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.helpers.http_connection import Connection, ResponseHead
+from fescuekeel.helpers.whole_answer import BodyEnd, Framing
 
 __all__ = ["Attempt", "get_permit_outcome"]
 
@@ -13,7 +14,9 @@
 class Attempt:
     """One attempt to send the request to an endpoint.
 
-    It was sent at ``sent_at``, once there was a connection.
+    It was sent at ``sent_at``, once there was a connection. ``framing`` is
+    that of the answer, ``ended_by`` what ended its body, and ``within_event``
+    whether a stream ended within an event.
     """
 
     endpoint: str
@@ -25,6 +28,9 @@
     first_s: float = -1.0
     head: ResponseHead | None = None
     connection: Connection | None = None
+    framing: Framing | None = None
+    ended_by: BodyEnd | None = None
+    within_event: bool = False
 
 
 def get_permit_outcome(end: AttemptEnd | None) -> PermitOutcome:
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -74,6 +74,9 @@
             tokens_ahead=attempt.tokens_ahead,
             first_ms=round(attempt.first_s * 1000),
             took_ms=round((self._instance.now() - attempt.started_at) * 1000),
+            framing=attempt.framing.value if attempt.framing else "",
+            ended_by=attempt.ended_by.value if attempt.ended_by else "",
+            within_event=attempt.within_event,
             outcome=outcome,
         )
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -36,6 +36,7 @@
     Header,
     ResponseMetadata,
 )
+from fescuekeel.helpers.event_stream import EventTracker
 from fescuekeel.helpers.fingerprint import compute_fingerprint
 from fescuekeel.helpers.http_connection import (
     Connection,
@@ -45,6 +46,7 @@
 )
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
+from fescuekeel.helpers.whole_answer import is_event_stream
 
 __all__ = ["ForwardedRequest"]
 
@@ -370,6 +372,15 @@
 
     async def _read_answer(
         self, attempt: Attempt, connection: Connection
+    ) -> AttemptEnd | None:
+        try:
+            return await self._read_whole_answer(attempt, connection)
+        finally:
+            attempt.framing = connection.framing
+            attempt.ended_by = connection.ended_by
+
+    async def _read_whole_answer(
+        self, attempt: Attempt, connection: Connection
     ) -> AttemptEnd | None:
         head = await connection.read_head()
         self._record_received(attempt)
@@ -449,10 +460,16 @@
             await self._begin(head)
         elif head.status != HTTPStatus.OK:
             raise IncompleteResponseError(f"status {head.status} for a resumed stream")
+        content_type = head.get("content-type")
+        is_stream = self.route.kind is RouteKind.STREAM
+        tracker = EventTracker()
         while (chunk := await connection.read_chunk()) is not None:
             self._record_received(attempt)
             self._record_chunk(attempt)
             data = chunk.data
+            if is_event_stream(head.status, content_type, is_stream):
+                tracker.feed(data)
+                attempt.within_event = tracker.within_event
             if self._splitter is not None:
                 data = self._splitter.feed(data)
                 self.resume_after = self._splitter.last_id
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -15,6 +15,7 @@
 
 from fescuekeel.helpers.dialect import Header
 from fescuekeel.helpers.listen import split_address
+from fescuekeel.helpers.whole_answer import BodyEnd, Framing, find_framing
 
 __all__ = [
     "BodyChunk",
@@ -87,6 +88,8 @@
     connection may only mean that the server closed it while it was idle.
     ``relayed_by`` is the peer through which the connection goes, empty if it
     is direct, and ``opened_at`` when it was opened on the instance's clock.
+    ``framing`` is that of the current response, and ``ended_by`` what ended
+    its body, ``None`` until then.
     """
 
     def __init__(self, relayed_by: str = "", opened_at: float = 0.0) -> None:
@@ -94,6 +97,9 @@
         self.relayed_by = relayed_by
         self.opened_at = opened_at
         self.awaiting_response = False
+        self.framing: Framing | None = None
+        self.ended_by: BodyEnd | None = None
+        self._method = ""
         self._http = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -176,6 +182,8 @@
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self.awaiting_response = True
+        self._method = method
+        self.framing = self.ended_by = None
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -192,6 +200,7 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in event.headers
             )
+            self.framing = find_framing(self._method, event.status_code, dict(headers))
             return ResponseHead(event.status_code, headers)
 
     async def read_chunk(self) -> BodyChunk | None:
@@ -200,6 +209,7 @@
         if isinstance(event, h11.Data):
             return BodyChunk(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
+            self.ended_by = self.ended_by or BodyEnd.DECLARED
             return None
         raise IncompleteResponseError(
             f"expected response body, got {type(event).__name__}"
@@ -218,8 +228,10 @@
     async def _feed(self) -> None:
         while not self._unparsed:
             if self._close_reason is not None:
+                self.ended_by = BodyEnd.RESET
                 raise IncompleteResponseError(self._close_reason)
             if self._eof_received:
+                self.ended_by = BodyEnd.CLOSED
                 self._http.receive_data(b"")
                 return
             self._waiter = asyncio.get_running_loop().create_future()
