Reproduce broken answers that look complete, and whole ones that are lost

Change: stand-in workers frame answers by chunks, a length or the close of their connection, end lines with LF, CRLF or CR, and break off at four places by a close or a reset; their HTTP side has a module of its own. A raw caller of HTTP/1.1 or 1.0 judges from bytes whether its answer looks complete. A stream that may not be resumed and is closed within an event reaches its caller as complete, to a caller of HTTP/1.0 every broken answer does, and a whole stream with CRLF lines is cut off.

--- a/bench/soak/culprits.py
+++ b/bench/soak/culprits.py
@@ -18,12 +18,11 @@
 )
 from standins.forwarding.caller import make_headers
 from standins.forwarding.platform import CRASH_DOWN_S
-from standins.forwarding.workers import (
+from standins.forwarding.worker_http import (
     CRASH_AFTER_FIRST_EVENT,
     CRASH_BEFORE_FIRST_EVENT,
-    CrashRecord,
-    Worker,
 )
+from standins.forwarding.workers import CrashRecord, Worker
 
 __all__ = [
     "CULPRIT_ROUTES",
--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from standins.forwarding.store import PlatformStore, start_store
-from standins.forwarding.workers import Worker, start_worker
+from standins.forwarding.worker_http import start_worker
+from standins.forwarding.workers import Worker
 from standins.server import Server
 
 __all__ = ["HOST", "MODEL", "StandInPlatform", "make_configuration"]
--- /dev/null
+++ b/tests/platform/test_broken_answers.py
@@ -0,0 +1,161 @@
+"""End-to-end tests of answers that break off, with each framing and caller."""
+
+from collections import deque
+from itertools import product
+
+import pytest
+
+from standins.forwarding.answers import (
+    AnswerBreak,
+    AnswerFraming,
+    BreakPoint,
+    make_event,
+)
+from standins.forwarding.caller import make_headers
+from standins.forwarding.platform import MODEL
+from standins.forwarding.raw_caller import call_raw
+from standins.proxy import Cut
+from tests.platform.test_path import run, start_world
+
+VERSIONS = ("1.1", "1.0")
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+PATHS = ("direct", "relayed")
+
+
+async def start_path(world, path):
+    """Let instance 0 reach endpoints on its own links or through a peer."""
+    if path == "relayed":
+        world.links[0].cut(Cut.HANG)
+        await world.send_request("/lookup/first", 0)
+
+
+async def call(world, target, version, body=b"body"):
+    headers = make_headers(f"{next(world.request_numbers):016x}", 5.0)
+    if not target.startswith(("/lookup", "/charge")):
+        headers.append(("Fescuekeel-Model", MODEL))
+        headers.append(("Fescuekeel-Token-Count", "500,20"))
+    forward = world.instances[0].components_by_domain["forward"]
+    address = forward.server.address
+    return await call_raw(address, "POST", target, headers, body, version)
+
+
+def set_answers(world, framing, line_end, *breaks):
+    """Let the next answer, of whichever endpoint, be as described."""
+    shared = deque(breaks)
+    for worker in world.platform.workers_by_id.values():
+        worker.framing, worker.line_end, worker.breaks = framing, line_end, shared
+
+
+def make_stream(line_end):
+    return b"".join(make_event(number, line_end) for number in range(1, 7))
+
+
+def list_broken_streams():
+    """Return framings, line ends and breaks; each break can be seen."""
+    breaks = [AnswerBreak(point, reset) for point in BreakPoint for reset in (0, 1)]
+    orderly = AnswerBreak(BreakPoint.BETWEEN_EVENTS, by_reset=False)
+    return [
+        (framing, line_end, broken)
+        for framing in AnswerFraming
+        for line_end in LINE_ENDS
+        for broken in breaks
+        if framing is not AnswerFraming.CLOSE or broken != orderly
+    ]
+
+
+@pytest.mark.parametrize("path", PATHS)
+class TestBrokenStreams:
+    # Guards against a stream that broke off within an event, or by a reset,
+    # and reaches its caller as a complete answer.
+    @pytest.mark.parametrize("version", VERSIONS)
+    @pytest.mark.parametrize("route", ["script", "explain"])
+    def test_never_look_complete(self, route, version, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                for case in list_broken_streams():
+                    set_answers(world, *case)
+                    answer = await call(world, f"/{route}/1", version)
+                    whole = answer.body == make_stream(case[1])
+                    looks_complete = answer.status == 200 and answer.complete
+                    assert whole or not looks_complete, (case, answer)
+
+        run(work)
+
+    # Guards against a resumable stream that ends at its first break.
+    def test_go_on_where_the_route_may_be_resumed(self, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                for case in list_broken_streams():
+                    set_answers(world, *case)
+                    answer = await call(world, "/explain/1", "1.1")
+                    assert answer.complete, (case, answer)
+                    assert answer.body == make_stream(case[1])
+
+        run(work)
+
+
+@pytest.mark.parametrize("path", PATHS)
+class TestWholeAnswers:
+    # Guards against a whole stream that is cut or runs again since its lines
+    # do not end with LF.
+    def test_streams_arrive_once_with_any_line_end(self, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                for route, version, framing, line_end in product(
+                    ("script", "explain"), VERSIONS, AnswerFraming, LINE_ENDS
+                ):
+                    set_answers(world, framing, line_end)
+                    before = count_all_runs(world)
+                    answer = await call(world, f"/{route}/1", version)
+                    case = (route, version, framing, line_end, answer)
+                    assert answer.complete, case
+                    assert answer.body == make_stream(line_end)
+                    assert count_all_runs(world) == before + 1
+
+        run(work)
+
+    # Guards against an answer without length or chunks that is taken for a
+    # broken one.
+    def test_plain_answers_arrive(self, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                for route, version, framing in product(
+                    ("lookup", "charge"), VERSIONS, AnswerFraming
+                ):
+                    set_answers(world, framing, b"\n")
+                    answer = await call(world, f"/{route}/1", version)
+                    assert answer.complete, (route, version, framing, answer)
+                    assert answer.body == f"POST /{route}/1 body".encode()
+
+        run(work)
+
+
+def count_all_runs(world):
+    return sum(
+        sum(worker.runs.values()) for worker in world.platform.workers_by_id.values()
+    )
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("version", VERSIONS)
+class TestBrokenPlainAnswers:
+    # Guards against an answer that was reset in its midst and reaches its
+    # caller as a complete one.
+    def test_never_look_complete(self, version, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                for route, framing, body in product(
+                    ("lookup", "charge"), AnswerFraming, (b"body", b"b" * 200_000)
+                ):
+                    set_answers(world, framing, b"\n", AnswerBreak(by_reset=True))
+                    answer = await call(world, f"/{route}/1", version, body)
+                    whole = answer.body == f"POST /{route}/1 ".encode() + body
+                    looks_complete = answer.status == 200 and answer.complete
+                    assert whole or not looks_complete, (route, framing, answer)
+
+        run(work)
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -11,11 +11,11 @@
 
 from fescuekeel.helpers.settings import QuarantineSettings
 from standins.forwarding.platform import ENGINES, MODEL, PLAIN
-from standins.forwarding.workers import (
+from standins.forwarding.worker_http import (
     CRASH_AFTER_FIRST_EVENT,
     CRASH_BEFORE_FIRST_EVENT,
-    Worker,
 )
+from standins.forwarding.workers import Worker
 from tests.common import eventually
 from tests.platform.test_path import run, start_world
 
