Give an attempt's exchange and the caller's answer modules of their own

Change: exchange.py connects, sends and reads for one attempt, answer.py makes the caller's answer of what the attempts bring; request.py keeps the decisions between attempts. No behaviour changes.

--- /dev/null
+++ b/fescuekeel/components/forward/exchange.py
@@ -0,0 +1,252 @@
+"""One attempt's exchange with an endpoint: connect, send, read the answer."""
+
+from typing import TYPE_CHECKING
+
+from fescuekeel.components.forward.attempt import Attempt
+from fescuekeel.components.forward.attempts import AttemptEnd
+from fescuekeel.components.forward.broken_run import BrokenRun
+from fescuekeel.components.forward.choice import Choice
+from fescuekeel.components.forward.const import (
+    DEFAULT_KEEP_ALIVE_S,
+    KEEP_ALIVE_MARGIN_S,
+    MAX_RELAYED_AGE_S,
+    MAX_RELAYED_IDLE_S,
+    MAX_SAMPLE_WAIT_S,
+    MAX_UNSAFE_IDLE_S,
+)
+from fescuekeel.helpers.dialect import ForwardMetadata, Header, ResponseMetadata
+from fescuekeel.helpers.event_stream import EventTracker
+from fescuekeel.helpers.http_connection import (
+    Connection,
+    IncompleteResponseError,
+    NotConnectedError,
+    ResponseHead,
+)
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.published import RouteKind
+from fescuekeel.helpers.whole_answer import is_event_stream
+
+if TYPE_CHECKING:
+    from fescuekeel.components.forward.request import ForwardedRequest
+
+__all__ = ["Exchange"]
+
+FAILURE_STATUS = 500
+
+
+class Exchange:
+    """Send a request to the chosen endpoint once, and pass its answer on."""
+
+    def __init__(
+        self, request: "ForwardedRequest", attempt: Attempt, choice: Choice
+    ) -> None:
+        self.request = request
+        self.forwarder = request.forwarder
+        self.attempt = attempt
+        self.choice = choice
+
+    async def run(self) -> AttemptEnd | None:
+        """Return how the attempt ended, ``None`` if it was answered."""
+        try:
+            connection = await self._connect()
+        except NotConnectedError:
+            return AttemptEnd.UNSENT
+        self.attempt.connection = connection
+        if not self._may_send():
+            return AttemptEnd.UNSENT
+        self.attempt.sent_at = self.forwarder.instance.now()
+        try:
+            self._send(connection)
+        except NotConnectedError:
+            return AttemptEnd.UNSENT
+        try:
+            return await self._read_answer(connection)
+        except (IncompleteResponseError, ValueError) as error:
+            self._record_broken(connection, error)
+            return AttemptEnd.BROKEN
+        finally:
+            self.attempt.framing = connection.framing
+            self.attempt.ended_by = connection.ended_by
+
+    def _record_broken(self, connection: Connection, error: Exception) -> None:
+        now = self.forwarder.instance.now()
+        attempt = self.attempt
+        log_event(
+            "answer_broken",
+            request_id=self.request.metadata.request_id,
+            fingerprint=self.request.fingerprint,
+            endpoint=attempt.endpoint,
+            kept=not connection.fresh,
+            age_ms=round((now - attempt.started_at) * 1000),
+            error=str(error),
+            outcome=AttemptEnd.BROKEN.value,
+        )
+        self.request.answer.end_broken_part()
+        shown_alive = not connection.fresh or attempt.head is not None
+        self.request.broken_run = BrokenRun(
+            attempt.endpoint, attempt.sent_at, now - attempt.sent_at, shown_alive
+        )
+
+    # Sending.
+
+    def _may_send(self) -> bool:
+        """Return whether the chosen endpoint may still get the request.
+
+        While the request waited for a connection, it may have been quarantined
+        or the endpoint may have named a rate limit.
+        """
+        if self.forwarder.crashes.find_failure(self.request) is not None:
+            return False
+        limiter = self.forwarder.limiter
+        service = self.request.service
+        needs_permit = limiter.get_max_rejections_per_s(service) is not None
+        if self.choice.permit is None and needs_permit:
+            return False
+        return self.choice.within_limit or not limiter.is_limited(self.choice.endpoint)
+
+    async def _connect(self) -> Connection:
+        endpoint = self.attempt.endpoint
+        pool = self.forwarder.get_pool(endpoint)
+        failed_at = self.forwarder.relay.get_failed_at(endpoint)
+        pooled = pool.take(self.forwarder.instance.now(), failed_at)
+        if pooled is not None:
+            return pooled
+        return await self.forwarder.open(endpoint, pool)
+
+    def _send(self, connection: Connection) -> None:
+        request = self.request
+        forward_metadata = ForwardMetadata(
+            self.choice.endpoint,
+            request.deadline - self.forwarder.instance.now(),
+            self.forwarder.get_priority(request),
+            self.choice.version or None,
+            request.resume_after,
+            request.account.name if request.account else "",
+        )
+        headers = self.forwarder.dialect.make_request_headers(
+            request.metadata, forward_metadata
+        )
+        framing: tuple[Header, ...] = ()
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            framing = (("Content-Length", str(len(request.body))),)
+        connection.send(
+            request.method, request.target, (*headers, *framing), request.body
+        )
+        request.state.record_sent(self.choice.endpoint)
+
+    # Reading.
+
+    async def _read_answer(self, connection: Connection) -> AttemptEnd | None:
+        head = await connection.read_head()
+        self._record_received()
+        if not connection.relayed_by:
+            self.forwarder.relay.record_contact(self.attempt.endpoint)
+        self.attempt.head = head
+        response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
+        if response.request_id and response.request_id != (
+            self.request.metadata.request_id
+        ):
+            raise IncompleteResponseError("answer has the id of another request")
+        self._record_limits(response)
+        if response.not_run:
+            await self._drain(connection, response)
+            if response.misdirected:
+                return AttemptEnd.MISDIRECTED
+            return AttemptEnd.NOT_RUN
+        if self._may_retry(head):
+            await self._drain(connection, response)
+            return AttemptEnd.FAILED
+        await self._pass_on(connection, head)
+        self._release(connection, response)
+        return None
+
+    def _record_limits(self, response: ResponseMetadata) -> None:
+        limiter = self.forwarder.limiter
+        limiter.record_max_rejections(
+            self.request.service, response.max_rejections_per_s
+        )
+        if not response.misdirected:
+            limiter.record_answer(
+                self.attempt.endpoint, response.limit_per_s, self.attempt.started_at
+            )
+
+    def _may_retry(self, head: ResponseHead) -> bool:
+        """Return whether to retry after an error of the endpoint."""
+        state = self.request.state
+        if head.status < FAILURE_STATUS:
+            return False
+        if state.answer_started:
+            return True
+        if not state.repeatable:
+            return False
+        return len(state.endpoints) < state.max_attempts
+
+    async def _drain(self, connection: Connection, response: ResponseMetadata) -> None:
+        """Read the rest of an answer that is not forwarded."""
+        while await connection.read_chunk() is not None:
+            self._record_received()
+        self._release(connection, response)
+
+    def _release(self, connection: Connection, response: ResponseMetadata) -> None:
+        self.attempt.connection = None
+        if not connection.finish():
+            return
+        idle_s = DEFAULT_KEEP_ALIVE_S
+        if response.keep_alive_s is not None:
+            idle_s = max(0.0, response.keep_alive_s - KEEP_ALIVE_MARGIN_S)
+        if not self.request.state.safe:
+            idle_s = min(idle_s, MAX_UNSAFE_IDLE_S)
+        now = self.forwarder.instance.now()
+        until = now + idle_s
+        if connection.relayed_by:
+            until = min(until, now + MAX_RELAYED_IDLE_S)
+            until = min(until, connection.opened_at + MAX_RELAYED_AGE_S)
+        self.forwarder.get_pool(self.attempt.endpoint).release(connection, now, until)
+
+    async def _pass_on(self, connection: Connection, head: ResponseHead) -> None:
+        answer = self.request.answer
+        await answer.begin_part(head)
+        is_stream = is_event_stream(
+            head.status,
+            head.get("content-type"),
+            self.request.route.kind is RouteKind.STREAM,
+        )
+        tracker = EventTracker()
+        while (chunk := await connection.read_chunk()) is not None:
+            self._record_received()
+            self._record_chunk()
+            if is_stream:
+                tracker.feed(chunk.data)
+                self.attempt.within_event = tracker.within_event
+            await answer.pass_on(chunk.data)
+            self.request.resume_after = answer.last_id or self.request.resume_after
+        answer.check_end()
+        self.request.record_answered()
+        await answer.finish()
+
+    # Observations of the endpoint.
+
+    def _record_received(self) -> None:
+        now = self.forwarder.instance.now()
+        self.forwarder.get_load(self.attempt.endpoint).health.record_received(now)
+
+    def _record_chunk(self) -> None:
+        attempt = self.attempt
+        now = self.forwarder.instance.now()
+        load = self.forwarder.get_load(attempt.endpoint)
+        gap_s = self.request.times.note(now, attempt.first_chunk_received)
+        if gap_s and self.request.route.gap_target_s:
+            load.record_pause(gap_s / self.request.route.gap_target_s)
+        if attempt.first_chunk_received:
+            return
+        attempt.first_chunk_received = True
+        wait_s = now - attempt.started_at
+        attempt.first_s = wait_s
+        estimator = self.forwarder.get_overhead_estimator(self.request.service)
+        load.record_first_chunk(
+            attempt.tokens, attempt.tokens_ahead, wait_s, estimator.overhead_s, now
+        )
+        if attempt.tokens and wait_s < MAX_SAMPLE_WAIT_S:
+            estimator.note(attempt.tokens, wait_s)
+        if self.request.route.kind is not RouteKind.STREAM:
+            load.record_service(wait_s)
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
 from fescuekeel.components.allowance import PermitOutcome
+from fescuekeel.components.forward.answer import ForwardedAnswer
 from fescuekeel.components.forward.attempt import Attempt, get_permit_outcome
 from fescuekeel.components.forward.attempts import (
     AttemptEnd,
@@ -18,40 +18,18 @@
 from fescuekeel.components.forward.chunk_times import ChunkTimes
 from fescuekeel.components.forward.const import (
     CONNECT_BACKOFF_S,
-    DEFAULT_KEEP_ALIVE_S,
-    KEEP_ALIVE_MARGIN_S,
     MAX_CONNECT_BACKOFF_S,
-    MAX_RELAYED_AGE_S,
-    MAX_RELAYED_IDLE_S,
-    MAX_SAMPLE_WAIT_S,
-    MAX_UNSAFE_IDLE_S,
     MIN_TIME_LEFT_S,
 )
-from fescuekeel.components.forward.events import EventSplitter
+from fescuekeel.components.forward.exchange import Exchange
 from fescuekeel.components.forward.host import RequestHost
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.dialect import (
-    CallerMetadata,
-    ForwardMetadata,
-    Header,
-    ResponseMetadata,
-)
-from fescuekeel.helpers.event_stream import EventTracker
+from fescuekeel.helpers.dialect import CallerMetadata
 from fescuekeel.helpers.fingerprint import compute_fingerprint
-from fescuekeel.helpers.http_connection import (
-    Connection,
-    IncompleteResponseError,
-    NotConnectedError,
-    ResponseHead,
-)
-from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
-from fescuekeel.helpers.whole_answer import is_event_stream
+from fescuekeel.helpers.published import ClientAccount, Route, Weights
 
 __all__ = ["ForwardedRequest"]
 
-FAILURE_STATUS = 500
-
 
 @dataclass(slots=True, eq=False)
 class ForwardedRequest:
@@ -78,11 +56,15 @@
     outcome: str = ""
     times: ChunkTimes = field(default_factory=ChunkTimes)
     waited_s: float = 0.0
+    broken_run: BrokenRun | None = None
+    answer: ForwardedAnswer = field(init=False)
     _current_attempt: Attempt | None = None
-    _splitter: EventSplitter | None = None
     _caller_closed: bool = field(default=False)
     _fingerprint: str = ""
-    _broken_run: BrokenRun | None = None
+
+    def __post_init__(self) -> None:
+        """Make the answer, which all attempts share."""
+        self.answer = ForwardedAnswer(self.caller, self.state)
 
     @property
     def fingerprint(self) -> str:
@@ -151,6 +133,12 @@
         attempt.connection.close()
         return True
 
+    def record_answered(self) -> None:
+        """Record that the caller gets a whole answer."""
+        self.outcome = "answered"
+        self.state.may_have_run = True
+        self.forwarder.crashes.record_completed(self)
+
     @property
     def current_endpoint(self) -> str:
         """Return the endpoint of the current attempt, empty if none."""
@@ -175,8 +163,8 @@
             end = await self._attempt(choice)
             if end is None:
                 return
-            if self._broken_run is not None:
-                await self._report_broken(self._broken_run)
+            if self.broken_run is not None:
+                await self._report_broken(self.broken_run)
             step = decide(self.state, end)
             if step.uses_budget and not self.forwarder.spend_retry(self, end):
                 await self._give_up(step.kind, "budget")
@@ -253,12 +241,12 @@
         attempt = self._current_attempt = Attempt(
             choice.endpoint, now, tokens, tokens_ahead
         )
-        self._broken_run = None
+        self.broken_run = None
         load.begin(self.weights, tokens)
         load.health.record_sent(now)
         end: AttemptEnd | None = AttemptEnd.BROKEN
         try:
-            end = await self._exchange(attempt, choice)
+            end = await Exchange(self, attempt, choice).run()
         finally:
             self._current_attempt = None
             self._end_permit(choice, get_permit_outcome(end))
@@ -283,230 +271,6 @@
         if needs_permit and outcome is PermitOutcome.REJECTED:
             limiter.report_rejected(choice.endpoint)
 
-    async def _exchange(self, attempt: Attempt, choice: Choice) -> AttemptEnd | None:
-        try:
-            connection = await self._connect(attempt.endpoint)
-        except NotConnectedError:
-            return AttemptEnd.UNSENT
-        attempt.connection = connection
-        if not self._may_send(choice):
-            return AttemptEnd.UNSENT
-        attempt.sent_at = self.forwarder.instance.now()
-        try:
-            self._send(connection, choice)
-        except NotConnectedError:
-            return AttemptEnd.UNSENT
-        try:
-            return await self._read_answer(attempt, connection)
-        except (IncompleteResponseError, ValueError) as error:
-            log_event(
-                "answer_broken",
-                request_id=self.metadata.request_id,
-                fingerprint=self.fingerprint,
-                endpoint=attempt.endpoint,
-                kept=not connection.fresh,
-                age_ms=round(
-                    (self.forwarder.instance.now() - attempt.started_at) * 1000
-                ),
-                error=str(error),
-                outcome=AttemptEnd.BROKEN.value,
-            )
-            if self._splitter is not None:
-                self._splitter.drop_buffered()
-            shown_alive = not connection.fresh or attempt.head is not None
-            now = self.forwarder.instance.now()
-            self._broken_run = BrokenRun(
-                attempt.endpoint,
-                attempt.sent_at,
-                now - attempt.sent_at,
-                shown_alive,
-            )
-            return AttemptEnd.BROKEN
-
-    def _may_send(self, choice: Choice) -> bool:
-        """Return whether the chosen endpoint may still get the request.
-
-        While the request waited for a connection, it may have been quarantined
-        or the endpoint may have named a rate limit.
-        """
-        if self.forwarder.crashes.find_failure(self) is not None:
-            return False
-        limiter = self.forwarder.limiter
-        if (
-            choice.permit is None
-            and limiter.get_max_rejections_per_s(self.service) is not None
-        ):
-            return False
-        return choice.within_limit or not limiter.is_limited(choice.endpoint)
-
     async def _report_broken(self, run: BrokenRun) -> None:
         address = self.forwarder.get_pool(run.endpoint).address
         await self.forwarder.crashes.handle_broken(self, run, address)
-
-    async def _connect(self, endpoint: str) -> Connection:
-        pool = self.forwarder.get_pool(endpoint)
-        failed_at = self.forwarder.relay.get_failed_at(endpoint)
-        pooled = pool.take(self.forwarder.instance.now(), failed_at)
-        if pooled is not None:
-            return pooled
-        return await self.forwarder.open(endpoint, pool)
-
-    def _send(self, connection: Connection, choice: Choice) -> None:
-        now = self.forwarder.instance.now()
-        forward_metadata = ForwardMetadata(
-            choice.endpoint,
-            self.deadline - now,
-            self.forwarder.get_priority(self),
-            choice.version or None,
-            self.resume_after,
-            self.account.name if self.account else "",
-        )
-        headers = self.forwarder.dialect.make_request_headers(
-            self.metadata, forward_metadata
-        )
-        framing: tuple[Header, ...] = ()
-        if self.body or self.method not in ("GET", "HEAD", "DELETE"):
-            framing = (("Content-Length", str(len(self.body))),)
-        connection.send(self.method, self.target, (*headers, *framing), self.body)
-        self.state.record_sent(choice.endpoint)
-
-    async def _read_answer(
-        self, attempt: Attempt, connection: Connection
-    ) -> AttemptEnd | None:
-        try:
-            return await self._read_whole_answer(attempt, connection)
-        finally:
-            attempt.framing = connection.framing
-            attempt.ended_by = connection.ended_by
-
-    async def _read_whole_answer(
-        self, attempt: Attempt, connection: Connection
-    ) -> AttemptEnd | None:
-        head = await connection.read_head()
-        self._record_received(attempt)
-        if not connection.relayed_by:
-            self.forwarder.relay.record_contact(attempt.endpoint)
-        attempt.head = head
-        response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
-        if response.request_id and response.request_id != self.metadata.request_id:
-            raise IncompleteResponseError("answer has the id of another request")
-        self.forwarder.limiter.record_max_rejections(
-            self.service, response.max_rejections_per_s
-        )
-        if not response.misdirected:
-            self.forwarder.limiter.record_answer(
-                attempt.endpoint, response.limit_per_s, attempt.started_at
-            )
-        if response.not_run:
-            await self._drain(connection, attempt, response)
-            if response.misdirected:
-                return AttemptEnd.MISDIRECTED
-            return AttemptEnd.NOT_RUN
-        if self._may_retry(head):
-            await self._drain(connection, attempt, response)
-            return AttemptEnd.FAILED
-        await self._pass_on(attempt, connection, head)
-        self._release(attempt, connection, response)
-        return None
-
-    def _may_retry(self, head: ResponseHead) -> bool:
-        """Return whether to retry after an error of the endpoint."""
-        if head.status < FAILURE_STATUS:
-            return False
-        if self.state.answer_started:
-            return True
-        if not self.state.repeatable:
-            return False
-        return len(self.state.endpoints) < self.state.max_attempts
-
-    def _record_received(self, attempt: Attempt) -> None:
-        now = self.forwarder.instance.now()
-        self.forwarder.get_load(attempt.endpoint).health.record_received(now)
-
-    async def _drain(
-        self, connection: Connection, attempt: Attempt, response: ResponseMetadata
-    ) -> None:
-        """Read the rest of an answer that is not forwarded."""
-        while await connection.read_chunk() is not None:
-            self._record_received(attempt)
-        self._release(attempt, connection, response)
-
-    def _release(
-        self, attempt: Attempt, connection: Connection, response: ResponseMetadata
-    ) -> None:
-        attempt.connection = None
-        if not connection.finish():
-            return
-        idle_s = DEFAULT_KEEP_ALIVE_S
-        if response.keep_alive_s is not None:
-            idle_s = max(0.0, response.keep_alive_s - KEEP_ALIVE_MARGIN_S)
-        if not self.state.safe:
-            idle_s = min(idle_s, MAX_UNSAFE_IDLE_S)
-        now = self.forwarder.instance.now()
-        until = now + idle_s
-        if connection.relayed_by:
-            until = min(until, now + MAX_RELAYED_IDLE_S)
-            until = min(until, connection.opened_at + MAX_RELAYED_AGE_S)
-        self.forwarder.get_pool(attempt.endpoint).release(connection, now, until)
-
-    # Forwarding the answer.
-
-    async def _pass_on(
-        self, attempt: Attempt, connection: Connection, head: ResponseHead
-    ) -> None:
-        if self.state.resumable and head.status == HTTPStatus.OK:
-            self._splitter = self._splitter or EventSplitter()
-        if not self.state.answer_started:
-            await self._begin(head)
-        elif head.status != HTTPStatus.OK:
-            raise IncompleteResponseError(f"status {head.status} for a resumed stream")
-        content_type = head.get("content-type")
-        is_stream = self.route.kind is RouteKind.STREAM
-        tracker = EventTracker()
-        while (chunk := await connection.read_chunk()) is not None:
-            self._record_received(attempt)
-            self._record_chunk(attempt)
-            data = chunk.data
-            if is_event_stream(head.status, content_type, is_stream):
-                tracker.feed(data)
-                attempt.within_event = tracker.within_event
-            if self._splitter is not None:
-                data = self._splitter.feed(data)
-                self.resume_after = self._splitter.last_id
-            if data:
-                await self.caller.write(data)
-        if self._splitter is not None and self._splitter.buffered:
-            raise IncompleteResponseError("stream ended within an event")
-        self.outcome = "answered"
-        self.state.may_have_run = True
-        self.forwarder.crashes.record_completed(self)
-        await self.caller.finish()
-
-    async def _begin(self, head: ResponseHead) -> None:
-        self.state.answer_started = True
-        phrase = "OK"
-        try:
-            phrase = HTTPStatus(head.status).phrase
-        except ValueError:
-            phrase = "Answer"
-        await self.caller.begin(head.status, phrase, head.headers)
-
-    def _record_chunk(self, attempt: Attempt) -> None:
-        now = self.forwarder.instance.now()
-        load = self.forwarder.get_load(attempt.endpoint)
-        gap_s = self.times.note(now, attempt.first_chunk_received)
-        if gap_s and self.route.gap_target_s:
-            load.record_pause(gap_s / self.route.gap_target_s)
-        if attempt.first_chunk_received:
-            return
-        attempt.first_chunk_received = True
-        wait_s = now - attempt.started_at
-        attempt.first_s = wait_s
-        estimator = self.forwarder.get_overhead_estimator(self.service)
-        load.record_first_chunk(
-            attempt.tokens, attempt.tokens_ahead, wait_s, estimator.overhead_s, now
-        )
-        if attempt.tokens and wait_s < MAX_SAMPLE_WAIT_S:
-            estimator.note(attempt.tokens, wait_s)
-        if self.route.kind is not RouteKind.STREAM:
-            load.record_service(wait_s)
--- a/standins/forwarding/raw_caller.py
+++ b/standins/forwarding/raw_caller.py
@@ -73,9 +73,10 @@
 def parse_answer(received: bytes, closed_in_order: bool) -> RawAnswer:
     r"""Judge an answer from its bytes and how its connection ended.
 
-    >>> parse_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", True).complete
+    >>> head = b"HTTP/1.1 200 OK\r\n"
+    >>> parse_answer(head + b"Content-Length: 3\r\n\r\nab", True).complete
     False
-    >>> parse_answer(b"HTTP/1.1 200 OK\r\n\r\nab", True).complete
+    >>> parse_answer(head + b"Date: now\r\n\r\nab", True).complete
     True
     """
     head, end, rest = received.partition(HEAD_END)
