Take every stream that ends within an event for broken

Cause: only resumable streams were split into events. Of all others an orderly close was taken for the end, so an endpoint without length or chunks that closes within an event looked whole, and the attempt counted as answered for the retry budget, the endpoint's health and the crash checks. A resumable stream whose last events had no id, or that passed a fragment of a long event, is cut rather than resumed, as it would repeat them. Bytes of an unfinished event still pass at once where a stream cannot be resumed: its caller has seen nothing that another event could be joined to. Callers of HTTP/1.0 are still to be mended.

--- a/fescuekeel/components/forward/answer.py
+++ b/fescuekeel/components/forward/answer.py
@@ -5,7 +5,13 @@
 from fescuekeel.components.forward.attempts import RequestState
 from fescuekeel.components.forward.caller import CallerConnection
 from fescuekeel.components.forward.events import EventSplitter
-from fescuekeel.helpers.http_connection import IncompleteResponseError, ResponseHead
+from fescuekeel.helpers.event_stream import EventTracker
+from fescuekeel.helpers.http_connection import (
+    Connection,
+    IncompleteResponseError,
+    ResponseHead,
+)
+from fescuekeel.helpers.whole_answer import find_defect, is_event_stream
 
 __all__ = ["ForwardedAnswer"]
 
@@ -14,28 +20,50 @@
     """Pass the answers of a request's attempts on as one.
 
     A resumable stream goes on after its last whole event, whose id is
-    ``last_id``.
+    ``last_id``; its unfinished events are held back. All other answers are
+    passed on as they come. ``expects_events`` decides on answers that do not
+    tell whether they are a stream of events.
     """
 
-    def __init__(self, caller: CallerConnection, state: RequestState) -> None:
+    def __init__(
+        self, caller: CallerConnection, state: RequestState, expects_events: bool
+    ) -> None:
         self._caller = caller
         self._state = state
+        self._expects_events = expects_events
         self._splitter: EventSplitter | None = None
+        self._tracker: EventTracker | None = None
 
     @property
     def last_id(self) -> str:
         """Return the id of the last event that was passed on."""
         return self._splitter.last_id if self._splitter is not None else ""
 
+    @property
+    def within_event(self) -> bool:
+        """Return whether the answer would end within an event now."""
+        events = self._splitter or self._tracker
+        return events is not None and events.within_event
+
     async def begin_part(self, head: ResponseHead) -> None:
         """Begin with the answer of an attempt."""
-        if self._state.resumable and head.status == HTTPStatus.OK:
-            self._splitter = self._splitter or EventSplitter()
+        has_events = is_event_stream(
+            head.status, head.get("content-type"), self._expects_events
+        )
         if not self._state.answer_started:
+            self._follow_events(head, has_events)
             await self._write_head(head)
-        elif head.status != HTTPStatus.OK:
+        elif head.status != HTTPStatus.OK or not has_events:
             raise IncompleteResponseError(f"status {head.status} for a resumed stream")
 
+    def _follow_events(self, head: ResponseHead, has_events: bool) -> None:
+        if not has_events:
+            return
+        if self._state.resumable and head.status == HTTPStatus.OK:
+            self._splitter = EventSplitter()
+        else:
+            self._tracker = EventTracker()
+
     async def _write_head(self, head: ResponseHead) -> None:
         self._state.answer_started = True
         phrase = "OK"
@@ -49,13 +77,17 @@
         """Pass on what can be passed on."""
         if self._splitter is not None:
             data = self._splitter.feed(data)
+        elif self._tracker is not None:
+            self._tracker.feed(data)
         if data:
             await self._caller.write(data)
 
-    def check_end(self) -> None:
-        """Raise an error if the answer ended before it was whole."""
-        if self._splitter is not None and self._splitter.within_event:
-            raise IncompleteResponseError("stream ended within an event")
+    def check_end(self, connection: Connection) -> None:
+        """Raise ``IncompleteResponseError`` unless the answer is whole."""
+        assert connection.ended_by is not None
+        defect = find_defect(connection.framing, connection.ended_by, self.within_event)
+        if defect:
+            raise IncompleteResponseError(defect)
 
     async def finish(self) -> None:
         """End the caller's answer."""
@@ -66,5 +98,10 @@
 
     def end_broken_part(self) -> None:
         """Discard what a broken attempt left."""
-        if self._splitter is not None:
-            self._splitter.begin_next_part()
+        if not self._state.answer_started:
+            return
+        if self._splitter is None:
+            self._state.can_go_on = False
+            return
+        self._state.can_go_on = self._splitter.can_go_on
+        self._splitter.begin_next_part()
--- a/fescuekeel/components/forward/attempts.py
+++ b/fescuekeel/components/forward/attempts.py
@@ -60,7 +60,8 @@
 
     ``endpoints`` are those that it was sent to, ``may_have_run`` is true if
     one of them can have run it, and ``answer_started`` if the answer's head
-    was written to the caller.
+    was written to the caller. ``can_go_on`` is false if a stream cannot go on
+    after the events that the caller has.
     """
 
     safe: bool
@@ -70,6 +71,7 @@
     sends: int = 0
     may_have_run: bool = False
     answer_started: bool = False
+    can_go_on: bool = True
 
     @property
     def repeatable(self) -> bool:
@@ -128,7 +130,7 @@
 
 
 def _decide_after_start(state: RequestState, end: AttemptEnd) -> NextStep:
-    if not state.resumable or state.sends >= MAX_SENDS:
+    if not state.resumable or not state.can_go_on or state.sends >= MAX_SENDS:
         return NextStep(Step.ABORT, ErrorKind.ANSWER_CUT)
     uses_budget = end is not AttemptEnd.UNSENT
     return NextStep(Step.RESUME, ErrorKind.ANSWER_CUT, uses_budget)
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -15,7 +15,6 @@
     MAX_UNSAFE_IDLE_S,
 )
 from fescuekeel.helpers.dialect import ForwardMetadata, Header, ResponseMetadata
-from fescuekeel.helpers.event_stream import EventTracker
 from fescuekeel.helpers.http_connection import (
     Connection,
     IncompleteResponseError,
@@ -24,7 +23,6 @@
 )
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import RouteKind
-from fescuekeel.helpers.whole_answer import is_event_stream
 
 if TYPE_CHECKING:
     from fescuekeel.components.forward.request import ForwardedRequest
@@ -206,21 +204,13 @@
     async def _pass_on(self, connection: Connection, head: ResponseHead) -> None:
         answer = self.request.answer
         await answer.begin_part(head)
-        is_stream = is_event_stream(
-            head.status,
-            head.get("content-type"),
-            self.request.route.kind is RouteKind.STREAM,
-        )
-        tracker = EventTracker()
         while (chunk := await connection.read_chunk()) is not None:
             self._record_received()
             self._record_chunk()
-            if is_stream:
-                tracker.feed(chunk.data)
-                self.attempt.within_event = tracker.within_event
             await answer.pass_on(chunk.data)
+            self.attempt.within_event = answer.within_event
             self.request.resume_after = answer.last_id or self.request.resume_after
-        answer.check_end()
+        answer.check_end(connection)
         self.request.record_answered()
         await answer.finish()
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -26,7 +26,7 @@
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata
 from fescuekeel.helpers.fingerprint import compute_fingerprint
-from fescuekeel.helpers.published import ClientAccount, Route, Weights
+from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
 
 __all__ = ["ForwardedRequest"]
 
@@ -64,7 +64,8 @@
 
     def __post_init__(self) -> None:
         """Make the answer, which all attempts share."""
-        self.answer = ForwardedAnswer(self.caller, self.state)
+        expects_events = self.route.kind is RouteKind.STREAM
+        self.answer = ForwardedAnswer(self.caller, self.state, expects_events)
 
     @property
     def fingerprint(self) -> str:
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -15,7 +15,12 @@
 
 from fescuekeel.helpers.dialect import Header
 from fescuekeel.helpers.listen import split_address
-from fescuekeel.helpers.whole_answer import BodyEnd, Framing, find_framing
+from fescuekeel.helpers.whole_answer import (
+    BodyEnd,
+    Framing,
+    find_defect,
+    find_framing,
+)
 
 __all__ = [
     "BodyChunk",
@@ -228,10 +233,9 @@
     async def _feed(self) -> None:
         while not self._unparsed:
             if self._close_reason is not None:
-                self.ended_by = BodyEnd.RESET
-                raise IncompleteResponseError(self._close_reason)
+                self._end_by_connection(BodyEnd.RESET, self._close_reason)
             if self._eof_received:
-                self.ended_by = BodyEnd.CLOSED
+                self._end_by_connection(BodyEnd.CLOSED)
                 self._http.receive_data(b"")
                 return
             self._waiter = asyncio.get_running_loop().create_future()
@@ -242,6 +246,16 @@
             self._transport.resume_reading()
         self._unparsed_bytes = 0
 
+    def _end_by_connection(self, end: BodyEnd, reason: str = "") -> None:
+        """Record that the connection has ended the response.
+
+        Raises ``IncompleteResponseError`` if that does not make it whole.
+        """
+        self.ended_by = end
+        defect = find_defect(self.framing, end, within_event=False)
+        if defect:
+            raise IncompleteResponseError(f"{defect} ({reason})" if reason else defect)
+
     def finish(self) -> bool:
         """End the request; return whether the connection can be reused.
 
--- a/fescuekeel/helpers/whole_answer.py
+++ b/fescuekeel/helpers/whole_answer.py
@@ -58,8 +58,13 @@
     return Framing.CLOSE
 
 
-def find_defect(framing: Framing, end: BodyEnd, within_event: bool) -> str:
-    """Return why an answer is not whole, empty if it is."""
+def find_defect(framing: Framing | None, end: BodyEnd, within_event: bool) -> str:
+    """Return why an answer is not whole, empty if it is.
+
+    Without ``framing`` its head has not been received.
+    """
+    if framing is None:
+        return "connection ended before the answer"
     if end is BodyEnd.RESET:
         return "connection was reset within the answer"
     if end is BodyEnd.CLOSED and framing is not Framing.CLOSE:
--- a/tests/helpers/test_whole_answer.py
+++ b/tests/helpers/test_whole_answer.py
@@ -30,6 +30,9 @@
         assert (find_defect(framing, end, within_event=False) == "") is whole
         assert find_defect(framing, end, within_event=True)
 
+    def test_no_answer_is_not_whole(self):
+        assert find_defect(None, BodyEnd.CLOSED, within_event=False)
+
 
 class TestFindFraming:
     def test_answers_without_a_body(self):
