Reset the connection of an HTTP/1.0 caller unless its answer is whole

Cause: such an answer ends with its connection, and CallerConnection closed it in order whatever had happened; on kill -9 the kernel does the same. Tornado promised keep-alive to HTTP/1.0 callers even without a length. Change: where neither a length nor chunks end the caller's answer, closing resets the connection (SO_LINGER) from the head on; once the answer is whole and written, closing is orderly again. Reset on close has a module of its own.

--- a/fescuekeel/components/forward/caller.py
+++ b/fescuekeel/components/forward/caller.py
@@ -5,13 +5,15 @@
 from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from fescuekeel.components.forward.const import DEFAULT_RETRY_AFTER_S
 from fescuekeel.const import HEADER_RETRY_AFTER
 from fescuekeel.errors import Failure
 from fescuekeel.helpers.dialect import Header
+from fescuekeel.helpers.linger import close_in_order, reset_on_close
+from fescuekeel.helpers.whole_answer import Framing, find_framing
 
 __all__ = ["CallerConnection", "CallerGoneError"]
 
@@ -32,15 +34,24 @@
 
     ``is_last`` returns whether to close the connection afterwards.
     ``started`` is true once the head of the answer has been written.
+    An answer to HTTP/1.0 may have neither a length nor chunks. Its connection
+    is reset whenever it closes, until the answer is whole.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, is_last: Callable[[], bool]
+        self,
+        connection: HTTP1Connection,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        is_last: Callable[[], bool],
     ) -> None:
         self.started = False
         self._connection = connection
+        self._line = line
+        self._request_headers = headers
         self._is_last = is_last
         self._closing = False
+        self._ends_with_close = False
 
     def on_close(self, callback: Callable[[], None]) -> None:
         """Call back if the caller closes before the answer is complete."""
@@ -54,9 +65,14 @@
         for name, value in headers:
             if name.lower() not in CONNECTION_HEADERS:
                 written.add(name, value)
-        self._closing = self._is_last()
+        self._ends_with_close = self._is_ended_by_close(status, written)
+        self._closing = self._is_last() or self._ends_with_close
         if self._closing:
             written["Connection"] = "close"
+        if self._ends_with_close:
+            # Tornado would promise to keep the connection open.
+            self._request_headers["Connection"] = "close"
+            reset_on_close(self._connection.stream.socket)
         self.started = True
         line = ResponseStartLine("HTTP/1.1", status, reason)
         try:
@@ -64,6 +80,12 @@
         except StreamClosedError as error:
             raise CallerGoneError from error
 
+    def _is_ended_by_close(self, status: int, written: HTTPHeaders) -> bool:
+        if self._line.version != "HTTP/1.0":
+            return False
+        framing = find_framing(self._line.method, status, written)
+        return framing is Framing.CLOSE
+
     async def write(self, data: bytes) -> None:
         """Write a part of the body."""
         try:
@@ -74,6 +96,8 @@
     async def finish(self) -> None:
         """Complete the answer."""
         stream = self._connection.stream
+        if self._ends_with_close:
+            close_in_order(stream.socket)
         self._connection.finish()
         if self._closing:
             await self._close_when_flushed(stream)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -205,7 +205,9 @@
         body: bytes,
     ) -> None:
         """Start serving a request that was read completely."""
-        caller = CallerConnection(connection, lambda: self.closes_connections)
+        caller = CallerConnection(
+            connection, line, headers, lambda: self.closes_connections
+        )
         work = self._serve(caller, line, headers, body)
         task = self.instance.spawn(work, f"{DOMAIN}.request")
         self._open_tasks.add(task)
--- a/fescuekeel/components/relay/splice.py
+++ b/fescuekeel/components/relay/splice.py
@@ -2,17 +2,14 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable
 
 from fescuekeel.components.relay.const import MAX_QUEUED_BYTES
+from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.peer_link import PeerStream, StreamCallbacks
 
 __all__ = ["SplicedConnection"]
 
-# SO_LINGER with a timeout of zero: closing sends RST.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class SplicedConnection(asyncio.Protocol):
     """The connection to the endpoint; a loss on one side ends the other.
@@ -104,9 +101,7 @@
             return
         self._closed = True
         if self._transport is not None:
-            raw = self._transport.get_extra_info("socket")
-            if raw is not None and raw.fileno() >= 0:
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
         if self._stream is not None:
             self._stream.close()
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import socket
-import struct
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 import h11
 
 from fescuekeel.helpers.dialect import Header
+from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import split_address
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
@@ -39,8 +39,6 @@
 # Closes a connection whose sent data stays unacknowledged, as after a power
 # failure or behind a network partition.
 TCP_USER_TIMEOUT_MS = 3000
-# SO_LINGER with a timeout of zero: closing sends RST.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_HEAD_BYTES = 64 * 1024
 # Bound on responses that are buffered, such as reports and store pages.
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -285,9 +283,7 @@
         """
         if self._transport is None:
             return
-        raw = self._transport.get_extra_info("socket")
-        if raw is not None and raw.fileno() >= 0:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
 
 
--- a/standins/forwarding/answers.py
+++ b/standins/forwarding/answers.py
@@ -1,7 +1,5 @@
 """How stand-in workers frame their answers and break them off."""
 
-import socket
-import struct
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -9,6 +7,8 @@
 from tornado.iostream import IOStream
 from tornado.web import RequestHandler
 
+from fescuekeel.helpers.linger import reset_on_close
+
 __all__ = [
     "AnswerBreak",
     "AnswerFraming",
@@ -17,9 +17,6 @@
     "make_event",
 ]
 
-# SO_LINGER with a timeout of zero: closing sends RST.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class AnswerFraming(StrEnum):
     """What ends the body of an answer."""
@@ -120,7 +117,6 @@
     def break_off(self, how: AnswerBreak) -> None:
         """Close or reset the connection within the answer."""
         if how.by_reset and not self._stream.closed():
-            linger = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            self._stream.socket.setsockopt(*linger)
+            reset_on_close(self._stream.socket)
         self._handler._finished = True
         self._stream.close()
