Frame a resumable stream anew for its caller

Seen: a resumable stream with a length, which went on at an endpoint that ends its lines otherwise, was cut off (new test, which fails on the code before). Cause: the first endpoint's Content-Length was passed on, and the bytes of another endpoint need not add up to it. Change: the length of a resumable stream is not passed on. Conclusion: the caller's answer has chunks, or ends with its connection.

--- a/fescuekeel/components/forward/answer.py
+++ b/fescuekeel/components/forward/answer.py
@@ -71,7 +71,13 @@
             phrase = HTTPStatus(head.status).phrase
         except ValueError:
             phrase = "Answer"
-        await self._caller.begin(head.status, phrase, head.headers)
+        headers = head.headers
+        if self._splitter is not None:
+            # Another endpoint may go on with a stream of another length.
+            headers = tuple(
+                (name, value) for name, value in headers if name != "content-length"
+            )
+        await self._caller.begin(head.status, phrase, headers)
 
     async def pass_on(self, data: bytes) -> None:
         """Pass on what can be passed on."""
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -12,7 +12,7 @@
     make_event,
 )
 from standins.forwarding.caller import make_headers
-from standins.forwarding.platform import MODEL
+from standins.forwarding.platform import ENGINES, MODEL
 from standins.forwarding.raw_caller import call_raw
 from standins.proxy import Cut
 from tests.platform.test_path import run, start_world
@@ -22,10 +22,15 @@
 PATHS = ("direct", "relayed")
 
 
-async def start_path(world, path):
-    """Let instance 0 reach endpoints on its own links or through a peer."""
+def grant_retries(world):
+    """Let the retry budget end no stream."""
     for instance in world.instances:
         instance.components_by_domain["forward"].budget.slack = 1000
+
+
+async def start_path(world, path):
+    """Let instance 0 reach endpoints on its own links or through a peer."""
+    grant_retries(world)
     if path == "relayed":
         world.links[0].cut(Cut.HANG)
         await world.send_request("/lookup/first", 0)
@@ -98,6 +103,24 @@
         run(work)
 
 
+class TestResumedStreamWithALength:
+    # Guards against a resumed stream that is cut since the endpoint that goes
+    # on sends other bytes than the first one has announced.
+    def test_arrives_whole_from_endpoints_with_other_line_ends(self):
+        async def work():
+            async with start_world(2) as world:
+                grant_retries(world)
+                for round in range(6):
+                    broken = AnswerBreak(by_reset=True)
+                    set_answers(world, AnswerFraming.LENGTH, b"\n", broken)
+                    world.platform.list_workers(ENGINES)[round % 2].line_end = b"\r\n"
+                    answer = await call(world, "/explain/1", "1.1")
+                    assert answer.complete
+                    assert answer.body.count(b"data: piece") == 6
+
+        run(work)
+
+
 @pytest.mark.parametrize("path", PATHS)
 class TestWholeAnswers:
     # Guards against a whole stream that is cut or runs again since its lines
