Fail calls of the completions interface whose answer broke off

Cause: Tornado's client reads such a body until the connection closes, and a reset counts as a close. A stream that ended within an event was not looked at at all. Change: HttpConnection asks find_defect, as the forwarding interface does, from the error of its stream and the events that it followed. It carries all calls of that interface: plain services, engines' orders and reports, the live list, the tree. Conclusion: the driver reports an unknown outcome, and nothing of the body is delivered. Streams of engines have an end mark and were not affected.

--- a/fescuekeel/helpers/http.py
+++ b/fescuekeel/helpers/http.py
@@ -5,15 +5,29 @@
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 
-__all__ = ["HttpClient", "begin_fetch", "read_bearer"]
+from fescuekeel.helpers.event_stream import EventTracker
+from fescuekeel.helpers.whole_answer import (
+    BodyEnd,
+    Framing,
+    find_defect,
+    find_framing,
+    is_event_stream,
+)
+
+__all__ = ["HttpClient", "IncompleteAnswerError", "begin_fetch", "read_bearer"]
 
 BEARER_PREFIX = "bearer "
 
 
+class IncompleteAnswerError(OSError):
+    """The answer broke off before it was whole."""
+
+
 class HttpClient(SimpleAsyncHTTPClient):
-    """Tornado's HTTP client; a reset connection fails the call at once."""
+    """Tornado's HTTP client; a broken answer fails the call at once."""
 
     def _connection_class(self) -> type:
         return HttpConnection
@@ -22,6 +36,50 @@
 class HttpConnection(_HTTPConnection):
     """One call of ``HttpClient``."""
 
+    _tracker: EventTracker | None = None
+
+    async def headers_received(
+        self,
+        first_line: ResponseStartLine | RequestStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Follow the events of a stream."""
+        await super().headers_received(first_line, headers)
+        assert isinstance(first_line, ResponseStartLine)
+        if is_event_stream(first_line.code, headers.get("Content-Type", "")):
+            self._tracker = EventTracker()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Receive a part of the body."""
+        if self._tracker is not None:
+            self._tracker.feed(chunk)
+        super().data_received(chunk)
+
+    def finish(self) -> None:
+        """End the call; fail it unless the answer is whole.
+
+        Tornado takes a reset for the end of an answer that has neither a
+        length nor chunks.
+        """
+        defect = self._find_defect()
+        if not defect:
+            super().finish()
+            return
+        try:
+            raise IncompleteAnswerError(defect)
+        except IncompleteAnswerError:
+            self._handle_exception(*sys.exc_info())
+
+    def _find_defect(self) -> str:
+        assert self.code is not None
+        assert self.headers is not None
+        framing = find_framing(self.request.method, self.code, self.headers)
+        end = BodyEnd.DECLARED
+        if framing is Framing.CLOSE:
+            end = BodyEnd.RESET if self.stream.error else BodyEnd.CLOSED
+        within_event = self._tracker is not None and self._tracker.within_event
+        return find_defect(framing, end, within_event)
+
     def on_connection_close(self) -> None:
         """Fail the call.
 
--- a/tests/components/plain/test_driver.py
+++ b/tests/components/plain/test_driver.py
@@ -7,6 +7,7 @@
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Ran
 from fescuekeel.helpers.driver import Call
+from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.messages import AdapterRef
 from standins.plain import PlainService, start_plain
 from tests.common import eventually, make_settings
@@ -106,6 +107,33 @@
 
         run(scenario)
 
+    # Guards against half of a body that is answered as a whole one.
+    def test_a_body_that_is_reset_is_unknown(self) -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset_on_close(writer.get_extra_info("socket"))
+            writer.transport.abort()
+
+        async def main() -> None:
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            driver = PlainDriver(Instance(make_settings()), f"{host}:{port}")
+            received: list[bytes] = []
+            outcome = await driver.dispatch(
+                make_call(), lambda at, data, tokens: received.append(data)
+            )
+            assert outcome.ran is Ran.UNKNOWN
+            assert not received
+            driver.close()
+            server.close()
+
+        asyncio.run(main())
+
     def test_report_lists_running_requests(self) -> None:
         async def scenario(
             driver: PlainDriver, service: PlainService, received: list[bytes]
