Break off streams of the completions interface that were given up

Seen: a stream whose caller stopped reading for a while, or that a fault in the program ended, had its last chunk; to a caller of HTTP/1.0 it ended in order. Cause: Tornado ends the response of each handler that returns or raises, and closes connections in order. Change: HandlerSink closes the connection of a stream that has not ended, with a reset where the caller's answer has neither length nor chunks, as the forwarding interface does. A failure that is told is still the last event of a stream that ends in order: the caller reads it, and the end mark is missing.

--- a/fescuekeel/components/gateway/server.py
+++ b/fescuekeel/components/gateway/server.py
@@ -88,7 +88,10 @@
         if isinstance(admitted, Success):
             admission = admitted.unwrap()
             sink = HandlerSink(self, admission.stream)
-            await self.gateway.serve(self.request_id, admission, sink)
+            try:
+                await self.gateway.serve(self.request_id, admission, sink)
+            finally:
+                sink.close_unfinished()
             return
         sink = HandlerSink(self, stream=False)
         await self.gateway.refuse(self.request_id, admitted.failure(), sink)
--- a/fescuekeel/components/gateway/sink.py
+++ b/fescuekeel/components/gateway/sink.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import RequestHandler
 
 from fescuekeel.components.gateway.const import (
@@ -18,6 +18,7 @@
 from fescuekeel.components.gateway.schemas import to_error_body
 from fescuekeel.const import HEADER_RAN, HEADER_RETRY_AFTER
 from fescuekeel.errors import Failure
+from fescuekeel.helpers.linger import close_in_order, reset_on_close
 
 __all__ = ["AnswerHead", "CallerSink", "HandlerSink"]
 
@@ -53,6 +54,8 @@
 
     Streams are written chunk by chunk. Any other response is buffered until
     it is complete, so that a late failure can still set the HTTP status.
+    A stream to HTTP/1.0 ends with its connection, which is reset whenever it
+    closes, until the stream has ended.
     """
 
     def __init__(self, handler: RequestHandler, stream: bool) -> None:
@@ -60,6 +63,8 @@
         self._stream = stream
         self._buffer = bytearray()
         self._head_written = False
+        self._ended = False
+        self._ends_with_close = False
         self._pending_write: asyncio.Future[None] | None = None
 
     async def deliver(self, data: bytes, head: AnswerHead) -> bool:
@@ -69,7 +74,7 @@
             return len(self._buffer) <= MAX_ANSWER_BYTES
         if not self._head_written:
             self._begin(head, STREAM_CONTENT_TYPE)
-            self._set_nodelay()
+            self._prepare_connection()
         self._handler.write(data)
         return await self._flush()
 
@@ -103,13 +108,24 @@
         self._handler.set_header(HEADER_STALL_MS, str(head.stall_ms))
         self._handler.set_header(HEADER_QUEUE_MS, str(head.queue_ms))
 
-    def _set_nodelay(self) -> None:
+    @property
+    def _connection_stream(self) -> IOStream | None:
+        return getattr(self._handler.request.connection, "stream", None)
+
+    def _prepare_connection(self) -> None:
         # Guards against bursts of tokens: Tornado re-enables Nagle's algorithm
         # for each request, which together with delayed ACKs holds back small
         # writes by 40 ms.
-        stream = getattr(self._handler.request.connection, "stream", None)
-        if stream is not None and not stream.closed():
-            stream.set_nodelay(True)
+        stream = self._connection_stream
+        if stream is None or stream.closed():
+            return
+        stream.set_nodelay(True)
+        request = self._handler.request
+        self._ends_with_close = request.version == "HTTP/1.0"
+        if self._ends_with_close:
+            # Tornado would promise to keep the connection open.
+            request.headers["Connection"] = "close"
+            reset_on_close(stream.socket)
 
     async def _flush(self) -> bool:
         """Start writing the chunk once the previous write has finished."""
@@ -139,7 +155,29 @@
             async with asyncio.timeout(CALLER_WRITE_TIMEOUT_S):
                 if self._pending_write is not None:
                     await self._pending_write
-                await self._handler.finish()
+                if self._ends_with_close:
+                    await self._end_with_close()
+                else:
+                    await self._handler.finish()
         except (StreamClosedError, TimeoutError):
             return False
+        self._ended = True
         return True
+
+    async def _end_with_close(self) -> None:
+        await self._handler.flush()
+        stream = self._connection_stream
+        if stream is not None:
+            close_in_order(stream.socket)
+            self._ended = True
+            stream.close()
+
+    def close_unfinished(self) -> None:
+        """Close the connection of a stream that was begun and did not end.
+
+        Guards against a broken stream that looks complete: Tornado ends the
+        response of each handler that returns.
+        """
+        stream = self._connection_stream
+        if self._head_written and not self._ended and stream is not None:
+            stream.close()
