Read engines' streams whose lines end with CRLF or CR

Seen: a whole stream of an engine with CRLF line ends has no event for the completions interface, which waits for its deadline (six new cases of a test, which fail on the code before). Cause: the parser splits at LF LF only, as the forwarding interface did. Change: line ends are normalized to LF as they arrive, also split between packets. Conclusion: the same class as the forwarding interface's; chunks are as before.

--- a/fescuekeel/components/engine/events.py
+++ b/fescuekeel/components/engine/events.py
@@ -49,10 +49,12 @@
     gap: bool = False
     error: str = ""
     _buffer: bytes = field(default=b"")
+    _after_return: bool = False
 
     def feed(self, data: bytes) -> list[StreamChunk]:
         """Parse received bytes and return the new chunks."""
-        *events, self._buffer = (self._buffer + data).split(EVENT_END)
+        received = self._buffer + self._normalize_line_ends(data)
+        *events, self._buffer = received.split(EVENT_END)
         first = self.position
         accepted = [event + EVENT_END for event in events if self._accept(event)]
         if self.one_token_per_chunk:
@@ -66,8 +68,17 @@
     def reset(self) -> None:
         """Discard the partial event of a closed connection."""
         self._buffer = b""
+        self._after_return = False
         self.gap = False
 
+    def _normalize_line_ends(self, data: bytes) -> bytes:
+        """Let each line end with LF; engines may use CRLF or CR."""
+        if self._after_return:
+            data = data.removeprefix(b"\n")
+        if data:
+            self._after_return = data.endswith(b"\r")
+        return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
     def _accept(self, event: bytes) -> bool:
         if self.done or self.gap or not event.startswith(DATA_PREFIX):
             return False
--- a/tests/components/engine/test_events.py
+++ b/tests/components/engine/test_events.py
@@ -1,6 +1,8 @@
 """Tests of the event stream parser."""
 
-from fescuekeel.components.engine.events import EventStream
+import pytest
+
+from fescuekeel.components.engine.events import END_MARK, EventStream
 
 
 def make_event(position: int) -> bytes:
@@ -15,6 +17,20 @@
         found = [chunk.position for found in chunks for chunk in found]
         assert found == [0, 1]
 
+    # Guards against a whole stream that is lost since its lines do not end
+    # with LF.
+    @pytest.mark.parametrize("end", [b"\r\n", b"\r"])
+    @pytest.mark.parametrize("size", [1, 7, 1000])
+    def test_other_line_ends_make_the_same_chunks(self, end: bytes, size: int) -> None:
+        stream = EventStream()
+        data = (make_event(0) + make_event(1) + END_MARK).replace(b"\n", end)
+        passed = b""
+        for at in range(0, len(data), size):
+            for chunk in stream.feed(data[at : at + size]):
+                passed += chunk.data
+        assert passed == make_event(0) + make_event(1)
+        assert stream.done
+
     def test_events_below_the_position_are_dropped(self) -> None:
         """Guards against duplicate tokens when a stream resumes too early."""
         stream = EventStream(position=2)
