Answer with an error if an answer breaks off before its first byte

Seen: an answer whose head had come and nothing else ended in a cut connection, or went on under the head of an endpoint that had sent nothing (new test, which fails on the code before: status 200 and cut, now 502; with a retry, the whole answer). Cause: the head was passed on before the first bytes of the body. Change: the head is written together with the first bytes. A resumable stream that breaks before its first whole event is tried again as if nothing had come.

--- a/fescuekeel/components/forward/answer.py
+++ b/fescuekeel/components/forward/answer.py
@@ -23,6 +23,9 @@
     ``last_id``; its unfinished events are held back. All other answers are
     passed on as they come. ``expects_events`` decides on answers that do not
     tell whether they are a stream of events.
+
+    The head is written together with the first bytes, so that an answer that
+    breaks off before them can still become an error.
     """
 
     def __init__(
@@ -33,6 +36,7 @@
         self._expects_events = expects_events
         self._splitter: EventSplitter | None = None
         self._tracker: EventTracker | None = None
+        self._head: ResponseHead | None = None
 
     @property
     def last_id(self) -> str:
@@ -45,18 +49,22 @@
         events = self._splitter or self._tracker
         return events is not None and events.within_event
 
-    async def begin_part(self, head: ResponseHead) -> None:
-        """Begin with the answer of an attempt."""
+    def begin_part(self, head: ResponseHead) -> None:
+        """Begin with the answer of an attempt.
+
+        Raises ``IncompleteResponseError`` if a stream cannot go on with it.
+        """
         has_events = is_event_stream(
             head.status, head.get("content-type"), self._expects_events
         )
         if not self._state.answer_started:
+            self._head = head
             self._follow_events(head, has_events)
-            await self._write_head(head)
         elif head.status != HTTPStatus.OK or not has_events:
             raise IncompleteResponseError(f"status {head.status} for a resumed stream")
 
     def _follow_events(self, head: ResponseHead, has_events: bool) -> None:
+        self._splitter = self._tracker = None
         if not has_events:
             return
         if self._state.resumable and head.status == HTTPStatus.OK:
@@ -64,9 +72,12 @@
         else:
             self._tracker = EventTracker()
 
-    async def _write_head(self, head: ResponseHead) -> None:
+    async def _write(self, data: bytes) -> None:
+        if self._head is None:
+            await self._caller.write(data)
+            return
+        head, self._head = self._head, None
         self._state.answer_started = True
-        phrase = "OK"
         try:
             phrase = HTTPStatus(head.status).phrase
         except ValueError:
@@ -77,7 +88,7 @@
             headers = tuple(
                 (name, value) for name, value in headers if name != "content-length"
             )
-        await self._caller.begin(head.status, phrase, headers)
+        await self._caller.begin(head.status, phrase, headers, data)
 
     async def pass_on(self, data: bytes) -> None:
         """Pass on what can be passed on."""
@@ -86,7 +97,7 @@
         elif self._tracker is not None:
             self._tracker.feed(data)
         if data:
-            await self._caller.write(data)
+            await self._write(data)
 
     def check_end(self, connection: Connection) -> None:
         """Raise ``IncompleteResponseError`` unless the answer is whole."""
@@ -98,8 +109,8 @@
     async def finish(self) -> None:
         """End the caller's answer."""
         rest = self._splitter.take_rest() if self._splitter is not None else b""
-        if rest:
-            await self._caller.write(rest)
+        if rest or self._head is not None:
+            await self._write(rest)
         await self._caller.finish()
 
     def end_broken_part(self) -> None:
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -203,7 +203,7 @@
 
     async def _pass_on(self, connection: Connection, head: ResponseHead) -> None:
         answer = self.request.answer
-        await answer.begin_part(head)
+        answer.begin_part(head)
         while (chunk := await connection.read_chunk()) is not None:
             self._record_received()
             self._record_chunk()
--- a/standins/forwarding/answers.py
+++ b/standins/forwarding/answers.py
@@ -37,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerBreak:
-    """Where an answer breaks off, and whether by a reset or a close."""
+    """Where an answer breaks off, and whether by a reset or a close.
+
+    A stream does so in the event after ``after_events``.
+    """
 
     point: BreakPoint = BreakPoint.BETWEEN_EVENTS
     by_reset: bool = False
+    after_events: int = 2
 
     def cut_event(self, event: bytes) -> bytes:
         """Return what is sent of the event in which the stream breaks."""
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -30,8 +30,6 @@
 CRASH_BEFORE_FIRST_EVENT = b"crash before the first event"
 CRASH_AFTER_FIRST_EVENT = b"crash after the first event"
 CRASH_DELAY_S = 0.02
-# An answer that is to break off does so in the event after these.
-BREAK_AFTER_EVENTS = 2
 
 
 class WorkerHandler(StandInHandler):
@@ -245,7 +243,7 @@
                     await self.wait_for_close()
                     return
                 await worker.wait_while_silent()
-                if broken is not None and number == first + BREAK_AFTER_EVENTS:
+                if broken is not None and number == first + broken.after_events:
                     await answer.write(broken.cut_event(event))
                     answer.break_off(broken)
                     return
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -103,6 +103,28 @@
         run(work)
 
 
+class TestBreakBeforeTheFirstEvent:
+    # Guards against a cut connection where the caller could be told an error,
+    # or be served by another endpoint.
+    def test_is_an_error_or_a_retry(self):
+        async def work():
+            async with start_world(2) as world:
+                grant_retries(world)
+                for framing, by_reset in product(AnswerFraming, (True, False)):
+                    for point in (BreakPoint.WITHIN_ID, BreakPoint.WITHIN_EVENT):
+                        broken = AnswerBreak(point, by_reset, after_events=0)
+                        set_answers(world, framing, b"\n", broken)
+                        answer = await call(world, "/explain/1", "1.1")
+                        assert answer.complete
+                        assert answer.body == make_stream(b"\n")
+                    broken = AnswerBreak(by_reset=True, after_events=0)
+                    set_answers(world, framing, b"\n", broken)
+                    answer = await call(world, "/script/1", "1.1")
+                    assert (answer.status, answer.complete) == (502, True)
+
+        run(work)
+
+
 class TestResumedStreamWithALength:
     # Guards against a resumed stream that is cut since the endpoint that goes
     # on sends other bytes than the first one has announced.
