Do not cut an answer that nothing can go on with when its endpoint falls silent

Seen: the whole answer of a safe request whose endpoint was silent for two seconds within it was cut off (new test, which fails on the code before). Cause: the failover from silent endpoints asked whether the request may run twice, not whether another endpoint can go on with what the caller has. Only a resumable stream after an event with an id can. Change: ForwardedAnswer.can_go_on says so, for the failover and after a break. Conclusion: such an answer is waited for until its deadline.

--- a/fescuekeel/components/forward/answer.py
+++ b/fescuekeel/components/forward/answer.py
@@ -49,6 +49,13 @@
         events = self._splitter or self._tracker
         return events is not None and events.within_event
 
+    @property
+    def can_go_on(self) -> bool:
+        """Return whether another endpoint may go on after what has come."""
+        if not self._state.answer_started:
+            return True
+        return self._splitter is not None and self._splitter.can_go_on
+
     def begin_part(self, head: ResponseHead) -> None:
         """Begin with the answer of an attempt.
 
@@ -115,10 +122,6 @@
 
     def end_broken_part(self) -> None:
         """Discard what a broken attempt left."""
-        if not self._state.answer_started:
-            return
-        if self._splitter is None:
-            self._state.can_go_on = False
-            return
-        self._state.can_go_on = self._splitter.can_go_on
-        self._splitter.begin_next_part()
+        self._state.can_go_on = self.can_go_on
+        if self._splitter is not None:
+            self._splitter.begin_next_part()
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -125,7 +125,9 @@
         the attempt was aborted.
         """
         attempt = self._current_attempt
-        if attempt is None or attempt.connection is None or not self.state.repeatable:
+        if attempt is None or attempt.connection is None:
+            return False
+        if not self.state.repeatable or not self.answer.can_go_on:
             return False
         if by_another_path and attempt.connection.relayed_by:
             return False
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -201,7 +201,9 @@
                 await answer.write(body[: len(body) // 2])
                 answer.break_off(broken)
                 return
-            await answer.write(body)
+            await answer.write(body[: len(body) // 2])
+            await worker.wait_while_silent()
+            await answer.write(body[len(body) // 2 :])
             await answer.finish()
         except StreamClosedError:
             self._finished = True
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,5 +1,6 @@
 """End-to-end tests of answers that break off, with each framing and caller."""
 
+import asyncio
 from collections import deque
 from itertools import product
 
@@ -12,7 +13,7 @@
     make_event,
 )
 from standins.forwarding.caller import make_headers
-from standins.forwarding.platform import ENGINES, MODEL
+from standins.forwarding.platform import ENGINES, MODEL, PLAIN
 from standins.forwarding.raw_caller import call_raw
 from standins.proxy import Cut
 from tests.platform.test_path import run, start_world
@@ -125,6 +126,25 @@
         run(work)
 
 
+class TestSilenceWithinAnAnswer:
+    # Guards against an answer that is cut since its endpoint was silent within
+    # it, although nothing else could go on with it.
+    def test_plain_answer_is_waited_for(self):
+        async def work():
+            async with start_world(2) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.run_s = 0.2
+                request = asyncio.ensure_future(call(world, "/lookup/1", "1.1"))
+                await asyncio.sleep(0.1)
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.pause(2.3)
+                answer = await request
+                assert answer.complete
+                assert answer.body == b"POST /lookup/1 body"
+
+        run(work)
+
+
 class TestResumedStreamWithALength:
     # Guards against a resumed stream that is cut since the endpoint that goes
     # on sends other bytes than the first one has announced.
