Break a relayed stream whose end cannot be sent

Cause: ByteStream.write_end dropped the end if the queue to the peer was full, so that an answer without length or chunks never ended at the entry, and heartbeats kept the stream alive. Change: the stream breaks then, as it does for bytes that cannot be queued. Conclusion: an orderly end and a break stay apart over both hops.

--- a/fescuekeel/components/peers/stream.py
+++ b/fescuekeel/components/peers/stream.py
@@ -76,7 +76,8 @@
 
     def write_end(self) -> None:
         """Tell the peer that no more bytes follow."""
-        self._connection.send(STREAM_END)
+        if not self._connection.send(STREAM_END):
+            self._lose("queue full or closed")
 
     def pause_reading(self) -> None:
         """Stop reading, for backpressure."""
