Break the caller's answer off after an unexpected error

Seen: after a fault of the program within an answer its caller waited until it gave up (new test for HTTP/1.1 and 1.0, which fails on the code before). Cause: the task of the request ended with the error, and nobody closed the connection. Change: the answer is aborted, visibly broken, before the error is logged. Conclusion: every way out of a request ends its caller's answer.

--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -108,6 +108,12 @@
             self.outcome = "caller_gone" if self._caller_closed else "stopped"
             if not self._caller_closed:
                 await self._end_stopped()
+        except Exception:
+            # The task's error is logged; the caller must not wait or take
+            # what it has for a whole answer.
+            self.outcome = "error"
+            self.caller.abort()
+            raise
         finally:
             self.forwarder.record_end(self)
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fescuekeel.components.forward.answer import ForwardedAnswer
 from standins.forwarding.answers import (
     AnswerBreak,
     AnswerFraming,
@@ -145,6 +146,25 @@
         run(work)
 
 
+class TestFaultOfTheProgram:
+    # Guards against a caller that waits for its deadline after an unexpected
+    # error, or takes what it has for a whole answer.
+    @pytest.mark.parametrize("version", VERSIONS)
+    def test_breaks_the_answer_at_once(self, version, monkeypatch):
+        def fail(answer):
+            raise RuntimeError("fault of the program")
+
+        async def work():
+            async with start_world(1) as world:
+                monkeypatch.setattr(ForwardedAnswer, "check_end", fail)
+                async with asyncio.timeout(2.0):
+                    answer = await call(world, "/script/1", version)
+                assert answer.status == 200
+                assert not answer.complete
+
+        run(work)
+
+
 class TestResumedStreamWithALength:
     # Guards against a resumed stream that is cut since the endpoint that goes
     # on sends other bytes than the first one has announced.
