Soak: endpoints with each framing and line end, broken answers, HTTP/1.0 callers

Cause: stand-ins of the soak framed all answers by chunks or a length, and all callers used HTTP/1.1. Change: two kinds of faults with a random stream of their own, so that known seeds draw the same others: endpoints frame their answers and end lines in another way from then on (planned: it must fail no request), and answers break off at each place in which it can be seen. Four of sixteen callers use HTTP/1.0 and judge their answers from raw bytes. The plan lists its random streams in a table.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from random import Random
 
+from fescuekeel.helpers.dialect import Header
 from fescuekeel.helpers.http_connection import (
     Connection,
     IncompleteResponseError,
@@ -15,6 +16,7 @@
     connect,
 )
 from standins.forwarding.caller import make_headers
+from standins.forwarding.raw_caller import call_raw
 
 __all__ = ["CallResult", "Caller", "Ending", "Route"]
 
@@ -79,15 +81,24 @@
 
 
 class Caller:
-    """Send requests sequentially, reconnecting when the connection closes."""
+    """Send requests sequentially, reconnecting when the connection closes.
+
+    With ``uses_http_1_0`` each request has a connection of its own, and its
+    answer is judged from raw bytes.
+    """
 
     def __init__(
-        self, addresses: list[str], seed: int, choose_key: Callable[[], str]
+        self,
+        addresses: list[str],
+        seed: int,
+        choose_key: Callable[[], str],
+        uses_http_1_0: bool = False,
     ) -> None:
         self.results: list[CallResult] = []
         self._addresses = addresses
         self._random = Random(seed)
         self._choose_key = choose_key
+        self._uses_http_1_0 = uses_http_1_0
         self._connection: Connection | None = None
         self._daemon = 0
 
@@ -123,11 +134,16 @@
         key = self._choose_key()
         headers = make_headers(request_id, TIME_LEFT_S, adapter, body, key)
         started_at = time.monotonic()
-        try:
-            connection.send(method, path, headers, body or b"")
-        except NotConnectedError:
-            return None
-        status, received, ending = await self._read_response(connection)
+        if self._uses_http_1_0:
+            status, received, ending = await self._call_once(
+                method, path, headers, body or b""
+            )
+        else:
+            try:
+                connection.send(method, path, headers, body or b"")
+            except NotConnectedError:
+                return None
+            status, received, ending = await self._read_response(connection)
         return CallResult(
             request_id,
             route,
@@ -142,6 +158,23 @@
             key,
         )
 
+    async def _call_once(
+        self, method: str, path: str, headers: list[Header], body: bytes
+    ) -> tuple[int, bytes, Ending]:
+        address = self._addresses[self._daemon]
+        try:
+            answer = await call_raw(
+                address, method, path, headers, body, "1.0", RESPONSE_TIMEOUT_S
+            )
+        except TimeoutError:
+            return 0, b"", Ending.SILENT
+        except OSError:
+            return 0, b"", Ending.UNANSWERED
+        ending = Ending.WHOLE if answer.complete else Ending.CUT
+        if not answer.status:
+            ending = Ending.UNANSWERED
+        return answer.status, answer.body, ending
+
     async def _read_response(self, connection: Connection) -> tuple[int, bytes, Ending]:
         status, body = 0, bytearray()
         closes = False
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -19,7 +19,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SUCCESS = 200
 NOT_FOUND = 404
-EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+)\n\n")
+EVENT = re.compile(rb"id: (\d+)(\r\n|\n|\r)data: piece \1\2\2")
 # How long a fault can affect requests after its end: request deadlines,
 # detection of unresponsive connections, and waiting for leases to expire.
 RECOVERY_S = 6.0
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -31,6 +31,7 @@
 __all__ = ["main", "run_seed"]
 
 CALLERS = 16
+HTTP_1_0_CALLERS = 4
 DEFAULT_SECONDS = 12.0
 SEEDS = 5
 FAILED_LOGS_FOLDER = Path("soak-logs")
@@ -55,7 +56,12 @@
         started_at = time.monotonic()
         addresses = [daemon.spec.addresses.callers for daemon in world.daemons]
         callers = [
-            Caller(addresses, seed * CALLERS + number, accounts.choose_key)
+            Caller(
+                addresses,
+                seed * CALLERS + number,
+                accounts.choose_key,
+                uses_http_1_0=number < HTTP_1_0_CALLERS,
+            )
             for number in range(CALLERS)
         ]
         until = started_at + max(seconds, max(fault.ends_at for fault in faults))
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from itertools import chain
 from random import Random
 
 __all__ = ["DAEMON_KINDS", "FAULTS_PER_S", "Fault", "FaultKind", "make_plan"]
@@ -51,37 +52,33 @@
     LINKS_REFUSE = "links_refuse"
     ENDPOINT_PAUSES = "endpoint_pauses"
     SERVICE_BRITTLE = "service_brittle"
+    ENDPOINT_FRAMING = "endpoint_framing"
+    ANSWERS_BREAK = "answers_break"
 
 
-# These kinds have their own random streams, so that a seed draws the same
-# faults of the base kinds.
-ADDED_KINDS = (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_ENTRY)
-ACCOUNT_KINDS = (FaultKind.KEY_TAKEN,)
-FULL_OUTAGE_KINDS = (FaultKind.KILL_ALL,)
-START_KINDS = (
-    FaultKind.EARLY_SIGNALS,
-    FaultKind.SETTINGS_REWRITTEN,
-    FaultKind.PEERS_FROZEN,
-)
-CRASHING_KINDS = (FaultKind.CRASHING_REQUEST,)
-LIMIT_KINDS = (FaultKind.ENDPOINT_LIMIT,)
-LINK_KINDS = (
-    FaultKind.LINKS_HANG,
-    FaultKind.LINKS_RESET,
-    FaultKind.LINKS_REFUSE,
-    FaultKind.ENDPOINT_PAUSES,
-)
-BRITTLE_KINDS = (FaultKind.SERVICE_BRITTLE,)
-LATER_KINDS = (
-    *ADDED_KINDS,
-    *ACCOUNT_KINDS,
-    *FULL_OUTAGE_KINDS,
-    *START_KINDS,
-    *CRASHING_KINDS,
-    *LIMIT_KINDS,
-    *LINK_KINDS,
-    *BRITTLE_KINDS,
-)
+# These kinds have random streams of their own, by name, so that a seed draws
+# the same faults of the others.
+KINDS_BY_STREAM: dict[str, tuple[FaultKind, ...]] = {
+    "later": (FaultKind.ENDPOINT_RESTARTS, FaultKind.FOREIGN_ENTRY),
+    "accounts": (FaultKind.KEY_TAKEN,),
+    "whole": (FaultKind.KILL_ALL,),
+    "starts": (
+        FaultKind.EARLY_SIGNALS,
+        FaultKind.SETTINGS_REWRITTEN,
+        FaultKind.PEERS_FROZEN,
+    ),
+    "crashing": (FaultKind.CRASHING_REQUEST,),
+    "limits": (FaultKind.ENDPOINT_LIMIT,),
+    "links": (
+        FaultKind.LINKS_HANG,
+        FaultKind.LINKS_RESET,
+        FaultKind.LINKS_REFUSE,
+        FaultKind.ENDPOINT_PAUSES,
+    ),
+    "brittle": (FaultKind.SERVICE_BRITTLE,),
+    "answers": (FaultKind.ENDPOINT_FRAMING, FaultKind.ANSWERS_BREAK),
+}
+LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 # These disturb daemons or their connections to each other and to the store.
 DAEMON_KINDS = frozenset(
@@ -107,6 +104,7 @@
         FaultKind.FOREIGN_ENTRY,
         FaultKind.KEY_TAKEN,
         FaultKind.ENDPOINT_LIMIT,
+        FaultKind.ENDPOINT_FRAMING,
     }
 )
 MAX_DURATION_S = 3.0
@@ -148,45 +146,11 @@
     >>> make_plan(7, 10.0) == make_plan(7, 10.0)
     True
     """
-    added_share = len(ADDED_KINDS) / len(BASE_KINDS)
-    base_faults = _draw_faults(Random(seed), BASE_KINDS, seconds, faults_per_s)
-    added_faults = _draw_faults(
-        Random(f"{seed} later"), ADDED_KINDS, seconds, faults_per_s * added_share
-    )
-    account_share = len(ACCOUNT_KINDS) / len(BASE_KINDS)
-    account_faults = _draw_faults(
-        Random(f"{seed} accounts"), ACCOUNT_KINDS, seconds, faults_per_s * account_share
-    )
-    outage_share = len(FULL_OUTAGE_KINDS) / len(BASE_KINDS)
-    outage_faults = _draw_faults(
-        Random(f"{seed} whole"), FULL_OUTAGE_KINDS, seconds, faults_per_s * outage_share
-    )
-    start_share = len(START_KINDS) / len(BASE_KINDS)
-    start_faults = _draw_faults(
-        Random(f"{seed} starts"), START_KINDS, seconds, faults_per_s * start_share
-    )
-    crashing_share = len(CRASHING_KINDS) / len(BASE_KINDS)
-    crashing_faults = _draw_faults(
-        Random(f"{seed} crashing"),
-        CRASHING_KINDS,
-        seconds,
-        faults_per_s * crashing_share,
-    )
-    limit_share = len(LIMIT_KINDS) / len(BASE_KINDS)
-    limit_faults = _draw_faults(
-        Random(f"{seed} limits"), LIMIT_KINDS, seconds, faults_per_s * limit_share
-    )
-    link_share = len(LINK_KINDS) / len(BASE_KINDS)
-    link_faults = _draw_faults(
-        Random(f"{seed} links"), LINK_KINDS, seconds, faults_per_s * link_share
-    )
-    brittle_share = len(BRITTLE_KINDS) / len(BASE_KINDS)
-    brittle_faults = _draw_faults(
-        Random(f"{seed} brittle"), BRITTLE_KINDS, seconds, faults_per_s * brittle_share
-    )
-    faults = base_faults + added_faults + account_faults + outage_faults
-    faults += start_faults + crashing_faults + limit_faults + link_faults
-    faults += brittle_faults
+    faults = _draw_faults(Random(seed), BASE_KINDS, seconds, faults_per_s)
+    for name, kinds in KINDS_BY_STREAM.items():
+        share = len(kinds) / len(BASE_KINDS)
+        random = Random(f"{seed} {name}")
+        faults += _draw_faults(random, kinds, seconds, faults_per_s * share)
     return sorted(faults, key=lambda fault: fault.starts_at)
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
+from bench.soak.answers import break_answers, frame_answers
 from bench.soak.brittle import BrittleServices
 from bench.soak.checks import Drain
 from bench.soak.culprits import CULPRIT_ROUTES, Culprits
@@ -108,6 +109,8 @@
             FaultKind.LINKS_REFUSE: self._cut_links,
             FaultKind.ENDPOINT_PAUSES: self._pause_endpoint,
             FaultKind.SERVICE_BRITTLE: self._make_brittle,
+            FaultKind.ENDPOINT_FRAMING: self._frame_answers,
+            FaultKind.ANSWERS_BREAK: self._break_answers,
         }
 
     # Start and stop.
@@ -404,6 +407,14 @@
         ]
         await self.brittle.make_brittle(workers, fault)
 
+    async def _frame_answers(self, fault: Fault) -> None:
+        frame_answers(self._pick_worker(fault), fault)
+
+    async def _break_answers(self, fault: Fault) -> None:
+        break_answers(
+            self.platform.list_workers(self._pick_worker(fault).service), fault
+        )
+
     async def _publish_adapter_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
--- a/standins/forwarding/answers.py
+++ b/standins/forwarding/answers.py
@@ -7,7 +7,7 @@
 from tornado.iostream import IOStream
 from tornado.web import RequestHandler
 
-from fescuekeel.helpers.linger import reset_on_close
+from fescuekeel.helpers.linger import close_in_order, reset_on_close
 
 __all__ = [
     "AnswerBreak",
@@ -104,6 +104,8 @@
         if self._head_written:
             return b""
         self._head_written = True
+        # Whoever stops the worker must not end the answer in order.
+        reset_on_close(self._stream.socket)
         headers: Any = self._handler._headers
         lines = [f"{name}: {value}" for name, value in headers.get_all()]
         head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Connection: close"])
@@ -116,11 +118,14 @@
             return
         await self.write(b"")
         self._handler._finished = True
+        close_in_order(self._stream.socket)
         self._stream.close()
 
     def break_off(self, how: AnswerBreak) -> None:
         """Close or reset the connection within the answer."""
-        if how.by_reset and not self._stream.closed():
+        if how.by_reset:
             reset_on_close(self._stream.socket)
+        else:
+            close_in_order(self._stream.socket)
         self._handler._finished = True
         self._stream.close()
