Log endpoints' software versions, and which stream a request takes up again

Change: the platform's adapter decodes the version of an endpoint's entry and the header that names the attempt that began a stream; attempt_ended has software, request_ended has resumes and resume_after. Nothing decides by them yet. Conclusion: a stream can be followed over its attempts, at one instance or several.

--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -16,7 +16,8 @@
 
     It was sent at ``sent_at``, once there was a connection. ``framing`` is
     that of the answer, ``ended_by`` what ended its body, and ``within_event``
-    whether a stream ended within an event.
+    whether a stream ended within an event. ``software`` is the endpoint's
+    software version.
     """
 
     endpoint: str
@@ -31,6 +32,7 @@
     framing: Framing | None = None
     ended_by: BodyEnd | None = None
     within_event: bool = False
+    software: str = ""
 
 
 def get_permit_outcome(end: AttemptEnd | None) -> PermitOutcome:
--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -38,6 +38,7 @@
     adapter version that the endpoint must have, ``None`` for a base model.
     ``within_limit`` says that a part of the endpoint's rate limit was taken
     for the request, and ``permit`` its permit there, if it needs one.
+    ``software`` is the endpoint's software version.
     """
 
     endpoint: str
@@ -48,6 +49,7 @@
     version: int | None = None
     within_limit: bool = False
     permit: Permit | None = None
+    software: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -15,6 +15,8 @@
 # Routes that have histograms of their own; the others share one label.
 MAX_LABELLED_ROUTES = 12
 OTHER_ROUTES = "other"
+# Callers choose these ids, of any length.
+MAX_LOGGED_ID = 64
 
 
 class RequestRecords:
@@ -70,6 +72,7 @@
             cost_ms=round(choice.cost_s * 1000),
             weights=str(request.weights or ""),
             version=choice.version or 0,
+            software=attempt.software,
             tokens=attempt.tokens,
             tokens_ahead=attempt.tokens_ahead,
             first_ms=round(attempt.first_s * 1000),
@@ -114,6 +117,8 @@
             service=request.service,
             account=request.account.name if request.account else "",
             configuration=self._read_version(),
+            resumes=request.metadata.resumes[:MAX_LOGGED_ID],
+            resume_after=request.metadata.resume_after[:MAX_LOGGED_ID],
             sends=request.state.sends,
             target_ms=round(request.route.target_s * 1000),
             gap_target_ms=round(request.route.gap_target_s * 1000),
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -248,7 +248,7 @@
         tokens = self.metadata.prompt_tokens if self.weights else 0
         tokens_ahead = self.forwarder.count_tokens_ahead(choice.endpoint, tokens)
         attempt = self._current_attempt = Attempt(
-            choice.endpoint, now, tokens, tokens_ahead
+            choice.endpoint, now, tokens, tokens_ahead, software=choice.software
         )
         self.broken_run = None
         load.begin(self.weights, tokens)
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -394,8 +394,19 @@
         return detail
 
     def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
-        now = self._instance.now()
         records = self.records_by_service.get(request.service, {})
+        choice = self._choose_among(request, records, full)
+        if choice is None:
+            return None
+        return replace(choice, software=records[choice.endpoint].software)
+
+    def _choose_among(
+        self,
+        request: ForwardedRequest,
+        records: dict[str, EndpointRecord],
+        full: set[str],
+    ) -> Choice | None:
+        now = self._instance.now()
         state = request.state
         allowed = {id: rec for id, rec in records.items() if state.may_send_to(id)}
         # After a failure, another endpoint is preferred if one is allowed.
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -54,6 +54,9 @@
     forwarded to the endpoint unchanged. ``key_digest`` is the digest of the
     caller's key, empty without one. ``tokens`` is the number of prompt tokens
     plus the maximum number of output tokens, ``None`` if not given.
+    ``resume_after`` is the id of the last event that a caller has of a stream
+    that it takes up again, and ``resumes`` the id of the attempt that brought
+    the stream's first event; both are empty otherwise.
     """
 
     request_id: str
@@ -64,6 +67,7 @@
     resume_after: str = ""
     key_digest: bytes = b""
     tokens: int | None = None
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/helpers/published.py
+++ b/fescuekeel/helpers/published.py
@@ -195,7 +195,8 @@
     """State that an endpoint has published; it lags behind.
 
     ``id`` is the string of an ``Incarnation`` and changes with each start of
-    the endpoint. ``held`` has the versions of the loaded weights.
+    the endpoint. ``held`` has the versions of the loaded weights, and
+    ``software`` is the version of its own software.
 
     >>> record = EndpointRecord("e1@1700", "s", "a:1", "dc1", 8, False)
     >>> record.name, record.born_ms
@@ -209,6 +210,7 @@
     slots: int
     leaving: bool
     held: dict[Weights, int] = field(default_factory=dict)
+    software: str = ""
 
     @property
     def name(self) -> str:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -126,6 +126,12 @@
         assert ("Fescuekeel-Prompt-Prefix", "5c1e:800,91bd:410") in head.headers
         assert head.time_left_s == 2.5
 
+    @pytest.mark.parametrize("name", ["Resumes", "Fescuekeel_Resumes"])
+    def test_stream_that_is_taken_up_again(self, name):
+        head = self.read_request(**{name: "9c41", "Last_Event_Id": "7"})
+        assert (head.resumes, head.resume_after) == ("9c41", "7")
+        assert self.read_request().resumes == ""
+
     @pytest.mark.parametrize(
         "name",
         [
