Reproduce streams with events of two software versions

Change: stand-in workers have a software version, which their events can name. A caller takes up a stream again at other instances. Tests: streams that break within an answer; callers that leave after three events and go on elsewhere; the same after both instances of a data centre are killed or stopped, with daemons as processes.

--- a/standins/forwarding/answers.py
+++ b/standins/forwarding/answers.py
@@ -64,13 +64,17 @@
     return b"\r\n" if event.endswith(b"\r\n") else event[-1:]
 
 
-def make_event(number: int, line_end: bytes = b"\n") -> bytes:
-    r"""Return an event of a stream.
+def make_event(number: int, line_end: bytes = b"\n", software: str = "") -> bytes:
+    r"""Return an event of a stream, which may name its software version.
 
     >>> make_event(1, b"\r\n")
     b'id: 1\r\ndata: piece 1\r\n\r\n'
+    >>> make_event(1, software="v2")
+    b'id: 1\nsoftware: v2\ndata: piece 1\n\n'
     """
-    lines = (f"id: {number}".encode(), f"data: piece {number}".encode(), b"", b"")
+    lines = [f"id: {number}".encode(), f"data: piece {number}".encode(), b"", b""]
+    if software:
+        lines.insert(1, f"software: {software}".encode())
     return line_end.join(lines)
 
 
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -230,7 +230,8 @@
         stalled = worker.consume_fault("stall")
         broken = worker.breaks.popleft() if worker.breaks else None
         numbers = range(first, worker.events + 1)
-        events = [make_event(number, worker.line_end) for number in numbers]
+        software = worker.software if worker.names_software else ""
+        events = [make_event(number, worker.line_end, software) for number in numbers]
         self.set_header("Content-Type", "text/event-stream")
         answer = AnswerWriter(self, worker.framing, sum(map(len, events)))
         worker.running += 1
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -70,7 +70,8 @@
     ``room`` bounds the requests that run and wait.
     Answers are framed by ``framing`` (by default as HTTP servers do), and the
     lines of events end with ``line_end``. The next runs break their answers
-    off as ``breaks`` say.
+    off as ``breaks`` say. ``software`` is the version of the worker's
+    software; with ``names_software`` each event names it.
     """
 
     service: str
@@ -109,6 +110,8 @@
     framing: AnswerFraming | None = None
     line_end: bytes = b"\n"
     breaks: deque[AnswerBreak] = field(default_factory=deque)
+    software: str = "v1"
+    names_software: bool = False
     _silent_until: float = 0.0
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
@@ -166,7 +169,7 @@
             "service": self.service,
             "address": address,
             "zone": zone,
-            "version": "v1",
+            "version": self.software,
             "slots": min(self.room.slots, PUBLISHED_SLOTS),
             "state": state,
             "cold_remaining_ms": 0,
--- /dev/null
+++ b/tests/platform/test_software_versions.py
@@ -0,0 +1,187 @@
+"""End-to-end tests of endpoints of several software versions side by side."""
+
+import asyncio
+import itertools
+import signal
+from collections import deque
+from contextlib import asynccontextmanager
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+
+from standins.fleet import free_addresses
+from standins.forwarding.answers import AnswerBreak, BreakPoint
+from standins.forwarding.daemons import (
+    DaemonAddresses,
+    DaemonSpec,
+    start_daemon,
+    wait_until_ready,
+)
+from standins.forwarding.platform import ENGINES, MODEL, StandInPlatform
+from standins.forwarding.resuming_caller import StreamRequest, run_stream
+from standins.forwarding.workers import Worker
+from tests.common import eventually
+from tests.platform.test_path import run, start_world
+from tests.platform.test_quarantine import add_endpoints
+
+MODEL_HEADERS = (("Fescuekeel-Model", MODEL), ("Fescuekeel-Token-Count", "500,20"))
+MAX_OF_TWO_VERSIONS = 0
+MIN_SHARE = 0.9
+EVENTS = 12
+STREAM_NUMBERS = itertools.count(1)
+
+
+def set_versions(platform):
+    """Publish every other engine with another software version."""
+    for number, worker in enumerate(platform.list_workers(ENGINES)):
+        worker.software = ("v1", "v1.1")[number % 2]
+        worker.names_software = True
+        worker.events, worker.event_s = EVENTS, 0.01
+        platform.publish_state(worker, "ready")
+
+
+def make_request(**changes):
+    id = f"{next(STREAM_NUMBERS):014x}"
+    return StreamRequest(id, "/explain/1", MODEL_HEADERS, **changes)
+
+
+def list_callers(world):
+    return [
+        instance.components_by_domain["forward"].server.address
+        for instance in world.instances
+    ]
+
+
+def knows_versions(instance):
+    forward = instance.components_by_domain["forward"]
+    records = forward._selector.records_by_service[ENGINES].values()
+    return {record.software for record in records} == {"v1", "v1.1"}
+
+
+def check(streams):
+    """Check that streams are of one version, and that they went on."""
+    resumed = [stream for stream in streams if stream.resumed]
+    assert len(resumed) >= 12
+    of_two = [stream for stream in streams if stream.has_two_versions]
+    whole = [
+        stream
+        for stream in resumed
+        if stream.whole and stream.numbers == list(range(1, EVENTS + 1))
+    ]
+    assert len(of_two) <= MAX_OF_TWO_VERSIONS, of_two
+    assert len(whole) >= MIN_SHARE * len(resumed), resumed
+
+
+class TestWithinAnAnswer:
+    # Guards against a broken stream that goes on, in the same answer, at an
+    # endpoint of another software version.
+    def test_a_stream_goes_on_at_its_version(self):
+        async def work():
+            async with start_world(4) as world:
+                await add_endpoints(world, ENGINES, 4)
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                for instance in world.instances:
+                    instance.components_by_domain["forward"].budget.slack = 1000
+                streams = []
+                for number in range(40):
+                    broken = AnswerBreak(BreakPoint.WITHIN_EVENT, number % 2 == 0)
+                    breaks = deque([broken])
+                    for worker in world.platform.list_workers(ENGINES):
+                        worker.breaks = breaks
+                    address = list_callers(world)[number % 4]
+                    streams.append(await run_stream(make_request(), [address]))
+                of_two = [stream for stream in streams if stream.has_two_versions]
+                in_one = [stream for stream in streams if stream.statuses == [200]]
+                assert len(of_two) <= MAX_OF_TWO_VERSIONS, of_two
+                assert len(in_one) >= MIN_SHARE * len(streams)
+
+        run(work)
+
+
+class TestOverTries:
+    # Guards against a stream that a caller takes up at another instance, and
+    # that goes on at an endpoint of another software version.
+    def test_a_stream_goes_on_at_its_version(self):
+        async def work():
+            async with start_world(4) as world:
+                await add_endpoints(world, ENGINES, 4)
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                addresses = list_callers(world)
+                streams = await asyncio.gather(
+                    *(
+                        run_stream(
+                            make_request(leaves_after=3),
+                            addresses[number % 4 :] + addresses[: number % 4],
+                        )
+                        for number in range(60)
+                    )
+                )
+                check(streams)
+
+        run(work)
+
+
+@asynccontextmanager
+async def start_daemons(folder):
+    """Start a platform with six engines and four daemons as processes."""
+    platform = StandInPlatform()
+    platform.start()
+    for number in range(4):
+        platform.add(Worker(ENGINES, MODEL), "ab"[number % 2])
+    set_versions(platform)
+    specs = []
+    for number in range(4):
+        addresses = DaemonAddresses(*free_addresses(4))
+        seeds = tuple(spec.addresses.peers for spec in specs[:2])
+        store = platform.store_server.address
+        spec = DaemonSpec(
+            f"i{number + 1}", "ab"[number % 2], addresses, addresses.peers, seeds, store
+        )
+        specs.append(spec)
+    daemons = [await start_daemon(spec, folder) for spec in specs]
+    client = AsyncHTTPClient(force_instance=True)
+    try:
+        for spec in specs:
+            assert await wait_until_ready(client, spec.addresses.ready)
+        await asyncio.sleep(2.0)
+        yield platform, specs, daemons
+    finally:
+        for daemon in daemons:
+            if daemon.returncode is None:
+                daemon.kill()
+            await daemon.wait()
+        await platform.stop()
+
+
+class TestLostDataCentre:
+    # Guards against a stream whose version nobody knows any more, or guesses,
+    # once all instances of the data centre that began it are gone.
+    @pytest.mark.parametrize(
+        "how", [signal.SIGKILL, signal.SIGSTOP], ids=["killed", "stopped"]
+    )
+    def test_streams_go_on_at_their_version(self, how, tmp_path):
+        async def work():
+            async with start_daemons(tmp_path) as (platform, specs, daemons):
+                for worker in platform.list_workers(ENGINES):
+                    worker.event_s = 0.2
+                lost = [spec.addresses.callers for spec in specs[0::2]]
+                left = [spec.addresses.callers for spec in specs[1::2]]
+                streams = []
+                for number in range(40):
+                    first, *others = lost[number % 2 :] + lost[: number % 2]
+                    addresses = [first, *left, *others]
+                    request = make_request(leaves_after=3, time_left_s=12.0)
+                    work = run_stream(request, addresses)
+                    streams.append(asyncio.ensure_future(work))
+                await asyncio.sleep(0.5)
+                for daemon in daemons[0::2]:
+                    daemon.send_signal(how)
+                results = await asyncio.gather(*streams)
+                for daemon in daemons[0::2]:
+                    if how is signal.SIGSTOP:
+                        daemon.send_signal(signal.SIGCONT)
+                check(results)
+
+        run(work)
