Let a stream go on only at the software version that began it

Cause: the version in an endpoint's entry was not decoded, so that an attempt after the first event went to any endpoint, and a caller's next attempt at another instance was a new request there. The class: what holds for a request over its tries was kept for one attempt, or not at all. Change: a component of its own (origins). Right before the first event of a resumable stream goes to its caller, three homes by rank of the attempt's id, one in another data centre, are told which service and version began it; nothing is waited for. An attempt after that asks only endpoints of the version. A caller that takes a stream up again is asked for by the id that it names, at up to five instances at once. Homes are told only while more than one version has served within a minute; for streams that began before, they are told when one comes, and again when a home ends. What is not known is not guessed: without a record a stream goes on only where an instance in contact has seen one version alone for as long as the stream can have lasted. Else it is refused at once, with Retry-After; a version without an endpoint is refused for good after two seconds. Where endpoints keep their name over a restart, the connection is asked for its incarnation first.

--- a/fescuekeel/components/forward/answer.py
+++ b/fescuekeel/components/forward/answer.py
@@ -1,5 +1,6 @@
 """The caller's answer, made of what one or more endpoints send."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 from fescuekeel.components.forward.attempts import RequestState
@@ -25,15 +26,22 @@
     tell whether they are a stream of events.
 
     The head is written together with the first bytes, so that an answer that
-    breaks off before them can still become an error.
+    breaks off before them can still become an error. ``on_first_event`` is
+    called right before the first event of a resumable stream is passed on.
     """
 
     def __init__(
-        self, caller: CallerConnection, state: RequestState, expects_events: bool
+        self,
+        caller: CallerConnection,
+        state: RequestState,
+        expects_events: bool,
+        on_first_event: Callable[[], None],
     ) -> None:
         self._caller = caller
         self._state = state
         self._expects_events = expects_events
+        self._on_first_event = on_first_event
+        self._event_passed = False
         self._splitter: EventSplitter | None = None
         self._tracker: EventTracker | None = None
         self._head: ResponseHead | None = None
@@ -103,9 +111,16 @@
             data = self._splitter.feed(data)
         elif self._tracker is not None:
             self._tracker.feed(data)
+        if self._splitter is not None and self._splitter.has_events:
+            self._record_event()
         if data:
             await self._write(data)
 
+    def _record_event(self) -> None:
+        if not self._event_passed:
+            self._event_passed = True
+            self._on_first_event()
+
     def check_end(self, connection: Connection) -> None:
         """Raise ``IncompleteResponseError`` unless the answer is whole."""
         assert connection.ended_by is not None
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -36,6 +36,7 @@
 from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.components.forward.use import UseReporter
+from fescuekeel.components.origins import DOMAIN as ORIGINS_DOMAIN, Origins
 from fescuekeel.components.relay import (
     DOMAIN as RELAY_DOMAIN,
     PathState,
@@ -83,11 +84,12 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         self.relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
+        self.origins = cast(Origins, instance.components_by_domain[ORIGINS_DOMAIN])
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
         self.limiter = EndpointLimiter(instance)
         self._selector = EndpointSelector(
-            instance, self.get_load, self._is_cut_off, self.limiter
+            instance, self.get_load, self._is_cut_off, self.limiter, self.origins
         )
         self._reachability = ReachabilityMonitor(
             instance, self.loads_by_id, self._selector.find_record, self.relay
@@ -286,6 +288,7 @@
             route=route,
             service=service,
             arrived=arrived,
+            caller_left_s=left_s,
             deadline=arrived + min(left_s, route.timeout_s),
             state=RequestState(
                 route.kind is RouteKind.SAFE, route.resumable, route.max_attempts
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -34,6 +34,17 @@
 MAX_RELAYED_IDLE_S: Final = 0.5
 MAX_RELAYED_AGE_S: Final = 2.0
 # Requests with less time left are not sent.
+# The homes of a stream learn of it within this time, if its entry lives.
+ORIGIN_RETRY_S: Final = 0.3
+# How long to wait for another endpoint of a stream's software version: one
+# that restarts is back within it, or it does not come.
+VERSION_WAIT_S: Final = 2.0
+# An endpoint whose service had several versions this recently may restart with
+# another one.
+VERSIONS_WITHIN_S: Final = 60.0
+INCARNATION_TIMEOUT_S: Final = 0.5
+# Of ids that callers choose, in the details of errors.
+MAX_DETAIL_CHARS: Final = 64
 MIN_TIME_LEFT_S: Final = 0.01
 # A call that checks whether an endpoint has crashed, and how long a retry
 # waits for the result.
--- a/fescuekeel/components/forward/events.py
+++ b/fescuekeel/components/forward/events.py
@@ -39,6 +39,11 @@
         """Return whether a stream that ended here would break an event off."""
         return self._tracker.within_event
 
+    @property
+    def has_events(self) -> bool:
+        """Return whether this part has brought a whole event."""
+        return self._tracker.has_events
+
     @property
     def can_go_on(self) -> bool:
         """Return whether a stream after ``last_id`` repeats nothing."""
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -1,5 +1,6 @@
 """One attempt's exchange with an endpoint: connect, send, read the answer."""
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from fescuekeel.components.forward.attempt import Attempt
@@ -8,11 +9,13 @@
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.const import (
     DEFAULT_KEEP_ALIVE_S,
+    INCARNATION_TIMEOUT_S,
     KEEP_ALIVE_MARGIN_S,
     MAX_RELAYED_AGE_S,
     MAX_RELAYED_IDLE_S,
     MAX_SAMPLE_WAIT_S,
     MAX_UNSAFE_IDLE_S,
+    VERSIONS_WITHIN_S,
 )
 from fescuekeel.helpers.dialect import ForwardMetadata, Header, ResponseMetadata
 from fescuekeel.helpers.http_connection import (
@@ -20,7 +23,9 @@
     IncompleteResponseError,
     NotConnectedError,
     ResponseHead,
+    fetch,
 )
+from fescuekeel.helpers.incarnation import UNKNOWN_BORN_MS, Incarnation
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import RouteKind
 
@@ -52,6 +57,12 @@
         self.attempt.connection = connection
         if not self._may_send():
             return AttemptEnd.UNSENT
+        if self._needs_incarnation(connection):
+            try:
+                if not await self._check_incarnation(connection):
+                    return AttemptEnd.MISDIRECTED
+            except (IncompleteResponseError, NotConnectedError, ValueError):
+                return AttemptEnd.UNSENT
         self.attempt.sent_at = self.forwarder.instance.now()
         try:
             self._send(connection)
@@ -111,6 +122,45 @@
             return pooled
         return await self.forwarder.open(endpoint, pool)
 
+    def _needs_incarnation(self, connection: Connection) -> bool:
+        """Return whether to check which start of the endpoint has answered.
+
+        An endpoint that keeps its name may have restarted with another
+        software version, and the catalog may not show it yet.
+        """
+        endpoint = self.attempt.endpoint
+        if Incarnation.parse(endpoint).born_ms == UNKNOWN_BORN_MS:
+            return False
+        if connection.incarnation == endpoint or not self.request.route.resumable:
+            return False
+        origins = self.forwarder.origins
+        return origins.has_several(self.request.service, VERSIONS_WITHIN_S)
+
+    async def _check_incarnation(self, connection: Connection) -> bool:
+        """Return whether the connection leads to the chosen incarnation.
+
+        A connection does not outlast a restart, so that one check is enough.
+        """
+        endpoint = self.attempt.endpoint
+        call = self.forwarder.dialect.make_report_call(endpoint)
+        address = self.forwarder.get_pool(endpoint).address
+        headers = (("Host", address), *call.headers)
+        answer = await fetch(
+            connection,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            INCARNATION_TIMEOUT_S,
+        )
+        if answer.status == HTTPStatus.OK:
+            report = self.forwarder.dialect.read_report(answer.body)
+            if report.born_ms == Incarnation.parse(endpoint).born_ms:
+                connection.incarnation = endpoint
+                return True
+        self.request.state.record_sent(endpoint)
+        return False
+
     def _send(self, connection: Connection) -> None:
         request = self.request
         forward_metadata = ForwardMetadata(
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -8,6 +8,7 @@
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.overhead import OverheadEstimator
+from fescuekeel.components.origins import Origins
 from fescuekeel.components.relay import Relay
 from fescuekeel.core import Instance
 from fescuekeel.errors import Failure
@@ -31,6 +32,7 @@
     dialect: Dialect
     crashes: CrashReporter
     limiter: EndpointLimiter
+    origins: Origins
     relay: Relay
 
     # Before a request is sent.
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -19,10 +19,13 @@
 from fescuekeel.components.forward.const import (
     CONNECT_BACKOFF_S,
     MAX_CONNECT_BACKOFF_S,
+    MAX_DETAIL_CHARS,
     MIN_TIME_LEFT_S,
+    ORIGIN_RETRY_S,
 )
 from fescuekeel.components.forward.exchange import Exchange
 from fescuekeel.components.forward.host import RequestHost
+from fescuekeel.components.origins import StreamOrigin
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata
 from fescuekeel.helpers.fingerprint import compute_fingerprint
@@ -35,8 +38,10 @@
 class ForwardedRequest:
     """Forward a request to an endpoint and the answer to the caller.
 
-    ``deadline`` is the time at which the answer must be complete, on the
-    instance's clock.
+    ``caller_left_s`` is how long the caller waits. ``deadline`` is the time at
+    which the answer must be complete, on the instance's clock. ``origin`` is
+    what began the stream, once an event has gone to the caller or if the
+    caller takes it up again.
     """
 
     forwarder: "RequestHost[ForwardedRequest, Attempt]"
@@ -49,10 +54,12 @@
     route: Route
     service: str
     arrived: float
+    caller_left_s: float
     deadline: float
     state: RequestState
     account: ClientAccount | None = None
     resume_after: str = ""
+    origin: StreamOrigin | None = None
     outcome: str = ""
     times: ChunkTimes = field(default_factory=ChunkTimes)
     waited_s: float = 0.0
@@ -65,7 +72,9 @@
     def __post_init__(self) -> None:
         """Make the answer, which all attempts share."""
         expects_events = self.route.kind is RouteKind.STREAM
-        self.answer = ForwardedAnswer(self.caller, self.state, expects_events)
+        self.answer = ForwardedAnswer(
+            self.caller, self.state, expects_events, self._record_first_event
+        )
 
     @property
     def fingerprint(self) -> str:
@@ -142,8 +151,57 @@
         attempt.connection.close()
         return True
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        return self.route.resumable and bool(self.metadata.resume_after)
+
+    @property
+    def _stream_id(self) -> str:
+        """Return the id under which the stream's origin is remembered."""
+        if self.takes_up_stream:
+            return self.metadata.resumes
+        return self.metadata.request_id
+
+    async def _find_origin(self) -> Failure | None:
+        """Find what began the stream; return a failure if it cannot go on."""
+        if not self.takes_up_stream:
+            return None
+        origin = await self.forwarder.origins.find(
+            self.metadata.request_id,
+            self.metadata.resumes,
+            self.service,
+            max(self.route.timeout_s, self.caller_left_s),
+        )
+        if origin is None:
+            return Failure(
+                ErrorKind.STREAM_ORIGIN_UNKNOWN,
+                self.metadata.resumes[:MAX_DETAIL_CHARS],
+                retry_after_s=ORIGIN_RETRY_S,
+            )
+        targets = {target.service for target in self.route.targets}
+        if origin.service not in targets:
+            return Failure(ErrorKind.STREAM_VERSION_GONE, origin.service)
+        self.service = origin.service
+        self.origin = origin
+        return None
+
+    def _record_first_event(self) -> None:
+        """Remember what began the stream, before the caller has its event."""
+        attempt = self._current_attempt
+        if attempt is None:
+            return
+        if self.origin is None:
+            self.origin = StreamOrigin(self.service, attempt.software)
+        waited_s = self.forwarder.instance.now() - self.arrived
+        self.forwarder.origins.record_begun(
+            self._stream_id, self.origin, self.caller_left_s - waited_s
+        )
+
     def record_answered(self) -> None:
         """Record that the caller gets a whole answer."""
+        if self.origin is not None:
+            self.forwarder.origins.record_ended(self._stream_id)
         self.outcome = "answered"
         self.state.may_have_run = True
         self.forwarder.crashes.record_completed(self)
@@ -155,6 +213,10 @@
 
     async def _serve(self) -> None:
         unsent = 0
+        lost = await self._find_origin()
+        if lost is not None:
+            await self._fail(lost)
+            return
         while True:
             quarantined = self.forwarder.crashes.find_failure(self)
             if quarantined is not None:
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -21,6 +21,7 @@
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     PREFILL_S,
+    VERSION_WAIT_S,
 )
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.endpoints import EndpointLoad
@@ -33,6 +34,7 @@
     make_overload_failure,
 )
 from fescuekeel.components.forward.versions import VersionTracker
+from fescuekeel.components.origins import Origins
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.logging import log_event
@@ -57,12 +59,14 @@
         get_load: Callable[[str], EndpointLoad],
         is_cut_off: Callable[[], bool],
         limiter: EndpointLimiter,
+        origins: Origins,
     ) -> None:
         self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._instance = instance
         self._get_load = get_load
         self._is_cut_off = is_cut_off
         self._limiter = limiter
+        self._origins = origins
         self._holders = HolderClient(instance)
         self._load_requester = LoadRequester(instance, self._holders)
         self._versions = VersionTracker()
@@ -133,6 +137,9 @@
             if choice is None:
                 # Guards against refusals while all endpoints of a service are
                 # replaced and the first is about to be ready.
+                gone = self._find_gone_version(request)
+                if gone is not None:
+                    return gone
                 if self._instance.now() >= until:
                     return search.failure
                 await asyncio.sleep(NO_HOLDER_POLL_S)
@@ -393,8 +400,22 @@
             return "load takes too long"
         return detail
 
+    def _find_gone_version(self, request: ForwardedRequest) -> Failure | None:
+        """Return a failure if no endpoint can go on with a stream soon."""
+        origin = request.origin
+        if origin is None or self._origins.was_serving(origin, VERSION_WAIT_S):
+            return None
+        return Failure(ErrorKind.STREAM_VERSION_GONE, origin.software)
+
     def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
         records = self.records_by_service.get(request.service, {})
+        if request.origin is not None:
+            # What two software versions write does not fit together.
+            records = {
+                id: record
+                for id, record in records.items()
+                if record.software == request.origin.software
+            }
         choice = self._choose_among(request, records, full)
         if choice is None:
             return None
@@ -410,7 +431,9 @@
         state = request.state
         allowed = {id: rec for id, rec in records.items() if state.may_send_to(id)}
         # After a failure, another endpoint is preferred if one is allowed.
-        tried = state.endpoints if len(allowed) > len(state.endpoints) else ()
+        tried = state.endpoints & allowed.keys()
+        if len(allowed) == len(tried):
+            tried = set()
         engine = self._get_engine(request.service)
         weights = request.weights
         if engine is None or weights is None:
--- /dev/null
+++ b/fescuekeel/components/origins/component.py
@@ -0,0 +1,298 @@
+"""Tell the homes of a stream what began it, and ask them."""
+
+import asyncio
+from dataclasses import dataclass
+
+from fescuekeel.components.origins.const import (
+    ASK_ROUNDS,
+    ASK_TIMEOUT_S,
+    DOMAIN,
+    EXPIRY_PERIOD_S,
+    FRESH_S,
+    MAX_ID_CHARS,
+    MAX_MESSAGE_RECORDS,
+    MAX_OWN_STREAMS,
+    MAX_REMEMBERED_S,
+    MIN_HORIZON_S,
+    REMEMBERED_S,
+    ROUND_PAUSE_S,
+)
+from fescuekeel.components.origins.homes import list_asked, list_homes
+from fescuekeel.components.origins.ledger import OriginLedger, StreamOrigin
+from fescuekeel.components.origins.lookup import OriginReport, decide
+from fescuekeel.components.origins.versions import SoftwareVersions
+from fescuekeel.core import Instance
+from fescuekeel.helpers.freshness import Freshness
+from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.peer_link import get_peer_link
+from fescuekeel.helpers.published import Catalog
+from fescuekeel.helpers.ticks import sleep_to_tick
+from fescuekeel.messages import (
+    MemberView,
+    PeerMessage,
+    StreamOriginAnswer,
+    StreamOriginAsk,
+    StreamOriginNews,
+    StreamOriginRecord,
+)
+
+__all__ = ["Origins"]
+
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class OwnStream:
+    """A stream that was begun or goes on here, and the homes that know it."""
+
+    origin: StreamOrigin
+    until: float
+    told: frozenset[str] = frozenset()
+
+
+class Origins:
+    """Remember streams as one of their homes, and look up those of others."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._ledger = OriginLedger()
+        self._versions = SoftwareVersions()
+        self._own_by_id: dict[str, OwnStream] = {}
+        self._data_centres_by_id: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Subscribe to updates and to peers' messages."""
+        bus = self._instance.bus
+        bus.subscribe_peer(StreamOriginNews, self._handle_news)
+        bus.subscribe_peer(StreamOriginAsk, self._handle_ask)
+        bus.subscribe(Catalog, self._handle_catalog)
+        bus.subscribe(MemberView, self._handle_members)
+        self._instance.metrics.add_gauge(
+            "origins_known", lambda: {"": float(len(self._ledger))}
+        )
+        self._instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
+
+    async def stop(self) -> None:
+        """Do nothing: the instance cancels the tasks."""
+
+    # Streams that are served here.
+
+    def record_begun(self, id: str, origin: StreamOrigin, time_left_s: float) -> None:
+        """Remember a stream whose first event goes to its caller now.
+
+        Its homes are told only if another version may serve: otherwise each
+        instance can tell from the endpoints what began it.
+        """
+        if not id or len(id) > MAX_ID_CHARS:
+            return
+        now = self._instance.now()
+        until = now + min(MAX_REMEMBERED_S, time_left_s + REMEMBERED_S)
+        self._own_by_id.pop(id, None)
+        if len(self._own_by_id) >= MAX_OWN_STREAMS:
+            del self._own_by_id[next(iter(self._own_by_id))]
+        self._own_by_id[id] = OwnStream(origin, until)
+        if not self._has_one_version(origin.service):
+            self._tell([id])
+
+    def record_ended(self, id: str) -> None:
+        """Forget a stream that its caller has whole."""
+        self._own_by_id.pop(id, None)
+
+    def _has_one_version(self, service: str) -> bool:
+        """Return whether one version alone can have begun any stream."""
+        report = self._report("", service, MIN_HORIZON_S)
+        return len(report.seen) == 1 and report.watched_s >= MIN_HORIZON_S
+
+    def _tell(self, ids: list[str]) -> None:
+        """Tell the homes that do not know the streams yet."""
+        now = self._instance.now()
+        records_by_home: dict[str, list[StreamOriginRecord]] = {}
+        for id in ids:
+            own = self._own_by_id[id]
+            homes = list_homes(id, self._data_centres_by_id)
+            lasts_ms = int(max(0.0, own.until - now) * MS_PER_S)
+            record = StreamOriginRecord(
+                id, own.origin.service, own.origin.software, lasts_ms
+            )
+            for home in homes:
+                if home not in own.told:
+                    records_by_home.setdefault(home, []).append(record)
+            own.told |= set(homes)
+        link = get_peer_link(self._instance)
+        for home, records in records_by_home.items():
+            self._instance.metrics.count("origins.told", len(records))
+            if home == self._instance.id:
+                self._remember(records)
+                continue
+            for start in range(0, len(records), MAX_MESSAGE_RECORDS):
+                part = records[start : start + MAX_MESSAGE_RECORDS]
+                link.send(home, StreamOriginNews(tuple(part)))
+
+    # Streams that were begun anywhere.
+
+    async def find(
+        self, request_id: str, stream: str, service: str, longest_s: float
+    ) -> StreamOrigin | None:
+        """Return what began a stream, ``None`` if that cannot be known.
+
+        ``stream`` is the id that the caller names, ``service`` the one that
+        would serve it, and ``longest_s`` how long its caller may have waited.
+        """
+        asked_at = self._instance.now()
+        horizon_s = max(MIN_HORIZON_S, 2 * longest_s)
+        stream = stream[:MAX_ID_CHARS]
+        found: StreamOrigin | None = None
+        answers: list[OriginReport] = []
+        for number in range(ASK_ROUNDS):
+            if number:
+                await asyncio.sleep(ROUND_PAUSE_S)
+            answers = await self._ask_homes(stream, service, horizon_s)
+            own = self._report(stream, service, horizon_s)
+            is_fresh = self._is_fresh()
+            found = decide(service, own, is_fresh, answers, horizon_s)
+            if found is not None:
+                break
+        outcome = "unknown" if found is None else "known"
+        self._instance.metrics.count(f"origins.{outcome}")
+        log_event(
+            "stream_origin_sought",
+            request_id=request_id,
+            resumes=stream,
+            service=found.service if found else service,
+            software=found.software if found else "",
+            answers=len(answers),
+            age_ms=round((self._instance.now() - asked_at) * MS_PER_S),
+            outcome=outcome,
+        )
+        return found
+
+    def was_serving(self, origin: StreamOrigin, within_s: float) -> bool:
+        """Return whether an endpoint of a version has served lately."""
+        since = self._instance.now() - within_s
+        return origin.software in self._versions.list_seen(origin.service, since)
+
+    def has_several(self, service: str, within_s: float) -> bool:
+        """Return whether several versions have served within some seconds."""
+        since = self._instance.now() - within_s
+        return len(self._versions.list_seen(service, since)) > 1
+
+    async def _ask_homes(
+        self, stream: str, service: str, horizon_s: float
+    ) -> list[OriginReport]:
+        """Ask all homes at once; stop at the first that knows the stream."""
+        if self._report(stream, service, horizon_s).origin is not None:
+            return []
+        asked = [
+            id
+            for id in list_asked(stream, self._data_centres_by_id)
+            if id != self._instance.id
+        ]
+        ask = StreamOriginAsk(stream, service, int(horizon_s * MS_PER_S))
+        pending = {asyncio.ensure_future(self._ask(id, ask)) for id in asked}
+        reports: list[OriginReport] = []
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                answered = [task.result() for task in done]
+                reports += [report for report in answered if report is not None]
+                if any(report.origin is not None for report in reports):
+                    break
+        finally:
+            for task in pending:
+                task.cancel()
+        return reports
+
+    async def _ask(self, home: str, ask: StreamOriginAsk) -> OriginReport | None:
+        link = get_peer_link(self._instance)
+        answer = (await link.ask(home, ask, ASK_TIMEOUT_S)).value_or(None)
+        if not isinstance(answer, StreamOriginAnswer):
+            return None
+        origin = None
+        if answer.known:
+            origin = StreamOrigin(answer.service, answer.software)
+        return OriginReport(
+            origin, frozenset(answer.seen), answer.watched_ms / MS_PER_S
+        )
+
+    def _is_fresh(self) -> bool:
+        freshness = self._instance.bus.latest(Freshness) or Freshness()
+        return freshness.read_age_s(self._instance.now()) <= FRESH_S
+
+    def _report(self, stream: str, service: str, horizon_s: float) -> OriginReport:
+        """Return what this instance knows itself."""
+        now = self._instance.now()
+        own = self._own_by_id.get(stream)
+        origin = self._ledger.find(stream, now)
+        if own is not None and now < own.until:
+            origin = own.origin
+        seen = self._versions.list_seen(service, now - horizon_s)
+        watched_s = self._versions.get_watched_s(now)
+        return OriginReport(origin, frozenset(seen), watched_s)
+
+    # This instance as a home.
+
+    def _remember(self, records: list[StreamOriginRecord]) -> None:
+        now = self._instance.now()
+        for record in records:
+            if len(record.stream) > MAX_ID_CHARS:
+                continue
+            lasts_s = min(MAX_REMEMBERED_S, record.lasts_ms / MS_PER_S)
+            origin = StreamOrigin(record.service, record.software)
+            self._ledger.record(record.stream, origin, now + lasts_s, now)
+
+    def _handle_news(self, message: PeerMessage) -> None:
+        assert isinstance(message.body, StreamOriginNews)
+        self._remember(list(message.body.records))
+
+    def _handle_ask(self, message: PeerMessage) -> None:
+        assert isinstance(message.body, StreamOriginAsk)
+        body = message.body
+        report = self._report(body.stream, body.service, body.horizon_ms / MS_PER_S)
+        origin = report.origin or StreamOrigin("", "")
+        answer = StreamOriginAnswer(
+            report.origin is not None,
+            origin.service,
+            origin.software,
+            tuple(sorted(report.seen)),
+            int(report.watched_s * MS_PER_S),
+        )
+        get_peer_link(self._instance).answer(message, answer)
+
+    # Updates from other components.
+
+    def _handle_catalog(self, catalog: Catalog) -> None:
+        self._versions.update(catalog.endpoints_by_id.values(), self._instance.now())
+        untold = [id for id, own in self._own_by_id.items() if not own.told]
+        self._tell_needed(untold)
+
+    def _handle_members(self, view: MemberView) -> None:
+        self._data_centres_by_id = {
+            id: member.data_centre for id, member in view.members_by_id.items()
+        }
+        self._tell_needed(list(self._own_by_id))
+
+    def _tell_needed(self, ids: list[str]) -> None:
+        """Tell of those streams with which another version could go on.
+
+        Guards against a stream that nobody knows since a version came while it
+        ran, or since its homes have ended.
+        """
+        now = self._instance.now()
+        needed = [
+            id
+            for id in ids
+            if now < self._own_by_id[id].until
+            and not self._has_one_version(self._own_by_id[id].origin.service)
+        ]
+        self._tell(needed)
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await sleep_to_tick(EXPIRY_PERIOD_S)
+            now = self._instance.now()
+            self._ledger.expire(now)
+            for id, own in list(self._own_by_id.items()):
+                if now >= own.until:
+                    del self._own_by_id[id]
--- /dev/null
+++ b/fescuekeel/components/origins/homes.py
@@ -0,0 +1,37 @@
+"""Choose the instances that remember a stream; pure."""
+
+from collections.abc import Mapping
+
+from fescuekeel.components.origins.const import HOMES, MAX_ASKED
+from fescuekeel.util import rendezvous
+
+__all__ = ["list_asked", "list_homes"]
+
+
+def list_homes(
+    stream: str, data_centres_by_id: Mapping[str, str], count: int = HOMES
+) -> list[str]:
+    """Return the homes of a stream among the instances.
+
+    The first by rank, the first by rank of another data centre, then the next
+    ones. Each home that is left stays a home when others end.
+
+    >>> centres = {"i1": "a", "i2": "a", "i3": "a", "i4": "b"}
+    >>> "i4" in list_homes("r1", centres, count=2)
+    True
+    """
+    ranked = rendezvous.rank(stream, data_centres_by_id)
+    if not ranked:
+        return []
+    first = ranked[0]
+    elsewhere = [
+        id for id in ranked if data_centres_by_id[id] != data_centres_by_id[first]
+    ]
+    preferred = [first, *elsewhere[:1]]
+    others = [id for id in ranked if id not in preferred]
+    return [*preferred, *others][:count]
+
+
+def list_asked(stream: str, data_centres_by_id: Mapping[str, str]) -> list[str]:
+    """Return the instances to ask for a stream."""
+    return list_homes(stream, data_centres_by_id, MAX_ASKED)
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -34,6 +34,8 @@
     CONFIGURATION_STALE = "configuration_stale"
     RATE_LIMITED = "rate_limited"
     QUARANTINED = "quarantined"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     QUEUE_FULL = "queue_full"
     ENDPOINTS_LIMITED = "endpoints_limited"
     TOO_LATE = "too_late"
@@ -113,6 +115,12 @@
     ErrorKind.QUARANTINED: ErrorResponse(
         400, Ran.NO, False, "It has crashed several endpoints."
     ),
+    ErrorKind.STREAM_ORIGIN_UNKNOWN: ErrorResponse(
+        503, Ran.NO, True, "It is not known which software version began the stream."
+    ),
+    ErrorKind.STREAM_VERSION_GONE: ErrorResponse(
+        503, Ran.NO, False, "No endpoint has the software version of the stream."
+    ),
     ErrorKind.QUEUE_FULL: ErrorResponse(503, Ran.NO, True, "The queue is full."),
     ErrorKind.ENDPOINTS_LIMITED: ErrorResponse(
         503, Ran.NO, True, "All endpoints are at their rate limits."
--- a/fescuekeel/helpers/event_stream.py
+++ b/fescuekeel/helpers/event_stream.py
@@ -38,11 +38,13 @@
 
     ``last_id`` is the id of the last event that is complete. ``id_is_last``
     is false if events with data but without a usable id have followed it: a
-    stream that goes on after ``last_id`` would repeat these.
+    stream that goes on after ``last_id`` would repeat these. ``has_events`` is
+    true once an event is complete.
     """
 
     def __init__(self) -> None:
         self.last_id = ""
+        self.has_events = False
         self.id_is_last = True
         self._line = bytearray()
         self._is_first_line = True
@@ -129,6 +131,7 @@
             self._id = value.strip(b" ").decode("latin-1") if is_whole else ""
 
     def _end_event(self) -> None:
+        self.has_events = self.has_events or self._has_fields
         if self._id is not None:
             self.last_id = self._id
             self.id_is_last = is_header_value(self._id)
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -91,6 +91,7 @@
     connection may only mean that the server closed it while it was idle.
     ``relayed_by`` is the peer through which the connection goes, empty if it
     is direct, and ``opened_at`` when it was opened on the instance's clock.
+    ``incarnation`` is that of the endpoint, once it has been checked.
     ``framing`` is that of the current response, and ``ended_by`` what ended
     its body, ``None`` until then.
     """
@@ -100,6 +101,7 @@
         self.relayed_by = relayed_by
         self.opened_at = opened_at
         self.awaiting_response = False
+        self.incarnation = ""
         self.framing: Framing | None = None
         self.ended_by: BodyEnd | None = None
         self._method = ""
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -63,6 +63,12 @@
     TreeStored,
     UnreachableChanged,
 )
+from fescuekeel.messages.origins import (
+    StreamOriginAnswer,
+    StreamOriginAsk,
+    StreamOriginNews,
+    StreamOriginRecord,
+)
 from fescuekeel.messages.ownership import (
     CopyAnswer,
     CopyAsk,
@@ -162,6 +168,10 @@
     "SettingsReloaded",
     "StartAnswer",
     "StartAsk",
+    "StreamOriginAnswer",
+    "StreamOriginAsk",
+    "StreamOriginNews",
+    "StreamOriginRecord",
     "Submit",
     "SubmitAnswer",
     "TreeAnnounced",
--- a/fescuekeel/messages/wire.py
+++ b/fescuekeel/messages/wire.py
@@ -39,6 +39,11 @@
     KeyPull,
     KeySettle,
 )
+from fescuekeel.messages.origins import (
+    StreamOriginAnswer,
+    StreamOriginAsk,
+    StreamOriginNews,
+)
 from fescuekeel.messages.ownership import (
     CopyAnswer,
     CopyAsk,
@@ -121,6 +126,9 @@
     | PermitEnded
     | LivenessAsk
     | LivenessAnswer
+    | StreamOriginNews
+    | StreamOriginAsk
+    | StreamOriginAnswer
 )
 
 
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -271,6 +271,21 @@
 struct PermitEnded { endpoint @0 :Text; number @1 :UInt32; outcome @2 :Text; }
 struct LivenessAsk { endpoint @0 :Text; bootId @1 :Text; }
 struct LivenessAnswer { liveness @0 :Text; reachesOthers @1 :Bool; }
+struct StreamOriginRecord {
+  stream @0 :Text;
+  service @1 :Text;
+  software @2 :Text;
+  lastsMs @3 :UInt32;
+}
+struct StreamOriginNews { records @0 :List(StreamOriginRecord); }
+struct StreamOriginAsk { stream @0 :Text; service @1 :Text; horizonMs @2 :UInt32; }
+struct StreamOriginAnswer {
+  known @0 :Bool;
+  service @1 :Text;
+  software @2 :Text;
+  seen @3 :List(Text);
+  watchedMs @4 :UInt32;
+}
 struct Envelope {
   number @0 :UInt32;
   answers @1 :UInt32;
@@ -325,5 +340,8 @@
     permitEnded @49 :PermitEnded;
     livenessAsk @50 :LivenessAsk;
     livenessAnswer @51 :LivenessAnswer;
+    streamOriginNews @52 :StreamOriginNews;
+    streamOriginAsk @53 :StreamOriginAsk;
+    streamOriginAnswer @54 :StreamOriginAnswer;
   }
 }
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -9,15 +9,24 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 
+from fescuekeel.errors import RESPONSES_BY_KIND, ErrorKind
 from standins.fleet import free_addresses
 from standins.forwarding.answers import AnswerBreak, BreakPoint
+from standins.forwarding.caller import make_headers
 from standins.forwarding.daemons import (
     DaemonAddresses,
     DaemonSpec,
     start_daemon,
     wait_until_ready,
 )
-from standins.forwarding.platform import ENGINES, MODEL, StandInPlatform
+from standins.forwarding.platform import (
+    ENGINES,
+    MODEL,
+    StandInPlatform,
+    make_configuration,
+    make_route,
+)
+from standins.forwarding.raw_caller import call_raw
 from standins.forwarding.resuming_caller import StreamRequest, run_stream
 from standins.forwarding.workers import Worker
 from tests.common import eventually
@@ -123,6 +132,112 @@
         run(work)
 
 
+def send_raw(world, instance, resumes, time_left_s=5.0):
+    headers = [
+        *make_headers(f"{next(STREAM_NUMBERS):016x}", time_left_s),
+        *MODEL_HEADERS,
+        ("Last-Event-Id", "3"),
+    ]
+    if resumes is not None:
+        headers.append(("Resumes", resumes))
+    address = list_callers(world)[instance]
+    return call_raw(address, "POST", "/explain/1", headers, b"body")
+
+
+class TestUnknownStream:
+    # Guards against a guess, or a wait for the deadline, where no instance
+    # knows what began a stream, and against ids that fill the memory.
+    @pytest.mark.parametrize("resumes", [None, "", "0123", "x" * 5000, "\xe9\xff"])
+    def test_is_refused_at_once_while_two_versions_serve(self, resumes):
+        async def work():
+            async with start_world(2) as world:
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                async with asyncio.timeout(2.0):
+                    answer = await send_raw(world, 0, resumes)
+                expected = RESPONSES_BY_KIND[ErrorKind.STREAM_ORIGIN_UNKNOWN]
+                assert answer.status == expected.status
+                assert answer.body.decode().strip() == expected.text
+                assert float(answer.headers["retry-after"]) > 0
+                for instance in world.instances:
+                    assert not len(instance.components_by_domain["origins"]._ledger)
+
+        run(work)
+
+    # Guards against a stream that is refused although only one version can
+    # have begun it.
+    def test_goes_on_while_one_version_has_served_all_along(self, monkeypatch):
+        monkeypatch.setattr(
+            "fescuekeel.components.origins.component.MIN_HORIZON_S", 0.5
+        )
+
+        async def work():
+            async with start_world(2) as world:
+                route = make_route("explain", "stream", ENGINES, resumable=True)
+                route |= {"timeout_ms": 600, "max_attempts": 2}
+                configuration = make_configuration(2)
+                configuration["routes"][3] = route
+                world.platform.publish_configuration(configuration)
+                await eventually(lambda: world.get_oldest_version() == 2)
+                await asyncio.sleep(1.0)
+                answer = await send_raw(world, 0, "0123", time_left_s=0.9)
+                assert answer.status == 200
+
+        run(work)
+
+
+class TestLostVersion:
+    # Guards against a caller that waits although no endpoint of the version
+    # that began its stream is left.
+    def test_a_stream_is_refused_at_once(self):
+        async def work():
+            async with start_world(2) as world:
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                request = make_request(leaves_after=3, time_left_s=0.5)
+                begun = await run_stream(request, list_callers(world)[:1])
+                assert begun.versions
+                first_id = begun.attempts[0]
+                for worker in world.platform.list_workers(ENGINES):
+                    if worker.software == begun.versions[0]:
+                        world.platform.remove(worker)
+                await asyncio.sleep(3.0)
+                async with asyncio.timeout(1.5):
+                    answer = await send_raw(world, 1, first_id)
+                expected = RESPONSES_BY_KIND[ErrorKind.STREAM_VERSION_GONE]
+                assert answer.status == expected.status
+                assert answer.body.decode().strip() == expected.text
+                assert "retry-after" not in answer.headers
+
+        run(work)
+
+
+class TestRestartWithAnotherVersion:
+    # Guards against a stream that goes on at an endpoint whose entry still
+    # shows the version it had before it restarted.
+    def test_a_stale_entry_is_noticed(self):
+        async def work():
+            async with start_world(2) as world:
+                await add_endpoints(world, ENGINES, 2)
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                addresses = list_callers(world)
+                for round in range(8):
+                    stale = world.platform.list_workers(ENGINES)[round % 4]
+                    stale.restart()
+                    stale.software = "v1" if stale.software == "v1.1" else "v1.1"
+                    streams = await asyncio.gather(
+                        *(
+                            run_stream(make_request(leaves_after=3), addresses)
+                            for _ in range(4)
+                        )
+                    )
+                    world.platform.publish_state(stale, "ready")
+                    assert not any(stream.has_two_versions for stream in streams)
+
+        run(work)
+
+
 @asynccontextmanager
 async def start_daemons(folder):
     """Start a platform with six engines and four daemons as processes."""
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -46,6 +46,14 @@
         "platform/test_endpoint_limits.py::TestRefusal::"
         "test_a_request_is_refused_at_once_with_a_time_to_return"
     ),
+    ErrorKind.STREAM_ORIGIN_UNKNOWN: (
+        "platform/test_software_versions.py::TestUnknownStream::"
+        "test_is_refused_at_once_while_two_versions_serve"
+    ),
+    ErrorKind.STREAM_VERSION_GONE: (
+        "platform/test_software_versions.py::TestLostVersion::"
+        "test_a_stream_is_refused_at_once"
+    ),
     ErrorKind.QUEUE_FULL: f"{SCHEDULING}::TestRefusals::test_full_queue",
     ErrorKind.TOO_LATE: (
         f"{SCHEDULING}::TestRefusals::test_late_request_is_refused_on_arrival"
