Soak: endpoints of several software versions, and streams taken up again

Cause: the soak's endpoints had one software version, and its callers never went on with a stream. Change: a service of its own (so that known seeds pick the same endpoints) with four engines of two versions. Planned: one, half or all of them are replaced by another version; not planned: one restarts under its id with another version while its entry is stale. Four callers leave streams or lose them and go on at other daemons. Checks: at most two streams of two versions, no event missing or twice, and nine tenths of those that are taken up again while two endpoints of their version serve; the same once all faults are over.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -71,6 +71,15 @@
             if fault.kind in DAEMON_KINDS
         )
 
+    def disturbs_versions(self, start: float, end: float) -> bool:
+        """Return whether a daemon, or an endpoint's version, was disturbed."""
+        return self.disturbs_daemons(start, end) or any(
+            self.started_at + fault.starts_at <= end
+            and start <= self.started_at + fault.ends_at + DAEMON_RECOVERY_S
+            for fault in self.faults
+            if fault.kind is FaultKind.VERSION_IN_PLACE
+        )
+
 
 def check(history: History) -> list[Violation]:
     """Return all violations."""
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -18,6 +18,11 @@
 from bench.soak.limits import check_limits
 from bench.soak.links import check_cut_service
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
+from bench.soak.versions import (
+    ResumingCaller,
+    check_streams_go_on,
+    check_versioned_streams,
+)
 from bench.soak.violation import Violation
 from bench.soak.world import DAEMONS_PER_ZONE, SoakWorld
 from fescuekeel.helpers.http_connection import (
@@ -32,6 +37,7 @@
 
 CALLERS = 16
 HTTP_1_0_CALLERS = 4
+RESUMING_CALLERS = 4
 DEFAULT_SECONDS = 12.0
 SEEDS = 5
 FAILED_LOGS_FOLDER = Path("soak-logs")
@@ -66,7 +72,14 @@
         ]
         until = started_at + max(seconds, max(fault.ends_at for fault in faults))
         world.ends_at = until
-        load = asyncio.gather(*(caller.run(until) for caller in callers))
+        resuming = [
+            ResumingCaller(addresses, seed * RESUMING_CALLERS + number)
+            for number in range(RESUMING_CALLERS)
+        ]
+        load = asyncio.gather(
+            *(caller.run(until) for caller in callers),
+            *(caller.run(until) for caller in resuming),
+        )
         await world.inject(faults, started_at)
         await load
         withdrawn = world.withdraw_endpoint_errors()
@@ -79,6 +92,7 @@
         violations += await world.culprits.check_known_everywhere(workers, lost_at)
         await world.republish_endpoints()
         violations += await check_cut_service(world.cuts, addresses, seed)
+        violations += await check_streams_go_on(world.versioned, addresses, seed)
         violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
         faults += list_crash_faults(workers, started_at)
@@ -91,6 +105,10 @@
         )
         violations += check_limits(world.limits.periods, history.disturbs_daemons)
         violations += check_brittle(world.brittle.periods, history.disturbs_daemons)
+        streams = [stream for caller in resuming for stream in caller.streams]
+        violations += check_versioned_streams(
+            streams, world.versioned, history.disturbs_versions
+        )
         return violations + check(history)
     finally:
         await world.stop()
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -54,6 +54,8 @@
     SERVICE_BRITTLE = "service_brittle"
     ENDPOINT_FRAMING = "endpoint_framing"
     ANSWERS_BREAK = "answers_break"
+    VERSION_RELEASE = "version_release"
+    VERSION_IN_PLACE = "version_in_place"
 
 
 # These kinds have random streams of their own, by name, so that a seed draws
@@ -77,6 +79,7 @@
     ),
     "brittle": (FaultKind.SERVICE_BRITTLE,),
     "answers": (FaultKind.ENDPOINT_FRAMING, FaultKind.ANSWERS_BREAK),
+    "versions": (FaultKind.VERSION_RELEASE, FaultKind.VERSION_IN_PLACE),
 }
 LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -105,6 +108,7 @@
         FaultKind.KEY_TAKEN,
         FaultKind.ENDPOINT_LIMIT,
         FaultKind.ENDPOINT_FRAMING,
+        FaultKind.VERSION_RELEASE,
     }
 )
 MAX_DURATION_S = 3.0
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -19,6 +19,12 @@
 from bench.soak.limits import EndpointLimits
 from bench.soak.links import LinkCuts
 from bench.soak.plan import Fault, FaultKind
+from bench.soak.versions import (
+    VERSIONED,
+    VersionedService,
+    make_versioned_route,
+    make_versioned_service,
+)
 from standins.fleet import free_addresses
 from standins.forwarding.daemons import (
     DaemonAddresses,
@@ -74,6 +80,7 @@
         self.limits = EndpointLimits()
         self.cuts = LinkCuts()
         self.brittle = BrittleServices()
+        self.versioned = VersionedService(self.add_worker, self.platform)
         self.ends_at = float("inf")
         self.version = 1
         self.adapter_versions: dict[str, int] = {}
@@ -111,6 +118,8 @@
             FaultKind.SERVICE_BRITTLE: self._make_brittle,
             FaultKind.ENDPOINT_FRAMING: self._frame_answers,
             FaultKind.ANSWERS_BREAK: self._break_answers,
+            FaultKind.VERSION_RELEASE: self._release_version,
+            FaultKind.VERSION_IN_PLACE: self._change_version_in_place,
         }
 
     # Start and stop.
@@ -121,6 +130,7 @@
         for zone in ZONES:
             await self.add_worker(ENGINES, zone)
             await self.add_worker(PLAIN, zone)
+        await self.versioned.start(ZONES)
         self.publish_configuration()
         zones = [zone for zone in ZONES for _ in range(self._daemons_per_zone)]
         free = iter(free_addresses(4 * len(zones)))
@@ -168,7 +178,7 @@
 
     async def add_worker(self, service: str, zone: str) -> Worker:
         """Start a worker behind a proxy and publish its address."""
-        worker = Worker(service, MODEL if service == ENGINES else "")
+        worker = Worker(service, "" if service == PLAIN else MODEL)
         worker.event_s = EVENT_S
         worker.report_lag_s = REPORT_LAG_S
         worker.latest_version_by_adapter = dict(self.adapter_versions)
@@ -188,7 +198,10 @@
                 stream, "stream", ENGINES, public=True, resumable=True, max_attempts=2
             ),
         )
-        configuration = make_configuration(self.version, route, healed, *culprits)
+        routes = (route, healed, *culprits, make_versioned_route())
+        configuration = make_configuration(self.version, *routes)
+        engines = configuration["services"][0]
+        configuration["services"].append(make_versioned_service(engines))
         configuration["tenants"] = self.accounts.describe()
         self.platform.publish_configuration(configuration)
 
@@ -221,7 +234,7 @@
         published = [
             worker
             for worker in self.platform.workers_by_id.values()
-            if self.platform.is_published(worker)
+            if self.platform.is_published(worker) and worker.service != VERSIONED
         ]
         return published[fault.target % len(published)]
 
@@ -415,6 +428,12 @@
             self.platform.list_workers(self._pick_worker(fault).service), fault
         )
 
+    async def _release_version(self, fault: Fault) -> None:
+        await self.versioned.release(fault, ZONES)
+
+    async def _change_version_in_place(self, fault: Fault) -> None:
+        await self.versioned.change_in_place(fault)
+
     async def _publish_adapter_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
--- a/standins/forwarding/resuming_caller.py
+++ b/standins/forwarding/resuming_caller.py
@@ -44,9 +44,12 @@
     """The events of one stream over all its attempts.
 
     ``numbers`` and ``versions`` have an entry for each event, ``statuses`` one
-    for each attempt (zero without an answer).
+    for each attempt (zero without an answer). Times are monotonic seconds.
     """
 
+    started_at: float = field(default_factory=time.monotonic)
+    ended_at: float = 0.0
+
     numbers: list[int] = field(default_factory=list)
     versions: list[str] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
@@ -93,6 +96,7 @@
             first_id = id
         number += 1
         await asyncio.sleep(retry_s)
+    stream.ended_at = time.monotonic()
     return stream
 
 
