Soak: expect no knowledge of a crash whose daemon ended before it could report it

Cause, from their logs: in the first, both crashes at 138.50 and 138.56 s were sent by i4, whose last line is of 138.83 s; it was killed 0.3 s after them, while its checks waited for a peer that was frozen. No other instance can know of them. In the second, the crash at 103.8 s is in no log; the only daemon that ended then is i3. The rule counts sends later than contact after the third crash, and allows three; here two followed. The check expected what nobody could know. Change: a crash counts for this check only if the process that had sent the request ran for one more second. The check on late crashes, which is the rule, is unchanged. Conclusion: narrowed as the trace shows; a new test says where the line is.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -89,7 +89,9 @@
         workers = list(world.platform.workers_by_id.values())
         lives = [life for daemon in world.daemons for life in daemon.lives]
         lost_at = find_total_loss(lives, KNOWN_WITHIN_S)
-        violations += await world.culprits.check_known_everywhere(workers, lost_at)
+        violations += await world.culprits.check_known_everywhere(
+            workers, lost_at, world.was_alive
+        )
         await world.republish_endpoints()
         violations += await check_cut_service(world.cuts, addresses, seed)
         violations += await check_streams_go_on(world.versioned, addresses, seed)
--- a/bench/soak/culprits.py
+++ b/bench/soak/culprits.py
@@ -37,6 +37,8 @@
 # Undisturbed daemons know a request this long after its third crash.
 KNOWN_WITHIN_S = 3.0
 MAX_LATE_CRASHES = 3
+# A daemon has checked a crash and told others of it by then.
+REPORT_S = 1.0
 REPEAT_S = 0.4
 TIME_LEFT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -59,6 +61,7 @@
 
     addresses: list[str]
     all: list[Culprit] = field(default_factory=list)
+    addresses_by_request: dict[str, str] = field(default_factory=dict)
 
     async def repeat(self, fault: Fault, until: Callable[[], float]) -> None:
         """Repeat a new request at random daemons until a monotonic time."""
@@ -78,6 +81,7 @@
     async def send(self, culprit: Culprit, address: str) -> int:
         """Send a request once; return its status, 0 without a whole answer."""
         request_id = secrets.token_hex(8)
+        self.addresses_by_request[request_id] = address
         headers = make_headers(request_id, TIME_LEFT_S, culprit.adapter, culprit.body)
         try:
             connection = await connect(address, CONNECT_TIMEOUT_S)
@@ -99,17 +103,25 @@
         return response.status
 
     async def check_known_everywhere(
-        self, workers: Sequence[Worker], lost_at: float
+        self,
+        workers: Sequence[Worker],
+        lost_at: float,
+        was_alive: Callable[[str, float, float], bool],
     ) -> list[Violation]:
         """Check that each daemon refuses what has crashed enough endpoints.
 
         Crashes before ``lost_at``, when no daemon ran that knew of them, do
-        not count.
+        not count, nor those whose daemon ended before it could report them:
+        ``was_alive`` tells whether the daemon of an address ran all the time.
         """
         violations = []
         for culprit in self.all:
-            before = len(_list_crashes(workers, culprit.body, lost_at))
-            if before < CRASHES_TO_QUARANTINE:
+            crashes = _list_crashes(workers, culprit.body, lost_at)
+            before = len(crashes)
+            reported = [
+                crash for crash in crashes if self._was_reported(crash, was_alive)
+            ]
+            if len(reported) < CRASHES_TO_QUARANTINE:
                 continue
             for address in self.addresses:
                 status = await self.send(culprit, address)
@@ -122,6 +134,12 @@
                 violations.append(Violation("quarantine", detail))
         return violations
 
+    def _was_reported(
+        self, crash: CrashRecord, was_alive: Callable[[str, float, float], bool]
+    ) -> bool:
+        address = self.addresses_by_request.get(crash.request_id, "")
+        return was_alive(address, crash.crashed_at, crash.crashed_at + REPORT_S)
+
 
 def _list_crashes(
     workers: Iterable[Worker], body: bytes, since: float
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -176,6 +176,15 @@
             if not is_ready
         ]
 
+    def was_alive(self, callers_address: str, start: float, end: float) -> bool:
+        """Return whether a daemon's process ran all through an interval."""
+        return any(
+            life.started_at <= start and end <= life.ended_at
+            for daemon in self.daemons
+            if daemon.spec.addresses.callers == callers_address
+            for life in daemon.lives
+        )
+
     async def add_worker(self, service: str, zone: str) -> Worker:
         """Start a worker behind a proxy and publish its address."""
         worker = Worker(service, "" if service == PLAIN else MODEL)
--- a/tests/soak/test_endpoint_faults.py
+++ b/tests/soak/test_endpoint_faults.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.soak.culprits import check_culprits, list_crash_faults
+from bench.soak.culprits import REPORT_S, Culprits, check_culprits, list_crash_faults
 from bench.soak.limits import LimitPeriod, check_limits
 from standins.forwarding.workers import CrashRecord, RunRecord, Worker
 from tests.soak.test_checks import make_result
@@ -74,3 +74,19 @@
         worker = make_worker(run_times=[11.0] * 50)
         period = LimitPeriod(worker, 1.0, named_at=10.0, ended_at=20.0)
         assert list(check_limits([period], was_undisturbed)) == []
+
+
+class TestReportedCrash:
+    # Guards against a check that expects knowledge which ended with the only
+    # daemon that had it, a moment after the crash.
+    def test_daemon_must_outlast_its_report(self):
+        culprits = Culprits(["a:1", "a:2"])
+        culprits.addresses_by_request["r1"] = "a:1"
+        crash = CrashRecord("r1", "/p", b"body", 10.0)
+
+        def ran_until(address, end):
+            return lambda asked, start, until: asked == address and until <= end
+
+        assert culprits._was_reported(crash, ran_until("a:1", 10.0 + REPORT_S))
+        assert not culprits._was_reported(crash, ran_until("a:1", 10.5))
+        assert not culprits._was_reported(crash, ran_until("a:2", 99.0))
