--- a/bench/guards.py
+++ b/bench/guards.py
@@ -13,7 +13,15 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 GUARDS_FILE = ROOT / "tests" / "guards.ini"
-COPIED = ("fescuekeel", "standins", "bench", "tests", "examples", "pyproject.toml")
+COPIED = (
+    "fescuekeel",
+    "platform",
+    "standins",
+    "bench",
+    "tests",
+    "examples",
+    "pyproject.toml",
+)
 CONCURRENT = 4
 TEST_TIMEOUT_S = 240.0
 
--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -18,7 +18,11 @@
     ROUND_PAUSE_S,
 )
 from fescuekeel.components.origins.homes import list_asked, list_homes
-from fescuekeel.components.origins.ledger import OriginLedger, StreamOrigin
+from fescuekeel.components.origins.ledger import (
+    AMBIGUOUS,
+    OriginLedger,
+    StreamOrigin,
+)
 from fescuekeel.components.origins.lookup import OriginReport, decide
 from fescuekeel.components.origins.versions import SoftwareVersions
 from fescuekeel.core import Instance
@@ -226,7 +230,7 @@
         own = self._own_by_id.get(stream)
         origin = self._ledger.find(stream, now)
         if own is not None and now < own.until:
-            origin = own.origin
+            origin = own.origin if origin in (None, own.origin) else AMBIGUOUS
         seen = self._versions.list_seen(service, now - horizon_s)
         watched_s = self._versions.get_watched_s(now)
         return OriginReport(origin, frozenset(seen), watched_s)
--- a/fescuekeel/components/origins/const.py
+++ b/fescuekeel/components/origins/const.py
@@ -4,9 +4,11 @@
 
 DOMAIN: Final = "origins"
 
-# Instances that are told of a stream. With three, four of eight instances that
-# end at once leave 97 of 100 streams with an instance that knows them.
+# Instances that are told of a stream. In a small fleet a large share of it may
+# end at once; in a large one two homes in two data centres are enough.
 HOMES: Final = 3
+HOMES_OF_LARGE_FLEET: Final = 2
+LARGE_FLEET: Final = 64
 # Instances that are asked for a stream: its homes now, and those that were
 # its homes before others joined.
 MAX_ASKED: Final = 5
--- a/fescuekeel/components/origins/homes.py
+++ b/fescuekeel/components/origins/homes.py
@@ -2,17 +2,24 @@
 
 from collections.abc import Mapping
 
-from fescuekeel.components.origins.const import HOMES, MAX_ASKED
+from fescuekeel.components.origins.const import (
+    HOMES,
+    HOMES_OF_LARGE_FLEET,
+    LARGE_FLEET,
+    MAX_ASKED,
+)
 from fescuekeel.util import rendezvous
 
 __all__ = ["list_asked", "list_homes"]
 
 
 def list_homes(
-    stream: str, data_centres_by_id: Mapping[str, str], count: int = HOMES
+    stream: str, data_centres_by_id: Mapping[str, str], count: int = 0
 ) -> list[str]:
     """Return the homes of a stream among the instances.
 
+    Without a ``count`` it follows from the size of the fleet.
+
     The first by rank, the first by rank of another data centre, then the next
     ones. Each home that is left stays a home when others end.
 
@@ -20,6 +27,9 @@
     >>> "i4" in list_homes("r1", centres, count=2)
     True
     """
+    if not count:
+        is_large = len(data_centres_by_id) > LARGE_FLEET
+        count = HOMES_OF_LARGE_FLEET if is_large else HOMES
     ranked = rendezvous.rank(stream, data_centres_by_id)
     if not ranked:
         return []
--- a/fescuekeel/components/origins/ledger.py
+++ b/fescuekeel/components/origins/ledger.py
@@ -4,7 +4,7 @@
 
 from fescuekeel.components.origins.const import MAX_STREAMS
 
-__all__ = ["OriginLedger", "StreamOrigin"]
+__all__ = ["AMBIGUOUS", "OriginLedger", "StreamOrigin"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,18 +15,24 @@
     software: str
 
 
+# The origin of an id that two streams have used: no caller can mean either.
+AMBIGUOUS = StreamOrigin("", "")
+
+
 @dataclass(slots=True)
 class OriginLedger:
     """Streams by the id of the attempt that brought their first event.
 
-    Bounded in number and time; the oldest go first. What was recorded first
-    stays: an id that comes again belongs to another stream.
+    Bounded in number and time; the oldest go first. An id that comes again
+    with another origin is ambiguous.
 
     >>> ledger = OriginLedger()
     >>> ledger.record("r1", StreamOrigin("s", "v1"), until=9.0, now=0.0)
-    >>> ledger.record("r1", StreamOrigin("s", "v2"), until=9.0, now=1.0)
     >>> ledger.find("r1", now=2.0).software, ledger.find("r1", now=9.0)
     ('v1', None)
+    >>> ledger.record("r1", StreamOrigin("s", "v2"), until=9.0, now=1.0)
+    >>> ledger.find("r1", now=2.0) is AMBIGUOUS
+    True
     """
 
     max_streams: int = MAX_STREAMS
@@ -40,7 +46,7 @@
         """Remember a stream until a time."""
         known = self.find(id, now)
         if known is not None and known != origin:
-            return
+            origin = AMBIGUOUS
         self._entries_by_id.pop(id, None)
         if len(self._entries_by_id) >= self.max_streams:
             del self._entries_by_id[next(iter(self._entries_by_id))]
--- a/fescuekeel/components/origins/lookup.py
+++ b/fescuekeel/components/origins/lookup.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from fescuekeel.components.origins.ledger import StreamOrigin
+from fescuekeel.components.origins.ledger import AMBIGUOUS, StreamOrigin
 
 __all__ = ["OriginReport", "decide"]
 
@@ -45,7 +45,7 @@
     reports = [own, *others]
     known = {report.origin for report in reports if report.origin is not None}
     if known:
-        return known.pop() if len(known) == 1 else None
+        return known.pop() if len(known) == 1 and AMBIGUOUS not in known else None
     seen = frozenset().union(*(report.seen for report in reports))
     if len(seen) != 1:
         return None
--- a/tests/components/gateway/test_server.py
+++ b/tests/components/gateway/test_server.py
@@ -8,13 +8,16 @@
 from msgspec import structs
 from returns.result import Failure as Err
 
+from fescuekeel.components.gateway.component import Gateway
+from fescuekeel.components.gateway.sink import AnswerHead
 from fescuekeel.components.tree.model import TreeInForce
 from fescuekeel.const import MAX_BODY_BYTES
 from fescuekeel.errors import ErrorKind, Failure, RetryReason
 from fescuekeel.helpers.listen import split_address
 from fescuekeel.messages import CancelWork, MemberView, PeerConnectionLost
+from standins.forwarding.raw_caller import call_raw
 from tests.common import eventually
-from tests.components.gateway.fakes import make_view, open_harness
+from tests.components.gateway.fakes import TOKEN, make_view, open_harness
 
 
 def get_error(response):
@@ -45,6 +48,26 @@
 
         asyncio.run(run())
 
+    # Guards against a stream that was given up and looks complete.
+    @pytest.mark.parametrize("version", ["1.1", "1.0"])
+    def test_stream_that_is_given_up_is_broken_off(self, version, monkeypatch):
+        async def give_up(gateway, request_id, admission, sink):
+            await sink.deliver(b"data: a\n\n", AnswerHead())
+
+        async def run():
+            async with open_harness() as harness:
+                monkeypatch.setattr(Gateway, "serve", give_up)
+                address = harness.gateway.server.address
+                body = b'{"model": "patter/cups@1.10", "prompt": "p", "stream": true}'
+                headers = [("Host", address), ("Authorization", f"Bearer {TOKEN}")]
+                answer = await call_raw(
+                    address, "POST", "/v1/completions", headers, body, version
+                )
+                assert answer.status == 200
+                assert not answer.complete
+
+        asyncio.run(run())
+
     def test_plain_service_receives_method_path_and_query(self):
         async def run():
             async with open_harness() as harness:
