Break streams at random places, with random packets and line ends, in a test

Cause: the tests of EventSplitter broke streams at chosen places only. A stream that breaks several times, with parts that have different line ends and are split into packets anywhere, was not played.

Change: a property test: over one to four parts the caller has each event once and none joined.

The product is unchanged.

--- a/tests/components/forward/test_events.py
+++ b/tests/components/forward/test_events.py
@@ -1,5 +1,7 @@
 """Tests of how events are held back until they are complete."""
 
+import re
+
 import pytest
 from hypothesis import given, strategies as st
 
@@ -64,7 +66,39 @@
         assert splitter.last_id == "1"
 
 
+@st.composite
+def broken_parts(draw):
+    """Return line ends, and how many bytes arrive of each broken part."""
+    parts = draw(st.integers(1, 4))
+    return [
+        (draw(st.sampled_from(LINE_ENDS)), draw(st.integers(0, 160)))
+        for _ in range(parts)
+    ]
+
+
 class TestBrokenStream:
+    # Guards against an event that is lost, joined or comes twice, wherever
+    # parts break off and however their packets are split.
+    @given(broken_parts(), st.lists(st.integers(0, 200), max_size=6))
+    def test_caller_has_each_event_once(self, parts, cuts):
+        last = 8
+        splitter = EventSplitter()
+        passed = b""
+        for number, (end, length) in enumerate(parts):
+            first = int(splitter.last_id or 0) + 1
+            stream = b"".join(make_event(item, end) for item in range(first, last + 1))
+            is_last = number == len(parts) - 1
+            passed += feed_in_parts(
+                splitter, stream[: None if is_last else length], cuts
+            )
+            if not is_last:
+                assert splitter.can_go_on
+                splitter.begin_next_part()
+        passed += splitter.take_rest()
+        found = [int(id) for id in re.findall(rb"id: (\d+)", passed)]
+        assert found == list(range(1, last + 1))
+        assert len(re.findall(rb"data: \d+", passed)) == last
+
     @pytest.mark.parametrize("end", LINE_ENDS)
     def test_goes_on_without_the_unfinished_event(self, end):
         splitter = EventSplitter()
