--- a/bench/origins/command.py
+++ b/bench/origins/command.py
@@ -72,8 +72,8 @@
         entry = random.choice(sorted(centres))
         ended = loss.choose_ended(random, centres, entry)
         left = {id: centre for id, centre in centres.items() if id not in ended}
-        told = set(list_homes(stream, centres, homes)) if homes else {entry}
-        known += bool(told & set(list_asked(stream, left)))
+        notified = set(list_homes(stream, centres, homes)) if homes else {entry}
+        known += bool(notified & set(list_asked(stream, left)))
     return known / STREAMS_PER_LOSS
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -23,7 +23,7 @@
 # How long a fault can affect requests after its end: request deadlines,
 # detection of unresponsive connections, and waiting for leases to expire.
 RECOVERY_S = 6.0
-# How long a daemon may take to hear of its peers again.
+# How long a daemon may take to discover its peers again.
 DAEMON_RECOVERY_S = 3.0
 # A draining endpoint receives nothing after two seconds; the rest allows for
 # event loop lag.
--- a/bench/soak/culprits.py
+++ b/bench/soak/culprits.py
@@ -37,7 +37,7 @@
 # Undisturbed daemons know a request this long after its third crash.
 KNOWN_WITHIN_S = 3.0
 MAX_LATE_CRASHES = 3
-# A daemon has checked a crash and told others of it by then.
+# A daemon has checked a crash and reported it to others by then.
 REPORT_S = 1.0
 REPEAT_S = 0.4
 TIME_LEFT_S = 2.0
@@ -112,7 +112,7 @@
 
         Crashes before ``lost_at``, when no daemon ran that knew of them, do
         not count, nor those whose daemon ended before it could report them:
-        ``was_alive`` tells whether the daemon of an address ran all the time.
+        ``was_alive`` says whether the daemon of an address ran all the time.
         """
         violations = []
         for culprit in self.all:
@@ -170,7 +170,7 @@
 ) -> Iterable[Violation]:
     """Check how often endpoints crashed, and that no other request is refused.
 
-    ``was_disturbed`` tells whether a fault of daemons or of their connections
+    ``was_disturbed`` says whether a fault of daemons or of their connections
     overlaps an interval of monotonic time. Crashes before ``lost_at``, when no
     daemon ran that knew of them, do not count.
     """
--- a/bench/soak/daemon_process.py
+++ b/bench/soak/daemon_process.py
@@ -47,7 +47,7 @@
 
 
 def find_total_loss(lives: Iterable[ProcessLife], learning_s: float) -> float:
-    """Return when last no process ran that knew what others had told it.
+    """Return when last no process ran that knew the reports of others.
 
     A process knows that ``learning_s`` after its start.
 
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -1,4 +1,4 @@
-"""Endpoints of several software versions, and callers that take up streams."""
+"""Endpoints of several software versions, and callers that resume streams."""
 
 import asyncio
 import time
@@ -36,7 +36,7 @@
 REPLACE_S = 0.6
 # Over all instances, in touch or not.
 MAX_OF_TWO_VERSIONS = 2
-# Of the streams that are taken up again while two endpoints of their version
+# Of the streams that are resumed while two endpoints of their version
 # serve.
 MIN_SHARE = 0.9
 MIN_STREAMS = 12
@@ -171,7 +171,7 @@
 async def check_streams_go_on(
     service: VersionedService, addresses: Sequence[str], seed: int
 ) -> list[Violation]:
-    """Check that streams are taken up again once all faults are over."""
+    """Check that streams are resumed once all faults are over."""
     await service.serve_two_versions(("a", "b"))
     await asyncio.sleep(REPLACE_S)
     random = Random(f"{seed} going on")
--- a/fescuekeel/components/allowance/component.py
+++ b/fescuekeel/components/allowance/component.py
@@ -282,7 +282,7 @@
     def _find_limit(self, ask: AllowanceAsk) -> RateLimit | None:
         """Return the limit asked for; that of an endpoint is in the query.
 
-        The home may not have heard of it yet.
+        The home may not have received it yet.
         """
         if ask.rate_per_s > 0:
             endpoint = ask.account.removeprefix(ENDPOINT_PREFIX)
--- a/fescuekeel/components/allowance/const.py
+++ b/fescuekeel/components/allowance/const.py
@@ -49,8 +49,8 @@
 # would never get a whole request.
 ENDPOINT_BURST: Final = 1.0
 
-# Concurrency limits of endpoints that fall over when they reject too many
-# requests. Their names begin with this prefix.
+# Prefix of the concurrency limits of endpoints that crash when they reject too
+# many requests.
 CONCURRENCY_PREFIX: Final = "concurrency/"
 # Rejections are counted over this time.
 REJECTION_WINDOW_S: Final = 1.0
@@ -68,9 +68,9 @@
 REJECTED_SHARE: Final = 0.75
 # Rejections within this time lower the limit once.
 DECREASE_PERIOD_S: Final = 0.25
-# Added to the time after which a permit is free without a word.
+# Added to the time after which an unreturned permit expires.
 PERMIT_MARGIN_S: Final = 1.0
-# How long what an instance has told of its other requests counts.
+# Validity of the request count that an instance has reported.
 RUNNING_TTL_S: Final = 1.0
-# A limit that nobody has asked for is forgotten after this.
+# Unused limits expire after this.
 CONCURRENCY_TTL_S: Final = 30.0
--- a/fescuekeel/components/allowance/permits.py
+++ b/fescuekeel/components/allowance/permits.py
@@ -137,7 +137,7 @@
         return None
 
     def end(self, permit: Permit, outcome: PermitOutcome) -> None:
-        """Give a permit back, and tell its home how the request ended."""
+        """Return a permit, and report to its home how the request ended."""
         if not permit.home:
             return
         held = self._held_by_endpoint
@@ -262,7 +262,7 @@
             self._apply(endpoint, limit, limit.drop_instances(lost, now))
 
     def _forget_old(self) -> None:
-        """Forget limits that nobody has asked for lately."""
+        """Remove limits that have not been used recently."""
         now = self._instance.now()
         for endpoint, limit in list(self._limits_by_endpoint.items()):
             if now - limit.updated_at > CONCURRENCY_TTL_S:
--- a/fescuekeel/components/forward/accounts.py
+++ b/fescuekeel/components/forward/accounts.py
@@ -52,7 +52,7 @@
     """Return the request's account, or ``None`` if no key is required.
 
     An unknown key is rejected, unless this instance may have missed the
-    publication of a new one: the caller is then told to retry elsewhere.
+    publication of a new one: the caller is then asked to retry elsewhere.
     """
     accounts = configuration.accounts_by_digest
     if accounts is None:
--- a/fescuekeel/components/forward/answer.py
+++ b/fescuekeel/components/forward/answer.py
@@ -22,8 +22,8 @@
 
     A resumable stream goes on after its last whole event, whose id is
     ``last_id``; its unfinished events are held back. All other answers are
-    passed on as they come. ``expects_events`` decides on answers that do not
-    tell whether they are a stream of events.
+    passed on as they come. ``expects_events`` decides on answers without a
+    content type.
 
     The head is written together with the first bytes, so that an answer that
     breaks off before them can still become an error. ``on_first_event`` is
@@ -59,7 +59,7 @@
 
     @property
     def can_go_on(self) -> bool:
-        """Return whether another endpoint may go on after what has come."""
+        """Return whether another endpoint may resume the answer here."""
         if not self._state.answer_started:
             return True
         return self._splitter is not None and self._splitter.can_go_on
@@ -99,14 +99,14 @@
             phrase = "Answer"
         headers = head.headers
         if self._splitter is not None:
-            # Another endpoint may go on with a stream of another length.
+            # Another endpoint may resume the stream with another length.
             headers = tuple(
                 (name, value) for name, value in headers if name != "content-length"
             )
         await self._caller.begin(head.status, phrase, headers, data)
 
     async def pass_on(self, data: bytes) -> None:
-        """Pass on what can be passed on."""
+        """Pass on data, but no unfinished event of a resumable stream."""
         if self._splitter is not None:
             data = self._splitter.feed(data)
         elif self._tracker is not None:
--- a/fescuekeel/components/forward/attempts.py
+++ b/fescuekeel/components/forward/attempts.py
@@ -2,7 +2,7 @@
 
 Two guarantees are made here. A request that must not run twice is retried only
 if the endpoint reports that it did not run, or if no byte of it was sent. And
-the caller is told "not run" only if no attempt can have run.
+the answer says "not run" only if no attempt can have run.
 """
 
 from dataclasses import dataclass, field
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -8,7 +8,7 @@
 MAX_HEADER_BYTES: Final = 64 * 1024
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 # Longer than callers' own idle timeouts: closing a connection first could lose
-# a request that is on its way.
+# a request in transit.
 IDLE_TIMEOUT_S: Final = 600.0
 # The timeout of requests that name none.
 DEFAULT_TIME_LEFT_S: Final = 60.0
@@ -33,18 +33,19 @@
 # peer that relays closes them when it shuts down.
 MAX_RELAYED_IDLE_S: Final = 0.5
 MAX_RELAYED_AGE_S: Final = 2.0
-# Requests with less time left are not sent.
-# The homes of a stream learn of it within this time, if its entry lives.
+# Retry-After of a stream without a record. A report of it that is under way
+# arrives within this time.
 ORIGIN_RETRY_S: Final = 0.3
 # How long to wait for another endpoint of a stream's software version: one
-# that restarts is back within it, or it does not come.
+# that restarts registers again within this time.
 VERSION_WAIT_S: Final = 2.0
-# An endpoint whose service had several versions this recently may restart with
-# another one.
+# An endpoint may restart with another version if its service had several
+# within this time.
 VERSIONS_WITHIN_S: Final = 60.0
 INCARNATION_TIMEOUT_S: Final = 0.5
-# Of ids that callers choose, in the details of errors.
+# Callers choose these ids; longer ones are cut in the details of errors.
 MAX_DETAIL_CHARS: Final = 64
+# Requests with less time left are not sent.
 MIN_TIME_LEFT_S: Final = 0.01
 # A call that checks whether an endpoint has crashed, and how long a retry
 # waits for the result.
@@ -58,23 +59,23 @@
 SIMULTANEOUS_REMOVAL_S: Final = 0.5
 # Rate limits that endpoints name. A higher rate is taken for an error, and a
 # lower one than the minimum is raised to it: an endpoint that gets no requests
-# could not tell that its limit has ended.
+# could not announce the end of its limit.
 MAX_NAMED_RATE_PER_S: Final = 1e6
 MIN_ENDPOINT_RATE_PER_S: Final = 0.5
-# Others may not need what they have taken, so a limited endpoint is tried
-# again after this, however long its home says to wait.
+# Other instances may return unused parts of a limit, so a limited endpoint is
+# tried again after this even if its home announced a longer wait.
 LIMIT_RECHECK_S: Final = 0.25
 # Spreads the retries of callers that were refused at the same time.
 LIMIT_RETRY_JITTER_S: Final = 0.5
 LIMIT_TTL_S: Final = 600.0
-# A limit that goes on is told again after this, before peers forget it.
+# Limits in force are announced again after this, before they expire at peers.
 LIMIT_REFRESH_S: Final = 300.0
 MAX_LIMITED_ENDPOINTS: Final = 1024
-# Endpoints that fall over when they reject too many requests. What one has
-# named holds for its service until this long after the last answer with it:
-# endpoints that have fallen over are back after some seconds.
+# Endpoints that crash when they reject too many requests name a limit, which
+# is valid for their service until this long after the last answer with it.
+# Crashed endpoints restart within some seconds.
 REJECTION_LIMIT_TTL_S: Final = 15.0
-# The number is told again after this while endpoints go on to name it.
+# The number is announced again after this while endpoints still name it.
 REJECTION_LIMIT_REFRESH_S: Final = 5.0
 MAX_REJECTION_LIMITS: Final = 1024
 # A request asks for this many permits at once, then waits at this
@@ -98,10 +99,9 @@
 # An endpoint with outstanding requests that sends nothing for this time is
 # avoided by further requests.
 UNRESPONSIVE_AFTER_S: Final = 0.9
-# After this it is checked whether the direct path to it still works, every
-# time that it is silent for as long again.
+# The direct path to a silent endpoint is checked at this interval.
 SILENCE_CHECK_S: Final = 0.45
-# A sound endpoint may be silent for somewhat over a second. Callers leave a
+# Healthy endpoints may pause for somewhat over a second. Callers leave a
 # stream after a pause of two seconds.
 FAILOVER_AFTER_S: Final = 1.6
 MONITOR_PERIOD_S: Final = 0.15
@@ -109,7 +109,7 @@
 # An instance is cut off once it has received nothing from any other data
 # centre for this time. Holders report every 0.4 s, in large fleets every 1 s.
 ISOLATION_TIMEOUT_S: Final = 1.2
-# How long a failed connect counts: longer than the longest pause in which an
+# Validity of a failed connect: longer than the longest pause in which an
 # endpoint is avoided.
 CONNECT_FAILURE_TTL_S: Final = 5.0
 # A single unreachable data centre may itself be down.
@@ -147,11 +147,11 @@
 # cheapest home by at most this.
 HOME_COST_SLACK_S: Final = 0.3
 # More homes make it less likely that all are congested, but also less likely
-# that one still has the adapter cached. Of four, one hardly ever lacks room.
+# that one still has the adapter cached. One of four nearly always has a place.
 HOMES_PER_ADAPTER: Final = 4
 # A request queues at an endpoint after this many congested ones. The most
-# wanted of 24,000 adapters fills seven engines of 62 by itself, and eight
-# questions of 3 ms each cost a caller no more than a token does.
+# popular of 24,000 adapters fills seven engines of 62, and eight queries of
+# 3 ms each take no longer than one token.
 MAX_CONGESTED: Final = 8
 # The sample of endpoints that one choice compares.
 MAX_COMPARED: Final = 8
@@ -167,7 +167,7 @@
 PATIENCE_TARGETS: Final = 2.5
 # Time from a prompt's admission to its first chunk: prefill and network.
 PREFILL_S: Final = 0.12
-# Allowed for the holder's answer on top of the wait for admission.
+# Added to the wait for admission, for the holder's answer.
 ADMISSION_GRACE_S: Final = 0.1
 # A prompt is refused after this many endpoints with full queues.
 MAX_REFUSALS: Final = 3
--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -111,7 +111,7 @@
         """Return what a call through a peer shows, and how long it took.
 
         Behind a cut link an endpoint looks as if it had crashed. If no peer
-        can tell, this instance's own call counts while it reaches another
+        has evidence, this instance's own call counts while it reaches another
         endpoint.
         """
         view = self._instance.bus.latest(MemberView) or MemberView()
--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -78,8 +78,8 @@
         change = self._limits.read_answer(endpoint, rate_per_s, sent_at, now)
         if change is not None:
             payload = b"" if rate_per_s is None else repr(rate_per_s).encode()
-            told = self._gossip.get_rank(LIMIT_TOPIC, endpoint)
-            rank = max(change.rank, told + 1)
+            announced = self._gossip.get_rank(LIMIT_TOPIC, endpoint)
+            rank = max(change.rank, announced + 1)
             self._gossip.publish(LIMIT_TOPIC, endpoint, rank, payload)
 
     def record_max_rejections(
@@ -152,7 +152,7 @@
         rate_per_s = self._limits.get_rate(endpoint)
         if rate_per_s is None:
             return 0.0
-        # Without any requests an endpoint could not tell that its limit ended.
+        # An endpoint without requests could not announce the end.
         rate_per_s = max(rate_per_s, MIN_ENDPOINT_RATE_PER_S)
         wait_s = await self._allowances.take(EndpointLimit(endpoint, rate_per_s))
         outcome = "refused" if wait_s else "taken"
@@ -165,7 +165,7 @@
         if rate_per_s is not None:
             self._allowances.refund(EndpointLimit(endpoint, rate_per_s), 1.0)
 
-    # Permits for endpoints that stand few rejections.
+    # Permits for endpoints with a rejection limit.
 
     def get_max_rejections_per_s(self, service: str) -> float | None:
         """Return the rejections that a service's endpoints stand, if named."""
@@ -178,7 +178,7 @@
         return await self._allowances.permits.take(need)
 
     def end_permit(self, permit: Permit, outcome: PermitOutcome) -> None:
-        """Return a permit, and tell how its request ended."""
+        """Return a permit, and report how its request ended."""
         self._allowances.permits.end(permit, outcome)
 
     def report_rejected(self, endpoint: str) -> None:
--- a/fescuekeel/components/forward/events.py
+++ b/fescuekeel/components/forward/events.py
@@ -82,7 +82,7 @@
         return taken
 
     def begin_next_part(self) -> None:
-        """Discard an unfinished event; another endpoint goes on."""
+        """Discard an unfinished event before another endpoint resumes."""
         self._last_id = self.last_id
         self._id_is_last = self.can_go_on
         self._held.clear()
--- a/fescuekeel/components/forward/named_limits.py
+++ b/fescuekeel/components/forward/named_limits.py
@@ -1,7 +1,7 @@
 """Track the rate limits that endpoints name in their answers; pure.
 
-Instances tell each other what they have read. Of two instances that know the
-same, either may see the next change first, so each change gets the next rank.
+Instances announce what they have read. Of two that know the same, either may
+see the next change first, so each change gets the next rank.
 An answer only changes what is known if its request was sent afterwards: it may
 have been on its way for longer than the news of a change.
 """
@@ -87,7 +87,7 @@
         return LimitChange(endpoint, rate_per_s, known.rank + 1, now)
 
     def _needs_refresh(self, known: LimitChange, now: float) -> bool:
-        """Return whether a limit must be told again, as peers forget it."""
+        """Return whether to announce a limit again, as it expires at peers."""
         is_old = now - known.known_since >= LIMIT_REFRESH_S
         return is_old and known.rate_per_s is not None
 
--- a/fescuekeel/components/forward/rejection_limits.py
+++ b/fescuekeel/components/forward/rejection_limits.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True)
 class RejectionLimits:
-    """What endpoints have named lately, at any instance.
+    """The numbers that endpoints have named recently, at any instance.
 
     >>> services = RejectionLimits()
     >>> services.record("s", 4.0, now=1.0), services.record("s", 4.0, now=1.5)
@@ -38,26 +38,26 @@
     """
 
     _named_by_service: dict[str, Named] = field(default_factory=dict)
-    _told_at_by_service: dict[str, float] = field(default_factory=dict)
+    _announced_at_by_service: dict[str, float] = field(default_factory=dict)
 
     def record(self, service: str, max_rejections_per_s: float, now: float) -> bool:
-        """Record a number; return whether peers must be told."""
+        """Record a number; return whether to announce it to peers."""
         known = self._named_by_service.get(service)
         self._set(service, Named(max_rejections_per_s, now))
         is_new = known is None or known.max_rejections_per_s != max_rejections_per_s
-        told_at = self._told_at_by_service.get(service, float("-inf"))
-        if not is_new and now - told_at < REJECTION_LIMIT_REFRESH_S:
+        announced_at = self._announced_at_by_service.get(service, float("-inf"))
+        if not is_new and now - announced_at < REJECTION_LIMIT_REFRESH_S:
             return False
-        self._told_at_by_service[service] = now
+        self._announced_at_by_service[service] = now
         return True
 
     def apply(self, service: str, max_rejections_per_s: float, named_at: float) -> bool:
-        """Apply what a peer has told; return whether it changes the number."""
+        """Apply a peer's number; return whether it changes the known one."""
         known = self._named_by_service.get(service)
         if known is not None and known.named_at >= named_at:
             return False
-        told_at = self._told_at_by_service.get(service, named_at)
-        self._told_at_by_service[service] = max(told_at, named_at)
+        announced_at = self._announced_at_by_service.get(service, named_at)
+        self._announced_at_by_service[service] = max(announced_at, named_at)
         self._set(service, Named(max_rejections_per_s, named_at))
         return known is None or known.max_rejections_per_s != max_rejections_per_s
 
@@ -66,7 +66,7 @@
         if service not in services and len(services) >= MAX_REJECTION_LIMITS:
             oldest = next(iter(services))
             del services[oldest]
-            self._told_at_by_service.pop(oldest, None)
+            self._announced_at_by_service.pop(oldest, None)
         services[service] = named
 
     def get_max_rejections_per_s(self, service: str, now: float) -> float | None:
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -40,8 +40,8 @@
 
     ``caller_left_s`` is how long the caller waits. ``deadline`` is the time at
     which the answer must be complete, on the instance's clock. ``origin`` is
-    what began the stream, once an event has gone to the caller or if the
-    caller takes it up again.
+    set once an event has been sent to the caller, or if the caller resumes a
+    stream.
     """
 
     forwarder: "RequestHost[ForwardedRequest, Attempt]"
@@ -118,8 +118,8 @@
             if not self._caller_closed:
                 await self._end_stopped()
         except Exception:
-            # The task's error is logged; the caller must not wait or take
-            # what it has for a whole answer.
+            # The task logs the error. The caller must not wait, or take a
+            # broken answer for a whole one.
             self.outcome = "error"
             self.caller.abort()
             raise
@@ -152,20 +152,20 @@
         return True
 
     @property
-    def takes_up_stream(self) -> bool:
-        """Return whether the caller has events of the stream already."""
+    def resumes_stream(self) -> bool:
+        """Return whether the caller resumes a stream of an earlier attempt."""
         return self.route.resumable and bool(self.metadata.resume_after)
 
     @property
     def _stream_id(self) -> str:
-        """Return the id under which the stream's origin is remembered."""
-        if self.takes_up_stream:
+        """Return the id under which the stream's origin is stored."""
+        if self.resumes_stream:
             return self.metadata.resumes
         return self.metadata.request_id
 
     async def _find_origin(self) -> Failure | None:
-        """Find what began the stream; return a failure if it cannot go on."""
-        if not self.takes_up_stream:
+        """Find the stream's origin; return a failure if it has none."""
+        if not self.resumes_stream:
             return None
         origin = await self.forwarder.origins.find(
             self.metadata.request_id,
@@ -187,7 +187,7 @@
         return None
 
     def _record_first_event(self) -> None:
-        """Remember what began the stream, before the caller has its event."""
+        """Store the stream's origin, before the caller gets the event."""
         attempt = self._current_attempt
         if attempt is None:
             return
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -281,7 +281,7 @@
         if search.is_exhausted(self._instance.now()):
             return make_overload_failure(ErrorKind.LOAD_FAILED, detail or "late")
         if detail:
-            # A new holder may become known meanwhile.
+            # Another instance may have become the holder by then.
             await asyncio.sleep(NO_HOLDER_POLL_S)
         return None
 
@@ -401,7 +401,7 @@
         return detail
 
     def _find_gone_version(self, request: ForwardedRequest) -> Failure | None:
-        """Return a failure if no endpoint can go on with a stream soon."""
+        """Return a failure if no endpoint can resume a stream soon."""
         origin = request.origin
         if origin is None or self._origins.was_serving(origin, VERSION_WAIT_S):
             return None
@@ -410,7 +410,7 @@
     def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
         records = self.records_by_service.get(request.service, {})
         if request.origin is not None:
-            # What two software versions write does not fit together.
+            # Streams of two software versions cannot be joined.
             records = {
                 id: record
                 for id, record in records.items()
--- a/fescuekeel/components/gateway/attempts.py
+++ b/fescuekeel/components/gateway/attempts.py
@@ -152,14 +152,14 @@
 
     def _handle_late(self, event: RequestEvent) -> list[RequestEffect]:
         # Guards against a paused owner that requests permission after the
-        # caller was told "not run".
+        # caller got the answer "not run".
         if isinstance(event, StartRequested):
             return [AnswerStart(event.attempt, granted=False)]
         return []
 
     def _send(self, delay_s: float) -> list[RequestEffect]:
         self.attempt += 1
-        # During its back-off, nobody can run the attempt.
+        # No endpoint can run the attempt during its backoff.
         self.phase = Phase.RECEIVED if delay_s else Phase.SUBMITTED
         self._resuming = self._pending_resume
         self._pending_resume = False
--- a/fescuekeel/components/gateway/component.py
+++ b/fescuekeel/components/gateway/component.py
@@ -214,7 +214,7 @@
         members = frozenset(view.members_by_id)
         self.limits.instances = max(1, len(members))
         # An owner in graceful shutdown has left the view but completes its
-        # work. If it dies before that, ``PeerConnectionLost`` reports it.
+        # work. If it ends before that, ``PeerConnectionLost`` reports it.
         for lost in self._members - members - view.left:
             self._handle_owner_loss(lost)
         self._members = members
--- a/fescuekeel/components/gossip/table.py
+++ b/fescuekeel/components/gossip/table.py
@@ -1,7 +1,7 @@
 """The facts that an instance knows, and what it has to send; pure.
 
 Facts of one key replace each other by rank, so that all instances end with the
-same fact in whatever order they hear of it.
+same fact in whatever order they receive them.
 """
 
 from collections.abc import Iterable
--- a/fescuekeel/components/keys/quorum.py
+++ b/fescuekeel/components/keys/quorum.py
@@ -49,7 +49,7 @@
         """Return why the claim was not won.
 
         Concurrent claims may each get too few grants to win; both are then
-        told to retry.
+        asked to retry.
         """
         for kind in REFUSAL_PRECEDENCE:
             if kind.value in self._kinds:
--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -1,4 +1,4 @@
-"""Tell the homes of a stream what began it, and ask them."""
+"""Report the origins of streams to their homes, and query them."""
 
 import asyncio
 from dataclasses import dataclass, replace
@@ -47,15 +47,15 @@
 
 @dataclass(slots=True)
 class OwnStream:
-    """A stream that was begun or goes on here, and the homes that know it."""
+    """A stream served here, and the homes it was reported to."""
 
     origin: StreamOrigin
     until: float
-    told: frozenset[str] = frozenset()
+    notified: frozenset[str] = frozenset()
 
 
 class Origins:
-    """Remember streams as one of their homes, and look up those of others."""
+    """Store origins of streams as one of their homes, and look others up."""
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
@@ -82,10 +82,10 @@
     # Streams that are served here.
 
     def record_begun(self, id: str, origin: StreamOrigin, time_left_s: float) -> None:
-        """Remember a stream whose first event goes to its caller now.
+        """Store the origin of a stream before its first event is sent.
 
-        Its homes are told only if another version may serve: otherwise each
-        instance can tell from the endpoints what began it.
+        Its homes are notified only if another version may serve: otherwise
+        each instance can infer from the endpoints what began it.
         """
         if not id or len(id) > MAX_ID_CHARS:
             return
@@ -96,21 +96,21 @@
             del self._own_by_id[next(iter(self._own_by_id))]
         self._own_by_id[id] = OwnStream(origin, until)
         if not self._has_one_version(origin.service):
-            self._tell([id])
+            self._report_to_homes([id])
 
     def record_ended(self, id: str) -> None:
-        """Forget a stream that its caller has whole."""
+        """Remove a stream that has been sent completely."""
         self._own_by_id.pop(id, None)
 
     def _has_one_version(self, service: str) -> bool:
-        """Return whether one version alone can have begun any stream."""
+        """Return whether all streams of a service have the same origin."""
         now = self._instance.now()
-        report = self._report("", service, MIN_HORIZON_S)
+        report = self._make_report("", service, MIN_HORIZON_S)
         apparent = replace(report, age_s=self._freshness.read_apparent_age_s(now))
         return len(report.seen) == 1 and apparent.shows_all_versions(MIN_HORIZON_S)
 
-    def _tell(self, ids: list[str]) -> None:
-        """Tell the homes that do not know the streams yet."""
+    def _report_to_homes(self, ids: list[str]) -> None:
+        """Report streams to those of their homes that do not know them yet."""
         now = self._instance.now()
         records_by_home: dict[str, list[StreamOriginRecord]] = {}
         for id in ids:
@@ -121,9 +121,9 @@
                 id, own.origin.service, own.origin.software, lasts_ms
             )
             for home in homes:
-                if home not in own.told:
+                if home not in own.notified:
                     records_by_home.setdefault(home, []).append(record)
-            own.told |= set(homes)
+            own.notified |= set(homes)
         link = get_peer_link(self._instance)
         for home, records in records_by_home.items():
             self._instance.metrics.count("origins.told", len(records))
@@ -134,12 +134,12 @@
                 part = records[start : start + MAX_MESSAGE_RECORDS]
                 link.send(home, StreamOriginNews(tuple(part)))
 
-    # Streams that were begun anywhere.
+    # Streams of any instance.
 
     async def find(
         self, request_id: str, stream: str, service: str, longest_s: float
     ) -> StreamOrigin | None:
-        """Return what began a stream, ``None`` if that cannot be known.
+        """Return the origin of a stream, ``None`` if it cannot be determined.
 
         ``stream`` is the id that the caller names, ``service`` the one that
         would serve it, and ``longest_s`` how long its caller may have waited.
@@ -153,7 +153,7 @@
             if number:
                 await asyncio.sleep(ROUND_PAUSE_S)
             answers = await self._ask_homes(stream, service, horizon_s)
-            own = self._report(stream, service, horizon_s)
+            own = self._make_report(stream, service, horizon_s)
             found = decide(service, own, answers, horizon_s)
             if found is not None:
                 break
@@ -172,20 +172,20 @@
         return found
 
     def was_serving(self, origin: StreamOrigin, within_s: float) -> bool:
-        """Return whether an endpoint of a version has served lately."""
+        """Return whether an endpoint of a version has served recently."""
         since = self._instance.now() - within_s
         return origin.software in self._versions.list_seen(origin.service, since)
 
     def has_several(self, service: str, within_s: float) -> bool:
-        """Return whether several versions have served within some seconds."""
+        """Return whether several versions have served within a time."""
         since = self._instance.now() - within_s
         return len(self._versions.list_seen(service, since)) > 1
 
     async def _ask_homes(
         self, stream: str, service: str, horizon_s: float
     ) -> list[OriginReport]:
-        """Ask all homes at once; stop at the first that knows the stream."""
-        if self._report(stream, service, horizon_s).origin is not None:
+        """Query all homes at once; stop at the first with a record."""
+        if self._make_report(stream, service, horizon_s).origin is not None:
             return []
         asked = {*list_asked(stream, self._data_centres_by_id), *self._list_fresh()}
         asked.discard(self._instance.id)
@@ -232,8 +232,8 @@
     def _freshness(self) -> Freshness:
         return self._instance.bus.latest(Freshness) or Freshness()
 
-    def _report(self, stream: str, service: str, horizon_s: float) -> OriginReport:
-        """Return what this instance knows itself."""
+    def _make_report(self, stream: str, service: str, horizon_s: float) -> OriginReport:
+        """Return this instance's own report."""
         now = self._instance.now()
         own = self._own_by_id.get(stream)
         origin = self._ledger.find(stream, now)
@@ -262,7 +262,9 @@
     def _handle_ask(self, message: PeerMessage) -> None:
         assert isinstance(message.body, StreamOriginAsk)
         body = message.body
-        report = self._report(body.stream, body.service, body.horizon_ms / MS_PER_S)
+        report = self._make_report(
+            body.stream, body.service, body.horizon_ms / MS_PER_S
+        )
         origin = report.origin or StreamOrigin("", "")
         answer = StreamOriginAnswer(
             report.origin is not None,
@@ -278,22 +280,24 @@
 
     def _handle_catalog(self, catalog: Catalog) -> None:
         self._versions.update(catalog.endpoints_by_id.values(), self._instance.now())
-        self._tell_untold()
+        self._report_unreported()
 
     def _handle_members(self, view: MemberView) -> None:
         self._data_centres_by_id = {
             id: member.data_centre for id, member in view.members_by_id.items()
         }
-        self._tell_needed(list(self._own_by_id))
+        self._report_needed(list(self._own_by_id))
 
-    def _tell_untold(self) -> None:
-        self._tell_needed([id for id, own in self._own_by_id.items() if not own.told])
+    def _report_unreported(self) -> None:
+        self._report_needed(
+            [id for id, own in self._own_by_id.items() if not own.notified]
+        )
 
-    def _tell_needed(self, ids: list[str]) -> None:
-        """Tell of those streams with which another version could go on.
+    def _report_needed(self, ids: list[str]) -> None:
+        """Report those streams with which another version could go on.
 
-        Guards against a stream that nobody knows since a version came while it
-        ran, or since its homes have ended.
+        Guards against a stream that no instance knows because a version was
+        released while it ran, or because its homes have ended.
         """
         now = self._instance.now()
         needed = [
@@ -302,7 +306,7 @@
             if now < self._own_by_id[id].until
             and not self._has_one_version(self._own_by_id[id].origin.service)
         ]
-        self._tell(needed)
+        self._report_to_homes(needed)
 
     async def _expire_forever(self) -> None:
         while True:
@@ -312,4 +316,4 @@
             for id, own in list(self._own_by_id.items()):
                 if now >= own.until:
                     del self._own_by_id[id]
-            self._tell_untold()
+            self._report_unreported()
--- a/fescuekeel/components/origins/homes.py
+++ b/fescuekeel/components/origins/homes.py
@@ -1,4 +1,4 @@
-"""Choose the instances that remember a stream; pure."""
+"""Choose the instances that store the origin of a stream; pure."""
 
 from collections.abc import Mapping
 
--- a/fescuekeel/components/origins/ledger.py
+++ b/fescuekeel/components/origins/ledger.py
@@ -1,4 +1,4 @@
-"""Remember which service and software version began a stream; pure."""
+"""Store which service and software version began a stream; pure."""
 
 from dataclasses import dataclass, field
 
@@ -15,7 +15,7 @@
     software: str
 
 
-# The origin of an id that two streams have used: no caller can mean either.
+# Marks an id that was used for streams of two origins.
 AMBIGUOUS = StreamOrigin("", "")
 
 
@@ -43,7 +43,7 @@
         return len(self._entries_by_id)
 
     def record(self, id: str, origin: StreamOrigin, until: float, now: float) -> None:
-        """Remember a stream until a time."""
+        """Store the origin of a stream until a time."""
         known = self.find(id, now)
         if known is not None and known != origin:
             origin = AMBIGUOUS
@@ -58,7 +58,7 @@
         return origin if now < until else None
 
     def expire(self, now: float) -> None:
-        """Forget streams whose time has passed."""
+        """Remove streams that have expired."""
         for id, (_, until) in list(self._entries_by_id.items()):
             if now >= until:
                 del self._entries_by_id[id]
--- a/fescuekeel/components/origins/lookup.py
+++ b/fescuekeel/components/origins/lookup.py
@@ -1,4 +1,4 @@
-"""Decide what began a stream from what several instances know; pure.
+"""Determine the origin of a stream from several reports; pure.
 
 What is not known is not guessed: without an instance that knows the stream, it
 may only go on if one version alone can have begun it.
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginReport:
-    """What one instance knows of a stream, and of the service asked for.
+    """The report of one instance about a stream and a service.
 
     ``seen`` are the versions that it saw serve within the time in which the
     stream can have begun, ``watched_s`` is for how long it has seen them, and
@@ -38,9 +38,9 @@
     others: Sequence[OriginReport],
     horizon_s: float,
 ) -> StreamOrigin | None:
-    """Return what began the stream, ``None`` if that is not known.
+    """Return the origin of a stream, ``None`` if it cannot be determined.
 
-    ``own`` is what this instance knows, ``others`` are the peers' answers.
+    ``own`` is this instance's report, ``others`` are those of its peers.
 
     >>> one = frozenset({"v1"})
     >>> sure = OriginReport(None, one, watched_s=100.0, age_s=1.0)
--- a/fescuekeel/components/owner/const.py
+++ b/fescuekeel/components/owner/const.py
@@ -17,8 +17,8 @@
 REPORT_LAG_S: Final = 5.0
 # A call that checks whether an endpoint has crashed.
 CRASH_CHECK_TIMEOUT_S: Final = 0.5
-# The time for peers' word on an endpoint that looks crashed, three calls of
-# theirs, and how many are asked.
+# Time for the answers of peers about an endpoint that seems to have crashed,
+# three of their calls, and how many of them are asked.
 PEER_CHECK_TIMEOUT_S: Final = 1.6
 MAX_PEERS_ASKED: Final = 3
 # An endpoint that has reported within this time before a run began was alive
--- a/fescuekeel/components/owner/peer_checks.py
+++ b/fescuekeel/components/owner/peer_checks.py
@@ -1,7 +1,7 @@
 """Call endpoints to find out whether they are alive, also for peers.
 
-Behind a link that is cut an endpoint looks to its owner as if it had crashed.
-Only the word of a peer tells the two apart.
+An endpoint behind a cut link looks to its owner as if it had crashed. Only the
+evidence of a peer can distinguish the two.
 """
 
 import asyncio
@@ -59,8 +59,8 @@
 ) -> Liveness:
     """Return what peers find at an endpoint that looks crashed.
 
-    If no peer can tell, this instance's own finding counts while it reaches
-    another endpoint; otherwise the result is ``SILENT``.
+    If no peer has evidence, this instance's own finding counts while it
+    reaches another endpoint; otherwise the result is ``SILENT``.
     """
     peers = _choose_peers(instance, endpoint)
     if not peers:
@@ -102,7 +102,7 @@
 async def _reaches_another(instance: Instance, endpoint: str) -> bool:
     """Return whether another endpoint accepts a connection.
 
-    Also true if there is no other endpoint that could tell.
+    Also true if there is no other endpoint to try.
     """
     entries = _get_view(instance).endpoints_by_id.values()
     others = [entry.address for entry in entries if entry.id != endpoint]
--- a/fescuekeel/components/peers/const.py
+++ b/fescuekeel/components/peers/const.py
@@ -34,12 +34,11 @@
 HEARTBEAT_ANSWER: Final = b"\x02"
 GOODBYE: Final = b"\x03"
 
-# Byte streams. The first byte of a payload tells data from the end. Payloads
+# Byte streams. The first byte of a payload is the type, data or end. Payloads
 # of one byte are control frames, so data is always longer.
 STREAM_DATA: Final = b"\x10"
 STREAM_END: Final = b"\x11\x11"
 MAX_STREAM_FRAME_BYTES: Final = 64 * 1024
-# How often the opening side asks for a sign of life, and the silence after
-# which either side gives up.
+# Heartbeat interval of the opening side, and the timeout of both sides.
 STREAM_HEARTBEAT_S: Final = 0.3
 STREAM_TIMEOUT_S: Final = 1.2
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -46,7 +46,7 @@
 FENCED_HANDOVER_S: Final = 0.1
 # An older claim or release may have been superseded by another holder.
 PEER_CLAIM_FRESH_S: Final = 5.0
-# Bounds the names kept to tell new endpoints from returning ones.
+# Bounds the names kept to distinguish new endpoints from returning ones.
 MAX_SEEN_ENDPOINTS: Final = 4096
 # A longer gap between ticks means that the process was suspended.
 SUSPENSION_GAP_S: Final = 1.0
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -137,7 +137,7 @@
         """Request a report and apply it."""
         requested_at = self._instance.now()
         report = await self._link.fetch_report()
-        # A sound endpoint may be silent for somewhat over a second.
+        # Healthy endpoints may pause for somewhat over a second.
         in_contact = report is not None or await self._link.is_reachable()
         now = self._instance.now()
         self._claims.record_contact(self.record.name, in_contact, now)
--- a/fescuekeel/components/quarantine/const.py
+++ b/fescuekeel/components/quarantine/const.py
@@ -6,8 +6,8 @@
 
 # A request that has crashed this many endpoints is not sent again.
 CRASHES_TO_QUARANTINE: Final = 3
-# Requests that shared all their crashes cannot be told apart; one more crash
-# usually tells. After this many, all of them are quarantined.
+# Requests that shared all their crashes cannot be distinguished; one more
+# usually identifies the cause. After this many, all are quarantined.
 MAX_SHARED_CRASHES: Final = 4
 # A request is quarantined after this many crashes even if others explain all
 # of them: two such requests may always come together.
--- a/fescuekeel/components/quarantine/reports.py
+++ b/fescuekeel/components/quarantine/reports.py
@@ -1,4 +1,4 @@
-"""The form in which instances tell each other of crashes.
+"""The wire format of crash reports between instances.
 
 A report has the requests of one instance that ran on an endpoint when it
 crashed. It grows as further answers break, and the longest one replaces the
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -104,11 +104,11 @@
         """Connect to an endpoint, directly or through a peer.
 
         Raises ``NotConnectedError`` if both fail, and ``PathUnavailableError``
-        at once if both have failed a moment ago.
+        at once if both have failed recently.
         """
         match self._paths.choose(endpoint, self._instance.now()):
             case ConnectBy.NONE:
-                raise PathUnavailableError("no path a moment ago")
+                raise PathUnavailableError("no path worked recently")
             case ConnectBy.RELAY:
                 return await self.connect_relayed(endpoint)
         direct = asyncio.ensure_future(self.connect_directly(endpoint, address))
@@ -284,7 +284,7 @@
         try:
             connection = await self.connect_relayed(endpoint)
         except RelayFailedError:
-            # The path's state tells; requests try again.
+            # The path's state records the failure; requests try again.
             return
         finally:
             self._asking_peers.discard(endpoint)
--- a/fescuekeel/components/relay/const.py
+++ b/fescuekeel/components/relay/const.py
@@ -30,7 +30,7 @@
 MAX_PROBE_S: Final = 1.0
 MAX_PROBES_PER_TICK: Final = 4
 TICK_S: Final = 0.1
-# Endpoints that nobody has asked for lately are not probed.
+# Endpoints without requests for this long are not probed.
 WANTED_S: Final = 30.0
 # How long an endpoint that neither this instance nor a peer reaches is not
 # tried for requests.
@@ -40,11 +40,11 @@
 # A direct contact this recent shows that this instance is not cut off.
 RECENT_CONTACT_S: Final = 2.0
 
-# What instances tell each other about endpoints that they cannot reach.
+# Announcements of the endpoints that an instance cannot reach.
 UNREACHABLE_TOPIC: Final = "unreachable"
 UNREACHABLE_TTL_S: Final = 600.0
 UNREACHABLE_REFRESH_S: Final = 300.0
 MAX_UNREACHABLE_FACTS: Final = 1024
 MAX_NAMES: Final = 64
-# A state must last this long before peers are told.
+# A state is announced after it has lasted this long.
 STABLE_S: Final = 0.3
--- a/fescuekeel/components/relay/outcome.py
+++ b/fescuekeel/components/relay/outcome.py
@@ -23,7 +23,7 @@
 
 
 class PathUnavailableError(NotConnectedError):
-    """No connect was tried, as all have failed a moment ago."""
+    """No connect was tried, as all have failed recently."""
 
 
 class RelayFailedError(NotConnectedError):
--- a/fescuekeel/components/relay/paths.py
+++ b/fescuekeel/components/relay/paths.py
@@ -1,6 +1,6 @@
 """Decide how an endpoint is reached: directly, or through a peer; pure.
 
-A failed connect does not tell whether the endpoint is down or this instance is
+A failed connect does not show whether the endpoint is down or this instance is
 cut off from it. The endpoint counts as down only if a peer that reaches other
 endpoints cannot reach it either.
 """
@@ -184,8 +184,8 @@
     def take_probes(self, now: float) -> list[str]:
         """Return the endpoints to probe now, the longest due first.
 
-        Those that only peers reach are probed whether or not requests want
-        them: peers have been told, and leave their claims to others.
+        Those that only peers reach are probed even without requests for them:
+        the state is announced, and this instance claims none of them.
         """
         due = [
             (path.probe_at, id)
--- a/fescuekeel/components/relay/peers.py
+++ b/fescuekeel/components/relay/peers.py
@@ -35,8 +35,8 @@
     ) -> list[str]:
         """Return the peers to ask, in order.
 
-        ``without_endpoint`` have told that they cannot reach the endpoint.
-        Those that have failed lately come last.
+        ``without_endpoint`` have announced that they do not reach it.
+        Those that have failed recently come last.
         """
         self._forget_old(now)
         usable = [
--- a/fescuekeel/components/relay/reporter.py
+++ b/fescuekeel/components/relay/reporter.py
@@ -29,32 +29,32 @@
 
 @dataclass(slots=True)
 class UnreachableState:
-    """What this instance cannot reach, and what peers were told of it; pure.
+    """What this instance cannot reach, and what it has announced; pure.
 
     >>> state = UnreachableState()
     >>> cut_off = Unreachable(is_all=True)
     >>> state.update(cut_off, now=1.0), state.update(cut_off, now=1.5)
     (False, True)
-    >>> state.told == cut_off, state.update(cut_off, now=1.6)
+    >>> state.announced == cut_off, state.update(cut_off, now=1.6)
     (True, False)
     """
 
-    told: Unreachable = field(default=NOTHING)
-    told_at: float = float("-inf")
+    announced: Unreachable = field(default=NOTHING)
+    announced_at: float = float("-inf")
     seen: Unreachable = field(default=NOTHING)
     seen_at: float = float("-inf")
 
     def update(self, current: Unreachable, now: float) -> bool:
-        """Return whether peers must be told now; it counts as told then."""
+        """Return whether to announce the state now; it counts as announced."""
         if current != self.seen:
             self.seen, self.seen_at = current, now
         is_stable = now - self.seen_at >= STABLE_S
-        is_old = current != NOTHING and now - self.told_at > UNREACHABLE_REFRESH_S
-        if not is_old and (current == self.told or not is_stable):
+        is_old = current != NOTHING and now - self.announced_at > UNREACHABLE_REFRESH_S
+        if not is_old and (current == self.announced or not is_stable):
             return False
         if not is_stable:
             return False
-        self.told, self.told_at = current, now
+        self.announced, self.announced_at = current, now
         return True
 
 
@@ -79,7 +79,7 @@
         )
 
     def update(self, current: Unreachable) -> None:
-        """Tell peers what this instance cannot reach, once that is stable."""
+        """Announce what this instance cannot reach, once that is stable."""
         if self._state.update(current, self._instance.now()):
             self._publish(current)
 
@@ -89,13 +89,16 @@
         self._gossip.publish(UNREACHABLE_TOPIC, own_id, rank, unreachable.format())
 
     def _handle_fact(self, fact: Fact) -> None:
-        """Apply what an instance has told; correct what is said of this one.
+        """Apply an announcement; correct one about this instance.
 
         A fact of an earlier start of this instance may still be known.
         """
         unreachable = Unreachable.parse(fact.payload)
-        if fact.key == self._instance.id and fact.payload != self._state.told.format():
-            self._publish(self._state.told)
+        if (
+            fact.key == self._instance.id
+            and fact.payload != self._state.announced.format()
+        ):
+            self._publish(self._state.announced)
             return
         if not self.table.apply(fact.key, unreachable):
             return
--- a/fescuekeel/components/relay/server.py
+++ b/fescuekeel/components/relay/server.py
@@ -122,7 +122,7 @@
             self._idle.set()
 
     async def _refuse_unreachable(self, message: PeerMessage, endpoint: str) -> None:
-        """Refuse, and tell whether the fault is the endpoint's.
+        """Refuse, and report whether the fault is the endpoint's.
 
         An instance without recent contact checks whether it is cut off itself.
         """
--- a/fescuekeel/components/relay/unreachable.py
+++ b/fescuekeel/components/relay/unreachable.py
@@ -1,4 +1,4 @@
-"""What instances tell each other about endpoints they cannot reach; pure."""
+"""Announcements of the endpoints that instances cannot reach; pure."""
 
 from dataclasses import dataclass, field
 
@@ -29,14 +29,14 @@
     names: frozenset[str] = frozenset()
 
     def format(self) -> bytes:
-        """Return the form in which peers are told; long lists are cut."""
+        """Return the wire format; long lists are cut."""
         if self.is_all:
             return ALL.encode()
         return SEPARATOR.join(sorted(self.names)[:MAX_NAMES]).encode()
 
     @classmethod
     def parse(cls, payload: bytes) -> "Unreachable":
-        """Read what a peer has told; raises ``ValueError`` on other text."""
+        """Parse the wire format; raises ``ValueError`` on other text."""
         text = payload.decode()
         if text == ALL:
             return cls(is_all=True)
--- a/fescuekeel/components/tree/events.py
+++ b/fescuekeel/components/tree/events.py
@@ -32,7 +32,7 @@
 class MembersChanged:
     """The instances that are not considered dead, this one included.
 
-    ``live_list_read`` tells whether the platform's live list has been read.
+    ``live_list_read`` says whether the platform's live list has been read.
     """
 
     data_centres_by_id: dict[str, str]
@@ -52,7 +52,7 @@
 class ManifestRead:
     """A source returned a manifest, or ``None``: not held, or unreachable.
 
-    ``answered`` tells the two apart for peers.
+    ``answered`` distinguishes the two for peers.
     """
 
     source: str
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -81,7 +81,7 @@
     """The response to the caller for an error kind.
 
     ``ran`` holds for all failures of the kind; a single failure may carry a
-    more specific value. ``retry`` tells whether the same request may succeed
+    more specific value. ``retry`` says whether the same request may succeed
     later.
     """
 
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -55,7 +55,7 @@
     caller's key, empty without one. ``tokens`` is the number of prompt tokens
     plus the maximum number of output tokens, ``None`` if not given.
     ``resume_after`` is the id of the last event that a caller has of a stream
-    that it takes up again, and ``resumes`` the id of the attempt that brought
+    that it resumes, and ``resumes`` the id of the attempt that brought
     the stream's first event; both are empty otherwise.
     """
 
--- a/fescuekeel/helpers/event_stream.py
+++ b/fescuekeel/helpers/event_stream.py
@@ -34,7 +34,7 @@
 
 
 class EventTracker:
-    """Tell where the events of one stream end, without keeping them.
+    """Find where the events of one stream end, without storing them.
 
     ``last_id`` is the id of the last event that is complete. ``id_is_last``
     is false if events with data but without a usable id have followed it: a
--- a/fescuekeel/helpers/freshness.py
+++ b/fescuekeel/helpers/freshness.py
@@ -16,7 +16,7 @@
     no change that is unknown here: when a request was sent, less the age given
     in its response. The time at which the response arrived is not used, since
     it may have been delayed. The clock must advance during suspend.
-    ``apparent_at`` is the same by the news of peers, which may be delayed.
+    ``apparent_at`` is the same by messages of peers, which may be delayed.
 
     >>> freshness = Freshness()
     >>> freshness.record_confirmed(asked=7.0, age_s=1.0)
@@ -33,11 +33,11 @@
         self.confirmed_at = max(self.confirmed_at, asked - age_s)
 
     def record_apparent(self, at: float) -> None:
-        """Apply the news of a peer that knows nothing newer."""
+        """Apply a message of a peer that has no newer revision."""
         self.apparent_at = max(self.apparent_at, at)
 
     def read_apparent_age_s(self, now: float) -> float:
-        """Return the age by all that is known, in seconds.
+        """Return the age by store and peers, in seconds.
 
         Not for decisions that a delayed message must not change.
         """
--- a/fescuekeel/helpers/placement_view.py
+++ b/fescuekeel/helpers/placement_view.py
@@ -96,7 +96,7 @@
 
     ``holders_by_endpoint`` has the holders that announced themselves.
     ``find_candidate`` returns the instance that is expected to become the
-    holder of an endpoint, and ``is_near`` tells whether this instance receives
+    holder of an endpoint, and ``is_near`` says whether this instance receives
     the placement updates of an endpoint.
     """
 
--- a/fescuekeel/helpers/whole_answer.py
+++ b/fescuekeel/helpers/whole_answer.py
@@ -77,7 +77,7 @@
 def is_event_stream(status: int, content_type: str, expected: bool = False) -> bool:
     """Return whether a successful answer is a stream of events.
 
-    ``expected`` decides for answers that do not tell their type.
+    ``expected`` decides for answers without a content type.
 
     >>> is_event_stream(200, "text/event-stream; charset=utf-8")
     True
--- a/fescuekeel/messages/forwarding.py
+++ b/fescuekeel/messages/forwarding.py
@@ -276,7 +276,7 @@
     wait for ``patience_ms`` and has ended after ``lasts_ms``. ``running`` are
     the sender's other requests there without a permit of this home.
     ``max_rejections_per_s`` are the rejections that the endpoint stands, and
-    ``is_new`` says that it started a moment ago.
+    ``is_new`` says that it has just started.
     """
 
     endpoint: str
--- a/fescuekeel/messages/origins.py
+++ b/fescuekeel/messages/origins.py
@@ -38,7 +38,7 @@
 class StreamOriginAsk:
     """Ask a home what began a stream.
 
-    ``service`` would serve it now; the answer also tells the versions of it
+    ``service`` would serve it now; the answer also lists the versions of it
     that have served within ``horizon_ms``.
     """
 
--- a/standins/forwarding/resuming_caller.py
+++ b/standins/forwarding/resuming_caller.py
@@ -1,4 +1,4 @@
-"""A caller that takes up a stream again at other instances."""
+"""A caller that resumes a stream at other instances."""
 
 import asyncio
 import re
--- a/standins/journals.py
+++ b/standins/journals.py
@@ -47,7 +47,7 @@
 def find_run_violations(
     results: Sequence[Result], runs_by_marker: Counter[str]
 ) -> list[RunViolation]:
-    """Return requests whose runs contradict what callers were told."""
+    """Return requests whose runs contradict the answers to their callers."""
     groups_by_marker: dict[str, RequestResults] = {}
     for result in results:
         group = groups_by_marker.setdefault(result.request.marker, RequestResults())
--- a/tests/components/forward/test_endpoint_limiter.py
+++ b/tests/components/forward/test_endpoint_limiter.py
@@ -68,7 +68,7 @@
         assert len(run(1.0, 8.0)) >= 0.9 * 20 * 8
 
     def test_some_requests_reach_an_endpoint_that_takes_none(self):
-        # Guards against a limit that nothing can tell the end of.
+        # Guards against a limit whose end no endpoint can announce.
         assert len(run(0.0)) >= 8
         assert count_most_in_window(run(0.0)) <= 3
 
--- a/tests/components/forward/test_rejection_limits.py
+++ b/tests/components/forward/test_rejection_limits.py
@@ -10,17 +10,17 @@
 
 class TestTelling:
     # Guards against a message to all instances for each answer.
-    def test_peers_are_told_once_in_a_while(self):
+    def test_peers_are_announced_once_in_a_while(self):
         services = RejectionLimits()
-        told = [services.record("s", 4.0, now / 100) for now in range(1000)]
-        assert sum(told) == 1 + int(10.0 / REJECTION_LIMIT_REFRESH_S) - 1
+        announced = [services.record("s", 4.0, now / 100) for now in range(1000)]
+        assert sum(announced) == 1 + int(10.0 / REJECTION_LIMIT_REFRESH_S) - 1
 
-    def test_another_number_is_told_at_once(self):
+    def test_another_number_is_announced_at_once(self):
         services = RejectionLimits()
         assert services.record("s", 4.0, 0.0)
         assert services.record("s", 2.0, 0.1)
 
-    def test_what_a_peer_told_is_not_told_again(self):
+    def test_what_a_peer_announced_is_not_announced_again(self):
         services = RejectionLimits()
         assert services.apply("s", 4.0, 1.0)
         assert not services.record("s", 4.0, 1.5)
--- a/tests/components/gossip/test_component.py
+++ b/tests/components/gossip/test_component.py
@@ -132,7 +132,7 @@
 
 class TestCatchUp:
     def test_an_instance_that_was_cut_off(self):
-        # Guards against an instance that never hears of what it has missed.
+        # Guards against an instance that never receives what it has missed.
         async def work(network):
             network.cut_off.add("i3")
             network.instances_by_id["i0"].gossip.publish("t", "k", 1, b"x")
--- a/tests/components/quarantine/test_reports.py
+++ b/tests/components/quarantine/test_reports.py
@@ -1,4 +1,4 @@
-"""Tests of how crashes of one endpoint are told apart."""
+"""Tests of how crashes of one endpoint are distinguished."""
 
 from fescuekeel.components.quarantine.const import MAX_FINGERPRINTS
 from fescuekeel.components.quarantine.reports import OwnReports
--- a/tests/components/relay/test_unreachable.py
+++ b/tests/components/relay/test_unreachable.py
@@ -1,4 +1,4 @@
-"""Tests of what instances tell each other of endpoints they cannot reach."""
+"""Tests of announcements of the endpoints that instances cannot reach."""
 
 import pytest
 from hypothesis import given, strategies as st
@@ -50,7 +50,7 @@
 
 class TestTelling:
     # Guards against messages to the whole fleet for a link that flaps.
-    def test_a_state_that_does_not_last_is_not_told(self):
+    def test_a_state_that_does_not_last_is_not_announced(self):
         state = UnreachableState()
         cut = Unreachable(is_all=True)
         now = 10.0
@@ -60,8 +60,8 @@
             now += STABLE_S / 2
             assert not state.update(Unreachable(), now)
 
-    def test_it_is_told_again_before_peers_forget_it(self):
+    def test_it_is_announced_again_before_peers_forget_it(self):
         state = UnreachableState()
         cut = Unreachable(is_all=True)
-        told = [now for now in range(1000) if state.update(cut, float(now))]
-        assert len(told) == 4
+        announced = [now for now in range(1000) if state.update(cut, float(now))]
+        assert len(announced) == 4
--- a/tests/fuzz/network.py
+++ b/tests/fuzz/network.py
@@ -2,7 +2,7 @@
 
 A connection delivers its messages in order. A lost connection drops the
 messages in flight, which are not sent again. A frozen one drops all messages
-from then on, and neither side is told.
+from then on, and neither side is notified.
 """
 
 import itertools
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -106,7 +106,7 @@
 
 
 class TestBreakBeforeTheFirstEvent:
-    # Guards against a cut connection where the caller could be told an error,
+    # Guards against a cut connection where the caller could get an error,
     # or be served by another endpoint.
     def test_is_an_error_or_a_retry(self):
         async def work():
--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -106,7 +106,7 @@
         run(work)
 
     def test_an_instance_that_starts_later_knows(self):
-        # Guards against dropping what peers tell of endpoints that are not in
+        # Guards against dropping announcements of endpoints that are not in
         # the catalog yet.
         async def work():
             async with start_world(2) as world:
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -109,7 +109,7 @@
 
 
 class TestOverTries:
-    # Guards against a stream that a caller takes up at another instance, and
+    # Guards against a stream that a caller resumes at another instance, and
     # that goes on at an endpoint of another software version.
     def test_a_stream_goes_on_at_its_version(self):
         async def work():
