Ask a peer whether an endpoint has crashed if the own link is silent

What callers would see: a request that crashes endpoints is sent to one more than the limit allows, so that others lose their answers.

A run of 119 ms broke, and the link of that instance (i4) to the endpoint fell silent at the same moment. Its check was silent, which counts as no crash, and no peer was asked: peers were only asked after evidence of a crash. Two peers had found the endpoint closed 190 ms before. The request was reported for its later crashes only.

Change: if the own calls are silent, the same two calls go through a peer. Only closed connections count there; if no peer reaches the endpoint it may be cut off from all, and nothing is blamed.

Evidence: TestSilentLink, whose first test failed before this change; its other four hold before and after.

Where connections are refused, peers cannot tell a refusal from a cut, so that such a crash still does not count.

--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -89,6 +89,11 @@
         if self._was_leaving(endpoint):
             return None
         evidence = await gather_evidence(lambda: self._call(endpoint, address))
+        if evidence.second is Liveness.SILENT:
+            # The link to it may be cut: only peers have evidence then.
+            evidence = await gather_evidence(
+                lambda: self._call_through_peer(endpoint, address)
+            )
         peer = Liveness.SILENT
         if evidence.shows_crash and evidence.second is not Liveness.REPLACED:
             peer, took_s = await self._ask_peer(endpoint, address, evidence.second)
@@ -136,6 +141,17 @@
             return classify_failed_connect(error.__cause__)
         return await self._call_on(connection, endpoint, address)
 
+    async def _call_through_peer(self, endpoint: str, address: str) -> Liveness:
+        """Return what a call through a peer shows, ``SILENT`` without one.
+
+        An endpoint that no peer reaches may be cut off from all of them.
+        """
+        try:
+            connection = await self._relay.connect_relayed(endpoint)
+        except RelayFailedError:
+            return Liveness.SILENT
+        return await self._call_on(connection, endpoint, address)
+
     async def _connect(self, endpoint: str, address: str) -> Connection:
         """Connect by the path that the endpoint had before."""
         if self._relay.get_state(endpoint) is PathState.RELAYED:
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -75,6 +75,7 @@
 
     status: int = 200
     down: bool = False
+    silent: bool = False
     stopped: bool = False
     removed_s: float | None = None
     relay: FakeRelay = field(default_factory=FakeRelay)
@@ -84,6 +85,7 @@
         standin = Endpoint(self.status)
         server = Server(standin, [("/report", ReportHandler)])
         standin.connection_faults.down = self.down
+        standin.connection_faults.mute = 9 if self.silent else 0
         clock = [100.0]
         instance = Instance(make_settings(), clock=lambda: clock[0])
         record = None if self.removed_s is not None else object()
@@ -166,3 +168,39 @@
     def test_a_relay_that_fails_is_no_crash(self):
         relay = FakeRelay(reaches_others=False, state=PathState.RELAYED)
         assert not Scenario(relay=relay, has_peers=True).crashed
+
+
+class TestSilentLink:
+    """The own link to the endpoint is silent, and peers have links as well."""
+
+    def check_with_peer(self, **changes):
+        async def work():
+            endpoint = Endpoint(200)
+            vars(endpoint.connection_faults).update(changes)
+            server = Server(endpoint, [("/report", ReportHandler)])
+            relay = FakeRelay(server.address)
+            try:
+                return await Scenario(silent=True, relay=relay, has_peers=True).check()
+            finally:
+                await server.stop()
+
+        return asyncio.run(work())
+
+    # Guards against a crash that does not count since the link to the endpoint
+    # falls silent at the same time.
+    def test_an_endpoint_that_closes_a_peers_connections_has_crashed(self):
+        assert self.check_with_peer(down=True)
+
+    def test_an_endpoint_that_answers_a_peer_has_not_crashed(self):
+        assert not self.check_with_peer()
+
+    def test_an_endpoint_that_is_silent_to_a_peer_too_has_not_crashed(self):
+        assert not self.check_with_peer(mute=9)
+
+    # Guards against blaming requests for a cut between an endpoint and all.
+    def test_an_endpoint_that_no_peer_reaches_has_not_crashed(self):
+        relay = FakeRelay(is_down=True)
+        assert not Scenario(silent=True, relay=relay, has_peers=True).crashed
+
+    def test_without_peers_nothing_is_known(self):
+        assert not Scenario(silent=True).crashed
