Close a stand-in's connections by its new name in a test

Cause: made ConnectionFaults.close_open public, and one test still called it by its old name.

Change: the name. The check is as it was.

Figures: the test failed before and passes now.

Conclusion: the name was searched for in the whole tree: no other use is left.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -62,7 +62,7 @@
                 engines = world.platform.engines_by_id.values()
                 await eventually(lambda: any(engine.running for engine in engines))
                 for engine in engines:
-                    engine.connection_faults._close_streams()
+                    engine.connection_faults.close_open()
                 assert (await task).code == 200
                 quarantines = [
                     each.components_by_domain["quarantine"] for each in world.instances
