Keep the headers of a request for the base model in the stand-ins

Cause: the soak of software versions spelled the platform's header names itself.

Change: a constant of the stand-in caller takes their place.

Conclusion: outside platform/ only stand-ins and their tests know these names.

--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -10,7 +10,8 @@
 
 from bench.soak.plan import Fault
 from bench.soak.violation import Violation
-from standins.forwarding.platform import MODEL, StandInPlatform, make_route
+from standins.forwarding.caller import BASE_MODEL_HEADERS
+from standins.forwarding.platform import StandInPlatform, make_route
 from standins.forwarding.resuming_caller import (
     ResumedStream,
     StreamRequest,
@@ -42,7 +43,6 @@
 MIN_STREAMS = 12
 PAUSE_S = 0.1
 MAX_LEFT_AFTER = 8
-HEADERS = (("Fescuekeel-Model", MODEL), ("Fescuekeel-Token-Count", "500,20"))
 
 
 def make_versioned_route() -> dict[str, Any]:
@@ -160,7 +160,7 @@
             request = StreamRequest(
                 f"5{self._seed % 2**24:06x}{number:07x}",
                 f"/{VERSIONED}/{number}",
-                HEADERS,
+                BASE_MODEL_HEADERS,
                 leaves_after=leaves_after,
                 time_left_s=4.0,
             )
@@ -179,7 +179,7 @@
         StreamRequest(
             f"6{seed % 2**24:06x}{number:07x}",
             f"/{VERSIONED}/{number}",
-            HEADERS,
+            BASE_MODEL_HEADERS,
             leaves_after=random.randint(1, MAX_LEFT_AFTER),
             time_left_s=4.0,
         )
--- a/standins/forwarding/caller.py
+++ b/standins/forwarding/caller.py
@@ -3,10 +3,15 @@
 from fescuekeel.helpers.dialect import Header
 from standins.forwarding.platform import HOST, MODEL
 
-__all__ = ["make_headers"]
+__all__ = ["BASE_MODEL_HEADERS", "make_headers"]
 
 PROMPT_TOKENS = 500
 MAX_TOKENS = 20
+# Headers of a request for the model without an adapter.
+BASE_MODEL_HEADERS: tuple[Header, ...] = (
+    ("Fescuekeel-Model", MODEL),
+    ("Fescuekeel-Token-Count", f"{PROMPT_TOKENS},{MAX_TOKENS}"),
+)
 
 
 def make_headers(
