Keep the retry budget over all lives of all instances

Callers' requests were repeated more often than all instances together may: an overloaded service got retries that made it worse.

Cause: a bound over all instances that is kept by shares, whose holders come anew, do not know of each other, or change in number. A new life got a part of the slack at once, divided by the instances it knew: by one, right after its start, and by those of its own data centre if that was cut off. Windows of instances end at different times, so that requests which moved counted twice.

Change: the slack is divided among data centres, which the settings name, then among the instances of one. A life uses its part only a window and the time to notice others after its start or a pause: all that use it in one window ran together before it. Of a divided data centre only the larger side does. The share of requests is one weighted sum of two windows for all instances, at its least favourable place; the sums add up to at most what is allowed.

--- a/fescuekeel/components/allowance/__init__.py
+++ b/fescuekeel/components/allowance/__init__.py
@@ -4,6 +4,7 @@
 from fescuekeel.components.allowance.concurrency import PermitOutcome
 from fescuekeel.components.allowance.const import DOMAIN
 from fescuekeel.components.allowance.limit import EndpointLimit
+from fescuekeel.components.allowance.partition import PartitionShare
 from fescuekeel.components.allowance.permits import Permit, PermitNeed
 from fescuekeel.core import REGISTRY, Instance
 
@@ -11,6 +12,7 @@
     "DOMAIN",
     "Allowances",
     "EndpointLimit",
+    "PartitionShare",
     "Permit",
     "PermitNeed",
     "PermitOutcome",
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -9,7 +9,7 @@
 
 from fescuekeel.components.forward.attempt import Attempt
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
-from fescuekeel.components.forward.budget import RetryBudget
+from fescuekeel.components.forward.budget import make_budget
 from fescuekeel.components.forward.caller import CallerConnection, CallerGoneError
 from fescuekeel.components.forward.choice import (
     Choice,
@@ -73,16 +73,13 @@
 
     def __init__(self, instance: Instance) -> None:
         settings = instance.settings
-        bounds = settings.forwarding
         self.instance = instance
         self.dialect = get_dialect(instance.settings.platform)
         self.server = CallersServer(self.accept, settings.callers.address)
         self.ready_server = PageServer(
             {self.dialect.ready_path: self._serve_ready_page}
         )
-        self.budget = RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
-        )
+        self.budget = make_budget(settings, instance.now())
         self.relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
         self.origins = cast(Origins, instance.components_by_domain[ORIGINS_DOMAIN])
         self.loads_by_id: dict[str, EndpointLoad] = {}
@@ -188,14 +185,13 @@
 
     def _apply_settings(self, reloaded: SettingsReloaded) -> None:
         bounds = self.instance.settings.forwarding
-        self.budget.ratio = bounds.retry_ratio
-        self.budget.slack = bounds.retry_slack
-        self.budget.window_s = bounds.retry_window_s
+        self.budget.configure(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        )
 
     def _update_members(self, view: MemberView) -> None:
-        known = len(view.members_by_id)
-        # Partitioned instances still use their part of the retry budget.
-        self.budget.instances = max(self.budget.instances, known)
+        centres = {id: member.data_centre for id, member in view.members_by_id.items()}
+        self.budget.update_members(centres, set(view.left), self.instance.now())
 
     # Requests of callers.
 
@@ -447,6 +443,7 @@
         while True:
             await sleep_to_tick(SWEEP_PERIOD_S)
             now = self.instance.now()
+            self.budget.record_alive(now)
             self._reachability.update()
             known = self._selector.list_endpoints()
             for id, pool in list(self._pools_by_id.items()):
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -87,6 +87,17 @@
 # Limit of sends per request, regardless of the retry budget.
 MAX_SENDS: Final = 4
 
+# The retry budget. How much longer than another one a retry may take from here
+# to its endpoint.
+RETRY_DELIVERY_S: Final = 0.5
+# Instances of a data centre that reach each other know of a new one after this
+# time, even if one of them was paused for a moment.
+JOIN_DETECTION_S: Final = 5.0
+# An instance that was paused for longer may not know who has started since.
+MAX_BUDGET_PAUSE_S: Final = 2.0
+# How long an instance that was lost counts as running behind a partition.
+LOST_SLACK_TTL_S: Final = 600.0
+
 # Health of endpoints. The weight of a new result in the moving average.
 RESULT_WEIGHT: Final = 0.15
 HEALTH_HALF_LIFE_S: Final = 4.0
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -40,12 +40,15 @@
 class InstanceSettings(Section, frozen=True):
     """Identity, location and process of this instance.
 
-    The process ends when its event loop is blocked while it uses
+    ``data_centres`` are the names of all data centres that have instances;
+    without them only those count that this instance has had contact with. The
+    process ends when its event loop is blocked while it uses
     ``blocked_loop_cpu_s`` seconds of processor time; zero disables that.
     """
 
     id: Name
     data_centre: Name
+    data_centres: tuple[Name, ...] = ()
     shutdown_s: Positive = 30.0
     blocked_loop_cpu_s: NonNegative = 5.0
 
