Charge a retry when it is sent

Callers' repeats arrived at endpoints in one window that had been charged in two.

Cause: the budget was charged when a retry was decided. It may wait for an endpoint until its deadline, for longer than the budget's window, while other retries are charged to the next one. The class: what limits arrivals has to be counted where they happen.

Change: the decision only asks whether the budget has room. The retry is charged right before it is sent, with no step between; the attempt ends over_budget, with the same errors as before, if others have used it meanwhile. An attempt that was not written takes its charge back. A line retry_charged for each.

--- a/fescuekeel/components/forward/attempts.py
+++ b/fescuekeel/components/forward/attempts.py
@@ -21,10 +21,12 @@
     not run the request. ``MISDIRECTED``: it did not run it because it is
     another endpoint or has other weights. ``FAILED``: it ran the request and
     answered with an error. ``BROKEN``: the request was sent, and the answer
-    is missing or incomplete.
+    is missing or incomplete. ``OVER_BUDGET``: no byte was sent, since retries
+    of other requests have used the retry budget.
     """
 
     UNSENT = "unsent"
+    OVER_BUDGET = "over_budget"
     NOT_RUN = "not_run"
     MISDIRECTED = "misdirected"
     FAILED = "failed"
@@ -44,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NextStep:
-    """The next action, and whether it uses the retry budget.
+    """The next action, and whether it will use the retry budget.
 
     ``kind`` is the caller's error if this step or the budget ends the request.
     """
@@ -114,6 +116,8 @@
     if end is AttemptEnd.UNSENT:
         # Nothing was sent: limited by the deadline only.
         return NextStep(Step.RETRY, final.kind)
+    if end is AttemptEnd.OVER_BUDGET:
+        return final
     if state.sends >= MAX_SENDS:
         return final if end is not AttemptEnd.FAILED else _pass_on()
     if end in (AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED):
@@ -132,5 +136,7 @@
 def _decide_after_start(state: RequestState, end: AttemptEnd) -> NextStep:
     if not state.resumable or not state.can_go_on or state.sends >= MAX_SENDS:
         return NextStep(Step.ABORT, ErrorKind.ANSWER_CUT)
+    if end is AttemptEnd.OVER_BUDGET:
+        return NextStep(Step.ABORT, ErrorKind.ANSWER_CUT)
     uses_budget = end is not AttemptEnd.UNSENT
     return NextStep(Step.RESUME, ErrorKind.ANSWER_CUT, uses_budget)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -383,14 +383,25 @@
         """Report the end of a use of weights to the holders soon."""
         self._use.record_ended()
 
-    def spend_retry(self, request: ForwardedRequest, end: AttemptEnd) -> bool:
-        """Use the retry budget; return whether a retry is allowed."""
+    def may_retry(self, request: ForwardedRequest, end: AttemptEnd) -> bool:
+        """Return whether the retry budget allows a retry of an attempt."""
+        left = self.budget.count_left(request.service, self.instance.now())
+        self.records.retry(request, end, left)
+        return left > 0
+
+    def spend_retry(self, request: ForwardedRequest) -> bool:
+        """Use the retry budget for a request that is sent now."""
         now = self.instance.now()
         allowed = self.budget.spend(request.service, now)
-        left = self.budget.count_left(request.service, now)
-        self.records.retry(request, end, left, allowed)
+        self.records.retry_sent(
+            request, self.budget.count_left(request.service, now), allowed
+        )
         return allowed
 
+    def refund_retry(self, request: ForwardedRequest) -> None:
+        """Return the retry of a request that was not sent after all."""
+        self.budget.refund(request.service)
+
     # Reports of requests.
 
     def record_attempt(
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -63,11 +63,9 @@
                     return AttemptEnd.MISDIRECTED
             except (IncompleteResponseError, NotConnectedError, ValueError):
                 return AttemptEnd.UNSENT
-        self.attempt.sent_at = self.forwarder.instance.now()
-        try:
-            self._send(connection)
-        except NotConnectedError:
-            return AttemptEnd.UNSENT
+        unsent = self._send_within_budget(connection)
+        if unsent is not None:
+            return unsent
         try:
             return await self._read_answer(connection)
         except (IncompleteResponseError, ValueError) as error:
@@ -161,6 +159,25 @@
         self.request.state.record_sent(endpoint)
         return False
 
+    def _send_within_budget(self, connection: Connection) -> AttemptEnd | None:
+        """Send the request; return why it was not sent, or ``None``.
+
+        A repeated one is charged as it is sent: it may have waited for an
+        endpoint for longer than the budget's window.
+        """
+        request = self.request
+        is_retry = request.state.sends > 0
+        if is_retry and not self.forwarder.spend_retry(request):
+            return AttemptEnd.OVER_BUDGET
+        self.attempt.sent_at = self.forwarder.instance.now()
+        try:
+            self._send(connection)
+        except NotConnectedError:
+            if is_retry:
+                self.forwarder.refund_retry(request)
+            return AttemptEnd.UNSENT
+        return None
+
     def _send(self, connection: Connection) -> None:
         request = self.request
         forward_metadata = ForwardMetadata(
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -48,8 +48,14 @@
     def get_priority(self, request: R) -> int | None:
         """Return the priority for an engine, ``None`` for plain services."""
 
-    def spend_retry(self, request: R, end: AttemptEnd) -> bool:
-        """Use the retry budget; return whether a retry is allowed."""
+    def may_retry(self, request: R, end: AttemptEnd) -> bool:
+        """Return whether the retry budget allows a retry of an attempt."""
+
+    def spend_retry(self, request: R) -> bool:
+        """Use the retry budget for a request that is sent now."""
+
+    def refund_retry(self, request: R) -> None:
+        """Return the retry of a request that was not sent after all."""
 
     # Endpoints.
 
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -39,11 +39,9 @@
             outcome="refused",
         )
 
-    def retry(
-        self, request: ForwardedRequest, end: AttemptEnd, left: int, allowed: bool
-    ) -> None:
-        """Record a decision of the retry budget."""
-        outcome = "granted" if allowed else "denied"
+    def retry(self, request: ForwardedRequest, end: AttemptEnd, left: int) -> None:
+        """Record whether the budget allows a retry after an attempt."""
+        outcome = "granted" if left > 0 else "denied"
         self._instance.metrics.count(f"retry.{end}.{outcome}")
         log_event(
             "retry_decided",
@@ -54,6 +52,21 @@
             outcome=outcome,
         )
 
+    def retry_sent(self, request: ForwardedRequest, left: int, allowed: bool) -> None:
+        """Record that a retry used the budget, or was refused by it."""
+        outcome = "sent" if allowed else "over_budget"
+        self._instance.metrics.count(f"retry_budget.{outcome}")
+        waited_s = self._instance.now() - request.arrived
+        log_event(
+            "retry_charged",
+            request_id=request.metadata.request_id,
+            service=request.service,
+            sends=request.state.sends,
+            age_ms=round(waited_s * 1000),
+            left=left,
+            outcome=outcome,
+        )
+
     def attempt(
         self,
         request: ForwardedRequest,
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -237,7 +237,7 @@
             if self.broken_run is not None:
                 await self._report_broken(self.broken_run)
             step = decide(self.state, end)
-            if step.uses_budget and not self.forwarder.spend_retry(self, end):
+            if step.uses_budget and not self.forwarder.may_retry(self, end):
                 await self._give_up(step.kind, "budget")
                 return
             if end is AttemptEnd.UNSENT:
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -38,14 +38,13 @@
 
 
 class TestWaitingRetries:
-    # Guards against retries that are charged when they are decided, wait for an
-    # endpoint, and arrive together with those of the next window.
+    # Guards against retries that are charged when they are decided, wait for
+    # an endpoint, and arrive together with those of the next window.
     def test_they_count_when_they_are_sent(self):
         async def work():
             async with start_world(1) as world:
                 forward = world.instances[0].components_by_domain["forward"]
-                budget = forward.budget
-                budget.ratio, budget.slack, budget.window_s = 0.0, SLACK, WINDOW_S
+                forward.budget.configure(0.0, SLACK, WINDOW_S)
                 await asyncio.sleep(SETTLE_S)
                 platform, workers = world.platform, world.platform.list_workers(PLAIN)
                 for worker in workers:
