Soak: check the retries of all daemons together

Cause: no check of the soak counted retries, and endpoints failed too seldom for the budget to matter.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -18,6 +18,7 @@
 from bench.soak.limits import check_limits
 from bench.soak.links import check_cut_service
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
+from bench.soak.retries import check_retries
 from bench.soak.versions import (
     ResumingCaller,
     check_streams_go_on,
@@ -106,6 +107,8 @@
             workers, results, lost_at, history.disturbs_daemons
         )
         violations += check_limits(world.limits.periods, history.disturbs_daemons)
+        slack = max(daemon.spec.retry_slack for daemon in world.daemons)
+        violations += check_retries(workers, results, slack)
         violations += check_brittle(world.brittle.periods, history.disturbs_daemons)
         streams = [stream for caller in resuming for stream in caller.streams]
         violations += check_versioned_streams(
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -56,6 +56,7 @@
     ANSWERS_BREAK = "answers_break"
     VERSION_RELEASE = "version_release"
     VERSION_IN_PLACE = "version_in_place"
+    SERVICE_FAILS = "service_fails"
 
 
 # These kinds have random streams of their own, by name, so that a seed draws
@@ -80,6 +81,7 @@
     "brittle": (FaultKind.SERVICE_BRITTLE,),
     "answers": (FaultKind.ENDPOINT_FRAMING, FaultKind.ANSWERS_BREAK),
     "versions": (FaultKind.VERSION_RELEASE, FaultKind.VERSION_IN_PLACE),
+    "retries": (FaultKind.SERVICE_FAILS,),
 }
 LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -19,6 +19,7 @@
 from bench.soak.limits import EndpointLimits
 from bench.soak.links import LinkCuts
 from bench.soak.plan import Fault, FaultKind
+from bench.soak.retries import RETRY_WINDOW_S, fail_service
 from bench.soak.versions import (
     VERSIONED,
     VersionedService,
@@ -120,6 +121,7 @@
             FaultKind.ANSWERS_BREAK: self._break_answers,
             FaultKind.VERSION_RELEASE: self._release_version,
             FaultKind.VERSION_IN_PLACE: self._change_version_in_place,
+            FaultKind.SERVICE_FAILS: self._fail_service,
         }
 
     # Start and stop.
@@ -153,6 +155,8 @@
                 seeds,
                 await store.start(),
                 revoked_bound_s=REVOCATION_BOUND_S,
+                retry_window_s=RETRY_WINDOW_S,
+                data_centres=ZONES,
             )
             daemon = DaemonProcess(spec, self._folder, proxies[number], store)
             self.daemons.append(daemon)
@@ -443,6 +447,10 @@
     async def _change_version_in_place(self, fault: Fault) -> None:
         await self.versioned.change_in_place(fault)
 
+    async def _fail_service(self, fault: Fault) -> None:
+        service = self._pick_worker(fault).service
+        await fail_service(self.platform.list_workers(service), fault)
+
     async def _publish_adapter_version(self, fault: Fault) -> None:
         adapter = f"a{fault.target % 10 + 1}"
         version = self.adapter_versions.get(adapter, 1) + 1
--- a/standins/forwarding/daemons.py
+++ b/standins/forwarding/daemons.py
@@ -38,10 +38,12 @@
 lease_s = 1
 fenced = yes
 retry_slack = {retry_slack}
+retry_window_s = {retry_window_s}
 revoked_bound_s = {revoked_bound_s}
 
 [instance]
 shutdown_s = {shutdown_s}
+data_centres = {data_centres}
 id = {id}
 data_centre = {data_centre}
 """
@@ -73,7 +75,9 @@
     store: str
     shutdown_s: float = 2.0
     retry_slack: float = 20.0
+    retry_window_s: float = 10.0
     revoked_bound_s: float = 5.0
+    data_centres: tuple[str, ...] = ()
 
     def get_settings_path(self, folder: Path) -> Path:
         """Return the path of the settings file."""
@@ -100,6 +104,8 @@
             dialect_path=ROOT / "platform",
             store=self.store,
             retry_slack=self.retry_slack,
+            retry_window_s=self.retry_window_s,
+            data_centres=",".join(self.data_centres),
             revoked_bound_s=self.revoked_bound_s,
         )
 
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -1,6 +1,7 @@
 """The HTTP interface of the stand-in workers."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -110,9 +111,9 @@
     async def run_request(self) -> None:
         """Run the request, or reject or fail it."""
         worker = self.standin
-        self.set_header(
-            REQUEST_ID_HEADER, self.request.headers.get(REQUEST_ID_HEADER, "")
-        )
+        request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
+        worker.arrivals.append((time.monotonic(), request_id))
+        self.set_header(REQUEST_ID_HEADER, request_id)
         if worker.limit_per_s is not None:
             self.set_header(SERVER_LIMIT_HEADER, str(worker.limit_per_s))
             worker.limit_named_at = worker.limit_named_at or time.monotonic()
@@ -127,7 +128,6 @@
         if adapter and adapter not in worker.versions_by_adapter:
             await self.respond(421, {})
             return
-        request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
         version = worker.versions_by_adapter.get(adapter, 0)
         expected = self.request.headers.get("Fescuekeel-Expect-Version")
         if expected and int(expected) != version:
@@ -167,7 +167,7 @@
             (CRASH_BEFORE_FIRST_EVENT, CRASH_AFTER_FIRST_EVENT)
         ):
             await self.crash_worker(worker.crash)
-        elif worker.consume_fault("fail"):
+        elif random.random() < worker.failing_share or worker.consume_fault("fail"):
             await self.respond(500, {})
         elif model:
             worker.running_by_adapter[adapter] += 1
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -56,6 +56,8 @@
 class Worker:
     """A worker: a plain service, or an engine if it has a model.
 
+    ``arrivals`` has the time and the id of each request that reached it,
+    rejected ones too. A ``failing_share`` of all runs respond with 500.
     Of the next requests, ``fail`` run and respond with 500, ``shed`` are
     rejected without running, ``cut`` drop the connection after some events
     and ``stall`` become unresponsive after some events. ``overrun`` is set
@@ -85,6 +87,7 @@
     id: str = field(default_factory=lambda: f"w-{next(IDS)}")
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     runs: Counter[str] = field(default_factory=Counter)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
     records: list[RunRecord] = field(default_factory=list)
     served_by_weights: Counter[str] = field(default_factory=Counter)
     versions_by_adapter: dict[str, int] = field(default_factory=dict)
@@ -99,6 +102,7 @@
     running_by_adapter: Counter[str] = field(default_factory=Counter)
     unloaded_in_use: list[str] = field(default_factory=list)
     fail: int = 0
+    failing_share: float = 0.0
     shed: int = 0
     cut: int = 0
     stall: int = 0
