--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -25,6 +25,7 @@
 TENANT_HEADER = "Fescuekeel-Tenant"
 SERVER_LIMIT_HEADER = "Fescuekeel-Server-Limit"
 SERVER_BRITTLE_HEADER = "Server-Brittle"
+PROMPT_PARTS_HEADER = "Fescuekeel-Prompt-Prefix"
 SERVER_STAMP_HEADER = "Fescuekeel-Server-Stamp"
 REQUEST_ID_HEADER = "Fescuekeel-Request-Id"
 # A body that starts with one of these crashes each worker that runs it.
@@ -163,9 +164,18 @@
         )
         worker.served_by_weights[f"{model}/{adapter}"] += 1
         self.set_header(SERVER_STAMP_HEADER, f"stamp-{worker.id}")
-        if worker.crash is not None and self.request.body.startswith(
+        part = self.find_crashing_part()
+        if worker.crash is not None and part:
+            if worker.crash_after_event:
+                await self.write_first_event()
+            await asyncio.sleep(worker.crash_delay_s)
+            await self.crash_worker(worker.crash, part)
+        elif worker.crash is not None and self.request.body.startswith(
             (CRASH_BEFORE_FIRST_EVENT, CRASH_AFTER_FIRST_EVENT)
         ):
+            if self.request.body.startswith(CRASH_AFTER_FIRST_EVENT):
+                await self.write_first_event()
+            await asyncio.sleep(CRASH_DELAY_S)
             await self.crash_worker(worker.crash)
         elif random.random() < worker.failing_share or worker.consume_fault("fail"):
             await self.respond(500, {})
@@ -208,15 +218,22 @@
         except StreamClosedError:
             self._finished = True
 
-    async def crash_worker(self, crash: Callable[[], None]) -> None:
-        """Crash the worker after a short run, as the body asks for."""
-        if self.request.body.startswith(CRASH_AFTER_FIRST_EVENT):
-            self.write("id: 1\ndata: piece 1\n\n")
-            await self.flush()
-        await asyncio.sleep(CRASH_DELAY_S)
+    def find_crashing_part(self) -> str:
+        """Return the part of the prompt that crashes the worker, if any."""
+        header = self.request.headers.get(PROMPT_PARTS_HEADER, "")
+        parts = [entry.partition(":")[0] for entry in header.split(",")]
+        return next((part for part in parts if part in self.standin.crash_parts), "")
+
+    async def write_first_event(self) -> None:
+        """Send the first event of a stream."""
+        self.write("id: 1\ndata: piece 1\n\n")
+        await self.flush()
+
+    async def crash_worker(self, crash: Callable[[], None], part: str = "") -> None:
+        """Crash the worker, as the body or a part of the prompt asks for."""
         request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
         record = CrashRecord(
-            request_id, self.request.path, self.request.body, time.monotonic()
+            request_id, self.request.path, self.request.body, time.monotonic(), part
         )
         self.standin.crashes.append(record)
         crash()
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -50,6 +50,7 @@
     path: str
     body: bytes
     crashed_at: float
+    part: str = ""
 
 
 @dataclass(eq=False)
@@ -66,7 +67,9 @@
     ``holders`` are the tokens and senders of the accepted orders, in order of
     arrival. Reports are ``report_lag_s`` old, and plain runs take ``run_s``.
     ``crash`` stops the worker's server and starts it again later; ``None``
-    ignores bodies that crash it.
+    ignores bodies and parts of prompts that crash it. ``crash_parts`` are such
+    parts, which do so ``crash_delay_s`` after a run with one began, and with
+    ``crash_after_event`` once it has sent its first event.
     While ``limit_per_s`` is set, answers name it as the worker's rate limit;
     ``limit_named_at`` is when the first one did.
     ``room`` bounds the requests that run and wait.
@@ -110,6 +113,9 @@
     limit_named_at: float | None = None
     crash: Callable[[], None] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
+    crash_parts: set[str] = field(default_factory=set)
+    crash_delay_s: float = 0.07
+    crash_after_event: bool = False
     room: WorkerRoom = field(default_factory=WorkerRoom)
     framing: AnswerFraming | None = None
     line_end: bytes = b"\n"
