Quarantine parts of prompts that crash endpoints

Callers saw endpoints end one after the other, and with them what ran there, while requests with one part in their prompts came again and again.

Cause: requests are recognized as a whole, by a fingerprint of all they hold, and each of these is new. The class: evidence is kept by a key that is narrower than its cause.

Change: the dialect reads the parts of a prompt. Parts of requests that ran on an endpoint when it crashed are gossiped beside the fingerprints, unless they have completed here in the last 10 s or the run had written for over 0.5 s; from a second crash on who has completed one releases it everywhere. A part in three crashes of different requests at different times that nothing explains better is refused, 400 at once: a deeper part of the same request explains a crash if it comes again, a part of other requests if it is in more crashes. A part's key has the client account in it, or the host: nobody can have another's refused. Whole requests are no longer blamed for crashes that a part explains.

Nothing is sent while no endpoint crashes.

--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -27,6 +27,7 @@
     sent_at: float = 0.0
     first_chunk_received: bool = False
     first_s: float = -1.0
+    first_chunk_at: float = 0.0
     head: ResponseHead | None = None
     connection: Connection | None = None
     framing: Framing | None = None
--- a/fescuekeel/components/forward/broken_run.py
+++ b/fescuekeel/components/forward/broken_run.py
@@ -14,13 +14,14 @@
 
     It broke after ``lasted_s``. ``shown_alive`` says that the endpoint was
     alive when the run began: its connection had been used before, or brought a
-    part of the answer.
+    part of the answer. ``written_s`` is how long the answer had been coming.
     """
 
     endpoint: str
     began_at: float
     lasted_s: float = 0.0
     shown_alive: bool = False
+    written_s: float = 0.0
 
     def was_in_crash(self, evidence: CrashEvidence) -> bool:
         """Return whether the run was in progress when the endpoint crashed.
--- a/fescuekeel/components/forward/crashes.py
+++ b/fescuekeel/components/forward/crashes.py
@@ -22,7 +22,7 @@
 class SuspectRequest(Protocol):
     """The parts of a request by which it is judged.
 
-    The fingerprint is only computed when it is needed.
+    The fingerprint is only computed when it is needed, as are the parts.
     """
 
     metadata: CallerMetadata
@@ -32,6 +32,10 @@
     def fingerprint(self) -> str:
         """Return the digest of what an endpoint is asked to run."""
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the keys of the prompt's parts that requests may share."""
+
 
 class CrashReporter:
     """Check endpoints after broken answers, and requests before each send."""
@@ -53,14 +57,20 @@
         self._checker.update_catalog(catalog, now)
 
     def find_failure(self, request: SuspectRequest) -> Failure | None:
-        """Return a failure if the request has crashed several endpoints."""
+        """Return a failure if the request, or a part of it, is quarantined."""
         if self._quarantine.is_empty:
             return None
-        return self._quarantine.check(request.fingerprint, request.state.may_have_run)
+        may_have_run = request.state.may_have_run
+        return self._quarantine.check(request.fingerprint, may_have_run, request.parts)
 
-    def record_completed(self, request: SuspectRequest) -> None:
-        """Record that an endpoint has completed the request."""
-        self._quarantine.record_completed(request.fingerprint)
+    def record_completed(self, request: SuspectRequest, succeeded: bool) -> None:
+        """Record that an endpoint has answered the request completely.
+
+        An endpoint may refuse a request without reading its prompt, so that
+        only success says something of its parts.
+        """
+        parts = request.parts if succeeded else ()
+        self._quarantine.record_completed(request.fingerprint, parts)
 
     async def handle_broken(
         self,
@@ -74,6 +84,7 @@
         endpoint does not survive must not be retried before it is reported.
         """
         request_id, fingerprint = request.metadata.request_id, request.fingerprint
+        parts = request.parts
         check = self._checker.start_check(run.endpoint, address)
 
         def report(check: asyncio.Task[CrashEvidence | None]) -> None:
@@ -82,7 +93,12 @@
             evidence = check.result()
             if evidence is not None and run.was_in_crash(evidence):
                 self._quarantine.record_crash(
-                    request_id, fingerprint, run.endpoint, run.began_at
+                    request_id,
+                    fingerprint,
+                    run.endpoint,
+                    run.began_at,
+                    parts,
+                    run.written_s,
                 )
 
         check.add_done_callback(report)
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -90,8 +90,15 @@
         )
         self.request.answer.end_broken_part()
         shown_alive = not connection.fresh or attempt.head is not None
+        written_s = (
+            now - attempt.first_chunk_at if attempt.first_chunk_received else 0.0
+        )
         self.request.broken_run = BrokenRun(
-            attempt.endpoint, attempt.sent_at, now - attempt.sent_at, shown_alive
+            attempt.endpoint,
+            attempt.sent_at,
+            now - attempt.sent_at,
+            shown_alive,
+            written_s,
         )
 
     # Sending.
@@ -297,6 +304,7 @@
         if attempt.first_chunk_received:
             return
         attempt.first_chunk_received = True
+        attempt.first_chunk_at = now
         wait_s = now - attempt.started_at
         attempt.first_s = wait_s
         estimator = self.forwarder.get_overhead_estimator(self.request.service)
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from fescuekeel.components.allowance import PermitOutcome
 from fescuekeel.components.forward.answer import ForwardedAnswer
@@ -26,9 +27,10 @@
 from fescuekeel.components.forward.exchange import Exchange
 from fescuekeel.components.forward.host import RequestHost
 from fescuekeel.components.origins import StreamOrigin
+from fescuekeel.components.quarantine import MAX_PARTS
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.dialect import CallerMetadata
-from fescuekeel.helpers.fingerprint import compute_fingerprint
+from fescuekeel.helpers.fingerprint import compute_fingerprint, fingerprint_parts
 from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
 
 __all__ = ["ForwardedRequest"]
@@ -68,6 +70,7 @@
     _current_attempt: Attempt | None = None
     _caller_closed: bool = field(default=False)
     _fingerprint: str = ""
+    _parts: tuple[str, ...] | None = None
 
     def __post_init__(self) -> None:
         """Make the answer, which all attempts share."""
@@ -90,6 +93,18 @@
             )
         return self._fingerprint
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Return the keys of the prompt's parts that requests may share."""
+        if self._parts is None:
+            ids = dict.fromkeys(self.metadata.prompt_parts[:MAX_PARTS])
+            if self.account is not None:
+                owner = f"account {self.account.name}"
+            else:
+                owner = f"host {self.route.host}"
+            self._parts = fingerprint_parts(ids, owner)
+        return self._parts
+
     @property
     def weights(self) -> Weights | None:
         """Return the weights that the request needs, if any."""
@@ -204,7 +219,10 @@
             self.forwarder.origins.record_ended(self._stream_id)
         self.outcome = "answered"
         self.state.may_have_run = True
-        self.forwarder.crashes.record_completed(self)
+        attempt = self._current_attempt
+        head = attempt.head if attempt is not None else None
+        succeeded = head is not None and head.status < HTTPStatus.BAD_REQUEST
+        self.forwarder.crashes.record_completed(self, succeeded)
 
     @property
     def current_endpoint(self) -> str:
--- a/fescuekeel/components/quarantine/component.py
+++ b/fescuekeel/components/quarantine/component.py
@@ -1,6 +1,7 @@
 """Share crashes of endpoints with peers, and judge requests by them."""
 
 import random
+from collections.abc import Sequence
 from typing import cast
 
 from fescuekeel.components.gossip import (
@@ -16,7 +17,10 @@
     MAX_REPORTS,
 )
 from fescuekeel.components.quarantine.ledger import Crash, CrashLedger, Verdict
+from fescuekeel.components.quarantine.part_ledger import SuspectRun
+from fescuekeel.components.quarantine.parts import PartQuarantine
 from fescuekeel.components.quarantine.reports import (
+    SEPARATOR,
     OwnReports,
     pack_fingerprints,
     unpack_fingerprints,
@@ -31,8 +35,6 @@
 
 CRASH_TOPIC = "crash"
 RELEASE_TOPIC = "release"
-# Separates the parts of a fact's key.
-SEPARATOR = "|"
 EXPIRY_PERIOD_S = 1.0
 
 
@@ -47,6 +49,7 @@
         self._start = f"{random.getrandbits(32):08x}"
         self._verdicts_by_fingerprint: dict[str, Verdict] = {}
         self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
+        self._parts = PartQuarantine(instance, self._gossip, self._start)
 
     async def start(self) -> None:
         """Register the topics, and subscribe to changes of the settings."""
@@ -56,6 +59,7 @@
         self._gossip.register(
             RELEASE_TOPIC, TopicLimits(CRASH_TTL_S, MAX_RELEASES), self._handle_release
         )
+        self._parts.register()
         self._instance.bus.subscribe(SettingsReloaded, self._handle_reload)
         self._instance.metrics.add_gauge("quarantine_requests", self._count_verdicts)
         self._instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
@@ -74,28 +78,45 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether no request is suspected."""
-        return self._ledger.is_empty
+        """Return whether no request and no part of prompts is suspected."""
+        return self._ledger.is_empty and self._parts.is_empty
 
-    def judge(self, fingerprint: str) -> Verdict:
-        """Return the verdict on a request."""
-        return self._ledger.judge(fingerprint, self._instance.now())
+    def judge(self, fingerprint: str, parts: Sequence[str] = ()) -> Verdict:
+        """Return the verdict on a request as a whole.
 
-    def check(self, fingerprint: str, may_have_run: bool) -> Failure | None:
+        ``parts`` are the keys of its prompt's parts: those of other requests
+        may explain its crashes.
+        """
+
+        def explains(endpoint: str, crashes: int) -> bool:
+            return self._parts.explains(endpoint, crashes, parts)
+
+        return self._ledger.judge(fingerprint, self._instance.now(), explains)
+
+    def check(
+        self, fingerprint: str, may_have_run: bool, parts: Sequence[str] = ()
+    ) -> Failure | None:
         """Return the failure of a quarantined request, ``None`` for others."""
-        if self.judge(fingerprint) is not Verdict.QUARANTINED:
-            return None
+        if self.judge(fingerprint, parts) is not Verdict.QUARANTINED:
+            return self._parts.check(parts, may_have_run)
         crashes = self._ledger.list_crashes(fingerprint)
         detail = f"crashed {len(crashes)} endpoints, fingerprint {fingerprint}"
         ran = Ran.YES if may_have_run else Ran.NO
         return Failure(ErrorKind.QUARANTINED, detail, ran)
 
     def record_crash(
-        self, request_id: str, fingerprint: str, endpoint: str, began_at: float
+        self,
+        request_id: str,
+        fingerprint: str,
+        endpoint: str,
+        began_at: float,
+        parts: tuple[str, ...] = (),
+        written_s: float = 0.0,
     ) -> None:
         """Report that a request ran on an endpoint that has crashed.
 
-        ``began_at`` is when it was sent there, on the instance's clock.
+        ``began_at`` is when it was sent there, on the instance's clock, and
+        ``written_s`` for how long its answer had been coming.
         """
         now = self._instance.now()
         if self._ledger.has_completed_lately(fingerprint, now):
@@ -118,14 +139,17 @@
             len(report.fingerprints),
             pack_fingerprints(report.fingerprints),
         )
+        run = SuspectRun(fingerprint, parts)
+        self._parts.record_crash(request_id, report.crash, run, written_s)
 
-    def record_completed(self, fingerprint: str) -> None:
+    def record_completed(self, fingerprint: str, parts: Sequence[str] = ()) -> None:
         """Record that an endpoint has completed a request.
 
         A request that was in several crashes is released everywhere. One that
         was in a single one is not worth a message: its crash expires.
         """
         self._ledger.record_completed(fingerprint, self._instance.now())
+        self._parts.record_completed(parts)
         if len(self._ledger.list_crashes(fingerprint)) > 1:
             self._release(fingerprint, "completed")
 
@@ -182,14 +206,16 @@
     async def _expire_forever(self) -> None:
         while True:
             await sleep_to_tick(EXPIRY_PERIOD_S)
-            if self._ledger.is_empty:
-                continue
-            self._ledger.expire(self._instance.now())
-            self._update_verdicts()
+            if not self._ledger.is_empty:
+                self._ledger.expire(self._instance.now())
+                self._update_verdicts()
+            if not self._parts.is_empty:
+                self._parts.expire()
 
     # Operators.
 
     def _handle_reload(self, reloaded: SettingsReloaded) -> None:
-        """Release the requests that an operator names in the settings."""
+        """Release the requests and parts that an operator names."""
         for fingerprint in self._instance.settings.quarantine.released:
             self._release(fingerprint, "operator")
+            self._parts.release(fingerprint, "operator")
--- a/fescuekeel/components/quarantine/const.py
+++ b/fescuekeel/components/quarantine/const.py
@@ -28,3 +28,18 @@
 # of the same content run on several endpoints, which may fail together.
 COMPLETION_TTL_S: Final = 10.0
 MAX_COMPLETIONS: Final = 4096
+# Parts of prompts. The memory of suspects, and of parts that completed within
+# the time above.
+MAX_SUSPECT_PARTS: Final = 8192
+# Requests with suspected parts in one report.
+MAX_REPORTED_RUNS: Final = 64
+MAX_COMPLETED_PARTS: Final = 16384
+# A request's parts beyond this number are not judged.
+MAX_PARTS: Final = 32
+# Different requests that have to crash endpoints before a part is blamed.
+MIN_REQUESTS: Final = 2
+# A part crashes an endpoint as it begins to write an answer. A run that has
+# written for longer is not suspected.
+MAX_WRITTEN_S: Final = 0.5
+# Endpoints that crash within this time may have one cause, such as a rack.
+SIMULTANEOUS_CRASHES_S: Final = 0.1
--- a/fescuekeel/components/quarantine/ledger.py
+++ b/fescuekeel/components/quarantine/ledger.py
@@ -6,6 +6,7 @@
 request if no other suspect of that crash has been in more crashes.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -23,6 +24,14 @@
 __all__ = ["Crash", "CrashLedger", "Verdict"]
 
 
+Explains = Callable[[str, int], bool]
+
+
+def explain_nothing(endpoint: str, crashes: int) -> bool:
+    """Leave each crash unexplained."""
+    return False
+
+
 class Verdict(StrEnum):
     """What is known of a request.
 
@@ -132,8 +141,14 @@
 
     # Judgement.
 
-    def judge(self, fingerprint: str, now: float) -> Verdict:
-        """Return the verdict on a request."""
+    def judge(
+        self, fingerprint: str, now: float, explains: Explains = explain_nothing
+    ) -> Verdict:
+        """Return the verdict on a request.
+
+        ``explains`` says of a crash of an endpoint, and the number of crashes
+        that the request was in, whether something else caused it.
+        """
         crashes = self._crashes_by_fingerprint.get(fingerprint)
         if not crashes:
             return Verdict.CLEAR
@@ -147,6 +162,7 @@
             endpoint
             for endpoint in crashes
             if not self._is_explained(fingerprint, endpoint)
+            and not explains(endpoint, len(crashes))
         ]
         if len(unexplained) < CRASHES_TO_QUARANTINE:
             return Verdict.SUSPECT
--- a/fescuekeel/components/quarantine/reports.py
+++ b/fescuekeel/components/quarantine/reports.py
@@ -9,9 +9,11 @@
 
 from fescuekeel.components.quarantine.const import MAX_FINGERPRINTS, MAX_REPORTS
 
-__all__ = ["OwnReports", "pack_fingerprints", "unpack_fingerprints"]
+__all__ = ["SEPARATOR", "OwnReports", "pack_fingerprints", "unpack_fingerprints"]
 
 FINGERPRINT_BYTES = 16
+# Separates the parts of a fact's key.
+SEPARATOR = "|"
 # Before the number of a crash, from the second one on.
 NUMBER_SEPARATOR = "+"
 
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -56,7 +56,8 @@
     plus the maximum number of output tokens, ``None`` if not given.
     ``resume_after`` is the id of the last event that a caller has of a stream
     that it resumes, and ``resumes`` the id of the attempt that brought
-    the stream's first event; both are empty otherwise.
+    the stream's first event; both are empty otherwise. ``prompt_parts`` are
+    the ids of the parts of the prompt that other requests may share, in order.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     key_digest: bytes = b""
     tokens: int | None = None
     resumes: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/helpers/fingerprint.py
+++ b/fescuekeel/helpers/fingerprint.py
@@ -4,11 +4,13 @@
 fingerprint is the same everywhere, and is short enough to be sent to peers.
 """
 
+from collections.abc import Iterable
+
 import xxhash
 
 from fescuekeel.messages import Submit
 
-__all__ = ["compute_fingerprint", "fingerprint_submit"]
+__all__ = ["compute_fingerprint", "fingerprint_parts", "fingerprint_submit"]
 
 
 def compute_fingerprint(body: bytes, *parts: str) -> str:
@@ -32,6 +34,19 @@
     return digest
 
 
+def fingerprint_parts(parts: Iterable[str], owner: str) -> tuple[str, ...]:
+    """Return the keys of the parts of a prompt.
+
+    Callers name these parts. ``owner`` is the client account, or the host
+    without one, so that no caller can have another's parts blamed.
+
+    >>> first, = fingerprint_parts(["p"], "account a")
+    >>> first == fingerprint_parts(["p"], "account b")[0]
+    False
+    """
+    return tuple(compute_fingerprint(b"part", owner, part) for part in parts)
+
+
 def fingerprint_submit(submit: Submit) -> str:
     """Return the fingerprint of a request that is submitted to an owner."""
     return compute_fingerprint(
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -155,8 +155,8 @@
 class QuarantineSettings(Section, frozen=True):
     """Requests that are refused because they crash endpoints.
 
-    ``released`` has the fingerprints of requests, separated by commas, whose
-    past crashes are dropped by all instances.
+    ``released`` has the fingerprints of requests and of parts of prompts,
+    separated by commas, whose past crashes are dropped by all instances.
     """
 
     released: tuple[Fingerprint, ...] = ()
--- a/tests/components/quarantine/simulation.py
+++ b/tests/components/quarantine/simulation.py
@@ -65,6 +65,7 @@
     seconds: float = 30.0
     is_quarantined: object = judge
     choose: object = choose_least_loaded
+    max_sends: int = MAX_SENDS
     now: float = 0.0
     crashes: int = 0
     crashes_by_culprit: Counter = field(default_factory=Counter)
@@ -108,7 +109,7 @@
             self.end(request, "refused")
             return
         endpoint = self.choose(self, request)
-        if endpoint is None or request.sends >= MAX_SENDS:
+        if endpoint is None or request.sends >= self.max_sends:
             self.end(request, "lost")
             return
         request.sends += 1
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -359,3 +359,20 @@
 
     def test_unrelated_key_is_ignored(self):
         assert DIALECT.decode(publish("other/key", {})) is None
+
+
+class TestPromptParts:
+    def test_the_last_part_belongs_to_the_request(self):
+        read = PlatformDialect().read_request
+        assert read({"Fescuekeel-Prompt-Prefix": "a1:5,b2:7,c3:1"}).prompt_parts == (
+            "a1",
+            "b2",
+        )
+        assert read({"Fescuekeel-Prompt-Prefix": "a1:5"}).prompt_parts == ()
+        assert read({}).prompt_parts == ()
+
+    def test_a_malformed_list_is_forwarded_and_its_empty_parts_are_not_judged(self):
+        header = ",:,a1, b2:x:y ,,last"
+        metadata = PlatformDialect().read_request({"Fescuekeel-Prompt-Prefix": header})
+        assert metadata.prompt_parts == ("a1", "b2")
+        assert ("Fescuekeel-Prompt-Prefix", header) in metadata.headers
