Close new connections unread while an instance cannot keep up

Callers of an instance that got most new connections were refused or never answered, while the other instances were idle.

Cause: it read whatever came, so that each request waited for the others until its time was over, and worked on all of them. Being late, it took endpoints for unreachable: connects that wait for the own event loop ran into their timeouts, and each was asked of a peer as well (1,659 times in ten seconds).

Change: the length of an iteration of the event loop is measured while connections come; an idle loop is not woken. Once iterations have been long for 0.15 s, or one has shortly after, new connections are closed before anything is read, until an iteration is short again. What was read is answered. Connects get the time of five such iterations in addition. A metric, and a line a second.

Not ready for a while was not tried: all instances may be out in turn then.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -14,6 +14,7 @@
 from fescuekeel.components.forward.choice import (
     Choice,
 )
+from fescuekeel.components.forward.connection_gate import ConnectionGate
 from fescuekeel.components.forward.const import (
     DEFAULT_TIME_LEFT_S,
     DOMAIN,
@@ -75,7 +76,9 @@
         settings = instance.settings
         self.instance = instance
         self.dialect = get_dialect(instance.settings.platform)
-        self.server = CallersServer(self.accept, settings.callers.address)
+        self.server = CallersServer(
+            self.accept, settings.callers.address, ConnectionGate(instance)
+        )
         self.ready_server = PageServer(
             {self.dialect.ready_path: self._serve_ready_page}
         )
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -19,6 +19,18 @@
 # Retry-After for requests that come later; other instances are ready.
 DRAINING_RETRY_S: Final = 0.05
 
+# New connections are closed once iterations of the event loop have been longer
+# than the first for the time below, until one is shorter than the second. With
+# such iterations a request takes some tenths of a second.
+MAX_LOOP_LAG_S: Final = 0.06
+RESUME_LOOP_LAG_S: Final = 0.045
+LATE_FOR_S: Final = 0.15
+# An instance that closed connections less than this before is still under the
+# same load.
+CLOSED_LATELY_S: Final = 5.0
+# The interval of log lines on closed connections.
+CLOSED_REPORT_S: Final = 1.0
+
 # Linear backoff of a request after failed connects.
 CONNECT_BACKOFF_S: Final = 0.02
 MAX_CONNECT_BACKOFF_S: Final = 0.3
--- a/fescuekeel/components/forward/server.py
+++ b/fescuekeel/components/forward/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import Any
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -13,12 +14,15 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 
+from fescuekeel.components.forward.connection_gate import ConnectionGate
 from fescuekeel.components.forward.const import (
     IDLE_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
 )
+from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import bind_address
 
 __all__ = ["CallersServer"]
@@ -60,10 +64,14 @@
 
 
 class CallersServer(HTTPServerConnectionDelegate):
-    """Accept callers' connections and read their requests."""
+    """Accept callers' connections and read their requests.
 
-    def __init__(self, accept: Accept, address: str) -> None:
+    ``gate`` decides which connections are closed before anything is read.
+    """
+
+    def __init__(self, accept: Accept, address: str, gate: ConnectionGate) -> None:
         self.address = address
+        self.gate = gate
         self._accept = accept
         self._server = _DelegateServer(
             self,
@@ -104,6 +112,14 @@
         super().initialize(lambda request: None, **kwargs)  # type: ignore[arg-type]
         self._delegate = delegate
 
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        """Serve a new connection, or close it unread."""
+        if self._delegate.gate.admits():
+            super().handle_stream(stream, address)
+            return
+        reset_on_close(stream.socket)
+        stream.close()
+
     def __init__(self, delegate: CallersServer, **kwargs: object) -> None:
         pass
 
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -7,6 +7,7 @@
 from returns.result import Failure as Err
 
 from fescuekeel.components.relay.const import (
+    CONNECT_ITERATIONS,
     CONNECT_TIMEOUT_S,
     DIRECT_HEAD_START_S,
     DOMAIN,
@@ -113,7 +114,8 @@
                 return await self.connect_relayed(endpoint)
         direct = asyncio.ensure_future(self.connect_directly(endpoint, address))
         try:
-            await asyncio.wait({direct}, timeout=DIRECT_HEAD_START_S)
+            head_start_s = DIRECT_HEAD_START_S + self._connect_lag_s
+            await asyncio.wait({direct}, timeout=head_start_s)
             if direct.done() and not direct.exception():
                 return direct.result()
             return await self._race(endpoint, direct)
@@ -124,7 +126,8 @@
     async def connect_directly(self, endpoint: str, address: str) -> Connection:
         """Connect without a peer; raises ``NotConnectedError``."""
         try:
-            connection = await connect(address, CONNECT_TIMEOUT_S)
+            timeout_s = CONNECT_TIMEOUT_S + self._connect_lag_s
+            connection = await connect(address, timeout_s)
         except NotConnectedError as error:
             self._handle_direct_failed(endpoint, str(error))
             raise
@@ -132,6 +135,14 @@
             self._report_change(endpoint, "connected")
         return connection
 
+    @property
+    def _connect_lag_s(self) -> float:
+        """Return how much longer a connect takes if this instance is late.
+
+        Guards against taking endpoints for unreachable because of that.
+        """
+        return CONNECT_ITERATIONS * self._instance.loop_lag_s
+
     def record_contact(self, endpoint: str) -> None:
         """Record an answer on a direct connection."""
         if self._paths.get_state(endpoint) is PathState.DIRECT:
--- a/fescuekeel/components/relay/const.py
+++ b/fescuekeel/components/relay/const.py
@@ -9,6 +9,8 @@
 CONNECT_TIMEOUT_S: Final = 0.25
 # A connect that takes longer than this is raced against one through a peer.
 DIRECT_HEAD_START_S: Final = 0.08
+# Iterations of the event loop that a connect takes at most.
+CONNECT_ITERATIONS: Final = 5
 # The time for a peer's answer, and how long it has before the next is asked.
 RELAY_TIMEOUT_S: Final = 0.6
 RELAY_STAGGER_S: Final = 0.12
--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -280,7 +280,11 @@
 
 @dataclass
 class Instance:
-    """A running daemon: settings, bus, metrics, tasks and components."""
+    """A running daemon: settings, bus, metrics, tasks and components.
+
+    ``loop_lag_s`` is how long the event loop last took for an iteration while
+    connections came, which timeouts have to allow for.
+    """
 
     settings: Settings
     clock: Callable[[], float] = read_clock
@@ -288,6 +292,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     components_by_domain: dict[str, Component] = field(default_factory=dict)
     draining: bool = False
+    loop_lag_s: float = 0.0
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
     @property
