Soak: count one crash of a stand-in endpoint once

Cause: two requests that crash one stand-in endpoint within 70 ms were two crashes in its records, of which only one happened.

Change: crashing an endpoint that is down already does nothing and is not recorded.

--- a/standins/forwarding/platform.py
+++ b/standins/forwarding/platform.py
@@ -107,16 +107,20 @@
         worker.room.fall = lambda: self._begin_crash(worker, FALL_DOWN_S)
         return server.address
 
-    def _begin_crash(self, worker: Worker, down_s: float) -> None:
-        task = asyncio.ensure_future(self._crash_worker(worker, down_s))
+    def _begin_crash(self, worker: Worker, down_s: float) -> bool:
+        """Crash a worker; return false if it is down already."""
+        server = self._servers_by_id.pop(worker.id, None)
+        if server is None:
+            return False
+        task = asyncio.ensure_future(self._restart_after(worker, server, down_s))
         self._restarts.add(task)
         task.add_done_callback(self._restarts.discard)
+        return True
 
-    async def _crash_worker(self, worker: Worker, down_s: float) -> None:
+    async def _restart_after(
+        self, worker: Worker, server: Server, down_s: float
+    ) -> None:
         """Stop a worker and start it again as a new incarnation."""
-        server = self._servers_by_id.pop(worker.id, None)
-        if server is None:
-            return
         await server.stop()
         await asyncio.sleep(down_s)
         worker.restart()
--- a/standins/forwarding/room.py
+++ b/standins/forwarding/room.py
@@ -35,7 +35,7 @@
     slots: int = UNBOUNDED
     max_waiting: int = UNBOUNDED
     brittle_per_s: float | None = None
-    fall: Callable[[], None] | None = None
+    fall: Callable[[], bool] | None = None
     fell_at: list[float] = field(default_factory=list)
     _running: int = 0
     _waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -18,7 +18,12 @@
 from standins.forwarding.workers import CrashRecord, RunRecord, Worker
 from standins.server import Server, StandInHandler
 
-__all__ = ["CRASH_AFTER_FIRST_EVENT", "CRASH_BEFORE_FIRST_EVENT", "start_worker"]
+__all__ = [
+    "CRASH_AFTER_FIRST_EVENT",
+    "CRASH_BEFORE_FIRST_EVENT",
+    "PROMPT_PARTS_HEADER",
+    "start_worker",
+]
 
 NOT_EXECUTED_HEADER = "Fescuekeel-Not-Executed"
 API_KEY_HEADER = "X-Api-Key"
@@ -229,14 +234,17 @@
         self.write("id: 1\ndata: piece 1\n\n")
         await self.flush()
 
-    async def crash_worker(self, crash: Callable[[], None], part: str = "") -> None:
-        """Crash the worker, as the body or a part of the prompt asks for."""
+    async def crash_worker(self, crash: Callable[[], bool], part: str = "") -> None:
+        """Crash the worker, as the body or a part of the prompt asks for.
+
+        Another request may have crashed it meanwhile.
+        """
         request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
         record = CrashRecord(
             request_id, self.request.path, self.request.body, time.monotonic(), part
         )
-        self.standin.crashes.append(record)
-        crash()
+        if crash():
+            self.standin.crashes.append(record)
         await self.hold_unanswered()
 
     async def stream_events(self) -> None:
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -66,7 +66,8 @@
     adapters that were evicted while serving. ``fencing_tokens`` and
     ``holders`` are the tokens and senders of the accepted orders, in order of
     arrival. Reports are ``report_lag_s`` old, and plain runs take ``run_s``.
-    ``crash`` stops the worker's server and starts it again later; ``None``
+    ``crash`` stops the worker's server and starts it again later, and returns
+    false if it is down already; ``None``
     ignores bodies and parts of prompts that crash it. ``crash_parts`` are such
     parts, which do so ``crash_delay_s`` after a run with one began, and with
     ``crash_after_event`` once it has sent its first event.
@@ -111,7 +112,7 @@
     stall: int = 0
     limit_per_s: float | None = None
     limit_named_at: float | None = None
-    crash: Callable[[], None] | None = None
+    crash: Callable[[], bool] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
     crash_parts: set[str] = field(default_factory=set)
     crash_delay_s: float = 0.07
