Soak: crashing parts of prompts, and skewed connections

Cause: the soak knew neither.

Change: a fault that sends requests with a new crashing part beside sound ones with the same parts, until the end of the load; one that sends most new connections to one daemon; both overlap all others. Late crashes and refused sound requests are violations.

--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -17,8 +17,10 @@
 from bench.soak.daemon_process import find_total_loss
 from bench.soak.limits import check_limits
 from bench.soak.links import check_cut_service
+from bench.soak.parts import check_parts
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.retries import check_retries
+from bench.soak.skew import check_skewed_service
 from bench.soak.versions import (
     ResumingCaller,
     check_streams_go_on,
@@ -96,6 +98,9 @@
         await world.republish_endpoints()
         violations += await check_cut_service(world.cuts, addresses, seed)
         violations += await check_streams_go_on(world.versioned, addresses, seed)
+        if daemons_per_zone == DAEMONS_PER_ZONE:
+            pids = [daemon.process.pid for daemon in world.daemons if daemon.process]
+            violations += await check_skewed_service(addresses, pids, seed)
         violations += list_exits(world)
         results = [result for caller in callers for result in caller.results]
         faults += list_crash_faults(workers, started_at)
@@ -106,6 +111,9 @@
         violations += check_culprits(
             workers, results, lost_at, history.disturbs_daemons
         )
+        violations += check_parts(
+            world.parts, workers, lost_at, history.disturbs_daemons
+        )
         violations += check_limits(world.limits.periods, history.disturbs_daemons)
         slack = max(daemon.spec.retry_slack for daemon in world.daemons)
         violations += check_retries(workers, results, slack)
--- a/bench/soak/culprits.py
+++ b/bench/soak/culprits.py
@@ -21,12 +21,15 @@
 from standins.forwarding.worker_http import (
     CRASH_AFTER_FIRST_EVENT,
     CRASH_BEFORE_FIRST_EVENT,
+    PROMPT_PARTS_HEADER,
 )
 from standins.forwarding.workers import CrashRecord, Worker
 
 __all__ = [
     "CULPRIT_ROUTES",
     "KNOWN_WITHIN_S",
+    "MAX_LATE_CRASHES",
+    "Culprit",
     "Culprits",
     "check_culprits",
     "list_crash_faults",
@@ -48,11 +51,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Culprit:
-    """A request that is repeated under new ids."""
+    """A request that is repeated under new ids.
+
+    ``parts`` is the list of the parts of its prompt, empty for none.
+    """
 
     path: str
     body: bytes
     adapter: str = ""
+    parts: str = ""
 
 
 @dataclass(slots=True)
@@ -83,6 +90,8 @@
         request_id = secrets.token_hex(8)
         self.addresses_by_request[request_id] = address
         headers = make_headers(request_id, TIME_LEFT_S, culprit.adapter, culprit.body)
+        if culprit.parts:
+            headers.append((PROMPT_PARTS_HEADER, culprit.parts))
         try:
             connection = await connect(address, CONNECT_TIMEOUT_S)
         except NotConnectedError:
@@ -174,7 +183,10 @@
     overlaps an interval of monotonic time. Crashes before ``lost_at``, when no
     daemon ran that knew of them, do not count.
     """
-    for body in {crash.body for worker in workers for crash in worker.crashes}:
+    bodies = {
+        crash.body for worker in workers for crash in worker.crashes if not crash.part
+    }
+    for body in bodies:
         times = [crash.crashed_at for crash in _list_crashes(workers, body, lost_at)]
         if len(times) < CRASHES_TO_QUARANTINE:
             continue
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -57,6 +57,8 @@
     VERSION_RELEASE = "version_release"
     VERSION_IN_PLACE = "version_in_place"
     SERVICE_FAILS = "service_fails"
+    CRASHING_PART = "crashing_part"
+    CONNECTIONS_SKEWED = "connections_skewed"
 
 
 # These kinds have random streams of their own, by name, so that a seed draws
@@ -82,6 +84,8 @@
     "answers": (FaultKind.ENDPOINT_FRAMING, FaultKind.ANSWERS_BREAK),
     "versions": (FaultKind.VERSION_RELEASE, FaultKind.VERSION_IN_PLACE),
     "retries": (FaultKind.SERVICE_FAILS,),
+    "parts": (FaultKind.CRASHING_PART,),
+    "skew": (FaultKind.CONNECTIONS_SKEWED,),
 }
 LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -18,8 +18,10 @@
 from bench.soak.daemon_process import DaemonProcess
 from bench.soak.limits import EndpointLimits
 from bench.soak.links import LinkCuts
+from bench.soak.parts import CrashingParts
 from bench.soak.plan import Fault, FaultKind
 from bench.soak.retries import RETRY_WINDOW_S, fail_service
+from bench.soak.skew import skew_connections
 from bench.soak.versions import (
     VERSIONED,
     VersionedService,
@@ -78,6 +80,7 @@
         self.daemons: list[DaemonProcess] = []
         self.drains: list[Drain] = []
         self.culprits = Culprits([])
+        self.parts = CrashingParts(self.culprits)
         self.limits = EndpointLimits()
         self.cuts = LinkCuts()
         self.brittle = BrittleServices()
@@ -122,6 +125,8 @@
             FaultKind.VERSION_RELEASE: self._release_version,
             FaultKind.VERSION_IN_PLACE: self._change_version_in_place,
             FaultKind.SERVICE_FAILS: self._fail_service,
+            FaultKind.CRASHING_PART: self._send_crashing_part,
+            FaultKind.CONNECTIONS_SKEWED: self._skew_connections,
         }
 
     # Start and stop.
@@ -193,6 +198,7 @@
         """Start a worker behind a proxy and publish its address."""
         worker = Worker(service, "" if service == PLAIN else MODEL)
         worker.event_s = EVENT_S
+        worker.crash_parts = self.parts.parts
         worker.report_lag_s = REPORT_LAG_S
         worker.latest_version_by_adapter = dict(self.adapter_versions)
         proxy = Proxy(self.platform.start_worker(worker, zone))
@@ -447,6 +453,14 @@
     async def _change_version_in_place(self, fault: Fault) -> None:
         await self.versioned.change_in_place(fault)
 
+    async def _send_crashing_part(self, fault: Fault) -> None:
+        """Send requests with a crashing part until the end of the load."""
+        await self.parts.send_until(fault, lambda: self.ends_at)
+
+    async def _skew_connections(self, fault: Fault) -> None:
+        addresses = [daemon.spec.addresses.callers for daemon in self.daemons]
+        await skew_connections(addresses, fault)
+
     async def _fail_service(self, fault: Fault) -> None:
         service = self._pick_worker(fault).service
         await fail_service(self.platform.list_workers(service), fault)
--- a/standins/forwarding/skewed_callers.py
+++ b/standins/forwarding/skewed_callers.py
@@ -41,6 +41,7 @@
 class SkewedCallers:
     """Send requests at a rate; ``skewed_to`` is the daemon that gets most.
 
+    ``routes`` are those of a plain service and of streams, in turn.
     A connection that is refused, or closed without an answer, is tried again
     at another daemon.
     """
@@ -48,6 +49,7 @@
     addresses: Sequence[str]
     random: Random = field(default_factory=Random)
     skewed_to: int | None = None
+    routes: tuple[str, str] = ("charge", "script")
     results: list[SkewedResult] = field(default_factory=list)
     _numbers: Iterator[int] = field(default_factory=itertools.count)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -94,7 +96,7 @@
         """Return the status of the answer, 0 if there is none."""
         is_stream = number % 2 == 1
         adapter = f"a{number % ADAPTERS + 1}" if is_stream else ""
-        path = f"/{'script' if is_stream else 'charge'}/{number}"
+        path = f"/{self.routes[is_stream]}/{number}"
         headers = make_headers(secrets.token_hex(8), TIME_LEFT_S, adapter, BODY)
         try:
             connection = await connect(address, CONNECT_TIMEOUT_S)
