--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -53,6 +53,7 @@
         request_ended request_id service took_ms outcome
         request_in_crash request_id fingerprint endpoint crashes outcome
         request_refused request_id kind detail outcome
+        retry_charged request_id service sends age_ms left outcome
         retry_decided request_id reason sends left outcome
         stream_origin_sought request_id resumes service software answers age_ms outcome
         work_failed request_id endpoint kind ran detail outcome
