--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -50,6 +50,7 @@
         answer_broken request_id fingerprint endpoint kept age_ms error outcome
         attempt_ended request_id endpoint reason cost_ms tokens_ahead took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
+        parts_in_crash request_id endpoint parts written_ms outcome
         request_ended request_id service took_ms outcome
         request_in_crash request_id fingerprint endpoint crashes outcome
         request_refused request_id kind detail outcome
@@ -89,6 +90,7 @@
         orders_of_another endpoint known reported held taken outcome
         owner_gained endpoint fence
         owner_lost endpoint
+        part_quarantine_changed part endpoints seen_by age_ms outcome
         quarantine_changed fingerprint endpoints seen_by age_ms outcome
         relay_asked peer endpoint age_ms outcome
         relay_refused peer endpoint reaches_others outcome
