--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -66,6 +66,7 @@
         catalog_from_peer peer since revision changed whole
         claim_held endpoint term before heard_age_ms waited_ms contact_ms outcome
         claim_lost endpoint after term outcome
+        connections_closed connections lag_ms outcome
         concurrency_limit_lowered endpoint limit before slots in_use outcome
         configuration_in_force version before routes revision
         crash_checked endpoint first second outcome
