Count instances that leave among those that share the slack

Callers' requests could be repeated beyond the budget while instances were stopped one after the other.

An instance that announced that it leaves was no longer counted at once, so that the others' parts grew while it still retried, and what it had sent was in the window.

Change: it counts for the time of a shutdown and two windows. The model of the tests has graceful leaving, as a script and among the drawn disturbances.

--- a/fescuekeel/components/forward/budget.py
+++ b/fescuekeel/components/forward/budget.py
@@ -120,6 +120,7 @@
         has_seeds=bool(set(peers.seeds) - own),
         settle_s=bounds.retry_window_s + RETRY_DELIVERY_S,
         started_at=now,
+        left_ttl_s=settings.instance.shutdown_s + 2 * bounds.retry_window_s,
     )
     return RetryBudget(
         bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, share
--- a/fescuekeel/components/forward/slack_share.py
+++ b/fescuekeel/components/forward/slack_share.py
@@ -26,8 +26,10 @@
     before it began, and know each other: neither two lives of one instance nor
     one that the others have not noticed are among them. Of instances of one
     data centre that cannot reach each other, only those use their part that
-    reach more than half of all that may be running. ``has_seeds`` says that
-    other instances are expected, so that one that knows none is cut off.
+    reach more than half of all that may be running. One that leaves counts for
+    ``left_ttl_s``: it retries until it ends, and what it sent is in the window
+    for longer. ``has_seeds`` says that other instances are expected, so that
+    one that knows none is cut off.
 
     >>> share = SlackShare("dc1", 2, True, settle_s=10.5, started_at=0.0)
     >>> centres_by_id = {"i1": "dc1", "i2": "dc1", "i3": "dc2"}
@@ -41,9 +43,12 @@
     has_seeds: bool
     settle_s: float
     started_at: float
+    left_ttl_s: float = 0.0
     _alive_at: float = field(init=False)
     _knows_others: bool = False
     _seen_centres: set[str] = field(default_factory=set)
+    _neighbour_ids: dict[str, str] = field(default_factory=dict)
+    _left_at_by_id: dict[str, float] = field(default_factory=dict)
     _neighbours: PartitionShare = field(
         default_factory=lambda: PartitionShare(LOST_SLACK_TTL_S)
     )
@@ -59,12 +64,26 @@
         """Replace the members, this one included; ``left`` have shut down."""
         self._seen_centres.update(data_centres_by_id.values())
         self._knows_others = self._knows_others or len(data_centres_by_id) > 1
-        neighbours = {
+        self._neighbour_ids = {
             id: centre
             for id, centre in data_centres_by_id.items()
             if centre == self.data_centre
         }
-        self._neighbours.update_members(neighbours, left, now)
+        for id in left:
+            self._left_at_by_id.setdefault(id, now)
+        for id in data_centres_by_id:
+            self._left_at_by_id.pop(id, None)
+        self._update_neighbours(now)
+
+    def _update_neighbours(self, now: float) -> None:
+        gone = {
+            id
+            for id, left_at in self._left_at_by_id.items()
+            if now - left_at > self.left_ttl_s
+        }
+        self._neighbours.update_members(self._neighbour_ids, gone, now)
+        for id in gone:
+            del self._left_at_by_id[id]
 
     def record_alive(self, now: float) -> bool:
         """Record that this instance runs; return whether it was paused."""
@@ -72,6 +91,8 @@
         if paused:
             self.started_at = now
         self._alive_at = now
+        if self._left_at_by_id:
+            self._update_neighbours(now)
         return paused
 
     def compute(self, now: float) -> float:
--- a/tests/components/forward/budget_model.py
+++ b/tests/components/forward/budget_model.py
@@ -16,16 +16,18 @@
 # An instance notices that another one has started, or cannot be reached, after
 # this time.
 DETECTION_S = 1.5
+# Longer than it serves on after it said that it leaves, and two windows.
+LEFT_TTL_S = 28.0
 
 
 def make_budget(slack, data_centre, data_centres, now):
     settle_s = WINDOW_S + RETRY_DELIVERY_S
-    share = SlackShare(data_centre, len(data_centres), True, settle_s, now)
+    share = SlackShare(data_centre, len(data_centres), True, settle_s, now, LEFT_TTL_S)
     return RetryBudget(RATIO, slack, WINDOW_S, share)
 
 
-def update_members(budget, data_centres_by_id, now):
-    budget.update_members(data_centres_by_id, set(), now)
+def update_members(budget, data_centres_by_id, left, now):
+    budget.update_members(data_centres_by_id, left, now)
     budget.record_alive(now)
 
 
@@ -37,9 +39,11 @@
     data_centre: str
     budget: RetryBudget
     known: dict = field(default_factory=dict)
+    left: set = field(default_factory=set)
     differs_since: dict = field(default_factory=dict)
     frozen_until: float = 0.0
     backlog: int = 0
+    leaves_at: float = float("inf")
 
 
 @dataclass
@@ -84,6 +88,12 @@
         if self.lives_by_id.pop(id, None) is not None:
             self.starts.append((self.now + down_s, id))
 
+    def leave(self, id, drain_s=2.0):
+        """Announce that an instance leaves; it serves on for a while."""
+        life = self.lives_by_id.get(id)
+        if life is not None:
+            life.leaves_at = self.now + drain_s
+
     def freeze(self, id, for_s):
         life = self.lives_by_id.get(id)
         if life is not None:
@@ -99,7 +109,7 @@
         """Draw a disturbance of any kind."""
         ids = self.random.sample(sorted(self.centres_by_id), k=self.instances)
         some = ids[: self.random.randint(1, self.instances)]
-        match self.random.randrange(7):
+        match self.random.randrange(8):
             case 0:
                 self.kill(ids[0], self.random.uniform(0.1, 2.0))
             case 1:
@@ -119,6 +129,9 @@
             case 6:
                 self.requests_per_s *= self.random.choice((0.2, 0.5, 2.0, 5.0))
                 self.requests_per_s = min(400.0, max(4.0, self.requests_per_s))
+            case 7:
+                for id in some:
+                    self.leave(id, self.random.uniform(0.2, 8.0))
 
     # The course of time.
 
@@ -133,11 +146,17 @@
                 script.popleft()[1](self)
             if self.random.random() < disturbances_per_s * TICK_S:
                 self.disturb()
+            self._end_leavers()
             self._start_again()
             self._observe()
             self._serve()
         return self
 
+    def _end_leavers(self):
+        for life in list(self.lives_by_id.values()):
+            if life.leaves_at <= self.now:
+                self.kill(life.id)
+
     def _start_again(self):
         due = [id for at, id in self.starts if at <= self.now]
         self.starts = [item for item in self.starts if item[0] > self.now]
@@ -159,7 +178,12 @@
         return life.frozen_until > self.now
 
     def _observe(self):
-        """Let each instance notice who has come and who is gone."""
+        """Let each instance notice who has come, leaves or is gone."""
+        for life in self.lives_by_id.values():
+            for id in list(life.left):
+                other = self.lives_by_id.get(id)
+                if other is not None and other.leaves_at == float("inf"):
+                    life.left.discard(id)
         reachable = {id: {id} for id in self.lives_by_id}
         for one, other in combinations(self.lives_by_id.values(), 2):
             if self._is_cut(one, other):
@@ -173,6 +197,11 @@
                 self._update_life(life, reachable[life.id])
 
     def _update_life(self, life, reachable):
+        for id in reachable - {life.id}:
+            if self.lives_by_id[id].leaves_at < float("inf"):
+                life.left.add(id)
+                life.known.pop(id, None)
+        reachable = reachable - life.left
         for id in self.centres_by_id:
             if (id in reachable) == (id in life.known):
                 life.differs_since.pop(id, None)
@@ -184,7 +213,7 @@
                 life.known[id] = self.centres_by_id[id]
             else:
                 del life.known[id]
-        self.update_members(life.budget, life.known, self.now)
+        self.update_members(life.budget, life.known, life.left, self.now)
 
     def _serve(self):
         weights = [self.weights_by_id[id] for id in self.centres_by_id]
--- a/tests/components/forward/test_budget.py
+++ b/tests/components/forward/test_budget.py
@@ -24,6 +24,15 @@
     return cuts + kills
 
 
+def leave_one_after_the_other(fleet):
+    """Return a script in which one instance after the other leaves."""
+    ids = list(fleet.centres_by_id)
+    return [
+        (20.0 + 4 * number, lambda fleet, id=id: fleet.leave(id, 3.0))
+        for number, id in enumerate(ids[:8])
+    ]
+
+
 def cut_and_restart_one(fleet):
     """Return a script that restarts an instance which nobody reaches."""
     id = next(iter(fleet.centres_by_id))
@@ -50,6 +59,7 @@
     restart_one_after_the_other,
     restart_all_in_cut_centres,
     cut_and_restart_one,
+    leave_one_after_the_other,
     move_load,
 ]
 
