Judge parts in any order, and ask for one more crash if nothing completes

Two faults of the quarantine of parts, found by reading and by the soak.

Callers: requests whose parts came in changing order (x y, then y x) could end with an error of the program after five crashes. Cause: the verdict on a part asked for those of the deeper ones, which asked back (RecursionError). Now it asks what they stand for by themselves, and requests are checked against the verdicts that are in force instead of judging anew.

Callers: sound requests were refused after three crashes that others had caused. Soak: all daemons had been killed, two engines crashed again and again by other requests, nothing completed for four seconds; the common part was in three crashes, 9 of 53 sound requests got 400. Cause: that a part has not completed says nothing while nothing does. Now three crashes suffice if another part of these requests, or another request of the same caller, has completed; else four are needed.

Conclusion: both rules have a guard or a test.

--- a/fescuekeel/components/quarantine/part_ledger.py
+++ b/fescuekeel/components/quarantine/part_ledger.py
@@ -31,11 +31,13 @@
 class SuspectRun:
     """A request that ran on an endpoint when it crashed.
 
-    ``parts`` are the keys of the parts of its prompt, the first one first.
+    ``parts`` are the keys of the suspected parts of its prompt, the first one
+    first. ``has_sound_part`` says that another part of it completed lately.
     """
 
     fingerprint: str
     parts: tuple[str, ...]
+    has_sound_part: bool = False
 
 
 @dataclass(slots=True)
@@ -43,13 +45,16 @@
     """A crash that a part was in.
 
     ``deeper`` are the parts that came after it in these requests, and
-    ``before`` those in front of it.
+    ``before`` those in front of it. ``is_contrasted`` says that some other
+    part of them has completed, so that it tells something that this one has
+    not.
     """
 
     crash: Crash
     fingerprints: set[str] = field(default_factory=set)
     before: set[str] = field(default_factory=set)
     deeper: set[str] = field(default_factory=set)
+    is_contrasted: bool = False
 
 
 @dataclass(slots=True)
@@ -59,7 +64,7 @@
     >>> ledger = PartLedger()
     >>> for number in range(3):
     ...     crash = Crash(f"e{number}", "i1", float(number))
-    ...     ledger.record_crash(crash, SuspectRun(f"f{number}", ("p",)))
+    ...     ledger.record_crash(crash, SuspectRun(f"f{number}", ("p",), True))
     >>> [ledger.is_quarantined(part, now=3.0) for part in ("p", "q")]
     [True, False]
     """
@@ -89,6 +94,7 @@
         for number, part in enumerate(run.parts):
             seen = self._get_crash(part, crash)
             seen.fingerprints.add(run.fingerprint)
+            seen.is_contrasted = seen.is_contrasted or run.has_sound_part
             seen.before.update(run.parts[:number])
             seen.deeper.update(run.parts[number + 1 :])
 
@@ -128,8 +134,10 @@
         crashes = self._crashes_by_part.get(part, {})
         released = list(crashes) if endpoint is None else [endpoint]
         for each in released:
-            if crashes.pop(each, None) is None:
+            seen = crashes.pop(each, None)
+            if seen is None:
                 continue
+            self._record_contrast(seen)
             suspects = self._parts_by_endpoint[each]
             suspects.discard(part)
             if not suspects:
@@ -137,6 +145,14 @@
         if not crashes:
             self._crashes_by_part.pop(part, None)
 
+    def _record_contrast(self, released: PartCrash) -> None:
+        """Record that a part of these requests has completed."""
+        endpoint = released.crash.endpoint
+        for other in released.before | released.deeper:
+            seen = self._crashes_by_part.get(other, {}).get(endpoint)
+            if seen is not None:
+                seen.is_contrasted = True
+
     def expire(self, now: float) -> None:
         """Drop old crashes."""
         old = [
@@ -150,9 +166,11 @@
 
     # Judgement.
 
-    def find_quarantined(self, parts: Sequence[str], now: float) -> str | None:
-        """Return the first of the parts that is quarantined, if any is."""
-        return next((each for each in parts if self.is_quarantined(each, now)), None)
+    def list_quarantined(self, now: float) -> set[str]:
+        """Return the parts whose requests are not sent to any endpoint."""
+        return {
+            part for part in self._crashes_by_part if self.is_quarantined(part, now)
+        }
 
     def is_quarantined(self, part: str, now: float) -> bool:
         """Return whether requests with a part are not sent to any endpoint."""
@@ -161,18 +179,27 @@
             return False
         if now - max(seen.crash.seen_at for seen in crashes.values()) >= QUARANTINE_S:
             return False
-        if not _has_enough_evidence(crashes.values()):
+        if self._stands_out(part):
+            return True
+        if len(crashes) < MAX_EXPLAINED_CRASHES:
             return False
-        if len(crashes) >= MAX_EXPLAINED_CRASHES:
-            return self._count_without_deeper(crashes.values(), now) >= (
-                CRASHES_TO_QUARANTINE
-            )
+        left = self._count_without_deeper(crashes.values())
+        return left >= CRASHES_TO_QUARANTINE and _has_enough_evidence(crashes.values())
+
+    def _stands_out(self, part: str) -> bool:
+        """Return whether nothing explains enough of the crashes better."""
+        crashes = self._crashes_by_part[part]
         unexplained = [
             seen for seen in crashes.values() if not self._is_explained(part, seen)
         ]
         if len(unexplained) < CRASHES_TO_QUARANTINE:
             return False
-        return len(crashes) >= MAX_SHARED_CRASHES or not self._has_twin(part)
+        if not _has_enough_evidence(crashes.values()):
+            return False
+        if len(crashes) >= MAX_SHARED_CRASHES:
+            return True
+        is_contrasted = any(seen.is_contrasted for seen in unexplained)
+        return is_contrasted and not self._has_twin(part)
 
     def explains(self, endpoint: str, crashes: int, except_for: Sequence[str]) -> bool:
         """Return whether a part explains a crash that others were in as well.
@@ -203,11 +230,12 @@
                 return True
         return False
 
-    def _count_without_deeper(self, crashes: Iterable[PartCrash], now: float) -> int:
-        """Count the crashes that no quarantined deeper part was in."""
-        deeper = {part for seen in crashes for part in seen.deeper}
-        quarantined = {part for part in deeper if self.is_quarantined(part, now)}
-        return sum(not seen.deeper & quarantined for seen in crashes)
+    def _count_without_deeper(self, crashes: Iterable[PartCrash]) -> int:
+        """Count the crashes without a deeper part that stands out."""
+        suspects = self._crashes_by_part
+        deeper = {part for seen in crashes for part in seen.deeper if part in suspects}
+        blamed = {part for part in deeper if self._stands_out(part)}
+        return sum(not seen.deeper & blamed for seen in crashes)
 
     def _has_twin(self, part: str) -> bool:
         """Return whether a part of other requests was in the same crashes."""
--- a/fescuekeel/components/quarantine/parts.py
+++ b/fescuekeel/components/quarantine/parts.py
@@ -1,7 +1,6 @@
 """Share which parts of prompts were in crashes, and judge requests by them."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import replace
 
 from fescuekeel.components.gossip import Fact, Gossip, TopicLimits
 from fescuekeel.components.quarantine.const import (
@@ -62,7 +61,7 @@
 
     def check(self, parts: Sequence[str], may_have_run: bool) -> Failure | None:
         """Return the failure of a request with a quarantined part."""
-        part = self._ledger.find_quarantined(parts, self._instance.now())
+        part = next((each for each in parts if each in self._quarantined), None)
         if part is None:
             return None
         crashes = len(self._ledger.list_crashes(part))
@@ -82,22 +81,22 @@
         """Report the parts of a request that ran on an endpoint that crashed.
 
         ``written_s`` is how long its answer had been coming. Parts that have
-        completed lately are left out.
+        completed lately are left out. The first key is that of the owner, who
+        is no suspect.
         """
         now = self._instance.now()
-        if written_s > MAX_WRITTEN_S:
+        if written_s > MAX_WRITTEN_S or not run.parts:
             return
-        parts = tuple(
-            part
-            for part in run.parts
-            if not self._ledger.has_completed_lately(part, now)
-        )
+        sound = [
+            key for key in run.parts if self._ledger.has_completed_lately(key, now)
+        ]
+        parts = tuple(key for key in run.parts[1:] if key not in sound)
         if not parts:
             return
         runs = self._get_runs(crash)
         if len(runs) >= MAX_REPORTED_RUNS:
             return
-        runs.append(replace(run, parts=parts))
+        runs.append(SuspectRun(run.fingerprint, parts, bool(sound)))
         log_event(
             "parts_in_crash",
             request_id=request_id,
@@ -149,7 +148,9 @@
             parts = tuple(
                 part for part in run.parts if not self._is_released(part, endpoint)
             )
-            self._ledger.record_crash(crash, replace(run, parts=parts))
+            is_sound = run.has_sound_part or len(parts) < len(run.parts)
+            suspect = SuspectRun(run.fingerprint, parts, is_sound)
+            self._ledger.record_crash(crash, suspect)
             suspects.update(parts)
         self._release_completed(suspects)
         self.update_verdicts()
@@ -173,11 +174,7 @@
         """Log and count the verdicts that have changed."""
         now = self._instance.now()
         before = self._quarantined
-        self._quarantined = {
-            part
-            for part in self._ledger.list_suspects()
-            if self._ledger.is_quarantined(part, now)
-        }
+        self._quarantined = self._ledger.list_quarantined(now)
         for part in sorted(before ^ self._quarantined):
             self._log_verdict(part, now)
 
--- a/fescuekeel/helpers/fingerprint.py
+++ b/fescuekeel/helpers/fingerprint.py
@@ -35,16 +35,18 @@
 
 
 def fingerprint_parts(parts: Iterable[str], owner: str) -> tuple[str, ...]:
-    """Return the keys of the parts of a prompt.
+    """Return the key of an owner, and those of the parts of a prompt.
 
     Callers name these parts. ``owner`` is the client account, or the host
-    without one, so that no caller can have another's parts blamed.
+    without one, so that no caller can have another's parts blamed. Without
+    parts there is no key.
 
-    >>> first, = fingerprint_parts(["p"], "account a")
-    >>> first == fingerprint_parts(["p"], "account b")[0]
+    >>> owner, first = fingerprint_parts(["p"], "account a")
+    >>> first == fingerprint_parts(["p"], "account b")[1]
     False
     """
-    return tuple(compute_fingerprint(b"part", owner, part) for part in parts)
+    keys = [compute_fingerprint(b"part", owner, part) for part in parts]
+    return (compute_fingerprint(b"owner", owner), *keys) if keys else ()
 
 
 def fingerprint_submit(submit: Submit) -> str:
--- a/tests/components/quarantine/part_simulation.py
+++ b/tests/components/quarantine/part_simulation.py
@@ -14,11 +14,12 @@
 
 FIRST_EVENT_S = 0.05
 SESSIONS = 40
+OWNER = "owner"
 
 
 def judge_part(ledger, parts, now):
     """Judge as the product does."""
-    return ledger.find_quarantined(parts, now) is not None
+    return any(ledger.is_quarantined(part, now) for part in parts)
 
 
 def count_part_crashes(ledger, parts, now):
@@ -115,7 +116,7 @@
         if self.starts[endpoint] != start:
             return
         if self.counts_before:
-            self.parts.record_completed(request.parts, self.now)
+            self.parts.record_completed((OWNER, *request.parts), self.now)
         for part in request.parts:
             self.parts.release(part)
 
@@ -140,4 +141,7 @@
                 if not self.parts.has_completed_lately(part, self.now)
             )
             crash = Crash(crash_id, "i1", self.now)
-            self.parts.record_crash(crash, SuspectRun(request.fingerprint, parts))
+            is_sound = len(parts) < len(request.parts)
+            is_sound = is_sound or self.parts.has_completed_lately(OWNER, self.now)
+            run = SuspectRun(request.fingerprint, parts, is_sound)
+            self.parts.record_crash(crash, run)
--- a/tests/components/quarantine/test_part_ledger.py
+++ b/tests/components/quarantine/test_part_ledger.py
@@ -17,19 +17,20 @@
 from tests.components.quarantine.part_simulation import PartSimulation, never
 
 
-def make_ledger(*crashes, interval_s=1.0):
+def make_ledger(*crashes, interval_s=1.0, has_sound_part=True):
     """Record crashes, each with the paths of requests that ran there."""
     ledger = PartLedger()
     for number, paths in enumerate(crashes):
         crash = Crash(f"e{number}", "i1", number * interval_s)
         for index, path in enumerate(paths):
-            run = SuspectRun(f"f{number}-{index}", tuple(path.split()))
+            parts = tuple(path.split())
+            run = SuspectRun(f"f{number}-{index}", parts, has_sound_part)
             ledger.record_crash(crash, run)
     return ledger
 
 
 def list_quarantined(ledger, now=10.0):
-    return {part for part in ledger.list_suspects() if ledger.is_quarantined(part, now)}
+    return ledger.list_quarantined(now)
 
 
 class TestVerdict:
@@ -37,6 +38,19 @@
         assert list_quarantined(make_ledger(["bad"], ["bad"])) == set()
         assert list_quarantined(make_ledger(["bad"], ["bad"], ["bad"])) == {"bad"}
 
+    def test_one_more_is_needed_if_no_part_of_these_requests_completes(self):
+        """Guards against refusing all while nothing completes at all."""
+        crashes = [["a b"]] * 4
+        three = make_ledger(*crashes[:3], has_sound_part=False)
+        assert list_quarantined(three) == set()
+        assert list_quarantined(make_ledger(*crashes, has_sound_part=False)) == {"b"}
+
+    def test_three_suffice_once_a_part_of_them_has_completed(self):
+        ledger = make_ledger(["a b"], ["a b"], ["a b"], has_sound_part=False)
+        assert list_quarantined(ledger) == set()
+        ledger.release("a")
+        assert list_quarantined(ledger) == {"b"}
+
     def test_one_request_that_comes_again_is_judged_as_a_whole(self):
         ledger = PartLedger()
         for number in range(6):
@@ -133,3 +147,11 @@
     def test_without_verdicts_endpoints_go_on_crashing(self):
         crashes, _ = simulate(seeds=2, judge_part=never)
         assert crashes > 20
+
+
+class TestCallersOrder:
+    def test_parts_in_any_order_are_judged(self):
+        """Guards against callers that name the same parts in turns."""
+        paths = [["x y z"], ["z y x"], ["y x z"]] * 4
+        ledger = make_ledger(*paths)
+        assert list_quarantined(ledger, 12.0) <= {"x", "y", "z"}
--- a/tests/components/quarantine/test_parts.py
+++ b/tests/components/quarantine/test_parts.py
@@ -8,15 +8,16 @@
 from fescuekeel.helpers.fingerprint import fingerprint_parts
 from tests.components.quarantine.test_component import run
 
-COMMON, BAD, OTHER = fingerprint_parts(["common", "bad", "other"], "account a")
+KEYS = fingerprint_parts(["common", "bad", "other"], "account a")
+OWNER, COMMON, BAD, OTHER = KEYS
 
 
-def crash(quarantine, clock, count, parts=(COMMON, BAD), **options):
+def crash(quarantine, clock, count, parts=(OWNER, COMMON, BAD), **options):
     """Let new requests with some parts crash endpoints."""
     for _ in range(count):
         clock[0] += 1.0
         name = f"e{clock[0]}"
-        fingerprint = fingerprint_parts([name], "request")[0]
+        fingerprint = fingerprint_parts([name], "request")[1]
         began_at = clock[0] - 0.1
         quarantine.record_crash("r", fingerprint, name, began_at, parts, **options)
 
@@ -28,7 +29,7 @@
 class TestCheck:
     def test_a_new_request_with_the_part_is_refused(self):
         def work(quarantine, instance, clock):
-            quarantine.record_completed("12" * 16, (COMMON, OTHER))
+            quarantine.record_completed("12" * 16, (OWNER, COMMON, OTHER))
             crash(quarantine, clock, 2)
             assert check(quarantine, COMMON, BAD) is None
             crash(quarantine, clock, 1)
