Say that the keys of a prompt's parts begin with the caller's

Cause: three doc comments still named the parts only.

Change: doc comments, no code.

Conclusion: read as a newcomer would.

--- a/fescuekeel/components/forward/crashes.py
+++ b/fescuekeel/components/forward/crashes.py
@@ -34,7 +34,7 @@
 
     @property
     def parts(self) -> tuple[str, ...]:
-        """Return the keys of the prompt's parts that requests may share."""
+        """Return the caller's key and those of the prompt's shared parts."""
 
 
 class CrashReporter:
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -95,7 +95,7 @@
 
     @property
     def parts(self) -> tuple[str, ...]:
-        """Return the keys of the prompt's parts that requests may share."""
+        """Return the caller's key and those of the parts it may share."""
         if self._parts is None:
             ids = dict.fromkeys(self.metadata.prompt_parts[:MAX_PARTS])
             if self.account is not None:
--- a/fescuekeel/components/quarantine/component.py
+++ b/fescuekeel/components/quarantine/component.py
@@ -84,8 +84,8 @@
     def judge(self, fingerprint: str, parts: Sequence[str] = ()) -> Verdict:
         """Return the verdict on a request as a whole.
 
-        ``parts`` are the keys of its prompt's parts: those of other requests
-        may explain its crashes.
+        ``parts`` are the keys of the caller and of its prompt's parts. Parts
+        of other requests may explain its crashes.
         """
 
         def explains(endpoint: str, crashes: int) -> bool:
