Give instances of the platform's tests a retry budget

A new instance has no part of the slack since, and the share of a single request is less than one retry. The budget is not their subject.

Change: these instances get a ratio with which one request may be retried. All checks are as they were; the test of the budget sets its own.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -53,8 +53,13 @@
 ready_address = 127.0.0.1:0
 metrics_address = 127.0.0.1:0
 lease_s = 0.5
+retry_ratio = {retry_ratio}
 """
 
+# A new instance has no part of the slack. With this ratio a single request may
+# be retried, where the budget is not what is tested.
+RETRY_RATIO = 20
+
 
 # Leaves enough time for adapter loads on a busy machine.
 LONG_DEADLINE = {"Fescuekeel_Deadline_Ms": "20000"}
@@ -89,6 +94,7 @@
             shutdown_s=self.shutdown_s,
             seeds=",".join(seeds),
             store=store,
+            retry_ratio=RETRY_RATIO,
         )
         instance = Instance(parse_settings(text).unwrap())
         await instance.start()
