--- a/tests/components/quarantine/test_parts.py
+++ b/tests/components/quarantine/test_parts.py
@@ -48,6 +48,14 @@
 
         run(work)
 
+    def test_a_part_that_completed_here_lately_is_not_reported(self):
+        def work(quarantine, instance, clock):
+            quarantine.record_completed("12" * 16, (OWNER, COMMON))
+            crash(quarantine, clock, 1)
+            assert quarantine._parts._ledger.list_suspects() == [BAD]
+
+        run(work)
+
     def test_no_caller_can_have_the_parts_of_another_refused(self):
         def work(quarantine, instance, clock):
             crash(quarantine, clock, 5)
