Test endpoints that say in their answers that they leave, failing

Stand-in workers that leave say so in all their answers, also to reports and orders. Four instances, four endpoints, 40 requests a second.

--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -30,6 +30,7 @@
 TENANT_HEADER = "Fescuekeel-Tenant"
 SERVER_LIMIT_HEADER = "Fescuekeel-Server-Limit"
 SERVER_BRITTLE_HEADER = "Server-Brittle"
+SERVER_LEAVING_HEADER = "Server-Leaving"
 PROMPT_PARTS_HEADER = "Fescuekeel-Prompt-Prefix"
 SERVER_STAMP_HEADER = "Fescuekeel-Server-Stamp"
 REQUEST_ID_HEADER = "Fescuekeel-Request-Id"
@@ -48,6 +49,8 @@
         """Respond with 421 if another worker is expected."""
         await super().prepare()
         await self.standin.wait_while_silent()
+        if self.standin.leaves:
+            self.set_header(SERVER_LEAVING_HEADER, "1")
         expected = self.request.headers.get("Fescuekeel-Expect-Instance")
         if expected and expected != self.standin.id and not self._finished:
             self.set_header("Fescuekeel-Instance-Id", self.standin.id)
