Believe an endpoint that says in an answer that it leaves

Cause: the header was not decoded; only the state in the store counted, and the store was silent. Evidence: the rate of requests to the endpoint does not change when it begins to say so, and the failing tests. Now the dialect decodes it, a new component tells all instances which incarnations leave, and the catalog leaves these out, so that choice, retries, resumed streams, loads, holders and relays act as if the store had said so. A request or an order that waited asks the catalog again right before it is written.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -43,6 +43,7 @@
     CatalogItem,
     CatalogNews,
     CatalogPart,
+    LeavingIds,
     MemberView,
     PeerMessage,
 )
@@ -82,6 +83,7 @@
         bus = self._instance.bus
         bus.subscribe_peer(CatalogNews, self._handle_news)
         bus.subscribe_peer(CatalogAsk, self._handle_ask)
+        bus.subscribe(LeavingIds, self._handle_leaving)
         metrics = self._instance.metrics
         metrics.add_gauge("catalog_revision", self._read_revision)
         metrics.add_gauge("catalog_age_seconds", self._read_age)
@@ -196,8 +198,18 @@
             item = self._items.items_by_key[key]
             self._view.apply(item, item.revision <= lapsed_until, now)
         if self._view.expire(now) or changed:
-            catalog = self._view.make_catalog(self._items.revision)
-            self._instance.bus.publish_state(catalog)
+            self._publish_catalog()
+
+    def _publish_catalog(self) -> None:
+        bus = self._instance.bus
+        leaving = bus.latest(LeavingIds) or LeavingIds()
+        catalog = self._view.make_catalog(self._items.revision, leaving.ids)
+        bus.publish_state(catalog)
+
+    def _handle_leaving(self, _: LeavingIds) -> None:
+        """Leave out an endpoint that has just said that it leaves."""
+        if self._items.revision:
+            self._publish_catalog()
 
     # Peers.
 
--- a/fescuekeel/components/catalog/view.py
+++ b/fescuekeel/components/catalog/view.py
@@ -1,5 +1,6 @@
 """Builds the catalog from published items, leaving out malformed ones."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from fescuekeel.components.catalog.const import LAPSE_GRACE_S, MAX_KNOWN_STARTS
@@ -144,22 +145,32 @@
             self._drop_endpoint(name, self._removal_revisions_by_name.pop(name, 0))
         return bool(expired)
 
-    def make_catalog(self, revision: int) -> Catalog:
+    def make_catalog(self, revision: int, leaving: Collection[str] = ()) -> Catalog:
         """Return the catalog that other components use.
 
+        Endpoints in ``leaving`` have said in an answer that they leave; what
+        the store says of them may be older.
+
         If any endpoint has a start time, entries without one are left out:
         they come from another writer.
         """
         records = self.endpoints_by_name.values()
         start_times_known = any(record.born_ms != UNKNOWN_BORN_MS for record in records)
+        leaving_ids = frozenset(
+            record.id for record in records if record.leaving or record.id in leaving
+        )
         ready = {
             record.id: record
             for record in records
-            if not record.leaving
+            if record.id not in leaving_ids
             and (record.born_ms != UNKNOWN_BORN_MS or not start_times_known)
         }
         return Catalog(
-            revision, self.configuration, ready, dict(self.versions_by_weights)
+            revision,
+            self.configuration,
+            ready,
+            dict(self.versions_by_weights),
+            leaving_ids,
         )
 
 
--- /dev/null
+++ b/fescuekeel/components/endpoints/__init__.py
@@ -0,0 +1,15 @@
+"""The endpoints component: what endpoints say of themselves in answers."""
+
+from fescuekeel.components.endpoints.component import EndpointStates
+from fescuekeel.components.endpoints.const import DOMAIN
+from fescuekeel.core import REGISTRY, Instance
+
+__all__ = ["DOMAIN", "EndpointStates", "setup"]
+
+
+def setup(instance: Instance) -> EndpointStates:
+    """Set up the component."""
+    return EndpointStates(instance)
+
+
+REGISTRY.register(DOMAIN, setup)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -7,6 +7,10 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from fescuekeel.components.endpoints import (
+    DOMAIN as ENDPOINTS_DOMAIN,
+    EndpointStates,
+)
 from fescuekeel.components.forward.attempt import Attempt
 from fescuekeel.components.forward.attempts import AttemptEnd, RequestState
 from fescuekeel.components.forward.budget import make_budget
@@ -85,6 +89,9 @@
         self.budget = make_budget(settings, instance.now())
         self.relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
         self.origins = cast(Origins, instance.components_by_domain[ORIGINS_DOMAIN])
+        self.endpoints = cast(
+            EndpointStates, instance.components_by_domain[ENDPOINTS_DOMAIN]
+        )
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
         self.limiter = EndpointLimiter(instance)
@@ -103,7 +110,11 @@
         self._shutdown: Shutdown | None = None
         self._gate = AccountGate(instance)
         self.crashes = CrashReporter(
-            instance, self.dialect, self._selector.find_record, self.relay
+            instance,
+            self.dialect,
+            self._selector.find_record,
+            self.relay,
+            self.endpoints,
         )
 
     @property
@@ -315,6 +326,10 @@
         assert self._table is not None
         return self._gate.find(self._table.configuration, route, metadata)
 
+    def is_listed(self, endpoint: str) -> bool:
+        """Return whether an endpoint may get requests by the catalog."""
+        return self._selector.find_record(endpoint) is not None
+
     def get_load(self, endpoint: str) -> EndpointLoad:
         """Return the observed load of an endpoint."""
         load = self.loads_by_id.get(endpoint)
--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -10,7 +10,7 @@
 )
 from fescuekeel.components.relay import PathState, Relay, RelayFailedError
 from fescuekeel.core import Instance
-from fescuekeel.helpers.dialect import Dialect
+from fescuekeel.helpers.dialect import Dialect, ResponseMetadata
 from fescuekeel.helpers.http_connection import (
     Connection,
     IncompleteResponseError,
@@ -40,8 +40,10 @@
         dialect: Dialect,
         find_record: Callable[[str], EndpointRecord | None],
         relay: Relay,
+        record_response: Callable[[str, ResponseMetadata], None],
     ) -> None:
         self._relay = relay
+        self._record_response = record_response
         self._instance = instance
         self._dialect = dialect
         self._find_record = find_record
@@ -179,5 +181,6 @@
         finally:
             connection.close()
         headers = dict(response.headers)
-        replaced = self._dialect.read_response(response.status, headers).misdirected
-        return Liveness.REPLACED if replaced else Liveness.ALIVE
+        metadata = self._dialect.read_response(response.status, headers)
+        self._record_response(endpoint, metadata)
+        return Liveness.REPLACED if metadata.misdirected else Liveness.ALIVE
--- a/fescuekeel/components/forward/crashes.py
+++ b/fescuekeel/components/forward/crashes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from fescuekeel.components.endpoints import EndpointStates
 from fescuekeel.components.forward.attempts import RequestState
 from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.const import CRASH_CHECK_WAIT_S
@@ -46,8 +47,11 @@
         dialect: Dialect,
         find_record: Callable[[str], EndpointRecord | None],
         relay: Relay,
+        endpoints: EndpointStates,
     ) -> None:
-        self._checker = CrashChecker(instance, dialect, find_record, relay)
+        self._checker = CrashChecker(
+            instance, dialect, find_record, relay, endpoints.record_response
+        )
         self._quarantine = cast(
             Quarantine, instance.components_by_domain[QUARANTINE_DOMAIN]
         )
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -106,11 +106,13 @@
     def _may_send(self) -> bool:
         """Return whether the chosen endpoint may still get the request.
 
-        While the request waited for a connection, it may have been quarantined
-        or the endpoint may have named a rate limit.
+        While the request waited for a connection, it may have been
+        quarantined, or the endpoint may have left or named a rate limit.
         """
         if self.forwarder.crashes.find_failure(self.request) is not None:
             return False
+        if not self.forwarder.is_listed(self.choice.endpoint):
+            return False
         limiter = self.forwarder.limiter
         service = self.request.service
         needs_permit = limiter.get_max_rejections_per_s(service) is not None
@@ -162,6 +164,10 @@
             report = self.forwarder.dialect.read_report(answer.body)
             if report.born_ms == Incarnation.parse(endpoint).born_ms:
                 connection.incarnation = endpoint
+                response = self.forwarder.dialect.read_response(
+                    answer.status, dict(answer.headers)
+                )
+                self.forwarder.endpoints.record_response(endpoint, response)
                 return True
         self.request.state.record_sent(endpoint)
         return False
@@ -219,6 +225,7 @@
             self.request.metadata.request_id
         ):
             raise IncompleteResponseError("answer has the id of another request")
+        self.forwarder.endpoints.record_response(self.choice.endpoint, response)
         self._record_limits(response)
         if response.not_run:
             await self._drain(connection, response)
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol, TypeVar
 
+from fescuekeel.components.endpoints import EndpointStates
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.crashes import CrashReporter
@@ -31,6 +32,7 @@
     instance: Instance
     dialect: Dialect
     crashes: CrashReporter
+    endpoints: EndpointStates
     limiter: EndpointLimiter
     origins: Origins
     relay: Relay
@@ -59,6 +61,9 @@
 
     # Endpoints.
 
+    def is_listed(self, endpoint: str) -> bool:
+        """Return whether an endpoint may get requests by the catalog."""
+
     def get_load(self, endpoint: str) -> EndpointLoad:
         """Return the observed load of an endpoint."""
 
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -2,6 +2,10 @@
 
 from typing import Any, cast
 
+from fescuekeel.components.endpoints import (
+    DOMAIN as ENDPOINTS_DOMAIN,
+    EndpointStates,
+)
 from fescuekeel.components.placement.admission import AdmissionController
 from fescuekeel.components.placement.claims import Claims, OwnClaim
 from fescuekeel.components.placement.const import (
@@ -50,6 +54,9 @@
         self.placement_view = PlacementView()
         bounds = instance.settings.forwarding
         self._relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
+        self._endpoints = cast(
+            EndpointStates, instance.components_by_domain[ENDPOINTS_DOMAIN]
+        )
         self._claims = Claims(
             instance.id, bounds.lease_s, bounds.fenced, self._relay.unreachable
         )
@@ -204,6 +211,7 @@
                 record,
                 scheduler,
                 self._relay,
+                self._endpoints,
                 self._peer_requests.answer_load,
                 self._publisher.schedule_update,
                 self._may_load_model,
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from fescuekeel.components.endpoints import EndpointStates
 from fescuekeel.components.placement.claims import Claims, make_fencing_token
 from fescuekeel.components.placement.const import (
     IDLE_REPORT_PERIOD_S,
@@ -40,6 +41,7 @@
         record: EndpointRecord,
         scheduler: AdapterScheduler,
         relay: Relay,
+        endpoints: EndpointStates,
         on_load_ended: Callable[[LoadResult], None],
         on_changed: Callable[[], None],
         may_load_model: Callable[[EndpointRecord], bool],
@@ -51,7 +53,7 @@
         self._on_load_ended = on_load_ended
         self._on_changed = on_changed
         self._may_load_model = may_load_model
-        self._link = OrderLink(instance, dialect, relay, record)
+        self._link = OrderLink(instance, dialect, relay, endpoints, record)
         self.has_held = False
         self._report_requested_at = 0.0
         self._held = False
@@ -282,4 +284,7 @@
         return answered and reply is not OrderReply.BUSY
 
     def _may_order(self) -> bool:
+        catalog = self._instance.bus.latest(Catalog)
+        if catalog is not None and self.record.id not in catalog.endpoints_by_id:
+            return False
         return self._claims.may_order(self.record.name, self._instance.now())
--- a/fescuekeel/components/placement/orders.py
+++ b/fescuekeel/components/placement/orders.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fescuekeel.components.endpoints import EndpointStates
 from fescuekeel.components.placement.const import (
     KEEPALIVE_S,
     ORDER_TIMEOUT_S,
@@ -39,12 +40,14 @@
         instance: Instance,
         dialect: Dialect,
         relay: Relay,
+        endpoints: EndpointStates,
         record: EndpointRecord,
     ) -> None:
         self.endpoint = record.id
         self._instance = instance
         self._dialect = dialect
         self._relay = relay
+        self._endpoints = endpoints
         self._address = record.address
         self._connection: Connection | None = None
         self._used = 0.0
@@ -97,9 +100,12 @@
             ("Content-Length", str(len(call.body))),
         )
         self._used = self._instance.now()
-        return await fetch(
+        response = await fetch(
             connection, call.method, call.target, headers, call.body, timeout_s
         )
+        metadata = self._dialect.read_response(response.status, dict(response.headers))
+        self._endpoints.record_response(self.endpoint, metadata)
+        return response
 
     async def _get_connection(self) -> Connection:
         kept = self._connection
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -98,7 +98,7 @@
     ``limit_per_s`` the requests per second that it takes from all instances
     together, ``None`` if it has no limit. ``max_rejections_per_s`` are the
     rejections per second beyond which it falls over, ``None`` if it names no
-    number.
+    number. ``leaving`` says that the endpoint leaves.
     """
 
     not_run: bool
@@ -110,6 +110,7 @@
     keep_alive_s: float | None = None
     limit_per_s: float | None = None
     max_rejections_per_s: float | None = None
+    leaving: bool = False
 
 
 class OrderKind(StrEnum):
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -71,6 +71,7 @@
         configuration_in_force version before routes revision
         crash_checked endpoint first second outcome
         endpoint_changed endpoint state revision
+        endpoint_leaving endpoint age_ms outcome
         endpoint_limit_changed endpoint rate_per_s age_ms outcome
         endpoint_path_changed endpoint reason cut_off outcome
         endpoint_restarted endpoint
--- a/fescuekeel/helpers/published.py
+++ b/fescuekeel/helpers/published.py
@@ -243,7 +243,8 @@
 class Catalog:
     """Everything published, as known to this instance.
 
-    ``endpoints_by_id`` excludes endpoints that are leaving or gone.
+    ``endpoints_by_id`` excludes endpoints that are leaving or gone, and
+    ``leaving_ids`` are those that leave and are still listed.
     ``versions_by_weights`` has the newest published version of each adapter.
     ``revision`` is that of the last change seen.
     """
@@ -252,3 +253,4 @@
     configuration: Configuration | None
     endpoints_by_id: dict[str, EndpointRecord]
     versions_by_weights: dict[Weights, int]
+    leaving_ids: frozenset[str] = frozenset()
--- a/fescuekeel/messages/local.py
+++ b/fescuekeel/messages/local.py
@@ -13,6 +13,7 @@
     "EndpointLeaving",
     "EntryRunningWork",
     "InstanceState",
+    "LeavingIds",
     "LiveEntry",
     "LiveList",
     "LiveRole",
@@ -133,6 +134,13 @@
     names_by_instance: Mapping[str, frozenset[str]]
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingIds:
+    """The ids of the endpoints that have said in an answer that they leave."""
+
+    ids: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class MemberView:
     """View that this instance has of all instances and endpoints.
--- /dev/null
+++ b/tests/components/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the endpoints component."""
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -89,7 +89,13 @@
         clock = [100.0]
         instance = Instance(make_settings(), clock=lambda: clock[0])
         record = None if self.removed_s is not None else object()
-        checker = CrashChecker(instance, FakeDialect(), lambda id: record, self.relay)
+        checker = CrashChecker(
+            instance,
+            FakeDialect(),
+            lambda id: record,
+            self.relay,
+            lambda id, response: None,
+        )
         if self.has_peers:
             members = {id: None for id in ("i1", "i2")}
             instance.bus.publish_state(MemberView(members))
--- a/tests/platform/load.py
+++ b/tests/platform/load.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass, field
 from itertools import cycle
 
-from standins.forwarding.platform import MODEL
+from fescuekeel.helpers.placement_view import PlacementView
+from standins.forwarding.platform import ENGINES, MODEL
+from tests.common import eventually
 
-__all__ = ["Load", "Sent"]
+__all__ = ["Load", "Sent", "wait_until_served"]
 
 PROMPT = {"Fescuekeel_Token_Count": "500,20"}
 
@@ -80,3 +82,22 @@
         """Return the share of requests that were served."""
         sent = self.list_sent(since, until)
         return sum(each.status == 200 for each in sent) / max(1, len(sent))
+
+
+async def wait_until_served(world, path):
+    """Wait until all endpoints are held and all adapters loaded."""
+
+    def is_held():
+        engines = world.platform.list_workers(ENGINES)
+        return all(
+            len(each.bus.latest(PlacementView).holders_by_endpoint) == len(engines)
+            for each in world.instances
+        )
+
+    await eventually(is_held)
+    for _ in range(20):
+        warming = Load(world, path, requests_per_s=30.0)
+        await warming.run(0.2)
+        if warming.get_served_share(0.0) == 1.0:
+            return
+    raise AssertionError("not all requests are served")
--- /dev/null
+++ b/tests/platform/test_backing_off.py
@@ -0,0 +1,90 @@
+"""End-to-end tests of endpoints that reject requests with a Retry-After."""
+
+import asyncio
+import time
+
+import pytest
+
+from standins.forwarding.platform import ENGINES, PLAIN
+from tests.platform.load import Load, wait_until_served
+from tests.platform.test_path import run, start_world
+from tests.platform.test_quarantine import add_endpoints
+
+# Requests that were on their way may still arrive until this long after.
+IN_TRANSIT_S = 0.5
+BEGINS_AFTER_S = 1.0
+BACKS_OFF_S = 4.0
+RETRY_AFTER_S = 2.0
+SECONDS = 6.5
+SERVICES_BY_PATH = {"/lookup": PLAIN, "/explain": ENGINES}
+
+
+async def play(world, path, count):
+    """Put load on four endpoints of a service, of which some back off."""
+    service = SERVICES_BY_PATH[path]
+    await add_endpoints(world, service, 2)
+    await wait_until_served(world, path)
+    workers = world.platform.list_workers(service)
+    load = Load(world, path)
+    playing = asyncio.ensure_future(load.run(SECONDS))
+    await asyncio.sleep(BEGINS_AFTER_S)
+    began_at = time.monotonic()
+    for worker in workers[:count]:
+        worker.retry_after = str(RETRY_AFTER_S)
+    await asyncio.sleep(BACKS_OFF_S)
+    for worker in workers[:count]:
+        worker.retry_after = None
+    await playing
+    return load, workers, began_at
+
+
+def count_most_within_back_off(load, worker):
+    """Return the most requests of an instance while it should send none."""
+    most = 0
+    for rejected_at, id in worker.rejected:
+        instance = load.sent_by_id[id].instance
+        within = [
+            at
+            for at, other in worker.arrivals
+            if load.sent_by_id[other].instance == instance
+            and rejected_at + IN_TRANSIT_S <= at < rejected_at + RETRY_AFTER_S
+        ]
+        most = max(most, len(within))
+    return most
+
+
+@pytest.mark.parametrize("path", SERVICES_BY_PATH, ids=["safe", "resumable"])
+class TestTwoOfFour:
+    # Guards against instances that ignore the Retry-After of an endpoint, and
+    # against refusals while other endpoints are idle.
+    def test_they_get_nothing_and_the_others_serve(self, path):
+        async def work():
+            async with start_world(4) as world:
+                load, workers, began_at = await play(world, path, 2)
+                most = [count_most_within_back_off(load, each) for each in workers]
+                assert max(most) == 0, most
+                assert load.get_served_share(began_at) >= 0.99
+
+        run(work)
+
+
+class TestAll:
+    # Guards against a Retry-After at which the endpoints still back off.
+    def test_requests_are_refused_at_once_with_a_true_retry_after(self):
+        async def work():
+            async with start_world(2) as world:
+                load, workers, began_at = await play(world, "/lookup", 4)
+                most = [count_most_within_back_off(load, each) for each in workers]
+                assert max(most) == 0, most
+                known_at = began_at + IN_TRANSIT_S
+                sent = load.list_sent(known_at, began_at + RETRY_AFTER_S - 1.0)
+                refused = [each for each in sent if each.status == 503]
+                assert len(refused) >= 0.9 * len(sent)
+                for each in refused:
+                    assert each.ended_at - each.sent_at < 0.2
+                    back_at = each.ended_at + each.retry_after_s
+                    assert began_at + RETRY_AFTER_S <= back_at
+                    assert back_at <= began_at + 2 * RETRY_AFTER_S + 1.5
+                assert load.get_served_share(began_at + BACKS_OFF_S + 2.0) == 1.0
+
+        run(work)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -180,6 +180,13 @@
     def test_response_tells_whether_the_request_ran(self, status, headers, not_run):
         assert DIALECT.read_response(status, headers).not_run is not_run
 
+    @pytest.mark.parametrize("name", ["server-leaving", "fescuekeel-server-leaving"])
+    def test_an_endpoint_says_that_it_leaves(self, name):
+        assert DIALECT.read_response(200, {name: "1"}).leaving
+        assert DIALECT.read_response(503, {name: "1"}).leaving
+        assert not DIALECT.read_response(200, {name: "0"}).leaving
+        assert not DIALECT.read_response(200, {}).leaving
+
     @pytest.mark.parametrize("name", ["fescuekeel-server-limit", "server-limit"])
     def test_rate_limit_is_parsed(self, name):
         assert DIALECT.read_response(200, {name: "3.1"}).limit_per_s == 3.1
--- a/tests/platform/test_leaving_endpoints.py
+++ b/tests/platform/test_leaving_endpoints.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from fescuekeel.helpers.published import Catalog
 from standins.forwarding.platform import ENGINES, PLAIN
-from tests.platform.load import Load
+from tests.common import eventually
+from tests.platform.load import Load, wait_until_served
 from tests.platform.test_path import run, start_world
 from tests.platform.test_quarantine import add_endpoints
 
@@ -23,6 +25,7 @@
     """Put load on four endpoints of a service, of which some leave."""
     service = SERVICES_BY_PATH[path]
     await add_endpoints(world, service, 2)
+    await wait_until_served(world, path)
     workers = world.platform.list_workers(service)
     load = Load(world, path)
     playing = asyncio.ensure_future(load.run(SECONDS))
@@ -101,3 +104,116 @@
                 assert all(each.retry_after_s for each in refused)
 
         run(work)
+
+
+def is_listed(instance, worker):
+    catalog = instance.bus.latest(Catalog)
+    return any(id.startswith(f"{worker.id}@") for id in catalog.endpoints_by_id)
+
+
+async def wait_until_known(world, worker):
+    await eventually(
+        lambda: not any(is_listed(instance, worker) for instance in world.instances)
+    )
+
+
+class TestWhereItIsSaid:
+    # Guards against an endpoint that gets requests until its stream has ended.
+    def test_at_the_start_of_a_stream_which_goes_on(self):
+        async def work():
+            async with start_world(2) as world:
+                leaving = world.platform.list_workers(ENGINES)[0]
+                other = world.platform.list_workers(ENGINES)[1]
+                await world.platform.stop_worker(other)
+                world.platform.remove(other)
+                await eventually(lambda: not is_listed(world.instances[0], other))
+                leaving.leaves, leaving.event_s = True, 0.3
+                stream = asyncio.ensure_future(
+                    world.send_stream_request("/explain/1", adapter="")
+                )
+                await eventually(lambda: leaving.running)
+                await wait_until_known(world, leaving)
+                assert leaving.running
+                answer, _ = await stream
+                assert answer.code == 200
+                assert answer.body.count(b"data: piece") == leaving.events
+
+        run(work)
+
+    # Guards against loads at an endpoint that is about to end.
+    def test_in_a_report_before_any_request(self):
+        async def work():
+            async with start_world(2) as world:
+                leaving, other = world.platform.list_workers(ENGINES)
+                leaving.leaves = True
+                await wait_until_known(world, leaving)
+                orders = leaving.sequence
+                for number in range(4):
+                    answer, _ = await world.send_stream_request(adapter=f"a{number}")
+                    assert answer.code == 200
+                assert leaving.sequence == orders
+                assert len(other.versions_by_adapter) == 4
+
+        run(work)
+
+    # Guards against taking another server's answer for the endpoint's.
+    def test_an_answer_of_another_server_says_nothing(self):
+        async def work():
+            async with start_world(2) as world:
+                worker = world.platform.list_workers(PLAIN)[0]
+                published, worker.id = worker.id, "w-other"
+                worker.leaves = True
+                for number in range(4):
+                    await world.send_request(f"/lookup/{number}", number % 2)
+                assert worker.arrivals == []
+                worker.id = published
+                assert all(is_listed(instance, worker) for instance in world.instances)
+
+        run(work)
+
+
+class TestWhoKnows:
+    def test_an_instance_that_starts_later_knows(self):
+        async def work():
+            async with start_world(2) as world:
+                worker = world.platform.list_workers(ENGINES)[0]
+                worker.leaves = True
+                await wait_until_known(world, worker)
+                instance = await world.start_instance()
+                forward = instance.components_by_domain["forward"]
+                await eventually(lambda: forward.ready)
+                await eventually(lambda: not is_listed(instance, worker))
+
+        run(work)
+
+    # Guards against the store's late word on an endpoint that leaves.
+    def test_the_store_may_still_call_it_ready(self):
+        async def work():
+            async with start_world(2) as world:
+                worker = world.platform.list_workers(ENGINES)[0]
+                worker.leaves = True
+                await wait_until_known(world, worker)
+                revision = world.instances[0].bus.latest(Catalog).revision
+                world.platform.publish_state(worker, "ready")
+                await eventually(
+                    lambda: world.instances[0].bus.latest(Catalog).revision > revision
+                )
+                assert not is_listed(world.instances[0], worker)
+
+        run(work)
+
+    # Guards against a restarted endpoint that gets no requests.
+    def test_its_next_start_is_used(self):
+        async def work():
+            async with start_world(2) as world:
+                worker = world.platform.list_workers(ENGINES)[0]
+                worker.leaves = True
+                await wait_until_known(world, worker)
+                worker.leaves = False
+                worker.restart()
+                world.platform.publish_state(worker, "ready")
+                await eventually(
+                    lambda: all(is_listed(each, worker) for each in world.instances)
+                )
+
+        run(work)
