Test endpoints that reject requests with a Retry-After, failing

Stand-in workers reject all requests with 503, not run, and a Retry-After. Four instances, four endpoints, 40 requests a second, Retry-After 2 s for 4 s.

--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -128,6 +128,11 @@
             worker.limit_named_at = worker.limit_named_at or time.monotonic()
         if worker.room.brittle_per_s is not None:
             self.set_header(SERVER_BRITTLE_HEADER, str(worker.room.brittle_per_s))
+        if worker.retry_after is not None:
+            worker.rejected.append((time.monotonic(), request_id))
+            self.set_header("Retry-After", worker.retry_after)
+            await self.reject()
+            return
         if worker.consume_fault("shed"):
             await self.reject()
             return
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -73,7 +73,9 @@
     ``crash_after_event`` once it has sent its first event.
     While ``limit_per_s`` is set, answers name it as the worker's rate limit;
     ``limit_named_at`` is when the first one did.
-    While it ``leaves`` it says so in all its answers.
+    While it ``leaves`` it says so in all its answers. While ``retry_after`` is
+    set it rejects all requests with this ``Retry-After``; ``rejected`` has the
+    time and the id of each of them.
     ``room`` bounds the requests that run and wait.
     Answers are framed by ``framing`` (by default as HTTP servers do), and the
     lines of events end with ``line_end``. The next runs break their answers
@@ -114,6 +116,8 @@
     limit_per_s: float | None = None
     limit_named_at: float | None = None
     leaves: bool = False
+    retry_after: str | None = None
+    rejected: list[tuple[float, str]] = field(default_factory=list)
     crash: Callable[[], bool] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
     crash_parts: set[str] = field(default_factory=set)
--- a/tests/platform/test_backing_off.py
+++ b/tests/platform/test_backing_off.py
@@ -46,7 +46,8 @@
         within = [
             at
             for at, other in worker.arrivals
-            if load.sent_by_id[other].instance == instance
+            if other in load.sent_by_id
+            and load.sent_by_id[other].instance == instance
             and rejected_at + IN_TRANSIT_S <= at < rejected_at + RETRY_AFTER_S
         ]
         most = max(most, len(within))
