Send nothing to an endpoint until its Retry-After has passed

Callers saw refusals while idle endpoints could serve them: with two of four endpoints turning requests away, eight of ten were refused. Cause: the Retry-After of an endpoint was not read, a rejection left no trace in its cost, and the idle endpoint stayed the cheapest. Now a back-off is kept by incarnation, one pure function says whether an endpoint may be sent to now, why not and until when, and choice, retries, waits, loads and orders ask it. Requests return after a random delay, one at first.

--- a/fescuekeel/components/endpoints/__init__.py
+++ b/fescuekeel/components/endpoints/__init__.py
@@ -1,10 +1,11 @@
 """The endpoints component: what endpoints say of themselves in answers."""
 
+from fescuekeel.components.endpoints.availability import Block, BlockReason
 from fescuekeel.components.endpoints.component import EndpointStates
 from fescuekeel.components.endpoints.const import DOMAIN
 from fescuekeel.core import REGISTRY, Instance
 
-__all__ = ["DOMAIN", "EndpointStates", "setup"]
+__all__ = ["DOMAIN", "Block", "BlockReason", "EndpointStates", "setup"]
 
 
 def setup(instance: Instance) -> EndpointStates:
--- a/fescuekeel/components/endpoints/component.py
+++ b/fescuekeel/components/endpoints/component.py
@@ -1,9 +1,12 @@
 """The actor-free component that knows what endpoints say in answers."""
 
 import asyncio
+import math
 import random
 from typing import cast
 
+from fescuekeel.components.endpoints.availability import Block, find_block
+from fescuekeel.components.endpoints.backoffs import BackOffs
 from fescuekeel.components.endpoints.const import (
     DOMAIN,
     LEAVING_TOPIC,
@@ -31,7 +34,9 @@
 
 
 class EndpointStates:
-    """Read endpoints' answers, and tell all instances which of them leave.
+    """Read endpoints' answers, and say which endpoints may be sent to.
+
+    All instances are told which endpoints leave.
 
     The catalog leaves these endpoints out, so that whatever chooses, loads or
     relays treats them as if the store had said so.
@@ -40,6 +45,7 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._leaving = LeavingEndpoints()
+        self._back_offs = BackOffs()
         self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
 
     async def start(self) -> None:
@@ -52,6 +58,7 @@
         self._instance.metrics.add_gauge(
             "endpoints_leaving", lambda: {"": float(len(self._leaving.list_ids()))}
         )
+        self._instance.metrics.add_gauge("endpoints_backed_off", self._count_backed_off)
         self._instance.spawn(self._check_forever(), f"{DOMAIN}.check")
 
     async def stop(self) -> None:
@@ -66,6 +73,48 @@
             return
         if response.leaving and not self._leaving.is_leaving(endpoint):
             self._announce(endpoint)
+        if response.retry_after_s is not None:
+            self._record_back_off(endpoint, response.retry_after_s)
+
+    def find_block(self, endpoint: str) -> Block | None:
+        """Return why an endpoint must not be sent to now, if it must not."""
+        if not self._back_offs:
+            return None
+        return find_block(endpoint, self._back_offs, self._instance.now())
+
+    # Endpoints that want nothing for a time.
+
+    def _record_back_off(self, endpoint: str, retry_after_s: float) -> None:
+        is_valid = not math.isnan(retry_after_s)
+        if is_valid and not retry_after_s:
+            return
+        is_in_force = is_valid and self._back_offs.record_rejected(
+            endpoint, retry_after_s, self._instance.now(), random.random()
+        )
+        outcome = "ignored"
+        if is_valid:
+            outcome = "in_force" if is_in_force else "within_longer"
+        self._instance.metrics.count(f"endpoint_back_off.{outcome}")
+        log_event(
+            "endpoint_backed_off",
+            endpoint=endpoint,
+            retry_after_s=retry_after_s,
+            outcome=outcome,
+        )
+
+    def record_sent(self, endpoint: str) -> bool:
+        """Record a request; return whether it is part of a return.
+
+        Its answer, or its end without one, is then to be recorded as well.
+        """
+        return self._back_offs.record_sent(endpoint, self._instance.now())
+
+    def record_ended(self, endpoint: str, answered: bool) -> None:
+        """Record that a request of a return has an answer, or none."""
+        self._back_offs.record_ended(endpoint, answered)
+
+    def _count_backed_off(self) -> dict[str, float]:
+        return {"": float(len(self._back_offs.list_until(self._instance.now())))}
 
     # Endpoints that leave.
 
@@ -95,5 +144,6 @@
             now = self._instance.now()
             listed = catalog.endpoints_by_id.keys() | catalog.leaving_ids
             self._leaving.expire(listed, now)
+            self._back_offs.forget_except(listed, now)
             for endpoint in self._leaving.list_due(listed, now):
                 self._announce(endpoint)
--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -17,7 +17,8 @@
     It was sent at ``sent_at``, once there was a connection. ``framing`` is
     that of the answer, ``ended_by`` what ended its body, and ``within_event``
     whether a stream ended within an event. ``software`` is the endpoint's
-    software version.
+    software version. With ``is_return`` it is among the first requests after
+    the endpoint backed off.
     """
 
     endpoint: str
@@ -34,6 +35,7 @@
     ended_by: BodyEnd | None = None
     within_event: bool = False
     software: str = ""
+    is_return: bool = False
 
 
 def get_permit_outcome(end: AttemptEnd | None) -> PermitOutcome:
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -87,16 +87,21 @@
             {self.dialect.ready_path: self._serve_ready_page}
         )
         self.budget = make_budget(settings, instance.now())
-        self.relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
-        self.origins = cast(Origins, instance.components_by_domain[ORIGINS_DOMAIN])
         self.endpoints = cast(
             EndpointStates, instance.components_by_domain[ENDPOINTS_DOMAIN]
         )
+        self.relay = cast(Relay, instance.components_by_domain[RELAY_DOMAIN])
+        self.origins = cast(Origins, instance.components_by_domain[ORIGINS_DOMAIN])
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.records = RequestRecords(instance, self.read_version)
         self.limiter = EndpointLimiter(instance)
         self._selector = EndpointSelector(
-            instance, self.get_load, self._is_cut_off, self.limiter, self.origins
+            instance,
+            self.get_load,
+            self._is_cut_off,
+            self.limiter,
+            self.origins,
+            self.endpoints,
         )
         self._reachability = ReachabilityMonitor(
             instance, self.loads_by_id, self._selector.find_record, self.relay
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -107,11 +107,15 @@
         """Return whether the chosen endpoint may still get the request.
 
         While the request waited for a connection, it may have been
-        quarantined, or the endpoint may have left or named a rate limit.
+        quarantined, or the endpoint may have left, backed off or named a rate
+        limit.
         """
         if self.forwarder.crashes.find_failure(self.request) is not None:
             return False
-        if not self.forwarder.is_listed(self.choice.endpoint):
+        endpoint = self.choice.endpoint
+        if not self.forwarder.is_listed(endpoint):
+            return False
+        if self.forwarder.endpoints.find_block(endpoint) is not None:
             return False
         limiter = self.forwarder.limiter
         service = self.request.service
@@ -211,6 +215,9 @@
             request.method, request.target, (*headers, *framing), request.body
         )
         request.state.record_sent(self.choice.endpoint)
+        self.attempt.is_return = self.forwarder.endpoints.record_sent(
+            self.choice.endpoint
+        )
 
     # Reading.
 
@@ -225,7 +232,7 @@
             self.request.metadata.request_id
         ):
             raise IncompleteResponseError("answer has the id of another request")
-        self.forwarder.endpoints.record_response(self.choice.endpoint, response)
+        self._record_response(response)
         self._record_limits(response)
         if response.not_run:
             await self._drain(connection, response)
@@ -239,6 +246,12 @@
         self._release(connection, response)
         return None
 
+    def _record_response(self, response: ResponseMetadata) -> None:
+        endpoints = self.forwarder.endpoints
+        endpoints.record_response(self.choice.endpoint, response)
+        if self.attempt.is_return:
+            endpoints.record_ended(self.choice.endpoint, not response.not_run)
+
     def _record_limits(self, response: ResponseMetadata) -> None:
         limiter = self.forwarder.limiter
         limiter.record_max_rejections(
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -344,6 +344,8 @@
             load.end(self.weights, left)
             self.forwarder.record_use_ended()
             load.health.record_ended(done)
+            if attempt.is_return and attempt.head is None:
+                self.forwarder.endpoints.record_ended(choice.endpoint, False)
             if attempt.connection is not None:
                 attempt.connection.close()
         failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from fescuekeel.components.allowance import Permit, PermitNeed, PermitOutcome
+from fescuekeel.components.endpoints import Block, EndpointStates
 from fescuekeel.components.forward.choice import (
     Choice,
     EngineQuery,
@@ -60,6 +61,7 @@
         is_cut_off: Callable[[], bool],
         limiter: EndpointLimiter,
         origins: Origins,
+        endpoints: EndpointStates,
     ) -> None:
         self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._instance = instance
@@ -67,6 +69,7 @@
         self._is_cut_off = is_cut_off
         self._limiter = limiter
         self._origins = origins
+        self._endpoints = endpoints
         self._holders = HolderClient(instance)
         self._load_requester = LoadRequester(instance, self._holders)
         self._versions = VersionTracker()
@@ -134,6 +137,11 @@
                 if refused is not None:
                     return refused
                 continue
+            if choice is None and (blocks := self._list_blocks(request)):
+                refused = await self._wait_for_back_off(request, blocks)
+                if refused is not None:
+                    return refused
+                continue
             if choice is None:
                 # Guards against refusals while all endpoints of a service are
                 # replaced and the first is about to be ready.
@@ -158,15 +166,45 @@
 
         Returns a failure at once if the wait would make the answer late.
         """
+        wait_s = search.find_limit_wait_s(self._instance.now())
+        return await self._wait_on_time(request, wait_s, ErrorKind.ENDPOINTS_LIMITED)
+
+    async def _wait_on_time(
+        self, request: ForwardedRequest, wait_s: float, kind: ErrorKind
+    ) -> Failure | None:
+        """Wait, or return a failure at once if the answer would be late."""
         now = self._instance.now()
-        wait_s = search.find_limit_wait_s(now)
         since = now if request.state.answer_started else request.arrived
         if now + wait_s > since + request.route.target_s - PREFILL_S:
             retry_after_s = wait_s + random.uniform(0.0, LIMIT_RETRY_JITTER_S)
-            return Failure(ErrorKind.ENDPOINTS_LIMITED, retry_after_s=retry_after_s)
+            return Failure(kind, retry_after_s=retry_after_s)
         await asyncio.sleep(wait_s)
         return None
 
+    def _list_blocks(self, request: ForwardedRequest) -> list[Block]:
+        """Return why no endpoint may get the request, empty if some may."""
+        records = self._list_candidates(request)
+        usable = [id for id in records if request.state.may_send_to(id)]
+        blocks = [self._endpoints.find_block(id) for id in usable]
+        if None in blocks:
+            return []
+        return [block for block in blocks if block is not None]
+
+    async def _wait_for_back_off(
+        self, request: ForwardedRequest, blocks: list[Block]
+    ) -> Failure | None:
+        """Wait while all endpoints back off.
+
+        Returns a failure at once if the wait would make the answer late, or if
+        the request may not be sent to those that do not back off.
+        """
+        others = self._list_candidates(request).keys()
+        if any(self._endpoints.find_block(id) is None for id in others):
+            return Failure(ErrorKind.ENDPOINT_REFUSED, "max_attempts")
+        now = self._instance.now()
+        wait_s = max(0.0, min(block.until for block in blocks) - now)
+        return await self._wait_on_time(request, wait_s, ErrorKind.ENDPOINTS_BACKED_OFF)
+
     async def _send_within_limit(
         self, request: ForwardedRequest, choice: Choice, search: Search
     ) -> Choice | Failure | None:
@@ -311,11 +349,11 @@
     def _still_serves(self, request: ForwardedRequest, choice: Choice) -> bool:
         """Return whether the endpoint can serve the prompt after its wait.
 
-        Guards against sending it to an endpoint that has been deregistered, or
-        whose adapter has been unloaded, in the meantime.
+        Guards against sending it to an endpoint that has been deregistered or
+        backs off, or whose adapter has been unloaded, in the meantime.
         """
         record = self.find_record(choice.endpoint)
-        if record is None:
+        if record is None or self._endpoints.find_block(choice.endpoint):
             return False
         view = self._instance.bus.latest(PlacementView)
         if view is None or request.weights is None:
@@ -407,15 +445,22 @@
             return None
         return Failure(ErrorKind.STREAM_VERSION_GONE, origin.software)
 
-    def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
+    def _list_candidates(self, request: ForwardedRequest) -> dict[str, EndpointRecord]:
+        """Return the endpoints that can serve a request.
+
+        Streams of two software versions cannot be joined.
+        """
         records = self.records_by_service.get(request.service, {})
-        if request.origin is not None:
-            # Streams of two software versions cannot be joined.
-            records = {
-                id: record
-                for id, record in records.items()
-                if record.software == request.origin.software
-            }
+        if request.origin is None:
+            return records
+        return {
+            id: record
+            for id, record in records.items()
+            if record.software == request.origin.software
+        }
+
+    def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
+        records = self._list_candidates(request)
         choice = self._choose_among(request, records, full)
         if choice is None:
             return None
@@ -429,7 +474,11 @@
     ) -> Choice | None:
         now = self._instance.now()
         state = request.state
-        allowed = {id: rec for id, rec in records.items() if state.may_send_to(id)}
+        allowed = {
+            id: record
+            for id, record in records.items()
+            if state.may_send_to(id) and self._endpoints.find_block(id) is None
+        }
         # After a failure, another endpoint is preferred if one is allowed.
         tried = state.endpoints & allowed.keys()
         if len(allowed) == len(tried):
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -48,6 +48,7 @@
     ) -> None:
         self.scheduler = scheduler
         self.record = record
+        self._endpoints = endpoints
         self._instance = instance
         self._claims = claims
         self._on_load_ended = on_load_ended
@@ -82,9 +83,9 @@
             if newly_held or self._instance.now() >= next_report:
                 await self._fetch_report()
                 next_report = float("inf")
-            if self._held and self.scheduler.order_count.confirmed:
-                await self._send_fencing_token()
-            if self._held:
+            if self._held and not self.is_backed_off:
+                if self.scheduler.order_count.confirmed:
+                    await self._send_fencing_token()
                 await self._step()
             next_report = min(next_report, self._get_next_report_time())
             await self._sleep(min(next_report, self.scheduler.get_next_check()))
@@ -283,6 +284,14 @@
             self._claims.record_fenced(name, now)
         return answered and reply is not OrderReply.BUSY
 
+    @property
+    def is_backed_off(self) -> bool:
+        """Return whether the endpoint wants no orders for a time.
+
+        Reports are still read: without them the claim would be given up.
+        """
+        return self._endpoints.find_block(self.record.id) is not None
+
     def _may_order(self) -> bool:
         catalog = self._instance.bus.latest(Catalog)
         if catalog is not None and self.record.id not in catalog.endpoints_by_id:
--- a/fescuekeel/components/placement/peer_requests.py
+++ b/fescuekeel/components/placement/peer_requests.py
@@ -65,6 +65,9 @@
             return
         weights = Weights(request.model, request.adapter)
         now = self._instance.now()
+        if holder.is_backed_off:
+            link.answer(message, LoadAnswer(False, NO_FREE_PLACE))
+            return
         if not request.patient and not self._has_room_now(holder, weights, now):
             link.answer(message, LoadAnswer(False, NO_FREE_PLACE))
             return
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -38,6 +38,7 @@
     STREAM_VERSION_GONE = "stream_version_gone"
     QUEUE_FULL = "queue_full"
     ENDPOINTS_LIMITED = "endpoints_limited"
+    ENDPOINTS_BACKED_OFF = "endpoints_backed_off"
     TOO_LATE = "too_late"
     EXPIRED = "expired"
     NO_ENDPOINT = "no_endpoint"
@@ -125,6 +126,9 @@
     ErrorKind.ENDPOINTS_LIMITED: ErrorResponse(
         503, Ran.NO, True, "All endpoints are at their rate limits."
     ),
+    ErrorKind.ENDPOINTS_BACKED_OFF: ErrorResponse(
+        503, Ran.NO, True, "All endpoints have asked for time without requests."
+    ),
     ErrorKind.TOO_LATE: ErrorResponse(
         503, Ran.NO, True, "It cannot be answered in time."
     ),
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -98,7 +98,9 @@
     ``limit_per_s`` the requests per second that it takes from all instances
     together, ``None`` if it has no limit. ``max_rejections_per_s`` are the
     rejections per second beyond which it falls over, ``None`` if it names no
-    number. ``leaving`` says that the endpoint leaves.
+    number. ``leaving`` says that the endpoint leaves. ``retry_after_s`` is how
+    long an endpoint that turned the request away wants nothing from this
+    instance: ``None`` if it names no time, and NaN if that is no number.
     """
 
     not_run: bool
@@ -111,6 +113,7 @@
     limit_per_s: float | None = None
     max_rejections_per_s: float | None = None
     leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class OrderKind(StrEnum):
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -70,6 +70,7 @@
         concurrency_limit_lowered endpoint limit before slots in_use outcome
         configuration_in_force version before routes revision
         crash_checked endpoint first second outcome
+        endpoint_backed_off endpoint retry_after_s outcome
         endpoint_changed endpoint state revision
         endpoint_leaving endpoint age_ms outcome
         endpoint_limit_changed endpoint rate_per_s age_ms outcome
