Pass an endpoint's whole error on where no retry is answered

Cause: an answer that may be retried was read to its end and thrown away before the retry budget was asked. Evidence: retry_decided outcome=denied followed by request_refused detail=budget, and the test, where 40 of 40 requests with an empty budget got 502 or, with a nearly empty one, all but those retried. Now the budget is asked first, and an answer of up to 64 KiB is kept in case the budget is empty when the retry would be sent. Conclusion: fixed; a longer answer whose retry fails later is still replaced by 502.

--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -7,7 +7,15 @@
 from fescuekeel.helpers.http_connection import Connection, ResponseHead
 from fescuekeel.helpers.whole_answer import BodyEnd, Framing
 
-__all__ = ["Attempt", "get_permit_outcome"]
+__all__ = ["Attempt", "FailedAnswer", "get_permit_outcome"]
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAnswer:
+    """A whole answer with an error, which a retry may replace."""
+
+    head: ResponseHead
+    body: bytes
 
 
 @dataclass(slots=True)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -406,6 +406,10 @@
         """Report the end of a use of weights to the holders soon."""
         self._use.record_ended()
 
+    def has_retry_budget(self, request: ForwardedRequest) -> bool:
+        """Return whether the retry budget has a retry left."""
+        return self.budget.count_left(request.service, self.instance.now()) > 0
+
     def may_retry(self, request: ForwardedRequest, end: AttemptEnd) -> bool:
         """Return whether the retry budget allows a retry of an attempt."""
         left = self.budget.count_left(request.service, self.instance.now())
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -96,6 +96,8 @@
 MAX_PERMITS_AWAITED: Final = 2
 # An endpoint first seen less than this before has just started.
 NEW_ENDPOINT_S: Final = 10.0
+# The longest answer with an error that is kept while the request is retried.
+MAX_KEPT_ANSWER_BYTES: Final = 64 * 1024
 # Limit of sends per request, regardless of the retry budget.
 MAX_SENDS: Final = 4
 
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from fescuekeel.components.forward.attempt import Attempt
+from fescuekeel.components.forward.attempt import Attempt, FailedAnswer
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.choice import Choice
@@ -11,6 +11,7 @@
     DEFAULT_KEEP_ALIVE_S,
     INCARNATION_TIMEOUT_S,
     KEEP_ALIVE_MARGIN_S,
+    MAX_KEPT_ANSWER_BYTES,
     MAX_RELAYED_AGE_S,
     MAX_RELAYED_IDLE_S,
     MAX_SAMPLE_WAIT_S,
@@ -240,7 +241,7 @@
                 return AttemptEnd.MISDIRECTED
             return AttemptEnd.NOT_RUN
         if self._may_retry(head):
-            await self._drain(connection, response)
+            await self._keep_failed(connection, head, response)
             return AttemptEnd.FAILED
         await self._pass_on(connection, head)
         self._release(connection, response)
@@ -269,9 +270,22 @@
             return False
         if state.answer_started:
             return True
-        if not state.repeatable:
+        if not state.repeatable or len(state.endpoints) >= state.max_attempts:
             return False
-        return len(state.endpoints) < state.max_attempts
+        return self.forwarder.has_retry_budget(self.request)
+
+    async def _keep_failed(
+        self, connection: Connection, head: ResponseHead, response: ResponseMetadata
+    ) -> None:
+        """Read an answer with an error; keep it if no retry is answered."""
+        body = bytearray()
+        while (chunk := await connection.read_chunk()) is not None:
+            self._record_received()
+            if len(body) <= MAX_KEPT_ANSWER_BYTES:
+                body += chunk.data
+        if len(body) <= MAX_KEPT_ANSWER_BYTES and not self.request.state.answer_started:
+            self.request.failed_answer = FailedAnswer(head, bytes(body))
+        self._release(connection, response)
 
     async def _drain(self, connection: Connection, response: ResponseMetadata) -> None:
         """Read the rest of an answer that is not forwarded."""
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -50,6 +50,9 @@
     def get_priority(self, request: R) -> int | None:
         """Return the priority for an engine, ``None`` for plain services."""
 
+    def has_retry_budget(self, request: R) -> bool:
+        """Return whether the retry budget has a retry left."""
+
     def may_retry(self, request: R, end: AttemptEnd) -> bool:
         """Return whether the retry budget allows a retry of an attempt."""
 
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -6,7 +6,11 @@
 
 from fescuekeel.components.allowance import PermitOutcome
 from fescuekeel.components.forward.answer import ForwardedAnswer
-from fescuekeel.components.forward.attempt import Attempt, get_permit_outcome
+from fescuekeel.components.forward.attempt import (
+    Attempt,
+    FailedAnswer,
+    get_permit_outcome,
+)
 from fescuekeel.components.forward.attempts import (
     AttemptEnd,
     RequestState,
@@ -66,6 +70,7 @@
     times: ChunkTimes = field(default_factory=ChunkTimes)
     waited_s: float = 0.0
     broken_run: BrokenRun | None = None
+    failed_answer: FailedAnswer | None = None
     answer: ForwardedAnswer = field(init=False)
     _current_attempt: Attempt | None = None
     _caller_closed: bool = field(default=False)
@@ -296,12 +301,23 @@
         if self.caller.started:
             self.caller.abort()
             return
+        kept = self.failed_answer
+        if kept is not None and failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+            await self._pass_on_failed(kept)
+            return
         headers = self.forwarder.dialect.make_error_headers(
             self.metadata.request_id, failure.kind
         )
         await self.caller.refuse(failure, headers)
         self.forwarder.record_refused(self, failure)
 
+    async def _pass_on_failed(self, kept: FailedAnswer) -> None:
+        """Answer with an endpoint's own error, as no retry is answered."""
+        self.answer.begin_part(kept.head)
+        await self.answer.pass_on(kept.body)
+        self.record_answered()
+        await self.answer.finish()
+
     async def _end_expired(self) -> None:
         """Answer that the deadline has passed; "not run" only if unsent."""
         kind = ErrorKind.EXPIRED if self.state.sends else ErrorKind.TOO_LATE
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from standins.forwarding.platform import PLAIN
 from tests.common import eventually
 from tests.platform.test_path import start_world
@@ -37,6 +39,27 @@
     )
 
 
+class TestFailedAnswers:
+    # Guards against our own error in place of an endpoint's whole answer where
+    # the budget allows no retry.
+    @pytest.mark.parametrize("ratio", [0.0, 0.05], ids=["empty", "nearly empty"])
+    def test_the_caller_gets_the_endpoints_answer(self, ratio):
+        async def work():
+            async with start_world(1) as world:
+                forward = world.instances[0].components_by_domain["forward"]
+                forward.budget.configure(ratio, 0, 10.0)
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.failing_share = 1.0
+                answers = await asyncio.gather(
+                    *(world.send_request(f"/lookup/{number}") for number in range(40))
+                )
+                assert {answer.code for answer, _ in answers} == {500}
+                for answer, _ in answers:
+                    assert "Fescuekeel-Server-Stamp" in answer.headers
+
+        asyncio.run(asyncio.wait_for(work(), 30))
+
+
 class TestWaitingRetries:
     # Guards against retries that are charged when they are decided, wait for
     # an endpoint, and arrive together with those of the next window.
