Soak: endpoints that leave or back off by their answers only

Cause: neither fault was played, so that the soak could not notice them. Endpoints now also leave without a word to the store, and reject all requests with a Retry-After of 0 to 3 s or one that is no number, overlapping with all other faults. By daemon: no request that it got later than 2 s after it passed on an answer that says so, and no more than two while an endpoint backs off. A restart or freeze excuses both, cut links to endpoints the latter.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -71,6 +71,17 @@
             if fault.kind in DAEMON_KINDS
         )
 
+    def overlaps_kinds(
+        self, kinds: frozenset[FaultKind], start: float, end: float
+    ) -> bool:
+        """Return whether a fault of certain kinds overlaps, or just ended."""
+        return any(
+            self.started_at + fault.starts_at <= end
+            and start <= self.started_at + fault.ends_at + DAEMON_RECOVERY_S
+            for fault in self.faults
+            if fault.kind in kinds
+        )
+
     def disturbs_versions(self, start: float, end: float) -> bool:
         """Return whether a daemon, or an endpoint's version, was disturbed."""
         return self.disturbs_daemons(start, end) or any(
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -10,6 +10,7 @@
 import fire
 
 from bench.soak.accounts import Accounts, check_accounts
+from bench.soak.answers_of_endpoints import check_back_offs, check_leaving
 from bench.soak.brittle import check_brittle, list_falls
 from bench.soak.callers import Caller, CallResult, Ending
 from bench.soak.checks import RECOVERY_S, History, check
@@ -114,6 +115,8 @@
         violations += check_parts(
             world.parts, workers, lost_at, history.disturbs_daemons
         )
+        violations += check_leaving(workers, results, history.overlaps_kinds)
+        violations += check_back_offs(workers, results, history.overlaps_kinds)
         violations += check_limits(world.limits.periods, history.disturbs_daemons)
         slack = max(daemon.spec.retry_slack for daemon in world.daemons)
         violations += check_retries(workers, results, slack)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -59,6 +59,8 @@
     SERVICE_FAILS = "service_fails"
     CRASHING_PART = "crashing_part"
     CONNECTIONS_SKEWED = "connections_skewed"
+    ENDPOINT_SAYS_LEAVING = "endpoint_says_leaving"
+    ENDPOINT_BACKS_OFF = "endpoint_backs_off"
 
 
 # These kinds have random streams of their own, by name, so that a seed draws
@@ -86,6 +88,8 @@
     "retries": (FaultKind.SERVICE_FAILS,),
     "parts": (FaultKind.CRASHING_PART,),
     "skew": (FaultKind.CONNECTIONS_SKEWED,),
+    "leaving": (FaultKind.ENDPOINT_SAYS_LEAVING,),
+    "back off": (FaultKind.ENDPOINT_BACKS_OFF,),
 }
 LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -115,6 +119,8 @@
         FaultKind.ENDPOINT_LIMIT,
         FaultKind.ENDPOINT_FRAMING,
         FaultKind.VERSION_RELEASE,
+        FaultKind.ENDPOINT_SAYS_LEAVING,
+        FaultKind.ENDPOINT_BACKS_OFF,
     }
 )
 MAX_DURATION_S = 3.0
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -12,6 +12,7 @@
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
 from bench.soak.answers import break_answers, frame_answers
+from bench.soak.answers_of_endpoints import back_off
 from bench.soak.brittle import BrittleServices
 from bench.soak.checks import Drain
 from bench.soak.culprits import CULPRIT_ROUTES, Culprits
@@ -107,6 +108,8 @@
             FaultKind.ENDPOINT_SHEDS: self._inject_endpoint_errors,
             FaultKind.ENDPOINT_BREAKS: self._inject_endpoint_errors,
             FaultKind.ENDPOINT_LEAVES: self._drain_endpoint,
+            FaultKind.ENDPOINT_SAYS_LEAVING: self._leave_by_answers,
+            FaultKind.ENDPOINT_BACKS_OFF: self._back_off,
             FaultKind.ENDPOINT_CRASHES: self._crash_endpoint,
             FaultKind.ENDPOINT_RESTARTS: self._restart_endpoint,
             FaultKind.FOREIGN_ENTRY: self._write_foreign_entry,
@@ -377,6 +380,22 @@
         await asyncio.sleep(DRAIN_S)
         await self.platform.stop_worker(worker)
 
+    async def _leave_by_answers(self, fault: Fault) -> None:
+        """Add a replacement, then let an endpoint leave by its answers."""
+        worker = self._pick_worker(fault)
+        await self.add_worker(worker.service, ZONES[fault.target % len(ZONES)])
+        await asyncio.sleep(PLATFORM_DELAY_S)
+        if worker.leaves or not self.platform.is_published(worker):
+            return
+        worker.leave()
+        await asyncio.sleep(2 * DRAIN_S)
+        self.platform.remove(worker)
+        await asyncio.sleep(DRAIN_S)
+        await self.platform.stop_worker(worker)
+
+    async def _back_off(self, fault: Fault) -> None:
+        await back_off(self._pick_worker(fault), fault)
+
     async def _crash_endpoint(self, fault: Fault) -> None:
         worker = self._pick_worker(fault)
         proxy = self._proxies_by_worker[worker.id]
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -129,7 +129,8 @@
         if worker.room.brittle_per_s is not None:
             self.set_header(SERVER_BRITTLE_HEADER, str(worker.room.brittle_per_s))
         if worker.retry_after is not None:
-            worker.rejected.append((time.monotonic(), request_id))
+            rejection = (time.monotonic(), request_id, worker.retry_after)
+            worker.rejected.append(rejection)
             self.set_header("Retry-After", worker.retry_after)
             await self.reject()
             return
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -75,7 +75,8 @@
     ``limit_named_at`` is when the first one did.
     While it ``leaves`` it says so in all its answers. While ``retry_after`` is
     set it rejects all requests with this ``Retry-After``; ``rejected`` has the
-    time and the id of each of them.
+    time, the id and the ``Retry-After`` of each of them. ``left_at`` is when
+    it began to leave.
     ``room`` bounds the requests that run and wait.
     Answers are framed by ``framing`` (by default as HTTP servers do), and the
     lines of events end with ``line_end``. The next runs break their answers
@@ -116,8 +117,9 @@
     limit_per_s: float | None = None
     limit_named_at: float | None = None
     leaves: bool = False
+    left_at: float = 0.0
     retry_after: str | None = None
-    rejected: list[tuple[float, str]] = field(default_factory=list)
+    rejected: list[tuple[float, str, str]] = field(default_factory=list)
     crash: Callable[[], bool] | None = None
     crashes: list[CrashRecord] = field(default_factory=list)
     crash_parts: set[str] = field(default_factory=set)
@@ -132,6 +134,10 @@
     _silent_until: float = 0.0
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
+    def leave(self) -> None:
+        """Say in all answers from now on that the worker leaves."""
+        self.leaves, self.left_at = True, time.monotonic()
+
     def control(self, commands: dict[str, Any]) -> None:
         """Apply ``fail``, ``shed`` and ``cut``."""
         for name in ("fail", "shed", "cut"):
@@ -159,6 +165,7 @@
     def restart(self) -> None:
         """Restart with the same id and empty state; all connections end."""
         self.connection_faults.close_open()
+        self.leaves = False
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.versions_by_adapter.clear()
         self.pending.clear()
--- a/tests/platform/test_backing_off.py
+++ b/tests/platform/test_backing_off.py
@@ -44,7 +44,7 @@
 def count_most_within_back_off(load, worker):
     """Return the most requests of an instance while it should send none."""
     most = 0
-    for rejected_at, id in worker.rejected:
+    for rejected_at, id, _ in worker.rejected:
         instance = load.sent_by_id[id].instance
         within = [
             at
