Let one place say whether an endpoint may be sent to now

Cause: seven kinds of 'not there, not now' lived in five files, and the choice combined them as sets with fallbacks of its own. Now each is a Block with a reason and a time; availability.py says which of them forbid sending and how the others rank, and choice, retries, waits, loads and the holder's steps use it. The ranking is the one that the sets had: whether an endpoint answers comes before its load.

--- a/fescuekeel/components/endpoints/component.py
+++ b/fescuekeel/components/endpoints/component.py
@@ -5,7 +5,7 @@
 import random
 from typing import cast
 
-from fescuekeel.components.endpoints.availability import Block, find_block
+from fescuekeel.components.endpoints.availability import Block, find_strict_block
 from fescuekeel.components.endpoints.backoffs import BackOffs
 from fescuekeel.components.endpoints.const import (
     DOMAIN,
@@ -80,7 +80,7 @@
         """Return why an endpoint must not be sent to now, if it must not."""
         if not self._back_offs:
             return None
-        return find_block(endpoint, self._back_offs, self._instance.now())
+        return find_strict_block(endpoint, self._back_offs, self._instance.now())
 
     # Endpoints that want nothing for a time.
 
--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from fescuekeel.components.allowance import Permit
+from fescuekeel.components.endpoints import ListBlocks, list_preferred
 from fescuekeel.components.forward.const import (
     CROSS_CENTRE_COST_S,
     HOME_COST_SLACK_S,
@@ -76,15 +77,15 @@
     loads_by_id: Callable[[str], EndpointLoad],
     tried: Collection[str],
     data_centre: str,
-    full: Collection[str],
+    list_blocks: ListBlocks,
     now: float,
 ) -> Choice | None:
     """Return the endpoint of least cost, preferring the own data centre.
 
-    Endpoints in ``full`` are used only if there is no other.
+    ``list_blocks`` returns what is against sending to an endpoint.
     """
-    candidates = _list_candidates(endpoints_by_id, loads_by_id, tried, now)
-    candidates = [id for id in candidates if id not in full] or candidates
+    untried = (id for id in endpoints_by_id if id not in tried)
+    candidates = list_preferred(untried, list_blocks)
     if not candidates:
         return None
 
@@ -97,25 +98,13 @@
     return Choice(best, ChoiceReason.LEAST_COST, rank(best)[0])
 
 
-def _list_candidates(
-    endpoints_by_id: Mapping[str, EndpointRecord],
-    loads_by_id: Callable[[str], EndpointLoad],
-    tried: Collection[str],
-    now: float,
-) -> list[str]:
-    """Return the untried endpoints, without avoided ones if any remain."""
-    untried = [id for id in endpoints_by_id if id not in tried]
-    healthy = [id for id in untried if not loads_by_id(id).health.is_avoided(now)]
-    return healthy or untried
-
-
 def choose_engine(
     query: EngineQuery,
     endpoints_by_id: Mapping[str, EndpointRecord],
     loads_by_id: Callable[[str], EndpointLoad],
     view: PlacementView,
     tried: Collection[str],
-    full: Collection[str],
+    list_blocks: ListBlocks,
     now: float,
 ) -> Choice | None:
     """Return the endpoint for a prompt, and whether to load its weights.
@@ -123,8 +112,7 @@
     A base model is available everywhere, so the least cost decides. An adapter
     is served by the cheapest endpoint that holds it; if its cost is far above
     that of an endpoint without the adapter, the latter should load a copy.
-    Endpoints in ``full`` have just refused the prompt and are used only if
-    there is no other.
+    ``list_blocks`` returns what is against sending to an endpoint.
     """
     model = Weights(query.weights.model)
     usable = {
@@ -132,8 +120,8 @@
         for id, record in endpoints_by_id.items()
         if view.find_version(record, model, now) is not None
     }
-    candidates = _list_candidates(usable, loads_by_id, tried, now)
-    candidates = [id for id in candidates if id not in full] or candidates
+    untried = (id for id in usable if id not in tried)
+    candidates = list_preferred(untried, list_blocks)
     if not candidates:
         return None
 
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/forward/endpoints.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from fescuekeel.components.endpoints.availability import Block, BlockReason
 from fescuekeel.components.forward.const import (
     CONGESTION_COST_S,
     CONGESTION_SHARE,
@@ -111,9 +112,13 @@
             and now - self._waiting_since > FAILOVER_AFTER_S
         )
 
-    def is_avoided(self, now: float) -> bool:
-        """Return whether others are preferred regardless of their load."""
-        return now < self.unreachable_until or self.is_unresponsive(now)
+    def find_block(self, now: float) -> Block | None:
+        """Return why others are preferred regardless of their load."""
+        if now < self.unreachable_until:
+            return Block(BlockReason.UNREACHABLE, self.unreachable_until)
+        if self.is_unresponsive(now):
+            return Block(BlockReason.UNRESPONSIVE)
+        return None
 
 
 @dataclass(slots=True)
--- a/fescuekeel/components/forward/gauges.py
+++ b/fescuekeel/components/forward/gauges.py
@@ -42,7 +42,9 @@
     def _read_endpoints(self) -> dict[str, float]:
         now = self._instance.now()
         known = self._selector.list_endpoints()
-        avoided = sum(self._get_load(id).health.is_avoided(now) for id in known)
+        avoided = sum(
+            self._get_load(id).health.find_block(now) is not None for id in known
+        )
         return {"ready": float(len(known)), "avoided": float(avoided)}
 
     def _read_budget(self) -> dict[str, float]:
--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from fescuekeel.components.endpoints import Block, BlockReason
 from fescuekeel.components.forward.const import (
     MAX_CONGESTED,
     MAX_CUT_OFF_RETRY_S,
@@ -44,8 +45,8 @@
 
     >>> search = Search(until=10.0)
     >>> search.record_congested("e1")
-    >>> search.avoided, search.patient
-    ({'e1'}, False)
+    >>> search.find_block("e1", now=1.0).reason.value, search.patient
+    ('congested', False)
     """
 
     until: float
@@ -71,10 +72,18 @@
         """
         return len(self.congested) >= MAX_CONGESTED
 
-    @property
-    def avoided(self) -> set[str]:
-        """Return the endpoints to use only if there is no other."""
-        return self.full if self.patient else self.full | self.congested
+    def find_block(self, endpoint: str, now: float) -> Block | None:
+        """Return why the request rather goes to others, ``None`` if not."""
+        limited_until = self.limited_until_by_id.get(endpoint, now)
+        if limited_until > now:
+            return Block(BlockReason.LIMITED, limited_until)
+        if endpoint in self.without_permit:
+            return Block(BlockReason.WITHOUT_PERMIT)
+        if endpoint in self.full:
+            return Block(BlockReason.FULL)
+        if endpoint in self.congested and not self.patient:
+            return Block(BlockReason.CONGESTED)
+        return None
 
     def may_queue_at(self, endpoint: str, has_permit: bool = False) -> bool:
         """Return whether the request may queue at an endpoint.
@@ -82,7 +91,8 @@
         With a permit it may: the endpoint has capacity for it, although the
         holder may still count requests there that have just ended.
         """
-        return has_permit or self.patient or endpoint in self.avoided
+        known = endpoint in self.full or endpoint in self.congested
+        return has_permit or self.patient or known
 
     def list_limited(self, now: float) -> set[str]:
         """Return the endpoints that are at their rate limits."""
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -130,8 +130,7 @@
         found: Choice | Failure | None
         while True:
             limited = search.list_limited(self._instance.now())
-            passed_over = search.avoided | limited | search.without_permit
-            choice = self._choose(request, passed_over)
+            choice = self._choose(request, search)
             if choice is not None and choice.endpoint in limited:
                 refused = await self._wait_for_limit(request, search)
                 if refused is not None:
@@ -459,9 +458,9 @@
             if record.software == request.origin.software
         }
 
-    def _choose(self, request: ForwardedRequest, full: set[str]) -> Choice | None:
+    def _choose(self, request: ForwardedRequest, search: Search) -> Choice | None:
         records = self._list_candidates(request)
-        choice = self._choose_among(request, records, full)
+        choice = self._choose_among(request, records, search)
         if choice is None:
             return None
         return replace(choice, software=records[choice.endpoint].software)
@@ -470,7 +469,7 @@
         self,
         request: ForwardedRequest,
         records: dict[str, EndpointRecord],
-        full: set[str],
+        search: Search,
     ) -> Choice | None:
         now = self._instance.now()
         state = request.state
@@ -479,6 +478,15 @@
             for id, record in records.items()
             if state.may_send_to(id) and self._endpoints.find_block(id) is None
         }
+
+        def list_blocks(endpoint: str) -> list[Block]:
+            blocks = (
+                self._endpoints.find_block(endpoint),
+                self._get_load(endpoint).health.find_block(now),
+                search.find_block(endpoint, now),
+            )
+            return [block for block in blocks if block is not None]
+
         # After a failure, another endpoint is preferred if one is allowed.
         tried = state.endpoints & allowed.keys()
         if len(allowed) == len(tried):
@@ -487,7 +495,9 @@
         weights = request.weights
         if engine is None or weights is None:
             centre = self._instance.settings.instance.data_centre
-            return choose_plain(allowed, self._get_load, tried, centre, full, now)
+            return choose_plain(
+                allowed, self._get_load, tried, centre, list_blocks, now
+            )
         view = self._instance.bus.latest(PlacementView) or PlacementView()
         query = EngineQuery(
             weights,
@@ -498,7 +508,9 @@
             request.metadata.request_id,
             self._instance.settings.instance.data_centre,
         )
-        return choose_engine(query, allowed, self._get_load, view, tried, full, now)
+        return choose_engine(
+            query, allowed, self._get_load, view, tried, list_blocks, now
+        )
 
 
 def _expect_version(choice: Choice, answer: AdmitAnswer) -> Choice:
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 
+from fescuekeel.components.endpoints import Block, BlockReason
 from fescuekeel.components.forward.choice import (
     ChoiceReason,
     EngineQuery,
@@ -52,15 +53,28 @@
             self.loads.__getitem__,
             self.view,
             tried,
-            full,
+            self.list_blocks(full),
             NOW,
         )
 
     def choose_plain(self, tried=(), centre="dc0", full=()):
         return choose_plain(
-            self.records, self.loads.__getitem__, tried, centre, full, NOW
+            self.records,
+            self.loads.__getitem__,
+            tried,
+            centre,
+            self.list_blocks(full),
+            NOW,
         )
 
+    def list_blocks(self, full):
+        def list_of(id):
+            block = self.loads[id].health.find_block(NOW)
+            found = [] if block is None else [block]
+            return found + [Block(BlockReason.FULL)] * (id in full)
+
+        return list_of
+
 
 class TestEngine:
     def test_adapter_is_loaded_elsewhere_if_its_holder_is_full(self):
--- a/tests/components/forward/test_search.py
+++ b/tests/components/forward/test_search.py
@@ -26,7 +26,7 @@
             assert not search.may_queue_at(f"e{number}")
             search.record_not_admitted(f"e{number}", CONGESTED, patient=False)
         assert search.may_queue_at("e0")
-        assert search.avoided == set()
+        assert search.find_block("e0", 0.0) is None
         assert not search.is_exhausted(0.0)
 
     # Guards against permits that are returned unused while slots are idle.
@@ -48,7 +48,7 @@
         search.record_not_admitted(
             "e1", AdmitAnswer(False, reason=NOT_HELD), patient=False
         )
-        assert search.avoided == set()
+        assert search.find_block("e1", 0.0) is None
 
 
 class HotAdapterSimulation:
@@ -118,13 +118,21 @@
             self.waits.append(now - arrived)
             return
         query = EngineQuery(CARDS, self.TOKENS, self.SLOTS, 0, 0, str(number))
+
+        def list_blocks(id):
+            blocks = (
+                self.loads[instance][id].health.find_block(now),
+                search.find_block(id, now),
+            )
+            return [block for block in blocks if block is not None]
+
         choice = choose_engine(
             query,
             self.read_published(now),
             self.loads[instance].__getitem__,
             self.views[instance],
             (),
-            search.avoided,
+            list_blocks,
             now,
         )
         patient = not self.redirects or search.may_queue_at(choice.endpoint)
