Give endpoints' state a component of its own

Load and health, named limits and rejection limits move to the endpoints component, beside leaving endpoints, back-offs and the question whether one may be sent to. Files and constants are moved unchanged; the limiter stays, since it asks the allowance component, which depends on the catalog.

--- a/fescuekeel/components/endpoints/__init__.py
+++ b/fescuekeel/components/endpoints/__init__.py
@@ -1,4 +1,4 @@
-"""The endpoints component: what endpoints say of themselves in answers."""
+"""The endpoints component: endpoints as this instance sees them."""
 
 from fescuekeel.components.endpoints.availability import (
     Block,
@@ -7,15 +7,32 @@
     list_preferred,
 )
 from fescuekeel.components.endpoints.component import EndpointStates
-from fescuekeel.components.endpoints.const import DOMAIN
+from fescuekeel.components.endpoints.const import (
+    DOMAIN,
+    ENGINE_STEP_S,
+    LIMIT_TTL_S,
+    MAX_LIMITED_ENDPOINTS,
+    MAX_REJECTION_LIMITS,
+)
+from fescuekeel.components.endpoints.load import EndpointLoad
+from fescuekeel.components.endpoints.named_limits import LimitChange, NamedLimits
+from fescuekeel.components.endpoints.rejection_limits import RejectionLimits
 from fescuekeel.core import REGISTRY, Instance
 
 __all__ = [
     "DOMAIN",
+    "ENGINE_STEP_S",
+    "LIMIT_TTL_S",
+    "MAX_LIMITED_ENDPOINTS",
+    "MAX_REJECTION_LIMITS",
     "Block",
     "BlockReason",
+    "EndpointLoad",
     "EndpointStates",
+    "LimitChange",
     "ListBlocks",
+    "NamedLimits",
+    "RejectionLimits",
     "list_preferred",
     "setup",
 ]
--- a/fescuekeel/components/endpoints/const.py
+++ b/fescuekeel/components/endpoints/const.py
@@ -27,3 +27,43 @@
 FULL_WINDOW: Final = 8
 # Endpoints whose window is full are asked about again after this.
 WINDOW_RECHECK_S: Final = 0.03
+
+LIMIT_TTL_S: Final = 600.0
+# Limits in force are announced again after this, before they expire at peers.
+LIMIT_REFRESH_S: Final = 300.0
+MAX_LIMITED_ENDPOINTS: Final = 1024
+# Endpoints that crash when they reject too many requests name a limit, which
+# is valid for their service until this long after the last answer with it.
+# Crashed endpoints restart within some seconds.
+REJECTION_LIMIT_TTL_S: Final = 15.0
+# The number is announced again after this while endpoints still name it.
+REJECTION_LIMIT_REFRESH_S: Final = 5.0
+MAX_REJECTION_LIMITS: Final = 1024
+# Health of endpoints. The weight of a new result in the moving average.
+RESULT_WEIGHT: Final = 0.15
+HEALTH_HALF_LIFE_S: Final = 4.0
+# Cost of a failure rate of 1 in the choice between endpoints.
+FAILURE_COST_S: Final = 2.0
+MIN_UNREACHABLE_S: Final = 0.5
+MAX_UNREACHABLE_S: Final = 4.0
+# The cost of a connection through a peer in the choice between endpoints.
+RELAY_COST_S: Final = 0.01
+# An endpoint with outstanding requests that sends nothing for this time is
+# avoided by further requests.
+UNRESPONSIVE_AFTER_S: Final = 0.9
+# The direct path to a silent endpoint is checked at this interval.
+SILENCE_CHECK_S: Final = 0.45
+# Healthy endpoints may pause for somewhat over a second. Callers leave a
+# stream after a pause of two seconds.
+FAILOVER_AFTER_S: Final = 1.6
+# Waits at engines. Prefill time per prompt token until samples are available.
+DEFAULT_PREFILL_TOKEN_S: Final = 0.045 / 1000
+MAX_PREFILL_TOKEN_S: Final = 1.0 / 1000
+SPEED_WEIGHT: Final = 0.2
+# Shorter prompts are no sample of an engine's prefill speed.
+MIN_SPEED_SAMPLE_TOKENS: Final = 500
+# The duration of one scheduler step of an engine.
+ENGINE_STEP_S: Final = 0.012
+# The share of busy slots above which congestion adds to an engine's cost.
+CONGESTION_SHARE: Final = 0.75
+CONGESTION_COST_S: Final = 1.0
--- a/fescuekeel/components/forward/endpoints.py
+++ b/fescuekeel/components/endpoints/load.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from fescuekeel.components.endpoints.availability import Block, BlockReason
-from fescuekeel.components.forward.const import (
+from fescuekeel.components.endpoints.const import (
     CONGESTION_COST_S,
     CONGESTION_SHARE,
     DEFAULT_PREFILL_TOKEN_S,
--- a/fescuekeel/components/forward/named_limits.py
+++ b/fescuekeel/components/endpoints/named_limits.py
@@ -8,10 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from fescuekeel.components.forward.const import (
-    LIMIT_REFRESH_S,
-    MAX_LIMITED_ENDPOINTS,
-)
+from fescuekeel.components.endpoints.const import LIMIT_REFRESH_S, MAX_LIMITED_ENDPOINTS
 
 __all__ = ["LimitChange", "NamedLimits"]
 
--- a/fescuekeel/components/forward/rejection_limits.py
+++ b/fescuekeel/components/endpoints/rejection_limits.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from fescuekeel.components.forward.const import (
+from fescuekeel.components.endpoints.const import (
     MAX_REJECTION_LIMITS,
     REJECTION_LIMIT_REFRESH_S,
     REJECTION_LIMIT_TTL_S,
--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from fescuekeel.components.allowance import Permit
-from fescuekeel.components.endpoints import ListBlocks, list_preferred
+from fescuekeel.components.endpoints import EndpointLoad, ListBlocks, list_preferred
 from fescuekeel.components.forward.const import (
     CROSS_CENTRE_COST_S,
     HOME_COST_SLACK_S,
@@ -13,7 +13,6 @@
     MAX_COMPARED,
     SPREAD_COST_GAP_S,
 )
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.helpers.placement_view import PlacementView
 from fescuekeel.helpers.published import EndpointRecord, Weights
 from fescuekeel.util import rendezvous
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -9,6 +9,7 @@
 
 from fescuekeel.components.endpoints import (
     DOMAIN as ENDPOINTS_DOMAIN,
+    EndpointLoad,
     EndpointStates,
 )
 from fescuekeel.components.forward.attempt import Attempt
@@ -29,7 +30,6 @@
 )
 from fescuekeel.components.forward.crashes import CrashReporter
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.gate import AccountGate
 from fescuekeel.components.forward.gauges import ForwardingGauges
 from fescuekeel.components.forward.overhead import OverheadEstimator
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -79,17 +79,6 @@
 LIMIT_RECHECK_S: Final = 0.25
 # Spreads the retries of callers that were refused at the same time.
 LIMIT_RETRY_JITTER_S: Final = 0.5
-LIMIT_TTL_S: Final = 600.0
-# Limits in force are announced again after this, before they expire at peers.
-LIMIT_REFRESH_S: Final = 300.0
-MAX_LIMITED_ENDPOINTS: Final = 1024
-# Endpoints that crash when they reject too many requests name a limit, which
-# is valid for their service until this long after the last answer with it.
-# Crashed endpoints restart within some seconds.
-REJECTION_LIMIT_TTL_S: Final = 15.0
-# The number is announced again after this while endpoints still name it.
-REJECTION_LIMIT_REFRESH_S: Final = 5.0
-MAX_REJECTION_LIMITS: Final = 1024
 # A request asks for this many permits at once, then waits at this
 # many.
 MAX_PERMITS_ASKED: Final = 4
@@ -112,23 +101,6 @@
 # How long an instance that was lost counts as running behind a partition.
 LOST_SLACK_TTL_S: Final = 600.0
 
-# Health of endpoints. The weight of a new result in the moving average.
-RESULT_WEIGHT: Final = 0.15
-HEALTH_HALF_LIFE_S: Final = 4.0
-# Cost of a failure rate of 1 in the choice between endpoints.
-FAILURE_COST_S: Final = 2.0
-MIN_UNREACHABLE_S: Final = 0.5
-MAX_UNREACHABLE_S: Final = 4.0
-# The cost of a connection through a peer in the choice between endpoints.
-RELAY_COST_S: Final = 0.01
-# An endpoint with outstanding requests that sends nothing for this time is
-# avoided by further requests.
-UNRESPONSIVE_AFTER_S: Final = 0.9
-# The direct path to a silent endpoint is checked at this interval.
-SILENCE_CHECK_S: Final = 0.45
-# Healthy endpoints may pause for somewhat over a second. Callers leave a
-# stream after a pause of two seconds.
-FAILOVER_AFTER_S: Final = 1.6
 MONITOR_PERIOD_S: Final = 0.15
 
 # An instance is cut off once it has received nothing from any other data
@@ -147,14 +119,6 @@
 # Priorities are 0 (highest) to 9; the lowest is for background work.
 LOWEST_PRIORITY: Final = 9
 
-# Waits at engines. Prefill time per prompt token until samples are available.
-DEFAULT_PREFILL_TOKEN_S: Final = 0.045 / 1000
-MAX_PREFILL_TOKEN_S: Final = 1.0 / 1000
-SPEED_WEIGHT: Final = 0.2
-# Shorter prompts are no sample of an engine's prefill speed.
-MIN_SPEED_SAMPLE_TOKENS: Final = 500
-# The duration of one scheduler step of an engine.
-ENGINE_STEP_S: Final = 0.012
 # The fixed overhead of a first chunk: samples in the moving window, samples
 # needed for an estimate, and the largest estimate.
 OVERHEAD_WINDOW_SAMPLES: Final = 60
@@ -162,9 +126,6 @@
 MAX_OVERHEAD_S: Final = 0.5
 # Longer waits are stalls, not samples of the overhead.
 MAX_SAMPLE_WAIT_S: Final = 1.0
-# The share of busy slots above which congestion adds to an engine's cost.
-CONGESTION_SHARE: Final = 0.75
-CONGESTION_COST_S: Final = 1.0
 # An additional copy is loaded if the cheapest holder's cost exceeds that of
 # another endpoint by more than this.
 SPREAD_COST_GAP_S: Final = 0.3
--- a/fescuekeel/components/forward/endpoint_limiter.py
+++ b/fescuekeel/components/forward/endpoint_limiter.py
@@ -10,15 +10,18 @@
     PermitNeed,
     PermitOutcome,
 )
-from fescuekeel.components.forward.const import (
+from fescuekeel.components.endpoints import (
     LIMIT_TTL_S,
     MAX_LIMITED_ENDPOINTS,
-    MAX_NAMED_RATE_PER_S,
     MAX_REJECTION_LIMITS,
+    LimitChange,
+    NamedLimits,
+    RejectionLimits,
+)
+from fescuekeel.components.forward.const import (
+    MAX_NAMED_RATE_PER_S,
     MIN_ENDPOINT_RATE_PER_S,
 )
-from fescuekeel.components.forward.named_limits import LimitChange, NamedLimits
-from fescuekeel.components.forward.rejection_limits import RejectionLimits
 from fescuekeel.components.gossip import (
     DOMAIN as GOSSIP_DOMAIN,
     Fact,
--- a/fescuekeel/components/forward/gauges.py
+++ b/fescuekeel/components/forward/gauges.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from collections.abc import Callable
 
+from fescuekeel.components.endpoints import EndpointLoad
 from fescuekeel.components.forward.budget import RetryBudget
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.selection import EndpointSelector
 from fescuekeel.core import Instance
 from fescuekeel.messages import MemberView
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -2,12 +2,11 @@
 
 from typing import Protocol, TypeVar
 
-from fescuekeel.components.endpoints import EndpointStates
+from fescuekeel.components.endpoints import EndpointLoad, EndpointStates
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.crashes import CrashReporter
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.overhead import OverheadEstimator
 from fescuekeel.components.origins import Origins
 from fescuekeel.components.relay import Relay
--- a/fescuekeel/components/forward/overhead.py
+++ b/fescuekeel/components/forward/overhead.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass
 
+from fescuekeel.components.endpoints import ENGINE_STEP_S
 from fescuekeel.components.forward.const import (
-    ENGINE_STEP_S,
     MAX_OVERHEAD_S,
     MIN_OVERHEAD_SAMPLES,
     OVERHEAD_WINDOW_SAMPLES,
--- a/fescuekeel/components/forward/reachability.py
+++ b/fescuekeel/components/forward/reachability.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Collection
 
+from fescuekeel.components.endpoints import EndpointLoad
 from fescuekeel.components.forward.const import DOMAIN
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.isolation import Isolation
 from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.components.relay import Relay
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from fescuekeel.components.allowance import Permit, PermitNeed, PermitOutcome
-from fescuekeel.components.endpoints import Block, EndpointStates
+from fescuekeel.components.endpoints import Block, EndpointLoad, EndpointStates
 from fescuekeel.components.forward.choice import (
     Choice,
     EngineQuery,
@@ -25,7 +25,6 @@
     VERSION_WAIT_S,
 )
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.holders import HolderClient
 from fescuekeel.components.forward.loading import LoadRequester
 from fescuekeel.components.forward.request import ForwardedRequest
--- a/fescuekeel/components/forward/use.py
+++ b/fescuekeel/components/forward/use.py
@@ -4,7 +4,7 @@
 import contextlib
 import statistics
 
-from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.endpoints import EndpointLoad
 from fescuekeel.core import Instance
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement_view import PlacementView
--- a/tests/components/forward/test_named_limits.py
+++ b/tests/components/endpoints/test_named_limits.py
@@ -2,11 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from fescuekeel.components.forward.const import (
-    LIMIT_REFRESH_S,
-    MAX_LIMITED_ENDPOINTS,
-)
-from fescuekeel.components.forward.named_limits import LimitChange, NamedLimits
+from fescuekeel.components.endpoints.const import LIMIT_REFRESH_S, MAX_LIMITED_ENDPOINTS
+from fescuekeel.components.endpoints.named_limits import LimitChange, NamedLimits
 
 
 def make_limits(*rates):
--- a/tests/components/forward/test_rejection_limits.py
+++ b/tests/components/endpoints/test_rejection_limits.py
@@ -1,11 +1,11 @@
 """Tests of what endpoints name about the rejections they stand."""
 
-from fescuekeel.components.forward.const import (
+from fescuekeel.components.endpoints.const import (
     MAX_REJECTION_LIMITS,
     REJECTION_LIMIT_REFRESH_S,
     REJECTION_LIMIT_TTL_S,
 )
-from fescuekeel.components.forward.rejection_limits import RejectionLimits
+from fescuekeel.components.endpoints.rejection_limits import RejectionLimits
 
 
 class TestTelling:
--- a/tests/components/forward/test_choice.py
+++ b/tests/components/forward/test_choice.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from fescuekeel.components.endpoints import Block, BlockReason
+from fescuekeel.components.endpoints import Block, BlockReason, EndpointLoad
 from fescuekeel.components.forward.choice import (
     ChoiceReason,
     EngineQuery,
@@ -11,7 +11,6 @@
     choose_plain,
 )
 from fescuekeel.components.forward.const import HOMES_PER_ADAPTER, MAX_COMPARED
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.helpers.placement_view import EndpointState, PlacementView
 from fescuekeel.helpers.published import EndpointRecord, Weights
 
--- a/tests/components/forward/test_overhead.py
+++ b/tests/components/forward/test_overhead.py
@@ -2,8 +2,8 @@
 
 import random
 
-from fescuekeel.components.forward.const import ENGINE_STEP_S, MAX_OVERHEAD_S
-from fescuekeel.components.forward.endpoints import EndpointLoad
+from fescuekeel.components.endpoints import ENGINE_STEP_S, EndpointLoad
+from fescuekeel.components.forward.const import MAX_OVERHEAD_S
 from fescuekeel.components.forward.overhead import OverheadEstimator
 
 FIRST_S = 0.09
--- a/tests/components/forward/test_parts.py
+++ b/tests/components/forward/test_parts.py
@@ -1,7 +1,7 @@
 """Tests of the smaller parts of the forward component."""
 
+from fescuekeel.components.endpoints import EndpointLoad
 from fescuekeel.components.forward.budget import RetryBudget
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.routes import RouteTable, choose_service
 from fescuekeel.components.forward.slack_share import SlackShare
 from fescuekeel.components.forward.use import make_use
--- a/tests/components/forward/test_search.py
+++ b/tests/components/forward/test_search.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from random import Random
 
+from fescuekeel.components.endpoints import EndpointLoad
 from fescuekeel.components.forward.choice import EngineQuery, choose_engine
 from fescuekeel.components.forward.const import MAX_CONGESTED, MAX_REFUSALS
-from fescuekeel.components.forward.endpoints import EndpointLoad
 from fescuekeel.components.forward.search import Search
 from fescuekeel.components.placement.pacing import Prompt, PromptPacer
 from fescuekeel.helpers.placement_view import NOT_HELD, TOO_MANY_PROMPTS, PlacementView
