Keep a back-off for all of its time

Cause, found by reading: a back-off was forgotten once the catalog did not list its endpoint for a moment, as when entries lapse in a store outage; the endpoint then got requests before its Retry-After had passed. Now only back-offs that have ended are forgotten, and their number is bounded.

--- a/fescuekeel/components/endpoints/backoffs.py
+++ b/fescuekeel/components/endpoints/backoffs.py
@@ -5,11 +5,11 @@
 instances do not return together, and more with each one that is not rejected.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from fescuekeel.components.endpoints.const import (
     FULL_WINDOW,
+    MAX_BACK_OFFS,
     MAX_RETURN_DELAY_S,
     RETURN_DELAY_SHARE,
     RETURN_S,
@@ -69,6 +69,8 @@
             return False
         longest_s = min(MAX_RETURN_DELAY_S, RETURN_DELAY_SHARE * retry_after_s)
         returns_at = until + delay_share * longest_s
+        if known is None and len(self._back_offs_by_id) >= MAX_BACK_OFFS:
+            del self._back_offs_by_id[next(iter(self._back_offs_by_id))]
         self._back_offs_by_id[endpoint] = BackOff(until, returns_at)
         return True
 
@@ -103,7 +105,8 @@
     def record_ended(self, endpoint: str, answered: bool) -> None:
         """Record that a request of a return has an answer, or none.
 
-        An answer doubles what may be under way, with each round of them.
+        With each answer one more request may be without one, so that their
+        number doubles in the time of one answer.
         """
         known = self._back_offs_by_id.get(endpoint)
         if known is None:
@@ -120,10 +123,10 @@
             if now < back_off.until
         }
 
-    def forget_except(self, listed: Collection[str], now: float) -> None:
-        """Forget endpoints that are gone, and returns that have ended."""
+    def expire(self, now: float) -> None:
+        """Forget the back-offs after which requests have returned."""
         for id, back_off in list(self._back_offs_by_id.items()):
-            if id not in listed or self._has_ended(back_off, now):
+            if self._has_ended(back_off, now):
                 del self._back_offs_by_id[id]
 
     @staticmethod
--- a/fescuekeel/components/endpoints/component.py
+++ b/fescuekeel/components/endpoints/component.py
@@ -1,4 +1,4 @@
-"""The actor-free component that knows what endpoints say in answers."""
+"""Read what endpoints say of themselves in answers, and act on it."""
 
 import asyncio
 import math
@@ -34,12 +34,11 @@
 
 
 class EndpointStates:
-    """Read endpoints' answers, and say which endpoints may be sent to.
+    """Keep track of endpoints that leave, and of those that back off.
 
-    All instances are told which endpoints leave.
-
-    The catalog leaves these endpoints out, so that whatever chooses, loads or
-    relays treats them as if the store had said so.
+    All instances are told which endpoints leave. The catalog leaves them out,
+    so that whatever chooses, loads or relays treats them as if the store had
+    said so. A back-off is one of this instance alone.
     """
 
     def __init__(self, instance: Instance) -> None:
@@ -73,7 +72,7 @@
             return
         if response.leaving and not self._leaving.is_leaving(endpoint):
             self._announce(endpoint)
-        if response.retry_after_s is not None:
+        if response.retry_after_s:
             self._record_back_off(endpoint, response.retry_after_s)
 
     def find_block(self, endpoint: str) -> Block | None:
@@ -82,26 +81,6 @@
             return None
         return find_strict_block(endpoint, self._back_offs, self._instance.now())
 
-    # Endpoints that want nothing for a time.
-
-    def _record_back_off(self, endpoint: str, retry_after_s: float) -> None:
-        is_valid = not math.isnan(retry_after_s)
-        if is_valid and not retry_after_s:
-            return
-        is_in_force = is_valid and self._back_offs.record_rejected(
-            endpoint, retry_after_s, self._instance.now(), random.random()
-        )
-        outcome = "ignored"
-        if is_valid:
-            outcome = "in_force" if is_in_force else "within_longer"
-        self._instance.metrics.count(f"endpoint_back_off.{outcome}")
-        log_event(
-            "endpoint_backed_off",
-            endpoint=endpoint,
-            retry_after_s=retry_after_s,
-            outcome=outcome,
-        )
-
     def record_sent(self, endpoint: str) -> bool:
         """Record a request; return whether it is part of a return.
 
@@ -113,6 +92,27 @@
         """Record that a request of a return has an answer, or none."""
         self._back_offs.record_ended(endpoint, answered)
 
+    # Endpoints that back off.
+
+    def _record_back_off(self, endpoint: str, retry_after_s: float) -> None:
+        outcome = self._apply_back_off(endpoint, retry_after_s)
+        self._instance.metrics.count(f"endpoint_back_off.{outcome}")
+        log_event(
+            "endpoint_backed_off",
+            endpoint=endpoint,
+            retry_after_s=retry_after_s,
+            outcome=outcome,
+        )
+
+    def _apply_back_off(self, endpoint: str, retry_after_s: float) -> str:
+        """Apply what an endpoint asks for; return what became of it."""
+        if math.isnan(retry_after_s):
+            return "ignored"
+        is_in_force = self._back_offs.record_rejected(
+            endpoint, retry_after_s, self._instance.now(), random.random()
+        )
+        return "in_force" if is_in_force else "within_longer"
+
     def _count_backed_off(self) -> dict[str, float]:
         return {"": float(len(self._back_offs.list_until(self._instance.now())))}
 
@@ -144,6 +144,6 @@
             now = self._instance.now()
             listed = catalog.endpoints_by_id.keys() | catalog.leaving_ids
             self._leaving.expire(listed, now)
-            self._back_offs.forget_except(listed, now)
+            self._back_offs.expire(now)
             for endpoint in self._leaving.list_due(listed, now):
                 self._announce(endpoint)
--- a/fescuekeel/components/endpoints/const.py
+++ b/fescuekeel/components/endpoints/const.py
@@ -4,6 +4,7 @@
 
 DOMAIN: Final = "endpoints"
 
+# Endpoints that leave.
 LEAVING_TOPIC: Final = "leaving"
 # How long an endpoint counts as leaving after the store has last listed it: an
 # instance whose catalog is older may still list it.
@@ -17,6 +18,8 @@
 MIN_CHECK_S: Final = 15.0
 MAX_CHECK_S: Final = 45.0
 
+# Endpoints that back off. More than there are endpoints.
+MAX_BACK_OFFS: Final = 4096
 # The first request after a back-off is delayed by up to this share of the time
 # that the endpoint named, and by no more than the maximum.
 RETURN_DELAY_SHARE: Final = 0.25
@@ -28,6 +31,7 @@
 # Endpoints whose window is full are asked about again after this.
 WINDOW_RECHECK_S: Final = 0.03
 
+# Rate limits that endpoints name.
 LIMIT_TTL_S: Final = 600.0
 # Limits in force are announced again after this, before they expire at peers.
 LIMIT_REFRESH_S: Final = 300.0
@@ -39,6 +43,7 @@
 # The number is announced again after this while endpoints still name it.
 REJECTION_LIMIT_REFRESH_S: Final = 5.0
 MAX_REJECTION_LIMITS: Final = 1024
+
 # Health of endpoints. The weight of a new result in the moving average.
 RESULT_WEIGHT: Final = 0.15
 HEALTH_HALF_LIFE_S: Final = 4.0
@@ -56,6 +61,7 @@
 # Healthy endpoints may pause for somewhat over a second. Callers leave a
 # stream after a pause of two seconds.
 FAILOVER_AFTER_S: Final = 1.6
+
 # Waits at engines. Prefill time per prompt token until samples are available.
 DEFAULT_PREFILL_TOKEN_S: Final = 0.045 / 1000
 MAX_PREFILL_TOKEN_S: Final = 1.0 / 1000
