--- a/tests/platform/test_backing_off.py
+++ b/tests/platform/test_backing_off.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fescuekeel.errors import ErrorKind
 from standins.forwarding.platform import ENGINES, PLAIN
 from tests.platform.load import Load, wait_until_served
 from tests.platform.test_path import run, start_world
@@ -91,6 +92,8 @@
                 sent = load.list_sent(known_at, began_at + RETRY_AFTER_S - 1.0)
                 refused = [each for each in sent if each.status == 503]
                 assert len(refused) >= 0.9 * len(sent)
+                counters = world.instances[0].metrics.counters_by_name
+                assert counters[f"refused.{ErrorKind.ENDPOINTS_BACKED_OFF}"] > 0
                 for each in refused:
                     assert each.ended_at - each.sent_at < 0.2
                     back_at = each.ended_at + each.retry_after_s
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -42,6 +42,10 @@
         "components/quarantine/test_component.py::TestCheck::"
         "test_a_quarantined_request_is_refused"
     ),
+    ErrorKind.ENDPOINTS_BACKED_OFF: (
+        "platform/test_backing_off.py::TestAll::"
+        "test_requests_are_refused_at_once_with_a_true_retry_after"
+    ),
     ErrorKind.ENDPOINTS_LIMITED: (
         "platform/test_endpoint_limits.py::TestRefusal::"
         "test_a_request_is_refused_at_once_with_a_time_to_return"
