Lose the data centre only once all streams have begun

Cause: TestLostDataCentre gave its callers 0.5 s to read three events that come at 0, 0.2 and 0.4 s, then froze the daemons.

Change: the test waits until all callers have three events, and callers ask again only after the daemons are lost.

--- a/standins/forwarding/resuming_caller.py
+++ b/standins/forwarding/resuming_caller.py
@@ -28,7 +28,8 @@
     """What to ask for, and how to go on.
 
     Of the first attempt the caller reads ``leaves_after`` events and leaves;
-    with ``None`` it stays until the stream ends or breaks.
+    with ``None`` it stays until the stream ends or breaks. Before the second
+    attempt it waits for ``goes_on`` to be set, if there is one.
     """
 
     id: str
@@ -36,6 +37,7 @@
     headers: Sequence[Header] = ()
     adapter: str = ""
     leaves_after: int | None = None
+    goes_on: asyncio.Event | None = None
     time_left_s: float = 8.0
 
 
@@ -67,12 +69,17 @@
         return len(set(self.versions)) > 1
 
 
-async def run_stream(request: StreamRequest, addresses: Sequence[str]) -> ResumedStream:
+async def run_stream(
+    request: StreamRequest,
+    addresses: Sequence[str],
+    stream: ResumedStream | None = None,
+) -> ResumedStream:
     """Ask for a stream at the addresses in turn until it is whole.
 
-    An attempt after the first event names the attempt that brought it.
+    An attempt after the first event names the attempt that brought it. Events
+    are recorded in ``stream`` as they arrive, if the caller passes one.
     """
-    stream = ResumedStream()
+    stream = ResumedStream() if stream is None else stream
     first_id = ""
     deadline = time.monotonic() + request.time_left_s
     number = 0
@@ -95,6 +102,8 @@
         if stream.numbers and not had_events:
             first_id = id
         number += 1
+        if request.goes_on is not None:
+            await request.goes_on.wait()
         await asyncio.sleep(retry_s)
     stream.ended_at = time.monotonic()
     return stream
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -27,7 +27,11 @@
     make_route,
 )
 from standins.forwarding.raw_caller import call_raw
-from standins.forwarding.resuming_caller import StreamRequest, run_stream
+from standins.forwarding.resuming_caller import (
+    ResumedStream,
+    StreamRequest,
+    run_stream,
+)
 from standins.forwarding.workers import Worker
 from tests.common import eventually
 from tests.platform.test_path import run, start_world
@@ -283,20 +287,28 @@
                     worker.event_s = 0.2
                 lost = [spec.addresses.callers for spec in specs[0::2]]
                 left = [spec.addresses.callers for spec in specs[1::2]]
-                streams = []
-                for number in range(40):
+                is_lost = asyncio.Event()
+                streams = [ResumedStream() for _ in range(40)]
+                runs = []
+                for number, stream in enumerate(streams):
                     first, *others = lost[number % 2 :] + lost[: number % 2]
                     addresses = [first, *left, *others]
-                    request = make_request(leaves_after=3, time_left_s=12.0)
-                    work = run_stream(request, addresses)
-                    streams.append(asyncio.ensure_future(work))
-                await asyncio.sleep(0.5)
+                    request = make_request(
+                        leaves_after=3, goes_on=is_lost, time_left_s=12.0
+                    )
+                    run_of_stream = run_stream(request, addresses, stream)
+                    runs.append(asyncio.ensure_future(run_of_stream))
+                await eventually(
+                    lambda: all(len(each.numbers) >= 3 for each in streams)
+                )
                 for daemon in daemons[0::2]:
                     daemon.send_signal(how)
-                results = await asyncio.gather(*streams)
+                is_lost.set()
+                await asyncio.gather(*runs)
                 for daemon in daemons[0::2]:
                     if how is signal.SIGSTOP:
                         daemon.send_signal(signal.SIGCONT)
-                check(results)
+                assert all(stream.resumed for stream in streams)
+                check(streams)
 
         run(work)
