--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -30,6 +30,7 @@
 from fescuekeel.core import Instance
 from fescuekeel.helpers.http_connection import Connection, NotConnectedError, connect
 from fescuekeel.helpers.incarnation import Incarnation
+from fescuekeel.helpers.late_loop import wait_for_task
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import SILENT, OpenedStream, get_peer_link
 from fescuekeel.helpers.published import Catalog, EndpointRecord
@@ -115,8 +116,8 @@
         direct = asyncio.ensure_future(self.connect_directly(endpoint, address))
         try:
             head_start_s = DIRECT_HEAD_START_S + self._connect_lag_s
-            await asyncio.wait({direct}, timeout=head_start_s)
-            if direct.done() and not direct.exception():
+            is_done = await wait_for_task(direct, head_start_s)
+            if is_done and not direct.exception():
                 return direct.result()
             return await self._race(endpoint, direct)
         except asyncio.CancelledError:
--- a/fescuekeel/components/relay/server.py
+++ b/fescuekeel/components/relay/server.py
@@ -8,7 +8,7 @@
 from fescuekeel.components.relay.paths import ConnectBy, PathState, PathTable
 from fescuekeel.components.relay.splice import SplicedConnection
 from fescuekeel.core import Instance
-from fescuekeel.helpers.listen import split_address
+from fescuekeel.helpers.http_connection import NotConnectedError, open_connection
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.published import EndpointRecord
@@ -101,14 +101,11 @@
 
     async def _connect(self, endpoint: str, address: str) -> SplicedConnection | None:
         spliced = SplicedConnection(self._forget)
-        host, port = split_address(address)
-        loop = asyncio.get_running_loop()
         self._connecting += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: spliced, host, port)
-        except (OSError, TimeoutError) as error:
-            self._on_direct_failed(endpoint, repr(error))
+            await open_connection(lambda: spliced, address, CONNECT_TIMEOUT_S)
+        except NotConnectedError as error:
+            self._on_direct_failed(endpoint, str(error))
             return None
         finally:
             self._connecting -= 1
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -7,12 +7,14 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import h11
 
 from fescuekeel.helpers.dialect import Header
+from fescuekeel.helpers.late_loop import wait_for_task
 from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import split_address
 from fescuekeel.helpers.whole_answer import (
@@ -32,8 +34,11 @@
     "ResponseHead",
     "connect",
     "fetch",
+    "open_connection",
 ]
 
+Opened = TypeVar("Opened", bound=asyncio.Protocol)
+
 # Reading from the socket is paused beyond this, for backpressure.
 MAX_UNPARSED_BYTES = 256 * 1024
 # Closes a connection whose sent data stays unacknowledged, as after a power
@@ -290,15 +295,42 @@
 
 
 async def connect(address: str, timeout_s: float) -> Connection:
-    """Connect to ``IP:PORT``; raises ``NotConnectedError``."""
+    """Connect to ``IP:PORT``; raises ``NotConnectedError``.
+
+    A connection that was established within the timeout is used, even if this
+    process notices that later.
+    """
+    return await open_connection(Connection, address, timeout_s)
+
+
+async def open_connection(
+    make_protocol: Callable[[], Opened], address: str, timeout_s: float
+) -> Opened:
+    """Connect a protocol to ``IP:PORT``; raises ``NotConnectedError``."""
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
+    opening = loop.create_task(loop.create_connection(make_protocol, host, port))
     try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(Connection, host, port)
-    except (OSError, TimeoutError) as error:
+        if not await wait_for_task(opening, timeout_s):
+            raise TimeoutError(f"no answer within {timeout_s:.3f} s")
+        _, protocol = opening.result()
+    except OSError as error:
+        _abandon(opening)
         raise NotConnectedError(repr(error)) from error
-    return connection
+    except asyncio.CancelledError:
+        _abandon(opening)
+        raise
+    return protocol
+
+
+def _abandon(opening: asyncio.Task[tuple[asyncio.Transport, Opened]]) -> None:
+    opening.cancel()
+    opening.add_done_callback(_close_opened)
+
+
+def _close_opened(opening: asyncio.Task[tuple[asyncio.Transport, Opened]]) -> None:
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[0].abort()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import time
 
 import pytest
 
@@ -178,6 +179,36 @@
         run(work())
 
 
+class TestLateLoop:
+    # Guards against an endpoint that is taken for unreachable because this
+    # process was too late to see that it accepted.
+    def test_an_accepted_connection_is_used(self):
+        async def work():
+            async with Server() as server:
+                connecting = asyncio.ensure_future(connect(server.address, 0.1))
+                await asyncio.sleep(0)
+                asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+                connection = await connecting
+                assert connection.usable
+                connection.close()
+
+        asyncio.run(work())
+
+    def test_a_host_that_does_not_answer_times_out(self):
+        async def work():
+            with socket.socket() as full:
+                full.bind(("127.0.0.1", 0))
+                full.listen(0)
+                address = f"127.0.0.1:{full.getsockname()[1]}"
+                queued = await connect(address, 0.1)
+                with pytest.raises(NotConnectedError):
+                    for _ in range(8):
+                        await connect(address, 0.1)
+                queued.close()
+
+        asyncio.run(work())
+
+
 class TestClose:
     def test_close_resets_the_connection(self):
         """The kernel must not deliver a cancelled order after a partition."""
