--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -18,6 +18,7 @@
 # Number of examples per seed for each state machine.
 EXAMPLES_BY_MACHINE = {
     "tests.fuzz.test_requests:Fleet": 8,
+    "tests.components.endpoints.test_fuzz:EndpointsMachine": 20,
     "tests.components.keys.test_fuzz:KeysMachine": 20,
     "tests.components.membership.test_fuzz:MembershipMachine": 8,
     "tests.components.origins.test_fuzz:OriginsMachine": 20,
