Show streams of two versions after a start, by a test

What callers see: a stream that began at v1 goes on at v1.1.

Timeline, seconds after the daemons' first start: 9.0 w-5 restarts in place as v1.1, 10.3 all daemons start anew and read the store, whose entry of w-5 still shows v1, 10.9 to 11.7 five streams that began at v1 go on at w-5, 12.5 the store shows v1.1. Reports of the new incarnation were dropped as older than the catalog meanwhile (stale_incarnation_dropped source=report). Cause, by reading: Exchange._needs_incarnation checks a connection only while several versions have served within a minute by this instance's knowledge; one that has just started knows of one.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -242,6 +242,32 @@
         run(work)
 
 
+class TestStartedInstance:
+    # Guards against an instance that trusts an entry of before its start,
+    # though the endpoint has restarted with another version.
+    def test_a_stale_entry_is_noticed(self):
+        async def work():
+            async with start_world(2) as world:
+                await add_endpoints(world, ENGINES, 2)
+                workers = world.platform.list_workers(ENGINES)
+                for worker in workers:
+                    worker.software, worker.names_software = "v1", True
+                    worker.events, worker.event_s = EVENTS, 0.01
+                    world.platform.publish_state(worker, "ready")
+                await asyncio.sleep(1.0)
+                workers[0].restart()
+                workers[0].software = "v1.1"
+                streams = await asyncio.gather(
+                    *(
+                        run_stream(make_request(leaves_after=3), list_callers(world))
+                        for _ in range(16)
+                    )
+                )
+                assert not any(stream.has_two_versions for stream in streams)
+
+        run(work)
+
+
 @asynccontextmanager
 async def start_daemons(folder):
     """Start a platform with six engines and four daemons as processes."""
