Check incarnations in the first minute of an instance

Cause: an endpoint that keeps its name may restart with another version before the store shows it. Excluded: a wrong origin (known as v1 at once in the log); a choice of an endpoint whose entry names another version (the entry said v1).

Change: an instance that has watched the endpoints for less than a minute checks as if several versions had served. Considered: to check each new connection at all times.

--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -146,7 +146,7 @@
         if connection.incarnation == endpoint or not self.request.route.resumable:
             return False
         origins = self.forwarder.origins
-        return origins.has_several(self.request.service, VERSIONS_WITHIN_S)
+        return origins.may_have_several(self.request.service, VERSIONS_WITHIN_S)
 
     async def _check_incarnation(self, connection: Connection) -> bool:
         """Return whether the connection leads to the chosen incarnation.
--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -176,10 +176,15 @@
         since = self._instance.now() - within_s
         return origin.software in self._versions.list_seen(origin.service, since)
 
-    def has_several(self, service: str, within_s: float) -> bool:
-        """Return whether several versions have served within a time."""
-        since = self._instance.now() - within_s
-        return len(self._versions.list_seen(service, since)) > 1
+    def may_have_several(self, service: str, within_s: float) -> bool:
+        """Return whether several versions may have served within a time.
+
+        An instance that has started since then does not know.
+        """
+        now = self._instance.now()
+        if self._versions.get_watched_s(now) < within_s:
+            return True
+        return len(self._versions.list_seen(service, now - within_s)) > 1
 
     async def _ask_homes(
         self, stream: str, service: str, horizon_s: float
