--- a/tests/components/endpoints/test_fuzz.py
+++ b/tests/components/endpoints/test_fuzz.py
@@ -59,7 +59,7 @@
     bus: Bus = field(default_factory=Bus)
     metrics: Metrics = field(default_factory=Metrics)
     told_leaving: set = field(default_factory=set)
-    rests_until_by_endpoint: dict = field(default_factory=dict)
+    backed_off_until_by_endpoint: dict = field(default_factory=dict)
     window_by_endpoint: dict = field(default_factory=dict)
 
     def __post_init__(self):
@@ -159,7 +159,7 @@
         if not node.may_send(endpoint):
             return
         assert endpoint.id not in node.told_leaving
-        assert self.now >= node.rests_until_by_endpoint.get(endpoint.id, 0.0)
+        assert self.now >= node.backed_off_until_by_endpoint.get(endpoint.id, 0.0)
         returns = node.states.record_sent(endpoint.id)
         request = Request(node, endpoint, returns)
         self.requests.append(request)
@@ -193,9 +193,9 @@
             for other in (node, *self.list_connected(node)):
                 assert other.believes_leaving(endpoint)
         if retry_after_s is not None and not math.isnan(retry_after_s):
-            known = node.rests_until_by_endpoint.get(endpoint.id, 0.0)
+            known = node.backed_off_until_by_endpoint.get(endpoint.id, 0.0)
             until = max(known, self.now + retry_after_s - ROUNDING_S)
-            node.rests_until_by_endpoint[endpoint.id] = until
+            node.backed_off_until_by_endpoint[endpoint.id] = until
             if until > known:
                 node.window_by_endpoint[endpoint.id] = 1
 
@@ -256,7 +256,7 @@
     def wait_for_return(self, at, to):
         """Wait out a back-off; the endpoint gets requests again."""
         node, endpoint = self.pick_node(at), self.pick_endpoint(to)
-        until = node.rests_until_by_endpoint.get(endpoint.id, self.now)
+        until = node.backed_off_until_by_endpoint.get(endpoint.id, self.now)
         self.now = max(self.now, until) + MAX_RETURN_DELAY_S + RETURN_S + ROUNDING_S
         assert node.states.find_block(endpoint.id) is None
 
