--- a/tests/components/catalog/simulation.py
+++ b/tests/components/catalog/simulation.py
@@ -25,6 +25,7 @@
 
 STORE_DELAY_S = 0.004
 LINK_DELAY_S = 0.0005
+RESEND_S = 0.2
 PAGE_ITEMS = 10
 TICK_PHASE_S = 0.3
 FLEET_SETTINGS = SETTINGS.replace(
@@ -232,7 +233,7 @@
 
     def send(self, peer, body):
         asyncio.get_running_loop().call_later(
-            self.world.delay_s, self.world.deliver, self.id, peer, body, 0
+            self.world.draw_delay_s(), self.world.deliver, self.id, peer, body, 0
         )
         return True
 
@@ -240,7 +241,7 @@
         number = next(self.world.numbers)
         answer = self.asks[number] = asyncio.get_running_loop().create_future()
         asyncio.get_running_loop().call_later(
-            self.world.delay_s, self.world.deliver, self.id, peer, body, number
+            self.world.draw_delay_s(), self.world.deliver, self.id, peer, body, number
         )
         try:
             async with asyncio.timeout(timeout_s):
@@ -252,7 +253,7 @@
 
     def answer(self, request, body):
         asyncio.get_running_loop().call_later(
-            self.world.delay_s,
+            self.world.draw_delay_s(),
             self.world.deliver_answer,
             self.id,
             request.sender,
@@ -271,6 +272,9 @@
         random.seed(seed)
         self.numbers = iter(range(1, 10**9))
         self.delay_s = LINK_DELAY_S
+        # The share of messages between instances that are sent twice.
+        self.resent_share = 0.0
+        self.losses = random.Random(seed)
         self.store = Store()
         self.cut_off = set()
         self.ignores_asks = set()
@@ -299,6 +303,11 @@
             task.cancel()
         self.update_members()
 
+    def draw_delay_s(self):
+        """Return how long a message takes, if need be to be sent again."""
+        is_lost = self.losses.random() < self.resent_share
+        return self.delay_s + (RESEND_S if is_lost else 0.0)
+
     def update_members(self):
         members = {
             id: Member(id, "", self.data_centres_by_id[id], 1)
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -85,3 +85,20 @@
                 assert max(delays) <= BOUND_S, delays
 
         run(work)
+
+
+@pytest.mark.parametrize("disturb", [set_silent, set_refused])
+class TestDataCentreLosesTheStore:
+    # Guards against instances of one data centre that are behind together and
+    # ask nobody, while another data centre has each change at once.
+    def test_changes_are_in_force_in_time_everywhere(self, disturb):
+        async def work():
+            async with start_world(4, linked=True) as world:
+                for links in world.links[0::2]:
+                    disturb(links, True)
+                delays = await measure_delays(world, range(4))
+                for links in world.links[0::2]:
+                    disturb(links, False)
+                assert max(delays) <= BOUND_S, delays
+
+        run(work)
