Ask peers until an announced position is reached

Cause: news of any peer that is not ahead ended being behind. Two instances that are behind together send such news each 0.5 s, and a watcher waited 0.6 s before it asked, so that neither ever did. Besides, who the store turns away heard of changes only by the chance of three random contacts, and waited for an answer that was lost.

Only the announced position ends being behind; no grace where the store has not answered for one wait; due requests have a timer; a late answer does not keep the next request back; an instance that the store does not answer polls a peer each fifth of the bound.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -4,15 +4,16 @@
 import random
 import zlib
 
+from fescuekeel.components.catalog.change_requests import ChangeRequests, OwnState
 from fescuekeel.components.catalog.confirmation import PeerAges, find_confirmed_at
 from fescuekeel.components.catalog.const import (
     ASK_TIMEOUT_S,
-    BEHIND_GRACE_S,
     COMPRESS_BYTES,
     DOMAIN,
     MIN_WATCHER_POLL_S,
     NEWS_PERIOD_S,
     OTHER_NEWS_FANOUT,
+    SERVED_SLACK_S,
     WATCHER_NEWS_FANOUT,
     WATCHER_POLL_S,
 )
@@ -54,6 +55,7 @@
         bounds = instance.settings.forwarding
         bound_s = min(bounds.change_bound_s, bounds.leaving_bound_s)
         timing = choose_watch_timing(bound_s, bounds.revoked_bound_s)
+        self._timing = timing
         self._follower = Follower(self._items, timing)
         self._watchers = WatcherSelection(
             instance.id, instance.settings.instance.data_centre, timing.silent_s
@@ -63,13 +65,12 @@
         self._peer_ages = PeerAges()
         self._listing_asked_at = instance.now()
         self.store_client: StoreClient = HttpStoreClient(instance, self._dialect)
-        self._behind_since: float | None = None
-        self._requesting = False
+        self._requests = ChangeRequests(timing.poll_s)
+        self._requests_changed = asyncio.Event()
+        self._is_polling = False
         self._news_sent_at = float("-inf")
         # When the store last answered a call of this instance.
         self._answered_at = float("-inf")
-        # The highest position that a peer announced and did not send.
-        self._missed_position = BEGINNING
         # The newest era of which a peer has sent what it keeps.
         self._kept_era_known = 0
         self._contacts_view: MemberView | None = None
@@ -86,11 +87,13 @@
         metrics.add_gauge("catalog_age_seconds", self._read_age)
         metrics.add_gauge("catalog_era", lambda: {"": float(self._items.position.era)})
         metrics.add_gauge("catalog_items_kept", self._read_kept)
+        metrics.add_gauge("catalog_behind_seconds", self._read_behind)
         metrics.add_gauge("catalog_watches", lambda: {"": float(self._watching)})
         bus.publish_state(self._freshness)
         bus.publish_state(self._peer_ages)
         self._instance.spawn(self._follow_forever(), f"{DOMAIN}.follow")
         self._instance.spawn(self._send_news_forever(), f"{DOMAIN}.tell")
+        self._instance.spawn(self._request_forever(), f"{DOMAIN}.request")
 
     async def stop(self) -> None:
         """Close the connection to the store."""
@@ -105,6 +108,9 @@
     def _read_age(self) -> dict[str, float]:
         return {"": self._freshness.read_age_s(self._instance.now())}
 
+    def _read_behind(self) -> dict[str, float]:
+        return {"": max(0.0, self._instance.now() - self._requests.behind_since)}
+
     # The store.
 
     async def _follow_forever(self) -> None:
@@ -148,6 +154,8 @@
         if confirmed is not None:
             # Only after the changes of this answer are in force.
             self._freshness.record_confirmed(confirmed, 0.0)
+        self._requests.record_reached(self._items.position)
+        self._requests_changed.set()
         if not self._follower.unavailable:
             self._answered_at = self._instance.now()
             self._send_news(self._sample_contacts() if changed else set())
@@ -195,7 +203,7 @@
             "watch_duty_changed",
             watching=must_watch,
             revision=self._items.position,
-            missed=self._missed_position,
+            missed=self._requests.missed,
             silent_s=round(self._watchers.get_silence_s(self._instance.now()), 3),
         )
 
@@ -254,7 +262,8 @@
         view = self._instance.bus.latest(MemberView)
         members = view.members_by_id.values() if view else ()
         must_watch = self._watchers.must_watch(members, self._instance.now())
-        return must_watch or self._items.position < self._missed_position
+        missed = self._requests.find_missed(self._instance.now())
+        return must_watch or self._items.position < missed
 
     async def _send_news_forever(self) -> None:
         while True:
@@ -272,20 +281,24 @@
             return
         now = self._instance.now()
         peer = self._peer_ages.choose(self._freshness.read_age_s(now), now)
-        if peer is not None and not self._requesting:
-            self._start_request(peer, BEGINNING, self._items.position)
+        if peer is not None and not self._requests.is_waiting(now):
+            self._start_request(peer, self._items.position)
 
     def _sample_contacts(self) -> set[str]:
         """Return random contacts to send news to, in any data centre.
 
         They let a data centre catch up whose instances the store all rejects.
         """
+        contacts = self._list_contacts()
+        fanout = WATCHER_NEWS_FANOUT if self._watching else OTHER_NEWS_FANOUT
+        return set(random.sample(contacts, min(fanout, len(contacts))))
+
+    def _list_contacts(self) -> list[str]:
         view = self._instance.bus.latest(MemberView) or MemberView()
         if view is not self._contacts_view:
             self._contacts_view = view
             self._contacts = sorted(list_contacts(self._own_id, view.members_by_id))
-        fanout = WATCHER_NEWS_FANOUT if self._watching else OTHER_NEWS_FANOUT
-        return set(random.sample(self._contacts, min(fanout, len(self._contacts))))
+        return self._contacts
 
     def _send_news(self, peers: set[str]) -> None:
         """Send peers the known revision; a watcher adds all its neighbours."""
@@ -316,9 +329,8 @@
         return self._instance.id
 
     def _handle_news(self, message: PeerMessage) -> None:
-        """Request changes of a peer that knows a higher position.
+        """Record what a peer announces, and request what it lacks here.
 
-        A watcher waits first, since its own watch should bring the changes.
         Guards against a store that rejects this instance and serves others:
         a new configuration would never come into force here.
         """
@@ -326,24 +338,75 @@
         news = message.body
         now = self._instance.now()
         self._peer_ages.record_news(message.sender, news.age_ms / 1000, now)
-        if news.watching and self._is_neighbour(message.sender):
-            answered_at = now - news.answered_ms / 1000
-            self._watchers.record_watcher(message.sender, answered_at)
+        answered_at = now - news.answered_ms / 1000
+        if news.watching:
+            self._requests.record_answered_by_store(message.sender, answered_at)
+            if self._is_neighbour(message.sender):
+                self._watchers.record_watcher(message.sender, answered_at)
         position = Position(news.era, news.revision)
         if self._lacks_kept(news):
-            self._start_request(message.sender, BEGINNING, since=BEGINNING)
+            self._start_request(message.sender, since=BEGINNING)
             return
+        self._requests.record_news(message.sender, position, self._items.position, now)
         if position <= self._items.position:
             self._freshness.record_apparent(now - news.age_ms / 1000)
-            self._behind_since = None
             return
-        if self._behind_since is None:
-            self._behind_since = now
-        is_started = self._items.position > BEGINNING
-        grace_s = BEHIND_GRACE_S if self._watching and is_started else 0.0
-        if self._requesting or now - self._behind_since < grace_s:
+        self._request_if_due()
+        self._requests_changed.set()
+
+    # Requests of changes.
+
+    async def _request_forever(self) -> None:
+        while True:
+            self._request_if_due()
+            now = self._instance.now()
+            left_s = self._requests.find_due(self._make_own_state(), now) - now
+            self._requests_changed.clear()
+            try:
+                async with asyncio.timeout(max(MIN_WATCHER_POLL_S, left_s)):
+                    await self._requests_changed.wait()
+            except TimeoutError:
+                continue
+
+    def _request_if_due(self) -> None:
+        """Request changes of a peer if it is time for that."""
+        now = self._instance.now()
+        own = self._make_own_state()
+        self._update_polling(own.must_watch and now >= own.served_until)
+        peer = self._requests.choose(own, self._list_polled(), now)
+        if peer is not None:
+            self._start_request(peer, self._items.position)
+
+    def _make_own_state(self) -> OwnState:
+        served_until = float("-inf")
+        if not self._follower.unavailable:
+            interval_s = self._timing.interval_s + SERVED_SLACK_S
+            served_until = self._answered_at + interval_s
+        return OwnState(self._items.position, self._watching, served_until)
+
+    def _list_polled(self) -> list[str]:
+        """Return the contacts to poll, if possible in other data centres.
+
+        Neighbours that the store answers say so without being asked.
+        """
+        contacts = self._list_contacts()
+        elsewhere = [peer for peer in contacts if not self._is_neighbour(peer)]
+        return elsewhere or contacts
+
+    def _update_polling(self, is_polling: bool) -> None:
+        """Log when this instance begins and ceases to poll its peers."""
+        if is_polling == self._is_polling:
             return
-        self._start_request(message.sender, position, self._items.position)
+        self._is_polling = is_polling
+        self._instance.metrics.count(f"catalog.polling.{is_polling}")
+        silent_s = min(MAX_AGE_S, self._instance.now() - self._answered_at)
+        log_event(
+            "peer_polling_changed",
+            polling=is_polling,
+            revision=self._items.position,
+            announced=self._requests.target,
+            silent_s=round(silent_s, 3),
+        )
 
     def _lacks_kept(self, news: CatalogNews) -> bool:
         """Return whether a peer keeps items of which this instance has none.
@@ -353,12 +416,13 @@
         """
         era = self._items.position.era
         is_known = self._kept_era_known >= news.era or bool(self._items.copied_by_key)
-        return news.keeps and news.era == era and not is_known and not self._requesting
+        waits = self._requests.is_waiting(self._instance.now())
+        return news.keeps and news.era == era and not is_known and not waits
 
-    def _start_request(self, peer: str, announced: Position, since: Position) -> None:
-        """Request changes; ``announced`` is the position that the peer has."""
-        self._requesting = True
-        work = self._request_changes(peer, announced, since)
+    def _start_request(self, peer: str, since: Position) -> None:
+        """Request the changes since a position."""
+        self._requests.record_sent(peer, self._instance.now())
+        work = self._request_changes(peer, since)
         self._instance.spawn(work, f"{DOMAIN}.ask")
 
     def _is_neighbour(self, peer: str) -> bool:
@@ -366,26 +430,25 @@
         member = view.members_by_id.get(peer) if view else None
         return member is not None and member.data_centre == self._watchers.data_centre
 
-    async def _request_changes(
-        self, peer: str, announced: Position, since: Position
-    ) -> None:
+    async def _request_changes(self, peer: str, since: Position) -> None:
         asked_at = self._instance.now()
+        behind_since = self._requests.behind_since
         ask = CatalogAsk(since.revision, since.era)
-        try:
-            link = get_peer_link(self._instance)
-            result = await link.ask(peer, ask, ASK_TIMEOUT_S)
-            answer = result.value_or(None)
-        finally:
-            self._requesting = False
+        link = get_peer_link(self._instance)
+        answer = (await link.ask(peer, ask, ASK_TIMEOUT_S)).value_or(None)
+        self._requests_changed.set()
         if not isinstance(answer, CatalogPart):
             self._peer_ages.drop_peer(peer)
-            self._missed_position = max(self._missed_position, announced)
+            self._requests.record_failure(peer)
+            self._instance.metrics.count("catalog.ask_failed")
             return
         era_before = self._items.position.era
         changed = self._merge_part(answer)
         self._handle_era_change(era_before, peer)
+        self._requests.record_answer(peer, self._items.position)
         self._instance.metrics.count("catalog.from_peer")
         if changed or answer.whole:
+            now = self._instance.now()
             log_event(
                 "catalog_from_peer",
                 peer=peer,
@@ -393,6 +456,8 @@
                 revision=Position(answer.era, answer.revision),
                 changed=len(changed),
                 whole=answer.whole,
+                behind_ms=round(max(0.0, now - behind_since) * 1000),
+                asked_ms=round((now - asked_at) * 1000),
             )
         lapsed_until = Position(answer.lapsed_era, answer.lapsed_until)
         if self._items.position.era > era_before:
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -54,9 +54,23 @@
 COMPRESS_BYTES: Final = 1024
 # A watcher that is behind a peer for this long requests the changes from it.
 BEHIND_GRACE_S: Final = 0.6
-# An ask that is not answered in this time leads to a call to the store, which
-# must still be within the bound.
-ASK_TIMEOUT_S: Final = 0.4
+# An instance that the store does not answer polls a peer this often, as a
+# share of the bound within which changes must be in force.
+POLL_SHARE: Final = 0.2
+MAX_POLL_S: Final = 1.0
+# How long an answer of the store may take beyond the wait of its watch before
+# peers are polled.
+SERVED_SLACK_S: Final = 0.1
+# A request that is not answered in this time does not keep another from being
+# sent to another peer,
+LATE_ANSWER_S: Final = 0.2
+# and after this time leads to a call to the store, which must still be within
+# the bound.
+MISSED_S: Final = 0.4
+# A large configuration over a slow link takes up to this long.
+ASK_TIMEOUT_S: Final = 2.0
+# Requests under way at a time.
+MAX_REQUESTS: Final = 3
 
 # Live endpoints whose entries expired in a store outage, or are missing in the
 # copy it came back from, renew them within two seconds after it. The rest is
