Read what endpoints still run when an instance starts

The report, streams joined from two versions, does not show: none was joined.

Cause: the origins of streams are known to instances only, and all of them had gone; the reports of endpoints name what they run, and were not read for that.

Change: an instance reads the reports of up to 16 endpoints when it first knows them, and treats the attempts named there as its own streams. A report of another start tells nothing, and an attempt that two versions run has no origin.

--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -24,12 +24,15 @@
     StreamOrigin,
 )
 from fescuekeel.components.origins.lookup import OriginReport, decide
+from fescuekeel.components.origins.report_reader import read_report
+from fescuekeel.components.origins.running import choose_endpoints, find_origins
 from fescuekeel.components.origins.versions import SoftwareVersions
 from fescuekeel.core import Instance
+from fescuekeel.helpers.dialect import get_dialect
 from fescuekeel.helpers.freshness import Freshness
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
-from fescuekeel.helpers.published import Catalog
+from fescuekeel.helpers.published import Catalog, EndpointRecord
 from fescuekeel.helpers.ticks import sleep_to_tick
 from fescuekeel.messages import (
     MemberView,
@@ -63,6 +66,7 @@
         self._versions = SoftwareVersions()
         self._own_by_id: dict[str, OwnStream] = {}
         self._data_centres_by_id: dict[str, str] = {}
+        self._has_read_runs = False
 
     async def start(self) -> None:
         """Subscribe to updates and to peers' messages."""
@@ -281,11 +285,46 @@
         )
         get_peer_link(self._instance).answer(message, answer)
 
+    # Streams that endpoints run when this instance starts.
+
+    async def _read_runs(self, records: list[EndpointRecord]) -> None:
+        """Store the origins of what endpoints run.
+
+        Guards against streams that no instance knows, since all of them lost
+        their power at once.
+        """
+        dialect = get_dialect(self._instance.settings.platform)
+        self._instance.metrics.count("origins.reports", len(records))
+        calls = [read_report(dialect, record) for record in records]
+        reports = await asyncio.gather(*calls)
+        answered = [
+            (record, report)
+            for record, report in zip(records, reports, strict=True)
+            if report is not None
+        ]
+        origins_by_id = find_origins(answered)
+        until = self._instance.now() + MIN_HORIZON_S
+        for id, origin in list(origins_by_id.items())[:MAX_OWN_STREAMS]:
+            if len(id) <= MAX_ID_CHARS and id not in self._own_by_id:
+                self._own_by_id[id] = OwnStream(origin, until)
+        self._report_unreported()
+        log_event(
+            "runs_read",
+            endpoints=len(records),
+            answered=len(answered),
+            runs=len(origins_by_id),
+        )
+
     # Updates from other components.
 
     def _handle_catalog(self, catalog: Catalog) -> None:
         self._versions.update(catalog.endpoints_by_id.values(), self._instance.now())
         self._report_unreported()
+        engines = [each for each in catalog.endpoints_by_id.values() if each.held]
+        if engines and not self._has_read_runs:
+            self._has_read_runs = True
+            chosen = choose_endpoints(self._instance.id, engines)
+            self._instance.spawn(self._read_runs(chosen), f"{DOMAIN}.read")
 
     def _handle_members(self, view: MemberView) -> None:
         self._data_centres_by_id = {
--- a/fescuekeel/components/origins/const.py
+++ b/fescuekeel/components/origins/const.py
@@ -27,6 +27,13 @@
 MAX_MESSAGE_RECORDS: Final = 200
 EXPIRY_PERIOD_S: Final = 2.0
 
+# Endpoints whose reports an instance reads when it starts, and how long it
+# waits for one: an endpoint notices within seconds that its caller is gone.
+MAX_READ_ENDPOINTS: Final = 16
+READ_TIMEOUT_S: Final = 0.5
+# Runs of one endpoint that are read.
+MAX_RUNS_READ: Final = 500
+
 # A stream without a record may have begun this long ago.
 MIN_HORIZON_S: Final = 60.0
 MAX_VERSIONS: Final = 16
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -171,7 +171,8 @@
 
     ``pending`` are the adapters being loaded, which occupy capacity too.
     ``born_ms`` is when the reporting process started. ``orders_taken`` counts
-    the orders that it has accepted since then.
+    the orders that it has accepted since then. ``running_ids`` are the ids of
+    the requests that it runs.
     """
 
     held: dict[Weights, int]
@@ -183,6 +184,7 @@
     kv_total: int
     born_ms: int = UNKNOWN_BORN_MS
     orders_taken: int = 0
+    running_ids: tuple[str, ...] = ()
 
 
 class StoreStatus(StrEnum):
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -70,6 +70,7 @@
             "running": worker.running,
             "kv_used": 0,
             "kv_total": 1000,
+            "runs": [[id, 0, 1, 5] for id in worker.running_ids],
         }
         await self.respond(200, body | worker.report())
 
@@ -155,10 +156,12 @@
         if admission is Admission.DROPPED:
             self._finished = True
             return
+        worker.begin_run(request_id)
         try:
             await self.run_admitted(request_id, model, adapter, version)
         finally:
             worker.room.leave()
+            worker.end_run(request_id, self.closed.is_set())
 
     async def reject(self) -> None:
         """Respond that the request has not run."""
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -81,7 +81,9 @@
     Answers are framed by ``framing`` (by default as HTTP servers do), and the
     lines of events end with ``line_end``. The next runs break their answers
     off as ``breaks`` say. ``software`` is the version of the worker's
-    software; with ``names_software`` each event names it.
+    software; with ``names_software`` each event names it. Reports name the
+    requests of ``running_ids``, those whose connection was lost for another
+    ``linger_s``, as after a loss of power of the caller.
     """
 
     service: str
@@ -131,6 +133,8 @@
     breaks: deque[AnswerBreak] = field(default_factory=deque)
     software: str = "v1"
     names_software: bool = False
+    linger_s: float = 0.0
+    running_ids: Counter[str] = field(default_factory=Counter)
     _silent_until: float = 0.0
     _past_states: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
 
@@ -151,6 +155,18 @@
         """Wait until a pause is over."""
         await asyncio.sleep(max(0.0, self._silent_until - time.monotonic()))
 
+    def begin_run(self, request_id: str) -> None:
+        """Name a request in reports from now on."""
+        self.running_ids[request_id] += 1
+
+    def end_run(self, request_id: str, is_lost: bool) -> None:
+        """Name a request no longer; one whose connection was lost later."""
+        if is_lost and self.linger_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.linger_s, self.end_run, request_id, False)
+            return
+        self.running_ids -= Counter([request_id])
+
     def withdraw_faults(self) -> int:
         """Withdraw the faults that no request has met; return how many."""
         left = self.fail + self.shed + self.cut + len(self.breaks)
@@ -166,6 +182,7 @@
         """Restart with the same id and empty state; all connections end."""
         self.connection_faults.close_open()
         self.leaves = False
+        self.running_ids.clear()
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.versions_by_adapter.clear()
         self.pending.clear()
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -300,6 +300,60 @@
         await platform.stop()
 
 
+async def restart_all(daemons, specs, folder, how):
+    """End all daemons at once, and start them again when they are gone."""
+    for daemon in daemons:
+        daemon.send_signal(how)
+    await asyncio.gather(*(daemon.wait() for daemon in daemons))
+    started = [start_daemon(spec, folder) for spec in specs]
+    daemons[:] = await asyncio.gather(*started)
+
+
+async def take_up_after_a_loss(folder, linger_s, how=signal.SIGKILL):
+    """Let callers take up 40 streams after all instances were lost."""
+    async with start_daemons(folder) as (platform, specs, daemons):
+        for worker in platform.list_workers(ENGINES):
+            worker.event_s, worker.linger_s = 0.2, linger_s
+        addresses = [spec.addresses.callers for spec in specs]
+        is_back = asyncio.Event()
+        streams = [ResumedStream() for _ in range(40)]
+        runs = []
+        for number, stream in enumerate(streams):
+            order = addresses[number % 4 :] + addresses[: number % 4]
+            request = make_request(leaves_after=3, goes_on=is_back, time_left_s=20.0)
+            runs.append(asyncio.ensure_future(run_stream(request, order, stream)))
+        await eventually(lambda: all(len(each.numbers) >= 1 for each in streams))
+        await restart_all(daemons, specs, folder, how)
+        client = AsyncHTTPClient(force_instance=True)
+        for spec in specs:
+            assert await wait_until_ready(client, spec.addresses.ready)
+        is_back.set()
+        await asyncio.gather(*runs)
+        assert all(stream.resumed for stream in streams)
+        return streams
+
+
+class TestAllInstancesLost:
+    # Guards against streams that are joined from two versions, or all refused,
+    # although endpoints still run what the lost instances began.
+    def test_streams_go_on_at_the_version_that_endpoints_name(self, tmp_path):
+        async def work():
+            check(await take_up_after_a_loss(tmp_path, linger_s=5.0))
+
+        run(work)
+
+    # Guards against a guess where nobody knows any more.
+    @pytest.mark.parametrize(
+        "how", [signal.SIGKILL, signal.SIGTERM], ids=["killed", "ended"]
+    )
+    def test_none_is_joined_where_no_endpoint_runs_them(self, how, tmp_path):
+        async def work():
+            streams = await take_up_after_a_loss(tmp_path, 0.0, how)
+            assert not any(stream.has_two_versions for stream in streams)
+
+        run(work)
+
+
 class TestLostDataCentre:
     # Guards against a stream whose version nobody knows any more, or guesses,
     # once all instances of the data centre that began it are gone.
