Soak data centres that the store turns away, and losses of power

The soak turned single instances away or all, and killed all daemons only with endpoints that notice at once. Now the store rejects, or is silent to, a whole data centre while other faults overlap, and all daemons are killed while endpoints of several versions go on for three seconds. After the recovery a data centre is turned away alone and each of three changes must be in force everywhere within 2 s.

--- a/bench/soak/answers_of_endpoints.py
+++ b/bench/soak/answers_of_endpoints.py
@@ -31,6 +31,7 @@
     {
         FaultKind.KILL,
         FaultKind.KILL_ALL,
+        FaultKind.POWER_LOST,
         FaultKind.TERM,
         FaultKind.PAUSE,
         FaultKind.EARLY_SIGNALS,
--- a/bench/soak/command.py
+++ b/bench/soak/command.py
@@ -22,6 +22,7 @@
 from bench.soak.plan import FAULTS_PER_S, Fault, make_plan
 from bench.soak.retries import check_retries
 from bench.soak.skew import check_skewed_service
+from bench.soak.turned_away import check_turned_away
 from bench.soak.versions import (
     ResumingCaller,
     check_streams_go_on,
@@ -98,6 +99,9 @@
         )
         await world.republish_endpoints()
         violations += await check_cut_service(world.cuts, addresses, seed)
+        violations += await check_turned_away(
+            world.daemons, world.cuts.links, world.publish_next_configuration, seed
+        )
         violations += await check_streams_go_on(world.versioned, addresses, seed)
         if daemons_per_zone == DAEMONS_PER_ZONE:
             pids = [daemon.process.pid for daemon in world.daemons if daemon.process]
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -62,6 +62,8 @@
     ENDPOINT_SAYS_LEAVING = "endpoint_says_leaving"
     ENDPOINT_BACKS_OFF = "endpoint_backs_off"
     STORE_RESTORED = "store_restored"
+    STORE_TURNS_AWAY = "store_turns_away"
+    POWER_LOST = "power_lost"
 
 
 # These kinds have random streams of their own, by name, so that a seed draws
@@ -92,6 +94,8 @@
     "leaving": (FaultKind.ENDPOINT_SAYS_LEAVING,),
     "back off": (FaultKind.ENDPOINT_BACKS_OFF,),
     "restore": (FaultKind.STORE_RESTORED,),
+    "turned away": (FaultKind.STORE_TURNS_AWAY,),
+    "power": (FaultKind.POWER_LOST,),
 }
 LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -106,6 +110,7 @@
         FaultKind.PAUSE,
         FaultKind.EARLY_SIGNALS,
         FaultKind.SETTINGS_REWRITTEN,
+        FaultKind.POWER_LOST,
     )
 )
 # Planned maintenance, which must not fail any request.
--- a/bench/soak/versions.py
+++ b/bench/soak/versions.py
@@ -90,6 +90,11 @@
         serving = Counter(worker.software for worker in self.list_serving())
         self.counts.append((time.monotonic(), serving))
 
+    def set_linger(self, seconds: float) -> None:
+        """Let endpoints notice lost connections after a time."""
+        for worker in self.platform.list_workers(VERSIONED):
+            worker.linger_s = seconds
+
     def served_by_two(self, software: str, start: float, end: float) -> bool:
         """Return whether two endpoints of a version served all the time."""
         before = [counts for at, counts in self.counts if at <= start][-1:]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -24,6 +24,7 @@
 from bench.soak.restore import restore_store
 from bench.soak.retries import RETRY_WINDOW_S, fail_service
 from bench.soak.skew import skew_connections
+from bench.soak.turned_away import turn_away
 from bench.soak.versions import (
     VERSIONED,
     VersionedService,
@@ -52,6 +53,8 @@
 __all__ = ["DAEMONS_PER_ZONE", "SoakWorld"]
 
 DAEMONS_PER_ZONE = 2
+# How long endpoints go on with what daemons that lost their power asked for.
+LINGER_S = 3.0
 ENDPOINT_ERRORS_PER_FAULT = 2
 DRAIN_S = 2.5
 PLATFORM_DELAY_S = 1.0
@@ -106,6 +109,8 @@
             FaultKind.STORE_REFUSES: self._make_store_unavailable,
             FaultKind.STORE_FORGETS: self._clear_store_history,
             FaultKind.STORE_RESTORED: self._restore_store,
+            FaultKind.STORE_TURNS_AWAY: self._turn_away,
+            FaultKind.POWER_LOST: self._lose_power,
             FaultKind.ENDPOINT_FAILS: self._inject_endpoint_errors,
             FaultKind.ENDPOINT_SHEDS: self._inject_endpoint_errors,
             FaultKind.ENDPOINT_BREAKS: self._inject_endpoint_errors,
@@ -277,6 +282,12 @@
             )
         )
 
+    async def _lose_power(self, fault: Fault) -> None:
+        """Kill all daemons; endpoints of several versions notice it late."""
+        self.versioned.set_linger(LINGER_S)
+        await self._kill_all(fault)
+        self.versioned.set_linger(0.0)
+
     async def _term(self, fault: Fault) -> None:
         daemon = self._pick_daemon(fault)
         async with daemon.lock:
@@ -340,6 +351,15 @@
         for links in self.cuts.links:
             links.store.compact_history()
 
+    async def _turn_away(self, fault: Fault) -> None:
+        """Let the store turn all daemons of a data centre away."""
+        count = self._daemons_per_zone
+        first = fault.target % len(ZONES) * count
+        chosen = slice(first, first + count)
+        rejects = fault.target // len(ZONES) % 2 == 0
+        links = self.cuts.links[chosen]
+        await turn_away(self.daemons[chosen], links, rejects, fault.duration_s)
+
     async def _restore_store(self, fault: Fault) -> None:
         await restore_store(self.platform, fault.duration_s)
 
@@ -433,8 +453,13 @@
             self.platform.store.put(key, None)
 
     async def _change_configuration(self, fault: Fault) -> None:
+        self.publish_next_configuration()
+
+    def publish_next_configuration(self) -> int:
+        """Publish the configuration as the next version, and return it."""
         self.version += 1
         self.publish_configuration()
+        return self.version
 
     async def _revoke_key(self, fault: Fault) -> None:
         self.accounts.revoke(fault.target)
