Pause between requests to peers where none is left to ask

Found by reading, before it had landed: with all requests under way and none answered, or with no peer at all while the store does not answer, the next request counted as due at once, so that the loop of requests ran a hundred times a second until an answer or a time-out came.

Now nothing is due while all requests are under way, as an answer or a time-out wakes the loop, and an attempt without a free peer is followed by the pause of a poll.

--- a/fescuekeel/components/catalog/change_requests.py
+++ b/fescuekeel/components/catalog/change_requests.py
@@ -72,7 +72,8 @@
     _ahead_by_peer: dict[str, Position] = field(default_factory=dict)
     _answered_at_by_peer: dict[str, float] = field(default_factory=dict)
     _requests_by_peer: dict[str, Request] = field(default_factory=dict)
-    _sent_at: float = float("-inf")
+    # When a request was last sent, or no peer was left to send one to.
+    _attempted_at: float = float("-inf")
     _polled: str = ""
 
     # What happens.
@@ -98,7 +99,7 @@
         """Record a request to a peer."""
         announced = self._ahead_by_peer.get(peer, BEGINNING)
         self._requests_by_peer[peer] = Request(announced, now)
-        self._sent_at = now
+        self._attempted_at = now
         self._polled = peer
 
     def record_answer(self, peer: str, own: Position) -> None:
@@ -147,17 +148,21 @@
             free = self._ahead_by_peer.keys() - self._requests_by_peer.keys()
             if free:
                 return max(free, key=lambda peer: (self._ahead_by_peer[peer], peer))
-        if now >= self._get_poll_due(own):
-            return self._choose_polled(contacts, now)
-        return None
+        if now < self._get_poll_due(own):
+            return None
+        # The pause applies without a free peer, too.
+        self._attempted_at = now
+        return self._choose_polled(contacts, now)
 
     def find_due(self, own: OwnState, now: float) -> float:
         """Return when to choose next, unless something happens before."""
+        if len(self._requests_by_peer) >= MAX_REQUESTS:
+            return NEVER
         due = self._get_poll_due(own)
         if self._ahead_by_peer.keys() - self._requests_by_peer.keys():
             due = min(due, self._get_request_due(own))
         if self.is_waiting(now):
-            due = max(due, self._sent_at + LATE_ANSWER_S)
+            due = max(due, self._attempted_at + LATE_ANSWER_S)
         return due
 
     def _get_request_due(self, own: OwnState) -> float:
@@ -171,7 +176,7 @@
         if not own.must_watch:
             return NEVER
         pause_s = LATE_ANSWER_S if self._requests_by_peer else self.poll_s
-        return max(own.served_until, self._sent_at + pause_s)
+        return max(own.served_until, self._attempted_at + pause_s)
 
     def _choose_polled(self, contacts: Sequence[str], now: float) -> str | None:
         """Return a peer that the store answers, or the next contact."""
--- a/tests/components/catalog/test_change_requests.py
+++ b/tests/components/catalog/test_change_requests.py
@@ -74,6 +74,15 @@
         second = requests.choose(make_state(), [], LATE_ANSWER_S)
         assert {first, second} == {"dead", "alive"}
 
+    # Guards against a loop without a pause while no peer answers.
+    def test_an_answer_is_waited_for_while_all_are_under_way(self, requests):
+        for number in range(MAX_REQUESTS):
+            now = number * LATE_ANSWER_S
+            requests.record_sent(f"i{number}", now)
+        assert requests.find_due(make_state(), now=1.0) == float("inf")
+        requests.record_failure("i0")
+        assert requests.find_due(make_state(), now=1.0) <= 1.0
+
     def test_what_is_not_sent_in_time_is_missed(self, requests):
         requests.record_news("dead", AHEAD, OWN, now=0.0)
         requests.record_sent("dead", now=0.0)
@@ -103,6 +112,11 @@
             polled.append(peer)
         assert polled == ["a", "b", "c", "a", "b", "c"]
 
+    # Guards against a loop without a pause where there is nobody to ask.
+    def test_pause_where_there_is_no_peer(self, requests):
+        assert requests.choose(make_state(), [], now=10.0) is None
+        assert requests.find_due(make_state(), now=10.0) == 10.0 + POLL_S
+
     def test_are_not_sent_while_the_store_answers(self, requests):
         own = make_state(served_until=SERVED)
         assert requests.choose(own, ["a"], now=10.0) is None
