--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -63,7 +63,7 @@
     **_parse_specs(
         EventCategory.VIEW,
         """
-        catalog_from_peer peer since revision changed whole
+        catalog_from_peer peer since revision changed whole behind_ms asked_ms
         claim_held endpoint term before heard_age_ms waited_ms contact_ms outcome
         claim_lost endpoint after term outcome
         connections_closed connections lag_ms outcome
@@ -95,10 +95,12 @@
         owner_gained endpoint fence
         owner_lost endpoint
         part_quarantine_changed part endpoints seen_by age_ms outcome
+        peer_polling_changed polling revision announced silent_s
         quarantine_changed fingerprint endpoints seen_by age_ms outcome
         relay_asked peer endpoint age_ms outcome
         relay_refused peer endpoint reaches_others outcome
         rejection_limit_changed service max_rejections_per_s age_ms outcome
+        runs_read endpoints answered runs
         silent_endpoint_left endpoint requests path outcome
         store_era_changed before revision first_revision kept source
         stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
