--- a/review/common/http.py
+++ b/review/common/http.py
@@ -4,7 +4,14 @@
 import contextlib
 from dataclasses import dataclass, field
 
-__all__ = ["Answer", "Client", "Message", "read_message", "write_answer"]
+__all__ = [
+    "Answer",
+    "Client",
+    "Message",
+    "read_head",
+    "read_message",
+    "write_answer",
+]
 
 MAX_BYTES = 8 * 1024 * 1024
 
--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -233,6 +233,8 @@
     ) -> None:
         super().__init__(id, service, zone, seed)
         self.fenced = fenced
+        self.software = "1"
+        self.running_ids: Counter[str] = Counter()
         self.running = 0
         self.sequence = 0
         self.adapters: dict[str, int] = {}
@@ -253,7 +255,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "1",
+            "version": self.software,
             "slots": self.SLOTS,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -289,7 +291,7 @@
             "kv_total": 142722,
             "handles": 0,
             "pending": [f"{self.MODEL}/{name}@1" for name in self.pending],
-            "runs": [],
+            "runs": [[id, 300, 1, 5] for id in self.running_ids.elements()],
             "born": self.born,
         }
         headers = {"Content-Type": "application/json", "Keep-Alive": "timeout=15"}
@@ -339,6 +341,10 @@
         self.adapters[adapter] = 1
         self.publish()
 
+    def make_event(self, request_id: str, number: int) -> str:
+        """Return an event of a stream."""
+        return f"id: {number}\ndata: {request_id} {number} v{self.software}\n\n"
+
     async def _stream(
         self, request: Message, writer: asyncio.StreamWriter
     ) -> tuple[int, bytes]:
@@ -359,16 +365,19 @@
         sent = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode("latin-1")
         writer.write(sent)
         self.running += 1
+        self.running_ids[request_id] += 1
         try:
             for number in range(first, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_S)
-                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                text = self.make_event(request_id, number)
+                event = text.encode()
                 chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
                 writer.write(chunk)
                 await writer.drain()
                 sent += chunk
         finally:
             self.running -= 1
+            self.running_ids -= Counter([request_id])
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return 200, sent + b"0\r\n\r\n"
