Review: a configuration that moves a model route blocks whole processes

The script of review/1 moves one model route to another service of model workers and no longer lists the old one. A request that waits for an adapter then chooses a worker again and again without a wait, and blocks the event loop until the watchdog ends the process.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exit with 1 if TWICE or REFUSED was broken, 0 if they held, 2 if it can't run.
+# Exit with 1 if CONFIG or LOST was broken, 0 if they held, 2 if it can't run.
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=target/deps:.:review
 exec python3 -S review/1/case.py
