--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -7,7 +7,7 @@
 from fescuekeel.helpers.http_connection import Connection, ResponseHead
 from fescuekeel.helpers.whole_answer import BodyEnd, Framing
 
-__all__ = ["Attempt", "FailedAnswer", "get_permit_outcome"]
+__all__ = ["Attempt", "FailedAnswer", "Transfer", "get_permit_outcome"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +18,19 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Transfer:
+    """What was sent, and on which connection.
+
+    ``position`` counts the requests of the connection, this one included.
+    """
+
+    connection: int
+    connection_age_s: float
+    position: int
+    body_bytes: int
+
+
 @dataclass(slots=True)
 class Attempt:
     """One attempt to send the request to an endpoint.
@@ -26,7 +39,7 @@
     that of the answer, ``ended_by`` what ended its body, and ``within_event``
     whether a stream ended within an event. ``software`` is the endpoint's
     software version. With ``is_return`` it is among the first requests after
-    the endpoint backed off.
+    the endpoint backed off. ``transfer`` is set once the request was sent.
     """
 
     endpoint: str
@@ -44,6 +57,7 @@
     within_event: bool = False
     software: str = ""
     is_return: bool = False
+    transfer: Transfer | None = None
 
 
 def get_permit_outcome(end: AttemptEnd | None) -> PermitOutcome:
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from fescuekeel.components.forward.attempt import Attempt, FailedAnswer
+from fescuekeel.components.forward.attempt import Attempt, FailedAnswer, Transfer
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.broken_run import BrokenRun
 from fescuekeel.components.forward.choice import Choice
@@ -221,6 +221,9 @@
         connection.send(
             request.method, request.target, (*headers, *framing), request.body
         )
+        self.attempt.transfer = Transfer(
+            connection.number, connection.age_s, connection.sends, len(request.body)
+        )
         request.state.record_sent(self.choice.endpoint)
         self.attempt.is_return = self.forwarder.endpoints.record_sent(
             self.choice.endpoint
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from fescuekeel.components.forward.attempt import Attempt
+from fescuekeel.components.forward.attempt import Attempt, Transfer
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.request import ForwardedRequest
@@ -17,6 +17,7 @@
 OTHER_ROUTES = "other"
 # Callers choose these ids, of any length.
 MAX_LOGGED_ID = 64
+NOTHING_SENT = Transfer(0, 0.0, 0, 0)
 
 
 class RequestRecords:
@@ -77,9 +78,16 @@
         """Record one attempt."""
         outcome = "answered" if end is None else end.value
         self._instance.metrics.count(f"attempt.{outcome}")
+        sent = attempt.transfer or NOTHING_SENT
         log_event(
             "attempt_ended",
             request_id=request.metadata.request_id,
+            send=request.state.sends if attempt.transfer else 0,
+            connection=sent.connection,
+            connection_age_ms=round(sent.connection_age_s * 1000),
+            position=sent.position,
+            body_bytes=sent.body_bytes,
+            status=attempt.head.status if attempt.head else 0,
             endpoint=choice.endpoint,
             reason=choice.reason.value,
             cost_ms=round(choice.cost_s * 1000),
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -48,7 +48,7 @@
         """
         allowance_refused request_id account price held home wait_ms outcome
         answer_broken request_id fingerprint endpoint kept age_ms error outcome
-        attempt_ended request_id endpoint reason cost_ms tokens_ahead took_ms outcome
+        attempt_ended request_id send connection position endpoint took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         parts_in_crash request_id endpoint parts written_ms outcome
         request_ended request_id service took_ms outcome
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import itertools
 import socket
+import time
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -49,6 +51,7 @@
 # without end took most of a core.
 MAX_INTERIM_RESPONSES = 16
 MAX_IDLE_CONNECTIONS = 64
+CONNECTION_NUMBERS = itertools.count(1)
 
 
 class NotConnectedError(Exception):
@@ -99,17 +102,21 @@
     is direct, and ``opened_at`` when it was opened on the instance's clock.
     ``incarnation`` is that of the endpoint, once it has been checked.
     ``framing`` is that of the current response, and ``ended_by`` what ended
-    its body, ``None`` until then.
+    its body, ``None`` until then. ``number`` tells the connections of this
+    process apart, and ``sends`` counts the requests that were sent on it.
     """
 
     def __init__(self, relayed_by: str = "", opened_at: float = 0.0) -> None:
         self.fresh = True
         self.relayed_by = relayed_by
         self.opened_at = opened_at
+        self.number = next(CONNECTION_NUMBERS)
+        self.sends = 0
         self.awaiting_response = False
         self.incarnation = ""
         self.framing: Framing | None = None
         self.ended_by: BodyEnd | None = None
+        self._made_at = time.monotonic()
         self._method = ""
         self._http = h11.Connection(
             our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -174,6 +181,11 @@
         open_ = self._transport is not None and not self._transport.is_closing()
         return open_ and not self._eof_received and self._close_reason is None
 
+    @property
+    def age_s(self) -> float:
+        """Return for how long the connection has been open."""
+        return time.monotonic() - self._made_at
+
     def send(
         self, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
@@ -193,6 +205,7 @@
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self.awaiting_response = True
+        self.sends += 1
         self._method = method
         self.framing = self.ended_by = None
         self._transport.write(data)
