--- a/fescuekeel/components/forward/attempts.py
+++ b/fescuekeel/components/forward/attempts.py
@@ -60,7 +60,8 @@
 class RequestState:
     """The state of one request over all its attempts.
 
-    ``endpoints`` are those that it was sent to, ``may_have_run`` is true if
+    ``endpoints`` are those that it was sent to, ``connections`` the numbers of
+    the connections that carried it, ``may_have_run`` is true if
     one of them can have run it, and ``answer_started`` if the answer's head
     was written to the caller. ``can_go_on`` is false if a stream cannot go on
     after the events that the caller has.
@@ -70,6 +71,7 @@
     resumable: bool
     max_attempts: int
     endpoints: set[str] = field(default_factory=set)
+    connections: set[int] = field(default_factory=set)
     sends: int = 0
     may_have_run: bool = False
     answer_started: bool = False
@@ -86,9 +88,10 @@
             return False
         return to_same_endpoint or len(self.endpoints) < self.max_attempts
 
-    def record_sent(self, endpoint: str) -> None:
+    def record_sent(self, endpoint: str, connection: int = 0) -> None:
         """Record that the request is sent to an endpoint."""
         self.endpoints.add(endpoint)
+        self.connections.add(connection)
         self.sends += 1
 
     def may_send_to(self, endpoint: str) -> bool:
--- a/fescuekeel/components/forward/crash_check.py
+++ b/fescuekeel/components/forward/crash_check.py
@@ -11,12 +11,12 @@
 from fescuekeel.components.relay import PathState, Relay, RelayFailedError
 from fescuekeel.core import Instance
 from fescuekeel.helpers.dialect import MAX_REPORT_BYTES, Dialect, ResponseMetadata
+from fescuekeel.helpers.endpoint_call import call_endpoint
 from fescuekeel.helpers.http_connection import (
     Connection,
     IncompleteResponseError,
     NotConnectedError,
     connect,
-    fetch,
 )
 from fescuekeel.helpers.liveness import (
     CrashEvidence,
@@ -166,12 +166,11 @@
         call = self._dialect.make_report_call(endpoint)
         try:
             async with asyncio.timeout(CRASH_CHECK_TIMEOUT_S):
-                response = await fetch(
+                response = await call_endpoint(
                     connection,
-                    call.method,
-                    call.target,
-                    (("Host", address), *call.headers),
-                    call.body,
+                    self._dialect,
+                    call,
+                    address,
                     2 * CRASH_CHECK_TIMEOUT_S,
                     MAX_REPORT_BYTES,
                 )
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -24,12 +24,12 @@
     Header,
     ResponseMetadata,
 )
+from fescuekeel.helpers.endpoint_call import call_endpoint
 from fescuekeel.helpers.http_connection import (
     Connection,
     IncompleteResponseError,
     NotConnectedError,
     ResponseHead,
-    fetch,
 )
 from fescuekeel.helpers.incarnation import UNKNOWN_BORN_MS, Incarnation
 from fescuekeel.helpers.logging import log_event
@@ -131,10 +131,18 @@
         return self.choice.within_limit or not limiter.is_limited(self.choice.endpoint)
 
     async def _connect(self) -> Connection:
+        """Return a connection that has not carried the request yet.
+
+        Otherwise a second answer to its first send could be taken for the
+        answer to this one.
+        """
         endpoint = self.attempt.endpoint
         pool = self.forwarder.get_pool(endpoint)
         failed_at = self.forwarder.relay.get_failed_at(endpoint)
-        pooled = pool.take(self.forwarder.instance.now(), failed_at)
+        now = self.forwarder.instance.now()
+        pooled = None
+        if self.request.metadata.request_id:
+            pooled = pool.take(now, failed_at, self.request.state.connections)
         if pooled is not None:
             return pooled
         return await self.forwarder.open(endpoint, pool)
@@ -161,13 +169,11 @@
         endpoint = self.attempt.endpoint
         call = self.forwarder.dialect.make_report_call(endpoint)
         address = self.forwarder.get_pool(endpoint).address
-        headers = (("Host", address), *call.headers)
-        answer = await fetch(
+        answer = await call_endpoint(
             connection,
-            call.method,
-            call.target,
-            headers,
-            call.body,
+            self.forwarder.dialect,
+            call,
+            address,
             INCARNATION_TIMEOUT_S,
             MAX_REPORT_BYTES,
         )
@@ -180,7 +186,7 @@
                 )
                 self.forwarder.endpoints.record_response(endpoint, response)
                 return True
-        self.request.state.record_sent(endpoint)
+        self.request.state.record_sent(endpoint, connection.number)
         return False
 
     def _send_within_budget(self, connection: Connection) -> AttemptEnd | None:
@@ -219,12 +225,16 @@
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             framing = (("Content-Length", str(len(request.body))),)
         connection.send(
-            request.method, request.target, (*headers, *framing), request.body
+            request.method,
+            request.target,
+            (*headers, *framing),
+            request.body,
+            self.forwarder.dialect.make_answer_tie(request.metadata.request_id),
         )
         self.attempt.transfer = Transfer(
             connection.number, connection.age_s, connection.sends, len(request.body)
         )
-        request.state.record_sent(self.choice.endpoint)
+        request.state.record_sent(self.choice.endpoint, connection.number)
         self.attempt.is_return = self.forwarder.endpoints.record_sent(
             self.choice.endpoint
         )
@@ -238,10 +248,6 @@
             self.forwarder.relay.record_contact(self.attempt.endpoint)
         self.attempt.head = head
         response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
-        if response.request_id and response.request_id != (
-            self.request.metadata.request_id
-        ):
-            raise IncompleteResponseError("answer has the id of another request")
         self._record_response(response)
         self._record_limits(response)
         self._record_rejection(head, response)
@@ -327,6 +333,9 @@
         self.attempt.connection = None
         if not connection.finish():
             return
+        if not connection.repeats_ids:
+            connection.close()
+            return
         idle_s = DEFAULT_KEEP_ALIVE_S
         if response.keep_alive_s is not None:
             idle_s = max(0.0, response.keep_alive_s - KEEP_ALIVE_MARGIN_S)
--- a/fescuekeel/components/origins/report_reader.py
+++ b/fescuekeel/components/origins/report_reader.py
@@ -5,12 +5,12 @@
 
 from fescuekeel.components.origins.const import READ_TIMEOUT_S
 from fescuekeel.helpers.dialect import MAX_REPORT_BYTES, Dialect, EndpointReport
+from fescuekeel.helpers.endpoint_call import call_endpoint
 from fescuekeel.helpers.http_connection import (
     HttpResponse,
     IncompleteResponseError,
     NotConnectedError,
     connect,
-    fetch,
 )
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import EndpointRecord
@@ -42,12 +42,11 @@
     call = dialect.make_report_call(record.id)
     connection = await connect(record.address, READ_TIMEOUT_S)
     try:
-        return await fetch(
+        return await call_endpoint(
             connection,
-            call.method,
-            call.target,
-            (("Host", record.address), *call.headers),
-            call.body,
+            dialect,
+            call,
+            record.address,
             READ_TIMEOUT_S,
             MAX_REPORT_BYTES,
         )
--- a/fescuekeel/components/placement/orders.py
+++ b/fescuekeel/components/placement/orders.py
@@ -19,12 +19,12 @@
     OrderReply,
     WeightOrder,
 )
+from fescuekeel.helpers.endpoint_call import call_endpoint
 from fescuekeel.helpers.http_connection import (
     Connection,
     HttpResponse,
     IncompleteResponseError,
     NotConnectedError,
-    fetch,
 )
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.published import EndpointRecord
@@ -100,20 +100,9 @@
         connection = await self._get_connection()
         if not guard():
             return None
-        headers = (
-            ("Host", self._address),
-            *call.headers,
-            ("Content-Length", str(len(call.body))),
-        )
         self._used = self._instance.now()
-        response = await fetch(
-            connection,
-            call.method,
-            call.target,
-            headers,
-            call.body,
-            timeout_s,
-            max_bytes,
+        response = await call_endpoint(
+            connection, self._dialect, call, self._address, timeout_s, max_bytes
         )
         metadata = self._dialect.read_response(response.status, dict(response.headers))
         self._endpoints.record_response(self.endpoint, metadata)
@@ -122,7 +111,7 @@
     async def _get_connection(self) -> Connection:
         kept = self._connection
         recent = self._instance.now() - self._used < KEEPALIVE_S
-        if kept is not None and kept.usable and recent:
+        if kept is not None and kept.usable and kept.repeats_ids and recent:
             return kept
         if kept is not None:
             kept.close()
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -9,16 +9,18 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
 import h11
 
+from fescuekeel.helpers.answer_tie import AnswerTie, Origin, find_origin
 from fescuekeel.helpers.dialect import Header
 from fescuekeel.helpers.late_loop import wait_for_task
 from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import split_address
+from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
     Framing,
@@ -51,6 +53,11 @@
 # without end took most of a core.
 MAX_INTERIM_RESPONSES = 16
 MAX_IDLE_CONNECTIONS = 64
+# Answers to other requests that are read before the own one, and their bytes.
+MAX_DROPPED_ANSWERS = 4
+MAX_DROPPED_BYTES = 1024 * 1024
+# The wait for the own answer after one that may be the own one, but has no id.
+MAX_WAIT_AFTER_UNKNOWN_S = 1.0
 CONNECTION_NUMBERS = itertools.count(1)
 
 
@@ -104,6 +111,9 @@
     ``framing`` is that of the current response, and ``ended_by`` what ended
     its body, ``None`` until then. ``number`` tells the connections of this
     process apart, and ``sends`` counts the requests that were sent on it.
+    ``repeats_ids`` says whether the last response had the id of its request:
+    on a connection without ids only the first response is certain to belong
+    to its request.
     """
 
     def __init__(self, relayed_by: str = "", opened_at: float = 0.0) -> None:
@@ -112,15 +122,18 @@
         self.opened_at = opened_at
         self.number = next(CONNECTION_NUMBERS)
         self.sends = 0
+        self.repeats_ids = False
         self.awaiting_response = False
         self.incarnation = ""
         self.framing: Framing | None = None
         self.ended_by: BodyEnd | None = None
         self._made_at = time.monotonic()
         self._method = ""
-        self._http = h11.Connection(
-            our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._tie: AnswerTie | None = None
+        self._request: h11.Request | None = None
+        self._body = b""
+        self._dropped = 0
+        self._http = _make_parser()
         self._transport: asyncio.Transport | None = None
         self._close_reason: str | None = None
         self._unparsed: deque[bytes] = deque()
@@ -187,9 +200,17 @@
         return time.monotonic() - self._made_at
 
     def send(
-        self, method: str, target: str, headers: Sequence[Header], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: Sequence[Header],
+        body: bytes,
+        tie: AnswerTie | None = None,
     ) -> None:
-        """Send a complete request."""
+        """Send a complete request.
+
+        Without ``tie`` the next response is taken for the response to it.
+        """
         if self._transport is None or not self.usable:
             raise NotConnectedError("connection was closed while idle")
         request = h11.Request(
@@ -200,10 +221,9 @@
                 for name, value in headers
             ],
         )
-        data = self._http.send(request) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+        data = _encode_request(self._http, request, body)
+        self._tie, self._request, self._body = tie, request, body
+        self.repeats_ids = False
         self.awaiting_response = True
         self.sends += 1
         self._method = method
@@ -211,7 +231,81 @@
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
-        """Wait for the status and the headers of the response."""
+        """Wait for the status and the headers of the response.
+
+        Responses to other requests that come before it are dropped. After one
+        without an id, which may be the own one, the wait is short.
+        """
+        head = await self._read_next_head()
+        match self._find_origin(head):
+            case Origin.OWN:
+                return head
+            case Origin.OTHER:
+                return await self._read_past(head)
+        try:
+            async with asyncio.timeout(MAX_WAIT_AFTER_UNKNOWN_S):
+                return await self._read_past(head)
+        except TimeoutError as error:
+            raise IncompleteResponseError("response has no id") from error
+
+    async def _read_past(self, head: ResponseHead) -> ResponseHead:
+        """Drop responses up to that to the own request; return its head."""
+        for _ in range(MAX_DROPPED_ANSWERS):
+            await self._drop_response()
+            head = await self._read_next_head()
+            if self._find_origin(head) is Origin.OWN:
+                return head
+        raise IncompleteResponseError("too many responses to other requests")
+
+    def _find_origin(self, head: ResponseHead) -> Origin:
+        if self._tie is None:
+            return Origin.OWN
+        answered_id = head.get(self._tie.header)
+        origin = find_origin(self._tie.id, answered_id, self.sends)
+        self.repeats_ids = bool(answered_id)
+        if origin is not Origin.OWN:
+            log_event(
+                "answer_dropped",
+                request_id=self._tie.id,
+                answered_id=answered_id,
+                status=head.status,
+                connection=self.number,
+                position=self.sends,
+                outcome=origin.value,
+            )
+        return origin
+
+    async def _drop_response(self) -> None:
+        """Read a response to its end, and begin with the next one.
+
+        Nothing can follow a response that ends with its connection. A response
+        to HEAD has no body, though it may declare one: as the other request's
+        method is not known, nothing is read past then.
+        """
+        self._dropped += 1
+        if self.framing is Framing.CLOSE or self._method == "HEAD":
+            raise IncompleteResponseError("response to another request")
+        dropped_bytes = 0
+        while (chunk := await self.read_chunk()) is not None:
+            dropped_bytes += len(chunk.data)
+            if dropped_bytes > MAX_DROPPED_BYTES:
+                raise IncompleteResponseError("endless response to another request")
+        if self._http.their_state is not h11.DONE:
+            raise IncompleteResponseError("response to another request ends all")
+        self._begin_next_response()
+
+    def _begin_next_response(self) -> None:
+        """Let a new parser await the response to the same request."""
+        assert self._request is not None
+        extra, _ = self._http.trailing_data
+        self._http = _make_parser()
+        _encode_request(self._http, self._request, self._body)
+        if extra:
+            # Without data the parser would take it for the connection's end.
+            self._http.receive_data(extra)
+        self.framing = self.ended_by = None
+
+    async def _read_next_head(self) -> ResponseHead:
         interim = 0
         while True:
             event = await self._next_event()
@@ -282,18 +376,20 @@
     def finish(self) -> bool:
         """End the request; return whether the connection can be reused.
 
-        It is closed if data follows the complete response, or if the response
-        came before the whole request was sent: the next data could be taken
-        for the response to another request.
+        It is closed if data precedes or follows the complete response, or if
+        the response came before the whole request was sent: the next data
+        could be taken for the response to another request.
         """
         self.awaiting_response = False
         self.fresh = False
+        self._request, self._body = None, b""
         extra, _ = self._http.trailing_data
         both_done = (
             self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         )
         unsent = self._transport is None or self._transport.get_write_buffer_size()
-        if not both_done or extra or self._unparsed or unsent or not self.usable:
+        unexplained = extra or self._unparsed or self._dropped
+        if not both_done or unexplained or unsent or not self.usable:
             self.close()
             return False
         self._http.start_next_cycle()
@@ -312,6 +408,17 @@
         self._transport.abort()
 
 
+def _make_parser() -> h11.Connection:
+    return h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
+def _encode_request(http: h11.Connection, request: h11.Request, body: bytes) -> bytes:
+    data = http.send(request) or b""
+    if body:
+        data += http.send(h11.Data(data=body)) or b""
+    return data + (http.send(h11.EndOfMessage()) or b"")
+
+
 async def connect(address: str, timeout_s: float) -> Connection:
     """Connect to ``IP:PORT``; raises ``NotConnectedError``.
 
@@ -373,15 +480,22 @@
         self._idle: list[IdleConnection] = []
 
     def take(
-        self, now: float, direct_since: float = float("-inf")
+        self,
+        now: float,
+        direct_since: float = float("-inf"),
+        excluded: Collection[int] = (),
     ) -> Connection | None:
         """Return a usable idle connection, if there is one.
 
         Direct connections that were released before ``direct_since`` are not
-        used: connects have failed since, so these may be broken as well.
+        used: connects have failed since, so these may be broken as well. Those
+        with ``excluded`` numbers are left for others.
         """
-        while self._idle:
-            idle = self._idle.pop()
+        for index in range(len(self._idle) - 1, -1, -1):
+            idle = self._idle[index]
+            if idle.connection.number in excluded:
+                continue
+            del self._idle[index]
             is_old = idle.released_at < direct_since and not idle.connection.relayed_by
             if idle.connection.usable and now < idle.until and not is_old:
                 return idle.connection
@@ -420,6 +534,7 @@
     body: bytes,
     timeout_s: float,
     max_bytes: int,
+    tie: AnswerTie | None = None,
 ) -> HttpResponse:
     """Send a request and read the complete response.
 
@@ -429,7 +544,7 @@
     """
     try:
         async with asyncio.timeout(timeout_s):
-            connection.send(method, target, headers, body)
+            connection.send(method, target, headers, body, tie)
             head = await connection.read_head()
             response_body = bytearray()
             while (chunk := await connection.read_chunk()) is not None:
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -1,6 +1,7 @@
 """The HTTP interface of the stand-in workers."""
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Callable
@@ -44,10 +45,17 @@
     """Base class that checks that a call is meant for this worker."""
 
     standin: Worker
+    runs_requests = False
 
     async def prepare(self) -> None:
         """Respond with 421 if another worker is expected."""
         await super().prepare()
+        if self._finished:
+            return
+        self.standin.copies.begin_answer(self.stream)
+        request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
+        if request_id and (self.runs_requests or self.standin.repeats_call_ids):
+            self.set_header(REQUEST_ID_HEADER, request_id)
         await self.standin.wait_while_silent()
         if self.standin.leaves:
             self.set_header(SERVER_LEAVING_HEADER, "1")
@@ -56,6 +64,12 @@
             self.set_header("Fescuekeel-Instance-Id", self.standin.id)
             await self.respond(421, {})
 
+    async def respond(self, status: int, body: dict[str, Any]) -> None:
+        """Send a JSON response, perhaps once more later."""
+        await super().respond(status, body)
+        if not self.is_unresponsive:
+            self.standin.copies.end_answer(self, json.dumps(body).encode())
+
 
 class ReportHandler(WorkerHandler):
     """Serve the worker's report."""
@@ -113,6 +127,8 @@
 class RunHandler(WorkerHandler):
     """Run a request, as a stream if it names a model."""
 
+    runs_requests = True
+
     def initialize(self, *arguments: Any, **options: Any) -> None:
         """Create the event that is set when the caller disconnects."""
         super().initialize(*arguments, **options)
@@ -123,7 +139,6 @@
         worker = self.standin
         request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
         worker.arrivals.append((time.monotonic(), request_id))
-        self.set_header(REQUEST_ID_HEADER, request_id)
         if worker.limit_per_s is not None:
             self.set_header(SERVER_LIMIT_HEADER, str(worker.limit_per_s))
             worker.limit_named_at = worker.limit_named_at or time.monotonic()
@@ -149,6 +164,9 @@
         if expected and int(expected) != version:
             await self.respond(421, {})
             return
+        if random.random() < worker.misdirecting_share:
+            await self.respond(421, {})
+            return
         admission = await worker.room.enter(self.closed)
         if admission is Admission.REJECTED:
             await self.reject()
@@ -232,6 +250,8 @@
             await worker.wait_while_silent()
             await answer.write(body[len(body) // 2 :])
             await answer.finish()
+            if worker.framing is not AnswerFraming.CLOSE:
+                worker.copies.end_answer(self, body)
         except StreamClosedError:
             self._finished = True
 
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from standins.forwarding.answers import AnswerBreak, AnswerFraming
+from standins.forwarding.copies import AnswerCopies
 from standins.forwarding.room import WorkerRoom
 from standins.server import ConnectionFaults
 
@@ -59,10 +60,11 @@
 
     ``arrivals`` has the time and the id of each request that reached it,
     rejected ones too. A ``failing_share`` of all runs respond with 500.
-    Of the next requests, ``fail`` run and respond with 500, ``shed`` are
-    rejected without running, ``cut`` drop the connection after some events
-    and ``stall`` become unresponsive after some events. ``overrun`` is set
-    by a load beyond ``max_loaded_adapters``; ``unloaded_in_use`` lists
+    A ``misdirecting_share`` is rejected with 421. Of the next requests,
+    ``fail`` run and respond with 500, ``shed`` are rejected without running,
+    ``cut`` drop the connection after some events and ``stall`` become
+    unresponsive after some events. ``overrun`` is set by a load beyond
+    ``max_loaded_adapters``; ``unloaded_in_use`` lists
     adapters that were evicted while serving. ``fencing_tokens`` and
     ``holders`` are the tokens and senders of the accepted orders, in order of
     arrival. Reports are ``report_lag_s`` old, and plain runs take ``run_s``.
@@ -83,7 +85,9 @@
     off as ``breaks`` say. ``software`` is the version of the worker's
     software; with ``names_software`` each event names it. Reports name the
     requests of ``running_ids``, those whose connection was lost for another
-    ``linger_s``, as after a loss of power of the caller.
+    ``linger_s``, as after a loss of power of the caller. ``copies`` says which
+    answers are sent once more. Answers to calls other than requests have the
+    id of the call unless ``repeats_call_ids`` is false.
     """
 
     service: str
@@ -113,6 +117,7 @@
     unloaded_in_use: list[str] = field(default_factory=list)
     fail: int = 0
     failing_share: float = 0.0
+    misdirecting_share: float = 0.0
     shed: int = 0
     cut: int = 0
     stall: int = 0
@@ -131,6 +136,8 @@
     framing: AnswerFraming | None = None
     line_end: bytes = b"\n"
     breaks: deque[AnswerBreak] = field(default_factory=deque)
+    copies: AnswerCopies = field(default_factory=AnswerCopies)
+    repeats_call_ids: bool = True
     software: str = "v1"
     names_software: bool = False
     linger_s: float = 0.0
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fescuekeel.helpers.answer_tie import AnswerTie
 from fescuekeel.helpers.http_connection import (
     ConnectionPool,
     IncompleteResponseError,
@@ -60,6 +61,18 @@
     return await fetch(connection, "GET", "/", HEADERS, b"", timeout_s, 65536)
 
 
+def make_response(id, status=200, body=b"ok", framing=None):
+    framing = f"Content-Length: {len(body)}\r\n" if framing is None else framing
+    named = f"Request-Id: {id}\r\n" if id else ""
+    head = f"HTTP/1.1 {status} Any\r\n{named}{framing}\r\n"
+    return head.encode() + body
+
+
+async def get_own(connection, id, method="GET", timeout_s=1.5):
+    tie = AnswerTie("request-id", id)
+    return await fetch(connection, method, "/", HEADERS, b"", timeout_s, 65536, tie)
+
+
 def run(work):
     return asyncio.run(asyncio.wait_for(work, 5.0))
 
@@ -144,6 +157,112 @@
         run(work())
 
 
+class TestResponsesToOtherRequests:
+    # Guards against a response to an earlier request that is taken for the
+    # response to a later one.
+    @pytest.mark.parametrize("id", ["r1", "r0", ""])
+    @pytest.mark.parametrize("number", [1, 2, 4])
+    def test_are_read_past(self, id, number):
+        async def work():
+            copies = [make_response(id, 503, b"full")] * number
+            second = [*copies, make_response("r2", body=b"own")]
+            async with Server([make_response("r1")], second) as server:
+                connection = await connect(server.address, 1.0)
+                assert (await get_own(connection, "r1")).status == 200
+                own = await get_own(connection, "r2")
+                assert (own.status, own.body) == (200, b"own")
+                assert not connection.usable
+
+        run(work())
+
+    # Guards against a parser that waits on although the own response came
+    # together with the one before it.
+    def test_may_come_in_one_piece_with_the_own_one(self):
+        async def work():
+            both = make_response("r0", 503) + make_response("r2", body=b"own")
+            async with Server([make_response("r1")], [both]) as server:
+                connection = await connect(server.address, 1.0)
+                await get_own(connection, "r1")
+                assert (await get_own(connection, "r2")).body == b"own"
+
+        run(work())
+
+    @pytest.mark.parametrize(
+        "second",
+        [
+            [make_response("r0", framing=""), "close"],
+            [make_response("r0"), "close"],
+            [make_response("r0")] * 6,
+            [make_response("r0", framing="Connection: close\r\nContent-Length: 2\r\n")],
+            [make_response("r0", body=b"o" * 2_000_000), make_response("r2")],
+        ],
+    )
+    def test_are_never_taken_for_the_own_one(self, second):
+        async def work():
+            async with Server([make_response("r1")], second) as server:
+                connection = await connect(server.address, 1.0)
+                await get_own(connection, "r1")
+                with pytest.raises(IncompleteResponseError):
+                    await get_own(connection, "r2")
+
+        run(work())
+
+    # Guards against a body that a HEAD request's response declares but does
+    # not have, and that would be cut out of the own response.
+    def test_are_not_read_past_after_a_head_request(self):
+        async def work():
+            async with Server([make_response("r0")]) as server:
+                connection = await connect(server.address, 1.0)
+                with pytest.raises(IncompleteResponseError, match="another"):
+                    await get_own(connection, "r1", "HEAD")
+
+        run(work())
+
+
+class TestResponsesWithoutAnId:
+    # Guards against an endpoint that repeats no ids and could serve nothing.
+    def test_first_on_a_connection_is_the_own_one(self):
+        async def work():
+            async with Server([make_response("", body=b"own")]) as server:
+                connection = await connect(server.address, 1.0)
+                assert (await get_own(connection, "r1")).body == b"own"
+                assert not connection.repeats_ids
+
+        run(work())
+
+    # Guards against a caller that waits until its deadline for a response
+    # that has come, but cannot be told apart from a copy.
+    def test_later_one_ends_the_wait_soon(self):
+        async def work():
+            script = [make_response("r1")], [make_response("", body=b"own")]
+            async with Server(*script) as server:
+                connection = await connect(server.address, 1.0)
+                await get_own(connection, "r1")
+                with pytest.raises(IncompleteResponseError, match="no id"):
+                    await get_own(connection, "r2", timeout_s=4.0)
+
+        run(work())
+
+
+class TestExcludedConnections:
+    # Guards against two sends of one request on a connection, whose answers
+    # nothing tells apart.
+    def test_are_left_for_others(self):
+        async def work():
+            async with Server([OK_RESPONSE], [OK_RESPONSE]) as server:
+                pool = ConnectionPool(server.address)
+                connections = [await connect(server.address, 1.0) for _ in range(2)]
+                for connection in connections:
+                    await get(connection)
+                    pool.release(connection, now=0.0, until=10.0)
+                first, last = connections
+                assert pool.take(now=1.0, excluded={last.number}) is first
+                assert pool.take(now=1.0, excluded={last.number}) is None
+                assert pool.take(now=1.0) is last
+
+        run(work())
+
+
 class TestNothingSent:
     def test_refused_connection_raises_not_connected(self):
         with socket.socket() as taken:
--- /dev/null
+++ b/tests/platform/test_repeated_answers.py
@@ -0,0 +1,153 @@
+"""End-to-end tests of endpoints that send answers once more, late."""
+
+import asyncio
+import time
+from collections import Counter
+
+import pytest
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from standins.forwarding.copies import AnswerCopies, CopyMoment
+from standins.forwarding.platform import ENGINES, PLAIN
+from standins.forwarding.room import WorkerRoom
+from tests.platform.test_path import run, start_world
+
+CLIENTS = 24
+LOAD_S = 3.0
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+REJECTIONS = frozenset({503, 421})
+FORMS = {
+    "rejection": {"statuses": REJECTIONS},
+    "rejection_without_id": {"statuses": REJECTIONS, "with_id": False},
+    "rejection_later": {"statuses": REJECTIONS, "moment": CopyMoment.LATER},
+    "rejection_after_next": {"statuses": REJECTIONS, "moment": CopyMoment.AFTER_NEXT},
+    "rejection_twice": {"statuses": REJECTIONS, "number": 2},
+    "success": {"statuses": frozenset({200})},
+    "all_without_id": {"with_id": False},
+}
+
+
+def make_faulty(world, service, **form):
+    for worker in world.platform.list_workers(service):
+        worker.copies = AnswerCopies(share=0.2, **form)
+
+
+async def load(world, path, seconds):
+    """Send requests one after the other from each client; return statuses."""
+    statuses_by_id = {}
+    until = time.monotonic() + seconds
+
+    async def use(number):
+        while time.monotonic() < until:
+            instance = number % len(world.instances)
+            try:
+                answer, id = await world.send_request(path, instance, "POST")
+            except HTTPStreamClosedError:
+                # A copy came within an answer, which was cut.
+                continue
+            statuses_by_id[id] = answer.code
+
+    await asyncio.gather(*(use(number) for number in range(CLIENTS)))
+    return statuses_by_id
+
+
+def limit_room(world):
+    """Let plain workers reject a part of the load, some of it with 421."""
+    for worker in world.platform.list_workers(PLAIN):
+        worker.room = WorkerRoom(slots=3, max_waiting=3)
+        worker.run_s = 0.01
+        worker.misdirecting_share = 0.05
+
+
+class TestUnsafeRequests:
+    # Guards against a second answer to an earlier send that is taken for the
+    # answer to a later one: the request runs twice, or after its refusal.
+    @pytest.mark.parametrize("form", FORMS)
+    def test_run_once_and_never_after_a_refusal(self, form):
+        async def work():
+            async with start_world(2) as world:
+                limit_room(world)
+                make_faulty(world, PLAIN, **FORMS[form])
+                statuses = await load(world, "/charge/1", LOAD_S)
+                await asyncio.sleep(0.5)
+                runs = sum(
+                    (each.runs for each in world.platform.workers_by_id.values()),
+                    Counter(),
+                )
+                refused = [id for id, at in statuses.items() if at in PROMISES_NOT_RUN]
+                workers = world.platform.list_workers(PLAIN)
+                assert sum(sum(each.copies.counts.values()) for each in workers) > 20
+                assert [id for id in runs if runs[id] > 1] == []
+                assert [id for id in refused if runs[id]] == []
+
+        run(work)
+
+    # Guards against an innocent request that ends as unknown since a copy of
+    # another one's answer came before its own.
+    def test_get_their_own_answer_after_that_of_another(self):
+        async def work():
+            async with start_world(2) as world:
+                for worker in world.platform.list_workers(PLAIN):
+                    worker.run_s = 0.01
+                make_faulty(world, PLAIN, statuses=frozenset({200}))
+                statuses = await load(world, "/charge/1", LOAD_S)
+                workers = world.platform.list_workers(PLAIN)
+                assert sum(sum(each.copies.counts.values()) for each in workers) > 50
+                assert Counter(statuses.values()).keys() == {200}
+
+        run(work)
+
+
+class TestReports:
+    # Guards against a report that is sent once more on a request's connection
+    # and reaches the caller as its answer.
+    @pytest.mark.parametrize("repeats_ids", [True, False])
+    def test_never_reach_a_caller(self, repeats_ids):
+        async def work():
+            async with start_world(2) as world:
+                make_faulty(world, ENGINES)
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.repeats_call_ids = repeats_ids
+                    worker.copies.share = 0.5
+                # Connections on which ids were repeated end first.
+                await asyncio.sleep(1.0)
+                for instance in world.instances:
+                    forward = instance.components_by_domain["forward"]
+                    forward.budget.slack = 1000
+                for _ in range(60):
+                    answer, _ = await world.send_stream_request("/explain/1")
+                    assert answer.code == 200
+                    assert answer.body.startswith(b"id: 1\n")
+                    assert answer.headers["Fescuekeel-Server-Stamp"]
+
+        run(work)
+
+
+class TestOrders:
+    # Guards against an endpoint that is ordered beyond its places, since the
+    # answer to an earlier order or report is taken for that to a later one.
+    @pytest.mark.parametrize("repeats_ids", [True, False])
+    def test_endpoints_are_never_ordered_beyond_their_places(self, repeats_ids):
+        async def work():
+            async with start_world(2) as world:
+                make_faulty(world, ENGINES)
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.repeats_call_ids = repeats_ids
+                    worker.copies.share = 0.3
+                until = time.monotonic() + 6.0
+
+                async def use(number):
+                    count = 0
+                    while time.monotonic() < until:
+                        count += 1
+                        adapter = f"a{(number * 7 + count) % 12}"
+                        await world.send_stream_request(
+                            "/explain/1", adapter, number % 2
+                        )
+
+                await asyncio.gather(*(use(number) for number in range(8)))
+                workers = world.platform.list_workers(ENGINES)
+                assert not any(worker.overrun for worker in workers)
+                assert sum(sum(each.served_by_weights.values()) for each in workers)
+
+        run(work)
