--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -248,6 +248,9 @@
             self.forwarder.relay.record_contact(self.attempt.endpoint)
         self.attempt.head = head
         response = self.forwarder.dialect.read_response(head.status, dict(head.headers))
+        is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
+        if is_success and not response.signed:
+            raise IncompleteResponseError("success without the endpoint's stamp")
         self._record_response(response)
         self._record_limits(response)
         self._record_rejection(head, response)
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -198,7 +198,8 @@
             RunRecord(request_id, time.monotonic(), adapter, version, account, key)
         )
         worker.served_by_weights[f"{model}/{adapter}"] += 1
-        self.set_header(SERVER_STAMP_HEADER, f"stamp-{worker.id}")
+        if worker.signs:
+            self.set_header(SERVER_STAMP_HEADER, f"stamp-{worker.id}")
         part = self.find_crashing_part()
         if worker.crash is not None and part:
             if worker.crash_after_event:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -246,3 +246,25 @@
                     assert whole or not looks_complete, (route, framing, answer)
 
         run(work)
+
+
+class TestAnswersWithoutAStamp:
+    # Guards against a success that reaches its caller though nothing shows
+    # that an endpoint has made it.
+    @pytest.mark.parametrize(
+        ("route", "statuses"),
+        [("charge", {502}), ("lookup", {200}), ("explain", {200})],
+    )
+    def test_successes_are_not_passed_on(self, route, statuses):
+        async def work():
+            async with start_world(2) as world:
+                grant_retries(world)
+                for service in (PLAIN, ENGINES):
+                    first, *others = world.platform.list_workers(service)
+                    for worker in others if route == "charge" else ():
+                        worker.signs = False
+                    first.signs = False
+                answers = [await call(world, f"/{route}/1", "1.1") for _ in range(8)]
+                assert {answer.status for answer in answers} == statuses
+
+        run(work)
