--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -19,6 +19,7 @@
 )
 from fescuekeel.components.catalog.follower import Follower, ListPage, WatchChanges
 from fescuekeel.components.catalog.items import ItemStore
+from fescuekeel.components.catalog.read_through import ReadThrough
 from fescuekeel.components.catalog.store_client import HttpStoreClient, StoreClient
 from fescuekeel.components.catalog.timing import choose_watch_timing
 from fescuekeel.components.catalog.view import CatalogView
@@ -65,6 +66,13 @@
         self._peer_ages = PeerAges()
         self._listing_asked_at = instance.now()
         self.store_client: StoreClient = HttpStoreClient(instance, self._dialect)
+        self._read_through = ReadThrough(
+            instance,
+            HttpStoreClient(instance, self._dialect),
+            self._items,
+            self._freshness,
+            self._publish_read,
+        )
         self._requests = ChangeRequests(timing.poll_s)
         self._requests_changed = asyncio.Event()
         self._is_polling = False
@@ -96,8 +104,19 @@
         self._instance.spawn(self._request_forever(), f"{DOMAIN}.request")
 
     async def stop(self) -> None:
-        """Close the connection to the store."""
+        """Close the connections to the store."""
         self.store_client.close()
+        self._read_through.close()
+
+    async def confirm(self, until: float) -> bool:
+        """Return whether all that was published until a time is known here.
+
+        The store is asked if necessary; false means that it did not answer.
+        """
+        return await self._read_through.confirm(until)
+
+    def _publish_read(self, changed: list[str]) -> None:
+        self._publish(changed, self._follower.recovery_position)
 
     def _read_revision(self) -> dict[str, float]:
         return {"": float(self._items.revision)}
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -18,6 +18,8 @@
 # Time allowed for the answer after the wait.
 READ_TIMEOUT_S: Final = 0.7
 LIST_TIMEOUT_S: Final = 2.0
+# The shortest time between two reads for decisions that must miss no change.
+MIN_READ_INTERVAL_S: Final = 0.1
 CONNECT_TIMEOUT_S: Final = 0.6
 # The longest reply of the store: a page, or all changes since a watch. Values
 # are up to 1 MB each, and a third longer in base64.
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -18,7 +18,7 @@
 from fescuekeel.helpers.dialect import StoreReply, StoreStatus
 from fescuekeel.helpers.published import BEGINNING, Position, PublishedItem
 
-__all__ = ["Follower", "ListPage", "WatchChanges"]
+__all__ = ["Follower", "ListPage", "WatchChanges", "mark_era"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +111,7 @@
         if reply.status is StoreStatus.HISTORY_LOST:
             return self._begin_listing()
         position = Position(era, reply.revision)
-        items = _mark_era(reply, era)
+        items = mark_era(reply, era)
         if era > max(known_era, self._era_seen_at.era):
             self._era_seen_at = position
             self._recovers = True
@@ -199,7 +199,7 @@
     return min(MAX_RETRY_S, MIN_RETRY_S * RETRY_FACTOR ** min(failures, 8))
 
 
-def _mark_era(reply: StoreReply, era: int) -> tuple[PublishedItem, ...]:
+def mark_era(reply: StoreReply, era: int) -> tuple[PublishedItem, ...]:
     """Return a reply's items, marked with the era if it names none."""
     if reply.era is not None or not era:
         return reply.items
--- a/fescuekeel/components/catalog/items.py
+++ b/fescuekeel/components/catalog/items.py
@@ -39,6 +39,7 @@
         self.removals_known_from = BEGINNING
         self.first_revision = 0
         self._unsettled_since: float | None = None
+        self._came_back = False
         self._accepted: list[PublishedItem] = []
         self._newly_copied: list[PublishedItem] = []
 
@@ -47,6 +48,14 @@
         """Return the revision up to which all changes are known."""
         return self.position.revision
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether what a copy of the store lacked is known again.
+
+        What the first listing shows is no copy as far as is known here.
+        """
+        return self._unsettled_since is None or not self._came_back
+
     def merge(
         self, items: Iterable[PublishedItem], position: Position, now: float
     ) -> list[str]:
@@ -84,6 +93,7 @@
     def enter_era(self, position: Position, now: float) -> None:
         """Record that the store was at a position."""
         if position.era > self.position.era:
+            self._came_back = self.position != BEGINNING
             self.position = Position(position.era, 0)
             self.copied_by_key.clear()
             self.first_revision = position.revision
--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -1,7 +1,7 @@
 """Report the origins of streams to their homes, and query them."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from fescuekeel.components.catalog import PeerAges
 from fescuekeel.components.origins.const import (
@@ -15,6 +15,7 @@
     MAX_REMEMBERED_S,
     MIN_HORIZON_S,
     REMEMBERED_S,
+    REPORT_AGE_S,
     ROUND_PAUSE_S,
 )
 from fescuekeel.components.origins.homes import list_asked, list_homes
@@ -28,6 +29,7 @@
 from fescuekeel.components.origins.running import choose_endpoints, find_origins
 from fescuekeel.components.origins.versions import SoftwareVersions
 from fescuekeel.core import Instance
+from fescuekeel.helpers.catalog_link import get_catalog_link
 from fescuekeel.helpers.dialect import get_dialect
 from fescuekeel.helpers.freshness import Freshness
 from fescuekeel.helpers.logging import log_event
@@ -109,9 +111,11 @@
     def _has_one_version(self, service: str) -> bool:
         """Return whether all streams of a service have the same origin."""
         now = self._instance.now()
-        report = self._make_report("", service, MIN_HORIZON_S)
-        apparent = replace(report, age_s=self._freshness.read_apparent_age_s(now))
-        return len(report.seen) == 1 and apparent.shows_all_versions(MIN_HORIZON_S)
+        if self._freshness.read_apparent_age_s(now) > REPORT_AGE_S:
+            return False
+        if self._versions.get_watched_s(now) < MIN_HORIZON_S:
+            return False
+        return len(self._versions.list_seen(service, now - MIN_HORIZON_S)) == 1
 
     def _report_to_homes(self, ids: list[str]) -> None:
         """Report streams to those of their homes that do not know them yet."""
@@ -153,12 +157,14 @@
         stream = stream[:MAX_ID_CHARS]
         found: StreamOrigin | None = None
         answers: list[OriginReport] = []
+        is_confirmed = False
         for number in range(ASK_ROUNDS):
             if number:
                 await asyncio.sleep(ROUND_PAUSE_S)
             answers = await self._ask_homes(stream, service, horizon_s)
+            is_confirmed = await self._confirm_if_unknown(stream, answers, asked_at)
             own = self._make_report(stream, service, horizon_s)
-            found = decide(service, own, answers, horizon_s)
+            found = decide(service, own, answers, horizon_s, is_confirmed)
             if found is not None:
                 break
         outcome = "unknown" if found is None else "known"
@@ -170,11 +176,21 @@
             service=found.service if found else service,
             software=found.software if found else "",
             answers=len(answers),
+            confirmed=is_confirmed,
             age_ms=round((self._instance.now() - asked_at) * MS_PER_S),
             outcome=outcome,
         )
         return found
 
+    async def _confirm_if_unknown(
+        self, stream: str, answers: list[OriginReport], until: float
+    ) -> bool:
+        """Bring the catalog up to date if no instance knows a stream."""
+        own = self._make_report(stream, "", 0.0)
+        if any(report.origin is not None for report in (own, *answers)):
+            return False
+        return await get_catalog_link(self._instance).confirm(until)
+
     def was_serving(self, origin: StreamOrigin, within_s: float) -> bool:
         """Return whether an endpoint of a version has served recently."""
         since = self._instance.now() - within_s
--- a/fescuekeel/components/origins/const.py
+++ b/fescuekeel/components/origins/const.py
@@ -37,9 +37,6 @@
 # A stream without a record may have begun this long ago.
 MIN_HORIZON_S: Final = 60.0
 MAX_VERSIONS: Final = 16
-# The catalog of an instance that watches the store is never older than this
-# while the store answers: two waits of a watch, and the pause between them.
-FRESH_S: Final = 6.5
-# The same for an instance without an answer of any peer: a new version may
-# serve elsewhere soon after its contact is lost.
-FRESH_ALONE_S: Final = 2.0
+# With an older catalog, an instance reports its streams to their homes, as if
+# several versions served. While the store answers, catalogs are younger.
+REPORT_AGE_S: Final = 3.5
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -57,7 +57,8 @@
         request_refused request_id kind detail outcome
         retry_charged request_id service sends age_ms left outcome
         retry_decided request_id reason sends left outcome
-        stream_origin_sought request_id resumes service software answers age_ms outcome
+        stream_origin_sought request_id resumes service software answers confirmed \
+            age_ms outcome
         work_failed request_id endpoint kind ran detail outcome
         """,
     ),
--- a/tests/components/origins/test_decisions.py
+++ b/tests/components/origins/test_decisions.py
@@ -18,8 +18,8 @@
     return OriginReport(origin, frozenset(seen), watched_s, age_s)
 
 
-def decide_on(own, *others):
-    return decide("s", own, others, HORIZON_S)
+def decide_on(own, *others, is_confirmed=True):
+    return decide("s", own, others, HORIZON_S, is_confirmed)
 
 
 def make_record(id, software):
@@ -116,17 +116,21 @@
         both = make_report(seen=("v1", "v2"))
         assert decide_on(both, make_report()) is None
 
-    # Guards against a guess from catalogs that may lack a new version.
-    def test_instances_without_the_store_need_a_witness(self):
-        stale = make_report(age_s=10.0)
-        assert decide_on(stale, stale) is None
-        assert decide_on(stale, make_report()) == OLD
-
-    # Guards against a guess by an instance that has just been cut off.
-    def test_an_isolated_instance_counts_only_its_newest_view(self):
-        assert decide_on(make_report(age_s=3.0)) is None
-        assert decide_on(make_report(age_s=1.0)) == OLD
-        assert decide_on(make_report(age_s=3.0), make_report(age_s=10.0)) == OLD
+    # Guards against a guess from catalogs that may lack a new version, however
+    # recent they are and whoever has the same.
+    def test_instances_without_the_store_tell_nothing(self):
+        for age_s in (0.0, 1.0, 10.0):
+            report = make_report(age_s=age_s)
+            assert decide_on(report, report, is_confirmed=False) is None
+            assert decide_on(report, is_confirmed=False) is None
+            assert decide_on(report, is_confirmed=True) == OLD
+
+    # Guards against a version that served after a witness had last heard of
+    # the store, and before this instance began to watch it.
+    def test_a_witness_has_to_know_the_time_before_the_own_start(self):
+        young = make_report(watched_s=5.0)
+        assert decide_on(young, make_report(age_s=5.0)) == OLD
+        assert decide_on(young, make_report(age_s=5.1)) is None
 
     def test_an_instance_that_has_just_started_needs_a_witness(self):
         young = make_report(watched_s=5.0)
--- a/tests/components/origins/test_fuzz.py
+++ b/tests/components/origins/test_fuzz.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections import defaultdict
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 from returns.result import Failure as Err, Success
 
 from fescuekeel.components.catalog import PeerAges
 from fescuekeel.components.origins import Origins, StreamOrigin
-from fescuekeel.components.origins.const import FRESH_S
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.freshness import Freshness
 from fescuekeel.helpers.published import Catalog, EndpointRecord, Position
@@ -23,9 +23,7 @@
 SERVICE = "s"
 VERSIONS = ("v1", "v2", "v3")
 INSTANCES = {f"i{n}": "ab"[n % 2] for n in range(5)}
-# Streams begin at a new version after an instance that was cut off before it
-# has stopped to trust its catalog.
-RELEASE_S = FRESH_S + 0.5
+RELEASE_S = st.sampled_from([0.0, 0.1, 1.9, 3.0, 7.0])
 STREAM_LASTS_S = 25.0
 MANY = st.integers(0, 11)
 
@@ -52,13 +50,21 @@
         self.freshness = Freshness()
         self.bus = FakeBus(self.freshness, PeerAges())
         self.metrics = FakeMetrics()
-        self.components_by_domain = {"peers": self}
+        self.components_by_domain = {"peers": self, "catalog": self}
         self.answered = None
         self.origins = Origins(self)
 
     def now(self):
         return self.machine.now
 
+    # The catalog component.
+
+    async def confirm(self, until):
+        if self.id in self.machine.cut_from_store:
+            return False
+        self.machine.update_catalog(self.id)
+        return True
+
     # The peers component.
 
     def send(self, peer, body):
@@ -215,25 +221,34 @@
         self.cut_peers.clear()
         self.cut_from_store.clear()
 
-    @rule(which=st.sets(st.sampled_from(VERSIONS), min_size=1))
-    def release(self, which):
+    @rule(which=st.sets(st.sampled_from(VERSIONS), min_size=1), after_s=RELEASE_S)
+    def release(self, which, after_s):
         """Publish other endpoints; instances with the store soon know them."""
         self.serving = frozenset(which)
-        self.now += RELEASE_S
+        self.now += after_s
         for id in self.nodes.keys() - self.cut_from_store:
             self.update_catalog(id)
 
+    @rule(which=st.sets(st.sampled_from(VERSIONS), min_size=1), by=MANY)
+    def release_known_to_one(self, which, by):
+        """Publish other endpoints, of which all others know nothing yet."""
+        self.serving = frozenset(which)
+        first = self.pick(by)
+        if first not in self.cut_from_store:
+            self.update_catalog(first)
+
     @rule(
         side=st.sets(st.sampled_from(sorted(INSTANCES)), min_size=1, max_size=3),
         software=st.sampled_from(VERSIONS),
         at=MANY,
         by=MANY,
+        after_s=RELEASE_S,
     )
-    def release_during_partition(self, side, software, at, by):
+    def release_during_partition(self, side, software, at, by, after_s):
         """Begin a stream at a version that one side cannot know, and move."""
         self.pass_time(100.0)
         self.partition(side)
-        self.release({software})
+        self.release({software}, after_s)
         self.begin_stream(at, 0)
         if self.streams:
             self.take_up(by, 0)
@@ -255,10 +270,11 @@
 class TestCutOffSide:
     # Guards against a guess by instances that have lost the store, and that
     # are each other's only witnesses.
-    def test_does_not_know_a_stream_of_a_version_released_since(self):
+    @pytest.mark.parametrize("side", [{"i0"}, {"i0", "i1"}])
+    def test_does_not_know_a_stream_of_a_version_released_since(self, side):
         machine = OriginsMachine()
-        machine.partition(side={"i0", "i1"})
-        machine.release(which={"v2"})
+        machine.partition(side=side)
+        machine.release(which={"v2"}, after_s=0.1)
         machine.begin_stream(at=2, choice=0)
         assert machine.streams
         machine.take_up(at=0, which=0)
