--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -23,7 +23,10 @@
     CLAIM_TTL_S,
     CONTACT_TIMEOUT_S,
     FENCED_HANDOVER_S,
+    FIRST_HIGH_TERM,
+    FIRST_HIGH_TOKEN,
     HOLDER_HASH_BITS,
+    HOLDER_HASH_BITS_OF_HIGH_TERMS,
     MAX_TERM,
     NEW_ENDPOINT_WAIT_S,
     PEER_CLAIM_FRESH_S,
@@ -54,7 +57,7 @@
     older copy and its revisions begin again.
 
     >>> compute_least_term(Position(0, 7)), compute_least_term(Position(2, 7))
-    (7, 8199)
+    (7, 2097159)
     """
     return min(MAX_TERM // 2, position.era * TERMS_PER_ERA + position.revision)
 
@@ -62,14 +65,26 @@
 def make_fencing_token(term: int, instance_id: str) -> int:
     """Return the fencing token of a holder's term.
 
-    Tokens of two holders in the same term differ, by 32 bits of a hash of the
-    instance id.
+    Tokens of two holders in the same term differ, by a hash of the instance
+    id.
 
     >>> make_fencing_token(2, "a") > make_fencing_token(1, "b")
     True
+    >>> make_fencing_token(10**9, "a") > make_fencing_token(10**9 - 1, "b")
+    True
     """
     identity = xxhash.xxh32_intdigest(instance_id.encode())
-    return (term << HOLDER_HASH_BITS) | identity
+    if term >= FIRST_HIGH_TERM:
+        identity >>= HOLDER_HASH_BITS - HOLDER_HASH_BITS_OF_HIGH_TERMS
+    return _make_lowest_token(term) | identity
+
+
+def _make_lowest_token(term: int) -> int:
+    """Return the lowest fencing token of a term."""
+    if term < FIRST_HIGH_TERM:
+        return term << HOLDER_HASH_BITS
+    above = term - FIRST_HIGH_TERM
+    return FIRST_HIGH_TOKEN + (above << HOLDER_HASH_BITS_OF_HIGH_TERMS)
 
 
 @dataclass(slots=True)
@@ -89,7 +104,7 @@
     def rank(self) -> int:
         """Return the fencing token; the lowest of a term without a holder."""
         if not self.holder:
-            return self.term << HOLDER_HASH_BITS
+            return _make_lowest_token(self.term)
         return make_fencing_token(self.term, self.holder)
 
 
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -50,13 +50,20 @@
 MAX_SEEN_ENDPOINTS: Final = 4096
 # A longer gap between ticks means that the process was suspended.
 SUSPENSION_GAP_S: Final = 1.0
-# Low bits of a fencing token, below the term.
-HOLDER_HASH_BITS: Final = 32
 # By how much the least term rises with the store's era: more than the changes
 # that a copy of some seconds ago may lack.
-TERMS_PER_ERA: Final = 4096
-# Keeps fencing tokens below 2**53, which JSON readers represent exactly.
-MAX_TERM: Final = 2**20
+TERMS_PER_ERA: Final = 2**20
+# Low bits of a fencing token, below the term. High terms have fewer, so that
+# tokens stay below 2**53, which JSON readers represent exactly, up to 2**34
+# changes of the store.
+HOLDER_HASH_BITS: Final = 32
+HOLDER_HASH_BITS_OF_HIGH_TERMS: Final = 18
+FIRST_HIGH_TERM: Final = 2**19
+# Above the tokens of all lower terms, also those of instances of earlier
+# versions, which gave terms up to 2**20 the longer hash.
+FIRST_HIGH_TOKEN: Final = 2**52
+# Keeps fencing tokens within 64 bits.
+MAX_TERM: Final = 2**44
 
 # Orders to endpoints.
 
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -454,3 +454,27 @@
     def test_another_data_centre_takes_over(self):
         far = {"j1": Member("j1", "", "dc2", 1)}
         assert choose_candidate(ENDPOINT, far) == "j1"
+
+
+class TestFencingTokens:
+    # Guards against a generation number that goes back, as the term has
+    # reached a cap while the store's revision goes on.
+    @given(st.integers(0, 2**40), st.integers(0, 2**40), st.integers(0, 9))
+    def test_grow_with_the_store(self, first, second, number):
+        low, high = sorted((first, second))
+        terms = [compute_least_term(Position(1, revision)) for revision in (low, high)]
+        tokens = [make_fencing_token(term, f"i{number}") for term in terms]
+        assert tokens[0] < tokens[1] or low == high
+
+    def test_are_above_all_of_a_lower_term(self):
+        for term in (1, 2**19 - 1, 2**19, 2**19 + 1, 2**34):
+            highest = max(make_fencing_token(term - 1, f"i{n}") for n in range(200))
+            assert all(make_fencing_token(term, f"i{n}") > highest for n in range(200))
+
+    # Guards against an update after which endpoints reject all orders.
+    def test_are_not_below_those_of_earlier_versions(self):
+        for term in (1, 4102, 2**19 - 1, 2**20 - 1):
+            assert make_fencing_token(term, "i1") >= term << 32
+
+    def test_are_exact_in_readers_with_floating_point_numbers(self):
+        assert make_fencing_token(2**34, "i1") < 2**53
