--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -48,6 +48,9 @@
 # Retry-After of a stream without a record. A report of it that is under way
 # arrives within this time.
 ORIGIN_RETRY_S: Final = 0.3
+# How long the answer to a request may take that ends by a fault of this
+# program.
+FAULT_ANSWER_S: Final = 0.5
 # How long to wait for another endpoint of a stream's software version: one
 # that restarts registers again within this time.
 VERSION_WAIT_S: Final = 2.0
@@ -162,6 +165,10 @@
 MIN_OVERLOAD_RETRY_S: Final = 1.5
 MAX_OVERLOAD_RETRY_S: Final = 3.5
 LOAD_ASK_TIMEOUT_S: Final = 3.5
+# Choices of an endpoint within this time of the one before are quick; after
+# so many in a row a request pauses before the next.
+MIN_ROUND_S: Final = 0.005
+MAX_QUICK_ROUNDS: Final = 20
 # The polling interval while no endpoint, or no holder of it, is known.
 NO_HOLDER_POLL_S: Final = 0.1
 # The previous version of an adapter may serve for this time after a newer one
--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -10,9 +10,11 @@
     MAX_OVERLOAD_RETRY_S,
     MAX_PERMITS_ASKED,
     MAX_PERMITS_AWAITED,
+    MAX_QUICK_ROUNDS,
     MAX_REFUSALS,
     MIN_CUT_OFF_RETRY_S,
     MIN_OVERLOAD_RETRY_S,
+    MIN_ROUND_S,
 )
 from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.placement_view import NOT_HELD
@@ -57,6 +59,8 @@
     without_permit: set[str] = field(default_factory=set)
     permits_asked: int = 0
     permits_awaited: int = 0
+    _quick_rounds: int = 0
+    _round_ended_at: float = float("-inf")
     failure: Failure = field(
         default_factory=lambda: make_overload_failure(
             ErrorKind.NO_ENDPOINT, "no endpoint"
@@ -143,6 +147,21 @@
         self.full.add(endpoint)
         self.refusals += 1
 
+    def record_round(self, now: float) -> bool:
+        """Record that a choice begins; return whether to pause before it.
+
+        Choices that take no time block other endpoints each, unless something
+        repeats that the search does not know of.
+
+        >>> search = Search(until=10.0)
+        >>> [search.record_round(1.0) for _ in range(30)].count(True)
+        9
+        """
+        is_quick = now - self._round_ended_at < MIN_ROUND_S
+        self._quick_rounds = self._quick_rounds + 1 if is_quick else 0
+        self._round_ended_at = now
+        return self._quick_rounds > MAX_QUICK_ROUNDS
+
     def is_exhausted(self, now: float) -> bool:
         """Return whether the time or the limit of refusals is used up."""
         return now >= self.until or self.refusals >= MAX_REFUSALS
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -73,6 +73,7 @@
         self._load_requester = LoadRequester(instance, self._holders)
         self._versions = VersionTracker()
         self._seen_at_by_id: dict[str, float] = {}
+        self._engines_by_service: dict[str, EngineSpec | None] = {}
 
     def update_catalog(self, catalog: Catalog, now: float) -> None:
         """Apply a new catalog."""
@@ -80,6 +81,7 @@
         for id, record in catalog.endpoints_by_id.items():
             by_service.setdefault(record.service, {})[id] = record
         self.records_by_service = by_service
+        self._update_engines(catalog)
         # Endpoints of the first catalog may have started long before.
         first_seen_at = now if self._seen_at_by_id else float("-inf")
         self._seen_at_by_id = {
@@ -99,12 +101,22 @@
         """Return the ids of all endpoints that may get requests."""
         return {id for records in self.records_by_service.values() for id in records}
 
+    def _update_engines(self, catalog: Catalog) -> None:
+        """Keep the engines of services that are no longer listed.
+
+        Requests that were routed to one before go on at its endpoints.
+        """
+        if catalog.configuration is None:
+            return
+        specs = catalog.configuration.services_by_name
+        kept = self._engines_by_service.keys() & self.records_by_service.keys()
+        engines = {service: self._engines_by_service[service] for service in kept}
+        engines |= {service: spec.engine for service, spec in specs.items()}
+        self._engines_by_service = engines
+
     def _get_engine(self, service: str) -> EngineSpec | None:
-        catalog = self._instance.bus.latest(Catalog)
-        if catalog is None or catalog.configuration is None:
-            return None
-        spec = catalog.configuration.services_by_name.get(service)
-        return spec.engine if spec else None
+        """Return the engine of a service, ``None`` for a plain one."""
+        return self._engines_by_service.get(service)
 
     async def select_endpoint(self, request: ForwardedRequest) -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission.
@@ -128,6 +140,11 @@
         search = Search(until)
         found: Choice | Failure | None
         while True:
+            if search.record_round(self._instance.now()):
+                # Guards against a busy loop where nothing else waits.
+                await asyncio.sleep(NO_HOLDER_POLL_S)
+                if self._instance.now() >= until:
+                    return search.failure
             limited = search.list_limited(self._instance.now())
             choice = self._choose(request, search)
             if choice is not None and choice.endpoint in limited:
@@ -237,7 +254,7 @@
             if not isinstance(permit, Permit):
                 return permit
             choice = replace(choice, permit=permit)
-        if request.weights is None:
+        if request.weights is None or self._get_engine(request.service) is None:
             return choice
         found: Choice | Failure | None = None
         try:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -630,3 +630,66 @@
                 assert 'fescuekeel_request_seconds_count{kind="lookup"} 1' in text
 
         run(work)
+
+
+def publish_services(world, *services, **changes):
+    """Publish version 2, with changes to the route of streams."""
+    configuration = make_configuration(2)
+    configuration["services"] = list(services)
+    configuration["routes"][2] |= changes
+    configuration["routes"] = [
+        route
+        for route in configuration["routes"]
+        if route.get("service") in {service["name"] for service in services}
+        or "split" in route
+    ]
+    world.platform.publish_configuration(configuration)
+
+
+class TestMovedModelRoute:
+    # Guards against requests that wait for an adapter and block the instance,
+    # as their service is no longer listed or has no engine.
+    @pytest.mark.parametrize("is_split", [False, True])
+    def test_requests_that_wait_do_not_block_the_instance(self, is_split):
+        async def work():
+            async with start_world(1) as world:
+                engines, plain = make_configuration(1)["services"]
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.report_lag_s = 0.5
+                waiting = [
+                    asyncio.ensure_future(world.send_stream_request(adapter=f"b{n}"))
+                    for n in range(12)
+                ]
+                await asyncio.sleep(0.05)
+                if is_split:
+                    split = [{"service": PLAIN, "weight": 1}]
+                    publish_services(world, engines, plain, split=split)
+                else:
+                    publish_services(world, engines | {"name": "others"}, plain)
+                await eventually(lambda: world.get_oldest_version() == 2)
+                waiting += [
+                    asyncio.ensure_future(world.send_stream_request(adapter=f"c{n}"))
+                    for n in range(4)
+                ]
+                for _ in range(20):
+                    async with asyncio.timeout(1.0):
+                        answer, _ = await world.send_request("/lookup/x")
+                    assert answer.code == 200
+                for answer, _ in await asyncio.gather(*waiting):
+                    assert answer.code in (200, 404, 503)
+
+        run(work)
+
+    # Guards against a request that names a model on the route of a plain
+    # service, and is chosen an endpoint for again and again.
+    def test_plain_service_gets_requests_that_name_a_model(self):
+        async def work():
+            async with start_world(1) as world:
+                answer, id = await world.send_stream_request("/lookup/1")
+                assert answer.code in (200, 421, 503)
+                assert world.count_runs(id) <= 1
+                async with asyncio.timeout(1.0):
+                    answer, _ = await world.send_request("/lookup/x")
+                assert answer.code == 200
+
+        run(work)
