--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -99,9 +99,9 @@
         metrics.add_gauge("catalog_watches", lambda: {"": float(self._watching)})
         bus.publish_state(self._freshness)
         bus.publish_state(self._peer_ages)
-        self._instance.spawn(self._follow_forever(), f"{DOMAIN}.follow")
-        self._instance.spawn(self._send_news_forever(), f"{DOMAIN}.tell")
-        self._instance.spawn(self._request_forever(), f"{DOMAIN}.request")
+        self._instance.keep_running(self._follow_forever, f"{DOMAIN}.follow")
+        self._instance.keep_running(self._send_news_forever, f"{DOMAIN}.tell")
+        self._instance.keep_running(self._request_forever, f"{DOMAIN}.request")
 
     async def stop(self) -> None:
         """Close the connections to the store."""
--- a/fescuekeel/components/endpoints/component.py
+++ b/fescuekeel/components/endpoints/component.py
@@ -58,7 +58,7 @@
             "endpoints_leaving", lambda: {"": float(len(self._leaving.list_ids()))}
         )
         self._instance.metrics.add_gauge("endpoints_backed_off", self._count_backed_off)
-        self._instance.spawn(self._check_forever(), f"{DOMAIN}.check")
+        self._instance.keep_running(self._check_forever, f"{DOMAIN}.check")
 
     async def stop(self) -> None:
         """Do nothing; the tasks end with the instance."""
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -127,7 +127,8 @@
         """Return whether this instance is ready for new requests."""
         known = self._table is not None and bool(self._selector.records_by_service)
         cut_off = self._reachability.cut_off or self._is_configuration_stale()
-        return known and not self.instance.draining and not cut_off
+        stopped = self.instance.draining or self.instance.is_failing
+        return known and not stopped and not cut_off
 
     @property
     def closes_connections(self) -> bool:
@@ -157,9 +158,9 @@
         self.server.start()
         bounds = self.instance.settings.forwarding
         self.ready_server.start(bounds.ready_address)
-        self.instance.spawn(self._sweep_forever(), f"{DOMAIN}.sweep")
-        self.instance.spawn(self._monitor_forever(), f"{DOMAIN}.monitor")
-        self.instance.spawn(self._use.report_forever(), f"{DOMAIN}.use")
+        self.instance.keep_running(self._sweep_forever, f"{DOMAIN}.sweep")
+        self.instance.keep_running(self._monitor_forever, f"{DOMAIN}.monitor")
+        self.instance.keep_running(self._use.report_forever, f"{DOMAIN}.use")
         log_event("callers_listening", address=self.server.address)
 
     async def stop(self) -> None:
--- a/fescuekeel/components/gossip/component.py
+++ b/fescuekeel/components/gossip/component.py
@@ -70,7 +70,7 @@
         self._instance.metrics.add_gauge(
             "gossip_facts", lambda: {"": float(len(self._table))}
         )
-        self._instance.spawn(self._compare_forever(), f"{DOMAIN}.compare")
+        self._instance.keep_running(self._compare_forever, f"{DOMAIN}.compare")
 
     async def stop(self) -> None:
         """Send the facts that are still pending."""
--- a/fescuekeel/components/keys/component.py
+++ b/fescuekeel/components/keys/component.py
@@ -58,7 +58,7 @@
         if live is not None:
             self.post(live)
         self.instance.spawn(self._pull_until_ready(), f"{DOMAIN}.pull")
-        self.instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
+        self.instance.keep_running(self._expire_forever, f"{DOMAIN}.expire")
 
     async def stop(self) -> None:
         """Hand this home's claims over to the other homes."""
--- a/fescuekeel/components/membership/component.py
+++ b/fescuekeel/components/membership/component.py
@@ -90,7 +90,7 @@
         if held is not None:
             self._decide(held)
         await super().start()
-        self.instance.spawn(self._tick_forever(), f"{DOMAIN}.tick")
+        self.instance.keep_running(self._tick_forever, f"{DOMAIN}.tick")
 
     async def stop(self) -> None:
         """Announce that this instance leaves, then stop."""
--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -80,7 +80,7 @@
         self._instance.metrics.add_gauge(
             "origins_known", lambda: {"": float(len(self._ledger))}
         )
-        self._instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
+        self._instance.keep_running(self._expire_forever, f"{DOMAIN}.expire")
 
     async def stop(self) -> None:
         """Do nothing: the instance cancels the tasks."""
--- a/fescuekeel/components/owner/component.py
+++ b/fescuekeel/components/owner/component.py
@@ -73,9 +73,9 @@
         self._liveness_server.start()
         self._handle_view(bus.latest(MemberView) or MemberView())
         self._tasks = [
-            self.instance.spawn(self._tick_forever(), "owner.tick"),
-            self.instance.spawn(self._report_forever(), "owner.report"),
-            self.instance.spawn(self._publish_forever(), "owner.show"),
+            self.instance.keep_running(self._tick_forever, "owner.tick"),
+            self.instance.keep_running(self._report_forever, "owner.report"),
+            self.instance.keep_running(self._publish_forever, "owner.show"),
         ]
 
     async def stop(self) -> None:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -82,7 +82,7 @@
         bus.publish_state(self.placement_view)
         self.instance.metrics.add_gauge("endpoints_held", self._read_held)
         await super().start()
-        self.instance.spawn(self._tick_forever(), f"{DOMAIN}.tick")
+        self.instance.keep_running(self._tick_forever, f"{DOMAIN}.tick")
 
     async def stop(self) -> None:
         """Release and announce every claim, so that peers take over soon."""
--- a/fescuekeel/components/quarantine/component.py
+++ b/fescuekeel/components/quarantine/component.py
@@ -62,7 +62,7 @@
         self._parts.register()
         self._instance.bus.subscribe(SettingsReloaded, self._handle_reload)
         self._instance.metrics.add_gauge("quarantine_requests", self._count_verdicts)
-        self._instance.spawn(self._expire_forever(), f"{DOMAIN}.expire")
+        self._instance.keep_running(self._expire_forever, f"{DOMAIN}.expire")
 
     async def stop(self) -> None:
         """Do nothing: the instance cancels the tasks."""
--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -72,7 +72,7 @@
             "endpoints_relayed", lambda: {"": float(len(self._paths.list_relayed()))}
         )
         metrics.add_gauge("endpoints_cut_off", lambda: {"": float(self.is_cut_off)})
-        self._instance.spawn(self._tick_forever(), f"{DOMAIN}.tick")
+        self._instance.keep_running(self._tick_forever, f"{DOMAIN}.tick")
 
     async def stop(self) -> None:
         """Let the connections end that are relayed for peers."""
--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -34,6 +34,13 @@
 MIN_DURATION_US = 1
 MAX_DURATION_US = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
+# Pauses before failed work is begun again; each is twice the one before.
+MIN_RESTART_S = 0.05
+MAX_RESTART_S = 2.0
+MAX_FAILURES_COUNTED = 8
+# Work that has run for longer has not failed in a row.
+HEALTHY_S = 6.0
+MIN_REPEATED_FAILURES = 3
 # Added to shutdown_s as the limit for stopping one component.
 STOP_MARGIN_S = 5.0
 
@@ -169,6 +176,7 @@
         self._handlers_by_type: defaultdict[type, list[Handler]] = defaultdict(list)
         self._latest_by_type: dict[type, Any] = {}
         self._peer_handlers_by_type: dict[type, PeerHandler] = {}
+        self.handler_errors = 0
 
     def subscribe_peer(self, body_type: type, handler: PeerHandler) -> None:
         """Register the handler for peer messages with this type of body.
@@ -192,9 +200,23 @@
         self._handlers_by_type[message_type].append(handler)
 
     def publish(self, message: object) -> None:
-        """Call the subscribers of the message's type in subscription order."""
+        """Call the subscribers of the message's type in subscription order.
+
+        One that fails keeps the message neither from the others nor from the
+        work of whoever publishes it.
+        """
         for handler in self._handlers_by_type[type(message)]:
-            handler(message)
+            try:
+                handler(message)
+            except Exception as error:
+                self.handler_errors += 1
+                name = getattr(handler, "__qualname__", repr(handler))
+                log_event(
+                    "handler_error",
+                    kind=type(message).__name__,
+                    handler=name,
+                    error=repr(error),
+                )
 
     def publish_state(self, message: object) -> None:
         """Publish a snapshot and retain it for ``latest``."""
@@ -294,6 +316,7 @@
     draining: bool = False
     loop_lag_s: float = 0.0
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    _failures_by_task: dict[str, int] = field(default_factory=dict)
 
     @property
     def id(self) -> str:
@@ -314,6 +337,56 @@
         task.add_done_callback(self._finish_task)
         return task
 
+    def keep_running(
+        self, make_work: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[None]:
+        """Start periodic work that is begun again after each failure."""
+        return self.spawn(self._repeat(make_work, name), name)
+
+    async def _repeat(
+        self, make_work: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        while True:
+            began_at = self.now()
+            try:
+                await make_work()
+                return
+            except Exception as error:
+                lasted_s = self.now() - began_at
+                failures = self._record_failure(name, lasted_s, repr(error))
+            await asyncio.sleep(min(MAX_RESTART_S, MIN_RESTART_S * 2**failures))
+
+    def _record_failure(self, name: str, lasted_s: float, error: str) -> int:
+        """Record that work has failed; return how often it did in a row."""
+        known = self._failures_by_task.get(name, 0)
+        failures = known + 1 if lasted_s < HEALTHY_S else 1
+        self._failures_by_task[name] = failures
+        self.metrics.count("task_error")
+        log_event(
+            "task_restarted",
+            task=name,
+            error=error,
+            lasted_ms=round(lasted_s * 1000),
+            failures=failures,
+        )
+        asyncio.get_running_loop().call_later(
+            HEALTHY_S, self._forget_failures, name, failures
+        )
+        return min(failures, MAX_FAILURES_COUNTED)
+
+    def _forget_failures(self, name: str, failures: int) -> None:
+        """Count work that has not failed since as running."""
+        if self._failures_by_task.get(name) == failures:
+            del self._failures_by_task[name]
+
+    @property
+    def is_failing(self) -> bool:
+        """Return whether some periodic work fails again and again."""
+        return any(
+            failures >= MIN_REPEATED_FAILURES
+            for failures in self._failures_by_task.values()
+        )
+
     def _finish_task(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -153,10 +153,13 @@
         actor_error actor error
         lines_dropped dropped count
         load_failed endpoint adapter detail
+        message_limited kind error
         peer_handler_error kind error
         peer_refused reason address
         published_item_refused key revision error
+        handler_error kind handler error
         task_error task error
+        task_restarted task error lasted_ms failures
         turn_grant_timeout
         """,
     ),
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,12 +8,14 @@
 from fescuekeel.core import (
     Actor,
     Bus,
+    Instance,
     Manifest,
     Metrics,
     Registry,
     order_domains,
     read_manifests,
 )
+from tests.common import make_settings
 
 
 class TestBus:
@@ -118,3 +120,57 @@
         asyncio.run(instance.stop())
         assert stopped == (["quick"] if timeouts else ["slow", "quick"])
         assert instance.metrics.counters_by_name["stop_timeout"] == timeouts
+
+
+class TestPeriodicWork:
+    # Guards against periodic work that ends for good by one exception, while
+    # the process counts as ready.
+    def test_begins_again_after_a_failure(self):
+        async def work():
+            instance = Instance(make_settings())
+            runs = []
+
+            async def fail_first():
+                runs.append(None)
+                if len(runs) < 3:
+                    raise RuntimeError("fault")
+
+            async with asyncio.timeout(2.0):
+                await instance.keep_running(fail_first, "test")
+            assert len(runs) == 3
+            assert instance.metrics.counters_by_name["task_error"] == 2
+
+        asyncio.run(work())
+
+    def test_that_fails_again_and_again_makes_the_instance_failing(self):
+        async def work():
+            instance = Instance(make_settings())
+
+            async def fail():
+                raise RuntimeError("fault")
+
+            task = instance.keep_running(fail, "test")
+            await asyncio.sleep(0.05)
+            assert not instance.is_failing
+            await asyncio.sleep(0.6)
+            assert instance.is_failing
+            task.cancel()
+
+        asyncio.run(work())
+
+
+class TestFailingHandler:
+    # Guards against a component that misses a message, since another one
+    # failed to handle it.
+    def test_keeps_no_message_from_others(self):
+        bus = Bus()
+        seen = []
+
+        def fail(message):
+            raise RuntimeError("fault")
+
+        bus.subscribe(str, fail)
+        bus.subscribe(str, seen.append)
+        bus.publish("message")
+        assert seen == ["message"]
+        assert bus.handler_errors == 1
