--- a/fescuekeel/helpers/wire.py
+++ b/fescuekeel/helpers/wire.py
@@ -15,6 +15,7 @@
 from fescuekeel import messages
 from fescuekeel.const import MAX_FRAME_BYTES
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.logging import log_event
 
 __all__ = ["decode", "encode"]
 
@@ -142,13 +143,67 @@
     return typing.cast(Decoder, hint)
 
 
+@cache
+def _list_ranges(kind: type) -> dict[str, tuple[int, int]]:
+    """Return the lowest and the highest value of each field with numbers."""
+    wire_fields = getattr(SCHEMA, kind.__name__).schema.fields
+    ranges_by_name = {}
+    for name, wire_name, hint in _list_fields(kind):
+        if hint is int:
+            wire_type = wire_fields[wire_name].proto.slot.type.which()
+            ranges_by_name[name] = _parse_range(str(wire_type))
+    return ranges_by_name
+
+
+def _parse_range(wire_type: str) -> tuple[int, int]:
+    """Return the range of a type of numbers.
+
+    >>> _parse_range("uint8"), _parse_range("int8")
+    ((0, 255), (-128, 127))
+    """
+    bits = int(wire_type.lstrip("uint"))
+    if wire_type.startswith("u"):
+        return 0, 2**bits - 1
+    return -(2 ** (bits - 1)), 2 ** (bits - 1) - 1
+
+
+def _limit_numbers(message: Any) -> Any:
+    """Return a message whose numbers fit the fields of its schema."""
+    changes: dict[str, Any] = {}
+    kind: type = type(message)
+    for name, (low, high) in _list_ranges(kind).items():
+        changes[name] = min(max(int(getattr(message, name)), low), high)
+    for name, _, hint in _list_fields(kind):
+        value = getattr(message, name)
+        if dataclasses.is_dataclass(hint):
+            changes[name] = _limit_numbers(value)
+        elif isinstance(hint, types.GenericAlias):
+            parts = typing.get_args(hint)[0]
+            if dataclasses.is_dataclass(parts):
+                changes[name] = tuple(_limit_numbers(part) for part in value)
+    return dataclasses.replace(message, **changes)
+
+
 def encode(envelope: messages.Envelope) -> bytes:
-    """Encode a message as a frame.
+    """Encode a message as a frame; numbers beyond their field's are limited.
 
     >>> ping = messages.Envelope(7, 0, messages.Ping())
     >>> decode(encode(ping)).unwrap() == ping
     True
+    >>> late = messages.Envelope(7, 0, messages.AllowanceAnswer(0.0, 2**40))
+    >>> decode(encode(late)).unwrap().body.wait_ms == 2**32 - 1
+    True
     """
+    try:
+        return _encode(envelope)
+    except (OverflowError, capnp.KjException) as error:
+        kind = type(envelope.body).__name__
+        log_event("message_limited", kind=kind, error=str(error).splitlines()[0][:200])
+        body = _limit_numbers(envelope.body)
+        return _encode(dataclasses.replace(envelope, body=body))
+
+
+def _encode(envelope: messages.Envelope) -> bytes:
     frame = SCHEMA.Envelope.new_message()
     frame.number = envelope.number
     frame.answers = envelope.answers
