--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -23,6 +23,7 @@
 from fescuekeel.components.forward.chunk_times import ChunkTimes
 from fescuekeel.components.forward.const import (
     CONNECT_BACKOFF_S,
+    FAULT_ANSWER_S,
     MAX_CONNECT_BACKOFF_S,
     MAX_DETAIL_CHARS,
     MIN_TIME_LEFT_S,
@@ -138,10 +139,8 @@
             if not self._caller_closed:
                 await self._end_stopped()
         except Exception:
-            # The task logs the error. The caller must not wait, or take a
-            # broken answer for a whole one.
-            self.outcome = "error"
-            self.caller.abort()
+            # The task logs the error.
+            await self._end_failed()
             raise
         finally:
             self.forwarder.record_end(self)
@@ -333,6 +332,19 @@
         except CallerGoneError:
             self.outcome = "caller_gone"
 
+    async def _end_failed(self) -> None:
+        """Answer after a fault of this program.
+
+        The caller must not wait, or take a broken answer for a whole one.
+        """
+        kind = ErrorKind.OUTCOME_UNKNOWN if self.state.sends else ErrorKind.INTERNAL
+        try:
+            async with asyncio.timeout(FAULT_ANSWER_S):
+                await self._fail(Failure(kind, "fault"))
+        except (CallerGoneError, TimeoutError):
+            self.caller.abort()
+        self.outcome = "error"
+
     # One attempt.
 
     async def _attempt(self, choice: Choice) -> AttemptEnd | None:
