--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from random import Random
 
+import orjson
 from tornado.httpclient import AsyncHTTPClient
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
@@ -37,6 +38,7 @@
     DaemonSpec,
     wait_until_ready,
 )
+from standins.forwarding.entries import ODD_ENTRIES
 from standins.forwarding.links import InstanceLinks
 from standins.forwarding.platform import (
     ENGINES,
@@ -64,7 +66,7 @@
 DELAY_S = 0.15
 # Makes reports lag behind orders.
 REPORT_LAG_S = 0.25
-FOREIGN_BYTES = (b"\xff\x00\x17", b'{"service": 7}', b"[]")
+FOREIGN_ENTRIES = tuple(ODD_ENTRIES.values())
 EARLY_SIGNALS = 4
 MAX_SIGNAL_GAP_S = 0.1
 # The time for which a file is incomplete, and the time between two rewrites.
@@ -447,7 +449,9 @@
     async def _write_foreign_entry(self, fault: Fault) -> None:
         """Write an invalid entry to the store, then remove it."""
         key = f"servers/foreign-{fault.target}"
-        self.platform.store.put_bytes(key, FOREIGN_BYTES[fault.target % 3])
+        make_entry = FOREIGN_ENTRIES[fault.target % len(FOREIGN_ENTRIES)]
+        entry = self._pick_worker(fault).describe("127.0.0.1:1", ZONES[0])
+        self.platform.store.put_bytes(key, make_entry(orjson.dumps(entry)))
         await asyncio.sleep(fault.duration_s)
         if key in self.platform.store.items_by_key:
             self.platform.store.put(key, None)
--- a/fescuekeel/components/catalog/view.py
+++ b/fescuekeel/components/catalog/view.py
@@ -50,8 +50,8 @@
             return
         try:
             decoded = self.dialect.decode(item)
-        except ValueError as error:
-            # Includes errors of pydantic and orjson.
+        except Exception as error:
+            # Whatever a decoder raises, the items after this one are applied.
             log_event(
                 "published_item_refused",
                 key=item.key,
@@ -81,7 +81,7 @@
         known = self.endpoints_by_name.get(name) if name is not None else None
         try:
             decoded = self.dialect.decode(item)
-        except ValueError:
+        except Exception:
             # Logged once the item is believed.
             return
         if isinstance(decoded, EndpointRecord):
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -432,14 +432,18 @@
     make_protocol: Callable[[], Opened], address: str, timeout_s: float
 ) -> Opened:
     """Connect a protocol to ``IP:PORT``; raises ``NotConnectedError``."""
-    host, port = split_address(address)
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise NotConnectedError(f"{address!r} is not an address") from error
     loop = asyncio.get_running_loop()
     opening = loop.create_task(loop.create_connection(make_protocol, host, port))
     try:
         if not await wait_for_task(opening, timeout_s):
             raise TimeoutError(f"no answer within {timeout_s:.3f} s")
         _, protocol = opening.result()
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # A port beyond 65535 overflows, and a host may be no host name.
         _abandon(opening)
         raise NotConnectedError(repr(error)) from error
     except asyncio.CancelledError:
