--- a/standins/forwarding/links.py
+++ b/standins/forwarding/links.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+from collections import deque
 
 import orjson
 
 from standins.forwarding.store import Item, PlatformStore, serve_store
-from standins.proxy import Cut, Proxy
+from standins.proxy import AnswerCut, Cut, Proxy
 from standins.server import Server
 
 __all__ = ["InstanceLinks"]
@@ -73,6 +74,11 @@
         """Return the addresses of all endpoints that were published."""
         return list(self._proxies_by_target)
 
+    def cut_answers(self, cuts: deque[AnswerCut]) -> None:
+        """Cut the next answers of whichever endpoint as described."""
+        for proxy in self._proxies_by_target.values():
+            proxy.answer_cuts = cuts
+
     def cut(self, how: Cut, *targets: str) -> None:
         """Cut the links to some endpoints' addresses, by default to all."""
         self._cut = how
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -4,12 +4,13 @@
 import contextlib
 import socket
 import struct
+from collections import deque
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 
-__all__ = ["Cut", "Proxy"]
+__all__ = ["AnswerCut", "Cut", "Proxy"]
 
 LOOPBACK = "127.0.0.1"
 READ_BYTES = 64 * 1024
@@ -34,6 +35,19 @@
     REFUSE = "refuse"
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerCut:
+    """Where the bytes of an answer stop, and how its connection ends.
+
+    It ends ``after_s`` after its first ``bytes_passed``, by a reset or an
+    orderly close.
+    """
+
+    bytes_passed: int
+    by_reset: bool = False
+    after_s: float = 0.0
+
+
 @dataclass(eq=False, slots=True)
 class ProxiedConnection:
     """One connection through the proxy.
@@ -53,12 +67,14 @@
 
     ``to_target`` and ``from_target`` let bytes pass in each direction; a
     cleared event delays them until it is set. New connections hang while
-    ``to_target`` is cleared. Each chunk is delayed by ``delay_s``.
+    ``to_target`` is cleared. Each chunk is delayed by ``delay_s``. The next
+    chunks from the target are cut as ``answer_cuts`` say.
     """
 
     target: str
     address: str = ""
     delay_s: float = 0.0
+    answer_cuts: deque[AnswerCut] = field(default_factory=deque)
     to_target: asyncio.Event = field(default_factory=asyncio.Event)
     from_target: asyncio.Event = field(default_factory=asyncio.Event)
     _connections: set[ProxiedConnection] = field(default_factory=set)
@@ -194,6 +210,9 @@
         try:
             while data := await reader.read(READ_BYTES):
                 await self._wait_to_pass(connection, passing)
+                if self.answer_cuts and passing is self.from_target:
+                    await self._cut_answer(connection, data)
+                    return
                 writer.write(data)
                 await writer.drain()
             closed_cleanly = True
@@ -208,6 +227,19 @@
         with contextlib.suppress(OSError, RuntimeError):
             writer.write_eof()
 
+    async def _cut_answer(self, connection: ProxiedConnection, data: bytes) -> None:
+        """Pass the beginning of an answer on, then end its connection."""
+        cut = self.answer_cuts.popleft()
+        connection.downstream.write(data[: cut.bytes_passed])
+        await connection.downstream.drain()
+        await asyncio.sleep(cut.after_s)
+        self._connections.discard(connection)
+        _reset(connection.upstream)
+        if cut.by_reset:
+            _reset(connection.downstream)
+        else:
+            connection.downstream.close()
+
     async def _wait_to_pass(
         self, connection: ProxiedConnection, passing: asyncio.Event
     ) -> None:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -16,7 +16,7 @@
 from standins.forwarding.caller import make_headers
 from standins.forwarding.platform import ENGINES, MODEL, PLAIN
 from standins.forwarding.raw_caller import call_raw
-from standins.proxy import Cut
+from standins.proxy import AnswerCut, Cut
 from tests.platform.test_path import run, start_world
 
 VERSIONS = ("1.1", "1.0")
@@ -268,3 +268,70 @@
                 assert {answer.status for answer in answers} == statuses
 
         run(work)
+
+
+# Within the status line, between headers, before and within the last line end.
+CUT_AT = (0, 1, 5, 9, 13, 17, 30, 60, 90, 110, 130, 150, 170, 190, 210, 230, 250)
+
+
+def list_head_cuts():
+    return [
+        AnswerCut(number, by_reset, after_s)
+        for number in CUT_AT
+        for by_reset in (False, True)
+        for after_s in (0.0, 0.02)
+    ]
+
+
+def cut_next_heads(world, path, *cuts):
+    """Let the next answers stop, on the links that instance 0 uses."""
+    number = 1 if path == "relayed" else 0
+    world.links[number].cut_answers(deque(cuts))
+
+
+@pytest.mark.parametrize("path", PATHS)
+class TestHeadsThatStop:
+    # Guards against an answer whose head stops, and that reaches its caller as
+    # a whole one with an empty or a short body.
+    @pytest.mark.parametrize("route", ["lookup", "charge", "script", "explain"])
+    def test_never_look_complete(self, route, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                set_answers(world, None, b"\n")
+                expected = f"POST /{route}/1 body".encode()
+                if route in ("script", "explain"):
+                    expected = make_stream(b"\n")
+                for cut in list_head_cuts():
+                    cut_next_heads(world, path, cut)
+                    answer = await call(world, f"/{route}/1", "1.1")
+                    cut_next_heads(world, path)
+                    looks_complete = answer.status == 200 and answer.complete
+                    assert answer.body == expected or not looks_complete, (cut, answer)
+
+        run(work)
+
+    # Guards against a stream whose second attempt stops in its head, and that
+    # ends as whole after the events of the first.
+    def test_second_attempts_do_not_end_streams(self, path):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                await start_path(world, path)
+                for framing in AnswerFraming:
+                    for cut in list_head_cuts()[::3]:
+                        if framing is AnswerFraming.CLOSE and not cut.by_reset:
+                            # Within the first attempt nobody could see it.
+                            continue
+                        broken = AnswerBreak(BreakPoint.WITHIN_EVENT)
+                        set_answers(world, framing, b"\n", broken)
+                        request = asyncio.ensure_future(
+                            call(world, "/explain/1", "1.1")
+                        )
+                        await asyncio.sleep(0.012)
+                        cut_next_heads(world, path, cut)
+                        answer = await request
+                        cut_next_heads(world, path)
+                        whole = answer.body == make_stream(b"\n")
+                        assert whole or not answer.complete, (framing, cut, answer)
+
+        run(work)
