--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -64,6 +64,8 @@
     STORE_RESTORED = "store_restored"
     STORE_TURNS_AWAY = "store_turns_away"
     POWER_LOST = "power_lost"
+    ANSWERS_COPIED = "answers_copied"
+    HEADS_STOP = "heads_stop"
 
 
 # These kinds have random streams of their own, by name, so that a seed draws
@@ -96,6 +98,8 @@
     "restore": (FaultKind.STORE_RESTORED,),
     "turned away": (FaultKind.STORE_TURNS_AWAY,),
     "power": (FaultKind.POWER_LOST,),
+    "copies": (FaultKind.ANSWERS_COPIED,),
+    "heads": (FaultKind.HEADS_STOP,),
 }
 LATER_KINDS = frozenset(chain.from_iterable(KINDS_BY_STREAM.values()))
 BASE_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -12,7 +12,12 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from bench.soak.accounts import REVOCATION_BOUND_S, Accounts
-from bench.soak.answers import break_answers, frame_answers
+from bench.soak.answers import (
+    break_answers,
+    copy_answers,
+    frame_answers,
+    stop_heads,
+)
 from bench.soak.answers_of_endpoints import back_off
 from bench.soak.brittle import BrittleServices
 from bench.soak.checks import Drain
@@ -134,6 +139,8 @@
             FaultKind.SERVICE_BRITTLE: self._make_brittle,
             FaultKind.ENDPOINT_FRAMING: self._frame_answers,
             FaultKind.ANSWERS_BREAK: self._break_answers,
+            FaultKind.ANSWERS_COPIED: self._copy_answers,
+            FaultKind.HEADS_STOP: self._stop_heads,
             FaultKind.VERSION_RELEASE: self._release_version,
             FaultKind.VERSION_IN_PLACE: self._change_version_in_place,
             FaultKind.SERVICE_FAILS: self._fail_service,
@@ -387,9 +394,17 @@
             await links.wait_until_copied()
         await asyncio.sleep(PLATFORM_DELAY_S)
 
+    async def _copy_answers(self, fault: Fault) -> None:
+        await copy_answers(self._pick_worker(fault), fault)
+
+    async def _stop_heads(self, fault: Fault) -> None:
+        stop_heads(self._proxies_by_worker[self._pick_worker(fault).id], fault)
+
     def withdraw_endpoint_errors(self) -> int:
         """Withdraw the errors that no request has met; return how many."""
         workers = self.platform.workers_by_id.values()
+        for proxy in self._proxies_by_worker.values():
+            proxy.answer_cuts.clear()
         return sum(worker.withdraw_faults() for worker in workers)
 
     async def _drain_endpoint(self, fault: Fault) -> None:
