--- a/standins/forwarding/links.py
+++ b/standins/forwarding/links.py
@@ -64,8 +64,10 @@
     async def _get_proxy_address(self, target: str) -> str:
         proxy = self._proxies_by_target.get(target)
         if proxy is None:
-            proxy = self._proxies_by_target[target] = Proxy(target)
+            proxy = Proxy(target)
             await proxy.start()
+            # A cut that comes meanwhile needs the address.
+            self._proxies_by_target[target] = proxy
             if self._cut is not None and not self._cut_targets:
                 proxy.cut(self._cut)
         return proxy.address
