--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -251,6 +251,8 @@
         is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_success and not response.signed:
             raise IncompleteResponseError("success without the endpoint's stamp")
+        if response.not_run and not self._may_believe_rejection(response):
+            raise IncompleteResponseError("rejection without the request's id")
         self._record_response(response)
         self._record_limits(response)
         self._record_rejection(head, response)
@@ -266,6 +268,13 @@
         self._release(connection, response)
         return None
 
+    def _may_believe_rejection(self, response: ResponseMetadata) -> bool:
+        """Return whether a rejection proves that the request has not run.
+
+        Another send must not follow one that may still run.
+        """
+        return bool(response.request_id) or self.request.state.repeatable
+
     def _record_response(self, response: ResponseMetadata) -> None:
         endpoints = self.forwarder.endpoints
         endpoints.record_response(self.choice.endpoint, response)
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -184,6 +184,8 @@
     async def reject(self) -> None:
         """Respond that the request has not run."""
         self.set_header(NOT_EXECUTED_HEADER, "1")
+        if not self.standin.repeats_rejected_ids:
+            self.clear_header(REQUEST_ID_HEADER)
         await self.respond(503, {})
 
     async def run_admitted(
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -87,7 +87,8 @@
     requests of ``running_ids``, those whose connection was lost for another
     ``linger_s``, as after a loss of power of the caller. ``copies`` says which
     answers are sent once more. Answers to calls other than requests have the
-    id of the call unless ``repeats_call_ids`` is false. Unless it ``signs``,
+    id of the call unless ``repeats_call_ids`` is false, and rejections that of
+    the request unless ``repeats_rejected_ids`` is. Unless it ``signs``,
     its answers have no stamp.
     """
 
@@ -139,6 +140,7 @@
     breaks: deque[AnswerBreak] = field(default_factory=deque)
     copies: AnswerCopies = field(default_factory=AnswerCopies)
     repeats_call_ids: bool = True
+    repeats_rejected_ids: bool = True
     signs: bool = True
     software: str = "v1"
     names_software: bool = False
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -14,6 +14,7 @@
 
 CLIENTS = 24
 LOAD_S = 3.0
+MAX_LOAD_S = 20.0
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 REJECTIONS = frozenset({503, 421})
 FORMS = {
@@ -32,13 +33,25 @@
         worker.copies = AnswerCopies(share=0.2, **form)
 
 
-async def load(world, path, seconds):
-    """Send requests one after the other from each client; return statuses."""
+def count_copies(world):
+    workers = world.platform.list_workers(PLAIN)
+    return sum(sum(each.copies.counts.values()) for each in workers)
+
+
+async def load(world, path, copies):
+    """Send requests one after the other from each client; return statuses.
+
+    It goes on for ``LOAD_S``, and until so many answers were copied.
+    """
     statuses_by_id = {}
-    until = time.monotonic() + seconds
+    started_at = time.monotonic()
+
+    def goes_on():
+        took_s = time.monotonic() - started_at
+        return took_s < LOAD_S or (count_copies(world) < copies and took_s < MAX_LOAD_S)
 
     async def use(number):
-        while time.monotonic() < until:
+        while goes_on():
             instance = number % len(world.instances)
             try:
                 answer, id = await world.send_request(path, instance, "POST")
@@ -68,20 +81,34 @@
             async with start_world(2) as world:
                 limit_room(world)
                 make_faulty(world, PLAIN, **FORMS[form])
-                statuses = await load(world, "/charge/1", LOAD_S)
+                statuses = await load(world, "/charge/1", 20)
                 await asyncio.sleep(0.5)
                 runs = sum(
                     (each.runs for each in world.platform.workers_by_id.values()),
                     Counter(),
                 )
                 refused = [id for id, at in statuses.items() if at in PROMISES_NOT_RUN]
-                workers = world.platform.list_workers(PLAIN)
-                assert sum(sum(each.copies.counts.values()) for each in workers) > 20
+                assert count_copies(world) >= 20
                 assert [id for id in runs if runs[id] > 1] == []
                 assert [id for id in refused if runs[id]] == []
 
         run(work)
 
+    # Guards against a rejection that names no request, and is believed for one
+    # that the endpoint runs.
+    @pytest.mark.parametrize(("route", "status"), [("charge", 502), ("lookup", 200)])
+    def test_believe_no_rejection_without_an_id(self, route, status):
+        async def work():
+            async with start_world(1) as world:
+                workers = world.platform.list_workers(PLAIN)
+                for worker in workers:
+                    worker.repeats_rejected_ids = False
+                workers[0].shed = workers[1].shed = 1
+                answer, _ = await world.send_request(f"/{route}/1", 0, "POST")
+                assert answer.code == status
+
+        run(work)
+
     # Guards against an innocent request that ends as unknown since a copy of
     # another one's answer came before its own.
     def test_get_their_own_answer_after_that_of_another(self):
@@ -90,9 +117,8 @@
                 for worker in world.platform.list_workers(PLAIN):
                     worker.run_s = 0.01
                 make_faulty(world, PLAIN, statuses=frozenset({200}))
-                statuses = await load(world, "/charge/1", LOAD_S)
-                workers = world.platform.list_workers(PLAIN)
-                assert sum(sum(each.copies.counts.values()) for each in workers) > 50
+                statuses = await load(world, "/charge/1", 50)
+                assert count_copies(world) >= 50
                 assert Counter(statuses.values()).keys() == {200}
 
         run(work)
