--- a/tests/components/gossip/test_component.py
+++ b/tests/components/gossip/test_component.py
@@ -51,6 +51,9 @@
         self.tasks.append(task)
         return task
 
+    def keep_running(self, make_work, name):
+        return self.spawn(make_work(), name)
+
     async def start(self):
         await self.gossip.start()
         self.gossip.register("t", LIMITS, self.record)
