--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -131,22 +131,29 @@
         return self.choice.within_limit or not limiter.is_limited(self.choice.endpoint)
 
     async def _connect(self) -> Connection:
-        """Return a connection that has not carried the request yet.
-
-        Otherwise a second answer to its first send could be taken for the
-        answer to this one.
-        """
         endpoint = self.attempt.endpoint
         pool = self.forwarder.get_pool(endpoint)
         failed_at = self.forwarder.relay.get_failed_at(endpoint)
         now = self.forwarder.instance.now()
-        pooled = None
-        if self.request.metadata.request_id:
-            pooled = pool.take(now, failed_at, self.request.state.connections)
+        pooled = pool.take(now, failed_at, self._may_use)
         if pooled is not None:
             return pooled
         return await self.forwarder.open(endpoint, pool)
 
+    def _may_use(self, connection: Connection) -> bool:
+        """Return whether a connection that has carried requests may be used.
+
+        On one that has carried this request, a second answer to its first send
+        could be taken for the answer to this one. The check of the endpoint's
+        incarnation has no id, and needs a new connection.
+        """
+        request = self.request
+        if not request.metadata.request_id:
+            return False
+        if connection.number in request.state.connections:
+            return False
+        return not self._needs_incarnation(connection)
+
     def _needs_incarnation(self, connection: Connection) -> bool:
         """Return whether to check which start of the endpoint has answered.
 
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -120,8 +120,6 @@
 ENDPOINTS_PER_MODEL_LOAD: Final = 2
 MODEL_RETRY_S: Final = 5.0
 REPORT_TIMEOUT_S: Final = 0.8
-# Reuse of an idle connection, where the endpoint names no limit.
-KEEPALIVE_S: Final = 1.0
 
 # Admission of prompts.
 
--- a/fescuekeel/components/placement/orders.py
+++ b/fescuekeel/components/placement/orders.py
@@ -1,10 +1,9 @@
-"""Connection that carries orders to an endpoint and reports back."""
+"""Orders to an endpoint and reports of it, each on a new connection."""
 
 from collections.abc import Callable
 
 from fescuekeel.components.endpoints import EndpointStates
 from fescuekeel.components.placement.const import (
-    KEEPALIVE_S,
     ORDER_TIMEOUT_S,
     REPORT_TIMEOUT_S,
 )
@@ -35,7 +34,11 @@
 
 
 class OrderLink:
-    """Own one connection to an endpoint, with one call at a time."""
+    """Call an endpoint, each time on a new connection.
+
+    On one that has carried a call, a second answer to that call could be taken
+    for the answer to the next.
+    """
 
     def __init__(
         self,
@@ -51,8 +54,7 @@
         self._relay = relay
         self._endpoints = endpoints
         self._address = record.address
-        self._connection: Connection | None = None
-        self._used = 0.0
+        self._connections: set[Connection] = set()
 
     async def fetch_report(self) -> EndpointReport | None:
         """Return the endpoint's report, ``None`` if it is unavailable."""
@@ -97,31 +99,23 @@
     async def _fetch(
         self, call: HttpCall, timeout_s: float, max_bytes: int, guard: Guard
     ) -> HttpResponse | None:
-        connection = await self._get_connection()
-        if not guard():
-            return None
-        self._used = self._instance.now()
-        response = await call_endpoint(
-            connection, self._dialect, call, self._address, timeout_s, max_bytes
-        )
+        connection = await self._relay.connect_directly(self.endpoint, self._address)
+        self._instance.metrics.count("placement.connections")
+        self._connections.add(connection)
+        try:
+            if not guard():
+                return None
+            response = await call_endpoint(
+                connection, self._dialect, call, self._address, timeout_s, max_bytes
+            )
+        finally:
+            connection.close()
+            self._connections.discard(connection)
         metadata = self._dialect.read_response(response.status, dict(response.headers))
         self._endpoints.record_response(self.endpoint, metadata)
         return response
 
-    async def _get_connection(self) -> Connection:
-        kept = self._connection
-        recent = self._instance.now() - self._used < KEEPALIVE_S
-        if kept is not None and kept.usable and kept.repeats_ids and recent:
-            return kept
-        if kept is not None:
-            kept.close()
-        self._connection = await self._relay.connect_directly(
-            self.endpoint, self._address
-        )
-        self._instance.metrics.count("placement.connections")
-        return self._connection
-
     def close(self) -> None:
-        """Close the connection."""
-        if self._connection is not None:
-            self._connection.close()
+        """Close the connections of calls in progress."""
+        for connection in list(self._connections):
+            connection.close()
--- a/fescuekeel/helpers/endpoint_call.py
+++ b/fescuekeel/helpers/endpoint_call.py
@@ -1,7 +1,5 @@
 """Calls of this instance to endpoints: reports, orders and checks."""
 
-from uuid import uuid4
-
 from fescuekeel.helpers.dialect import Dialect, HttpCall
 from fescuekeel.helpers.http_connection import Connection, HttpResponse, fetch
 
@@ -16,16 +14,14 @@
     timeout_s: float,
     max_bytes: int,
 ) -> HttpResponse:
-    """Make a call with an id of its own, and return the response to it.
+    """Make a call, and return the response to it.
 
-    Raises ``NotConnectedError`` if nothing was sent, and otherwise what
-    ``fetch`` raises. A connection on which the endpoint does not repeat the id
-    (``repeats_ids``) must serve no second call.
+    The connection must be new: a call has no id that its response could
+    repeat, as endpoints run whatever has one. Raises ``NotConnectedError`` if
+    nothing was sent, and otherwise what ``fetch`` raises.
     """
-    tie = dialect.make_answer_tie(uuid4().hex)
     headers = (
         ("Host", address),
-        (tie.header, tie.id),
         *call.headers,
         ("Content-Length", str(len(call.body))),
     )
@@ -37,5 +33,5 @@
         call.body,
         timeout_s,
         max_bytes,
-        tie,
+        dialect.make_answer_tie(""),
     )
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -9,7 +9,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -487,17 +487,17 @@
         self,
         now: float,
         direct_since: float = float("-inf"),
-        excluded: Collection[int] = (),
+        may_use: Callable[[Connection], bool] = lambda connection: True,
     ) -> Connection | None:
         """Return a usable idle connection, if there is one.
 
         Direct connections that were released before ``direct_since`` are not
-        used: connects have failed since, so these may be broken as well. Those
-        with ``excluded`` numbers are left for others.
+        used: connects have failed since, so these may be broken as well. What
+        ``may_use`` returns false for is left for others.
         """
         for index in range(len(self._idle) - 1, -1, -1):
             idle = self._idle[index]
-            if idle.connection.number in excluded:
+            if not may_use(idle.connection):
                 continue
             del self._idle[index]
             is_old = idle.released_at < direct_since and not idle.connection.relayed_by
--- a/standins/forwarding/worker_http.py
+++ b/standins/forwarding/worker_http.py
@@ -54,8 +54,10 @@
             return
         self.standin.copies.begin_answer(self.stream)
         request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
-        if request_id and (self.runs_requests or self.standin.repeats_call_ids):
+        if request_id and self.runs_requests:
             self.set_header(REQUEST_ID_HEADER, request_id)
+        elif request_id:
+            self.standin.calls_with_ids += 1
         await self.standin.wait_while_silent()
         if self.standin.leaves:
             self.set_header(SERVER_LEAVING_HEADER, "1")
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -86,9 +86,9 @@
     software; with ``names_software`` each event names it. Reports name the
     requests of ``running_ids``, those whose connection was lost for another
     ``linger_s``, as after a loss of power of the caller. ``copies`` says which
-    answers are sent once more. Answers to calls other than requests have the
-    id of the call unless ``repeats_call_ids`` is false, and rejections that of
-    the request unless ``repeats_rejected_ids`` is. Unless it ``signs``,
+    answers are sent once more. Rejections have the id of the request unless
+    ``repeats_rejected_ids`` is false. ``calls_with_ids`` counts reports and
+    orders that have one, which a plain service would run. Unless it ``signs``,
     its answers have no stamp.
     """
 
@@ -139,7 +139,7 @@
     line_end: bytes = b"\n"
     breaks: deque[AnswerBreak] = field(default_factory=deque)
     copies: AnswerCopies = field(default_factory=AnswerCopies)
-    repeats_call_ids: bool = True
+    calls_with_ids: int = 0
     repeats_rejected_ids: bool = True
     signs: bool = True
     software: str = "v1"
