--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -236,7 +236,7 @@
             request.target,
             (*headers, *framing),
             request.body,
-            self.forwarder.dialect.make_answer_tie(request.metadata.request_id),
+            self.forwarder.dialect.make_correlation(request.metadata.request_id),
         )
         self.attempt.transfer = Transfer(
             connection.number, connection.age_s, connection.sends, len(request.body)
--- a/fescuekeel/helpers/answer_tie.py
+++ b/fescuekeel/helpers/correlation.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["AnswerTie", "Origin", "find_origin"]
+__all__ = ["Correlation", "Match", "match_answer"]
 
 
-class Origin(StrEnum):
+class Match(StrEnum):
     """What an answer belongs to.
 
     ``OWN``: to the request that was sent last. ``OTHER``: to another request.
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerTie:
+class Correlation:
     """The id of a request, and the header in which its answer repeats it.
 
     ``header`` is in lower case. ``id`` is empty if the request has none.
@@ -36,21 +36,21 @@
     id: str
 
 
-def find_origin(sent_id: str, answered_id: str, position: int) -> Origin:
+def match_answer(sent_id: str, answered_id: str, position: int) -> Match:
     """Return what an answer belongs to.
 
     ``position`` counts the requests that were sent on the connection, the
     last one included.
 
-    >>> find_origin("r1", "r1", position=7).value
+    >>> match_answer("r1", "r1", position=7).value
     'own'
-    >>> find_origin("r1", "r0", position=1).value
+    >>> match_answer("r1", "r0", position=1).value
     'other'
-    >>> find_origin("r1", "", position=1).value
+    >>> match_answer("r1", "", position=1).value
     'own'
-    >>> find_origin("r1", "", position=2).value
+    >>> match_answer("r1", "", position=2).value
     'unknown'
     """
     if answered_id:
-        return Origin.OWN if answered_id == sent_id else Origin.OTHER
-    return Origin.OWN if position == 1 else Origin.UNKNOWN
+        return Match.OWN if answered_id == sent_id else Match.OTHER
+    return Match.OWN if position == 1 else Match.UNKNOWN
--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from fescuekeel.errors import ErrorKind
-from fescuekeel.helpers.answer_tie import AnswerTie
+from fescuekeel.helpers.correlation import Correlation
 from fescuekeel.helpers.incarnation import UNKNOWN_BORN_MS
 from fescuekeel.helpers.published import (
     Configuration,
@@ -253,7 +253,7 @@
     ) -> tuple[Header, ...]:
         """Build the headers of a request to an endpoint."""
 
-    def make_answer_tie(self, request_id: str) -> AnswerTie:
+    def make_correlation(self, request_id: str) -> Correlation:
         """Return what identifies an endpoint's response to a request."""
 
     def read_response(
--- a/fescuekeel/helpers/endpoint_call.py
+++ b/fescuekeel/helpers/endpoint_call.py
@@ -33,5 +33,5 @@
         call.body,
         timeout_s,
         max_bytes,
-        dialect.make_answer_tie(""),
+        dialect.make_correlation(""),
     )
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from fescuekeel.helpers.answer_tie import AnswerTie, Origin, find_origin
+from fescuekeel.helpers.correlation import Correlation, Match, match_answer
 from fescuekeel.helpers.dialect import Header
 from fescuekeel.helpers.late_loop import wait_for_task
 from fescuekeel.helpers.linger import reset_on_close
@@ -129,7 +129,7 @@
         self.ended_by: BodyEnd | None = None
         self._made_at = time.monotonic()
         self._method = ""
-        self._tie: AnswerTie | None = None
+        self._correlation: Correlation | None = None
         self._request: h11.Request | None = None
         self._body = b""
         self._dropped = 0
@@ -205,11 +205,11 @@
         target: str,
         headers: Sequence[Header],
         body: bytes,
-        tie: AnswerTie | None = None,
+        correlation: Correlation | None = None,
     ) -> None:
         """Send a complete request.
 
-        Without ``tie`` the next response is taken for the response to it.
+        Without ``correlation`` the next response counts as the response to it.
         """
         if self._transport is None or not self.usable:
             raise NotConnectedError("connection was closed while idle")
@@ -222,7 +222,7 @@
             ],
         )
         data = _encode_request(self._http, request, body)
-        self._tie, self._request, self._body = tie, request, body
+        self._correlation, self._request, self._body = correlation, request, body
         self.repeats_ids = False
         self.awaiting_response = True
         self.sends += 1
@@ -237,10 +237,10 @@
         without an id, which may be the own one, the wait is short.
         """
         head = await self._read_next_head()
-        match self._find_origin(head):
-            case Origin.OWN:
+        match self._match_answer(head):
+            case Match.OWN:
                 return head
-            case Origin.OTHER:
+            case Match.OTHER:
                 return await self._read_past(head)
         try:
             async with asyncio.timeout(MAX_WAIT_AFTER_UNKNOWN_S):
@@ -253,27 +253,27 @@
         for _ in range(MAX_DROPPED_ANSWERS):
             await self._drop_response()
             head = await self._read_next_head()
-            if self._find_origin(head) is Origin.OWN:
+            if self._match_answer(head) is Match.OWN:
                 return head
         raise IncompleteResponseError("too many responses to other requests")
 
-    def _find_origin(self, head: ResponseHead) -> Origin:
-        if self._tie is None:
-            return Origin.OWN
-        answered_id = head.get(self._tie.header)
-        origin = find_origin(self._tie.id, answered_id, self.sends)
+    def _match_answer(self, head: ResponseHead) -> Match:
+        if self._correlation is None:
+            return Match.OWN
+        answered_id = head.get(self._correlation.header)
+        match = match_answer(self._correlation.id, answered_id, self.sends)
         self.repeats_ids = bool(answered_id)
-        if origin is not Origin.OWN:
+        if match is not Match.OWN:
             log_event(
                 "answer_dropped",
-                request_id=self._tie.id,
+                request_id=self._correlation.id,
                 answered_id=answered_id,
                 status=head.status,
                 connection=self.number,
                 position=self.sends,
-                outcome=origin.value,
+                outcome=match.value,
             )
-        return origin
+        return match
 
     async def _drop_response(self) -> None:
         """Read a response to its end, and begin with the next one.
@@ -538,7 +538,7 @@
     body: bytes,
     timeout_s: float,
     max_bytes: int,
-    tie: AnswerTie | None = None,
+    correlation: Correlation | None = None,
 ) -> HttpResponse:
     """Send a request and read the complete response.
 
@@ -548,7 +548,7 @@
     """
     try:
         async with asyncio.timeout(timeout_s):
-            connection.send(method, target, headers, body, tie)
+            connection.send(method, target, headers, body, correlation)
             head = await connection.read_head()
             response_body = bytearray()
             while (chunk := await connection.read_chunk()) is not None:
--- a/tests/components/forward/test_crash_check.py
+++ b/tests/components/forward/test_crash_check.py
@@ -6,7 +6,7 @@
 from fescuekeel.components.forward.crash_check import CrashChecker
 from fescuekeel.components.relay import PathState, RelayFailedError
 from fescuekeel.core import Instance
-from fescuekeel.helpers.answer_tie import AnswerTie
+from fescuekeel.helpers.correlation import Correlation
 from fescuekeel.helpers.dialect import HttpCall, ResponseMetadata
 from fescuekeel.helpers.http_connection import connect
 from fescuekeel.helpers.published import Catalog, EndpointRecord, Position
@@ -20,8 +20,8 @@
 class FakeDialect:
     """A dialect in which 421 comes from another incarnation."""
 
-    def make_answer_tie(self, request_id):
-        return AnswerTie("request-id", request_id)
+    def make_correlation(self, request_id):
+        return Correlation("request-id", request_id)
 
     def make_report_call(self, endpoint):
         return HttpCall("GET", "/report")
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fescuekeel.helpers.answer_tie import AnswerTie
+from fescuekeel.helpers.correlation import Correlation
 from fescuekeel.helpers.http_connection import (
     ConnectionPool,
     IncompleteResponseError,
@@ -69,8 +69,10 @@
 
 
 async def get_own(connection, id, method="GET", timeout_s=1.5):
-    tie = AnswerTie("request-id", id)
-    return await fetch(connection, method, "/", HEADERS, b"", timeout_s, 65536, tie)
+    correlation = Correlation("request-id", id)
+    return await fetch(
+        connection, method, "/", HEADERS, b"", timeout_s, 65536, correlation
+    )
 
 
 def run(work):
