--- a/standins/forwarding/links.py
+++ b/standins/forwarding/links.py
@@ -92,7 +92,8 @@
     async def restore(self) -> None:
         """End all cuts."""
         self._cut = None
-        for proxy in self._proxies_by_target.values():
+        # Endpoints may be published meanwhile.
+        for proxy in list(self._proxies_by_target.values()):
             await proxy.restore()
 
     async def stop(self) -> None:
