--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -7,6 +7,7 @@
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from fescuekeel.helpers.logging import add_destination, remove_destination
 from standins.forwarding.copies import AnswerCopies, CopyMoment
 from standins.forwarding.platform import ENGINES, PLAIN
 from standins.forwarding.room import WorkerRoom
@@ -145,6 +146,31 @@
         run(work)
 
 
+class TestIncarnationChecks:
+    # Guards against a check whose answer has no id, on a connection that has
+    # carried something: nothing tells what that answer belongs to.
+    def test_have_a_new_connection(self):
+        async def work():
+            async with start_world(1) as world:
+                answer, _ = await world.send_stream_request("/script/1")
+                assert answer.code == 200
+                events = []
+                add_destination(events.append)
+                try:
+                    for _ in range(4):
+                        answer, _ = await world.send_stream_request("/script/1")
+                        assert answer.code == 200
+                        answer, _ = await world.send_stream_request("/explain/1")
+                        assert answer.code == 200
+                finally:
+                    remove_destination(events.append)
+                kinds = {event["message_type"] for event in events}
+                assert "attempt_ended" in kinds
+                assert "answer_dropped" not in kinds
+
+        run(work)
+
+
 class TestOrders:
     # Guards against an endpoint that is ordered beyond its places, since the
     # answer to an earlier order or report is taken for that to a later one.
