Let fencing terms grow with any position of the store

What callers and operators saw: with a store whose revisions begin at 1.7e15 a kill of all processes takes 37 orders back to lower fencing tokens; with a copy that lacks 3,000,000 changes, then a kill of all, 37 as well.

A third number of the class: record_fenced doubled the term, so that from 1.7e15 three rejections led to the highest term, which cannot rise.

Change: terms from 2**43 on have 8 bits of the holder's hash, so that tokens of every position that the border accepts (revisions below 2**53, eras below 10**9) fit signed integers of 64 bits. A rejection raises the term by a step that grows sixteenfold up to 2**40 and does not follow from the term.

Evidence: five tests of TestFencingTokens fail with the former code (grow with the store at 1.7e15, grow with the era for three lacks, fit 64 bits however often they rise) and a sixth, which compares with former tokens.

--- a/fescuekeel/components/placement/claims.py
+++ b/fescuekeel/components/placement/claims.py
@@ -22,19 +22,27 @@
 from fescuekeel.components.placement.const import (
     CLAIM_TTL_S,
     CONTACT_TIMEOUT_S,
+    EARLY_ERAS,
     FENCED_HANDOVER_S,
     FIRST_HIGH_TERM,
     FIRST_HIGH_TOKEN,
+    FIRST_HIGHEST_TERM,
+    FIRST_HIGHEST_TOKEN,
     HOLDER_HASH_BITS,
     HOLDER_HASH_BITS_OF_HIGH_TERMS,
+    HOLDER_HASH_BITS_OF_HIGHEST_TERMS,
     MAX_TERM,
+    MAX_TERM_RAISE,
+    MIN_TERM_RAISE,
     NEW_ENDPOINT_WAIT_S,
     PEER_CLAIM_FRESH_S,
     START_WAIT_S,
     START_WINDOW_S,
     SUSPENSION_GAP_S,
     TAKEOVER_MARGIN_S,
-    TERMS_PER_ERA,
+    TERM_RAISE_GROWTH,
+    TERMS_PER_EARLY_ERA,
+    TERMS_PER_LATER_ERA,
     UNFENCED_HANDOVER_S,
 )
 from fescuekeel.components.relay import UnreachableEndpoints
@@ -57,9 +65,12 @@
     older copy and its revisions begin again.
 
     >>> compute_least_term(Position(0, 7)), compute_least_term(Position(2, 7))
-    (7, 2097159)
+    (7, 8589934599)
     """
-    return min(MAX_TERM // 2, position.era * TERMS_PER_ERA + position.revision)
+    early_eras = min(position.era, EARLY_ERAS)
+    later_eras = position.era - early_eras
+    terms_of_eras = early_eras * TERMS_PER_EARLY_ERA + later_eras * TERMS_PER_LATER_ERA
+    return min(MAX_TERM - 1, terms_of_eras + position.revision)
 
 
 def make_fencing_token(term: int, instance_id: str) -> int:
@@ -74,17 +85,35 @@
     True
     """
     identity = xxhash.xxh32_intdigest(instance_id.encode())
-    if term >= FIRST_HIGH_TERM:
-        identity >>= HOLDER_HASH_BITS - HOLDER_HASH_BITS_OF_HIGH_TERMS
-    return _make_lowest_token(term) | identity
+    terms = _find_range(term)
+    return terms.get_lowest_token(term) | identity >> HOLDER_HASH_BITS - terms.hash_bits
 
 
-def _make_lowest_token(term: int) -> int:
-    """Return the lowest fencing token of a term."""
-    if term < FIRST_HIGH_TERM:
-        return term << HOLDER_HASH_BITS
-    above = term - FIRST_HIGH_TERM
-    return FIRST_HIGH_TOKEN + (above << HOLDER_HASH_BITS_OF_HIGH_TERMS)
+@dataclass(frozen=True, slots=True)
+class _TermRange:
+    """Terms with equally many bits of the holder's hash in their tokens."""
+
+    first_term: int
+    first_token: int
+    hash_bits: int
+
+    def get_lowest_token(self, term: int) -> int:
+        """Return the lowest fencing token of a term of this range."""
+        return self.first_token + (term - self.first_term << self.hash_bits)
+
+
+_TERM_RANGES = (
+    _TermRange(
+        FIRST_HIGHEST_TERM, FIRST_HIGHEST_TOKEN, HOLDER_HASH_BITS_OF_HIGHEST_TERMS
+    ),
+    _TermRange(FIRST_HIGH_TERM, FIRST_HIGH_TOKEN, HOLDER_HASH_BITS_OF_HIGH_TERMS),
+    _TermRange(0, 0, HOLDER_HASH_BITS),
+)
+
+
+def _find_range(term: int) -> _TermRange:
+    """Return the range that a term belongs to."""
+    return next(terms for terms in _TERM_RANGES if term >= terms.first_term)
 
 
 @dataclass(slots=True)
@@ -104,7 +133,7 @@
     def rank(self) -> int:
         """Return the fencing token; the lowest of a term without a holder."""
         if not self.holder:
-            return _make_lowest_token(self.term)
+            return _find_range(self.term).get_lowest_token(self.term)
         return make_fencing_token(self.term, self.holder)
 
 
@@ -114,12 +143,14 @@
 
     ``contact_since`` is the start of the current uninterrupted contact with
     the endpoint, and ``last_contact`` its last answer. ``never_held`` says
-    that nobody else can have held the endpoint before.
+    that nobody else can have held the endpoint before. ``least_term`` is the
+    least term at the time when ``term`` was chosen.
     """
 
     since: float
     never_held: bool = False
     term: int = 0
+    least_term: int = 0
     held: bool = False
     last_order: float | None = None
     contact_since: float | None = None
@@ -324,6 +355,7 @@
         if now < self._get_claim_time(own, peer_claim, now):
             return False
         own.term = self._choose_term(record.name, least_term)
+        own.least_term = least_term
         own.held = True
         return True
 
@@ -449,12 +481,12 @@
         """Release a claim whose fencing token the endpoint rejected.
 
         Another holder has a higher one. The next claim begins after a lease
-        and doubles the term, since the other holder's is not known.
+        and raises the term, since the other holder's is not known.
         """
         own = self.own_claims_by_endpoint.pop(endpoint, None)
         if own is None:
             return
-        self._record_past_term(endpoint, 2 * own.term)
+        self._record_past_term(endpoint, own.term + _compute_raise(own))
         self.peer_claims_by_endpoint[endpoint] = PeerClaim(
             "", own.term, now, now, released=True
         )
@@ -467,3 +499,14 @@
     def release_all(self) -> None:
         """Release every claim, before this instance leaves."""
         self.own_claims_by_endpoint.clear()
+
+
+def _compute_raise(own: OwnClaim) -> int:
+    """Return by how much the term rises after its token was rejected.
+
+    It grows from one rejection to the next, since it follows from how far the
+    term is above the least one. It does not follow from the term itself, which
+    would reach its limit after few rejections at a high revision.
+    """
+    above_least = own.term - own.least_term
+    return min(MAX_TERM_RAISE, max(MIN_TERM_RAISE, TERM_RAISE_GROWTH * above_least))
--- a/fescuekeel/components/placement/const.py
+++ b/fescuekeel/components/placement/const.py
@@ -51,19 +51,33 @@
 # A longer gap between ticks means that the process was suspended.
 SUSPENSION_GAP_S: Final = 1.0
 # By how much the least term rises with the store's era: more than the changes
-# that a copy of some seconds ago may lack.
-TERMS_PER_ERA: Final = 2**20
-# Low bits of a fencing token, below the term. High terms have fewer, so that
-# tokens stay below 2**53, which JSON readers represent exactly, up to 2**34
-# changes of the store.
+# that a copy may lack, also where revisions count microseconds. Later eras are
+# worth less, so that terms stay below MAX_TERM if eras begin at a high number.
+TERMS_PER_EARLY_ERA: Final = 2**32
+EARLY_ERAS: Final = 2**14
+TERMS_PER_LATER_ERA: Final = 2**23
+# Low bits of a fencing token, below the term. Terms from each of the limits on
+# have fewer, so that tokens stay exact in JSON readers with floating-point
+# numbers (below 2**53) up to 2**34, and below 2**63 up to MAX_TERM.
 HOLDER_HASH_BITS: Final = 32
 HOLDER_HASH_BITS_OF_HIGH_TERMS: Final = 18
+HOLDER_HASH_BITS_OF_HIGHEST_TERMS: Final = 8
 FIRST_HIGH_TERM: Final = 2**19
+FIRST_HIGHEST_TERM: Final = 2**43
 # Above the tokens of all lower terms, also those of instances of earlier
-# versions, which gave terms up to 2**20 the longer hash.
+# versions, which gave terms up to 2**20 the longest hash, and terms up to
+# 2**44 that of high terms.
 FIRST_HIGH_TOKEN: Final = 2**52
-# Keeps fencing tokens within 64 bits.
-MAX_TERM: Final = 2**44
+FIRST_HIGHEST_TOKEN: Final = 2**61 + 2**53
+# Keeps fencing tokens within signed integers of 64 bits. No position of a
+# store reaches it: revisions are below 2**53 and eras below 10**9.
+MAX_TERM: Final = 2**54 + 2**52
+# By how much a term rises after an endpoint has rejected it for a higher one,
+# which is not known. It grows by the factor each time, up to the second value,
+# so that MAX_TERM is thousands of rejections away.
+MIN_TERM_RAISE: Final = 2**10
+MAX_TERM_RAISE: Final = 2**40
+TERM_RAISE_GROWTH: Final = 16
 
 # Orders to endpoints.
 
--- a/tests/components/placement/test_claims.py
+++ b/tests/components/placement/test_claims.py
@@ -3,7 +3,8 @@
 import itertools
 
 import hypothesis.strategies as st
-from hypothesis import given, settings
+import pytest
+from hypothesis import example, given, settings
 
 from fescuekeel.components.placement.candidates import (
     CandidateTable,
@@ -11,6 +12,7 @@
 )
 from fescuekeel.components.placement.claims import (
     Claims,
+    OwnClaim,
     compute_least_term,
     make_fencing_token,
 )
@@ -24,6 +26,9 @@
 LEASE_S = 3.0
 LONG_AGO_S = 3600.0
 WAIT_S = 3.6
+# What the platform's adapter accepts of a store's position.
+REVISIONS = st.integers(0, 2**53 - 1)
+ERAS = st.integers(0, 10**9 - 1)
 ENDPOINT = EndpointRecord("e1", "s", "127.0.0.1:1", "dc1", 8, False)
 ENDPOINTS = {"e1": ENDPOINT}
 ALONE = {"i1": Member("i1", "", "dc1", 1)}
@@ -459,15 +464,50 @@
 class TestFencingTokens:
     # Guards against a generation number that goes back, as the term has
     # reached a cap while the store's revision goes on.
-    @given(st.integers(0, 2**40), st.integers(0, 2**40), st.integers(0, 9))
-    def test_grow_with_the_store(self, first, second, number):
+    @given(REVISIONS, REVISIONS, ERAS, st.integers(0, 9))
+    @example(1_700_000_000_000_000, 1_700_000_000_000_001, 1, 0)
+    @example(2**43 - 1, 2**43, 0, 0)
+    def test_grow_with_the_store(self, first, second, era, number):
         low, high = sorted((first, second))
-        terms = [compute_least_term(Position(1, revision)) for revision in (low, high)]
+        terms = [
+            compute_least_term(Position(era, revision)) for revision in (low, high)
+        ]
         tokens = [make_fencing_token(term, f"i{number}") for term in terms]
         assert tokens[0] < tokens[1] or low == high
 
+    # Guards against a generation number that goes back after the store has
+    # come back from a copy that lacks many changes.
+    @given(st.integers(0, 2**53 - 1 - 2**26), st.integers(0, 10**4))
+    @pytest.mark.parametrize("lacking", [500_000, 3_000_000, 60_000_000])
+    def test_grow_with_the_era(self, lacking, revision, era):
+        before = compute_least_term(Position(era, revision + lacking))
+        after = compute_least_term(Position(era + 1, revision))
+        assert make_fencing_token(after, "i1") > make_fencing_token(before + 9, "i2")
+
+    # Guards against endpoints that cannot read a token, and against a term
+    # that cannot rise any more once endpoints reject it.
+    @given(REVISIONS, ERAS)
+    @example(2**53 - 1, 10**9 - 1)
+    def test_fit_signed_integers_of_64_bits_however_often_they_rise(
+        self, revision, era
+    ):
+        claims = Claims("i1", LEASE_S, fenced=True)
+        term = compute_least_term(Position(era, revision))
+        least_term = term
+        for _ in range(1000):
+            claims.own_claims_by_endpoint["e1"] = OwnClaim(
+                0.0, term=term, least_term=least_term, held=True
+            )
+            claims.record_fenced("e1", 0.0)
+            raised = claims._choose_term("e1", least_term)
+            assert raised > term
+            term = raised
+        assert make_fencing_token(term, "i1") < 2**63
+
     def test_are_above_all_of_a_lower_term(self):
-        for term in (1, 2**19 - 1, 2**19, 2**19 + 1, 2**34):
+        limits = (2**19, 2**43)
+        around = [limit + step for limit in limits for step in (-1, 0, 1)]
+        for term in (1, *around, 2**34, 2**54):
             highest = max(make_fencing_token(term - 1, f"i{n}") for n in range(200))
             assert all(make_fencing_token(term, f"i{n}") > highest for n in range(200))
 
@@ -475,6 +515,9 @@
     def test_are_not_below_those_of_earlier_versions(self):
         for term in (1, 4102, 2**19 - 1, 2**20 - 1):
             assert make_fencing_token(term, "i1") >= term << 32
+        for term in (2**43, 2**43 + 1, 2**43 + 2**33):
+            former = 2**52 + (term + 1 - 2**19 << 18)
+            assert make_fencing_token(term, "i1") >= former
 
     def test_are_exact_in_readers_with_floating_point_numbers(self):
         assert make_fencing_token(2**34, "i1") < 2**53
