Let the fake instance of the holders' tests keep work running

Seven tests of test_overrun failed since the holder is started by keep_running, which the fake instance lacked: AttributeError, no statement about holders. They pass now, unchanged otherwise.

--- a/tests/components/placement/test_overrun.py
+++ b/tests/components/placement/test_overrun.py
@@ -169,6 +169,9 @@
         for term in (1, 2):
             self.add_holder(term, seed + term)
 
+    def keep_running(self, make_work, name, is_local):
+        return self.loop.create_task(make_work())
+
     def add_holder(self, term, seed):
         claims = PresetClaims(f"i{term}", lease_s=3.0, fenced=self.endpoint.fenced)
         claims.hold(term, self.loop.time())
@@ -177,7 +180,7 @@
             now=self.loop.time,
             bus=Bus(),
             metrics=Metrics(),
-            spawn=lambda work, name: self.loop.create_task(work),
+            keep_running=self.keep_running,
         )
         holder = EndpointHolder(
             instance,
