Read the store before a stream's version is said to be gone

What callers saw: after an instance had stood still for 1.9 s, 2 to 8 of some 30 streams that they took up there were refused for good as stream_version_gone, while endpoints of their version served.

Cause: what began the stream was known (a home said so), but the endpoints of that version were not yet in the instance's catalog, which was as old as the standstill. Nobody read the store before "gone" was said. By reading, the same for a stream of a service that the route does not have here yet.

Change: forward/stream_versions.py says "gone" only if the store has answered a call sent since the caller came back. Without such an answer the caller gets 503 with Retry-After. A route is looked up again after the read. The line stream_version_sought has what was decided.

Ways: to read (kept), or to wait for the follower (as an endpoint without a record does): the wait ends at the search's time in each case in which the store is away, and costs a version that is really gone the same wait, where TestLostVersion wants an answer at once.

Evidence: the three tests of TestCatalogThatIsBehind fail before (503 where 200 is due; no Retry-After; the route) and pass now.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -272,9 +272,9 @@
         if self._table is None:
             return Failure(ErrorKind.TREE_NOT_READY)
         host = headers.get("Host", "")
-        path = line.path.split("?", 1)[0]
-        route = self._table.find(host, path)
+        route = self.find_route(host, line.path)
         if route is None:
+            path = line.path.split("?", 1)[0]
             return Failure(ErrorKind.UNKNOWN_SERVICE, f"{host}{path}")
         shutdown = self._shutdown
         if shutdown is not None and not shutdown.may_accept(route, arrived):
@@ -325,6 +325,12 @@
 
     # Services to requests, see ``RequestHost``.
 
+    def find_route(self, host: str, target: str) -> Route | None:
+        """Return the route in force of a request, if any."""
+        if self._table is None:
+            return None
+        return self._table.find(host, target.split("?", 1)[0])
+
     def find_account(
         self, route: Route, metadata: CallerMetadata
     ) -> ClientAccount | Failure | None:
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -38,6 +38,9 @@
 
     # Before a request is sent.
 
+    def find_route(self, host: str, target: str) -> Route | None:
+        """Return the route in force of a request, if any."""
+
     def find_account(
         self, route: Route, metadata: CallerMetadata
     ) -> ClientAccount | Failure | None:
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -34,6 +34,7 @@
 from fescuekeel.components.origins import StreamOrigin
 from fescuekeel.components.quarantine import MAX_PARTS
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.catalog_link import get_catalog_link
 from fescuekeel.helpers.dialect import CallerMetadata
 from fescuekeel.helpers.fingerprint import compute_fingerprint, fingerprint_parts
 from fescuekeel.helpers.published import ClientAccount, Route, RouteKind, Weights
@@ -198,13 +199,36 @@
                 self.metadata.resumes[:MAX_DETAIL_CHARS],
                 retry_after_s=ORIGIN_RETRY_S,
             )
-        targets = {target.service for target in self.route.targets}
-        if origin.service not in targets:
-            return Failure(ErrorKind.STREAM_VERSION_GONE, origin.service)
+        if not self._may_be_served_by(origin.service):
+            refused = await self._update_route(origin.service)
+            if refused is not None:
+                return refused
         self.service = origin.service
         self.origin = origin
         return None
 
+    def _may_be_served_by(self, service: str) -> bool:
+        return service in {target.service for target in self.route.targets}
+
+    async def _update_route(self, service: str) -> Failure | None:
+        """Use the route now in force; return a failure if it lacks a service.
+
+        The stream may have begun under a configuration that this instance did
+        not know when the caller came back.
+        """
+        link = get_catalog_link(self.forwarder.instance)
+        is_confirmed = await link.confirm(self.arrived)
+        route = self.forwarder.find_route(self.host, self.target)
+        if route is not None:
+            self.route = route
+        if self._may_be_served_by(service):
+            return None
+        if is_confirmed:
+            return Failure(ErrorKind.STREAM_VERSION_GONE, service)
+        return Failure(
+            ErrorKind.CONFIGURATION_STALE, service, retry_after_s=ORIGIN_RETRY_S
+        )
+
     def _record_first_event(self) -> None:
         """Store the stream's origin, before the caller gets the event."""
         attempt = self._current_attempt
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -22,7 +22,6 @@
     NO_HOLDER_POLL_S,
     PATIENCE_TARGETS,
     PREFILL_S,
-    VERSION_WAIT_S,
 )
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.holders import HolderClient
@@ -33,6 +32,7 @@
     make_cut_off_failure,
     make_overload_failure,
 )
+from fescuekeel.components.forward.stream_versions import StreamVersions
 from fescuekeel.components.forward.versions import VersionTracker
 from fescuekeel.components.origins import Origins
 from fescuekeel.core import Instance
@@ -67,11 +67,11 @@
         self._get_load = get_load
         self._is_cut_off = is_cut_off
         self._limiter = limiter
-        self._origins = origins
         self._endpoints = endpoints
         self._holders = HolderClient(instance)
         self._load_requester = LoadRequester(instance, self._holders)
         self._versions = VersionTracker()
+        self._stream_versions = StreamVersions(instance, origins)
         self._seen_at_by_id: dict[str, float] = {}
         self._engines_by_service: dict[str, EngineSpec | None] = {}
 
@@ -160,7 +160,7 @@
             if choice is None:
                 # Guards against refusals while all endpoints of a service are
                 # replaced and the first is about to be ready.
-                gone = self._find_gone_version(request)
+                gone = await self._find_gone_version(request)
                 if gone is not None:
                     return gone
                 if self._instance.now() >= until:
@@ -453,12 +453,15 @@
             return "load takes too long"
         return detail
 
-    def _find_gone_version(self, request: ForwardedRequest) -> Failure | None:
+    async def _find_gone_version(self, request: ForwardedRequest) -> Failure | None:
         """Return a failure if no endpoint can resume a stream soon."""
-        origin = request.origin
-        if origin is None or self._origins.was_serving(origin, VERSION_WAIT_S):
+        if request.origin is None:
             return None
-        return Failure(ErrorKind.STREAM_VERSION_GONE, origin.software)
+        now = self._instance.now()
+        since = now if request.state.answer_started else request.arrived
+        return await self._stream_versions.find_failure(
+            request.metadata.request_id, request.origin, since
+        )
 
     def _list_candidates(self, request: ForwardedRequest) -> dict[str, EndpointRecord]:
         """Return the endpoints that can serve a request.
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -59,6 +59,7 @@
         retry_decided request_id reason sends left outcome
         stream_origin_sought request_id resumes service software answers confirmed \
             age_ms outcome
+        stream_version_sought request_id service software confirmed age_ms outcome
         work_failed request_id endpoint kind ran detail outcome
         """,
     ),
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -21,6 +21,7 @@
 )
 from standins.forwarding.platform import (
     ENGINES,
+    HOST,
     MODEL,
     StandInPlatform,
     make_configuration,
@@ -34,7 +35,7 @@
 )
 from standins.forwarding.workers import Worker
 from tests.common import eventually
-from tests.platform.test_path import run, start_world
+from tests.platform.test_path import publish_services, run, start_world
 from tests.platform.test_quarantine import add_endpoints
 
 MODEL_HEADERS = (("Fescuekeel-Model", MODEL), ("Fescuekeel-Token-Count", "500,20"))
@@ -53,9 +54,18 @@
         platform.publish_state(worker, "ready")
 
 
-def make_request(**changes):
+def stop_following(instance, monkeypatch):
+    """Let an instance learn of changes only when it reads the store itself."""
+    for task in instance._tasks:
+        if task.get_name() in ("catalog.follow", "catalog.request"):
+            task.cancel()
+    catalog = instance.components_by_domain["catalog"]
+    monkeypatch.setattr(catalog, "_start_request", lambda *arguments: None)
+
+
+def make_request(path="/explain/1", **changes):
     id = f"{next(STREAM_NUMBERS):014x}"
-    return StreamRequest(id, "/explain/1", MODEL_HEADERS, **changes)
+    return StreamRequest(id, path, MODEL_HEADERS, **changes)
 
 
 def list_callers(world):
@@ -216,6 +226,79 @@
         run(work)
 
 
+class TestCatalogThatIsBehind:
+    # Guards against a stream that is refused as gone at an instance that knows
+    # what began it, and not yet the endpoints that serve that version.
+    def test_a_stream_goes_on(self, monkeypatch):
+        async def work():
+            async with start_world(2) as world:
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                stop_following(world.instances[0], monkeypatch)
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.software = "v2"
+                    world.platform.publish_state(worker, "ready")
+                await eventually(lambda: not knows_versions(world.instances[1]))
+                request = make_request(leaves_after=3, time_left_s=2.0)
+                stream = await run_stream(request, list_callers(world)[::-1])
+                assert stream.statuses == [200, 200]
+                assert stream.whole
+                assert not stream.has_two_versions
+
+        run(work)
+
+    # Guards against a stream that is refused as gone at an instance that does
+    # not know yet that its route has another service.
+    def test_a_stream_of_a_moved_route_goes_on(self, monkeypatch):
+        async def work():
+            async with start_world(2) as world:
+                stop_following(world.instances[0], monkeypatch)
+                engines, plain = make_configuration(1)["services"]
+                worker = Worker("others", MODEL)
+                worker.events, worker.event_s = EVENTS, 0.01
+                world.platform.add(worker, "a")
+                others = engines | {"name": "others"}
+                changes = {"service": "others", "resumable": True}
+                publish_services(world, engines, others, plain, **changes)
+                (ahead,) = world.instances[1:]
+                forward = ahead.components_by_domain["forward"]
+                await eventually(
+                    lambda: (
+                        forward.find_route(HOST, "/script/1").targets[0].service
+                        == "others"
+                    )
+                )
+                request = make_request("/script/1", leaves_after=3, time_left_s=4.0)
+                stream = await run_stream(request, list_callers(world)[::-1])
+                assert stream.statuses == [200, 200]
+                assert stream.whole
+                assert worker.runs
+
+        run(work)
+
+    # Guards against a version that is said to be gone although the store did
+    # not answer: it may serve.
+    def test_a_stream_is_to_come_back_without_an_answer_of_the_store(self, monkeypatch):
+        async def work():
+            async with start_world(2) as world:
+                set_versions(world.platform)
+                await eventually(lambda: all(map(knows_versions, world.instances)))
+                stop_following(world.instances[0], monkeypatch)
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.software = "v2"
+                    world.platform.publish_state(worker, "ready")
+                await eventually(lambda: not knows_versions(world.instances[1]))
+                request = make_request(leaves_after=3, time_left_s=0.5)
+                begun = await run_stream(request, list_callers(world)[1:])
+                world.platform.store.refuse = 503
+                async with asyncio.timeout(2.0):
+                    answer = await send_raw(world, 0, begun.attempts[0])
+                assert answer.status == 503
+                assert "retry-after" in answer.headers
+
+        run(work)
+
+
 class TestRestartWithAnotherVersion:
     # Guards against a stream that goes on at an endpoint whose entry still
     # shows the version it had before it restarted.
