Bound the choices of a request in number and time, whatever repeats

A property test that draws sequences of "choose again" shows two ways in which the former bound does not hold: it counted choices without time between in a row, so that one of 6 ms among 20 began the count anew, and choices that take time each never ended (0.1 s each: 60 s in a search of 2 s).

Change: Search.begin_round allows 20 choices and one more for each 5 ms, with pauses of 0.1 s beyond that, and ends a search after five choices beyond its time. A search whose choices never repeat so is as before: the rate after a pause was 20 in 0.1 s already.

Evidence: TestChoicesThatRepeat fails before (60 s), passes now with at most 450 choices in 2 s. Tests of forward, the path, endpoint limits and brittle endpoints pass.

--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -2,11 +2,13 @@
 
 import random
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from fescuekeel.components.endpoints import Block, BlockReason
 from fescuekeel.components.forward.const import (
     MAX_CONGESTED,
     MAX_CUT_OFF_RETRY_S,
+    MAX_LATE_ROUNDS,
     MAX_OVERLOAD_RETRY_S,
     MAX_PERMITS_ASKED,
     MAX_PERMITS_AWAITED,
@@ -20,7 +22,7 @@
 from fescuekeel.helpers.placement_view import NOT_HELD
 from fescuekeel.messages import AdmitAnswer
 
-__all__ = ["Search", "make_cut_off_failure", "make_overload_failure"]
+__all__ = ["RoundStep", "Search", "make_cut_off_failure", "make_overload_failure"]
 
 
 def make_cut_off_failure() -> Failure:
@@ -35,6 +37,14 @@
     return Failure(kind, detail, retry_after_s=retry_after_s)
 
 
+class RoundStep(StrEnum):
+    """What to do before a choice."""
+
+    CHOOSE = "choose"
+    PAUSE = "pause"
+    END = "end"
+
+
 @dataclass(slots=True)
 class Search:
     """The progress of the search for a request's endpoint.
@@ -59,8 +69,9 @@
     without_permit: set[str] = field(default_factory=set)
     permits_asked: int = 0
     permits_awaited: int = 0
-    _quick_rounds: int = 0
-    _round_ended_at: float = float("-inf")
+    _rounds: int = 0
+    _late_rounds: int = 0
+    _began_at: float | None = None
     failure: Failure = field(
         default_factory=lambda: make_overload_failure(
             ErrorKind.NO_ENDPOINT, "no endpoint"
@@ -147,20 +158,27 @@
         self.full.add(endpoint)
         self.refusals += 1
 
-    def record_round(self, now: float) -> bool:
-        """Record that a choice begins; return whether to pause before it.
+    def begin_round(self, now: float) -> RoundStep:
+        """Record that a choice begins; return what to do before it.
 
         Choices that take no time block other endpoints each, unless something
         repeats that the search does not know of.
 
         >>> search = Search(until=10.0)
-        >>> [search.record_round(1.0) for _ in range(30)].count(True)
-        9
+        >>> [search.begin_round(1.0) for _ in range(30)].count(RoundStep.PAUSE)
+        10
+        >>> [search.begin_round(11.0).value for _ in range(6)][-2:]
+        ['choose', 'end']
         """
-        is_quick = now - self._round_ended_at < MIN_ROUND_S
-        self._quick_rounds = self._quick_rounds + 1 if is_quick else 0
-        self._round_ended_at = now
-        return self._quick_rounds > MAX_QUICK_ROUNDS
+        if self._began_at is None:
+            self._began_at = now
+        self._rounds += 1
+        if now >= self.until:
+            self._late_rounds += 1
+        if self._late_rounds > MAX_LATE_ROUNDS:
+            return RoundStep.END
+        allowed = MAX_QUICK_ROUNDS + (now - self._began_at) / MIN_ROUND_S
+        return RoundStep.PAUSE if self._rounds > allowed else RoundStep.CHOOSE
 
     def is_exhausted(self, now: float) -> bool:
         """Return whether the time or the limit of refusals is used up."""
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -28,6 +28,7 @@
 from fescuekeel.components.forward.loading import LoadRequester
 from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.components.forward.search import (
+    RoundStep,
     Search,
     make_cut_off_failure,
     make_overload_failure,
@@ -140,7 +141,10 @@
         search = Search(until)
         found: Choice | Failure | None
         while True:
-            if search.record_round(self._instance.now()):
+            step = search.begin_round(self._instance.now())
+            if step is RoundStep.END:
+                return search.failure
+            if step is RoundStep.PAUSE:
                 # Guards against a busy loop where nothing else waits.
                 await asyncio.sleep(NO_HOLDER_POLL_S)
                 if self._instance.now() >= until:
