Show invalid addresses of entries to the soak's daemons as they are

The soak's daemons read their store through links, which replaced each address of an entry by that of a proxy, also invalid ones: a port above 65535 never reached a daemon, and the proxy logged OverflowError.

--- a/standins/forwarding/links.py
+++ b/standins/forwarding/links.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import deque
+from ipaddress import IPv4Address
 
 import orjson
 
@@ -15,6 +16,7 @@
 
 __all__ = ["InstanceLinks"]
 
+MAX_PORT = 65535
 SERVERS_PREFIX = "servers/"
 
 
@@ -58,6 +60,9 @@
         except (ValueError, KeyError, TypeError):
             # Invalid entries are part of what the tests write.
             return item
+        if not _can_be_connected_to(target):
+            # The daemon is to meet invalid addresses, too.
+            return item
         entry["address"] = await self._get_proxy_address(target)
         return Item(item.key, orjson.dumps(entry), item.revision)
 
@@ -106,5 +111,19 @@
         await self.server.stop()
 
 
+def _can_be_connected_to(address: object) -> bool:
+    """Return whether an address is an IPv4 address with a port.
+
+    >>> [_can_be_connected_to(f"127.0.0.1:{port}") for port in (80, 70000)]
+    [True, False]
+    """
+    host, _, port = str(address).partition(":")
+    try:
+        IPv4Address(host)
+        return 0 < int(port) <= MAX_PORT
+    except ValueError:
+        return False
+
+
 def _read_revision(item: Item) -> int:
     return item.revision
