Check the key anew where a stream is taken up under a newer route

The account is found anew now, and a refusal ends the request. The new test got 200 before, and gets 401 now, with nothing run.

--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -214,13 +214,16 @@
         """Use the route now in force; return a failure if it lacks a service.
 
         The stream may have begun under a configuration that this instance did
-        not know when the caller came back.
+        not know when the caller came back. The route may ask for a key now.
         """
         link = get_catalog_link(self.forwarder.instance)
         is_confirmed = await link.confirm(self.arrived)
         route = self.forwarder.find_route(self.host, self.target)
         if route is not None:
-            self.route = route
+            account = self.forwarder.find_account(route, self.metadata)
+            if isinstance(account, Failure):
+                return account
+            self.route, self.account = route, account
         if self._may_be_served_by(service):
             return None
         if is_confirmed:
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from fescuekeel.errors import RESPONSES_BY_KIND, ErrorKind
+from fescuekeel.helpers.published import Catalog
 from standins.fleet import free_addresses
 from standins.forwarding.answers import AnswerBreak, BreakPoint
 from standins.forwarding.caller import make_headers
@@ -35,6 +36,7 @@
 )
 from standins.forwarding.workers import Worker
 from tests.common import eventually
+from tests.platform.test_accounts import make_account
 from tests.platform.test_path import publish_services, run, start_world
 from tests.platform.test_quarantine import add_endpoints
 
@@ -81,6 +83,10 @@
     return {record.software for record in records} == {"v1", "v1.1"}
 
 
+def get_version(instance):
+    return instance.bus.latest(Catalog).configuration.version
+
+
 def check(streams):
     """Check that streams are of one version, and that they went on."""
     resumed = [stream for stream in streams if stream.resumed]
@@ -276,6 +282,42 @@
 
         run(work)
 
+    # Guards against a stream that goes on without the key that its route has
+    # asked for since.
+    def test_a_stream_of_a_moved_route_needs_its_key(self, monkeypatch):
+        async def work():
+            async with start_world(2) as world:
+                stop_following(world.instances[0], monkeypatch)
+                worker = Worker("others", MODEL)
+                worker.events, worker.event_s = EVENTS, 0.01
+                world.platform.add(worker, "a")
+                configuration = make_configuration(2)
+                engines = configuration["services"][0]
+                configuration["services"].append(engines | {"name": "others"})
+                configuration["routes"][3]["service"] = "others"
+                account = make_account("shop", "key-1")
+                world.platform.publish_configuration(
+                    configuration | {"tenants": [account]}
+                )
+                (ahead,) = world.instances[1:]
+                await eventually(lambda: get_version(ahead) == 2)
+                headers = (*MODEL_HEADERS, ("X-Api-Key", "key-1"))
+                request = StreamRequest(
+                    f"{next(STREAM_NUMBERS):014x}",
+                    "/explain/1",
+                    headers,
+                    leaves_after=3,
+                    time_left_s=0.5,
+                )
+                begun = await run_stream(request, list_callers(world)[1:])
+                runs = len(worker.runs)
+                assert runs
+                answer = await send_raw(world, 0, begun.attempts[0])
+                assert answer.status == 401
+                assert len(worker.runs) == runs
+
+        run(work)
+
     # Guards against a version that is said to be gone although the store did
     # not answer: it may serve.
     def test_a_stream_is_to_come_back_without_an_answer_of_the_store(self, monkeypatch):
