--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -165,11 +165,11 @@
 MIN_OVERLOAD_RETRY_S: Final = 1.5
 MAX_OVERLOAD_RETRY_S: Final = 3.5
 LOAD_ASK_TIMEOUT_S: Final = 3.5
-# A request may choose so many endpoints at once, and one more for each of
-# these times; then it pauses before the next choice.
+# How many endpoints a request may choose without a pause: a burst, and one
+# more for each MIN_ROUND_S of its search.
 MAX_QUICK_ROUNDS: Final = 20
 MIN_ROUND_S: Final = 0.005
-# Choices after the search's time is over, for what has just become free.
+# Choices after the search's time, for an endpoint that has just become free.
 MAX_LATE_ROUNDS: Final = 5
 # The polling interval while no endpoint, or no holder of it, is known.
 NO_HOLDER_POLL_S: Final = 0.1
--- a/fescuekeel/components/forward/stream_versions.py
+++ b/fescuekeel/components/forward/stream_versions.py
@@ -1,4 +1,4 @@
-"""Refuse streams of software versions that no endpoint has any more."""
+"""Tell whether an endpoint of a stream's software version is left."""
 
 from fescuekeel.components.forward.const import VERSION_WAIT_S
 from fescuekeel.components.forward.search import make_overload_failure
