Look for another endpoint before a silent one is left

What callers saw: streams that may be resumed were cut off at an endpoint that was silent for 1.6 s or more and then went on, while streams that may not be resumed ended whole.

Cause: the connection to the silent endpoint was closed first, and another endpoint was sought after that. Without a place, a connection or budget there, the caller was cut off. The same function served a lost direct path.

Change: forward/failover.py looks for the other endpoint while the attempt stays open, and ends the attempt only once the other has admitted the request, is connected and checked, and the retry budget is charged. A byte from the first endpoint ends the search. A caller that reads slowly no longer looks like a silent endpoint.

--- a/fescuekeel/components/endpoints/load.py
+++ b/fescuekeel/components/endpoints/load.py
@@ -112,6 +112,11 @@
             and now - self._waiting_since > UNRESPONSIVE_AFTER_S
         )
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Return since when answers are due and nothing is received."""
+        return self._waiting_since
+
     @property
     def is_silent(self) -> bool:
         """Return whether answers are due and nothing came since a check."""
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -405,9 +405,11 @@
             return None
         return min(LOWEST_PRIORITY, max(0, request.priority))
 
-    async def select_endpoint(self, request: ForwardedRequest) -> Choice | Failure:
+    async def select_endpoint(
+        self, request: ForwardedRequest, avoided: str = ""
+    ) -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission."""
-        return await self._selector.select_endpoint(request)
+        return await self._selector.select_endpoint(request, avoided)
 
     def record_use_ended(self) -> None:
         """Report the end of a use of weights to the holders soon."""
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -90,6 +90,9 @@
 NEW_ENDPOINT_S: Final = 10.0
 # The longest answer with an error that is kept while the request is retried.
 MAX_KEPT_ANSWER_BYTES: Final = 64 * 1024
+# The pause between two searches for another endpoint of a request whose
+# endpoint is silent.
+FAILOVER_PAUSE_S: Final = 0.5
 # Limit of sends per request, regardless of the retry budget.
 MAX_SENDS: Final = 4
 
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from fescuekeel.components.allowance import PermitOutcome
 from fescuekeel.components.forward.attempt import Attempt, FailedAnswer, Transfer
 from fescuekeel.components.forward.attempts import AttemptEnd
 from fescuekeel.components.forward.broken_run import BrokenRun
@@ -53,9 +54,17 @@
         self.forwarder = request.forwarder
         self.attempt = attempt
         self.choice = choice
+        # Whether the retry budget was charged before the request is sent.
+        self.is_charged = False
 
-    async def run(self) -> AttemptEnd | None:
-        """Return how the attempt ended, ``None`` if it was answered."""
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether the connection leads through a peer."""
+        connection = self.attempt.connection
+        return connection is not None and bool(connection.relayed_by)
+
+    async def connect(self) -> AttemptEnd | None:
+        """Connect; return why the request cannot be sent, or ``None``."""
         try:
             connection = await self._connect()
         except NotConnectedError:
@@ -69,6 +78,20 @@
                     return AttemptEnd.MISDIRECTED
             except (IncompleteResponseError, NotConnectedError, ValueError):
                 return AttemptEnd.UNSENT
+        return None
+
+    async def run(self) -> AttemptEnd | None:
+        """Return how the attempt ended, ``None`` if it was answered."""
+        connection = self.attempt.connection
+        if connection is None:
+            unconnected = await self.connect()
+            if unconnected is not None:
+                return unconnected
+            connection = self.attempt.connection
+            assert connection is not None
+        elif not self._may_send():
+            self._refund()
+            return AttemptEnd.UNSENT
         unsent = self._send_within_budget(connection)
         if unsent is not None:
             return unsent
@@ -203,18 +226,34 @@
         endpoint for longer than the budget's window.
         """
         request = self.request
-        is_retry = request.state.sends > 0
-        if is_retry and not self.forwarder.spend_retry(request):
-            return AttemptEnd.OVER_BUDGET
+        if request.state.sends > 0 and not self.is_charged:
+            self.is_charged = self.forwarder.spend_retry(request)
+            if not self.is_charged:
+                return AttemptEnd.OVER_BUDGET
         self.attempt.sent_at = self.forwarder.instance.now()
         try:
             self._send(connection)
         except NotConnectedError:
-            if is_retry:
-                self.forwarder.refund_retry(request)
+            self._refund()
             return AttemptEnd.UNSENT
         return None
 
+    def abandon(self) -> None:
+        """Return what was taken for an attempt that is not made."""
+        if self.attempt.connection is not None:
+            self.attempt.connection.close()
+        self._refund()
+        if self.choice.within_limit:
+            self.forwarder.limiter.refund(self.choice.endpoint)
+        if self.choice.permit is not None:
+            self.forwarder.limiter.end_permit(self.choice.permit, PermitOutcome.UNUSED)
+
+    def _refund(self) -> None:
+        """Return the retry of a request that is not sent after all."""
+        if self.is_charged:
+            self.is_charged = False
+            self.forwarder.refund_retry(self.request)
+
     def _send(self, connection: Connection) -> None:
         request = self.request
         forward_metadata = ForwardMetadata(
@@ -383,6 +422,7 @@
     # Observations of the endpoint.
 
     def _record_received(self) -> None:
+        self.request.failover.end_search()
         now = self.forwarder.instance.now()
         self.forwarder.get_load(self.attempt.endpoint).health.record_received(now)
 
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -46,7 +46,7 @@
     ) -> ClientAccount | Failure | None:
         """Authenticate a request with the current configuration."""
 
-    async def select_endpoint(self, request: R) -> Choice | Failure:
+    async def select_endpoint(self, request: R, avoided: str = "") -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission."""
 
     def get_priority(self, request: R) -> int | None:
--- a/fescuekeel/components/forward/reachability.py
+++ b/fescuekeel/components/forward/reachability.py
@@ -75,7 +75,7 @@
                 self._isolation.record_reached(member.data_centre, received_at)
 
     def check_silent(self, requests: Collection[ForwardedRequest]) -> None:
-        """Check the paths to silent endpoints; fail over if they remain so."""
+        """Check the paths to silent endpoints; look for others in time."""
         now = self._instance.now()
         for id, load in list(self._loads_by_id.items()):
             if load.health.must_fail_over(now):
@@ -102,22 +102,25 @@
         requests: Collection[ForwardedRequest],
         by_another_path: bool,
     ) -> None:
-        """Abort the requests at an endpoint that may be sent once more."""
-        aborted = [
+        """Let requests at a silent endpoint look for another one.
+
+        Each leaves it only once another endpoint can go on with it.
+        """
+        begun = [
             request
             for request in list(requests)
             if request.current_endpoint == endpoint
-            and request.abort_for_failover(by_another_path)
+            and request.begin_failover(by_another_path)
         ]
-        if not aborted:
+        if not begun:
             return
         if not by_another_path:
             self._loads_by_id[endpoint].health.record_unreachable(self._instance.now())
-        self._instance.metrics.count("left_silent_endpoint", len(aborted))
+        self._instance.metrics.count("failover.begun", len(begun))
         log_event(
-            "silent_endpoint_left",
+            "failover_begun",
             endpoint=endpoint,
-            requests=len(aborted),
+            requests=len(begun),
             path=self._relay.get_state(endpoint).value,
             outcome="by_another_path" if by_another_path else "elsewhere",
         )
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -30,6 +30,7 @@
     ORIGIN_RETRY_S,
 )
 from fescuekeel.components.forward.exchange import Exchange
+from fescuekeel.components.forward.failover import Failover
 from fescuekeel.components.forward.host import RequestHost
 from fescuekeel.components.origins import StreamOrigin
 from fescuekeel.components.quarantine import MAX_PARTS
@@ -74,6 +75,7 @@
     broken_run: BrokenRun | None = None
     failed_answer: FailedAnswer | None = None
     answer: ForwardedAnswer = field(init=False)
+    failover: Failover = field(init=False)
     _current_attempt: Attempt | None = None
     _caller_closed: bool = field(default=False)
     _fingerprint: str = ""
@@ -81,6 +83,7 @@
 
     def __post_init__(self) -> None:
         """Make the answer, which all attempts share."""
+        self.failover = Failover(self)
         expects_events = self.route.kind is RouteKind.STREAM
         self.answer = ForwardedAnswer(
             self.caller, self.state, expects_events, self._record_first_event
@@ -144,6 +147,7 @@
             await self._end_failed()
             raise
         finally:
+            self.failover.cancel()
             self.forwarder.record_end(self)
 
     def handle_caller_closed(self, task: asyncio.Task[None]) -> None:
@@ -151,25 +155,32 @@
         self._caller_closed = True
         task.cancel()
 
-    def abort_for_failover(self, by_another_path: bool) -> bool:
-        """Abort the current attempt if the request may be sent once more.
+    def begin_failover(self, by_another_path: bool) -> bool:
+        """Look for another endpoint if the request may be sent once more.
 
         Guards against a stream that waits for an unreachable endpoint until
         its caller gives up. With ``by_another_path`` the endpoint itself may
         get it again, and only direct connections are affected. Returns whether
-        the attempt was aborted.
+        a search has begun.
         """
         attempt = self._current_attempt
         if attempt is None or attempt.connection is None:
             return False
         if not self.state.repeatable or not self.answer.can_go_on:
             return False
+        if not attempt.connection.awaits_data:
+            return False
         if by_another_path and attempt.connection.relayed_by:
             return False
         if not self.state.may_send_again(by_another_path):
             return False
-        attempt.connection.close()
-        return True
+        if not self.forwarder.has_retry_budget(self):
+            return False
+        return self.failover.begin(attempt, by_another_path)
+
+    def is_current(self, attempt: Attempt) -> bool:
+        """Return whether an attempt is under way."""
+        return self._current_attempt is attempt
 
     @property
     def resumes_stream(self) -> bool:
@@ -271,20 +282,23 @@
             if quarantined is not None:
                 await self._fail(quarantined)
                 return
-            choice = await self.forwarder.select_endpoint(self)
-            if isinstance(choice, Failure):
-                await self._refuse_before_attempt(choice)
+            found = self.failover.take() or await self._find_attempt()
+            if isinstance(found, Failure):
+                await self._refuse_before_attempt(found)
                 return
             refusal = self._recheck_account()
             if refusal is not None:
-                self._end_permit(choice, PermitOutcome.UNUSED)
+                found.abandon()
                 await self._refuse_before_attempt(refusal)
                 return
-            end = await self._attempt(choice)
+            end = await self._attempt(found)
             if end is None:
                 return
             if self.broken_run is not None:
                 await self._report_broken(self.broken_run)
+            if self.failover.is_prepared:
+                self.state.may_have_run = True
+                continue
             step = decide(self.state, end)
             if step.uses_budget and not self.forwarder.may_retry(self, end):
                 await self._give_up(step.kind, "budget")
@@ -301,6 +315,15 @@
             await self._give_up(step.kind, end.value)
             return
 
+    async def _find_attempt(self) -> Exchange | Failure:
+        """Wait for an endpoint; return the attempt there."""
+        began_at = self.forwarder.instance.now()
+        choice = await self.forwarder.select_endpoint(self)
+        self.waited_s += self.forwarder.instance.now() - began_at
+        if isinstance(choice, Failure):
+            return choice
+        return Exchange(self, self.make_attempt(choice), choice)
+
     def _recheck_account(self) -> Failure | None:
         """Authenticate the request again; return a failure if rejected.
 
@@ -374,23 +397,32 @@
 
     # One attempt.
 
-    async def _attempt(self, choice: Choice) -> AttemptEnd | None:
-        """Send the request once; return ``None`` if it was answered."""
+    def make_attempt(self, choice: Choice) -> Attempt:
+        """Return an attempt that begins now."""
         now = self.forwarder.instance.now()
-        if self.deadline - now < MIN_TIME_LEFT_S:
-            raise TimeoutError
-        load = self.forwarder.get_load(choice.endpoint)
         tokens = self.metadata.prompt_tokens if self.weights else 0
         tokens_ahead = self.forwarder.count_tokens_ahead(choice.endpoint, tokens)
-        attempt = self._current_attempt = Attempt(
+        return Attempt(
             choice.endpoint, now, tokens, tokens_ahead, software=choice.software
         )
+
+    async def _attempt(self, exchange: Exchange) -> AttemptEnd | None:
+        """Send the request once; return ``None`` if it was answered."""
+        now = self.forwarder.instance.now()
+        choice, attempt = exchange.choice, exchange.attempt
+        if self.deadline - now < MIN_TIME_LEFT_S:
+            exchange.abandon()
+            raise TimeoutError
+        load = self.forwarder.get_load(choice.endpoint)
+        attempt.started_at = now
+        tokens = attempt.tokens
+        self._current_attempt = attempt
         self.broken_run = None
         load.begin(self.weights, tokens)
         load.health.record_sent(now)
         end: AttemptEnd | None = AttemptEnd.BROKEN
         try:
-            end = await Exchange(self, attempt, choice).run()
+            end = await exchange.run()
         finally:
             self._current_attempt = None
             self._end_permit(choice, get_permit_outcome(end))
--- a/fescuekeel/components/forward/search.py
+++ b/fescuekeel/components/forward/search.py
@@ -52,8 +52,8 @@
     At a ``congested`` endpoint the request would have to queue, and at a
     ``full`` one the queue has no room. Endpoints that are at their rate limits
     are so until a time. For those ``without_permit`` the request got none, and
-    it waits for some of them. ``failure`` is the caller's answer if the search
-    ends now.
+    it waits for some of them. The ``avoided`` one is silent. ``failure`` is
+    the caller's answer if the search ends now.
 
     >>> search = Search(until=10.0)
     >>> search.record_congested("e1")
@@ -62,6 +62,7 @@
     """
 
     until: float
+    avoided: str = ""
     congested: set[str] = field(default_factory=set)
     full: set[str] = field(default_factory=set)
     limited_until_by_id: dict[str, float] = field(default_factory=dict)
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -119,9 +119,13 @@
         """Return the engine of a service, ``None`` for a plain one."""
         return self._engines_by_service.get(service)
 
-    async def select_endpoint(self, request: ForwardedRequest) -> Choice | Failure:
+    async def select_endpoint(
+        self, request: ForwardedRequest, avoided: str = ""
+    ) -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission.
 
+        The ``avoided`` endpoint is left out, also if there is no other.
+
         A stream that is resumed gets the full wait again: counted from its
         arrival, the time would be over and the stream would be cut.
         """
@@ -131,14 +135,12 @@
             since + PATIENCE_TARGETS * request.route.target_s,
             began + LOAD_WAIT_SHARE * (request.deadline - began),
         )
-        result = await self._select_until(request, until)
-        request.waited_s += self._instance.now() - began
-        return result
+        return await self._select_until(request, until, avoided)
 
     async def _select_until(
-        self, request: ForwardedRequest, until: float
+        self, request: ForwardedRequest, until: float, avoided: str = ""
     ) -> Choice | Failure:
-        search = Search(until)
+        search = Search(until, avoided)
         found: Choice | Failure | None
         while True:
             step = search.begin_round(self._instance.now())
@@ -238,9 +240,12 @@
                 search.record_limited(choice.endpoint, until)
                 return None
             choice = replace(choice, within_limit=True)
-        found = await self._send_with_permit(request, choice, search)
-        if choice.within_limit and not isinstance(found, Choice):
-            self._limiter.refund(choice.endpoint)
+        found: Choice | Failure | None = None
+        try:
+            found = await self._send_with_permit(request, choice, search)
+        finally:
+            if choice.within_limit and not isinstance(found, Choice):
+                self._limiter.refund(choice.endpoint)
         return found
 
     async def _send_with_permit(
@@ -499,7 +504,9 @@
         allowed = {
             id: record
             for id, record in records.items()
-            if state.may_send_to(id) and self._endpoints.find_block(id) is None
+            if id != search.avoided
+            and state.may_send_to(id)
+            and self._endpoints.find_block(id) is None
         }
 
         def list_blocks(endpoint: str) -> list[Block]:
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -50,6 +50,8 @@
         answer_dropped request_id answered_id status connection position outcome
         answer_broken request_id fingerprint endpoint kept age_ms error outcome
         attempt_ended request_id send connection position endpoint took_ms outcome
+        failover_ended request_id endpoint target by_another_path answer_started \
+            took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         parts_in_crash request_id endpoint parts written_ms outcome
         request_ended request_id service took_ms outcome
@@ -104,7 +106,7 @@
         relay_refused peer endpoint reaches_others outcome
         rejection_limit_changed service max_rejections_per_s age_ms outcome
         runs_read endpoints answered runs
-        silent_endpoint_left endpoint requests path outcome
+        failover_begun endpoint requests path outcome
         store_era_changed before revision first_revision kept source
         stale_incarnation_dropped endpoint source born_ms newest_born_ms revision
         tree_ignored reason revision digest source
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -194,6 +194,14 @@
         open_ = self._transport is not None and not self._transport.is_closing()
         return open_ and not self._eof_received and self._close_reason is None
 
+    @property
+    def awaits_data(self) -> bool:
+        """Return whether the reader waits, with nothing left to read.
+
+        It does not while the caller is slow to take what was read before.
+        """
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def age_s(self) -> float:
         """Return for how long the connection has been open."""
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -358,3 +358,24 @@
             server.close()
 
         run(work())
+
+
+class TestAwaitsData:
+    # Guards against taking a caller that reads slowly for a silent endpoint.
+    def test_is_false_while_there_is_data_to_read(self):
+        async def work():
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+            async with Server([head, b"ab"]) as server:
+                connection = await connect(server.address, 1.0)
+                connection.send("GET", "/", HEADERS, b"")
+                await connection.read_head()
+                await asyncio.sleep(0.1)
+                assert not connection.awaits_data
+                await connection.read_chunk()
+                rest = asyncio.ensure_future(connection.read_chunk())
+                await asyncio.sleep(0.05)
+                assert connection.awaits_data
+                rest.cancel()
+                connection.close()
+
+        asyncio.run(work())
--- a/tests/platform/test_silent_endpoint.py
+++ b/tests/platform/test_silent_endpoint.py
@@ -1,6 +1,8 @@
 """End-to-end tests of streams at endpoints that fall silent and go on."""
 
 import asyncio
+import random
+import re
 from enum import StrEnum
 from http import HTTPStatus
 
@@ -83,3 +85,97 @@
                 assert list(outcomes.values()).count(Outcome.WHOLE) >= ADAPTERS
 
         run(work)
+
+
+class TestStreamsWithoutRetryBudget:
+    # Guards against cutting resumable streams off at an endpoint that falls
+    # silent and goes on, while the retry budget has nothing left.
+    def test_none_is_cut_off(self):
+        async def work():
+            async with start_world(2) as world:
+                await publish_long_routes(world)
+                for instance in world.instances:
+                    budget = instance.components_by_domain["forward"].budget
+                    budget.ratio = budget.slack = 0
+                engine, other = world.platform.list_workers(ENGINES)
+                for each in (engine, other):
+                    each.events, each.event_s = EVENTS, EVENT_S
+                streams = [
+                    receive_stream(world, "resumed", "", n % 2) for n in range(6)
+                ]
+                tasks = [asyncio.ensure_future(stream) for stream in streams]
+                await asyncio.sleep(SILENT_AFTER_S)
+                engine.pause(2.5)
+                outcomes = await asyncio.gather(*tasks)
+                assert set(outcomes) == {Outcome.WHOLE}
+
+        run(work)
+
+
+class TestStreamsWithAnotherPlace:
+    # Guards against streams that stay at an endpoint that never answers again,
+    # although another endpoint can go on with them.
+    def test_go_on_elsewhere_in_order(self):
+        async def work():
+            async with start_world(2) as world:
+                grant_retries(world)
+                await publish_long_routes(world)
+                engine, other = world.platform.list_workers(ENGINES)
+                for each in (engine, other):
+                    each.events, each.event_s = 20, EVENT_S
+                tasks = [
+                    asyncio.ensure_future(
+                        world.send_stream_request(
+                            "/resumed/1", "", n % 2, **LONG_DEADLINE
+                        )
+                    )
+                    for n in range(6)
+                ]
+                await asyncio.sleep(1.0)
+                assert engine.running
+                engine.pause(8.0)
+                async with asyncio.timeout(7.0):
+                    answers = await asyncio.gather(*tasks)
+                expected = [str(number).encode() for number in range(1, 21)]
+                for answer, _ in answers:
+                    assert re.findall(rb"id: (\d+)", answer.body) == expected
+
+        run(work)
+
+
+class TestDrawnSilences:
+    # Guards against cutting a resumable stream off sooner than one that may
+    # not be resumed, at the same endpoint and in the same history.
+    @pytest.mark.parametrize("seed", range(6))
+    def test_no_resumable_stream_is_cut_sooner(self, seed):
+        async def work():
+            drawn = random.Random(seed)
+            async with start_world(2) as world:
+                budgets = [
+                    instance.components_by_domain["forward"].budget
+                    for instance in world.instances
+                ]
+                for budget in budgets:
+                    budget.slack = drawn.choice([0, 2, 1000])
+                    budget.ratio = drawn.choice([0, 0.2])
+                await publish_long_routes(world)
+                engines = world.platform.list_workers(ENGINES)
+                for engine in engines:
+                    engine.events, engine.event_s = EVENTS, 0.07
+                adapters = drawn.choice([1, 4, 8])
+                streams = {
+                    (route, n): asyncio.ensure_future(
+                        receive_stream(world, route, f"a{n % adapters}", n % 2)
+                    )
+                    for n in range(8)
+                    for route in ("fixed", "resumed")
+                }
+                await asyncio.sleep(SILENT_AFTER_S)
+                for _ in range(3):
+                    drawn.choice(engines).pause(drawn.uniform(0.8, 2.2))
+                    await asyncio.sleep(drawn.uniform(0.1, 1.2))
+                await asyncio.gather(*streams.values())
+                outcomes = {key: stream.result() for key, stream in streams.items()}
+                assert Outcome.CUT not in outcomes.values(), outcomes
+
+        run(work)
