Keep the last log lines of requests and of the process

Operators found no line for requests that were cut around a stop. Four ways in which LineDestination loses such a line: one outcome of an event takes the 400 lines a second of all others (3,000 callers that leave displace one "stopped"); a full queue drops any line, and says so nowhere; the counts of the last second are never written; one failed write, or one character without an encoding, ends the writing thread, and the process logs nothing more.

Each outcome now has its own limit. Events on how requests and the process end have a limit and room in the queue of their own, and wake the writer at once instead of within 50 ms. Lines that had no room or failed to be written are counted in lines_dropped, at the stop as well. flush_destinations waits for the writer, for processes that end without a stop. The thread is woken by SimpleQueue, as the handler of a signal may log while the loop does.

--- a/fescuekeel/helpers/logging.py
+++ b/fescuekeel/helpers/logging.py
@@ -4,6 +4,7 @@
 in eliot, which is not used because of its import time and cost per line.
 """
 
+import queue
 import sys
 import threading
 import time
@@ -14,6 +15,7 @@
 __all__ = [
     "LineDestination",
     "add_destination",
+    "flush_destinations",
     "format_line",
     "log_event",
     "remove_destination",
@@ -22,13 +24,33 @@
 Destination = Callable[[dict[str, Any]], None]
 
 MAX_QUEUED_LINES = 10_000
-# Rate limits per event, for successes and for all other outcomes.
+# Rate limits per event, for all successes and for each other outcome.
 SUCCESS_LINES_PER_S = 100
 OTHER_LINES_PER_S = 400
+# Events that tell how requests and the process end. They are written at once,
+# and have places in the queue that no other event may take.
+URGENT_EVENTS = frozenset(
+    {
+        "answer_unflushed",
+        "component_stopped",
+        "instance_blocked",
+        "instance_failed",
+        "instance_stopped",
+        "instance_stopping",
+        "lines_dropped",
+        "request_cut",
+        "shutdown_began",
+        "shutdown_ended",
+    }
+)
+URGENT_LINES_PER_S = 2_000
+RESERVED_LINES = 4_000
 SUCCESS_OUTCOMES = frozenset(
     {"answered", "loaded", "accepted", "holds_already", "granted"}
 )
 FLUSH_INTERVAL_S = 0.05
+FLUSH_POLL_S = 0.005
+STOP_TIMEOUT_S = 2.0
 HIDDEN_FIELDS = frozenset({"timestamp", "message_type"})
 
 
@@ -64,88 +86,158 @@
 
     A blocked log pipe must not block the event loop, in which destinations are
     called. The queue is bounded; ``dropped`` counts the lines that were
-    dropped because it was full or by the rate limit.
+    dropped because it was full, by the rate limit or by a failed write.
+
+    Destinations are also called in signal handlers. Locks that are not
+    reentrant would deadlock there, so the thread is woken by simple queues.
     """
 
     def __init__(self, stream: TextIO | None = None) -> None:
         self._stream = stream or sys.stdout
         self._lines: deque[str] = deque()
-        self._lines_pending = threading.Event()
-        self._stopping = threading.Event()
+        self._wakes: queue.SimpleQueue[None] = queue.SimpleQueue()
+        self._urgent_wakes: queue.SimpleQueue[None] = queue.SimpleQueue()
+        self._is_woken = False
+        self._is_writing = False
+        self._stopping = False
         self._thread = threading.Thread(target=self._write, daemon=True)
         self.dropped = 0
         self._current_second = 0
-        self._line_counts: Counter[tuple[str, bool]] = Counter()
+        self._line_counts: Counter[tuple[str, str]] = Counter()
         self._dropped_by_event: Counter[str] = Counter()
+        self._unwritten = 0
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Queue one message, unless its event is over the rate limit.
 
-        Successes have a lower limit than failures. A ``lines_dropped`` event
-        gives the number of dropped lines of each event.
+        Successes have a lower limit than failures, and one kind of failure
+        takes no lines from another. A ``lines_dropped`` event gives the number
+        of dropped lines of each event.
         """
-        if not self._is_within_limit(message):
-            return
-        self._append(message)
+        event = str(message.get("message_type", "unnamed"))
+        if not self._is_within_limit(message, event) or not self._append(
+            message, event
+        ):
+            self._dropped_by_event[event] += 1
+            self.dropped += 1
 
-    def _is_within_limit(self, message: dict[str, Any]) -> bool:
+    def _is_within_limit(self, message: dict[str, Any], event: str) -> bool:
         second = int(message.get("timestamp") or time.time())
         if second != self._current_second:
             self._current_second = second
             self._line_counts.clear()
             self._log_dropped(second)
-        success = message.get("outcome") in SUCCESS_OUTCOMES
-        event = str(message.get("message_type", "unnamed"))
-        self._line_counts[event, success] += 1
-        limit = SUCCESS_LINES_PER_S if success else OTHER_LINES_PER_S
-        if self._line_counts[event, success] <= limit:
-            return True
-        self._dropped_by_event[event] += 1
-        self.dropped += 1
-        return False
+        outcome = str(message.get("outcome", ""))
+        is_success = outcome in SUCCESS_OUTCOMES
+        key = (event, "" if is_success else outcome or "none")
+        self._line_counts[key] += 1
+        return self._line_counts[key] <= _get_limit(event, is_success)
 
     def _log_dropped(self, second: int) -> None:
-        for event, count in self._dropped_by_event.items():
+        for event, count in list(self._dropped_by_event.items()):
             summary = {"timestamp": second, "message_type": "lines_dropped"}
-            self._append({**summary, "dropped": event, "count": count})
-        self._dropped_by_event.clear()
-
-    def _append(self, message: dict[str, Any]) -> None:
-        if len(self._lines) >= MAX_QUEUED_LINES:
-            self.dropped += 1
-            return
+            line = {**summary, "dropped": event, "count": count}
+            if self._append(line, "lines_dropped"):
+                del self._dropped_by_event[event]
+
+    def _append(self, message: dict[str, Any], event: str) -> bool:
+        """Queue a line; return whether there was room for it."""
+        is_urgent = event in URGENT_EVENTS
+        room = MAX_QUEUED_LINES + (RESERVED_LINES if is_urgent else 0)
+        if len(self._lines) >= room:
+            return False
         self._lines.append(format_line(message))
         # Waking the thread costs more than a line: once per flush is enough.
-        if not self._lines_pending.is_set():
-            self._lines_pending.set()
+        if not self._is_woken:
+            self._is_woken = True
+            self._wakes.put(None)
+        if is_urgent and self._urgent_wakes.empty():
+            self._urgent_wakes.put(None)
+        return True
 
     def start(self) -> None:
         """Start the thread and receive events."""
         self._thread.start()
         add_destination(self)
 
+    def flush(self, timeout_s: float) -> bool:
+        """Wait until all lines are written; return whether they are.
+
+        It blocks its caller, so it is only for a process that ends.
+        """
+        self._log_dropped(int(time.time()))
+        self._urgent_wakes.put(None)
+        deadline = time.monotonic() + timeout_s
+        while self._lines or self._is_writing:
+            if time.monotonic() >= deadline:
+                return False
+            time.sleep(FLUSH_POLL_S)
+        return True
+
     def stop(self) -> None:
         """Flush the queue and stop the thread."""
         remove_destination(self)
-        self._stopping.set()
-        self._lines_pending.set()
-        self._thread.join(timeout=2.0)
+        self._log_dropped(int(time.time()))
+        self._stopping = True
+        self._wakes.put(None)
+        self._urgent_wakes.put(None)
+        self._thread.join(timeout=STOP_TIMEOUT_S)
 
     def _write(self) -> None:
-        while not self._stopping.is_set():
-            self._lines_pending.wait()
+        while not self._stopping:
+            self._wakes.get()
             # Cleared before the queue is read, so that a line added meanwhile
             # wakes the thread again.
-            self._lines_pending.clear()
+            self._is_woken = False
             self._write_queued()
-            self._stopping.wait(FLUSH_INTERVAL_S)
+            self._pause()
         self._write_queued()
 
+    def _pause(self) -> None:
+        """Wait for more lines to write together, unless one is urgent."""
+        try:
+            self._urgent_wakes.get(timeout=FLUSH_INTERVAL_S)
+        except queue.Empty:
+            return
+
     def _write_queued(self) -> None:
+        self._is_writing = True
         lines = [self._lines.popleft() for _ in range(len(self._lines))]
         if lines:
-            self._stream.write("\n".join(lines) + "\n")
+            self._write_lines(lines)
+        self._is_writing = False
+
+    def _write_lines(self, lines: list[str]) -> None:
+        """Write lines; a failed write must not end the thread."""
+        if self._unwritten:
+            lines = [self._format_unwritten(), *lines]
+        text = "\n".join(lines) + "\n"
+        try:
+            try:
+                self._stream.write(text)
+            except UnicodeEncodeError:
+                self._stream.write(text.encode("ascii", "backslashreplace").decode())
             self._stream.flush()
+        except (OSError, ValueError):
+            # The next write that succeeds tells how many lines are missing.
+            failed = len(lines) - bool(self._unwritten)
+            self._unwritten += failed
+            self.dropped += failed
+            return
+        self._unwritten = 0
+
+    def _format_unwritten(self) -> str:
+        summary = {"timestamp": time.time(), "message_type": "lines_dropped"}
+        return format_line(
+            {**summary, "dropped": "write_failed", "count": self._unwritten}
+        )
+
+
+def _get_limit(event: str, is_success: bool) -> int:
+    """Return how many lines of an event a second may bring."""
+    if event in URGENT_EVENTS:
+        return URGENT_LINES_PER_S
+    return SUCCESS_LINES_PER_S if is_success else OTHER_LINES_PER_S
 
 
 _destinations: list[Destination] = []
@@ -161,6 +253,19 @@
     _destinations.remove(destination)
 
 
+def flush_destinations(timeout_s: float) -> bool:
+    """Wait until all destinations have written; return whether they have.
+
+    Blocks, so it is only called right before a process ends abruptly.
+    """
+    deadline = time.monotonic() + timeout_s
+    flushed = True
+    for destination in _destinations:
+        if isinstance(destination, LineDestination):
+            flushed &= destination.flush(max(0.0, deadline - time.monotonic()))
+    return flushed
+
+
 def log_event(event: str, **fields: object) -> None:
     """Log one event.
 
