Log how each component stops, and what a blocked process loses

A stop wrote instance_stopping and instance_stopped and nothing between, so nobody could tell which component took the time until SIGKILL. An exception in the stop of one component ended the stop of all others: their requests were cancelled with the event loop. A process that its watchdog ends wrote its stacks to standard error, and no line of the log.

component_stopped has the duration, the time since the signal and the outcome for each component; a failed stop is logged as stop_error and the others follow. instance_failed names an error that ends the process. Before os._exit the watchdog logs instance_blocked, lets components log what is lost (end_reporters) and waits for the writer, half a second at most.

Shown: with core.py as before, the test of a failing stop fails, as "quick" is never stopped; with loop_watchdog.py as before, the test of the open requests of a blocked process fails, as the output has no line of them.

--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -32,6 +32,7 @@
 M = TypeVar("M")
 Handler = Callable[[Any], None]
 PeerHandler = Callable[[PeerMessage], None]
+EndReporter = Callable[[str], None]
 MIN_DURATION_US = 1
 MAX_DURATION_US = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
@@ -299,7 +300,8 @@
     """A running daemon: settings, bus, metrics, tasks and components.
 
     ``loop_lag_s`` is how long the event loop last took for an iteration while
-    connections came, which timeouts have to allow for.
+    connections came, which timeouts have to allow for. ``end_reporters`` log
+    the work that is lost if the process ends now; they get the reason.
     """
 
     settings: Settings
@@ -308,6 +310,8 @@
     metrics: Metrics = field(default_factory=Metrics)
     components_by_domain: dict[str, Component] = field(default_factory=dict)
     draining: bool = False
+    stop_requested_at: float | None = None
+    end_reporters: list[EndReporter] = field(default_factory=list)
     loop_lag_s: float = 0.0
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _failures: WorkFailures = field(default_factory=WorkFailures)
@@ -416,22 +420,49 @@
     async def stop(self) -> None:
         """Stop the components in reverse order, then cancel all tasks."""
         self.draining = True
+        self.record_stop_requested()
         for domain in reversed(list(self.components_by_domain)):
             await self._stop_component(domain)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def record_stop_requested(self) -> None:
+        """Record the time of the first request to stop."""
+        if self.stop_requested_at is None:
+            self.stop_requested_at = self.now()
+
+    @property
+    def since_stop_requested_s(self) -> float:
+        """Return for how long the instance is to stop, zero if it is not."""
+        if self.stop_requested_at is None:
+            return 0.0
+        return self.now() - self.stop_requested_at
+
     async def _stop_component(self, domain: str) -> None:
-        # A component that hangs on an unresponsive connection must not block
-        # the shutdown: the others still have work to hand over.
+        # A component that hangs on an unresponsive connection, or fails, must
+        # not block the shutdown: the others still have work to hand over.
         timeout_s = self.settings.instance.shutdown_s + STOP_MARGIN_S
+        began_at = self.now()
+        outcome = "stopped"
         try:
             async with asyncio.timeout(timeout_s):
                 await self.components_by_domain[domain].stop()
         except TimeoutError:
+            outcome = "timeout"
             self.metrics.count("stop_timeout")
             log_event("stop_timeout", domain=domain)
+        except Exception as error:
+            outcome = "failed"
+            self.metrics.count("stop_error")
+            log_event("stop_error", domain=domain, error=repr(error))
+        log_event(
+            "component_stopped",
+            domain=domain,
+            took_ms=round((self.now() - began_at) * 1000),
+            since_signal_ms=round(self.since_stop_requested_s * 1000),
+            outcome=outcome,
+        )
 
 
 def _is_being_cancelled() -> bool:
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -54,9 +54,14 @@
     instance = Instance(settings)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
+
+    def request_stop() -> None:
+        instance.record_stop_requested()
+        stop_requested.set()
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    instance.bus.subscribe(DrainRequested, lambda message: stop_requested.set())
+        loop.add_signal_handler(signal_number, request_stop)
+    instance.bus.subscribe(DrainRequested, lambda message: request_stop())
     if path is not None:
         loop.add_signal_handler(signal.SIGHUP, reload_settings, instance, path)
         watch = partial(watch_settings, instance, path, file_stamp)
@@ -69,7 +74,11 @@
     await stop_requested.wait()
     log_event("instance_stopping", instance=instance.id)
     await instance.stop()
-    log_event("instance_stopped", instance=instance.id)
+    log_event(
+        "instance_stopped",
+        instance=instance.id,
+        took_ms=round(instance.since_stop_requested_s * 1000),
+    )
 
 
 def reload_settings(instance: Instance, path: Path) -> None:
@@ -136,6 +145,9 @@
     try:
         with asyncio.Runner(loop_factory=lambda: make_loop(selector)) as runner:
             runner.run(run(settings, path, file_stamp, selector))
+    except Exception as error:
+        log_event("instance_failed", error=repr(error))
+        raise
     finally:
         destination.stop()
 
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -138,9 +138,10 @@
         """
         callers_listening address
         component_started domain
+        component_stopped domain took_ms since_signal_ms outcome
         drain_requested source
         instance_started instance
-        instance_stopped instance
+        instance_stopped instance took_ms
         instance_stopping instance
         key_home_ready instance
         operators_listening address
@@ -153,11 +154,14 @@
         """
         actor_error actor error
         lines_dropped dropped count
+        instance_blocked cpu_ms
+        instance_failed error
         load_failed endpoint adapter detail
         message_limited kind error
         peer_handler_error kind error
         peer_refused reason address
         published_item_refused key revision error
+        stop_error domain error
         handler_error kind handler error
         task_error task error
         task_restarted task error lasted_ms failures
--- a/fescuekeel/helpers/logging.py
+++ b/fescuekeel/helpers/logging.py
@@ -41,6 +41,8 @@
         "request_cut",
         "shutdown_began",
         "shutdown_ended",
+        "stop_error",
+        "stop_timeout",
     }
 )
 URGENT_LINES_PER_S = 2_000
--- a/fescuekeel/helpers/loop_watchdog.py
+++ b/fescuekeel/helpers/loop_watchdog.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from fescuekeel.core import Instance
+from fescuekeel.helpers.logging import flush_destinations, log_event
 from fescuekeel.helpers.ticks import sleep_to_tick
 
 __all__ = ["EXIT_LOOP_BLOCKED", "LoopWatchdog", "TurnSelector", "make_loop"]
@@ -26,6 +27,8 @@
 # first time after the limit, then after this share of it.
 MIN_FIRINGS: Final = 3
 REPEAT_SHARE: Final = 0.2
+# How long the process waits for a slow reader of its log before it ends.
+LAST_FLUSH_S: Final = 0.5
 
 
 class TurnSelector(selectors.DefaultSelector):
@@ -105,8 +108,20 @@
             f"fescuekeeld: event loop blocked for {used_s:.1f} s of processor time\n"
         )
         faulthandler.dump_traceback(all_threads=True)
-        # The loop cannot run a shutdown.
-        os._exit(EXIT_LOOP_BLOCKED)
+        try:
+            self._log_end(used_s)
+        except Exception as error:
+            sys.stderr.write(f"fescuekeeld: last log lines failed: {error!r}\n")
+        finally:
+            # The loop cannot run a shutdown.
+            os._exit(EXIT_LOOP_BLOCKED)
+
+    def _log_end(self, used_s: float) -> None:
+        """Log what is lost, and wait until it is written."""
+        log_event("instance_blocked", cpu_ms=round(used_s * 1000))
+        for report in self._instance.end_reporters:
+            report("loop_blocked")
+        flush_destinations(LAST_FLUSH_S)
 
 
 def make_loop(selector: TurnSelector) -> asyncio.AbstractEventLoop:
--- a/tests/helpers/test_loop_watchdog.py
+++ b/tests/helpers/test_loop_watchdog.py
@@ -18,6 +18,7 @@
 from msgspec import structs
 from fescuekeel.core import Instance
 from fescuekeel.helpers import loop_watchdog
+from fescuekeel.helpers.logging import LineDestination, log_event
 from tests.common import make_settings
 
 loop_watchdog.TICK_S = 0.1
@@ -49,10 +50,17 @@
     await asyncio.sleep(0.2)
     await be_stopped()
 
+async def lose_a_request():
+    log_event("first")
+    await spin_in_coroutine()
+
 async def run(selector):
     settings = make_settings("i1")
     limited = structs.replace(settings.instance, blocked_loop_cpu_s={limit})
     instance = Instance(structs.replace(settings, instance=limited))
+    instance.end_reporters.append(
+        lambda reason: log_event("request_cut", request_id="r1", reason=reason)
+    )
     watchdog = loop_watchdog.LoopWatchdog(instance, selector)
     instance.spawn(watchdog.run(), "watchdog")
     await asyncio.sleep(0.2)
@@ -60,14 +68,20 @@
     longest = instance.metrics.histograms_by_name["longest_turn"]
     print("ticks", longest.get_total_count())
 
+def fill_the_log():
+    for number in range(8_000):
+        log_event(f"filler-{{number}}", text="x" * 100)
+
+LineDestination().start()
+{before}
 selector = loop_watchdog.TurnSelector()
 with asyncio.Runner(loop_factory=lambda: loop_watchdog.make_loop(selector)) as runner:
     runner.run(run(selector))
 """
 
 
-def start(work):
-    program = PROGRAM.format(work=work, limit=LIMIT_CPU_S)
+def start(work, before=""):
+    program = PROGRAM.format(work=work, limit=LIMIT_CPU_S, before=before)
     return subprocess.Popen(
         [sys.executable, "-c", program],
         cwd=ROOT,
@@ -86,6 +100,20 @@
         assert process.returncode == EXIT_LOOP_BLOCKED
         assert work in errors
 
+    def test_open_requests_are_logged_before_the_process_ends(self):
+        # Guards against requests that a blocked process cuts without a line.
+        process = start("lose_a_request")
+        output, _ = process.communicate(timeout=60)
+        assert process.returncode == EXIT_LOOP_BLOCKED
+        assert "event=instance_blocked cpu_ms=" in output
+        assert "event=request_cut request_id=r1 reason=loop_blocked" in output
+
+    def test_reader_that_reads_nothing_does_not_keep_the_process(self):
+        # Guards against a blocked process that waits for its log's reader.
+        process = start("lose_a_request", "fill_the_log()")
+        assert process.wait(timeout=60) == EXIT_LOOP_BLOCKED
+        process.communicate(timeout=60)
+
     def test_busy_loop_that_turns_is_left_alone(self):
         """Guards against ending a process that is only busy."""
         process = start("work_in_short_turns")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
     order_domains,
     read_manifests,
 )
+from fescuekeel.helpers.logging import add_destination, remove_destination
 from tests.common import make_settings
 
 
@@ -121,6 +122,33 @@
         assert stopped == (["quick"] if timeouts else ["slow", "quick"])
         assert instance.metrics.counters_by_name["stop_timeout"] == timeouts
 
+    def test_component_that_fails_does_not_keep_others_from_stopping(self, instance):
+        # Guards against requests cut without a word after a failed stop.
+        lines, stopped = [], []
+
+        class Failing:
+            async def stop(self):
+                raise OSError("no route")
+
+        class Quick:
+            async def stop(self):
+                stopped.append("quick")
+
+        instance.components_by_domain = {"quick": Quick(), "failing": Failing()}
+        add_destination(lines.append)
+        try:
+            asyncio.run(instance.stop())
+        finally:
+            remove_destination(lines.append)
+        assert stopped == ["quick"]
+        outcomes = {
+            line["domain"]: line["outcome"]
+            for line in lines
+            if line["message_type"] == "component_stopped"
+        }
+        assert outcomes == {"failing": "failed", "quick": "stopped"}
+        assert instance.metrics.counters_by_name["stop_error"] == 1
+
 
 class TestPeriodicWork:
     # Guards against periodic work that ends for good by one exception, while
