Log each request that a shutdown cuts, and the shutdown's phases

Callers' streams were cut at the end of a stop, and no line said so: the cancelled request ends as "outcome_unknown" like any broken one, without attempt_ended, and a request that was not admitted yet ends without a line.

request_cut names each open request with its endpoint, sends, chunks, last event and the time since the signal. The lines come before the cancellation, which waits 50 ms at most until they are written, as SIGKILL may follow at once. A request that is cancelled, or fails, before it is admitted has a line too. shutdown_began and shutdown_ended have the counts, and how long callers were accepted, drained, cancelled and closed.

Shown: the three tests of test_cut_requests.py start a daemon as a process; with the code before, none of the cut streams has a line, with SIGTERM (2 streams) and with SIGKILL right after the first cut (4). The tests of a blocked and a slow reader of the log pass before and after.

--- a/fescuekeel/components/forward/chunk_times.py
+++ b/fescuekeel/components/forward/chunk_times.py
@@ -10,6 +10,7 @@
     """The arrival of the first chunk, and the longest gap between two.
 
     Over all attempts, on the instance's clock; zero before the first chunk.
+    ``count`` is the number of chunks.
 
     >>> times = ChunkTimes()
     >>> [times.note(now, more) for now, more in ((5.0, False), (5.5, True))]
@@ -22,6 +23,7 @@
     last_at: float = 0.0
     longest_gap_s: float = 0.0
     longest_gap_at: float = 0.0
+    count: int = 0
 
     def note(self, now: float, started: bool) -> float:
         """Record a chunk; return the gap before it, zero if it is the first.
@@ -29,6 +31,7 @@
         ``started`` is true if the attempt has had a chunk before: the time
         between two attempts is not a gap of an endpoint.
         """
+        self.count += 1
         gap_s = now - self.last_at if started and self.last_at else 0.0
         if gap_s > self.longest_gap_s:
             self.longest_gap_s = gap_s
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -25,6 +25,7 @@
     DOMAIN,
     DRAIN_POLL_S,
     DRAINING_RETRY_S,
+    LAST_LINES_S,
     LOWEST_PRIORITY,
     MONITOR_PERIOD_S,
 )
@@ -32,6 +33,7 @@
 from fescuekeel.components.forward.endpoint_limiter import EndpointLimiter
 from fescuekeel.components.forward.gate import AccountGate
 from fescuekeel.components.forward.gauges import ForwardingGauges
+from fescuekeel.components.forward.open_requests import CutReason, OpenRequests
 from fescuekeel.components.forward.overhead import OverheadEstimator
 from fescuekeel.components.forward.reachability import ReachabilityMonitor
 from fescuekeel.components.forward.records import RequestRecords
@@ -40,6 +42,10 @@
 from fescuekeel.components.forward.selection import EndpointSelector
 from fescuekeel.components.forward.server import CallersServer
 from fescuekeel.components.forward.shutdown import Shutdown
+from fescuekeel.components.forward.shutdown_record import (
+    ShutdownPhase,
+    ShutdownRecord,
+)
 from fescuekeel.components.forward.use import UseReporter
 from fescuekeel.components.origins import DOMAIN as ORIGINS_DOMAIN, Origins
 from fescuekeel.components.relay import (
@@ -56,7 +62,7 @@
     ConnectionPool,
     NotConnectedError,
 )
-from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.logging import log_event, wait_until_written
 from fescuekeel.helpers.pages import Page, PageServer
 from fescuekeel.helpers.placement_view import PlacementView
 from fescuekeel.helpers.published import (
@@ -112,6 +118,8 @@
         self._table: RouteTable | None = None
         self._open_tasks: set[asyncio.Task[None]] = set()
         self._requests: set[ForwardedRequest] = set()
+        self.open_requests = OpenRequests(instance, self.dialect)
+        instance.end_reporters.append(self.open_requests.record_all_cut)
         self._shutdown: Shutdown | None = None
         self._gate = AccountGate(instance)
         self.crashes = CrashReporter(
@@ -168,19 +176,27 @@
         now = self.instance.now()
         shutdown = Shutdown(now, now + self.instance.settings.instance.shutdown_s)
         self._shutdown = shutdown
+        record = ShutdownRecord(self.instance, self.open_requests)
         await asyncio.sleep(shutdown.accepts_all_until - now)
+        record.end_phase(ShutdownPhase.ACCEPT)
         while self._open_tasks and shutdown.left_s(self.instance.now()) > 0:
             await asyncio.wait(
                 self._open_tasks, timeout=shutdown.left_s(self.instance.now())
             )
+        record.end_phase(ShutdownPhase.DRAIN)
         self._shutdown = shutdown.close(self.instance.now())
+        self.open_requests.record_all_cut(CutReason.SHUTDOWN)
+        await wait_until_written(LAST_LINES_S)
         for task in list(self._open_tasks):
             task.cancel()
         await asyncio.sleep(DRAIN_POLL_S)
+        record.end_phase(ShutdownPhase.CANCEL)
         await self.ready_server.stop()
         await self.server.stop()
         for pool in self._pools_by_id.values():
             pool.close()
+        record.end_phase(ShutdownPhase.CLOSE)
+        record.end()
 
     def _is_cut_off(self) -> bool:
         return self._reachability.cut_off
@@ -229,6 +245,7 @@
         work = self._serve(caller, line, headers, body)
         task = self.instance.spawn(work, f"{DOMAIN}.request")
         self._open_tasks.add(task)
+        self.open_requests.add(task, headers)
         task.add_done_callback(self._open_tasks.discard)
 
     async def _serve(
@@ -253,6 +270,7 @@
         assert task is not None
         caller.on_close(lambda: request.handle_caller_closed(task))
         self._requests.add(request)
+        self.open_requests.admit(task, request)
         try:
             await request.run()
         finally:
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -16,6 +16,9 @@
 # stops sending them after two failed probes, one second each.
 DRAIN_SERVE_S: Final = 3.0
 DRAIN_POLL_S: Final = 0.05
+# How long a shutdown waits until the lines of cut requests are written; a
+# blocked reader of the log must not use up the time for closing.
+LAST_LINES_S: Final = 0.05
 # Retry-After for requests that come later; other instances are ready.
 DRAINING_RETRY_S: Final = 0.05
 
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -52,6 +52,8 @@
         attempt_ended request_id send connection position endpoint took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         parts_in_crash request_id endpoint parts written_ms outcome
+        request_cut request_id route resumable endpoint sends chunks age_ms \
+            since_signal_ms reason outcome
         request_ended request_id service took_ms outcome
         request_in_crash request_id fingerprint endpoint crashes outcome
         request_refused request_id kind detail outcome
@@ -146,6 +148,9 @@
         key_home_ready instance
         operators_listening address
         reload outcome detail
+        shutdown_began requests grace_ms since_signal_ms
+        shutdown_ended requests accepted cut accept_ms drain_ms cancel_ms close_ms \
+            since_signal_ms outcome
         stop_timeout domain
         """,
     ),
--- a/fescuekeel/helpers/logging.py
+++ b/fescuekeel/helpers/logging.py
@@ -4,6 +4,7 @@
 in eliot, which is not used because of its import time and cost per line.
 """
 
+import asyncio
 import queue
 import sys
 import threading
@@ -19,6 +20,7 @@
     "format_line",
     "log_event",
     "remove_destination",
+    "wait_until_written",
 ]
 
 Destination = Callable[[dict[str, Any]], None]
@@ -170,12 +172,17 @@
         self._log_dropped(int(time.time()))
         self._urgent_wakes.put(None)
         deadline = time.monotonic() + timeout_s
-        while self._lines or self._is_writing:
+        while not self.is_written:
             if time.monotonic() >= deadline:
                 return False
             time.sleep(FLUSH_POLL_S)
         return True
 
+    @property
+    def is_written(self) -> bool:
+        """Return whether no line waits to be written."""
+        return not self._lines and not self._is_writing
+
     def stop(self) -> None:
         """Flush the queue and stop the thread."""
         remove_destination(self)
@@ -268,6 +275,27 @@
     return flushed
 
 
+async def wait_until_written(timeout_s: float) -> bool:
+    """Wait until all urgent lines are written; return whether they are.
+
+    The event loop goes on meanwhile.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not _is_written():
+        if time.monotonic() >= deadline:
+            return False
+        await asyncio.sleep(FLUSH_POLL_S)
+    return True
+
+
+def _is_written() -> bool:
+    return all(
+        destination.is_written
+        for destination in _destinations
+        if isinstance(destination, LineDestination)
+    )
+
+
 def log_event(event: str, **fields: object) -> None:
     """Log one event.
 
