Log an answer whose connection closes before all of it is written

A request ends as "answered" once its answer is whole here. Its last bytes may still wait for a slow caller; when a shutdown closes the connection, or the two seconds for a connection's last answer pass, its caller sees a cut stream whose only line says that it was answered.

CallerConnection follows what is left at the end of an answer with an empty write, which ends with those before it. If the connection closes first, answer_unflushed names the request, the bytes left, and whether the instance or the caller closed. An answer that is written at its end, as nearly all are, costs nothing more.

Pieces before the last chunk are awaited by the request itself, which a shutdown logs as request_cut.

--- a/fescuekeel/components/forward/caller.py
+++ b/fescuekeel/components/forward/caller.py
@@ -2,20 +2,23 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from fescuekeel.components.forward.const import DEFAULT_RETRY_AFTER_S
 from fescuekeel.const import HEADER_RETRY_AFTER
 from fescuekeel.errors import Failure
 from fescuekeel.helpers.dialect import Header
 from fescuekeel.helpers.linger import close_in_order, reset_on_close
+from fescuekeel.helpers.unwritten import count_unwritten_bytes
 from fescuekeel.helpers.whole_answer import Framing, find_framing
 
-__all__ = ["CallerConnection", "CallerGoneError"]
+__all__ = ["CallerConnection", "CallerGoneError", "Unwritten"]
 
 FLUSH_POLL_S = 0.01
 MAX_FLUSH_POLLS = 200
@@ -29,6 +32,17 @@
     """The caller has closed its connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class Unwritten:
+    """The rest of an answer whose connection closed before it was written.
+
+    ``error`` is empty if the connection was closed here.
+    """
+
+    bytes_left: int
+    error: str
+
+
 class CallerConnection:
     """Write one answer to the caller.
 
@@ -52,6 +66,11 @@
         self._is_last = is_last
         self._closing = False
         self._ends_with_close = False
+        self._on_unflushed: Callable[[Unwritten], None] | None = None
+
+    def on_unflushed(self, callback: Callable[[Unwritten], None]) -> None:
+        """Call back if an answer that has ended is not written completely."""
+        self._on_unflushed = callback
 
     def on_close(self, callback: Callable[[], None]) -> None:
         """Call back if the caller closes before the answer is complete."""
@@ -99,9 +118,25 @@
         if self._ends_with_close:
             close_in_order(stream.socket)
         self._connection.finish()
+        self._watch_flush(stream)
         if self._closing:
             await self._close_when_flushed(stream)
 
+    def _watch_flush(self, stream: IOStream) -> None:
+        """Report if the connection closes before all is written."""
+        if self._on_unflushed is None or stream.closed() or not stream.writing():
+            return
+        # An empty write ends with those before it.
+        flushed = stream.write(b"")
+        flushed.add_done_callback(partial(self._handle_flushed, stream))
+
+    def _handle_flushed(self, stream: IOStream, flushed: asyncio.Future[None]) -> None:
+        if flushed.cancelled() or flushed.exception() is None:
+            return
+        assert self._on_unflushed is not None
+        error = str(stream.error) if stream.error is not None else ""
+        self._on_unflushed(Unwritten(count_unwritten_bytes(stream), error))
+
     async def _close_when_flushed(self, stream: object) -> None:
         for _ in range(MAX_FLUSH_POLLS):
             if stream.closed() or not stream.writing():  # type: ignore[attr-defined]
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -1,6 +1,7 @@
 """The forwarder: owns callers' requests and the connection pools."""
 
 import asyncio
+from functools import partial
 from http import HTTPStatus
 from typing import cast
 
@@ -269,6 +270,7 @@
         task = asyncio.current_task()
         assert task is not None
         caller.on_close(lambda: request.handle_caller_closed(task))
+        caller.on_unflushed(partial(self.records.unflushed, request))
         self._requests.add(request)
         self.open_requests.admit(task, request)
         try:
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -4,6 +4,7 @@
 
 from fescuekeel.components.forward.attempt import Attempt, Transfer
 from fescuekeel.components.forward.attempts import AttemptEnd
+from fescuekeel.components.forward.caller import Unwritten
 from fescuekeel.components.forward.choice import Choice
 from fescuekeel.components.forward.request import ForwardedRequest
 from fescuekeel.core import Instance
@@ -151,6 +152,21 @@
             outcome=request.outcome or "error",
         )
 
+    def unflushed(self, request: ForwardedRequest, unwritten: Unwritten) -> None:
+        """Record an answer that ended here and did not reach its caller."""
+        self._instance.metrics.count("answer_unflushed")
+        log_event(
+            "answer_unflushed",
+            request_id=request.metadata.request_id,
+            route=request.route.name,
+            resumable=request.route.resumable,
+            bytes=unwritten.bytes_left,
+            error=unwritten.error,
+            age_ms=round((self._instance.now() - request.arrived) * 1000),
+            since_signal_ms=round(self._instance.since_stop_requested_s * 1000),
+            outcome="caller_reset" if unwritten.error else "closed_here",
+        )
+
     def _name_route(self, name: str) -> str:
         """Return the label of a route; only the first ones have their own.
 
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -49,6 +49,7 @@
         allowance_refused request_id account price held home wait_ms outcome
         answer_dropped request_id answered_id status connection position outcome
         answer_broken request_id fingerprint endpoint kept age_ms error outcome
+        answer_unflushed request_id bytes since_signal_ms outcome
         attempt_ended request_id send connection position endpoint took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         parts_in_crash request_id endpoint parts written_ms outcome
