Log each request that is taken from a silent endpoint

request_failover names each with its endpoint, how long that was silent, whether the endpoint itself may get it again, and whether its answer had begun.

--- a/fescuekeel/components/endpoints/load.py
+++ b/fescuekeel/components/endpoints/load.py
@@ -105,6 +105,10 @@
         if not self._outstanding:
             self._waiting_since = None
 
+    def read_silent_s(self, now: float) -> float:
+        """Return for how long answers are due and nothing is received."""
+        return 0.0 if self._waiting_since is None else now - self._waiting_since
+
     def is_unresponsive(self, now: float) -> bool:
         """Return whether answers are due but nothing is received."""
         return (
--- a/fescuekeel/components/forward/reachability.py
+++ b/fescuekeel/components/forward/reachability.py
@@ -111,6 +111,7 @@
         ]
         if not aborted:
             return
+        self._log_aborted(endpoint, aborted, by_another_path)
         if not by_another_path:
             self._loads_by_id[endpoint].health.record_unreachable(self._instance.now())
         self._instance.metrics.count("left_silent_endpoint", len(aborted))
@@ -121,3 +122,25 @@
             path=self._relay.get_state(endpoint).value,
             outcome="by_another_path" if by_another_path else "elsewhere",
         )
+
+    def _log_aborted(
+        self,
+        endpoint: str,
+        requests: Collection[ForwardedRequest],
+        by_another_path: bool,
+    ) -> None:
+        """Log each request whose attempt was aborted here."""
+        now = self._instance.now()
+        silent_s = self._loads_by_id[endpoint].health.read_silent_s(now)
+        for request in requests:
+            log_event(
+                "request_failover",
+                request_id=request.metadata.request_id,
+                endpoint=endpoint,
+                silent_ms=round(silent_s * 1000),
+                by_another_path=by_another_path,
+                answer_started=request.state.answer_started,
+                sends=request.state.sends,
+                age_ms=round((now - request.arrived) * 1000),
+                outcome="aborted",
+            )
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -55,6 +55,8 @@
         parts_in_crash request_id endpoint parts written_ms outcome
         request_cut request_id route resumable endpoint sends chunks age_ms \
             since_signal_ms reason outcome
+        request_failover request_id endpoint silent_ms by_another_path \
+            answer_started outcome
         request_ended request_id service took_ms outcome
         request_in_crash request_id fingerprint endpoint crashes outcome
         request_refused request_id kind detail outcome
