--- a/fescuekeel/helpers/trace.py
+++ b/fescuekeel/helpers/trace.py
@@ -17,8 +17,13 @@
         "dependency_regained",
         "endpoint_changed",
         "endpoint_unreachable",
+        "instance_blocked",
+        "instance_failed",
         "instance_stopping",
         "order_given",
+        "shutdown_began",
+        "shutdown_ended",
+        "silent_endpoint_left",
     }
 )
 # The last context lines per file and endpoint are shown.
@@ -43,6 +48,18 @@
     "unknown_service": "no route of the configuration in force allows it",
 }
 
+CUT_CAUSES = {
+    "answer_cut": "its instance cut its response, which had begun",
+    "answer_unflushed": "its instance cut its response, all of which it had",
+    "before_run": "its instance cut it before it was admitted; it did not run",
+    "draining": "its instance ended it before it was sent; it did not run",
+    "outcome_unknown": "its instance ended it before a response; it may have run",
+}
+UNFLUSHED_CAUSES = {
+    "caller_reset": "its caller reset the connection before all was written",
+    "closed_here": "its instance closed the connection before all was written",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
@@ -131,9 +148,45 @@
         return (
             "no log line: it never reached these instances, or its lines were dropped"
         )
+    cut = _find_cut(request_lines)
+    if cut is not None:
+        return cut
     for line in reversed(request_lines):
         outcome = line.fields.get("kind") or line.fields.get("outcome", "")
         if line.event in ("request_refused", "request_ended") and outcome in CAUSES:
             detail = line.fields.get("detail", "")
-            return CAUSES[outcome] + (f" ({detail})" if detail else "")
+            cause = CAUSES[outcome] + (f" ({detail})" if detail else "")
+            return cause + _describe_failover(request_lines, outcome)
     return "it has not ended yet"
+
+
+def _find_cut(request_lines: list[LogLine]) -> str | None:
+    """Return why the instance cut a request, ``None`` if it did not.
+
+    A request may end by itself right after the line that it is cut.
+    """
+    for line in reversed(request_lines):
+        fields = line.fields
+        outcome = fields.get("outcome", "")
+        since_ms = fields.get("since_signal_ms", "0")
+        if line.event == "answer_unflushed" and outcome in UNFLUSHED_CAUSES:
+            left = fields.get("bytes", "?")
+            return f"{UNFLUSHED_CAUSES[outcome]} ({left} bytes left)"
+        if line.event == "request_ended" and outcome == "answered":
+            return None
+        if line.event == "request_cut" and outcome in CUT_CAUSES:
+            reason = fields.get("reason", "")
+            return f"{CUT_CAUSES[outcome]} ({reason}, {since_ms} ms after the signal)"
+    return None
+
+
+def _describe_failover(request_lines: list[LogLine], outcome: str) -> str:
+    """Return which silent endpoint a failed request was taken from, if any."""
+    if outcome == "answered":
+        return ""
+    for line in reversed(request_lines):
+        if line.event == "request_failover":
+            endpoint = line.fields.get("endpoint", "")
+            silent_ms = line.fields.get("silent_ms", "?")
+            return f", after its instance left {endpoint}, silent for {silent_ms} ms"
+    return ""
--- a/tests/helpers/test_trace.py
+++ b/tests/helpers/test_trace.py
@@ -41,6 +41,52 @@
         assert "no log line" in trace_request("id9", FILES).cause
 
 
+class TestCutRequest:
+    CUT = (
+        "time=9.1 event=request_cut request_id=id1 route=explain resumable=True"
+        " since_signal_ms=7210 reason=shutdown outcome=answer_cut"
+    )
+    ENDED = "time=9.2 event=request_ended request_id=id1 outcome="
+
+    def trace(self, *lines):
+        return trace_request("id1", [("entry.log", lines)])
+
+    def test_cause_is_the_stop(self):
+        # Guards against a cut by a stop that reads like an endpoint's fault.
+        cause = self.trace(self.CUT, self.ENDED + "outcome_unknown").cause
+        assert "instance cut its response" in cause
+        assert "shutdown, 7210 ms after the signal" in cause
+
+    def test_request_that_ends_in_time_is_not_cut(self):
+        # Guards against a cut told of a request whose answer is whole.
+        assert self.trace(self.CUT, self.ENDED + "answered").cause == "it was answered"
+
+    def test_cause_of_an_answer_that_was_not_written_completely(self):
+        # Guards against a cut answer that reads as a whole one.
+        unflushed = (
+            "time=9.3 event=answer_unflushed request_id=id1 bytes=5 outcome=closed_here"
+        )
+        cause = self.trace(self.ENDED + "answered", unflushed).cause
+        assert "instance closed the connection" in cause
+        assert "5 bytes left" in cause
+
+    def test_cause_names_the_endpoint_that_the_instance_left(self):
+        # Guards against a failover that reads like a fault of the endpoint.
+        left = (
+            "time=9.0 event=request_failover request_id=id1 endpoint=e1"
+            " silent_ms=1510 outcome=aborted"
+        )
+        cause = self.trace(left, self.ENDED + "load_failed").cause
+        assert cause.endswith("after its instance left e1, silent for 1510 ms")
+        assert self.trace(left, self.ENDED + "answered").cause == "it was answered"
+
+    def test_context_has_the_shutdown(self):
+        # Guards against a cut shown without the stop that caused it.
+        began = "time=2.0 event=shutdown_began requests=3"
+        shown = self.trace(began, self.CUT).context_lines
+        assert [line.text for line in shown] == [began]
+
+
 class TestCommand:
     def test_files_are_read(self, tmp_path, capsys):
         path = tmp_path / "entry.log"
