--- a/fescuekeel/components/forward/failover.py
+++ b/fescuekeel/components/forward/failover.py
@@ -131,14 +131,18 @@
         detail: str,
     ) -> None:
         instance = self._request.forwarder.instance
+        health = self._request.forwarder.get_load(attempt.endpoint).health
+        silent_s = health.read_silent_s(instance.now())
         instance.metrics.count(f"failover.{outcome}")
         log_event(
             "failover_ended",
             request_id=self._request.metadata.request_id,
             endpoint=attempt.endpoint,
             target=detail,
+            silent_ms=round(silent_s * 1000),
             by_another_path=by_another_path,
             answer_started=self._request.state.answer_started,
+            sends=self._request.state.sends,
             took_ms=round((instance.now() - began_at) * 1000),
             outcome=outcome.value,
         )
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -49,11 +49,14 @@
         allowance_refused request_id account price held home wait_ms outcome
         answer_dropped request_id answered_id status connection position outcome
         answer_broken request_id fingerprint endpoint kept age_ms error outcome
+        answer_unflushed request_id bytes since_signal_ms outcome
         attempt_ended request_id send connection position endpoint took_ms outcome
-        failover_ended request_id endpoint target by_another_path answer_started \
-            took_ms outcome
+        failover_ended request_id endpoint target silent_ms by_another_path \
+            answer_started sends took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         parts_in_crash request_id endpoint parts written_ms outcome
+        request_cut request_id route resumable endpoint sends chunks age_ms \
+            since_signal_ms reason outcome
         request_ended request_id service took_ms outcome
         request_in_crash request_id fingerprint endpoint crashes outcome
         request_refused request_id kind detail outcome
@@ -140,13 +143,17 @@
         """
         callers_listening address
         component_started domain
+        component_stopped domain took_ms since_signal_ms outcome
         drain_requested source
         instance_started instance
-        instance_stopped instance
+        instance_stopped instance took_ms
         instance_stopping instance
         key_home_ready instance
         operators_listening address
         reload outcome detail
+        shutdown_began requests grace_ms since_signal_ms
+        shutdown_ended requests accepted cut accept_ms drain_ms cancel_ms close_ms \
+            since_signal_ms outcome
         stop_timeout domain
         """,
     ),
@@ -155,11 +162,14 @@
         """
         actor_error actor error
         lines_dropped dropped count
+        instance_blocked cpu_ms
+        instance_failed error
         load_failed endpoint adapter detail
         message_limited kind error
         peer_handler_error kind error
         peer_refused reason address
         published_item_refused key revision error
+        stop_error domain error
         handler_error kind handler error
         task_error task error
         task_restarted task error lasted_ms failures
