Accept nothing late in a shutdown that would be cut at its end

Cause: a request was accepted for 3.0 s from when an instance handles the signal, but callers count from the signal. A stream that waited for weights was sent at any later time, since only its arrival was compared.

Change: requests are accepted for 2.6 s, which is later than two failed probes and leaves 0.4 s for a signal that is handled late; the last lag of the event loop, 0.5 s at most, counts as time since the signal. At the limit, requests that were not sent and may not end in time are answered 503 "draining", and so are those for which an endpoint is found later. One that was sent before goes on, whether it may be resumed or not.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -7,6 +7,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from fescuekeel.components.allowance import PermitOutcome
 from fescuekeel.components.endpoints import (
     DOMAIN as ENDPOINTS_DOMAIN,
     EndpointLoad,
@@ -111,7 +112,7 @@
         self._overheads_by_service: dict[str, OverheadEstimator] = {}
         self._table: RouteTable | None = None
         self._open_tasks: set[asyncio.Task[None]] = set()
-        self._requests: set[ForwardedRequest] = set()
+        self._tasks_by_request: dict[ForwardedRequest, asyncio.Task[None]] = {}
         self._shutdown: Shutdown | None = None
         self._gate = AccountGate(instance)
         self.crashes = CrashReporter(
@@ -165,10 +166,15 @@
 
     async def stop(self) -> None:
         """Drain: accept requests for a while, let them end, then close."""
-        now = self.instance.now()
-        shutdown = Shutdown(now, now + self.instance.settings.instance.shutdown_s)
+        shutdown = Shutdown.begin(
+            self.instance.now(),
+            self.instance.settings.instance.shutdown_s,
+            self.instance.loop_lag_s,
+        )
         self._shutdown = shutdown
-        await asyncio.sleep(shutdown.accepts_all_until - now)
+        limit = shutdown.accepts_all_until
+        await asyncio.sleep(limit - self.instance.now())
+        self._refuse_unsent(shutdown, max(limit, self.instance.now()))
         while self._open_tasks and shutdown.left_s(self.instance.now()) > 0:
             await asyncio.wait(
                 self._open_tasks, timeout=shutdown.left_s(self.instance.now())
@@ -182,6 +188,16 @@
         for pool in self._pools_by_id.values():
             pool.close()
 
+    def _refuse_unsent(self, shutdown: Shutdown, now: float) -> None:
+        """End the requests that were not sent and may not end in time.
+
+        Their callers find another instance; sent now, they would be cut.
+        """
+        for request, task in self._tasks_by_request.items():
+            if request.caller.started or _may_send(request, shutdown, now):
+                continue
+            task.cancel()
+
     def _is_cut_off(self) -> bool:
         return self._reachability.cut_off
 
@@ -252,11 +268,11 @@
         task = asyncio.current_task()
         assert task is not None
         caller.on_close(lambda: request.handle_caller_closed(task))
-        self._requests.add(request)
+        self._tasks_by_request[request] = task
         try:
             await request.run()
         finally:
-            self._requests.discard(request)
+            del self._tasks_by_request[request]
             if request.account is not None and not request.state.sends:
                 self._gate.refund(request.account, metadata)
 
@@ -407,7 +423,15 @@
 
     async def select_endpoint(self, request: ForwardedRequest) -> Choice | Failure:
         """Select an endpoint; wait for its weights and for admission."""
-        return await self._selector.select_endpoint(request)
+        choice = await self._selector.select_endpoint(request)
+        shutdown = self._shutdown
+        if isinstance(choice, Failure) or shutdown is None:
+            return choice
+        if _may_send(request, shutdown, self.instance.now()):
+            return choice
+        if choice.permit is not None:
+            self.limiter.end_permit(choice.permit, PermitOutcome.UNUSED)
+        return Failure(ErrorKind.DRAINING, retry_after_s=DRAINING_RETRY_S)
 
     def record_use_ended(self) -> None:
         """Report the end of a use of weights to the holders soon."""
@@ -482,7 +506,7 @@
     async def _monitor_forever(self) -> None:
         while True:
             await sleep_to_tick(MONITOR_PERIOD_S)
-            self._reachability.check_silent(self._requests)
+            self._reachability.check_silent(self._tasks_by_request.keys())
 
     async def _sweep_forever(self) -> None:
         while True:
@@ -499,3 +523,13 @@
             for id in list(self.loads_by_id):
                 if id not in known and self.loads_by_id[id].running <= 0:
                     del self.loads_by_id[id]
+
+
+def _may_send(request: ForwardedRequest, shutdown: Shutdown, now: float) -> bool:
+    """Return whether a request may be sent during a shutdown.
+
+    One that was sent before goes on: its caller may have a part of the answer.
+    """
+    if request.state.sends:
+        return True
+    return shutdown.may_send(request.route.kind, request.deadline, now)
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -13,11 +13,16 @@
 # The timeout of requests that name none.
 DEFAULT_TIME_LEFT_S: Final = 60.0
 # New requests are accepted for this time after a shutdown began: the platform
-# stops sending them after two failed probes, one second each.
-DRAIN_SERVE_S: Final = 3.0
+# stops sending them after two failed probes, one second each. The rest allows
+# for one late probe; callers count from the signal, which may have been
+# handled some tenths of a second late.
+DRAIN_SERVE_S: Final = 2.6
 DRAIN_POLL_S: Final = 0.05
 # Retry-After for requests that come later; other instances are ready.
 DRAINING_RETRY_S: Final = 0.05
+# Bounds the effect of a single long iteration of the event loop, such as one
+# that was measured while the process started.
+MAX_SIGNAL_DELAY_S: Final = 0.5
 
 # New connections are closed once iterations of the event loop have been longer
 # than the first for the time below, until one is shorter than the second. With
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -23,6 +23,7 @@
 from fescuekeel.components.forward.chunk_times import ChunkTimes
 from fescuekeel.components.forward.const import (
     CONNECT_BACKOFF_S,
+    DRAINING_RETRY_S,
     FAULT_ANSWER_S,
     MAX_CONNECT_BACKOFF_S,
     MAX_DETAIL_CHARS,
@@ -355,7 +356,7 @@
     async def _end_stopped(self) -> None:
         kind = ErrorKind.OUTCOME_UNKNOWN if self.state.sends else ErrorKind.DRAINING
         try:
-            await self._fail(Failure(kind, "shutdown"))
+            await self._fail(Failure(kind, "shutdown", retry_after_s=DRAINING_RETRY_S))
         except CallerGoneError:
             self.outcome = "caller_gone"
 
--- a/fescuekeel/components/forward/shutdown.py
+++ b/fescuekeel/components/forward/shutdown.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from fescuekeel.components.forward.const import DRAIN_SERVE_S
+from fescuekeel.components.forward.const import DRAIN_SERVE_S, MAX_SIGNAL_DELAY_S
 from fescuekeel.helpers.published import Route, RouteKind
 
 __all__ = ["Shutdown"]
@@ -19,6 +19,19 @@
     started_at: float
     ends_at: float
 
+    @classmethod
+    def begin(cls, now: float, shutdown_s: float, loop_lag_s: float) -> "Shutdown":
+        """Return the shutdown of an instance that handles its signal now.
+
+        The signal waited for an iteration of the event loop, and others
+        measure from the signal.
+
+        >>> Shutdown.begin(10.0, 7.0, loop_lag_s=0.25).ends_at
+        16.75
+        """
+        started_at = now - min(loop_lag_s, MAX_SIGNAL_DELAY_S)
+        return cls(started_at, started_at + shutdown_s)
+
     def left_s(self, now: float) -> float:
         """Return the remaining seconds, at least zero."""
         return max(0.0, self.ends_at - now)
@@ -48,8 +61,15 @@
         have failed. Later ones come on keep-alive connections and are accepted
         if they end in time; a stream may not.
         """
-        if now <= self.accepts_all_until:
+        return self.may_send(route.kind, now + route.timeout_s, now)
+
+    def may_send(self, kind: RouteKind, deadline: float, now: float) -> bool:
+        """Return whether a request that was not sent yet may be sent.
+
+        It may have waited for weights or admission since it was accepted.
+        """
+        if now < self.accepts_all_until:
             return True
-        if route.kind is RouteKind.STREAM:
+        if kind is RouteKind.STREAM:
             return False
-        return route.timeout_s < self.left_s(now)
+        return deadline < self.ends_at
--- /dev/null
+++ b/tests/platform/test_late_stop.py
@@ -0,0 +1,174 @@
+"""Tests of planned stops whose signal is handled late."""
+
+import asyncio
+
+import pytest
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from standins.forwarding.platform import ENGINES, make_configuration, make_route
+from tests.common import eventually
+from tests.platform.test_path import LONG_DEADLINE, LONG_TIMEOUT, start_world
+
+SHUTDOWN_S = 7.2
+# From the signal to the kill.
+GRACE_S = 8.0
+# Callers' own clock, from the signal.
+EXCUSED_UNTIL_S = 3.0
+# The first instances hold the engines and go on.
+HOLDERS = 2
+HANDLED_AFTER_S = (0.0, 0.1, 0.25, 0.3)
+SENT_AFTER_S = (1.0, 2.5, 3.03, 3.12, 3.2)
+EVENTS = 60
+EVENT_S = 0.08
+PATIENCE_S = 40
+
+
+async def publish_patient_routes(world):
+    """Publish a route of streams with a long timeout, and a resumable one."""
+    routes = (
+        make_route("patient", "stream", ENGINES, **LONG_TIMEOUT),
+        make_route(
+            "again",
+            "stream",
+            ENGINES,
+            resumable=True,
+            max_attempts=2,
+            **LONG_TIMEOUT,
+        ),
+    )
+    world.platform.publish_configuration(make_configuration(2, *routes))
+    await eventually(lambda: world.get_oldest_version() == 2)
+
+
+class LateStop:
+    """Streams to instances that each handle the signal after another time.
+
+    ``cut_at`` has the times of sending of streams that were passed on and cut,
+    ``served_at`` those of whole streams, both by the delay of the signal.
+    """
+
+    def __init__(self, world):
+        self.world = world
+        self.cut_at = []
+        self.served_at = []
+        self.codes = set()
+        self.stop_s = []
+
+    async def prepare(self):
+        await publish_patient_routes(self.world)
+        answer, _ = await self.world.send_stream_request(
+            "/patient/0", "a1", **LONG_DEADLINE
+        )
+        assert answer.code == 200
+        for worker in self.world.platform.list_workers(ENGINES):
+            worker.events, worker.event_s = EVENTS, EVENT_S
+
+    async def stop(self, number, delay_s):
+        await asyncio.sleep(delay_s)
+        instance = self.world.instances[HOLDERS + number]
+        await instance.stop()
+
+    async def send(self, number, sent_s, path):
+        await asyncio.sleep(sent_s)
+        try:
+            answer, _ = await self.world.send_stream_request(
+                path, "a1", HOLDERS + number, **LONG_DEADLINE
+            )
+            print(
+                number,
+                sent_s,
+                answer.code,
+                answer.body[:60],
+                answer.headers,
+                answer.request_time,
+            )
+        except HTTPStreamClosedError:
+            self.cut_at.append((HANDLED_AFTER_S[number], sent_s))
+            return
+        self.codes.add(answer.code)
+        if answer.code == 200:
+            self.served_at.append((HANDLED_AFTER_S[number], sent_s))
+
+    async def play(self):
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        stops = [
+            asyncio.ensure_future(self.stop(number, delay_s))
+            for number, delay_s in enumerate(HANDLED_AFTER_S)
+        ]
+        for stop in stops:
+            stop.add_done_callback(
+                lambda done: self.stop_s.append(loop.time() - began_at)
+            )
+        sends = [
+            self.send(number, sent_s, path)
+            for number in range(len(HANDLED_AFTER_S))
+            for sent_s, path in zip(
+                SENT_AFTER_S,
+                ("/patient/1", "/again/1", "/patient/1", "/again/1", "/patient/1"),
+                strict=True,
+            )
+        ]
+        await asyncio.gather(*sends, *stops)
+        del self.world.instances[HOLDERS:]
+
+
+@pytest.fixture(scope="module")
+def late_stop():
+    plays = []
+
+    async def work():
+        count = HOLDERS + len(HANDLED_AFTER_S)
+        async with start_world(count, SHUTDOWN_S) as world:
+            plays.append(LateStop(world))
+            await plays[0].prepare()
+            await plays[0].play()
+
+    asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
+    return plays[0]
+
+
+class TestLateStop:
+    # Guards against streams that come late by callers' clocks, which begin at
+    # the signal, and are passed on and cut.
+    def test_no_late_stream_is_passed_on_and_cut(self, late_stop):
+        unexcused = [cut for cut in late_stop.cut_at if cut[1] > EXCUSED_UNTIL_S]
+        assert not unexcused
+        assert late_stop.codes == {200, 503}
+
+    # Guards against refusing streams that come early enough to end.
+    def test_early_streams_end_whole(self, late_stop):
+        early = {(delay_s, SENT_AFTER_S[0]) for delay_s in HANDLED_AFTER_S}
+        assert early <= set(late_stop.served_at)
+
+    # Guards against an exit that lasts until the process is killed.
+    def test_instances_stop_within_the_grace(self, late_stop):
+        assert len(late_stop.stop_s) == len(HANDLED_AFTER_S)
+        assert max(late_stop.stop_s) < GRACE_S
+
+
+class TestUnsentStreams:
+    # Guards against a stream that waits for weights past the limit, is passed
+    # on and cut.
+    @pytest.mark.parametrize("path", ["/patient/1", "/again/1"])
+    def test_stream_that_waits_for_weights_is_refused(self, path, monkeypatch):
+        async def work():
+            async with start_world(HOLDERS + 1, shutdown_s=2) as world:
+                await publish_patient_routes(world)
+                for worker in world.platform.list_workers(ENGINES):
+                    worker.events, worker.event_s = EVENTS, EVENT_S
+                monkeypatch.setattr("standins.forwarding.workers.LOAD_S", 1.5)
+                stopping = asyncio.ensure_future(world.instances[HOLDERS].stop())
+                began_at = asyncio.get_running_loop().time()
+                answer, id = await world.send_stream_request(
+                    path, "a7", HOLDERS, **LONG_DEADLINE
+                )
+                waited_s = asyncio.get_running_loop().time() - began_at
+                await stopping
+                world.instances.pop()
+                assert (answer.code, world.count_runs(id)) == (503, 0)
+                assert answer.body == b"The instance is leaving.\n"
+                assert float(answer.headers["Retry-After"]) <= 0.1
+                assert waited_s < 1.3
+
+        asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
