Write whole answers to callers that read slowly until the shutdown ends

Cause: a connection that was to close after its answer was closed 2 s after the answer's last byte was handed over, written or not: a caller that read slowly saw a cut answer. In a shutdown, an answer whose request had ended was not waited for at all, as only open requests were.

Change: such a connection closes once all is written; a caller that reads nothing for 60 s counts as gone. A shutdown also waits for connections with unwritten bytes, until its end. After the end 0.2 s are left for answers and 0.1 s for closing, where 0.05 s and 0.5 s were.

With an answer that was made before a shutdown of 4 s, it reads on after 3 s: lost before (the connection was closed at half the shutdown), whole now.

--- a/fescuekeel/components/forward/caller.py
+++ b/fescuekeel/components/forward/caller.py
@@ -6,9 +6,13 @@
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
-from fescuekeel.components.forward.const import DEFAULT_RETRY_AFTER_S
+from fescuekeel.components.forward.const import (
+    DEFAULT_RETRY_AFTER_S,
+    FLUSH_POLL_S,
+    MAX_FLUSH_S,
+)
 from fescuekeel.const import HEADER_RETRY_AFTER
 from fescuekeel.errors import Failure
 from fescuekeel.helpers.dialect import Header
@@ -17,8 +21,6 @@
 
 __all__ = ["CallerConnection", "CallerGoneError"]
 
-FLUSH_POLL_S = 0.01
-MAX_FLUSH_POLLS = 200
 # Hop-by-hop headers of an endpoint's answer.
 CONNECTION_HEADERS = frozenset(
     {"connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"}
@@ -102,12 +104,15 @@
         if self._closing:
             await self._close_when_flushed(stream)
 
-    async def _close_when_flushed(self, stream: object) -> None:
-        for _ in range(MAX_FLUSH_POLLS):
-            if stream.closed() or not stream.writing():  # type: ignore[attr-defined]
-                break
+    async def _close_when_flushed(self, stream: IOStream) -> None:
+        """Close once all is written, however slowly the caller reads."""
+        for _ in range(int(MAX_FLUSH_S / FLUSH_POLL_S)):
+            if not stream.writing():
+                stream.close()
+                return
             await asyncio.sleep(FLUSH_POLL_S)
-        stream.close()  # type: ignore[attr-defined]
+        self.abort()
+        raise CallerGoneError
 
     def abort(self) -> None:
         """Close the connection so that the answer is seen as incomplete."""
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -26,6 +26,7 @@
     DOMAIN,
     DRAIN_POLL_S,
     DRAINING_RETRY_S,
+    LAST_FLUSH_S,
     LOWEST_PRIORITY,
     MONITOR_PERIOD_S,
 )
@@ -175,14 +176,13 @@
         limit = shutdown.accepts_all_until
         await asyncio.sleep(limit - self.instance.now())
         self._refuse_unsent(shutdown, max(limit, self.instance.now()))
-        while self._open_tasks and shutdown.left_s(self.instance.now()) > 0:
-            await asyncio.wait(
-                self._open_tasks, timeout=shutdown.left_s(self.instance.now())
-            )
-        self._shutdown = shutdown.close(self.instance.now())
+        await self._wait_for_answers(shutdown.ends_at)
+        now = self.instance.now()
+        self._shutdown = shutdown.close(now)
         for task in list(self._open_tasks):
             task.cancel()
         await asyncio.sleep(DRAIN_POLL_S)
+        await self._wait_for_answers(now + LAST_FLUSH_S)
         await self.ready_server.stop()
         await self.server.stop()
         for pool in self._pools_by_id.values():
@@ -198,6 +198,17 @@
                 continue
             task.cancel()
 
+    async def _wait_for_answers(self, until: float) -> None:
+        """Wait until all requests have ended and their answers are written."""
+        while self._open_tasks or self.server.is_writing:
+            left_s = until - self.instance.now()
+            if left_s <= 0:
+                return
+            if self._open_tasks:
+                await asyncio.wait(self._open_tasks, timeout=left_s)
+            else:
+                await asyncio.sleep(min(left_s, DRAIN_POLL_S))
+
     def _is_cut_off(self) -> bool:
         return self._reachability.cut_off
 
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -23,6 +23,13 @@
 # Bounds the effect of a single long iteration of the event loop, such as one
 # that was measured while the process started.
 MAX_SIGNAL_DELAY_S: Final = 0.5
+# How long answers are written after the end of a shutdown, and how long to
+# wait for connections to close; the process must exit before it is killed.
+LAST_FLUSH_S: Final = 0.2
+CLOSE_S: Final = 0.1
+# A caller that reads nothing of a whole answer for this time counts as gone.
+MAX_FLUSH_S: Final = 60.0
+FLUSH_POLL_S: Final = 0.01
 
 # New connections are closed once iterations of the event loop have been longer
 # than the first for the time below, until one is shorter than the second. With
--- a/fescuekeel/components/forward/server.py
+++ b/fescuekeel/components/forward/server.py
@@ -18,6 +18,7 @@
 
 from fescuekeel.components.forward.connection_gate import ConnectionGate
 from fescuekeel.components.forward.const import (
+    CLOSE_S,
     IDLE_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
@@ -97,11 +98,16 @@
         """Remove a connection that was closed."""
         self._server.on_close(server_conn)
 
+    @property
+    def is_writing(self) -> bool:
+        """Return whether a part of some answer is not written yet."""
+        return self._server.is_writing
+
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
         self._server.stop()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.5):
+            async with asyncio.timeout(CLOSE_S):
                 await self._server.close_all_connections()
 
 
@@ -112,6 +118,10 @@
         super().initialize(lambda request: None, **kwargs)  # type: ignore[arg-type]
         self._delegate = delegate
 
+    @property
+    def is_writing(self) -> bool:
+        return any(connection.stream.writing() for connection in self._connections)
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, or close it unread."""
         if self._delegate.gate.admits():
--- a/tests/platform/test_late_stop.py
+++ b/tests/platform/test_late_stop.py
@@ -1,12 +1,14 @@
 """Tests of planned stops whose signal is handled late."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
 from standins.forwarding.platform import ENGINES, make_configuration, make_route
 from tests.common import eventually
+from tests.components.forward.slow_caller import LAST_CHUNK, open_slow_caller
 from tests.platform.test_path import LONG_DEADLINE, LONG_TIMEOUT, start_world
 
 SHUTDOWN_S = 7.2
@@ -172,3 +174,40 @@
                 assert waited_s < 1.3
 
         asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
+
+
+@asynccontextmanager
+async def open_slow_world(shutdown_s):
+    """Start an instance with an answer that its caller has not read."""
+    async with start_world(1, shutdown_s) as world:
+        instance = world.instances.pop()
+        async with open_slow_caller(instance, False) as (caller, raw):
+            await caller.answering
+            forward = instance.components_by_domain["forward"]
+            await forward.server.stop()
+            forward.server = caller.server
+            yield instance, caller, raw
+
+
+class TestUnwrittenAnswers:
+    # Guards against cutting an answer that was made before the signal.
+    def test_slow_caller_gets_its_whole_answer(self):
+        async def work():
+            async with open_slow_world(shutdown_s=4) as (instance, caller, raw):
+                stopping = asyncio.ensure_future(instance.stop())
+                await asyncio.sleep(3)
+                assert (await caller.read_rest(raw)).endswith(LAST_CHUNK)
+                await stopping
+
+        asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
+
+    # Guards against an exit that waits for a caller that never reads.
+    def test_caller_that_never_reads_does_not_delay_the_exit(self):
+        async def work():
+            async with open_slow_world(shutdown_s=2) as (instance, _, _):
+                began_at = asyncio.get_running_loop().time()
+                await instance.stop()
+                stopped_s = asyncio.get_running_loop().time() - began_at
+                assert 2 <= stopped_s < 2 + GRACE_S - SHUTDOWN_S
+
+        asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
