Play drawn streams around a late signal by four ways

TestWays holds the limit of the code to the model, and shows that the model has the fault of the limit before.

--- a/tests/components/forward/test_shutdown.py
+++ b/tests/components/forward/test_shutdown.py
@@ -4,6 +4,12 @@
 
 from fescuekeel.components.forward.shutdown import Shutdown
 from fescuekeel.helpers.published import Route, RouteKind, WeightedService
+from tests.components.forward.shutdown_model import (
+    DELAYS_S,
+    WAYS_BY_NAME,
+    draw_streams,
+    play,
+)
 
 SHUTDOWN = Shutdown(started_at=100.0, ends_at=107.2)
 # What callers send later after the signal must not be cut.
@@ -81,3 +87,16 @@
     def test_request_is_sent_late_if_its_time_ends_before_the_exit(self):
         assert SHUTDOWN.may_send(RouteKind.UNSAFE, 107.1, 105.0)
         assert not SHUTDOWN.may_send(RouteKind.UNSAFE, 107.3, 105.0)
+
+
+class TestWays:
+    # Guards against a limit that leaves no slack for a late signal.
+    def test_no_drawn_stream_is_accepted_late_and_cut(self):
+        streams = draw_streams(2_000, seed=1)
+        for delay_s in DELAYS_S:
+            assert play(WAYS_BY_NAME["early"], streams, delay_s)["cut"] == 0
+
+    # Guards against a model that would show no cut by any way.
+    def test_model_shows_the_fault_of_a_fixed_limit(self):
+        streams = draw_streams(2_000, seed=1)
+        assert play(WAYS_BY_NAME["fixed"], streams, DELAYS_S[-1])["cut"] > 0
