Wait for refusals only after the end of a shutdown

An answer whose caller has not read it by the end is not waited for any longer: the process has to exit before it is killed.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -177,12 +177,12 @@
         await asyncio.sleep(limit - self.instance.now())
         self._refuse_unsent(shutdown, max(limit, self.instance.now()))
         await self._wait_for_answers(shutdown.ends_at)
-        now = self.instance.now()
-        self._shutdown = shutdown.close(now)
+        self._shutdown = shutdown.close(self.instance.now())
         for task in list(self._open_tasks):
             task.cancel()
         await asyncio.sleep(DRAIN_POLL_S)
-        await self._wait_for_answers(now + LAST_FLUSH_S)
+        if self._open_tasks:
+            await asyncio.wait(self._open_tasks, timeout=LAST_FLUSH_S)
         await self.ready_server.stop()
         await self.server.stop()
         for pool in self._pools_by_id.values():
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -23,7 +23,7 @@
 # Bounds the effect of a single long iteration of the event loop, such as one
 # that was measured while the process started.
 MAX_SIGNAL_DELAY_S: Final = 0.5
-# How long answers are written after the end of a shutdown, and how long to
+# How long refusals are written after the end of a shutdown, and how long to
 # wait for connections to close; the process must exit before it is killed.
 LAST_FLUSH_S: Final = 0.2
 CLOSE_S: Final = 0.1
