--- a/tests/platform/test_late_stop.py
+++ b/tests/platform/test_late_stop.py
@@ -1,15 +1,31 @@
 """Tests of planned stops whose signal is handled late."""
 
 import asyncio
+import os
+import re
+import signal
+import sys
 from contextlib import asynccontextmanager
 
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
-from standins.forwarding.platform import ENGINES, make_configuration, make_route
+from standins.forwarding.platform import (
+    ENGINES,
+    HOST,
+    MODEL,
+    make_configuration,
+    make_route,
+)
 from tests.common import eventually
 from tests.components.forward.slow_caller import LAST_CHUNK, open_slow_caller
-from tests.platform.test_path import LONG_DEADLINE, LONG_TIMEOUT, start_world
+from tests.platform.test_path import (
+    LONG_DEADLINE,
+    LONG_TIMEOUT,
+    RETRY_RATIO,
+    SETTINGS,
+    start_world,
+)
 
 SHUTDOWN_S = 7.2
 # From the signal to the kill.
@@ -211,3 +227,127 @@
                 assert 2 <= stopped_s < 2 + GRACE_S - SHUTDOWN_S
 
         asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
+
+
+class Daemon:
+    """A real daemon that joins the instances of a world."""
+
+    def __init__(self, world, path):
+        seeds = [
+            instance.components_by_domain["peers"].address
+            for instance in world.instances
+        ]
+        path.write_text(
+            SETTINGS.format(
+                id="daemon",
+                data_centre="a",
+                shutdown_s=SHUTDOWN_S,
+                seeds=",".join(seeds),
+                store=world.platform.store_server.address,
+                retry_ratio=RETRY_RATIO,
+            )
+        )
+        self.world = world
+        self.path = path
+        self.lines = []
+        self.address = ""
+
+    async def start(self):
+        paths = os.pathsep.join(path for path in sys.path if path)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "fescuekeel.daemon",
+            str(self.path),
+            stdout=asyncio.subprocess.PIPE,
+            env=os.environ | {"PYTHONPATH": paths},
+        )
+        self.reading = asyncio.ensure_future(self.read_lines())
+        await eventually(lambda: self.address)
+
+    async def read_lines(self):
+        async for line in self.process.stdout:
+            self.lines.append(line.decode())
+            match = re.search(r"event=callers_listening address=(\S+)", self.lines[-1])
+            if match:
+                self.address = match[1]
+
+    async def send(self, path="/patient/1"):
+        headers = {
+            "Host": HOST,
+            "Fescuekeel-Request-Id": f"{next(self.world.request_numbers):016x}",
+            "Fescuekeel-Deadline-Ms": "20000",
+            "Fescuekeel-Model": f"{MODEL}/a1",
+            "Fescuekeel-Token-Count": "500,20",
+        }
+        try:
+            answer = await self.world.client.fetch(
+                f"http://{self.address}{path}",
+                method="POST",
+                headers=headers,
+                body=b"body",
+                raise_error=False,
+                request_timeout=20,
+            )
+        except HTTPStreamClosedError:
+            return "cut"
+        return answer.code
+
+    async def send_after(self, wait_s):
+        await asyncio.sleep(wait_s)
+        return await self.send()
+
+    async def signal_late(self, delay_s):
+        """Send SIGTERM to a process that runs again after a delay."""
+        self.process.send_signal(signal.SIGSTOP)
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(delay_s)
+        self.process.send_signal(signal.SIGCONT)
+
+    async def wait_until_served(self):
+        for _ in range(100):
+            if await self.send() == 200:
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError("the daemon did not become ready")
+
+    async def kill(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+
+
+@asynccontextmanager
+async def open_daemon(world, path):
+    daemon = Daemon(world, path)
+    await daemon.start()
+    try:
+        yield daemon
+    finally:
+        await daemon.kill()
+
+
+class TestDaemon:
+    # Guards against late streams that are cut by a real process that handles
+    # its signal late, and against one that outlives the grace.
+    def test_daemon_cuts_no_late_stream_and_ends_in_time(self, tmp_path):
+        async def work():
+            async with start_world(HOLDERS, shutdown_s=2) as world:
+                await publish_patient_routes(world)
+                async with open_daemon(world, tmp_path / "settings.ini") as daemon:
+                    await daemon.wait_until_served()
+                    for worker in world.platform.list_workers(ENGINES):
+                        worker.events, worker.event_s = EVENTS, EVENT_S
+                    began_at = asyncio.get_running_loop().time()
+                    sends = asyncio.gather(*map(daemon.send_after, SENT_AFTER_S))
+                    await daemon.signal_late(HANDLED_AFTER_S[-1])
+                    await daemon.process.wait()
+                    stopped_s = asyncio.get_running_loop().time() - began_at
+                    ends = await sends
+                assert daemon.process.returncode == 0
+                assert stopped_s < GRACE_S
+                assert ends[0] == 200
+                assert set(ends[2:]) == {503}
+
+        asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
