--- a/tests/platform/test_late_stop.py
+++ b/tests/platform/test_late_stop.py
@@ -10,6 +10,7 @@
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from fescuekeel.components.forward.shutdown import Shutdown
 from standins.forwarding.platform import (
     ENGINES,
     HOST,
@@ -191,6 +192,27 @@
 
         asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
 
+    # Guards against a stream whose endpoint is found right after the limit.
+    def test_stream_is_not_sent_where_the_limit_passes_in_the_search(self):
+        async def work():
+            async with start_world(1) as world:
+                instance = world.instances[0]
+                forward = instance.components_by_domain["forward"]
+                select = forward._selector.select_endpoint
+
+                async def select_past_the_limit(request):
+                    choice = await select(request)
+                    now = instance.now()
+                    forward._shutdown = Shutdown(now - 3.0, now + 4.2)
+                    return choice
+
+                forward._selector.select_endpoint = select_past_the_limit
+                answer, id = await world.send_stream_request()
+                assert (answer.code, world.count_runs(id)) == (503, 0)
+                assert answer.body == b"The instance is leaving.\n"
+
+        asyncio.run(asyncio.wait_for(work(), PATIENCE_S))
+
 
 @asynccontextmanager
 async def open_slow_world(shutdown_s):
