Cut the links to endpoints whose proxy is not there yet

Beside it a cut that names its endpoints left the link to one whole that was published just before the cut, as only cuts of all links were applied to new proxies.

Now a new proxy is cut if the cut applies to its address, named or not.

--- a/standins/forwarding/links.py
+++ b/standins/forwarding/links.py
@@ -73,10 +73,14 @@
             await proxy.start()
             # A cut that comes meanwhile needs the address.
             self._proxies_by_target[target] = proxy
-            if self._cut is not None and not self._cut_targets:
+            if self._cut is not None and self._is_chosen(target):
                 proxy.cut(self._cut)
         return proxy.address
 
+    def _is_chosen(self, target: str) -> bool:
+        """Return whether a cut applies to an address."""
+        return not self._cut_targets or target in self._cut_targets
+
     def list_targets(self) -> list[str]:
         """Return the addresses of all endpoints that were published."""
         return list(self._proxies_by_target)
@@ -91,7 +95,7 @@
         self._cut = how
         self._cut_targets = frozenset(targets)
         for target, proxy in self._proxies_by_target.items():
-            if not targets or target in targets:
+            if self._is_chosen(target):
                 proxy.cut(how)
 
     async def restore(self) -> None:
