Drop endpoints that ended where the store turns instances away

Cause: after the store came back from a copy without an endpoint's entry, an instance that the store turns away kept the endpoint for good. Its grace period began again each time that what it knew was older than a watcher's longest silence, which second-hand news pass in calm.

Change: the store counts as away only beyond that silence and a poll of a peer, as such an instance knows what its peers knew one poll ago.

Evidence: tests/components/catalog/test_lapsed_entries.py, on a virtual clock.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -260,8 +260,14 @@
         self._follower.hurries = self._view.has_lapsing
 
     def _is_store_away(self, now: float) -> bool:
-        """Return whether neither the store nor a peer tells of changes."""
-        is_silent = self._freshness.read_apparent_age_s(now) > self._watchers.silent_s
+        """Return whether neither the store nor a peer tells of changes.
+
+        Guards against an endpoint that has ended and is kept for good where
+        the store turns an instance away: what its peers know is as old as
+        their last answer and its own last poll.
+        """
+        longest_age_s = self._watchers.silent_s + self._timing.poll_s
+        is_silent = self._freshness.read_apparent_age_s(now) > longest_age_s
         return is_silent and self._watching and self._follower.unavailable
 
     def _publish_catalog(self) -> None:
