Drop lapsed endpoints only once a current catalog lacks their entries

The store went away again 1.4 s after it came back from a copy; the grace period of an entry that was not read yet ended by the clock, before the instances could tell that the store was away.

Change: an endpoint is dropped once the catalog is known to be current as of two seconds after its entry lapsed, the time within which live endpoints write again, and no sooner than before. While the store answers nobody this does not come, however long it takes to notice that.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -255,7 +255,8 @@
         if self._is_store_away(now):
             # Nothing can be renewed there meanwhile.
             self._view.renew_grace(now)
-        if self._view.expire(now) or changed or copied:
+        known_until = now - self._freshness.read_apparent_age_s(now)
+        if self._view.expire(now, known_until) or changed or copied:
             self._publish_catalog()
         self._follower.hurries = self._view.has_lapsing
 
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -75,9 +75,10 @@
 MAX_REQUESTS: Final = 3
 
 # Live endpoints whose entries expired in a store outage, or are missing in the
-# copy it came back from, renew them within two seconds after it. The rest is
-# for the pause after changes, which is shorter meanwhile, and for the way to
-# other instances.
+# copy it came back from, renew them within this time after it.
+RENEWAL_S: Final = 2.0
+# They are kept for longer: the rest is for the pause after changes, which is
+# shorter meanwhile, and for the way to other instances.
 LAPSE_GRACE_S: Final = 2.4
 LAPSE_BATCH_DELAY_S: Final = 0.25
 # How long what was known before the store came back from a copy is kept in
--- a/fescuekeel/components/catalog/view.py
+++ b/fescuekeel/components/catalog/view.py
@@ -3,7 +3,11 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 
-from fescuekeel.components.catalog.const import LAPSE_GRACE_S, MAX_KNOWN_STARTS
+from fescuekeel.components.catalog.const import (
+    LAPSE_GRACE_S,
+    MAX_KNOWN_STARTS,
+    RENEWAL_S,
+)
 from fescuekeel.helpers.dialect import AdapterVersion, Dialect
 from fescuekeel.helpers.incarnation import UNKNOWN_BORN_MS
 from fescuekeel.helpers.logging import log_event
@@ -36,14 +40,15 @@
     versions_by_weights: dict[Weights, int] = field(default_factory=dict)
     _names_by_key: dict[str, str] = field(default_factory=dict)
     _born_ms_by_name: dict[str, int] = field(default_factory=dict)
-    _lapsing_until_by_name: dict[str, float] = field(default_factory=dict)
+    _lapsed_at_by_name: dict[str, float] = field(default_factory=dict)
     _removal_positions_by_name: dict[str, Position] = field(default_factory=dict)
 
     def apply(self, item: PublishedItem, grace: bool, now: float) -> None:
         """Apply an item that changed.
 
         With ``grace`` an endpoint whose entry was removed is kept for
-        ``LAPSE_GRACE_S``: the entry may have expired in a store outage.
+        ``LAPSE_GRACE_S`` at least: the entry may have expired in a store
+        outage.
         """
         if item.value is None:
             self._remove(item, grace, now)
@@ -125,7 +130,7 @@
             return
         self._names_by_key[item.key] = name
         self._record_born_ms(name, record.born_ms)
-        self._lapsing_until_by_name.pop(name, None)
+        self._lapsed_at_by_name.pop(name, None)
         known = self.endpoints_by_name.get(name)
         if known is not None and known.leaving and known.id == record.id:
             record = replace(record, leaving=True)
@@ -154,14 +159,14 @@
         if name is None or known is None:
             return
         if grace:
-            self._lapsing_until_by_name[name] = now + LAPSE_GRACE_S
+            self._lapsed_at_by_name[name] = now
             self._removal_positions_by_name[name] = item.position
             _log_endpoint(known.id, "lapsing", item.position)
             return
         self._drop_endpoint(name, item.position)
 
     def _drop_endpoint(self, name: str, position: Position) -> None:
-        self._lapsing_until_by_name.pop(name, None)
+        self._lapsed_at_by_name.pop(name, None)
         record = self.endpoints_by_name.pop(name, None)
         if record is not None:
             _log_endpoint(record.id, "gone", position)
@@ -169,17 +174,23 @@
     @property
     def has_lapsing(self) -> bool:
         """Return whether any endpoint is in its grace period."""
-        return bool(self._lapsing_until_by_name)
+        return bool(self._lapsed_at_by_name)
 
     def renew_grace(self, now: float) -> None:
         """Begin all grace periods again, since entries were lost again."""
-        for name in self._lapsing_until_by_name:
-            self._lapsing_until_by_name[name] = now + LAPSE_GRACE_S
+        for name in self._lapsed_at_by_name:
+            self._lapsed_at_by_name[name] = now
+
+    def expire(self, now: float, known_until: float) -> bool:
+        """Remove endpoints whose grace period is over; return whether any.
 
-    def expire(self, now: float) -> bool:
-        """Remove endpoints whose grace period is over; return whether any."""
+        ``known_until`` is up to when all changes are known. An entry that was
+        written again since is not known to be missing.
+        """
         expired = [
-            name for name, until in self._lapsing_until_by_name.items() if now >= until
+            name
+            for name, lapsed_at in self._lapsed_at_by_name.items()
+            if now - lapsed_at >= LAPSE_GRACE_S and known_until - lapsed_at >= RENEWAL_S
         ]
         for name in expired:
             self._drop_endpoint(
--- a/tests/components/catalog/test_lapsed_entries.py
+++ b/tests/components/catalog/test_lapsed_entries.py
@@ -1,6 +1,7 @@
 """Entries that a store lost, and that are written again or stay away."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -24,6 +25,14 @@
     ("b0", "b1", "b2"),
 ]
 OFFSETS_S = [0.0, 0.3, 0.7, 1.1]
+# When the store goes away again after its return, and for how long: beyond the
+# age of what an instance knows that polls peers, or within it.
+RETURNED_FOR_S = [0.1, 0.4, 0.8, 1.2, 1.6, 1.9]
+AWAY_S = [2.0, 3.0]
+MOMENTS_S = [0.2, 0.6, 1.0, 1.4]
+# An endpoint writes again within this time after the store is back.
+REWRITTEN_AFTER_S = 1.9
+STEP_S = 0.02
 # How long after the store's return an entry that stays away still counts: the
 # time to write it again, a wait of a watch, a pause and a period of news.
 GONE_AFTER_S = 4.4
@@ -57,6 +66,49 @@
     return [id for id, node in nodes if "e0" not in node.endpoints]
 
 
+async def expect_kept(fleet, seconds):
+    now = asyncio.get_running_loop().time
+    until = now() + seconds
+    while now() < until:
+        await asyncio.sleep(STEP_S)
+        assert not list_without(fleet), now() - until + seconds
+
+
+def play_second_absence(returned_for_s, away_s):
+    """Let the store go away again before an entry is written again."""
+
+    async def work():
+        fleet = await start_fleet()
+        await expect_kept(fleet, returned_for_s)
+        away = asyncio.ensure_future(stay_away(fleet.store, away_s))
+        await expect_kept(fleet, away_s)
+        await away
+        await expect_kept(fleet, REWRITTEN_AFTER_S)
+        fleet.store.put(KEY, describe_endpoint(False, 2))
+        await expect_kept(fleet, 5.0)
+
+    run_virtual(work)
+
+
+class TestStoreThatGoesAwayAgain:
+    # Guards against a live endpoint that is dropped, since time in which its
+    # entry could not be written counts as if it could have been.
+    @pytest.mark.parametrize("away_s", AWAY_S)
+    @pytest.mark.parametrize("returned_for_s", RETURNED_FOR_S)
+    def test_a_live_endpoint_is_kept(self, returned_for_s, away_s):
+        play_second_absence(returned_for_s, away_s)
+
+    # Guards against the same if the store is only away for a moment.
+    def test_a_live_endpoint_is_kept_over_moments(self):
+        dropped = []
+        for case in itertools.product(RETURNED_FOR_S, MOMENTS_S):
+            try:
+                play_second_absence(*case)
+            except AssertionError:
+                dropped.append(case)
+        assert dropped == []
+
+
 class TestEntryThatStaysAway:
     # Guards against an endpoint that has ended and is kept for good, as the
     # peers of an instance that the store turns away know little of late.
--- a/tests/components/catalog/test_view.py
+++ b/tests/components/catalog/test_view.py
@@ -2,7 +2,7 @@
 
 import json
 
-from fescuekeel.components.catalog.const import LAPSE_GRACE_S
+from fescuekeel.components.catalog.const import LAPSE_GRACE_S, RENEWAL_S
 from fescuekeel.components.catalog.view import CatalogView
 from fescuekeel.helpers.incarnation import Incarnation
 from fescuekeel.helpers.published import (
@@ -37,6 +37,11 @@
     return PublishedItem("k", revision, None)
 
 
+def expire(view, now):
+    """Let grace periods end while all changes are known."""
+    return view.expire(now, known_until=now)
+
+
 class TestEndpoints:
     def test_lapsed_entry_that_is_renewed_keeps_its_endpoint(self):
         """All requests were refused right after a store outage.
@@ -48,16 +53,26 @@
         view.apply(gone(2), True, 10.0)
         assert "e1" in view.make_catalog(Position(0, 2)).endpoints_by_id
         view.apply(endpoint(3), False, 11.0)
-        assert not view.expire(10.0 + LAPSE_GRACE_S)
+        assert not expire(view, 10.0 + LAPSE_GRACE_S)
         assert "e1" in view.make_catalog(Position(0, 3)).endpoints_by_id
 
     def test_lapsed_entry_that_is_not_renewed_removes_its_endpoint(self):
         view = CatalogView(FakeDialect())
         view.apply(endpoint(1), False, 0.0)
         view.apply(gone(2), True, 10.0)
-        assert view.expire(10.0 + LAPSE_GRACE_S)
+        assert expire(view, 10.0 + LAPSE_GRACE_S)
         assert view.make_catalog(Position(0, 2)).endpoints_by_id == {}
 
+    # Guards against a live endpoint that is dropped as its entry is missing,
+    # though the store went away again before it could be written again.
+    def test_lapsed_entry_is_not_missing_while_changes_are_not_known(self):
+        view = CatalogView(FakeDialect())
+        view.apply(endpoint(1), False, 0.0)
+        view.apply(gone(2), True, 10.0)
+        assert not view.expire(20.0, known_until=10.0 + RENEWAL_S - 0.1)
+        assert "e1" in view.make_catalog(Position(0, 2)).endpoints_by_id
+        assert view.expire(20.0, known_until=10.0 + RENEWAL_S)
+
     def test_removal_after_the_outage_takes_effect_at_once(self):
         """An endpoint got work after it had left.
 
