Take a removal after a peer's first listing for a removal

Cause: after the store came back from a copy, an endpoint that was removed stayed in force at an instance for up to 2.85 s (2 s allowed). The instance had learned what the store has in its new era from a peer, but took its own first listing, which came after the removal, for the store's return, and what was missing there for an entry that the copy lacks.

Change: an instance that learns of a new era from a peer records the position that it has reached by that as the one of the return. A call that fails later makes the next answer count as a return again, as before.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -488,6 +488,7 @@
         lapsed_until = Position(answer.lapsed_era, answer.lapsed_until)
         if self._items.position.era > era_before:
             lapsed_until = max(lapsed_until, self._items.position)
+            self._follower.record_return(self._items.position)
         self._publish(changed, lapsed_until)
         self._freshness.record_confirmed(asked_at, answer.age_ms / 1000)
 
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -175,6 +175,14 @@
             self.store.enter_era(self._era_seen_at, now)
         return self.store.merge_listing(listing, self._listing_position, now)
 
+    def record_return(self, position: Position) -> None:
+        """Record where the store was when a peer had read it in a new era.
+
+        Guards against an endpoint that is used after its removal, since the
+        own first listing comes later and takes it for an entry that was lost.
+        """
+        self._record_recovery(position)
+
     def _record_recovery(self, position: Position) -> None:
         if self._recovers:
             self._recovers = False
