--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -255,13 +255,20 @@
         if self._is_store_away(now):
             # Nothing can be renewed there meanwhile.
             self._view.renew_grace(now)
-        if self._view.expire(now) or changed or copied:
+        known_until = now - self._freshness.read_apparent_age_s(now)
+        if self._view.expire(now, known_until) or changed or copied:
             self._publish_catalog()
         self._follower.hurries = self._view.has_lapsing
 
     def _is_store_away(self, now: float) -> bool:
-        """Return whether neither the store nor a peer tells of changes."""
-        is_silent = self._freshness.read_apparent_age_s(now) > self._watchers.silent_s
+        """Return whether neither the store nor a peer tells of changes.
+
+        Guards against an endpoint that has ended and is kept for good where
+        the store turns an instance away: what it knows is as old as the last
+        answer to a peer, a poll of that peer by another, and its own.
+        """
+        longest_age_s = self._watchers.silent_s + 2 * self._timing.poll_s
+        is_silent = self._freshness.read_apparent_age_s(now) > longest_age_s
         return is_silent and self._watching and self._follower.unavailable
 
     def _publish_catalog(self) -> None:
@@ -481,6 +488,7 @@
         lapsed_until = Position(answer.lapsed_era, answer.lapsed_until)
         if self._items.position.era > era_before:
             lapsed_until = max(lapsed_until, self._items.position)
+            self._follower.record_return(self._items.position)
         self._publish(changed, lapsed_until)
         self._freshness.record_confirmed(asked_at, answer.age_ms / 1000)
 
