Leave the event loop to others between the small parts of a response

What callers saw: one endpoint that answers in chunks of one byte, without end or not, stopped its instance for everybody.

Cause: reading what has arrived already never waits, and a turn of the loop may bring some hundred kilobytes, or some ten thousand chunks.

Change: a connection reads 32 parts, or one interim response, and goes on in the next iteration. Short answers are read as before, without a further turn.

--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -52,6 +52,9 @@
 # Responses with status 1xx before the final one; one endpoint that sent them
 # without end took most of a core.
 MAX_INTERIM_RESPONSES = 16
+# Parts of a response, such as chunks, that are read in one iteration of the
+# event loop: whatever else this process does waits meanwhile.
+MAX_PARTS_PER_ITERATION = 32
 MAX_IDLE_CONNECTIONS = 64
 # Answers to other requests that are read before the own one, and their bytes.
 MAX_DROPPED_ANSWERS = 4
@@ -140,6 +143,7 @@
         self._unparsed_bytes = 0
         self._eof_received = False
         self._waiter: asyncio.Future[None] | None = None
+        self._parts_in_iteration = 0
 
     # Protocol callbacks.
 
@@ -313,6 +317,7 @@
                 interim += 1
                 if interim > MAX_INTERIM_RESPONSES:
                     raise IncompleteResponseError("too many interim responses")
+                await self._let_others_run()
                 continue
             if not isinstance(event, h11.Response):
                 raise IncompleteResponseError(
@@ -338,6 +343,9 @@
         )
 
     async def _next_event(self) -> object:
+        self._parts_in_iteration += 1
+        if self._parts_in_iteration > MAX_PARTS_PER_ITERATION:
+            await self._let_others_run()
         while True:
             try:
                 event = self._http.next_event()
@@ -347,6 +355,14 @@
                 return event
             await self._feed()
 
+    async def _let_others_run(self) -> None:
+        """Go on in the next iteration of the event loop.
+
+        Reading what has already arrived never waits by itself.
+        """
+        await asyncio.sleep(0)
+        self._parts_in_iteration = 0
+
     async def _feed(self) -> None:
         while not self._unparsed:
             if self._close_reason is not None:
@@ -357,6 +373,7 @@
                 return
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
+            self._parts_in_iteration = 0
         while self._unparsed:
             self._http.receive_data(self._unparsed.popleft())
         if self._unparsed_bytes > MAX_UNPARSED_BYTES and self._transport is not None:
--- a/tests/helpers/test_endless_responses.py
+++ b/tests/helpers/test_endless_responses.py
@@ -8,6 +8,10 @@
 
 from fescuekeel.helpers.http_connection import (
     MAX_HEAD_BYTES,
+    MAX_INTERIM_RESPONSES,
+    MAX_PARTS_PER_ITERATION,
+    MAX_UNPARSED_BYTES,
+    Connection,
     IncompleteResponseError,
     connect,
     fetch,
@@ -83,6 +87,114 @@
         asyncio.run(asyncio.wait_for(work(), 10))
 
 
+class PausableTransport(asyncio.Transport):
+    """A transport without a socket that records whether it is read."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_read = True
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        pass
+
+    def pause_reading(self):
+        self.is_read = False
+
+    def resume_reading(self):
+        self.is_read = True
+
+    def abort(self):
+        self.is_read = False
+
+
+def begin_request():
+    """Return a connection that awaits its response, and its transport."""
+    connection, transport = Connection(), PausableTransport()
+    connection.connection_made(transport)
+    connection.send("GET", "/", HEADERS, b"")
+    return connection, transport
+
+
+async def count_iterations(work):
+    """Return how many iterations of the event loop some work has taken."""
+    task = asyncio.ensure_future(work)
+    iterations = 0
+    while not task.done():
+        iterations += 1
+        await asyncio.sleep(0)
+    await asyncio.gather(task, return_exceptions=True)
+    return iterations
+
+
+class TestManySmallParts:
+    # Guards against an endpoint whose chunks of one byte hold the event loop,
+    # and with it the requests of all others, for seconds.
+    def test_others_run_between_chunks(self):
+        chunks = 4096
+
+        async def work():
+            connection, _ = begin_request()
+            connection.data_received(CHUNKED + b"1\r\nx\r\n" * chunks)
+
+            async def read():
+                await connection.read_head()
+                for _ in range(chunks):
+                    await connection.read_chunk()
+
+            iterations = await count_iterations(read())
+            assert iterations >= chunks // (2 * MAX_PARTS_PER_ITERATION)
+
+        asyncio.run(asyncio.wait_for(work(), 10))
+
+    # Guards against interim responses with many fields that do the same.
+    def test_others_run_between_interim_responses(self):
+        async def work():
+            connection, _ = begin_request()
+            interim = b"HTTP/1.1 103 Early Hints\r\n" + b"a:\r\n" * 1000 + b"\r\n"
+            connection.data_received(interim * (MAX_INTERIM_RESPONSES + 1))
+            iterations = await count_iterations(connection.read_head())
+            assert iterations >= MAX_INTERIM_RESPONSES
+
+        asyncio.run(asyncio.wait_for(work(), 10))
+
+    # Guards against a longer way of every usual answer through the loop.
+    def test_a_short_response_is_read_at_once(self):
+        async def work():
+            connection, _ = begin_request()
+            connection.data_received(CHUNKED + b"1\r\nx\r\n" * 8 + b"0\r\n\r\n")
+
+            async def read():
+                await connection.read_head()
+                while await connection.read_chunk() is not None:
+                    pass
+
+            assert await count_iterations(read()) <= 2
+
+        asyncio.run(asyncio.wait_for(work(), 10))
+
+
+class TestBackPressure:
+    # Guards against an endpoint whose bytes are all kept while a slow caller
+    # lets nothing be read.
+    def test_the_socket_is_not_read_while_nobody_reads(self):
+        async def work():
+            connection, transport = begin_request()
+            connection.data_received(CHUNKED)
+            await connection.read_head()
+            received = 0
+            while transport.is_read:
+                connection.data_received(b"400\r\n" + KILOBYTE + b"\r\n")
+                received += 1024
+                assert received <= 2 * MAX_UNPARSED_BYTES
+            await connection.read_chunk()
+            assert transport.is_read
+
+        asyncio.run(asyncio.wait_for(work(), 10))
+
+
 class TestInterimResponses:
     def test_a_few_are_passed_over(self):
         async def serve(reader, writer):
