Let connections that read much take turns, one in each iteration

Cause: each connection had its part of 32 in every iteration of the loop, so that an iteration took as long as all of them together.

Change: connections that have read their part queue for a turn, and one is granted in each iteration. All others are read as before. It is one place for all responses, of endpoints, of the store, in calls and over a relay.

--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -21,6 +21,7 @@
 from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import split_address
 from fescuekeel.helpers.logging import log_event
+from fescuekeel.helpers.loop_turns import get_loop_turns
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
     Framing,
@@ -356,11 +357,11 @@
             await self._feed()
 
     async def _let_others_run(self) -> None:
-        """Go on in the next iteration of the event loop.
+        """Go on in a later iteration of the event loop.
 
         Reading what has already arrived never waits by itself.
         """
-        await asyncio.sleep(0)
+        await get_loop_turns().wait()
         self._parts_in_iteration = 0
 
     async def _feed(self) -> None:
--- a/tests/helpers/test_endless_responses.py
+++ b/tests/helpers/test_endless_responses.py
@@ -149,6 +149,27 @@
 
         asyncio.run(asyncio.wait_for(work(), 10))
 
+    # Guards against many such endpoints at a time, each with a part of every
+    # iteration.
+    def test_many_connections_take_turns(self):
+        chunks, connections = 256, 8
+
+        async def work():
+            opened = [begin_request()[0] for _ in range(connections)]
+
+            async def read(connection):
+                await connection.read_head()
+                for _ in range(chunks):
+                    await connection.read_chunk()
+
+            for connection in opened:
+                connection.data_received(CHUNKED + b"1\r\nx\r\n" * chunks)
+            iterations = await count_iterations(asyncio.gather(*map(read, opened)))
+            turns = connections * chunks // (2 * MAX_PARTS_PER_ITERATION)
+            assert iterations >= turns
+
+        asyncio.run(asyncio.wait_for(work(), 10))
+
     # Guards against interim responses with many fields that do the same.
     def test_others_run_between_interim_responses(self):
         async def work():
