Bound the bytes of request bodies that an instance keeps at a time

What callers saw: 100 callers that send bodies of 4 MB without the last byte take 460 MB of an instance, 100 whole ones 529 MB, where a process has 300 MB: it ends, and the requests of all others on it. A body that never ended was kept until its connection closed, without a time.

Cause: the bound was that of one body, and one of them per connection. Of whole bodies a second copy was kept until the next request.

Change: the bodies of all connections share 64 MB, less the first 64 KB of each, until the request ends or its connection closes. A body beyond it is read and dropped, and its request refused with 503 and Retry-After at its end. A body has 60 s to arrive. The delegate hears of closed connections, which it did not.

--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -7,6 +7,11 @@
 # Callers.
 MAX_HEADER_BYTES: Final = 64 * 1024
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+# Bodies of all callers together, without the first bytes of each.
+MAX_BODIES_BYTES: Final = 64 * 1024 * 1024
+SMALL_BODY_BYTES: Final = 64 * 1024
+# A caller that has not sent its body by then is not going to.
+BODY_TIMEOUT_S: Final = 60.0
 # Longer than callers' own idle timeouts: closing a connection first could lose
 # a request in transit.
 IDLE_TIMEOUT_S: Final = 600.0
--- a/fescuekeel/components/forward/server.py
+++ b/fescuekeel/components/forward/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 from tornado.http1connection import HTTP1Connection
@@ -16,14 +17,20 @@
 )
 from tornado.iostream import IOStream
 
+from fescuekeel.components.forward.body_budget import BodyBudget
 from fescuekeel.components.forward.connection_gate import ConnectionGate
 from fescuekeel.components.forward.const import (
+    BODY_TIMEOUT_S,
     IDLE_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    MIN_OVERLOAD_RETRY_S,
 )
+from fescuekeel.const import HEADER_RETRY_AFTER
+from fescuekeel.errors import ErrorKind, Failure
 from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import bind_address
+from fescuekeel.helpers.logging import log_event
 
 __all__ = ["CallersServer"]
 
@@ -32,11 +39,25 @@
 
 
 class RequestReader(HTTPMessageDelegate):
-    """Read one request completely, then pass it to the callback."""
+    """Read one request completely, then pass it to the callback.
 
-    def __init__(self, accept: Accept, connection: HTTP1Connection) -> None:
+    ``admits`` returns whether a body of some length may be kept. One that may
+    not is read and dropped, and answered at its end: callers read an answer
+    that comes sooner only once they have sent all.
+    """
+
+    def __init__(
+        self,
+        accept: Accept,
+        connection: HTTP1Connection,
+        admits: Callable[[int], bool],
+        on_dropped: Callable[[], None],
+    ) -> None:
         self._accept = accept
         self._connection = connection
+        self._admits = admits
+        self._on_dropped = on_dropped
+        self._dropped = False
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._body = bytearray()
@@ -51,12 +72,41 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Append a chunk to the body."""
-        self._body += chunk
+        if self._dropped:
+            return
+        if self._admits(len(self._body) + len(chunk)):
+            self._body += chunk
+            return
+        self._dropped = True
+        self._body.clear()
+        self._on_dropped()
 
     def finish(self) -> None:
         """Pass the complete request to the callback."""
         assert self._line is not None
-        self._accept(self._connection, self._line, self._headers, bytes(self._body))
+        if self._dropped:
+            self._refuse()
+            return
+        body = bytes(self._body)
+        self._body.clear()
+        self._accept(self._connection, self._line, self._headers, body)
+
+    def _refuse(self) -> None:
+        failure = Failure(ErrorKind.QUEUE_FULL, "request bodies")
+        status = HTTPStatus(failure.response.status)
+        log_event(
+            "request_refused",
+            request_id="",
+            kind=failure.kind.value,
+            detail=failure.detail,
+            outcome="refused",
+        )
+        headers = HTTPHeaders()
+        headers[HEADER_RETRY_AFTER] = f"{MIN_OVERLOAD_RETRY_S:.2f}"
+        headers["Content-Length"] = "0"
+        line = ResponseStartLine("HTTP/1.1", status, status.phrase)
+        self._connection.write_headers(line, headers)
+        self._connection.finish()
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
@@ -72,12 +122,14 @@
     def __init__(self, accept: Accept, address: str, gate: ConnectionGate) -> None:
         self.address = address
         self.gate = gate
+        self.bodies = BodyBudget()
         self._accept = accept
         self._server = _DelegateServer(
             self,
             max_buffer_size=4 * MAX_BODY_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
 
@@ -91,11 +143,17 @@
     ) -> HTTPMessageDelegate:
         """Return a reader for the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return RequestReader(self._accept, request_conn)
+        self.bodies.release(server_conn)
+        return RequestReader(
+            self._accept,
+            request_conn,
+            lambda body_bytes: self.bodies.admits(server_conn, body_bytes),
+            lambda: self.bodies.release(server_conn),
+        )
 
     def on_close(self, server_conn: object) -> None:
-        """Remove a connection that was closed."""
-        self._server.on_close(server_conn)
+        """Count the body of a closed connection no longer."""
+        self.bodies.release(server_conn)
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
@@ -127,3 +185,7 @@
         self, server_conn: object, request_conn: object
     ) -> HTTPMessageDelegate:
         return self._delegate.start_request(server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self._delegate.on_close(server_conn)
