Fail a call at once whose answer has a chunk size without an end

What callers saw: a call to an endpoint of the completions interface whose answer has an endless chunk size was given up only at its timeout, 8.0 s in the test, though its connection had been closed at once. All other forms without end are given up within 0.2 s.

Cause: tornado closes such a connection with an UnsatisfiableReadError, which is no OSError, and raises it to the event loop instead of the call.

Change: the call fails with either error.

--- a/fescuekeel/helpers/http.py
+++ b/fescuekeel/helpers/http.py
@@ -6,6 +6,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
+from tornado.iostream import UnsatisfiableReadError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 
 from fescuekeel.helpers.event_stream import EventTracker
@@ -83,12 +84,13 @@
     def on_connection_close(self) -> None:
         """Fail the call.
 
-        Tornado raises the error of a connection that was reset to the event
-        loop, and the call would wait for its timeout.
+        Tornado raises the error of a connection that was reset, or that was
+        closed since a line has no end, to the event loop, and the call would
+        wait for its timeout.
         """
         try:
             super().on_connection_close()
-        except OSError:
+        except (OSError, UnsatisfiableReadError):
             self._handle_exception(*sys.exc_info())
 
 
