Read rejections and errors before a retry up to a bound

Cause: _drain and _keep_failed read to the end, and only what is kept had a bound. Change: beyond 64 KB the attempt ends, which closes the connection, and the retry follows. tests/components/forward/test_exchange.py fails on the code before (2 of 2) and passes now. Only unit tests were run on this change.

--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -108,7 +108,8 @@
 MAX_PERMITS_AWAITED: Final = 2
 # An endpoint first seen less than this before has just started.
 NEW_ENDPOINT_S: Final = 10.0
-# The longest answer with an error that is kept while the request is retried.
+# The longest answer with an error that is kept while the request is retried,
+# and the longest rejection that is read to its end.
 MAX_KEPT_ANSWER_BYTES: Final = 64 * 1024
 # The pause between two searches for another endpoint of a request whose
 # endpoint is silent.
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -371,20 +371,32 @@
     async def _keep_failed(
         self, connection: Connection, head: ResponseHead, response: ResponseMetadata
     ) -> None:
-        """Read an answer with an error; keep it if no retry is answered."""
+        """Read an answer with an error; keep it if no retry is answered.
+
+        One that is too long is not read to its end, which may never come: the
+        connection is closed with the attempt.
+        """
         body = bytearray()
         while (chunk := await connection.read_chunk()) is not None:
             self._record_received()
-            if len(body) <= MAX_KEPT_ANSWER_BYTES:
-                body += chunk.data
-        if len(body) <= MAX_KEPT_ANSWER_BYTES and not self.request.state.answer_started:
+            body += chunk.data
+            if len(body) > MAX_KEPT_ANSWER_BYTES:
+                return
+        if not self.request.state.answer_started:
             self.request.failed_answer = FailedAnswer(head, bytes(body))
         self._release(connection, response)
 
     async def _drain(self, connection: Connection, response: ResponseMetadata) -> None:
-        """Read the rest of an answer that is not forwarded."""
-        while await connection.read_chunk() is not None:
+        """Read the rest of an answer that is not forwarded.
+
+        A long one is not read to its end; see ``_keep_failed``.
+        """
+        drained_bytes = 0
+        while (chunk := await connection.read_chunk()) is not None:
             self._record_received()
+            drained_bytes += len(chunk.data)
+            if drained_bytes > MAX_KEPT_ANSWER_BYTES:
+                return
         self._release(connection, response)
 
     def _release(self, connection: Connection, response: ResponseMetadata) -> None:
