Let relayed bytes not keep streams on a lost direct path

What callers saw: of several streams whose direct path was lost, the first ones went on through a peer, and the rest waited until those had ended.

Cause: a byte on any connection to the endpoint ended all searches for another path. The first stream that had left got bytes of the same endpoint through a peer, which say nothing about the direct path.

Change: a search by another path ends only with a byte of its own attempt. Searches for another endpoint still end with any byte of the silent one.

--- a/fescuekeel/components/forward/failover.py
+++ b/fescuekeel/components/forward/failover.py
@@ -158,7 +158,9 @@
         outcome = FailoverOutcome.NOT_CONNECTED
         try:
             if await exchange.connect() is None:
-                is_silent = health.waiting_since == silent_since
+                # Bytes of the endpoint may come through a peer, while the
+                # direct path is lost. Those of this attempt end the search.
+                is_silent = by_another_path or health.waiting_since == silent_since
                 outcome = self._switch(attempt, exchange, is_silent)
         finally:
             if outcome is not FailoverOutcome.SWITCHED:
