Check paths to an endpoint that has been silent for long, too

What callers saw: a stream that may be sent to one endpoint only stayed on a lost direct path until its caller left, if no peer had a path in the first 1.6 s of silence.

Cause: the path was checked only until other endpoints were sought, and only after a check does a request look for another path to the same endpoint.

Change: both are done, each at its own time.

--- a/fescuekeel/components/forward/reachability.py
+++ b/fescuekeel/components/forward/reachability.py
@@ -80,7 +80,7 @@
         for id, load in list(self._loads_by_id.items()):
             if load.health.must_fail_over(now):
                 self._fail_over(id, requests, by_another_path=False)
-            elif load.health.needs_check(now):
+            if load.health.needs_check(now):
                 work = self._check_path(id, requests)
                 self._instance.spawn(work, f"{DOMAIN}.check_path")
 
--- a/tests/platform/test_lost_paths.py
+++ b/tests/platform/test_lost_paths.py
@@ -67,3 +67,20 @@
                 await check_whole(streams)
 
         run(work)
+
+    # Guards against looking for another path only in the first moments, while
+    # no peer has one yet.
+    def test_one_that_comes_late_is_found(self):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                grant_retries(world)
+                await publish_route(world, 1)
+                streams = begin_streams(world, STREAMS)
+                await asyncio.sleep(CUT_AFTER_S)
+                for links in world.links:
+                    links.cut(Cut.HANG)
+                await asyncio.sleep(2.5)
+                await world.links[1].restore()
+                await check_whole(streams)
+
+        run(work)
