End the search for another endpoint with the attempt

What callers saw: nothing by itself. A request whose attempt broke while it looked for another endpoint looked twice at once: it waited for two admissions and could order two loads, and what the first search took was given back.

Cause: only a byte of the endpoint and the end of the request ended a search.

Change: the end of the attempt ends it, too.

Before, on: tests/platform/test_ended_searches.py failed in 1 of 1 play, a search went on 0.25 s after the attempt. After: passed in 1 of 1.

--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -425,6 +425,7 @@
             end = await exchange.run()
         finally:
             self._current_attempt = None
+            self.failover.end_search()
             self._end_permit(choice, get_permit_outcome(end))
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_chunk_received else tokens
