Learn an endpoint's address once it is listed again

What callers saw: an instance never reached an endpoint again whose entry had been away for a moment, and refused requests that only it could serve.

Change: a pool without an address takes that of the endpoint's record.

--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -71,6 +71,7 @@
 __all__ = ["Forwarder"]
 
 SWEEP_PERIOD_S = 0.5
+UNKNOWN_ADDRESS = "0.0.0.0:0"
 
 
 class Forwarder:
@@ -367,12 +368,16 @@
         return max(own, known.pending_tokens - tokens, 0)
 
     def get_pool(self, endpoint: str) -> ConnectionPool:
-        """Return the connection pool of an endpoint."""
+        """Return the connection pool of an endpoint.
+
+        One that is not listed has no known address until it is listed again.
+        """
         pool = self._pools_by_id.get(endpoint)
         if pool is None:
+            pool = self._pools_by_id[endpoint] = ConnectionPool(UNKNOWN_ADDRESS)
+        if pool.address == UNKNOWN_ADDRESS:
             record = self._selector.find_record(endpoint)
-            pool = ConnectionPool(record.address if record else "0.0.0.0:0")
-            self._pools_by_id[endpoint] = pool
+            pool.address = record.address if record else UNKNOWN_ADDRESS
         return pool
 
     async def open(self, endpoint: str, pool: ConnectionPool) -> Connection:
