Leave a lost direct path while others are answered through a peer

What callers saw: streams on a lost direct path waited for seconds, up to their deadlines, while new requests to the same endpoint were answered through a peer.

Cause: an endpoint counts as silent by all connections to it. With bytes that come through a peer, neither the path was checked nor another one sought.

Change: where only peers reach an endpoint, requests whose own attempt brought nothing for FAILOVER_AFTER_S look for another path.

--- a/fescuekeel/components/endpoints/__init__.py
+++ b/fescuekeel/components/endpoints/__init__.py
@@ -10,6 +10,7 @@
 from fescuekeel.components.endpoints.const import (
     DOMAIN,
     ENGINE_STEP_S,
+    FAILOVER_AFTER_S,
     LIMIT_TTL_S,
     MAX_LIMITED_ENDPOINTS,
     MAX_REJECTION_LIMITS,
@@ -22,6 +23,7 @@
 __all__ = [
     "DOMAIN",
     "ENGINE_STEP_S",
+    "FAILOVER_AFTER_S",
     "LIMIT_TTL_S",
     "MAX_LIMITED_ENDPOINTS",
     "MAX_REJECTION_LIMITS",
--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -35,11 +35,12 @@
 class Attempt:
     """One attempt to send the request to an endpoint.
 
-    It was sent at ``sent_at``, once there was a connection. ``framing`` is
-    that of the answer, ``ended_by`` what ended its body, and ``within_event``
-    whether a stream ended within an event. ``software`` is the endpoint's
-    software version. With ``is_return`` it is among the first requests after
-    the endpoint backed off. ``transfer`` is set once the request was sent.
+    It was sent at ``sent_at``, once there was a connection, and the latest
+    bytes of its answer came at ``received_at``. ``framing`` is that of the
+    answer, ``ended_by`` what ended its body, and ``within_event`` whether a
+    stream ended within an event. ``software`` is the endpoint's software
+    version. With ``is_return`` it is among the first requests after the
+    endpoint backed off. ``transfer`` is set once the request was sent.
     """
 
     endpoint: str
@@ -47,6 +48,7 @@
     tokens: int
     tokens_ahead: int
     sent_at: float = 0.0
+    received_at: float = 0.0
     first_chunk_received: bool = False
     first_s: float = -1.0
     first_chunk_at: float = 0.0
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -424,6 +424,7 @@
     def _record_received(self) -> None:
         self.request.failover.end_search()
         now = self.forwarder.instance.now()
+        self.attempt.received_at = now
         self.forwarder.get_load(self.attempt.endpoint).health.record_received(now)
 
     def _record_chunk(self) -> None:
--- a/fescuekeel/components/forward/reachability.py
+++ b/fescuekeel/components/forward/reachability.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable, Collection
 
-from fescuekeel.components.endpoints import EndpointLoad
+from fescuekeel.components.endpoints import FAILOVER_AFTER_S, EndpointLoad
 from fescuekeel.components.forward.const import DOMAIN
 from fescuekeel.components.forward.isolation import Isolation
 from fescuekeel.components.forward.request import ForwardedRequest
-from fescuekeel.components.relay import Relay
+from fescuekeel.components.relay import PathState, Relay
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.peer_link import get_peer_link
@@ -83,6 +83,18 @@
             if load.health.needs_check(now):
                 work = self._check_path(id, requests)
                 self._instance.spawn(work, f"{DOMAIN}.check_path")
+        self._leave_lost_paths(requests)
+
+    def _leave_lost_paths(self, requests: Collection[ForwardedRequest]) -> None:
+        """Let requests that wait on a lost direct path look for another one.
+
+        The endpoint does not count as silent while others are answered through
+        a peer.
+        """
+        silent = [item for item in requests if item.silent_s > FAILOVER_AFTER_S]
+        for id in {request.current_endpoint for request in silent}:
+            if self._relay.get_state(id) is PathState.RELAYED:
+                self._fail_over(id, silent, by_another_path=True)
 
     async def _check_path(
         self, endpoint: str, requests: Collection[ForwardedRequest]
--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -182,6 +182,15 @@
         """Return whether an attempt is under way."""
         return self._current_attempt is attempt
 
+    @property
+    def silent_s(self) -> float:
+        """Return for how long the current attempt has brought nothing."""
+        attempt = self._current_attempt
+        if attempt is None or not attempt.sent_at:
+            return 0.0
+        since = max(attempt.sent_at, attempt.received_at)
+        return self.forwarder.instance.now() - since
+
     @property
     def resumes_stream(self) -> bool:
         """Return whether the caller resumes a stream of an earlier attempt."""
--- a/tests/platform/test_lost_paths.py
+++ b/tests/platform/test_lost_paths.py
@@ -84,3 +84,24 @@
                 await check_whole(streams)
 
         run(work)
+
+
+class TestStreamsBesideNewOnes:
+    # Guards against taking bytes that come through a peer for a sign that the
+    # direct path works.
+    def test_all_go_on_through_a_peer(self):
+        async def work():
+            async with start_world(2, linked=True) as world:
+                grant_retries(world)
+                await publish_route(world, 1)
+                streams = begin_streams(world, STREAMS)
+                await asyncio.sleep(CUT_AFTER_S)
+                world.links[0].cut(Cut.HANG)
+                later = []
+                for _ in range(8):
+                    later += begin_streams(world, 1)
+                    await asyncio.sleep(0.2)
+                await check_whole(streams)
+                await asyncio.gather(*later)
+
+        run(work)
