Lose no cancellation that comes with the answer of a load

What callers saw: nothing by itself. A request that was cancelled as a load was answered, since its caller had left or its search was not needed any more, went on waiting for an endpoint for more than a second, and could be sent.

Cause: asyncio.wait_for returns the result of an awaitable that is done as it is cancelled, and drops the cancellation (Python 3.11).

Change: asyncio.timeout, which does not.

--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -455,12 +455,13 @@
             patient=patient,
             tokens=request.metadata.prompt_tokens,
         )
-        pending_load = self._load_requester.load(ask)
         try:
-            detail = await asyncio.wait_for(pending_load, left_s)
+            # Unlike ``wait_for``, this loses no cancellation that comes
+            # together with the answer.
+            async with asyncio.timeout(left_s):
+                return await self._load_requester.load(ask)
         except TimeoutError:
             return "load takes too long"
-        return detail
 
     async def _find_gone_version(self, request: ForwardedRequest) -> Failure | None:
         """Return a failure if no endpoint can resume a stream soon."""
