--- a/fescuekeel/components/forward/request.py
+++ b/fescuekeel/components/forward/request.py
@@ -183,6 +183,15 @@
         """Return whether an attempt is under way."""
         return self._current_attempt is attempt
 
+    @property
+    def silent_s(self) -> float:
+        """Return for how long the current attempt has brought nothing."""
+        attempt = self._current_attempt
+        if attempt is None or not attempt.sent_at:
+            return 0.0
+        since = max(attempt.sent_at, attempt.received_at)
+        return self.forwarder.instance.now() - since
+
     @property
     def resumes_stream(self) -> bool:
         """Return whether the caller resumes a stream of an earlier attempt."""
@@ -426,6 +435,7 @@
             end = await exchange.run()
         finally:
             self._current_attempt = None
+            self.failover.end_search()
             self._end_permit(choice, get_permit_outcome(end))
             done = self.forwarder.instance.now()
             left = 0 if attempt.first_chunk_received else tokens
--- a/tests/components/forward/test_reachability.py
+++ b/tests/components/forward/test_reachability.py
@@ -1,5 +1,6 @@
 """Tests of requests at endpoints that send nothing."""
 
+import asyncio
 from dataclasses import dataclass
 
 import pytest
@@ -22,6 +23,7 @@
     may_move: bool
     current_endpoint: str = "e1"
     begun: int = 0
+    silent_s: float = 0.0
 
     def begin_failover(self, by_another_path):
         self.begun += 1
@@ -49,7 +51,11 @@
         monitor = ReachabilityMonitor(instance, {"e1": load}, lambda id: None, Relay())
         requests = [Request(True), Request(False), Request(True)]
         elsewhere = Request(True, current_endpoint="e2")
-        monitor.check_silent([*requests, elsewhere])
+
+        async def check():
+            monitor.check_silent([*requests, elsewhere])
+
+        asyncio.run(check())
         assert [request.begun for request in requests] == [1, 1, 1]
         assert elsewhere.begun == 0
         (begun,) = [line for line in lines if line["message_type"] == "failover_begun"]
