Switch only if the attempt itself has brought nothing meanwhile

What callers saw: nothing yet. A search by another path relied on being cancelled by the bytes of its attempt, and a cancellation may come too late.

Change: the time of the attempt's latest bytes is compared as well.

--- a/fescuekeel/components/forward/failover.py
+++ b/fescuekeel/components/forward/failover.py
@@ -150,6 +150,7 @@
         request = self._request
         health = request.forwarder.get_load(attempt.endpoint).health
         silent_since = health.waiting_since
+        received_at = attempt.received_at
         avoided = "" if by_another_path else attempt.endpoint
         choice = await request.forwarder.select_endpoint(request, avoided)
         if isinstance(choice, Failure):
@@ -158,9 +159,11 @@
         outcome = FailoverOutcome.NOT_CONNECTED
         try:
             if await exchange.connect() is None:
-                # Bytes of the endpoint may come through a peer, while the
-                # direct path is lost. Those of this attempt end the search.
-                is_silent = by_another_path or health.waiting_since == silent_since
+                is_silent = attempt.received_at == received_at
+                if not by_another_path:
+                    # Bytes of the endpoint may come through a peer, while the
+                    # direct path is lost.
+                    is_silent = is_silent and health.waiting_since == silent_since
                 outcome = self._switch(attempt, exchange, is_silent)
         finally:
             if outcome is not FailoverOutcome.SWITCHED:
