Close a connection that is made as its caller is cancelled

What callers saw: nothing at once. Found by the review, by reading.

Cause: cancelling a task that is done does nothing.

--- a/fescuekeel/components/relay/component.py
+++ b/fescuekeel/components/relay/component.py
@@ -121,7 +121,7 @@
                 return direct.result()
             return await self._race(endpoint, direct)
         except asyncio.CancelledError:
-            direct.cancel()
+            _discard(direct)
             raise
 
     async def connect_directly(self, endpoint: str, address: str) -> Connection:
@@ -230,7 +230,7 @@
                 Connection.close,
             )
         except asyncio.CancelledError:
-            relayed.cancel()
+            _discard(relayed)
             raise
         if connection is None:
             raise NotConnectedError(", ".join(map(str, errors)))
@@ -351,6 +351,17 @@
             listener(endpoint, state)
 
 
+def _discard(connecting: asyncio.Task[Connection]) -> None:
+    """End a connect; close its connection if it has just been made."""
+    connecting.cancel()
+    connecting.add_done_callback(_close_made)
+
+
+def _close_made(connecting: asyncio.Task[Connection]) -> None:
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
 async def _wait_for(task: asyncio.Task[Connection]) -> Connection:
     """Wait for a task that others may wait for as well."""
     return await asyncio.shield(task)
