Let another search follow one that was cancelled before it ran

What callers saw: nothing yet. A search that was cancelled in the turn in which it began never ran, and the request never looked for another endpoint again.

Cause: the task was forgotten in its own last step only. Change: its end does it. The line of a failover has a field of its own for why there is no endpoint, and an outcome for a fault of the program.

--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -29,7 +29,7 @@
 # Retry-After for requests that come later; other instances are ready.
 DRAINING_RETRY_S: Final = 0.05
 # Bounds the effect of a single long iteration of the event loop, such as one
-# that was measured while the process started.
+# while the process starts.
 MAX_SIGNAL_DELAY_S: Final = 0.5
 # How long refusals are written after the end of a shutdown, and how long to
 # wait for connections to close; the process must exit before it is killed.
--- a/fescuekeel/components/forward/failover.py
+++ b/fescuekeel/components/forward/failover.py
@@ -1,6 +1,7 @@
 """Move a request from a silent endpoint to one that can go on with it."""
 
 import asyncio
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -22,8 +23,8 @@
     ``SWITCHED``: the request goes on at the other endpoint. All others leave
     it where it is: the silent endpoint ``GOES_ON``, the attempt has ended,
     there is no other endpoint or no connection to it, the other one is silent
-    as well, it is the same endpoint by the same path, or the retry budget is
-    used up.
+    as well, it is the same endpoint by the same path, the retry budget is used
+    up, or the search ``FAILED`` by a fault of this program.
     """
 
     SWITCHED = "switched"
@@ -34,6 +35,16 @@
     OTHER_IS_SILENT = "other_is_silent"
     SAME_PATH = "same_path"
     OVER_BUDGET = "over_budget"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class SearchResult:
+    """How a search ended, the endpoint it found, and why there is none."""
+
+    outcome: FailoverOutcome
+    target: str = ""
+    failure: str = ""
 
 
 def find_reason_to_stay(
@@ -83,8 +94,13 @@
             return False
         work = self._prepare(attempt, by_another_path)
         self._task = instance.spawn(work, f"{DOMAIN}.failover")
+        self._task.add_done_callback(self._handle_search_done)
         return True
 
+    def _handle_search_done(self, task: asyncio.Task[None]) -> None:
+        """Allow another search, also if this one was cancelled unstarted."""
+        self._task = None
+
     @property
     def is_prepared(self) -> bool:
         """Return whether the current attempt was ended for another one."""
@@ -110,47 +126,48 @@
     async def _prepare(self, attempt: Attempt, by_another_path: bool) -> None:
         instance = self._request.forwarder.instance
         began_at = instance.now()
-        outcome, detail = FailoverOutcome.GOES_ON, ""
+        result = SearchResult(FailoverOutcome.FAILED)
         try:
-            outcome, detail = await self._find_and_switch(attempt, by_another_path)
+            result = await self._find_and_switch(attempt, by_another_path)
         except asyncio.CancelledError:
-            if not self._request.is_current(attempt):
-                outcome = FailoverOutcome.ATTEMPT_ENDED
+            is_current = self._request.is_current(attempt)
+            result = SearchResult(
+                FailoverOutcome.GOES_ON if is_current else FailoverOutcome.ATTEMPT_ENDED
+            )
             raise
         finally:
-            self._task = None
             self._next_at = instance.now() + FAILOVER_PAUSE_S
-            self._record(attempt, by_another_path, began_at, outcome, detail)
+            self._record(attempt, by_another_path, began_at, result)
 
     def _record(
         self,
         attempt: Attempt,
         by_another_path: bool,
         began_at: float,
-        outcome: FailoverOutcome,
-        detail: str,
+        result: SearchResult,
     ) -> None:
         instance = self._request.forwarder.instance
         health = self._request.forwarder.get_load(attempt.endpoint).health
         silent_s = health.read_silent_s(instance.now())
-        instance.metrics.count(f"failover.{outcome}")
+        instance.metrics.count(f"failover.{result.outcome}")
         log_event(
             "failover_ended",
             request_id=self._request.metadata.request_id,
             endpoint=attempt.endpoint,
-            target=detail,
+            target=result.target,
+            failure=result.failure,
             silent_ms=round(silent_s * 1000),
             by_another_path=by_another_path,
             answer_started=self._request.state.answer_started,
             sends=self._request.state.sends,
             took_ms=round((instance.now() - began_at) * 1000),
-            outcome=outcome.value,
+            outcome=result.outcome.value,
         )
 
     async def _find_and_switch(
         self, attempt: Attempt, by_another_path: bool
-    ) -> tuple[FailoverOutcome, str]:
-        """Return the outcome, and the other endpoint or why there is none."""
+    ) -> SearchResult:
+        """Find another endpoint; end the current attempt once it is ready."""
         request = self._request
         health = request.forwarder.get_load(attempt.endpoint).health
         silent_since = health.waiting_since
@@ -158,7 +175,7 @@
         avoided = "" if by_another_path else attempt.endpoint
         choice = await request.forwarder.select_endpoint(request, avoided)
         if isinstance(choice, Failure):
-            return FailoverOutcome.NO_ENDPOINT, choice.kind.value
+            return SearchResult(FailoverOutcome.NO_ENDPOINT, failure=choice.kind.value)
         exchange = Exchange(request, request.make_attempt(choice), choice)
         outcome = FailoverOutcome.NOT_CONNECTED
         try:
@@ -172,7 +189,7 @@
         finally:
             if outcome is not FailoverOutcome.SWITCHED:
                 exchange.abandon()
-        return outcome, choice.endpoint
+        return SearchResult(outcome, target=choice.endpoint)
 
     def _switch(
         self, attempt: Attempt, exchange: Exchange, is_silent: bool
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -51,7 +51,7 @@
         answer_broken request_id fingerprint endpoint kept age_ms error outcome
         answer_unflushed request_id bytes since_signal_ms outcome
         attempt_ended request_id send connection position endpoint took_ms outcome
-        failover_ended request_id endpoint target silent_ms by_another_path \
+        failover_ended request_id endpoint target failure silent_ms by_another_path \
             answer_started sends took_ms outcome
         load_waited request_id endpoint weights version cost_ms waited_ms outcome
         parts_in_crash request_id endpoint parts written_ms outcome
--- a/tests/components/forward/test_failover.py
+++ b/tests/components/forward/test_failover.py
@@ -198,18 +198,18 @@
 class TestLines:
     # Guards against streams that are cut after a failover no line names.
     @pytest.mark.parametrize(
-        ("found", "target", "outcome"),
+        ("found", "target", "failure", "outcome"),
         [
-            (make_choice(), "e2", "switched"),
-            (Failure(ErrorKind.LOAD_FAILED, "no place"), "load_failed", "no_endpoint"),
+            (make_choice(), "e2", "", "switched"),
+            (Failure(ErrorKind.LOAD_FAILED, ""), "", "load_failed", "no_endpoint"),
         ],
     )
-    def test_each_request_has_one(self, lines, found, target, outcome):
+    def test_each_request_has_one(self, lines, found, target, failure, outcome):
         fail_over(Request(found))
         (line,) = [line for line in lines if line["message_type"] == "failover_ended"]
         assert line["request_id"] == "r1"
         assert line["endpoint"] == "e1"
-        assert line["target"] == target
+        assert (line["target"], line["failure"]) == (target, failure)
         assert line["silent_ms"] == round((NOW - SENT_AT) * 1000)
         assert line["answer_started"]
         assert not line["by_another_path"]
@@ -221,3 +221,20 @@
         (line,) = [line for line in lines if line["message_type"] == "failover_ended"]
         assert line["outcome"] == "goes_on"
         assert not request.exchanges
+
+
+class TestCancelledSearch:
+    # Guards against a request that never looks for another endpoint again,
+    # since a search was cancelled before it began to run.
+    def test_another_one_may_follow(self):
+        async def work():
+            request = Request(make_choice())
+            failover = Failover(request)
+            assert failover.begin(request.attempt, False)
+            failover.end_search()
+            await asyncio.sleep(0.01)
+            assert failover.begin(request.attempt, False)
+            await asyncio.sleep(0.01)
+            assert failover.is_prepared
+
+        asyncio.run(work())
