--- a/tests/platform/test_silent_endpoint.py
+++ b/tests/platform/test_silent_endpoint.py
@@ -9,6 +9,8 @@
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
+from fescuekeel.components.relay import Relay
+from fescuekeel.helpers.http_connection import NotConnectedError
 from standins.forwarding.platform import (
     ENGINES,
     MODEL,
@@ -235,3 +237,35 @@
                 assert outcomes.count(Outcome.WHOLE) >= len(callers)
 
         run(work)
+
+
+class TestStreamsAtAnEndpointWithoutRoomForConnections:
+    # Guards against cutting resumable streams off after half a second of
+    # silence, since the endpoint takes no more connections.
+    @pytest.mark.parametrize("silent_s", [0.8, 1.4])
+    def test_none_is_cut_off(self, silent_s, monkeypatch):
+        async def refuse(self, endpoint, address):
+            raise NotConnectedError("no room")
+
+        async def work():
+            async with start_world(2) as world:
+                grant_retries(world)
+                await publish_long_routes(world)
+                engines = world.platform.list_workers(ENGINES)
+                for engine in engines:
+                    engine.events, engine.event_s = EVENTS, 0.05
+                streams = [
+                    asyncio.ensure_future(
+                        receive_stream(world, "resumed", f"a{n}", n % 2)
+                    )
+                    for n in range(ADAPTERS)
+                ]
+                await asyncio.sleep(SILENT_AFTER_S)
+                monkeypatch.setattr(Relay, "connect_directly", refuse)
+                for engine in engines:
+                    engine.pause(silent_s)
+                outcomes = await asyncio.gather(*streams)
+                assert CUT_OR_LATE.isdisjoint(outcomes)
+                assert outcomes.count(Outcome.WHOLE) >= ADAPTERS / 2
+
+        run(work)
