Log how old a missing entry is when a request is sent

Change: endpoint_changed has known_age_ms, attempt_ended unconfirmed_ms; the gauge of endpoints has a state unconfirmed, and sends to such endpoints are counted. No decision reads any of it.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -245,6 +245,7 @@
         endpoint that leaves must get no more work.
         """
         now = self._instance.now()
+        self._view.known_age_s = self._freshness.read_age_s(now)
         for item in self._items.take_accepted():
             # One of an earlier era was removed before the store came back.
             lapsed = item.era == lapsed_until.era and item.position <= lapsed_until
--- a/fescuekeel/components/catalog/view.py
+++ b/fescuekeel/components/catalog/view.py
@@ -23,6 +23,8 @@
 
 __all__ = ["CatalogView"]
 
+MS_PER_S = 1000
+
 
 @dataclass(slots=True)
 class CatalogView:
@@ -40,7 +42,10 @@
     versions_by_weights: dict[Weights, int] = field(default_factory=dict)
     _names_by_key: dict[str, str] = field(default_factory=dict)
     _born_ms_by_name: dict[str, int] = field(default_factory=dict)
+    # How old what is known may be as an item is applied, for logs.
+    known_age_s: float = 0.0
     _lapsed_at_by_name: dict[str, float] = field(default_factory=dict)
+    _missing_since_by_name: dict[str, float] = field(default_factory=dict)
     _removal_positions_by_name: dict[str, Position] = field(default_factory=dict)
 
     def apply(self, item: PublishedItem, grace: bool, now: float) -> None:
@@ -131,13 +136,14 @@
         self._names_by_key[item.key] = name
         self._record_born_ms(name, record.born_ms)
         self._lapsed_at_by_name.pop(name, None)
+        self._missing_since_by_name.pop(name, None)
         known = self.endpoints_by_name.get(name)
         if known is not None and known.leaving and known.id == record.id:
             record = replace(record, leaving=True)
         self.endpoints_by_name[name] = record
         if known is None or (known.id, known.leaving) != (record.id, record.leaving):
             state = "leaving" if record.leaving else "ready"
-            _log_endpoint(record.id, state, item.position)
+            self._log_endpoint(record.id, state, item.position)
 
     def _record_born_ms(self, name: str, born_ms: int) -> None:
         if born_ms == UNKNOWN_BORN_MS:
@@ -160,16 +166,27 @@
             return
         if grace:
             self._lapsed_at_by_name[name] = now
+            self._missing_since_by_name.setdefault(name, now)
             self._removal_positions_by_name[name] = item.position
-            _log_endpoint(known.id, "lapsing", item.position)
+            self._log_endpoint(known.id, "lapsing", item.position)
             return
         self._drop_endpoint(name, item.position)
 
     def _drop_endpoint(self, name: str, position: Position) -> None:
         self._lapsed_at_by_name.pop(name, None)
+        self._missing_since_by_name.pop(name, None)
         record = self.endpoints_by_name.pop(name, None)
         if record is not None:
-            _log_endpoint(record.id, "gone", position)
+            self._log_endpoint(record.id, "gone", position)
+
+    def _log_endpoint(self, id: str, state: str, position: Position) -> None:
+        log_event(
+            "endpoint_changed",
+            endpoint=id,
+            state=state,
+            revision=position,
+            known_age_ms=round(self.known_age_s * MS_PER_S),
+        )
 
     @property
     def has_lapsing(self) -> bool:
@@ -226,8 +243,9 @@
             ready,
             dict(self.versions_by_weights),
             leaving_ids,
+            {
+                id: self._missing_since_by_name[record.name]
+                for id, record in ready.items()
+                if record.name in self._missing_since_by_name
+            },
         )
-
-
-def _log_endpoint(id: str, state: str, position: Position) -> None:
-    log_event("endpoint_changed", endpoint=id, state=state, revision=position)
--- a/fescuekeel/components/forward/attempt.py
+++ b/fescuekeel/components/forward/attempt.py
@@ -23,12 +23,15 @@
     """What was sent, and on which connection.
 
     ``position`` counts the requests of the connection, this one included.
+    ``unconfirmed_s`` is for how long the endpoint's entry had been missing
+    then, negative if it was not.
     """
 
     connection: int
     connection_age_s: float
     position: int
     body_bytes: int
+    unconfirmed_s: float = -1.0
 
 
 @dataclass(slots=True)
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -391,6 +391,10 @@
         """Return whether an endpoint may get requests by the catalog."""
         return self._selector.find_record(endpoint) is not None
 
+    def read_unconfirmed_s(self, endpoint: str) -> float:
+        """Return for how long its entry has been missing, else -1."""
+        return self._selector.read_unconfirmed_s(endpoint, self.instance.now())
+
     def get_load(self, endpoint: str) -> EndpointLoad:
         """Return the observed load of an endpoint."""
         load = self.loads_by_id.get(endpoint)
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -278,8 +278,14 @@
             self.forwarder.dialect.make_correlation(request.metadata.request_id),
         )
         self.attempt.transfer = Transfer(
-            connection.number, connection.age_s, connection.sends, len(request.body)
+            connection.number,
+            connection.age_s,
+            connection.sends,
+            len(request.body),
+            self.forwarder.read_unconfirmed_s(self.choice.endpoint),
         )
+        if self.attempt.transfer.unconfirmed_s >= 0:
+            self.forwarder.instance.metrics.count("endpoint.sent_unconfirmed")
         request.state.record_sent(self.choice.endpoint, connection.number)
         self.attempt.is_return = self.forwarder.endpoints.record_sent(
             self.choice.endpoint
--- a/fescuekeel/components/forward/gauges.py
+++ b/fescuekeel/components/forward/gauges.py
@@ -45,7 +45,11 @@
         avoided = sum(
             self._get_load(id).health.find_block(now) is not None for id in known
         )
-        return {"ready": float(len(known)), "avoided": float(avoided)}
+        return {
+            "ready": float(len(known)),
+            "avoided": float(avoided),
+            "unconfirmed": float(len(self._selector.unconfirmed_since_by_id)),
+        }
 
     def _read_budget(self) -> dict[str, float]:
         now = self._instance.now()
--- a/fescuekeel/components/forward/host.py
+++ b/fescuekeel/components/forward/host.py
@@ -69,6 +69,9 @@
     def is_listed(self, endpoint: str) -> bool:
         """Return whether an endpoint may get requests by the catalog."""
 
+    def read_unconfirmed_s(self, endpoint: str) -> float:
+        """Return for how long its entry has been missing, else -1."""
+
     def get_load(self, endpoint: str) -> EndpointLoad:
         """Return the observed load of an endpoint."""
 
--- a/fescuekeel/components/forward/records.py
+++ b/fescuekeel/components/forward/records.py
@@ -88,6 +88,7 @@
             connection_age_ms=round(sent.connection_age_s * 1000),
             position=sent.position,
             body_bytes=sent.body_bytes,
+            unconfirmed_ms=round(sent.unconfirmed_s * 1000),
             status=attempt.head.status if attempt.head else 0,
             endpoint=choice.endpoint,
             reason=choice.reason.value,
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -64,6 +64,7 @@
         endpoints: EndpointStates,
     ) -> None:
         self.records_by_service: dict[str, dict[str, EndpointRecord]] = {}
+        self.unconfirmed_since_by_id: dict[str, float] = {}
         self._instance = instance
         self._get_load = get_load
         self._is_cut_off = is_cut_off
@@ -82,6 +83,7 @@
         for id, record in catalog.endpoints_by_id.items():
             by_service.setdefault(record.service, {})[id] = record
         self.records_by_service = by_service
+        self.unconfirmed_since_by_id = catalog.unconfirmed_since_by_id
         self._update_engines(catalog)
         # Endpoints of the first catalog may have started long before.
         first_seen_at = now if self._seen_at_by_id else float("-inf")
@@ -98,6 +100,11 @@
                 return records[endpoint]
         return None
 
+    def read_unconfirmed_s(self, endpoint: str, now: float) -> float:
+        """Return for how long its entry has been missing, else -1."""
+        since = self.unconfirmed_since_by_id.get(endpoint)
+        return -1.0 if since is None else now - since
+
     def list_endpoints(self) -> set[str]:
         """Return the ids of all endpoints that may get requests."""
         return {id for records in self.records_by_service.values() for id in records}
--- a/fescuekeel/helpers/published.py
+++ b/fescuekeel/helpers/published.py
@@ -279,7 +279,9 @@
     ``endpoints_by_id`` excludes endpoints that are leaving or gone, and
     ``leaving_ids`` are those that leave and are still listed.
     ``versions_by_weights`` has the newest published version of each adapter.
-    ``position`` is that of the last change seen.
+    ``position`` is that of the last change seen. ``unconfirmed_since_by_id``
+    has the endpoints whose entries are missing, and since when: each may have
+    left, or its entry may have lapsed while the store was away.
     """
 
     position: Position
@@ -287,3 +289,4 @@
     endpoints_by_id: dict[str, EndpointRecord]
     versions_by_weights: dict[Weights, int]
     leaving_ids: frozenset[str] = frozenset()
+    unconfirmed_since_by_id: dict[str, float] = field(default_factory=dict)
