Forget a failed call to the store once a peer has read it

Callers' requests reached an endpoint up to 3.9 s after its removal, 2 s allowed, with the store stable and the instance in touch. Cause: an instance whose call failed took all that was removed up to its own next answer for lapsed entries. It does not call the store while others watch, so that answer may come minutes later, when it takes over the watch. Change: news or changes of a peer that read the store after the failure end the outage here too; its account of what lapsed is taken over. An instance that learns of a new era by a peer records the return whatever failed before.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -159,7 +159,7 @@
         changed: list[str] = []
         confirmed = None
         if reply is None:
-            self._follower.handle_failure()
+            self._follower.handle_failure(self._instance.now())
         else:
             changed = self._handle_reply(reply, asked_at)
         if reply is not None and self._follower.confirms:
@@ -376,7 +376,9 @@
             return
         self._requests.record_news(message.sender, position, self._items.position, now)
         if position <= self._items.position:
-            self._freshness.record_apparent(now - news.age_ms / 1000)
+            confirmed_at = now - news.age_ms / 1000
+            self._freshness.record_apparent(confirmed_at)
+            self._follower.record_answered_peer(confirmed_at, position)
             return
         self._request_if_due()
         self._requests_changed.set()
@@ -491,7 +493,9 @@
             lapsed_until = max(lapsed_until, self._items.position)
             self._follower.record_return(self._items.position)
         self._publish(changed, lapsed_until)
-        self._freshness.record_confirmed(asked_at, answer.age_ms / 1000)
+        age_s = answer.age_ms / 1000
+        self._freshness.record_confirmed(asked_at, age_s)
+        self._follower.record_answered_peer(asked_at - age_s, lapsed_until)
 
     def _merge_part(self, part: CatalogPart) -> list[str]:
         """Merge what a peer has sent; return the keys that changed."""
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -52,7 +52,7 @@
     ``recovery_position`` is the store's when it answered again: entries
     removed up to it may have expired during the outage, or be missing in the
     copy. The first listing counts as a recovery, since nothing is known of the
-    time before. ``confirms`` says that the last reply was complete and not
+    time before, unless a peer has read the store meanwhile. ``confirms`` says that the last reply was complete and not
     outdated, and ``outdated`` counts replies of an era before the known one.
     With ``hurries`` the pause after changes is short. Watches that the store
     answers at once without changes follow each other after growing pauses.
@@ -79,6 +79,7 @@
     # Where the store was when a reply first named its era.
     _era_seen_at: Position = BEGINNING
     _recovers: bool = True
+    _failed_at: float = -math.inf
     _failures: int = 0
     _relistings: int = 0
     _early_answers: int = 0
@@ -99,12 +100,12 @@
         known_era = self.store.position.era
         era = known_era if reply.era is None else reply.era
         if reply.status is StoreStatus.REJECTED:
-            self.handle_failure()
+            self.handle_failure(now)
             return []
         if era < known_era:
             # Of a proxy, or of a replica that does not know of the copy yet.
             self.outdated += 1
-            self.handle_failure()
+            self.handle_failure(now)
             return []
         self.unavailable = False
         self._failures = 0
@@ -115,6 +116,7 @@
         if era > max(known_era, self._era_seen_at.era):
             self._era_seen_at = position
             self._recovers = True
+            self._failed_at = now
         if self._listing is not None:
             return self._handle_page(items, position, reply.more, now)
         if era > known_era:
@@ -181,16 +183,27 @@
         Guards against an endpoint that is used after its removal, since the
         own first listing comes later and takes it for an entry that was lost.
         """
-        self._record_recovery(position)
+        self._recovers = False
+        self.recovery_position = max(self.recovery_position, position)
+
+    def record_answered_peer(self, at: float, lapsed_until: Position) -> None:
+        """Record that a peer has read the store, and which entries lapsed.
+
+        Guards against a removal that is taken for a lapsed entry long after an
+        outage: an instance that does not watch does not call the store itself.
+        """
+        if at > self._failed_at:
+            self._record_recovery(max(self.recovery_position, lapsed_until))
 
     def _record_recovery(self, position: Position) -> None:
         if self._recovers:
             self._recovers = False
             self.recovery_position = position
 
-    def handle_failure(self) -> None:
+    def handle_failure(self, now: float) -> None:
         """Handle a call that was rejected, lost or not answered in time."""
         self.confirms = False
+        self._failed_at = now
         self.unavailable = True
         self._recovers = True
         self.pause_s = _compute_pause_s(self._failures)
--- a/tests/components/catalog/test_follower.py
+++ b/tests/components/catalog/test_follower.py
@@ -127,13 +127,13 @@
     def test_outage_restarts_the_listing(self):
         follower = Follower(ItemStore())
         follower.handle_reply(page(item("a", 1), revision=7, more=True), NOW)
-        follower.handle_failure()
+        follower.handle_failure(now=1.0)
         assert follower.next_call() == ListPage("")
 
     def test_revision_of_the_recovery_is_recorded(self):
         follower = Follower(ItemStore())
         follower.handle_reply(page(revision=7), NOW)
-        follower.handle_failure()
+        follower.handle_failure(now=1.0)
         follower.handle_reply(page(revision=8), NOW)
         assert follower.recovery_position == at(8)
 
