Use endpoints whose entries are missing last, and ask them first

Callers' requests reached an endpoint up to 3 s after its removal, if that came within some tenths of a second of an absence of the store, however short, while other endpoints of its service were listed and idle. Cause: what is missing after a failed call was believed to have lapsed and was used like any other endpoint for 2.4 s; entries cannot lapse in a moment. Change: a failed call counts as an outage only if nobody heard of has read the store for 1.8 s, or in a new era. What may have lapsed ranks after all listed endpoints, and is sent to only within 0.5 s of an answer in which it did not say that it leaves; if there is none, it is asked for its report first.

--- a/fescuekeel/components/catalog/component.py
+++ b/fescuekeel/components/catalog/component.py
@@ -183,7 +183,8 @@
         """Let the follower handle a reply; log what is wrong with it."""
         outdated = self._follower.outdated
         now = self._instance.now()
-        changed = self._follower.handle_reply(reply, now, now - asked_at)
+        known_until = now - self._freshness.read_apparent_age_s(now)
+        changed = self._follower.handle_reply(reply, now, now - asked_at, known_until)
         if reply.status is StoreStatus.HISTORY_LOST:
             self._instance.metrics.count("catalog.history_lost")
         defect = reply.defect
--- a/fescuekeel/components/catalog/const.py
+++ b/fescuekeel/components/catalog/const.py
@@ -74,6 +74,9 @@
 # Requests under way at a time.
 MAX_REQUESTS: Final = 3
 
+# Entries of live endpoints do not expire in a shorter outage: they last for
+# three renewal intervals.
+MIN_LAPSE_OUTAGE_S: Final = 1.8
 # Live endpoints whose entries expired in a store outage, or are missing in the
 # copy it came back from, renew them within this time after it.
 RENEWAL_S: Final = 2.0
--- a/fescuekeel/components/catalog/follower.py
+++ b/fescuekeel/components/catalog/follower.py
@@ -8,6 +8,7 @@
     LAPSE_BATCH_DELAY_S,
     LIST_TIMEOUT_S,
     MAX_RETRY_S,
+    MIN_LAPSE_OUTAGE_S,
     MIN_RETRY_S,
     READ_TIMEOUT_S,
     RETRY_FACTOR,
@@ -52,9 +53,11 @@
     ``recovery_position`` is the store's when it answered again: entries
     removed up to it may have expired during the outage, or be missing in the
     copy. The first listing counts as a recovery, since nothing is known of the
-    time before, unless a peer has read the store meanwhile. ``confirms`` says that the last reply was complete and not
-    outdated, and ``outdated`` counts replies of an era before the known one.
-    With ``hurries`` the pause after changes is short. Watches that the store
+    time before, unless a peer has read the store meanwhile. An outage that was
+    too short for entries to expire does not count, but for a new era.
+    ``confirms`` says that the last reply was complete and not outdated, and
+    ``outdated`` counts replies of an era before the known one. With
+    ``hurries`` the pause after changes is short. Watches that the store
     answers at once without changes follow each other after growing pauses.
 
     >>> follower = Follower(ItemStore())
@@ -79,6 +82,7 @@
     # Where the store was when a reply first named its era.
     _era_seen_at: Position = BEGINNING
     _recovers: bool = True
+    _begins_era: bool = False
     _failed_at: float = -math.inf
     _failures: int = 0
     _relistings: int = 0
@@ -93,9 +97,16 @@
         return ListPage(self._listing[-1].key if self._listing else "")
 
     def handle_reply(
-        self, reply: StoreReply, now: float, took_s: float = math.inf
+        self,
+        reply: StoreReply,
+        now: float,
+        took_s: float = math.inf,
+        known_until: float = -math.inf,
     ) -> list[str]:
-        """Handle an answer that took a time; return the keys that changed."""
+        """Handle an answer that took a time; return the keys that changed.
+
+        ``known_until`` is up to when all changes were known before it.
+        """
         self.confirms = False
         known_era = self.store.position.era
         era = known_era if reply.era is None else reply.era
@@ -115,8 +126,10 @@
         items = mark_era(reply, era)
         if era > max(known_era, self._era_seen_at.era):
             self._era_seen_at = position
-            self._recovers = True
+            self._recovers = self._begins_era = True
             self._failed_at = now
+        if not self._begins_era and now - known_until < MIN_LAPSE_OUTAGE_S:
+            self._recovers = False
         if self._listing is not None:
             return self._handle_page(items, position, reply.more, now)
         if era > known_era:
@@ -183,7 +196,7 @@
         Guards against an endpoint that is used after its removal, since the
         own first listing comes later and takes it for an entry that was lost.
         """
-        self._recovers = False
+        self._recovers = self._begins_era = False
         self.recovery_position = max(self.recovery_position, position)
 
     def record_answered_peer(self, at: float, lapsed_until: Position) -> None:
@@ -197,7 +210,7 @@
 
     def _record_recovery(self, position: Position) -> None:
         if self._recovers:
-            self._recovers = False
+            self._recovers = self._begins_era = False
             self.recovery_position = position
 
     def handle_failure(self, now: float) -> None:
--- a/fescuekeel/components/endpoints/availability.py
+++ b/fescuekeel/components/endpoints/availability.py
@@ -18,18 +18,23 @@
     "list_preferred",
 ]
 
+# More than all other reasons together.
+UNCONFIRMED_SEVERITY = 16
+
 
 class BlockReason(StrEnum):
     """Why an endpoint must not be sent to now, or rather should not.
 
     It has asked this instance to back off, gets its first requests after that,
-    cannot be reached, owes answers, has just rejected a request without naming
-    a time, is at its rate limit, has no permit for the request, has no room in
-    its queue, or the request would have to queue.
+    may have left, as its entry is missing, cannot be reached, owes answers,
+    has just rejected a request without naming a time, is at its rate limit,
+    has no permit for the request, has no room in its queue, or the request
+    would have to queue.
     """
 
     BACKED_OFF = "backed_off"
     RETURNING = "returning"
+    UNCONFIRMED = "unconfirmed"
     UNREACHABLE = "unreachable"
     UNRESPONSIVE = "unresponsive"
     REJECTING = "rejecting"
@@ -45,7 +50,12 @@
 
     @property
     def severity(self) -> int:
-        """Return the rank; whether it answers matters more than its load."""
+        """Return the rank; whether it answers matters more than its load.
+
+        An endpoint that may have left comes after all others.
+        """
+        if self is BlockReason.UNCONFIRMED:
+            return UNCONFIRMED_SEVERITY
         is_silent = self in (BlockReason.UNREACHABLE, BlockReason.UNRESPONSIVE)
         return 2 if is_silent else 1
 
--- a/fescuekeel/components/endpoints/component.py
+++ b/fescuekeel/components/endpoints/component.py
@@ -8,6 +8,7 @@
 from fescuekeel.components.endpoints.availability import Block, find_strict_block
 from fescuekeel.components.endpoints.backoffs import BackOffs
 from fescuekeel.components.endpoints.const import (
+    ANSWER_TTL_S,
     DOMAIN,
     LEAVING_TOPIC,
     LEAVING_TTL_S,
@@ -45,6 +46,8 @@
         self._instance = instance
         self._leaving = LeavingEndpoints()
         self._back_offs = BackOffs()
+        # When each endpoint last answered without saying that it leaves.
+        self._answered_at_by_id: dict[str, float] = {}
         self._gossip = cast(Gossip, instance.components_by_domain[GOSSIP_DOMAIN])
 
     async def start(self) -> None:
@@ -72,6 +75,8 @@
             return
         if response.leaving and not self._leaving.is_leaving(endpoint):
             self._announce(endpoint)
+        if not response.leaving:
+            self._answered_at_by_id[endpoint] = self._instance.now()
         if response.retry_after_s:
             self._record_back_off(endpoint, response.retry_after_s)
 
@@ -81,6 +86,11 @@
             return None
         return find_strict_block(endpoint, self._back_offs, self._instance.now())
 
+    def has_answered_lately(self, endpoint: str) -> bool:
+        """Return whether an endpoint has just shown that it does not leave."""
+        answered_at = self._answered_at_by_id.get(endpoint, float("-inf"))
+        return self._instance.now() - answered_at < ANSWER_TTL_S
+
     def record_sent(self, endpoint: str) -> bool:
         """Record a request; return whether it is part of a return.
 
@@ -145,5 +155,8 @@
             listed = catalog.endpoints_by_id.keys() | catalog.leaving_ids
             self._leaving.expire(listed, now)
             self._back_offs.expire(now)
+            for endpoint, answered_at in list(self._answered_at_by_id.items()):
+                if now - answered_at >= ANSWER_TTL_S:
+                    del self._answered_at_by_id[endpoint]
             for endpoint in self._leaving.list_due(listed, now):
                 self._announce(endpoint)
--- a/fescuekeel/components/endpoints/const.py
+++ b/fescuekeel/components/endpoints/const.py
@@ -77,3 +77,7 @@
 # The share of busy slots above which congestion adds to an engine's cost.
 CONGESTION_SHARE: Final = 0.75
 CONGESTION_COST_S: Final = 1.0
+
+# An answer that does not say that the endpoint leaves shows for this time that
+# it may be sent to, although its entry is missing.
+ANSWER_TTL_S: Final = 0.5
--- a/fescuekeel/components/forward/choice.py
+++ b/fescuekeel/components/forward/choice.py
@@ -38,7 +38,8 @@
     adapter version that the endpoint must have, ``None`` for a base model.
     ``within_limit`` says that a part of the endpoint's rate limit was taken
     for the request, and ``permit`` its permit there, if it needs one.
-    ``software`` is the endpoint's software version.
+    ``software`` is the endpoint's software version, and ``unconfirmed`` says
+    that its entry was missing.
     """
 
     endpoint: str
@@ -50,6 +51,7 @@
     within_limit: bool = False
     permit: Permit | None = None
     software: str = ""
+    unconfirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -78,6 +78,14 @@
                     return AttemptEnd.MISDIRECTED
             except (IncompleteResponseError, NotConnectedError, ValueError):
                 return AttemptEnd.UNSENT
+        if self._needs_own_word():
+            try:
+                if not await self._ask_for_own_word(connection):
+                    return AttemptEnd.MISDIRECTED
+            except (IncompleteResponseError, NotConnectedError):
+                return AttemptEnd.UNSENT
+            if not self._may_send():
+                return AttemptEnd.UNSENT
         return None
 
     async def run(self) -> AttemptEnd | None:
@@ -144,6 +152,8 @@
         endpoint = self.choice.endpoint
         if not self.forwarder.is_listed(endpoint):
             return False
+        if self._is_unconfirmed() and not self.choice.unconfirmed:
+            return False
         if self.forwarder.endpoints.find_block(endpoint) is not None:
             return False
         limiter = self.forwarder.limiter
@@ -175,6 +185,8 @@
             return False
         if connection.number in request.state.connections:
             return False
+        if self._needs_own_word():
+            return False
         return not self._needs_incarnation(connection)
 
     def _needs_incarnation(self, connection: Connection) -> bool:
@@ -219,6 +231,42 @@
         self.request.state.record_sent(endpoint, connection.number)
         return False
 
+    def _is_unconfirmed(self) -> bool:
+        return self.forwarder.read_unconfirmed_s(self.choice.endpoint) >= 0
+
+    def _needs_own_word(self) -> bool:
+        """Return whether the endpoint has to say first that it does not leave.
+
+        Its entry is missing: it may have been removed, or have lapsed.
+        """
+        if not self._is_unconfirmed():
+            return False
+        return not self.forwarder.endpoints.has_answered_lately(self.choice.endpoint)
+
+    async def _ask_for_own_word(self, connection: Connection) -> bool:
+        """Let the endpoint answer; return whether it is the chosen one.
+
+        An answer of any status counts, since not every endpoint has a report.
+        """
+        endpoint = self.choice.endpoint
+        call = self.forwarder.dialect.make_report_call(endpoint)
+        address = self.forwarder.get_pool(endpoint).address
+        answer = await call_endpoint(
+            connection,
+            self.forwarder.dialect,
+            call,
+            address,
+            INCARNATION_TIMEOUT_S,
+            MAX_REPORT_BYTES,
+        )
+        response = self.forwarder.dialect.read_response(
+            answer.status, dict(answer.headers)
+        )
+        self.forwarder.endpoints.record_response(endpoint, response)
+        if response.misdirected:
+            self.request.state.record_sent(endpoint, connection.number)
+        return not response.misdirected
+
     def _send_within_budget(self, connection: Connection) -> AttemptEnd | None:
         """Send the request; return why it was not sent, or ``None``.
 
--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -6,7 +6,12 @@
 from dataclasses import replace
 
 from fescuekeel.components.allowance import Permit, PermitNeed, PermitOutcome
-from fescuekeel.components.endpoints import Block, EndpointLoad, EndpointStates
+from fescuekeel.components.endpoints import (
+    Block,
+    BlockReason,
+    EndpointLoad,
+    EndpointStates,
+)
 from fescuekeel.components.forward.choice import (
     Choice,
     EngineQuery,
@@ -480,6 +485,12 @@
             request.metadata.request_id, request.origin, since
         )
 
+    def _find_doubt(self, endpoint: str) -> Block | None:
+        """Return a reason against an endpoint whose entry is missing."""
+        if endpoint in self.unconfirmed_since_by_id:
+            return Block(BlockReason.UNCONFIRMED)
+        return None
+
     def _list_candidates(self, request: ForwardedRequest) -> dict[str, EndpointRecord]:
         """Return the endpoints that can serve a request.
 
@@ -499,7 +510,11 @@
         choice = self._choose_among(request, records, search)
         if choice is None:
             return None
-        return replace(choice, software=records[choice.endpoint].software)
+        return replace(
+            choice,
+            software=records[choice.endpoint].software,
+            unconfirmed=choice.endpoint in self.unconfirmed_since_by_id,
+        )
 
     def _choose_among(
         self,
@@ -520,6 +535,7 @@
         def list_blocks(endpoint: str) -> list[Block]:
             blocks = (
                 self._endpoints.find_block(endpoint),
+                self._find_doubt(endpoint),
                 self._get_load(endpoint).health.find_block(now),
                 search.find_block(endpoint, now),
             )
