Look at the catalog after the last wait before a request is written

Cause: after the check of an endpoint's incarnation, up to 0.5 s, the request was written without another look at the catalog. Change: the last look comes after all waits, in the iteration of the write.

--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -64,7 +64,11 @@
         return connection is not None and bool(connection.relayed_by)
 
     async def connect(self) -> AttemptEnd | None:
-        """Connect; return why the request cannot be sent, or ``None``."""
+        """Connect; return why the request cannot be sent, or ``None``.
+
+        Whatever is waited for here, the last look at the catalog comes after
+        it, in the iteration of the event loop in which the request is written.
+        """
         try:
             connection = await self._connect()
         except NotConnectedError:
@@ -84,9 +88,7 @@
                     return AttemptEnd.MISDIRECTED
             except (IncompleteResponseError, NotConnectedError):
                 return AttemptEnd.UNSENT
-            if not self._may_send():
-                return AttemptEnd.UNSENT
-        return None
+        return None if self._may_send() else AttemptEnd.UNSENT
 
     async def run(self) -> AttemptEnd | None:
         """Return how the attempt ended, ``None`` if it was answered."""
