Send a stream to an endpoint that says only now that it leaves

Cause: the last look at the catalog, moved after the check of the incarnation, refused the request that had just made that check, though the endpoint serves what it is sent within the bound and there was no other. Change: what the check itself tells does not count against its request. Conclusion: the look still notices all that others tell meanwhile.

--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -56,6 +56,9 @@
         self.choice = choice
         # Whether the retry budget was charged before the request is sent.
         self.is_charged = False
+        # Whether the endpoint has said in the check before this request that
+        # it leaves: it still serves what it is sent now.
+        self._has_just_left = False
 
     @property
     def is_relayed(self) -> bool:
@@ -152,7 +155,7 @@
         if self.forwarder.crashes.find_failure(self.request) is not None:
             return False
         endpoint = self.choice.endpoint
-        if not self.forwarder.is_listed(endpoint):
+        if not self.forwarder.is_listed(endpoint) and not self._has_just_left:
             return False
         if self._is_unconfirmed() and not self.choice.unconfirmed:
             return False
@@ -228,6 +231,7 @@
                 response = self.forwarder.dialect.read_response(
                     answer.status, dict(answer.headers)
                 )
+                self._has_just_left = response.leaving
                 self.forwarder.endpoints.record_response(endpoint, response)
                 return True
         self.request.state.record_sent(endpoint, connection.number)
