Export what the process holds of its machine, and settings for it

Cause: no metric had the memory or the descriptors of an instance, and no setting said what the machine gives it. Change: two gauges, and a section [resources] of the settings, which nothing reads yet.

--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -21,6 +21,7 @@
 from fescuekeel.core import Instance
 from fescuekeel.helpers.logging import LineDestination, log_event
 from fescuekeel.helpers.loop_watchdog import LoopWatchdog, TurnSelector, make_loop
+from fescuekeel.helpers.process_usage import count_descriptors, read_resident_bytes
 from fescuekeel.helpers.settings import Settings, read_settings
 from fescuekeel.messages import DrainRequested
 
@@ -52,6 +53,7 @@
     event loop, the process ends when the loop is blocked.
     """
     instance = Instance(settings)
+    add_process_gauges(instance)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
 
@@ -81,6 +83,13 @@
     )
 
 
+def add_process_gauges(instance: Instance) -> None:
+    """Register what the process holds of its machine."""
+    metrics = instance.metrics
+    metrics.add_gauge("process_memory_bytes", lambda: {"": read_resident_bytes()})
+    metrics.add_gauge("process_descriptors", lambda: {"": float(count_descriptors())})
+
+
 def reload_settings(instance: Instance, path: Path) -> None:
     """Reload the settings; keep the current ones if the file is invalid."""
     result = read_settings(path)
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -18,6 +18,7 @@
     "PeersSettings",
     "PlatformSettings",
     "QuarantineSettings",
+    "ResourcesSettings",
     "Settings",
     "parse_settings",
     "read_settings",
@@ -29,6 +30,7 @@
 Fingerprint = Annotated[str, Meta(pattern=r"^[0-9a-f]{32}$")]
 Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(gt=0, lt=1)]
 
 MIN_KEY_LENGTH = 16
 
@@ -152,6 +154,26 @@
     limit_window_s: Positive = 8.0
 
 
+class ResourcesSettings(Section, frozen=True):
+    """What the machine gives this process, and the part that clients may use.
+
+    ``memory_mb`` is the memory in MiB and ``descriptors`` the number of
+    descriptors; zero takes those of the machine and of the process's limits.
+    Clients' connections, with all that was read from them or is to be written
+    to them, hold at most ``client_memory_share`` of the memory, and they take
+    at most ``client_descriptor_share`` of the descriptors. A request that is
+    not complete after ``slow_request_s``, and for each second more has not
+    brought ``min_bytes_per_s``, is closed.
+    """
+
+    memory_mb: NonNegative = 0.0
+    descriptors: NonNegative = 0.0
+    client_memory_share: Share = 0.25
+    client_descriptor_share: Share = 0.4
+    slow_request_s: Positive = 15.0
+    min_bytes_per_s: Positive = 2048.0
+
+
 class QuarantineSettings(Section, frozen=True):
     """Requests that are refused because they crash endpoints.
 
@@ -172,6 +194,7 @@
     platform: PlatformSettings
     forwarding: ForwardingSettings = ForwardingSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    resources: ResourcesSettings = ResourcesSettings()
 
     @property
     def interface(self) -> str:
