--- a/standins/forwarding/daemons.py
+++ b/standins/forwarding/daemons.py
@@ -64,7 +64,8 @@
     """Settings of a daemon.
 
     ``advertised`` is its address for peers and ``store`` the address of the
-    store; either may be that of a proxy.
+    store; either may be that of a proxy. ``more_settings`` has further
+    sections.
     """
 
     id: str
@@ -78,6 +79,7 @@
     retry_window_s: float = 10.0
     revoked_bound_s: float = 5.0
     data_centres: tuple[str, ...] = ()
+    more_settings: str = ""
 
     def get_settings_path(self, folder: Path) -> Path:
         """Return the path of the settings file."""
@@ -91,7 +93,7 @@
 
     def format_settings(self) -> str:
         """Return the text of the settings file."""
-        return SETTINGS.format(
+        text = SETTINGS.format(
             id=self.id,
             data_centre=self.data_centre,
             shutdown_s=self.shutdown_s,
@@ -108,6 +110,7 @@
             data_centres=",".join(self.data_centres),
             revoked_bound_s=self.revoked_bound_s,
         )
+        return text + self.more_settings
 
 
 async def start_daemon(spec: DaemonSpec, folder: Path) -> asyncio.subprocess.Process:
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clients that exhaust a process."""
--- a/tests/daemons/common.py
+++ b/tests/daemons/common.py
@@ -107,6 +107,7 @@
         self.config_urls_by_id: dict[str, str] = {}
         self.live_lists: list[LiveListService] = [platform.live]
         self.servers: list[Server] = []
+        self.more_settings = ""
         self.http = SimpleAsyncHTTPClient(force_instance=True, max_clients=100)
 
     async def add_live_list(
@@ -179,7 +180,7 @@
             live_url=self.live_urls_by_id.get(id, live_url),
         )
         settings, log = self.folder / f"{id}.ini", self.folder / f"{id}.log"
-        settings.write_text(text, "utf-8")
+        settings.write_text(text + self.more_settings, "utf-8")
         program = str(Path(sys.executable).with_name("fescuekeeld"))
         with log.open("wb") as sink:
             process = await asyncio.create_subprocess_exec(
@@ -310,10 +311,12 @@
     folder: Path,
     ids_by_centre: dict[str, Sequence[str]],
     prepare: Prepare | None = None,
+    more_settings: str = "",
 ) -> AsyncIterator[World]:
     """Start a platform and instances, and stop them at exit."""
     platform = await Platform.start(tuple(ids_by_centre), LOADS_PER_S)
     world = World(platform, folder)
+    world.more_settings = more_settings
     try:
         for pool in POOLS:
             await platform.add_pool(pool, 2)
