Count all that clients hold in one account, on every port

Clients that did not behave took a process beyond the memory and the descriptors of its machine, stopped it for minutes after they had left, and kept others out. Cause: each bound was one connection's, or a part of what is held; nothing ended a request that does not come on; small pieces were read by each connection in each iteration of the loop, and what a client had sent was served after it had gone, as the HTTP library reads on in its buffer. Large requests take turns, one that goes on for long beside others is closed, as is one that does not come on; a closed connection is read no further. Accepting pauses without descriptors; connections without a peer's key and idle ones to endpoints have shares as well.

--- a/fescuekeel/components/forward/caller.py
+++ b/fescuekeel/components/forward/caller.py
@@ -76,6 +76,8 @@
 
     def on_close(self, callback: Callable[[], None]) -> None:
         """Call back if the caller closes before the answer is complete."""
+        if self._connection.stream.closed():
+            asyncio.get_running_loop().call_soon(callback)
         self._connection.set_close_callback(callback)
 
     async def begin(
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -27,6 +27,7 @@
     DOMAIN,
     DRAIN_POLL_S,
     DRAINING_RETRY_S,
+    IDLE_DESCRIPTOR_SHARE,
     LAST_FLUSH_S,
     LAST_LINES_S,
     LOWEST_PRIORITY,
@@ -59,8 +60,10 @@
 )
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.client_resources import get_descriptors
 from fescuekeel.helpers.dialect import CallerMetadata, get_dialect
 from fescuekeel.helpers.http_connection import (
+    MAX_IDLE_CONNECTIONS,
     Connection,
     ConnectionPool,
     NotConnectedError,
@@ -91,10 +94,15 @@
         self.instance = instance
         self.dialect = get_dialect(instance.settings.platform)
         self.server = CallersServer(
-            self.accept, settings.callers.address, ConnectionGate(instance)
+            self.accept,
+            settings.callers.address,
+            ConnectionGate(instance),
+            instance.client_resources,
         )
         self.ready_server = PageServer(
-            {self.dialect.ready_path: self._serve_ready_page}
+            {self.dialect.ready_path: self._serve_ready_page},
+            instance.client_resources,
+            "ready",
         )
         self.budget = make_budget(settings, instance.now())
         self.endpoints = cast(
@@ -427,11 +435,19 @@
         pool = self._pools_by_id.get(endpoint)
         if pool is None:
             pool = self._pools_by_id[endpoint] = ConnectionPool(UNKNOWN_ADDRESS)
+            self._limit_idle_connections()
         if pool.address == UNKNOWN_ADDRESS:
             record = self._selector.find_record(endpoint)
             pool.address = record.address if record else UNKNOWN_ADDRESS
         return pool
 
+    def _limit_idle_connections(self) -> None:
+        """Divide the descriptors for idle connections among all endpoints."""
+        descriptors = get_descriptors(self.instance.settings.resources)
+        share = int(IDLE_DESCRIPTOR_SHARE * descriptors / len(self._pools_by_id))
+        for pool in self._pools_by_id.values():
+            pool.max_idle = min(MAX_IDLE_CONNECTIONS, max(1, share))
+
     async def open(self, endpoint: str, pool: ConnectionPool) -> Connection:
         """Open a connection, and record whether the endpoint is reachable."""
         health = self.get_load(endpoint).health
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -7,9 +7,6 @@
 # Callers.
 MAX_HEADER_BYTES: Final = 64 * 1024
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
-# Bodies of all callers together, without the first bytes of each.
-MAX_BODIES_BYTES: Final = 64 * 1024 * 1024
-SMALL_BODY_BYTES: Final = 64 * 1024
 # A caller that has not sent its body by then is not going to.
 BODY_TIMEOUT_S: Final = 60.0
 # Longer than callers' own idle timeouts: closing a connection first could lose
@@ -54,6 +51,8 @@
 # Linear backoff of a request after failed connects.
 CONNECT_BACKOFF_S: Final = 0.02
 MAX_CONNECT_BACKOFF_S: Final = 0.3
+# The share of the descriptors for idle connections to all endpoints.
+IDLE_DESCRIPTOR_SHARE: Final = 0.1
 # Idle connections are not reused within this margin of the endpoint's
 # announced idle timeout; the default is for endpoints that announce none.
 KEEP_ALIVE_MARGIN_S: Final = 1.0
--- a/fescuekeel/components/forward/server.py
+++ b/fescuekeel/components/forward/server.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
@@ -17,7 +16,6 @@
 )
 from tornado.iostream import IOStream
 
-from fescuekeel.components.forward.body_budget import BodyBudget
 from fescuekeel.components.forward.connection_gate import ConnectionGate
 from fescuekeel.components.forward.const import (
     BODY_TIMEOUT_S,
@@ -29,7 +27,9 @@
 )
 from fescuekeel.const import HEADER_RETRY_AFTER
 from fescuekeel.errors import ErrorKind, Failure
-from fescuekeel.helpers.linger import reset_on_close
+from fescuekeel.helpers.client_resources import ClientResources
+from fescuekeel.helpers.client_server import ClientServer
+from fescuekeel.helpers.client_stream import ClientStream
 from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.logging import log_event
 
@@ -42,22 +42,19 @@
 class RequestReader(HTTPMessageDelegate):
     """Read one request completely, then pass it to the callback.
 
-    ``admits`` returns whether a body of some length may be kept. One that may
-    not is read and dropped, and answered at its end: callers read an answer
-    that comes sooner only once they have sent all.
+    A body for which there is no room is read and dropped, and answered at its
+    end: callers read an answer that comes sooner only once they have sent all.
     """
 
     def __init__(
         self,
         accept: Accept,
         connection: HTTP1Connection,
-        admits: Callable[[int], bool],
-        on_dropped: Callable[[], None],
     ) -> None:
         self._accept = accept
         self._connection = connection
-        self._admits = admits
-        self._on_dropped = on_dropped
+        assert isinstance(connection.stream, ClientStream)
+        self._stream = connection.stream
         self._dropped = False
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
@@ -75,12 +72,12 @@
         """Append a chunk to the body."""
         if self._dropped:
             return
-        if self._admits(len(self._body) + len(chunk)):
+        if self._stream.record_body(len(self._body) + len(chunk)):
             self._body += chunk
             return
         self._dropped = True
         self._body.clear()
-        self._on_dropped()
+        self._stream.record_body(0)
 
     def finish(self) -> None:
         """Pass the complete request to the callback."""
@@ -120,13 +117,21 @@
     ``gate`` decides which connections are closed before anything is read.
     """
 
-    def __init__(self, accept: Accept, address: str, gate: ConnectionGate) -> None:
+    def __init__(
+        self,
+        accept: Accept,
+        address: str,
+        gate: ConnectionGate,
+        resources: ClientResources,
+    ) -> None:
         self.address = address
         self.gate = gate
-        self.bodies = BodyBudget()
         self._accept = accept
-        self._server = _DelegateServer(
+        self._server = _GatedServer(
             self,
+            resources,
+            "callers",
+            drops_bodies=True,
             max_buffer_size=4 * MAX_BODY_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -144,17 +149,7 @@
     ) -> HTTPMessageDelegate:
         """Return a reader for the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        self.bodies.release(server_conn)
-        return RequestReader(
-            self._accept,
-            request_conn,
-            lambda body_bytes: self.bodies.admits(server_conn, body_bytes),
-            lambda: self.bodies.release(server_conn),
-        )
-
-    def on_close(self, server_conn: object) -> None:
-        """Count the body of a closed connection no longer."""
-        self.bodies.release(server_conn)
+        return RequestReader(self._accept, request_conn)
 
     @property
     def is_writing(self) -> bool:
@@ -169,11 +164,13 @@
                 await self._server.close_all_connections()
 
 
-class _DelegateServer(HTTPServer):
-    """An HTTP server that leaves the reading of requests to a delegate."""
+class _GatedServer(ClientServer):
+    """The server of a ``CallersServer``, whose gate admits connections."""
 
-    def initialize(self, delegate: CallersServer, **kwargs: object) -> None:  # type: ignore[override]
-        super().initialize(lambda request: None, **kwargs)  # type: ignore[arg-type]
+    def initialize(  # type: ignore[override]
+        self, delegate: CallersServer, *args: Any, **options: Any
+    ) -> None:
+        super().initialize(delegate, *args, **options)
         self._delegate = delegate
 
     @property
@@ -185,17 +182,4 @@
         if self._delegate.gate.admits():
             super().handle_stream(stream, address)
             return
-        reset_on_close(stream.socket)
-        stream.close()
-
-    def __init__(self, delegate: CallersServer, **kwargs: object) -> None:
-        pass
-
-    def start_request(
-        self, server_conn: object, request_conn: object
-    ) -> HTTPMessageDelegate:
-        return self._delegate.start_request(server_conn, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        super().on_close(server_conn)
-        self._delegate.on_close(server_conn)
+        self.close_unread(stream)
--- a/fescuekeel/components/gateway/server.py
+++ b/fescuekeel/components/gateway/server.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from returns.result import Result, Success
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from fescuekeel.components.gateway.admission import (
@@ -33,6 +32,7 @@
     MAX_HEADER_BYTES,
 )
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.client_server import ClientServer
 from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.settings import CallersSettings
 
@@ -158,8 +158,10 @@
             ],
             log_function=lambda handler: None,
         )
-        self._server = HTTPServer(
+        self._server = ClientServer(
             application,
+            gateway.instance.client_resources,
+            "callers",
             ssl_options=self._make_ssl_context(),
             max_buffer_size=4 * MAX_BODY_BYTES,
             max_body_size=HARD_BODY_FACTOR * MAX_BODY_BYTES,
--- a/fescuekeel/components/metrics/server.py
+++ b/fescuekeel/components/metrics/server.py
@@ -67,7 +67,9 @@
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
-        self._server = PageServer({PATH: self._make_page})
+        self._server = PageServer(
+            {PATH: self._make_page}, instance.client_resources, "metrics"
+        )
 
     @property
     def address(self) -> str:
--- a/fescuekeel/components/operators/server.py
+++ b/fescuekeel/components/operators/server.py
@@ -4,11 +4,11 @@
 import hmac
 
 from returns.result import Result, Success
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from fescuekeel.components.operators.const import (
     BODY_TIMEOUT_S,
+    DOMAIN,
     IDLE_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
@@ -22,6 +22,7 @@
 )
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.client_server import ClientServer
 from fescuekeel.helpers.http import read_bearer
 from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.logging import log_event
@@ -118,7 +119,7 @@
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
-        self._server: HTTPServer | None = None
+        self._server: ClientServer | None = None
         self.address = ""
 
     async def start(self) -> None:
@@ -134,8 +135,12 @@
             ],
             log_function=lambda handler: None,
         )
-        self._server = HTTPServer(
+        resources = self._instance.client_resources
+        resources.limit_port(DOMAIN)
+        self._server = ClientServer(
             application,
+            resources,
+            DOMAIN,
             idle_connection_timeout=IDLE_TIMEOUT_S,
             body_timeout=BODY_TIMEOUT_S,
             max_body_size=MAX_BODY_BYTES,
--- a/fescuekeel/components/peers/acceptor.py
+++ b/fescuekeel/components/peers/acceptor.py
@@ -8,15 +8,18 @@
 
 from fescuekeel.components.peers.connection import Connection
 from fescuekeel.components.peers.const import (
+    HANDSHAKE_DESCRIPTOR_SHARE,
     HELLO_TIMEOUT_S,
     IDLE_S,
     MAX_INCOMING_CONNECTIONS,
+    PEER_DESCRIPTOR_SHARE,
 )
 from fescuekeel.components.peers.frames import Direction
 from fescuekeel.components.peers.incoming_channels import IncomingChannels
 from fescuekeel.const import PROTOCOL_VERSION
 from fescuekeel.core import Instance
 from fescuekeel.errors import ErrorKind, Failure
+from fescuekeel.helpers.client_resources import get_descriptors
 from fescuekeel.helpers.listen import bind_address
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.wire import decode, encode
@@ -60,6 +63,8 @@
         self._tls = tls
         self._on_hello = on_hello
         self._channels = IncomingChannels()
+        # In the order in which they were accepted.
+        self._handshaking: dict[Connection, None] = {}
         self._servers: list[asyncio.Server] = []
 
     async def listen_at(self, address: str) -> None:
@@ -100,13 +105,28 @@
         return connection
 
     def _start_handshake(self, connection: Connection, address: object) -> None:
-        if len(self.connections) >= MAX_INCOMING_CONNECTIONS:
+        descriptors = get_descriptors(self._instance.settings.resources)
+        max_peers = min(MAX_INCOMING_CONNECTIONS, PEER_DESCRIPTOR_SHARE * descriptors)
+        if len(self.connections) - len(self._handshaking) >= max_peers:
             self._report_refusal("too_many", address)
             connection.close()
             return
+        self._handshaking[connection] = None
+        if len(self._handshaking) > HANDSHAKE_DESCRIPTOR_SHARE * descriptors:
+            self._close_oldest_handshake()
         self.connections.add(connection)
         self._instance.spawn(self._handshake(connection, address), "peers.accept")
 
+    def _close_oldest_handshake(self) -> None:
+        """Close the connection that owes its hello for the longest.
+
+        Guards against connections without a hello that leave no descriptors.
+        """
+        oldest = next(iter(self._handshaking))
+        del self._handshaking[oldest]
+        self._instance.metrics.count("peers.refused.too_many_handshakes")
+        oldest.close()
+
     def _report_refusal(self, reason: str, address: object) -> None:
         self._instance.metrics.count(f"peers.refused.{reason}")
         log_event("peer_refused", reason=reason, address=address)
@@ -125,6 +145,8 @@
             handshake = Err(
                 Failure(ErrorKind.PEER_UNREACHABLE, "no Hello received in time")
             )
+        finally:
+            self._handshaking.pop(connection, None)
         if isinstance(handshake, Err):
             self._close(connection, address, handshake.failure())
             return
--- a/fescuekeel/components/peers/const.py
+++ b/fescuekeel/components/peers/const.py
@@ -12,6 +12,10 @@
 READ_BYTES: Final = 64 * 1024
 MAX_QUEUE_BYTES: Final = 16 * 1024 * 1024
 MAX_INCOMING_CONNECTIONS: Final = 2048
+# Shares of the descriptors for peers, and for those that have not shown the
+# key yet. Whoever is not a peer closes no more than others of its kind.
+PEER_DESCRIPTOR_SHARE: Final = 0.3
+HANDSHAKE_DESCRIPTOR_SHARE: Final = 0.1
 MAX_INCOMING_REQUESTS: Final = 50_000
 MAX_ADDRESSES: Final = 4096
 
--- a/fescuekeel/core.py
+++ b/fescuekeel/core.py
@@ -13,6 +13,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from fescuekeel.helpers.client_resources import ClientResources
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.settings import Settings
 from fescuekeel.helpers.work_failures import WorkFailures, compute_restart_pause_s
@@ -313,9 +314,16 @@
     stop_requested_at: float | None = None
     end_reporters: list[EndReporter] = field(default_factory=list)
     loop_lag_s: float = 0.0
+    client_resources: ClientResources = field(init=False)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _failures: WorkFailures = field(default_factory=WorkFailures)
 
+    def __post_init__(self) -> None:
+        """Make the account of what clients hold."""
+        self.client_resources = ClientResources(
+            self.settings.resources, self.now, self.metrics.count
+        )
+
     @property
     def id(self) -> str:
         """Return the instance's id from the settings."""
@@ -404,6 +412,7 @@
         Changes to id, addresses and dialect only take effect on a restart.
         """
         self.settings = settings
+        self.client_resources.configure(settings.resources)
         self.bus.publish(SettingsReloaded())
 
     async def start(self) -> None:
--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -34,6 +34,7 @@
 
 # Polls the settings file, since it may change without a SIGHUP.
 SETTINGS_POLL_INTERVAL_S = 2.0
+SLOW_CLIENT_PERIOD_S = 1.0
 # Longer than it takes to write the file, shorter than a restart of the daemon.
 START_READS = 5
 START_READ_INTERVAL_S = 0.1
@@ -54,6 +55,7 @@
     """
     instance = Instance(settings)
     add_process_gauges(instance)
+    instance.keep_running(partial(close_slow_clients, instance), "slow_clients")
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
 
@@ -83,11 +85,21 @@
     )
 
 
+async def close_slow_clients(instance: Instance) -> None:
+    """Close the connections of clients whose requests do not come on."""
+    while True:
+        await asyncio.sleep(SLOW_CLIENT_PERIOD_S)
+        instance.client_resources.close_slow()
+
+
 def add_process_gauges(instance: Instance) -> None:
     """Register what the process holds of its machine."""
     metrics = instance.metrics
     metrics.add_gauge("process_memory_bytes", lambda: {"": read_resident_bytes()})
     metrics.add_gauge("process_descriptors", lambda: {"": float(count_descriptors())})
+    resources = instance.client_resources
+    metrics.add_gauge("client_connections", resources.count_by_phase)
+    metrics.add_gauge("client_bytes", resources.read_bytes)
 
 
 def reload_settings(instance: Instance, path: Path) -> None:
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -31,6 +31,7 @@
 )
 
 __all__ = [
+    "MAX_IDLE_CONNECTIONS",
     "BodyChunk",
     "Connection",
     "ConnectionPool",
@@ -540,6 +541,7 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.max_idle = MAX_IDLE_CONNECTIONS
         self._idle: list[IdleConnection] = []
 
     def take(
@@ -567,7 +569,7 @@
 
     def release(self, connection: Connection, now: float, until: float) -> None:
         """Return a connection whose request has ended to the pool."""
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS or until <= now:
+        if len(self._idle) >= self.max_idle or until <= now:
             connection.close()
             return
         self._idle.append(IdleConnection(connection, now, until))
--- a/fescuekeel/helpers/pages.py
+++ b/fescuekeel/helpers/pages.py
@@ -9,14 +9,19 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from fescuekeel.helpers.client_resources import ClientResources
+from fescuekeel.helpers.client_server import ClientServer
 from fescuekeel.helpers.listen import bind_address
 
 __all__ = ["Page", "PageServer"]
 
 CLOSE_TIMEOUT_S = 0.5
+IDLE_TIMEOUT_S = 60.0
+MAX_HEADER_BYTES = 16 * 1024
+# Pages are read, so that requests need no body.
+MAX_BODY_BYTES = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,14 +38,28 @@
 
     Example::
 
-        server = PageServer({"/readyz": lambda: Page(b"ready")})
+        pages_by_path = {"/readyz": lambda: Page(b"ready")}
+        server = PageServer(pages_by_path, instance.client_resources, "ready")
         server.start("127.0.0.1:0")
     """
 
-    def __init__(self, pages_by_path: Mapping[str, Callable[[], Page]]) -> None:
+    def __init__(
+        self,
+        pages_by_path: Mapping[str, Callable[[], Page]],
+        resources: ClientResources,
+        port: str,
+    ) -> None:
         self.address = ""
         self._pages_by_path = pages_by_path
-        self._server = HTTPServer(self._handle_request)
+        resources.limit_port(port)
+        self._server = ClientServer(
+            self._handle_request,
+            resources,
+            port,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+        )
 
     def start(self, address: str) -> None:
         """Listen on an address; ``address`` has the actual port."""
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,12 +1,14 @@
 """Helpers shared by the tests."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from fescuekeel.components.gossip import Gossip
 from fescuekeel.components.quarantine import Quarantine
 from fescuekeel.core import Instance
-from fescuekeel.helpers.settings import Settings, parse_settings
+from fescuekeel.helpers.client_resources import ClientResources
+from fescuekeel.helpers.settings import ResourcesSettings, Settings, parse_settings
 
 SETTINGS = """
 [instance]
@@ -35,6 +37,13 @@
     return parse_settings(SETTINGS.format(id=id, data_centre=data_centre)).unwrap()
 
 
+def make_resources(**settings: float) -> ClientResources:
+    """Return an account of clients with limits of its own."""
+    return ClientResources(
+        ResourcesSettings(**settings), time.monotonic, lambda name: None
+    )
+
+
 def add_quarantine(instance: Instance) -> None:
     """Add the components that judge requests, without starting them."""
     components = instance.components_by_domain
--- a/tests/helpers/test_pages.py
+++ b/tests/helpers/test_pages.py
@@ -7,6 +7,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from fescuekeel.helpers.pages import Page, PageServer
+from tests.common import make_resources
 
 
 async def ask(method, path):
@@ -14,7 +15,9 @@
         {
             "/text": lambda: Page(b"some text"),
             "/busy": lambda: Page(status=HTTPStatus.SERVICE_UNAVAILABLE),
-        }
+        },
+        make_resources(),
+        "ready",
     )
     server.start("127.0.0.1:0")
     try:
