Choose whom to close in constant time, and play single requests

Cause: with many connections and none to close, each read compared all of them; without settings the account took a quarter of a large machine. Change: the ledger keeps those to close in order, by kind. A machine is assumed to give 512 MiB at most, unless settings say otherwise. Conclusion: what a client can make the account cost no longer grows with them.

--- a/fescuekeel/helpers/client_ledger.py
+++ b/fescuekeel/helpers/client_ledger.py
@@ -8,7 +8,6 @@
 whatever the others hold.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -45,6 +44,18 @@
     SERVING = "serving"
 
 
+class Closable(StrEnum):
+    """What may be closed for others, in this order.
+
+    A request that is not complete or that never came, a connection that is
+    kept open, and an answer that its client does not read.
+    """
+
+    INCOMPLETE = "incomplete"
+    KEPT = "kept"
+    UNREAD = "unread"
+
+
 class CloseReason(StrEnum):
     """Why a client's connection is closed.
 
@@ -93,6 +104,7 @@
     unparsed_bytes: int = 0
     unwritten_bytes: int = 0
     counted_bytes: int = 0
+    queued_as: Closable | None = None
 
     @property
     def held_bytes(self) -> int:
@@ -102,16 +114,12 @@
         return CONNECTION_BYTES + body_bytes + buffered_bytes
 
     @property
-    def rank(self) -> tuple[int, float] | None:
-        """Return the order in which it is closed, ``None`` if it is not.
-
-        Incomplete requests and connections that never had one come first, then
-        those that are kept open, then answers that are not read.
-        """
+    def closable(self) -> Closable | None:
+        """Return as what it may be closed, ``None`` if it may not be."""
         if self.phase is ClientPhase.SERVING:
-            return (2, self.since) if self.unwritten_bytes else None
+            return Closable.UNREAD if self.unwritten_bytes else None
         is_kept = self.phase is ClientPhase.IDLE and self.requests > 0
-        return (1 if is_kept else 0, self.since)
+        return Closable.KEPT if is_kept else Closable.INCOMPLETE
 
 
 @dataclass(slots=True)
@@ -134,6 +142,10 @@
     clients: dict[Client, None] = field(default_factory=dict)
     # Clients whose requests wait to read on.
     waiting: int = 0
+    # Whom to close, the first of each kind first.
+    _queues: dict[Closable, dict[Client, None]] = field(
+        default_factory=lambda: {kind: {} for kind in Closable}
+    )
     counts_by_port: dict[str, int] = field(default_factory=dict)
     # Ports with a limit of their own, within that of all.
     max_by_port: dict[str, int] = field(default_factory=dict)
@@ -144,6 +156,7 @@
         It is among them itself if there is no other.
         """
         self.clients[client] = None
+        self._queue(client)
         self.counts_by_port[client.port] = self.counts_by_port.get(client.port, 0) + 1
         closed: list[Client] = []
         max_at_port = self.max_by_port.get(client.port, self.limits.max_connections)
@@ -160,10 +173,17 @@
         if client not in self.clients:
             return
         del self.clients[client]
+        self._unqueue(client)
         self.counts_by_port[client.port] -= 1
         self.total_bytes -= client.counted_bytes
         client.counted_bytes = 0
 
+    def enter(self, client: Client, phase: ClientPhase, now: float) -> None:
+        """Record the phase of a connection."""
+        client.phase, client.since = phase, now
+        if client in self.clients:
+            self._queue(client)
+
     def update(self, client: Client) -> list[Client]:
         """Count what a connection holds now; return those to close for it.
 
@@ -171,6 +191,8 @@
         """
         if client not in self.clients:
             return []
+        if client.queued_as is not client.closable:
+            self._queue(client)
         self.total_bytes += client.held_bytes - client.counted_bytes
         client.counted_bytes = client.held_bytes
         closed: list[Client] = []
@@ -215,14 +237,20 @@
 
     def _choose(self, spared: Client, port: str = "") -> Client | None:
         """Return the client to close first, ``None`` if there is none."""
-        ranked = self._list_ranked(spared, port)
-        return min(ranked, key=lambda pair: pair[0], default=(None, None))[1]
-
-    def _list_ranked(
-        self, spared: Client, port: str
-    ) -> Iterable[tuple[tuple[int, float], Client]]:
-        for client in self.clients:
-            if client is spared or (port and client.port != port):
-                continue
-            if (rank := client.rank) is not None:
-                yield rank, client
+        for queue in self._queues.values():
+            for client in queue:
+                if client is not spared and port in ("", client.port):
+                    return client
+        return None
+
+    def _queue(self, client: Client) -> None:
+        """Put a client at the end of those of its kind."""
+        self._unqueue(client)
+        kind = client.queued_as = client.closable
+        if kind is not None:
+            self._queues[kind][client] = None
+
+    def _unqueue(self, client: Client) -> None:
+        if client.queued_as is not None:
+            self._queues[client.queued_as].pop(client, None)
+            client.queued_as = None
--- a/fescuekeel/helpers/client_resources.py
+++ b/fescuekeel/helpers/client_resources.py
@@ -21,6 +21,9 @@
 __all__ = ["ClientResources", "ClosableStream", "get_descriptors", "make_limits"]
 
 BYTES_PER_MIB = 1024 * 1024
+# Of a larger machine this process is given no more, unless settings say so: it
+# may not be the only one there.
+MAX_ASSUMED_MEMORY_BYTES = 512 * BYTES_PER_MIB
 # Probes, scrapers and operators: few connections at a time each.
 MAX_SIDE_CONNECTIONS = 32
 REPORT_PERIOD_S = 1.0
@@ -41,7 +44,9 @@
     >>> limits.max_bytes, limits.max_connections
     (78643200.0, 1640.0)
     """
-    memory_bytes = settings.memory_mb * BYTES_PER_MIB or read_machine_memory_bytes()
+    memory_bytes = settings.memory_mb * BYTES_PER_MIB or min(
+        read_machine_memory_bytes(), MAX_ASSUMED_MEMORY_BYTES
+    )
     return ClientLimits(
         settings.client_memory_share * memory_bytes,
         settings.client_descriptor_share * get_descriptors(settings),
@@ -98,10 +103,8 @@
 
     def enter(self, client: Client, phase: ClientPhase) -> None:
         """Record the phase of a connection."""
-        if client.phase is phase:
-            return
-        client.phase = phase
-        client.since = self._now()
+        if client.phase is not phase:
+            self.ledger.enter(client, phase, self._now())
 
     def close(self, client: Client, reason: CloseReason) -> None:
         """Close a connection."""
--- a/fescuekeel/helpers/settings.py
+++ b/fescuekeel/helpers/settings.py
@@ -158,7 +158,8 @@
     """What the machine gives this process, and the part that clients may use.
 
     ``memory_mb`` is the memory in MiB and ``descriptors`` the number of
-    descriptors; zero takes those of the machine and of the process's limits.
+    descriptors. Zero takes those of the machine, 512 MiB at most, and of the
+    process's limits.
     Clients' connections, with all that was read from them or is to be written
     to them, hold at most ``client_memory_share`` of the memory, and they take
     at most ``client_descriptor_share`` of the descriptors. A request that is
--- a/standins/forwarding/raw_caller.py
+++ b/standins/forwarding/raw_caller.py
@@ -43,7 +43,8 @@
     lines += [f"{name}: {value}" for name, value in headers]
     if version == "1.1":
         lines.append("Connection: close")
-    if body and "content-length" not in {name.lower() for name, _ in headers}:
+    framing = {"content-length", "transfer-encoding"}
+    if body and not framing & {name.lower() for name, _ in headers}:
         lines.append(f"Content-Length: {len(body)}")
     request = "\r\n".join(lines).encode("latin-1") + HEAD_END + body
     with socket.socket() as own:
--- a/tests/clients/test_forwarding_port.py
+++ b/tests/clients/test_forwarding_port.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from standins.forwarding.raw_caller import call_raw
 from tests.clients.crowd import Crowd, chunk_body, make_head
-from tests.clients.daemon import MIB, open_forwarding
+from tests.clients.daemon import LIMITS, MIB, open_forwarding
 
 SENT_TIMEOUT_S = 15.0
 HELD_S = 2.0
@@ -95,3 +96,53 @@
                 await victim.check()
 
         asyncio.run(work())
+
+
+class TestRequestsThatDoNotComeOn:
+    # Guards against clients that hold connections with requests that are never
+    # complete, for as long as they like.
+    def test_they_are_closed_while_their_clients_stay(self, tmp_path):
+        async def work():
+            limits = LIMITS + "slow_request_s = 1\nmin_bytes_per_s = 1000000\n"
+            async with open_forwarding(tmp_path, limits) as (victim, _):
+                crowd = Crowd(victim.callers, 100)
+                crowd.begin([announce(SMALL_BYTES), b"x" * 1000])
+                try:
+                    await crowd.wait_until_sent(SENT_TIMEOUT_S)
+                    await victim.check_gone()
+                    await victim.check_served()
+                finally:
+                    await crowd.leave()
+
+        asyncio.run(work())
+
+
+HEADERS = (
+    ("Host", "shop.example"),
+    ("Fescuekeel-Request-Id", "00000000000000ac"),
+    ("Fescuekeel-Deadline-Ms", "20000"),
+)
+# Single requests within the published limits.
+SINGLE_FORMS = {
+    "of the largest size": ((), b"x" * LIMIT_BYTES),
+    "in chunks of one byte": (
+        (("Transfer-Encoding", "chunked"),),
+        chunk_body(SMALL_BYTES, 1) + b"0\r\n\r\n",
+    ),
+}
+
+
+class TestCalm:
+    # Guards against limits that ordinary callers meet.
+    @pytest.mark.parametrize("form", SINGLE_FORMS)
+    def test_a_single_request_within_the_limits_is_served(self, form, tmp_path):
+        async def work():
+            more, body = SINGLE_FORMS[form]
+            headers = [*HEADERS, *more]
+            async with open_forwarding(tmp_path) as (victim, _):
+                answer = await call_raw(
+                    victim.callers, "POST", "/charge/x", headers, body, timeout_s=30.0
+                )
+                assert answer.status == 200, answer
+
+        asyncio.run(work())
