Serve on where the system does not tell what a process holds

Cause: by reading; a system without /proc or TCP_INFO would fail a scrape or a client's request. Change: gauges are left out, and a state that is unknown is no closed one; both are logged.

--- a/fescuekeel/daemon.py
+++ b/fescuekeel/daemon.py
@@ -95,8 +95,15 @@
 def add_process_gauges(instance: Instance) -> None:
     """Register what the process holds of its machine."""
     metrics = instance.metrics
-    metrics.add_gauge("process_memory_bytes", lambda: {"": read_resident_bytes()})
-    metrics.add_gauge("process_descriptors", lambda: {"": float(count_descriptors())})
+    try:
+        read_resident_bytes(), count_descriptors()
+    except OSError as error:
+        log_event("process_usage_unknown", error=str(error))
+    else:
+        metrics.add_gauge("process_memory_bytes", lambda: {"": read_resident_bytes()})
+        metrics.add_gauge(
+            "process_descriptors", lambda: {"": float(count_descriptors())}
+        )
     resources = instance.client_resources
     metrics.add_gauge("client_connections", resources.count_by_phase)
     metrics.add_gauge("client_bytes", resources.read_bytes)
--- a/fescuekeel/helpers/client_stream.py
+++ b/fescuekeel/helpers/client_stream.py
@@ -10,6 +10,7 @@
 from fescuekeel.helpers.client_ledger import Client, ClientPhase, CloseReason
 from fescuekeel.helpers.client_resources import ClientResources
 from fescuekeel.helpers.linger import reset_on_close
+from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.loop_turns import get_loop_turns
 from fescuekeel.helpers.unwritten import count_unwritten_bytes
 
@@ -167,7 +168,11 @@
     def _has_peer_closed(self) -> bool:
         if self.closed():
             return True
-        state = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        try:
+            state = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError as error:
+            log_event("connection_state_unknown", error=str(error))
+            return False
         return state[0] != TCP_ESTABLISHED
 
 
