Close requests in tiny pieces sooner while others wait

Cause: 150 clients in chunks of one byte that had left kept 149 descriptors for 3 s, as the kernel tells that they have gone only once their bytes are read. Change: beside more than two that wait to read on, a request is closed after 16 turns that brought less than 4 KiB each, not only after 256. Alone it is served.

--- a/fescuekeel/helpers/client_ledger.py
+++ b/fescuekeel/helpers/client_ledger.py
@@ -30,10 +30,13 @@
 # needs, and what is being written to the endpoint.
 BODY_COPIES = 2
 
-# Beside more requests than the first that wait to read on, none has more turns
-# than the second. The largest body needs 64, and 192 in chunks of 1 KiB.
+# While more requests than this wait to read on, none may have more turns than
+# the largest body needs in chunks of 1 KiB, and none goes on in pieces so
+# small that a turn brings little.
 MAX_WAITING = 2
 MAX_TURNS_BESIDE_OTHERS = 256
+FIRST_TURNS = 16
+MIN_BYTES_PER_TURN = 4096
 
 
 class ClientPhase(StrEnum):
@@ -221,7 +224,10 @@
 
         Alone a client may send its body in any pieces.
         """
-        return self.waiting > MAX_WAITING and client.turns > MAX_TURNS_BESIDE_OTHERS
+        if self.waiting <= MAX_WAITING or client.turns <= FIRST_TURNS:
+            return False
+        is_inefficient = client.received_bytes < MIN_BYTES_PER_TURN * client.turns
+        return is_inefficient or client.turns > MAX_TURNS_BESIDE_OTHERS
 
     def list_slow(self, now: float) -> list[Client]:
         """Return the clients whose requests do not come on."""
--- a/tests/helpers/test_client_ledger.py
+++ b/tests/helpers/test_client_ledger.py
@@ -106,3 +106,23 @@
         ledger = make_ledger()
         add(ledger, 1.0, requests=1)
         assert ledger.list_slow(1000.0) == []
+
+
+class TestTurns:
+    # Guards against requests in tiny pieces that keep the process busy.
+    def test_beside_others_a_request_in_tiny_pieces_is_closed(self):
+        ledger = make_ledger()
+        client, _ = add(ledger, 1.0, ClientPhase.READING)
+        client.turns, client.received_bytes = 20, 64 * 1024
+        ledger.waiting = 2
+        assert not ledger.takes_too_long(client)
+        ledger.waiting = 3
+        assert ledger.takes_too_long(client)
+
+    # Guards against large ordinary requests that are closed for their size.
+    def test_the_largest_body_may_be_read_beside_others(self):
+        ledger = make_ledger()
+        client, _ = add(ledger, 1.0, ClientPhase.READING)
+        client.turns, client.received_bytes = 64, 4 * 1024 * 1024
+        ledger.waiting = 10
+        assert not ledger.takes_too_long(client)
