Specify the events of clients' connections

Cause: two tests of the closed list of events failed, as four new ones had no specification. Change: they have one, and endpoint_changed names known_age_ms. Conclusion: the list is closed again.

--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -79,7 +79,7 @@
         configuration_in_force version before routes revision
         crash_checked endpoint first second outcome
         endpoint_backed_off endpoint retry_after_s outcome
-        endpoint_changed endpoint state revision
+        endpoint_changed endpoint state revision known_age_ms
         endpoint_leaving endpoint age_ms outcome
         endpoint_limit_changed endpoint rate_per_s age_ms outcome
         endpoint_path_changed endpoint reason cut_off outcome
@@ -141,15 +141,19 @@
     **_parse_specs(
         EventCategory.PROCESS,
         """
+        accept_paused port error
         callers_listening address
+        clients_closed open_connections held_bytes outcome
         component_started domain
         component_stopped domain took_ms since_signal_ms outcome
+        connection_state_unknown error
         drain_requested source
         instance_started instance
         instance_stopped instance took_ms
         instance_stopping instance
         key_home_ready instance
         operators_listening address
+        process_usage_unknown error
         reload outcome detail
         shutdown_began requests grace_ms since_signal_ms
         shutdown_ended requests accepted cut accept_ms drain_ms cancel_ms close_ms \
