--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -28,6 +28,7 @@
 from fescuekeel.helpers.endpoint_call import call_endpoint
 from fescuekeel.helpers.http_connection import (
     Connection,
+    HttpResponse,
     IncompleteResponseError,
     NotConnectedError,
     ResponseHead,
@@ -214,23 +215,12 @@
         A connection does not outlast a restart, so that one check is enough.
         """
         endpoint = self.attempt.endpoint
-        call = self.forwarder.dialect.make_report_call(endpoint)
-        address = self.forwarder.get_pool(endpoint).address
-        answer = await call_endpoint(
-            connection,
-            self.forwarder.dialect,
-            call,
-            address,
-            INCARNATION_TIMEOUT_S,
-            MAX_REPORT_BYTES,
-        )
+        answer = await self._request_report(connection)
         if answer.status == HTTPStatus.OK:
             report = self.forwarder.dialect.read_report(answer.body)
             if report.born_ms == Incarnation.parse(endpoint).born_ms:
                 connection.incarnation = endpoint
-                response = self.forwarder.dialect.read_response(
-                    answer.status, dict(answer.headers)
-                )
+                response = self._read_response(answer)
                 self._has_just_left = response.leaving
                 self.forwarder.endpoints.record_response(endpoint, response)
                 return True
@@ -255,23 +245,27 @@
         An answer of any status counts, since not every endpoint has a report.
         """
         endpoint = self.choice.endpoint
-        call = self.forwarder.dialect.make_report_call(endpoint)
-        address = self.forwarder.get_pool(endpoint).address
-        answer = await call_endpoint(
+        response = self._read_response(await self._request_report(connection))
+        self.forwarder.endpoints.record_response(endpoint, response)
+        if response.misdirected:
+            self.request.state.record_sent(endpoint, connection.number)
+        return not response.misdirected
+
+    async def _request_report(self, connection: Connection) -> HttpResponse:
+        """Let the chosen endpoint answer a call on a new connection."""
+        endpoint = self.choice.endpoint
+        return await call_endpoint(
             connection,
             self.forwarder.dialect,
-            call,
-            address,
+            self.forwarder.dialect.make_report_call(endpoint),
+            self.forwarder.get_pool(endpoint).address,
             INCARNATION_TIMEOUT_S,
             MAX_REPORT_BYTES,
         )
-        response = self.forwarder.dialect.read_response(
-            answer.status, dict(answer.headers)
-        )
-        self.forwarder.endpoints.record_response(endpoint, response)
-        if response.misdirected:
-            self.request.state.record_sent(endpoint, connection.number)
-        return not response.misdirected
+
+    def _read_response(self, answer: HttpResponse) -> ResponseMetadata:
+        headers = dict(answer.headers)
+        return self.forwarder.dialect.read_response(answer.status, headers)
 
     def _send_within_budget(self, connection: Connection) -> AttemptEnd | None:
         """Send the request; return why it was not sent, or ``None``.
