Bound the work that received bytes cause in one turn of the event loop

Cause: a read of a socket brings 256 KiB, and the tracker of event streams took a Python step for each line of it, 60 to 140 ms without a turn. Turns counted parts of answers, and a stream that had waited for its socket began to count anew.

All parsers of an endpoint's bytes count their work in bytes and take turns of 16 KiB, also those of the completions interface; trailers, heads, events, reports, entries and engines' answers are bounded.

--- a/fescuekeel/components/engine/driver.py
+++ b/fescuekeel/components/engine/driver.py
@@ -22,7 +22,7 @@
     SILENCE_S,
     UNSTREAMED_SILENCE_FACTOR,
 )
-from fescuekeel.components.engine.events import EventStream, assemble_body
+from fescuekeel.components.engine.events import BodyAssembler, EventStream
 from fescuekeel.components.engine.model import (
     CacheEventsBody,
     ErrorBody,
@@ -154,16 +154,16 @@
         if remaining_s <= 0:
             return Outcome.unknown("no response before the deadline")
         self.instance.metrics.count("engine.reconnected")
-        chunks: list[bytes] = []
+        assembler = BodyAssembler()
         outcome = await self._stream(
             replace(call, remaining_s=remaining_s),
             EventStream(),
-            lambda position, data, tokens: chunks.append(data if tokens else b""),
+            lambda position, data, tokens: assembler.add(data if tokens else b""),
             resume=True,
         )
         if outcome.failure is not None:
             return Outcome.unknown(outcome.failure.detail)
-        on_chunk(0, assemble_body(b"".join(chunks)), 1)
+        on_chunk(0, assembler.build(), 1)
         return Outcome(content_type=JSON_TYPE)
 
     async def _fetch_whole(self, call: Call, on_chunk: OnChunk) -> Outcome | None:
--- a/fescuekeel/components/engine/events.py
+++ b/fescuekeel/components/engine/events.py
@@ -2,15 +2,19 @@
 
 import json
 from dataclasses import dataclass, field
+from typing import Any
 
 import orjson
 
-__all__ = ["END_MARK", "EventStream", "StreamChunk", "assemble_body"]
+__all__ = ["END_MARK", "BodyAssembler", "EventStream", "StreamChunk"]
 
 EVENT_END = b"\n\n"
 END_MARK = b"data: [DONE]\n\n"
 DATA_PREFIX = b"data:"
 DONE = b"[DONE]"
+# An event holds a few tokens. Each part of a longer one would be searched
+# again for its end.
+MAX_EVENT_BYTES = 256 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,11 +32,11 @@
 
     Guards against duplicate or lost tokens when a stream is resumed: events
     below ``position`` were already delivered and are dropped; one above it
-    sets ``gap``, after which the rest of the connection is ignored. Only the
-    end mark sets ``done``, so a connection that closes early never counts as
-    a complete response. ``error`` is the error that the engine reported for a
-    request that it aborted. With ``one_token_per_chunk``, a receiver can join
-    at any position.
+    sets ``gap``, after which the rest of the connection is ignored, and so
+    does an event that does not end. Only the end mark sets ``done``, so a
+    connection that closes early never counts as a complete response.
+    ``error`` is the error that the engine reported for a request that it
+    aborted. With ``one_token_per_chunk``, a receiver can join at any position.
 
     >>> stream = EventStream(position=1)
     >>> stream.feed(b'data: {"position": 0}\n\ndata: {"position": 1}\n\n')
@@ -53,8 +57,12 @@
 
     def feed(self, data: bytes) -> list[StreamChunk]:
         """Parse received bytes and return the new chunks."""
+        if self.gap:
+            return []
         received = self._buffer + self._normalize_line_ends(data)
         *events, self._buffer = received.split(EVENT_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self.gap, self._buffer = True, b""
         first = self.position
         accepted = [event + EVENT_END for event in events if self._accept(event)]
         if self.one_token_per_chunk:
@@ -108,22 +116,35 @@
         return position if isinstance(position, int) else None
 
 
-def assemble_body(data: bytes) -> bytes:
+class BodyAssembler:
     r"""Build the body of a response that is not streamed from stream events.
 
+    Events are decoded as they come, so that no iteration of the event loop
+    decodes all of a long response.
+
+    >>> assembler = BodyAssembler()
     >>> event = b'data: {"id": "r", "choices": [{"text": "a"}]}\n\n'
-    >>> json.loads(assemble_body(event * 2))["choices"][0]["text"]
+    >>> assembler.add(event)
+    >>> assembler.add(event)
+    >>> json.loads(assembler.build())["choices"][0]["text"]
     'aa'
     """
-    events = [
-        json.loads(event[len(DATA_PREFIX) :])
-        for event in data.split(EVENT_END)
-        if event
-    ]
-    if not events:
-        return b"{}"
-    texts = [event["choices"][0].get("text", "") for event in events]
-    whole = {key: value for key, value in events[-1].items() if key != "position"}
-    whole["choices"] = [{**events[-1]["choices"][0], "text": "".join(texts)}]
-    whole["usage"] = {"completion_tokens": len(events)}
-    return json.dumps(whole).encode()
+
+    def __init__(self) -> None:
+        self._texts: list[str] = []
+        self._last: dict[str, Any] = {}
+
+    def add(self, data: bytes) -> None:
+        """Add complete events."""
+        for event in filter(None, data.split(EVENT_END)):
+            self._last = json.loads(event[len(DATA_PREFIX) :])
+            self._texts.append(self._last["choices"][0].get("text", ""))
+
+    def build(self) -> bytes:
+        """Return the body."""
+        if not self._texts:
+            return b"{}"
+        whole = {key: value for key, value in self._last.items() if key != "position"}
+        whole["choices"] = [{**self._last["choices"][0], "text": "".join(self._texts)}]
+        whole["usage"] = {"completion_tokens": len(self._texts)}
+        return json.dumps(whole).encode()
--- a/fescuekeel/components/engine/model.py
+++ b/fescuekeel/components/engine/model.py
@@ -3,7 +3,7 @@
 import json
 from typing import TypeVar
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict
 
 from fescuekeel.components.engine.const import PATH_COMPLETIONS
 from fescuekeel.helpers.driver import (
@@ -13,6 +13,8 @@
     Report,
     RunningCall,
 )
+from fescuekeel.helpers.json_work import check_value_count
+from fescuekeel.helpers.logging import log_event
 from fescuekeel.messages import AdapterRef
 
 __all__ = [
@@ -125,8 +127,12 @@
 def parse_body(kind: type[B], content: bytes) -> B | None:
     """Parse a JSON body, or return ``None`` if it is invalid."""
     try:
+        check_value_count(content)
         return kind.model_validate_json(content)
-    except ValidationError:
+    except ValueError as error:
+        log_event(
+            "engine_answer_invalid", kind=kind.__name__, error=type(error).__name__
+        )
         return None
 
 
--- a/fescuekeel/components/engine/stream_connection.py
+++ b/fescuekeel/components/engine/stream_connection.py
@@ -30,6 +30,8 @@
 NOT_LOADED = "not_loaded"
 STALE_FENCE = "stale_fence"
 FULL = "full"
+# A refusal is a few words.
+MAX_REFUSAL_BYTES = 64 * 1024
 
 
 class DriverContext(Protocol):
@@ -125,7 +127,7 @@
     def _receive(self, data: bytes) -> None:
         self.idle_timer.reset()
         if self.status != 200:
-            self.refusal += data
+            self.refusal += data[: MAX_REFUSAL_BYTES - len(self.refusal)]
             return
         if self.stream.done:
             return
--- a/fescuekeel/components/plain/driver.py
+++ b/fescuekeel/components/plain/driver.py
@@ -1,6 +1,6 @@
 """The driver for plain HTTP services."""
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict
 from tornado.httpclient import HTTPResponse
 
 from fescuekeel.components.plain.const import (
@@ -26,6 +26,7 @@
     EndpointClient,
     Exchange,
 )
+from fescuekeel.helpers.json_work import check_value_count
 from fescuekeel.messages import AdapterRef
 
 __all__ = ["PlainDriver"]
@@ -102,8 +103,9 @@
         """Return the service's report, or ``None`` if it can't be read."""
         try:
             response = await self.client.fetch("GET", PATH_REPORT, timeout_s=timeout_s)
+            check_value_count(response.body)
             body = ReportBody.model_validate_json(response.body)
-        except (ConnectError, ConnectionLostError, ValidationError):
+        except (ConnectError, ConnectionLostError, ValueError):
             return None
         return Report(
             boot_id=body.boot_id,
--- a/fescuekeel/helpers/endpoint_http.py
+++ b/fescuekeel/helpers/endpoint_http.py
@@ -29,6 +29,8 @@
 MAX_CLIENTS = 1_000_000
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# The parser reads a head in one go.
+MAX_HEAD_BYTES = 16 * 1024
 
 LEASE_LOST = "the lease has passed"
 Guard = Callable[[], bool]
@@ -178,6 +180,7 @@
             force_instance=True,
             max_clients=MAX_CLIENTS,
             max_body_size=MAX_ANSWER_BYTES,
+            max_header_size=MAX_HEAD_BYTES,
             max_buffer_size=MAX_ANSWER_BYTES,
         )
         self.exchanges: set[Exchange] = set()
@@ -213,7 +216,7 @@
             follow_redirects=False,
             decompress_response=False,
             allow_nonstandard_methods=True,
-            streaming_callback=on_data,
+            streaming_callback=on_data and _stop_when_closed(on_data, exchange),
             header_callback=on_header,
         )
         self.exchanges.add(exchange)
@@ -240,3 +243,15 @@
         for exchange in list(self.exchanges):
             exchange.close()
         self.client.close()
+
+
+def _stop_when_closed(
+    on_data: Callable[[bytes], None], exchange: Exchange
+) -> Callable[[bytes], None]:
+    """Drop what had arrived, and was not read yet, when a call was ended."""
+
+    def receive(data: bytes) -> None:
+        if not exchange.closed:
+            on_data(data)
+
+    return receive
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -131,6 +131,7 @@
         peer_connection_replaced peer channel silent_ms outcome
         store_call_failed call error
         store_reply_defective error revision
+        engine_answer_invalid kind error
         report_failed endpoint error
         tree_fetch_error error
         tree_service_failed
--- a/fescuekeel/helpers/http.py
+++ b/fescuekeel/helpers/http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import sys
+from collections.abc import Awaitable
+from http import HTTPStatus
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
@@ -10,6 +12,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 
 from fescuekeel.helpers.event_stream import EventTracker
+from fescuekeel.helpers.loop_turns import TURN_BYTES, WorkMeter, get_loop_turns
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
     Framing,
@@ -38,6 +41,11 @@
     """One call of ``HttpClient``."""
 
     _tracker: EventTracker | None = None
+    _is_waiting_for_turn = False
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        self._work = WorkMeter()
+        super().__init__(*args, **options)
 
     async def headers_received(
         self,
@@ -47,14 +55,39 @@
         """Follow the events of a stream."""
         await super().headers_received(first_line, headers)
         assert isinstance(first_line, ResponseStartLine)
+        if first_line.code < HTTPStatus.OK:
+            await self._begin_work(TURN_BYTES)
         if is_event_stream(first_line.code, headers.get("Content-Type", "")):
             self._tracker = EventTracker()
 
-    def data_received(self, chunk: bytes) -> None:
-        """Receive a part of the body."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Receive a part of the body, if need be in later turns."""
+        is_short = len(chunk) <= TURN_BYTES
+        if is_short and get_loop_turns().may_go_on(self._work, len(chunk)):
+            return self._receive(chunk)
+        return self._receive_in_turns(chunk)
+
+    async def _receive_in_turns(self, chunk: bytes) -> None:
+        for start in range(0, len(chunk), TURN_BYTES):
+            part = chunk[start : start + TURN_BYTES]
+            await self._begin_work(len(part))
+            if self.final_callback is None:
+                return
+            received = self._receive(part)
+            if received is not None:
+                await received
+
+    async def _begin_work(self, work_bytes: int) -> None:
+        self._is_waiting_for_turn = True
+        try:
+            await get_loop_turns().begin(self._work, work_bytes)
+        finally:
+            self._is_waiting_for_turn = False
+
+    def _receive(self, data: bytes) -> Awaitable[None] | None:
         if self._tracker is not None:
-            self._tracker.feed(chunk)
-        super().data_received(chunk)
+            self._tracker.feed(data)
+        return super().data_received(data)
 
     def finish(self) -> None:
         """End the call; fail it unless the answer is whole.
@@ -87,7 +120,12 @@
         Tornado raises the error of a connection that was reset, or that was
         closed since a line has no end, to the event loop, and the call would
         wait for its timeout.
+
+        What has arrived before the close may still wait for its turn. The
+        reader goes on then, and notices the close if anything is missing.
         """
+        if self._is_waiting_for_turn:
+            return
         try:
             super().on_connection_close()
         except (OSError, UnsatisfiableReadError):
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -22,7 +22,7 @@
 from fescuekeel.helpers.linger import reset_on_close
 from fescuekeel.helpers.listen import split_address
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.loop_turns import get_loop_turns
+from fescuekeel.helpers.loop_turns import TURN_BYTES, WorkMeter, get_loop_turns
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
     Framing,
@@ -60,9 +60,9 @@
 # Responses with status 1xx before the final one; one endpoint that sent them
 # without end took most of a core.
 MAX_INTERIM_RESPONSES = 16
-# Parts of a response, such as chunks, that are read in one iteration of the
-# event loop: whatever else this process does waits meanwhile.
-MAX_PARTS_PER_ITERATION = 32
+# The parser reads a trailer in one go, and each of its lines takes far longer
+# than its bytes do elsewhere.
+MAX_CHUNKED_BYTES = 4 * 1024
 MAX_IDLE_CONNECTIONS = 64
 # Answers to other requests that are read before the own one, and their bytes.
 MAX_DROPPED_ANSWERS = 4
@@ -151,7 +151,9 @@
         self._unparsed_bytes = 0
         self._eof_received = False
         self._waiter: asyncio.Future[None] | None = None
-        self._parts_in_iteration = 0
+        # What was taken of the first item of ``_unparsed``.
+        self._taken_bytes = 0
+        self._work = WorkMeter()
         self._head_lines = 0
         self._head_tail = b""
 
@@ -248,6 +250,7 @@
         self.repeats_ids = False
         self.awaiting_response = True
         self.sends += 1
+        self._work = WorkMeter()
         self._method = method
         self.framing = self.ended_by = None
         self._transport.write(data)
@@ -323,8 +326,7 @@
         self._http = _make_parser()
         _encode_request(self._http, self._request, self._body)
         if extra:
-            self._unparsed.appendleft(extra)
-            self._unparsed_bytes += len(extra)
+            self._put_back(extra)
         self.framing = self.ended_by = None
 
     async def _read_next_head(self) -> ResponseHead:
@@ -335,7 +337,7 @@
                 interim += 1
                 if interim > MAX_INTERIM_RESPONSES:
                     raise IncompleteResponseError("too many interim responses")
-                await self._let_others_run()
+                await get_loop_turns().wait(self._work)
                 continue
             if not isinstance(event, h11.Response):
                 raise IncompleteResponseError(
@@ -361,25 +363,35 @@
         )
 
     async def _next_event(self) -> object:
-        self._parts_in_iteration += 1
-        if self._parts_in_iteration > MAX_PARTS_PER_ITERATION:
-            await self._let_others_run()
         while True:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 raise IncompleteResponseError(str(error)) from error
             if event is not h11.NEED_DATA:
+                await self._count_work(event)
                 return event
+            self._check_trailer()
             await self._feed()
 
-    async def _let_others_run(self) -> None:
-        """Go on in a later iteration of the event loop.
+    async def _count_work(self, event: object) -> None:
+        """Go on in a later iteration of the event loop if this one is full.
 
         Reading what has already arrived never waits by itself.
         """
-        await get_loop_turns().wait()
-        self._parts_in_iteration = 0
+        work_bytes = len(event.data) if isinstance(event, h11.Data) else 0
+        await get_loop_turns().begin(self._work, work_bytes)
+
+    def _check_trailer(self) -> None:
+        """Raise ``IncompleteResponseError`` if a trailer has too many lines.
+
+        Lines that the parser does not pass on are those of a trailer.
+        """
+        if self._http.their_state is not h11.SEND_BODY:
+            return
+        unread, _ = self._http.trailing_data
+        if unread.count(b"\n") > MAX_HEAD_LINES:
+            raise IncompleteResponseError("response trailer has too many lines")
 
     async def _feed(self) -> None:
         while not self._unparsed:
@@ -391,19 +403,38 @@
                 return
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-            self._parts_in_iteration = 0
         was_full = self._unparsed_bytes > MAX_UNPARSED_BYTES
-        data = self._unparsed.popleft()
-        if self._http.their_state is h11.SEND_RESPONSE:
-            data = self._take_head(data)
-        self._unparsed_bytes -= len(data)
+        data = self._take_unparsed()
         self._http.receive_data(data)
         is_full = self._unparsed_bytes > MAX_UNPARSED_BYTES
         if was_full and not is_full and self._transport is not None:
             self._transport.resume_reading()
 
-    def _take_head(self, data: bytes) -> bytes:
-        """Return what belongs to the next head; the rest is read later.
+    def _take_unparsed(self) -> bytes:
+        """Return the next received bytes, no more than fit one turn."""
+        is_chunked = self.framing is Framing.CHUNKS
+        limit = MAX_CHUNKED_BYTES if is_chunked else TURN_BYTES
+        first = self._unparsed[0]
+        data = first[self._taken_bytes : self._taken_bytes + limit]
+        if self._http.their_state is h11.SEND_RESPONSE:
+            data = data[: self._measure_head(data)]
+        self._taken_bytes += len(data)
+        self._unparsed_bytes -= len(data)
+        if self._taken_bytes == len(first):
+            self._unparsed.popleft()
+            self._taken_bytes = 0
+        return data
+
+    def _put_back(self, data: bytes) -> None:
+        """Let data be read again before all other."""
+        if self._taken_bytes:
+            data += self._unparsed.popleft()[self._taken_bytes :]
+            self._taken_bytes = 0
+        self._unparsed.appendleft(data)
+        self._unparsed_bytes = sum(map(len, self._unparsed))
+
+    def _measure_head(self, data: bytes) -> int:
+        """Return how many bytes belong to the next head.
 
         Raises ``IncompleteResponseError`` if the head has too many lines.
         """
@@ -411,17 +442,14 @@
         length = len(data)
         if found is not None:
             length = found.end() - len(self._head_tail)
-        head, rest = data[:length], data[length:]
-        if rest:
-            self._unparsed.appendleft(rest)
-        self._head_lines += head.count(b"\n")
+        self._head_lines += data.count(b"\n", 0, length)
         if self._head_lines > MAX_HEAD_LINES:
             raise IncompleteResponseError("response head has too many lines")
         if found is None:
-            self._head_tail = (self._head_tail + head)[1 - MAX_HEAD_END_BYTES :]
+            self._head_tail = (self._head_tail + data)[1 - MAX_HEAD_END_BYTES :]
         else:
             self._head_lines, self._head_tail = 0, b""
-        return head
+        return length
 
     def _end_by_connection(self, end: BodyEnd, reason: str = "") -> None:
         """Record that the connection has ended the response.
--- a/tests/helpers/test_endless_responses.py
+++ b/tests/helpers/test_endless_responses.py
@@ -10,14 +10,15 @@
     MAX_HEAD_BYTES,
     MAX_HEAD_LINES,
     MAX_INTERIM_RESPONSES,
-    MAX_PARTS_PER_ITERATION,
     MAX_UNPARSED_BYTES,
     Connection,
     IncompleteResponseError,
     connect,
     fetch,
 )
+from fescuekeel.helpers.loop_turns import MIN_WORK_BYTES, TURN_BYTES
 
+MAX_PARTS_PER_ITERATION = TURN_BYTES // MIN_WORK_BYTES
 HEADERS = (("Host", "h"),)
 MAX_BYTES = 64 * 1024
 TIMEOUT_S = 2.0
--- a/tests/helpers/test_event_stream.py
+++ b/tests/helpers/test_event_stream.py
@@ -36,6 +36,18 @@
         position = max(position, cut)
 
 
+class LineByLineTracker(EventTracker):
+    """The same tracker, which looks at each line by itself."""
+
+    def feed(self, data):
+        boundary = -1
+        for position in range(len(data)):
+            passed = super().feed(data[position : position + 1])
+            if passed >= 0:
+                boundary = position + passed
+        return boundary
+
+
 @st.composite
 def streams(draw):
     end = draw(ONE_LINE_END)
@@ -91,6 +103,51 @@
             assert tracker.within_event, stream
 
 
+ANY_LINES = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                *(
+                    b"id: 7",
+                    b"id",
+                    b"id:",
+                    b"idle: 3",
+                    b"id:\x00",
+                    b"id: " + b"9" * 4100,
+                ),
+                *(b"data: a", b"data", b"database", b": note", b":", b""),
+                *(b"retry: 5", b"retry", b"retrying", b"weights: 3"),
+            ]
+        ),
+        ONE_LINE_END,
+    ),
+    max_size=10,
+)
+
+
+class TestManyLinesAtOnce:
+    # Guards against lines that are searched together and mean something else
+    # than one by one.
+    @given(ANY_LINES, st.booleans(), st.lists(st.integers(0, 90), max_size=4))
+    def test_mean_what_they_mean_one_by_one(self, lines, has_mark, cuts):
+        text = BYTE_ORDER_MARK * has_mark + b"".join(map(b"".join, lines))
+        whole, single = EventTracker(), LineByLineTracker()
+        position = 0
+        for cut in [*sorted(cuts), len(text)]:
+            part = text[position:cut]
+            assert whole.feed(part) == single.feed(part)
+            assert read_state(whole) == read_state(single)
+            position = max(position, cut)
+
+
+def read_state(tracker):
+    state = dict(vars(tracker))
+    if not tracker._has_fields:
+        # Only within an event.
+        del state["_has_data"]
+    return state
+
+
 class TestBoundary:
     @given(streams())
     def test_nothing_of_an_open_event_is_before_the_boundary(self, drawn):
