Let one account of places and memory bound all loads of an endpoint

Cause: adapter_mb was not decoded, and weights_mb was read by nobody; only the number of adapters was compared with the places.

Each load, of models too, passes one account of what is held, ordered, unanswered, pending for others or of unknown name, by the configuration in force when it is sent. An endpoint that holds more than fits gets no order. What fits no empty endpoint is refused at once as weights_too_large. A second model is not ordered beside one that is held.

--- a/fescuekeel/components/forward/selection.py
+++ b/fescuekeel/components/forward/selection.py
@@ -51,6 +51,7 @@
     PlacementView,
 )
 from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec
+from fescuekeel.helpers.weight_memory import WeightMemory
 from fescuekeel.messages import AdmitAnswer, AdmitAsk, LoadAsk
 
 __all__ = ["EndpointSelector"]
@@ -142,6 +143,9 @@
         arrival, the time would be over and the stream would be cut.
         """
         began = self._instance.now()
+        too_large = self._find_too_large(request)
+        if too_large is not None:
+            return too_large
         since = began if request.state.answer_started else request.arrived
         until = min(
             since + PATIENCE_TARGETS * request.route.target_s,
@@ -149,6 +153,25 @@
         )
         return await self._select_until(request, until, avoided)
 
+    def _find_too_large(self, request: ForwardedRequest) -> Failure | None:
+        """Return a failure if no endpoint can hold the weights.
+
+        One that holds them all the same is used.
+        """
+        engine, weights = self._get_engine(request.service), request.weights
+        if engine is None or weights is None:
+            return None
+        if WeightMemory.of_engine(engine).can_ever_hold(weights):
+            return None
+        view = self._instance.bus.latest(PlacementView) or PlacementView()
+        now = self._instance.now()
+        records = self._list_candidates(request).values()
+        if any(
+            view.find_version(record, weights, now) is not None for record in records
+        ):
+            return None
+        return Failure(ErrorKind.WEIGHTS_TOO_LARGE, str(weights))
+
     async def _select_until(
         self, request: ForwardedRequest, until: float, avoided: str = ""
     ) -> Choice | Failure:
--- a/fescuekeel/components/placement/component.py
+++ b/fescuekeel/components/placement/component.py
@@ -28,8 +28,14 @@
 from fescuekeel.helpers.placement_view import (
     PlacementView,
 )
-from fescuekeel.helpers.published import Catalog, EndpointRecord, EngineSpec, Weights
+from fescuekeel.helpers.published import (
+    Catalog,
+    EndpointRecord,
+    EngineSpec,
+    Weights,
+)
 from fescuekeel.helpers.ticks import sleep_to_tick
+from fescuekeel.helpers.weight_memory import WeightMemory
 from fescuekeel.messages import (
     AdmitAsk,
     LoadAsk,
@@ -198,7 +204,9 @@
             if engine is None or not engine.models_by_name:
                 continue
             scheduler = AdapterScheduler(
-                engine.max_loaded_adapters, next(iter(engine.models_by_name))
+                engine.max_loaded_adapters,
+                next(iter(engine.models_by_name)),
+                memory=WeightMemory.of_engine(engine),
             )
             self._holders_by_endpoint[id] = EndpointHolder(
                 self.instance,
@@ -211,6 +219,7 @@
                 self._peer_requests.answer_load,
                 self._publisher.schedule_update,
                 self._may_load_model,
+                self._get_engine,
             )
 
     def _may_load_model(self, record: EndpointRecord) -> bool:
--- a/fescuekeel/components/placement/holder.py
+++ b/fescuekeel/components/placement/holder.py
@@ -25,7 +25,12 @@
 )
 from fescuekeel.helpers.incarnation import UNKNOWN_BORN_MS
 from fescuekeel.helpers.logging import log_event
-from fescuekeel.helpers.published import Catalog, EndpointRecord, Weights
+from fescuekeel.helpers.published import (
+    Catalog,
+    EndpointRecord,
+    EngineSpec,
+    Weights,
+)
 
 __all__ = ["EndpointHolder"]
 
@@ -45,6 +50,7 @@
         on_load_ended: Callable[[LoadResult], None],
         on_changed: Callable[[], None],
         may_load_model: Callable[[EndpointRecord], bool],
+        get_engine: Callable[[EndpointRecord], EngineSpec | None],
     ) -> None:
         self.scheduler = scheduler
         self.record = record
@@ -54,11 +60,14 @@
         self._on_load_ended = on_load_ended
         self._on_changed = on_changed
         self._may_load_model = may_load_model
+        self._get_engine = get_engine
+        self._engine: EngineSpec | None = None
         self._link = OrderLink(instance, dialect, relay, endpoints, record)
         self.has_held = False
         self._report_requested_at = 0.0
         self._held = False
         self._fencing_token_sent = False
+        self._was_over_memory = False
         self._wake_event = asyncio.Event()
         name = f"placement.holder.{record.name}"
         self._task = instance.keep_running(self._run, name, is_local=True)
@@ -134,7 +143,7 @@
         partition, so that every order of this one is based on an outdated
         report.
         """
-        if self._fencing_token_sent:
+        if self._fencing_token_sent or self.scheduler.is_over_memory:
             return
         effect = self.scheduler.choose_noop_order()
         self._fencing_token_sent = effect is None or await self._send_order(
@@ -168,6 +177,22 @@
         if self.scheduler.list_servable() != before:
             self._on_changed()
 
+    def _log_memory(self) -> None:
+        """Log when orders end, or go on, by the memory of the endpoint."""
+        is_over = self.scheduler.is_over_memory
+        if is_over == self._was_over_memory:
+            return
+        self._was_over_memory = is_over
+        self._instance.metrics.count("placement.over_memory", int(is_over))
+        log_event(
+            "endpoint_memory",
+            endpoint=self.record.id,
+            used_mb=round(self.scheduler.occupied_mb),
+            memory_mb=round(self.scheduler.memory.capacity_mb or 0),
+            taken=self.scheduler.count_occupied(),
+            outcome="no_orders" if is_over else "orders",
+        )
+
     def _log_foreign_orders(self, report: EndpointReport) -> None:
         count = self.scheduler.order_count
         if count.compare(report.orders_taken) is not ReportAge.NEWER:
@@ -221,6 +246,8 @@
 
     async def _step(self) -> None:
         """Carry out what is due, and what becomes due thereby."""
+        self._apply_configuration()
+        self._log_memory()
         catalog = self._instance.bus.latest(Catalog)
         versions = catalog.versions_by_weights if catalog else {}
         while True:
@@ -235,7 +262,7 @@
             for effect in effects:
                 if isinstance(effect, LoadResult):
                     self._on_load_ended(effect)
-                elif stopped:
+                elif stopped or not self._apply_configuration():
                     self.scheduler.withdraw(effect)
                 else:
                     after_orders = self.scheduler.order_count.value
@@ -243,6 +270,17 @@
             if stopped:
                 return
 
+    def _apply_configuration(self) -> bool:
+        """Use the capacities in force now.
+
+        Returns false if less fits than what is decided to be ordered.
+        """
+        engine = self._get_engine(self.record)
+        if engine is not None and engine is not self._engine:
+            self._engine = engine
+            self.scheduler.apply_engine(engine)
+        return not self.scheduler.is_over_memory
+
     async def _send_order(self, effect: SendOrder, after_orders: int | None) -> bool:
         """Send an order; return whether more may follow at once.
 
@@ -292,6 +330,8 @@
             report_age_ms=round((sent_at - self._report_requested_at) * 1000),
             taken=self.scheduler.count_occupied(),
             places=self.scheduler.adapter_capacity,
+            used_mb=round(self.scheduler.occupied_mb),
+            memory_mb=round(self.scheduler.memory.capacity_mb or 0),
             outcome=outcome,
         )
         if reply is OrderReply.FENCED:
--- a/fescuekeel/components/placement/scheduler.py
+++ b/fescuekeel/components/placement/scheduler.py
@@ -1,8 +1,8 @@
 """Decide which adapters an endpoint holds.
 
-An endpoint has slots for a small fraction of the adapters. A slot that an
-order may have taken, or has not yet freed, counts as occupied: an endpoint
-that is ordered to hold more than its capacity fails permanently.
+An endpoint has slots, and memory, for a small fraction of the adapters. What
+an order may have taken, or has not yet freed, counts as occupied: an endpoint
+that is ordered to hold more than its capacity crashes.
 """
 
 from collections.abc import Iterable
@@ -34,7 +34,8 @@
 )
 from fescuekeel.components.placement.usage import WeightUsage
 from fescuekeel.helpers.dialect import EndpointReport, OrderKind, OrderReply
-from fescuekeel.helpers.published import Weights
+from fescuekeel.helpers.published import EngineSpec, Weights
+from fescuekeel.helpers.weight_memory import WeightMemory
 
 __all__ = ["AdapterScheduler"]
 
@@ -44,7 +45,8 @@
     """Track one endpoint's weights, orders and load requests.
 
     The state is the one after ``order_count.value`` orders. No order is sent
-    until a report has confirmed it.
+    until a report has confirmed it. ``model`` is the base model that an
+    endpoint without any is to load.
     """
 
     adapter_capacity: int
@@ -56,8 +58,10 @@
     backoff: OrderBackoff = field(default_factory=OrderBackoff)
     order_count: OrderCount = field(default_factory=OrderCount)
     running: int = 0
+    memory: WeightMemory = field(default_factory=WeightMemory)
     _estimator: LoadTimeEstimator = field(default_factory=LoadTimeEstimator)
     _foreign_pending: frozenset[Weights] = frozenset()
+    _is_foreign_model_pending: bool = False
     _model_ordered_at: float = float("-inf")
 
     @property
@@ -67,8 +71,21 @@
 
     @property
     def has_model(self) -> bool:
-        """Return whether the base model, which adapters need, is loaded."""
-        return Weights(self.model) in self.held
+        """Return whether a base model, which adapters need, is loaded."""
+        return self._find_held_model() is not None
+
+    @property
+    def is_over_memory(self) -> bool:
+        """Return whether the endpoint holds more than its memory should.
+
+        The configuration may have changed, or another holder ordered it.
+        """
+        return not self.memory.has_room_for(self._list_occupied())
+
+    @property
+    def occupied_mb(self) -> float:
+        """Return the memory that is or may be occupied."""
+        return self.memory.measure_mb(self._list_occupied())
 
     @property
     def load_s(self) -> float:
@@ -104,19 +121,63 @@
 
     def count_occupied(self) -> int:
         """Return how many adapter slots are or may be occupied."""
-        adapters = {weights for weights in self.held if weights.adapter}
+        return sum(bool(weights.adapter) for weights in self._list_occupied())
+
+    def _list_occupied(self) -> set[Weights]:
+        """Return the weights that occupy the endpoint, or may do so.
+
+        An adapter that is replaced by a newer version counts once, and one
+        that is being unloaded until a report shows that it is gone.
+        """
         loading = {
             weights
             for weights, order in self.orders_by_weights.items()
-            if weights.adapter and order.kind is OrderKind.LOAD
+            if order.kind is OrderKind.LOAD
         }
-        return len(adapters | loading | self._foreign_pending)
+        occupied = self.held.keys() | loading | self._foreign_pending
+        if self._is_foreign_model_pending:
+            occupied |= self._list_largest_other_model()
+        return occupied
+
+    def _list_largest_other_model(self) -> set[Weights]:
+        """Return the largest model that another holder may have ordered."""
+        others = {Weights(name) for name in self.memory.models_by_name}
+        others -= self.held.keys()
+        if not others:
+            return set()
+        return {max(others, key=lambda weights: self.memory.measure_mb([weights]))}
+
+    def _has_room(self, weights: Weights) -> bool:
+        """Return whether weights can be loaded beside all that may be there.
+
+        A newer version takes the place of the one that it replaces.
+        """
+        occupied = self._list_occupied()
+        if weights in occupied:
+            return True
+        if weights.adapter and self.count_occupied() >= self.adapter_capacity:
+            return False
+        return self.memory.has_room_for(occupied | {weights})
+
+    def _find_held_model(self) -> Weights | None:
+        """Return a base model that the endpoint holds, if any."""
+        if Weights(self.model) in self.held:
+            return Weights(self.model)
+        configured = map(Weights, self.memory.models_by_name)
+        return next((model for model in configured if model in self.held), None)
 
     # Inputs.
 
+    def apply_engine(self, engine: EngineSpec) -> None:
+        """Use the capacities of the configuration in force."""
+        self.adapter_capacity = engine.max_loaded_adapters
+        self.memory = WeightMemory.of_engine(engine)
+        if self.model not in engine.models_by_name and engine.models_by_name:
+            self.model = next(iter(engine.models_by_name))
+
     def accepts_request(self, weights: Weights, is_replica: bool, now: float) -> bool:
         """Return whether one more load request can be met soon enough."""
-        if self.backoff.is_blocked(now):
+        if self.backoff.is_blocked(now) or not self._may_hold_soon(weights):
             return False
         awaited = {
             request.weights
@@ -129,6 +190,15 @@
             MAX_AWAITED_BEFORE_REPLICA if is_replica else MAX_AWAITED_ADAPTERS
         )
 
+    def _may_hold_soon(self, weights: Weights) -> bool:
+        """Return whether weights fit beside the base model that is there."""
+        if weights in self.held:
+            return True
+        model = self._find_held_model() or Weights(self.model)
+        if weights.model != model.model and Weights(weights.model) not in self.held:
+            return False
+        return self.memory.can_ever_hold(weights) and not self.is_over_memory
+
     def can_load_now(self, weights: Weights, now: float) -> bool:
         """Return whether a load can be ordered at once, or is in progress."""
         if weights in self.held or weights in self.orders_by_weights:
@@ -139,9 +209,9 @@
         unserved = waiting - self.held.keys() - self.orders_by_weights.keys()
         if unserved or self._count_pending() >= self._estimator.max_concurrent:
             return False
-        if self.count_occupied() < self.adapter_capacity:
-            return True
-        return self._choose_victim(weights, False, now) is not None
+        if not self._may_hold_soon(weights):
+            return False
+        return self._has_room(weights) or self._can_make_room(weights, now)
 
     def add_request(self, request: LoadRequest) -> None:
         """Add a load request."""
@@ -166,6 +236,8 @@
             weights for weights, order in own.items() if order.kind is OrderKind.LOAD
         }
         self._foreign_pending = report.pending - loading
+        orders_model = any(not weights.adapter for weights in loading)
+        self._is_foreign_model_pending = report.busy and not orders_model
         progress_by_weights = {
             weights: read_progress(weights, order, report, self.held, requested_at)
             for weights, order in own.items()
@@ -230,7 +302,7 @@
         ``may_load_model`` says that this endpoint may load its base model now.
         """
         effects: list[Effect] = list(self._finish_requests(now))
-        if not self.order_count.confirmed:
+        if not self.order_count.confirmed or self.is_over_memory:
             return effects
         if not self.has_model:
             return effects + (self._load_model(now) if may_load_model else [])
@@ -244,12 +316,12 @@
     def choose_noop_order(self) -> SendOrder | None:
         """Return an order without effect, ``None`` if none is known to be.
 
-        It names the base model, which occupies no adapter slot, in a reported
+        It names a base model, which occupies no adapter slot, in a reported
         version: without a version, an order loads the newest one.
         """
-        weights = Weights(self.model)
-        version = self.held.get(weights)
-        if not version or weights in self.orders_by_weights:
+        weights = self._find_held_model()
+        version = self.held.get(weights) if weights is not None else None
+        if weights is None or not version or weights in self.orders_by_weights:
             return None
         return SendOrder(OrderKind.LOAD, weights, version, is_repeat=True)
 
@@ -302,6 +374,8 @@
         under_way = weights in self.orders_by_weights
         if under_way or now - self._model_ordered_at < MODEL_RETRY_S:
             return []
+        if not self._has_room(weights):
+            return []
         self._model_ordered_at = now
         return [self._order(OrderKind.LOAD, weights, None, now)]
 
@@ -346,10 +420,9 @@
             if weights in served:
                 continue
             served.add(weights)
-            if (
-                weights not in self.held
-                and self.count_occupied() >= self.adapter_capacity
-            ):
+            if Weights(weights.model) not in self.held:
+                continue
+            if not self._has_room(weights):
                 effects += self._evict_idle(weights, request.is_replica, now)
                 continue
             version = request.version or None
@@ -383,24 +456,55 @@
     ) -> list[Effect]:
         """Unload the idle adapter with the lowest demand.
 
+        More follow while what is unloaded has less memory than is needed.
         Peers need no prior notice: every prompt is admitted by the holder
         first, which refuses it if the adapter is gone.
         """
-        unloading = sum(
-            order.kind is OrderKind.UNLOAD for order in self.orders_by_weights.values()
+        effects: list[Effect] = []
+        while len(self._list_unloading()) < MAX_PENDING:
+            victim = self._choose_victim(weights, is_replica, now)
+            if victim is None:
+                break
+            effects.append(self._order(OrderKind.UNLOAD, victim, None, now))
+            remaining = self._list_occupied() - self._list_unloading()
+            if self.memory.has_room_for(remaining | {weights}):
+                break
+        return effects
+
+    def _list_unloading(self) -> set[Weights]:
+        return {
+            weights
+            for weights, order in self.orders_by_weights.items()
+            if order.kind is OrderKind.UNLOAD
+        }
+
+    def _can_make_room(self, weights: Weights, now: float) -> bool:
+        """Return whether unloading idle adapters would be enough."""
+        idle = self._list_idle(now)
+        if not idle:
+            return False
+        return self.memory.has_room_for(
+            self._list_occupied().difference(idle) | {weights}
         )
-        if unloading >= MAX_PENDING:
-            return []
-        victim = self._choose_victim(weights, is_replica, now)
-        if victim is None:
-            return []
-        return [self._order(OrderKind.UNLOAD, victim, None, now)]
 
     def _choose_victim(
         self, weights: Weights, is_replica: bool, now: float
     ) -> Weights | None:
+        victim = min(
+            self._list_idle(now),
+            key=lambda item: self.usage.read_demand(item, now),
+            default=None,
+        )
+        if victim is None or not is_replica:
+            return victim
+        # A replica must not replace an adapter with similar demand.
+        gain = self.usage.read_demand(weights, now)
+        return victim if self.usage.read_demand(victim, now) < gain / 2 else None
+
+    def _list_idle(self, now: float) -> list[Weights]:
+        """Return the adapters that may be unloaded now."""
         requested = {item.weights for item in self.requests_by_number.values()}
-        idle = [
+        return [
             held
             for held in self.held
             if held.adapter
@@ -409,14 +513,6 @@
             and not self.usage.is_in_use(held, now)
             and now - self._get_held_since(held, now) >= MIN_RESIDENCY_S
         ]
-        victim = min(
-            idle, key=lambda item: self.usage.read_demand(item, now), default=None
-        )
-        if victim is None or not is_replica:
-            return victim
-        # A replica must not replace an adapter with similar demand.
-        gain = self.usage.read_demand(weights, now)
-        return victim if self.usage.read_demand(victim, now) < gain / 2 else None
 
     def _get_held_since(self, weights: Weights, now: float) -> float:
         times = self.holdings.get_load_times(weights)
--- a/fescuekeel/errors.py
+++ b/fescuekeel/errors.py
@@ -36,6 +36,7 @@
     QUARANTINED = "quarantined"
     STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
     STREAM_VERSION_GONE = "stream_version_gone"
+    WEIGHTS_TOO_LARGE = "weights_too_large"
     QUEUE_FULL = "queue_full"
     ENDPOINTS_LIMITED = "endpoints_limited"
     ENDPOINTS_BACKED_OFF = "endpoints_backed_off"
@@ -122,6 +123,9 @@
     ErrorKind.STREAM_VERSION_GONE: ErrorResponse(
         503, Ran.NO, False, "No endpoint has the software version of the stream."
     ),
+    ErrorKind.WEIGHTS_TOO_LARGE: ErrorResponse(
+        503, Ran.NO, False, "No endpoint has the memory for the weights."
+    ),
     ErrorKind.QUEUE_FULL: ErrorResponse(503, Ran.NO, True, "The queue is full."),
     ErrorKind.ENDPOINTS_LIMITED: ErrorResponse(
         503, Ran.NO, True, "All endpoints are at their rate limits."
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -97,8 +97,9 @@
         load_missing endpoint weights reported taken places outcome
         load_repeated endpoint adapter waited_ms outcome
         member_changed member state incarnation
+        endpoint_memory endpoint used_mb memory_mb taken outcome
         order_given endpoint kind weights version term fence after_orders \
-            report_age_ms taken outcome
+            report_age_ms taken used_mb memory_mb outcome
         orders_of_another endpoint known reported held taken outcome
         owner_gained endpoint fence
         owner_lost endpoint
--- a/fescuekeel/helpers/published.py
+++ b/fescuekeel/helpers/published.py
@@ -94,11 +94,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ModelSpec:
-    """Base model; ``load_s`` is the load time from the weight store."""
+    """Base model; ``load_s`` is the load time from the weight store.
+
+    ``size_mb`` is the memory that its weights take at an endpoint, and
+    ``adapter_mb`` what each of its adapters takes; ``None`` if not known.
+    """
 
     name: str
     load_s: float
-    weights_mb: float
+    size_mb: float | None
+    adapter_mb: float | None
     adapters: int
 
 
@@ -107,13 +112,14 @@
     """Capacity of the endpoints of a model service.
 
     ``slots`` bounds the running requests and ``max_loaded_adapters`` the
-    loaded adapters.
+    loaded adapters. ``memory_mb`` is what models and adapters share at an
+    endpoint, ``None`` if not known.
     """
 
     slots: int
     kv_tokens: int
     max_loaded_adapters: int
-    weights_mb: float
+    memory_mb: float | None
     models_by_name: dict[str, ModelSpec]
 
 
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -64,11 +65,11 @@
     ``fail`` run and respond with 500, ``shed`` are rejected without running,
     ``cut`` drop the connection after some events and ``stall`` become
     unresponsive after some events. ``overrun`` is set by a load beyond
-    ``max_loaded_adapters``; ``unloaded_in_use`` lists
-    adapters that were evicted while serving. ``fencing_tokens`` and
-    ``holders`` are the tokens and senders of the accepted orders, in order of
-    arrival. Reports are ``report_lag_s`` old, and plain runs take ``run_s``.
-    ``crash`` stops the worker's server and starts it again later, and returns
+    ``max_loaded_adapters``, or more than take ``max_adapters_mb`` together;
+    ``unloaded_in_use`` lists adapters that were evicted while serving.
+    ``fencing_tokens`` and ``holders`` are the tokens and senders of the
+    accepted orders, in order of arrival. Reports are ``report_lag_s`` old, and
+    plain runs take ``run_s``. ``crash`` stops the worker's server and starts it again later, and returns
     false if it is down already; ``None``
     ignores bodies and parts of prompts that crash it. ``crash_parts`` are such
     parts, which do so ``crash_delay_s`` after a run with one began, and with
@@ -95,6 +96,8 @@
     service: str
     model: str = ""
     max_loaded_adapters: int = 4
+    max_adapters_mb: float = math.inf
+    adapter_mb: float = 0.0
     events: int = 6
     event_s: float = 0.005
     run_s: float = 0.0
@@ -255,6 +258,7 @@
         self.pending.add(adapter)
         count = len(self.versions_by_adapter.keys() | self.pending)
         self.overrun = self.overrun or count > self.max_loaded_adapters
+        self.overrun = self.overrun or count * self.adapter_mb > self.max_adapters_mb
         self.record_state()
 
     async def finish_load(self, adapter: str, version: int) -> None:
--- a/tests/components/placement/test_overrun.py
+++ b/tests/components/placement/test_overrun.py
@@ -193,6 +193,7 @@
             lambda result: None,
             lambda: None,
             lambda record: True,
+            lambda record: None,
         )
         lost_reports = self.endpoint.lost_reports if term > 1 else 0
         holder._link = Link(self.endpoint, seed, lost_reports)
