Let instances that start learn which versions served before

Cause: while one software version serves, what began a stream is inferred by instances that have watched for a minute. Each restart lost the watch, so that after a rolling restart no instance could infer anything, though the first ones had started beside peers that knew. Beside it, homes that started again unnoticed kept their place among those that had been told.

Change: an instance that starts asks peers what they have seen; a peer reads the store first, so that both watches join without a gap. Homes are known by their incarnation. Logged as versions_learned.

TestRollingRestart in tests/components/origins/test_fuzz.py finds the origin at each instance; 12 of its tests fail without learning, two where homes keep their place. The drawn histories, with restarts in turn and learning as rules, still join no two versions.

--- a/fescuekeel/components/origins/component.py
+++ b/fescuekeel/components/origins/component.py
@@ -1,6 +1,8 @@
 """Report the origins of streams to their homes, and query them."""
 
 import asyncio
+import itertools
+import math
 from dataclasses import dataclass
 
 from fescuekeel.components.catalog import PeerAges
@@ -9,15 +11,27 @@
     ASK_TIMEOUT_S,
     DOMAIN,
     EXPIRY_PERIOD_S,
+    HISTORY_PEERS,
+    HISTORY_RETRY_MAX_S,
+    HISTORY_RETRY_S,
+    HISTORY_S,
+    MAX_HISTORY_VERSIONS,
     MAX_ID_CHARS,
     MAX_MESSAGE_RECORDS,
     MAX_OWN_STREAMS,
     MAX_REMEMBERED_S,
+    MIN_HISTORY_GAIN_S,
     MIN_HORIZON_S,
     REMEMBERED_S,
     REPORT_AGE_S,
     ROUND_PAUSE_S,
 )
+from fescuekeel.components.origins.history import (
+    VersionHistory,
+    choose_history,
+    encode_history,
+    read_history,
+)
 from fescuekeel.components.origins.homes import list_asked, list_homes
 from fescuekeel.components.origins.ledger import (
     AMBIGUOUS,
@@ -27,7 +41,7 @@
 from fescuekeel.components.origins.lookup import OriginReport, decide
 from fescuekeel.components.origins.report_reader import read_report
 from fescuekeel.components.origins.running import choose_endpoints, find_origins
-from fescuekeel.components.origins.versions import SoftwareVersions
+from fescuekeel.components.origins.versions import SoftwareVersions, VersionSpan
 from fescuekeel.core import Instance
 from fescuekeel.helpers.catalog_link import get_catalog_link
 from fescuekeel.helpers.dialect import get_dialect
@@ -44,6 +58,7 @@
     StreamOriginNews,
     StreamOriginRecord,
 )
+from fescuekeel.util import rendezvous
 
 __all__ = ["Origins"]
 
@@ -52,11 +67,15 @@
 
 @dataclass(slots=True)
 class OwnStream:
-    """A stream served here, and the homes it was reported to."""
+    """A stream served here, and the homes it was reported to.
+
+    A home that has started again has forgotten it, so that homes are known by
+    their incarnation.
+    """
 
     origin: StreamOrigin
     until: float
-    notified: frozenset[str] = frozenset()
+    notified: frozenset[tuple[str, int]] = frozenset()
 
 
 class Origins:
@@ -68,6 +87,7 @@
         self._versions = SoftwareVersions()
         self._own_by_id: dict[str, OwnStream] = {}
         self._data_centres_by_id: dict[str, str] = {}
+        self._incarnations_by_id: dict[str, int] = {}
         self._has_read_runs = False
 
     async def start(self) -> None:
@@ -80,7 +100,12 @@
         self._instance.metrics.add_gauge(
             "origins_known", lambda: {"": float(len(self._ledger))}
         )
+        self._instance.metrics.add_gauge(
+            "origins_watched_s",
+            lambda: {"": self._versions.get_watched_s(self._instance.now())},
+        )
         self._instance.keep_running(self._expire_forever, f"{DOMAIN}.expire")
+        self._instance.keep_running(self._learn_history, f"{DOMAIN}.history")
 
     async def stop(self) -> None:
         """Do nothing: the instance cancels the tasks."""
@@ -129,9 +154,9 @@
                 id, own.origin.service, own.origin.software, lasts_ms
             )
             for home in homes:
-                if home not in own.notified:
+                if (home, self._incarnations_by_id[home]) not in own.notified:
                     records_by_home.setdefault(home, []).append(record)
-            own.notified |= set(homes)
+            own.notified |= {(home, self._incarnations_by_id[home]) for home in homes}
         link = get_peer_link(self._instance)
         for home, records in records_by_home.items():
             self._instance.metrics.count("origins.told", len(records))
@@ -287,6 +312,9 @@
     def _handle_ask(self, message: PeerMessage) -> None:
         assert isinstance(message.body, StreamOriginAsk)
         body = message.body
+        if body.with_history:
+            self._instance.spawn(self._tell_history(message), f"{DOMAIN}.tell")
+            return
         report = self._make_report(
             body.stream, body.service, body.horizon_ms / MS_PER_S
         )
@@ -301,6 +329,84 @@
         )
         get_peer_link(self._instance).answer(message, answer)
 
+    # What served before an instance started.
+
+    async def _tell_history(self, message: PeerMessage) -> None:
+        """Tell a peer that has just started what this instance has seen.
+
+        Its own watch began before it asked, so that a catalog as of now leaves
+        no gap.
+        """
+        assert isinstance(message.body, StreamOriginAsk)
+        now = self._instance.now()
+        gained_s = self._versions.get_watched_s(now)
+        gained_s -= message.body.watched_ms / MS_PER_S
+        history: list[VersionSpan] = []
+        if gained_s >= MIN_HISTORY_GAIN_S:
+            await get_catalog_link(self._instance).confirm(now)
+            now = self._instance.now()
+            history = self._versions.list_history(now, HISTORY_S)
+        if len(history) > MAX_HISTORY_VERSIONS:
+            history = []
+        answer = StreamOriginAnswer(
+            False,
+            watched_ms=int(self._versions.get_watched_s(now) * MS_PER_S),
+            catalog_age_ms=math.ceil(self._freshness.read_age_s(now) * MS_PER_S),
+            history=encode_history(history),
+        )
+        get_peer_link(self._instance).answer(message, answer)
+
+    async def _learn_history(self) -> None:
+        """Ask peers until one has told, or the own watch is enough."""
+        pause_s = HISTORY_RETRY_S
+        for number in itertools.count():
+            now = self._instance.now()
+            if self._versions.get_watched_s(now) >= MIN_HORIZON_S:
+                break
+            if self._versions.watched_since is not None:
+                await self.learn_history_once(number)
+                pause_s = min(2 * pause_s, HISTORY_RETRY_MAX_S)
+            await asyncio.sleep(pause_s)
+        # Work of a component has no end while the instance runs.
+        await asyncio.Event().wait()
+
+    async def learn_history_once(self, number: int = 0) -> None:
+        """Ask a few peers, others each time, and join what they have seen."""
+        asked_at = self._instance.now()
+        watched_s = self._versions.get_watched_s(asked_at)
+        others = self._data_centres_by_id.keys() - {self._instance.id}
+        peers = rendezvous.rank(f"{self._instance.id}/{number}", others)
+        ask = StreamOriginAsk(
+            "", "", int(HISTORY_S * MS_PER_S), True, int(watched_s * MS_PER_S)
+        )
+        answers = await asyncio.gather(
+            *(self._ask_history(peer, ask) for peer in peers[:HISTORY_PEERS])
+        )
+        told = [answer for answer in answers if answer is not None]
+        chosen = choose_history(told, watched_s)
+        if chosen is None:
+            return
+        now = self._instance.now()
+        self._versions.extend(chosen.watched_s, chosen.spans, now)
+        log_event(
+            "versions_learned",
+            peer=chosen.peer,
+            watched_s=round(watched_s, 3),
+            told_s=round(chosen.watched_s, 3),
+            age_ms=round(chosen.age_s * MS_PER_S),
+            versions=len(chosen.spans),
+            outcome="joined",
+        )
+
+    async def _ask_history(
+        self, peer: str, ask: StreamOriginAsk
+    ) -> VersionHistory | None:
+        link = get_peer_link(self._instance)
+        answer = (await link.ask(peer, ask, ASK_TIMEOUT_S)).value_or(None)
+        if not isinstance(answer, StreamOriginAnswer):
+            return None
+        return read_history(peer, answer)
+
     # Streams that endpoints run when this instance starts.
 
     async def _read_runs(self, records: list[EndpointRecord]) -> None:
@@ -343,8 +449,12 @@
             self._instance.spawn(self._read_runs(chosen), f"{DOMAIN}.read")
 
     def _handle_members(self, view: MemberView) -> None:
+        members = view.members_by_id
         self._data_centres_by_id = {
-            id: member.data_centre for id, member in view.members_by_id.items()
+            id: member.data_centre for id, member in members.items()
+        }
+        self._incarnations_by_id = {
+            id: member.incarnation for id, member in members.items()
         }
         self._report_needed(list(self._own_by_id))
 
--- a/fescuekeel/components/origins/const.py
+++ b/fescuekeel/components/origins/const.py
@@ -37,6 +37,15 @@
 # A stream without a record may have begun this long ago.
 MIN_HORIZON_S: Final = 60.0
 MAX_VERSIONS: Final = 16
+# What an instance that has just started learns of the time before: as long as
+# a stream's origin is kept, from a few peers at a time, until one tells it.
+HISTORY_S: Final = MAX_REMEMBERED_S
+HISTORY_PEERS: Final = 3
+HISTORY_RETRY_S: Final = 0.2
+HISTORY_RETRY_MAX_S: Final = 5.0
+# Peers that started together have nothing to tell each other.
+MIN_HISTORY_GAIN_S: Final = 1.0
+MAX_HISTORY_VERSIONS: Final = 1_000
 # With an older catalog, an instance reports its streams to their homes, as if
 # several versions served. While the store answers, catalogs are younger.
 REPORT_AGE_S: Final = 3.5
--- a/fescuekeel/components/origins/versions.py
+++ b/fescuekeel/components/origins/versions.py
@@ -6,7 +6,16 @@
 from fescuekeel.components.origins.const import MAX_VERSIONS
 from fescuekeel.helpers.published import EndpointRecord
 
-__all__ = ["SoftwareVersions"]
+__all__ = ["SoftwareVersions", "VersionSpan"]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionSpan:
+    """A version that has served; ``gone_s`` ago it went, ``None`` if not."""
+
+    service: str
+    software: str
+    gone_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -56,6 +65,39 @@
         recent = {software for software, at in gone.items() if at >= since}
         return recent | self._serving_by_service.get(service, set())
 
+    def list_history(self, now: float, horizon_s: float) -> list[VersionSpan]:
+        """Return the versions of all services since a time."""
+        spans = [
+            VersionSpan(service, software)
+            for service, versions in self._serving_by_service.items()
+            for software in versions
+        ]
+        for service, gone in self._gone_at_by_service.items():
+            serving = self._serving_by_service.get(service, set())
+            spans += [
+                VersionSpan(service, software, now - at)
+                for software, at in gone.items()
+                if now - at <= horizon_s and software not in serving
+            ]
+        return spans
+
+    def extend(
+        self, watched_s: float, history: Iterable[VersionSpan], now: float
+    ) -> None:
+        """Add what a peer saw before this instance watched.
+
+        A version that serves for the peer and not here has gone by now.
+        """
+        for span in history:
+            if span.software in self._serving_by_service.get(span.service, set()):
+                continue
+            gone_at = now - (span.gone_s or 0.0)
+            known_at = self._gone_at_by_service.get(span.service, {}).get(span.software)
+            if known_at is None or known_at < gone_at:
+                self._record_gone(span.service, span.software, gone_at)
+        if self.watched_since is not None:
+            self.watched_since = min(self.watched_since, now - watched_s)
+
     def get_watched_s(self, now: float) -> float:
         """Return for how long this instance has known the endpoints."""
         return 0.0 if self.watched_since is None else now - self.watched_since
--- a/fescuekeel/helpers/events.py
+++ b/fescuekeel/helpers/events.py
@@ -117,6 +117,7 @@
         tree_in_force revision digest
         tree_refused revision detail
         unreachable_endpoints_changed instance cut_off endpoints age_ms outcome
+        versions_learned peer watched_s told_s age_ms versions outcome
         watch_duty_changed watching revision missed silent_s
         """,
     ),
--- a/fescuekeel/messages/__init__.py
+++ b/fescuekeel/messages/__init__.py
@@ -65,6 +65,7 @@
     UnreachableChanged,
 )
 from fescuekeel.messages.origins import (
+    SeenVersion,
     StreamOriginAnswer,
     StreamOriginAsk,
     StreamOriginNews,
@@ -167,6 +168,7 @@
     "RunningAnswer",
     "RunningAsk",
     "RunningWork",
+    "SeenVersion",
     "SettingsReloaded",
     "StartAnswer",
     "StartAsk",
--- a/fescuekeel/messages/origins.py
+++ b/fescuekeel/messages/origins.py
@@ -39,12 +39,28 @@
     """Ask a home what began a stream.
 
     ``service`` would serve it now; the answer also lists the versions of it
-    that have served within ``horizon_ms``.
+    that have served within ``horizon_ms``. With ``with_history`` no stream is
+    asked for: the sender has watched all services for ``watched_ms`` only, and
+    the answer has what was seen of them before.
     """
 
     stream: str
     service: str
     horizon_ms: int
+    with_history: bool = False
+    watched_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A software version that has served a service.
+
+    It has gone ``gone_ms`` ago, or serves still if that is 0.
+    """
+
+    service: str
+    software: str
+    gone_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +70,8 @@
     With ``known``, ``service`` and ``software`` began the stream. ``seen`` are
     the versions that have served the service asked for, ``watched_ms`` is how
     long the home has known its endpoints, and ``catalog_age_ms`` how long ago
-    nothing newer is known to have been published.
+    nothing newer is known to have been published. ``history`` are the versions
+    of all services within the time asked for.
     """
 
     known: bool
@@ -63,3 +80,4 @@
     seen: tuple[str, ...] = ()
     watched_ms: int = 0
     catalog_age_ms: int = 0
+    history: tuple[SeenVersion, ...] = ()
--- a/fescuekeel/schema/peer.capnp
+++ b/fescuekeel/schema/peer.capnp
@@ -289,7 +289,14 @@
   lastsMs @3 :UInt32;
 }
 struct StreamOriginNews { records @0 :List(StreamOriginRecord); }
-struct StreamOriginAsk { stream @0 :Text; service @1 :Text; horizonMs @2 :UInt32; }
+struct StreamOriginAsk {
+  stream @0 :Text;
+  service @1 :Text;
+  horizonMs @2 :UInt32;
+  withHistory @3 :Bool;
+  watchedMs @4 :UInt32;
+}
+struct SeenVersion { service @0 :Text; software @1 :Text; goneMs @2 :UInt32; }
 struct StreamOriginAnswer {
   known @0 :Bool;
   service @1 :Text;
@@ -297,6 +304,7 @@
   seen @3 :List(Text);
   watchedMs @4 :UInt32;
   catalogAgeMs @5 :UInt32;
+  history @6 :List(SeenVersion);
 }
 struct Envelope {
   number @0 :UInt32;
--- a/standins/forwarding/workers.py
+++ b/standins/forwarding/workers.py
@@ -69,10 +69,10 @@
     ``unloaded_in_use`` lists adapters that were evicted while serving.
     ``fencing_tokens`` and ``holders`` are the tokens and senders of the
     accepted orders, in order of arrival. Reports are ``report_lag_s`` old, and
-    plain runs take ``run_s``. ``crash`` stops the worker's server and starts it again later, and returns
-    false if it is down already; ``None``
-    ignores bodies and parts of prompts that crash it. ``crash_parts`` are such
-    parts, which do so ``crash_delay_s`` after a run with one began, and with
+    plain runs take ``run_s``. ``crash`` stops the worker's server and starts
+    it again later, and returns false if it is down already; ``None`` ignores
+    bodies and parts of prompts that crash it. ``crash_parts`` are such parts,
+    which do so ``crash_delay_s`` after a run with one began, and with
     ``crash_after_event`` once it has sent its first event.
     While ``limit_per_s`` is set, answers name it as the worker's rate limit;
     ``limit_named_at`` is when the first one did.
--- a/tests/components/origins/test_fuzz.py
+++ b/tests/components/origins/test_fuzz.py
@@ -1,7 +1,7 @@
 """Stateful fuzzing of streams' origins: what is not known is not guessed."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import pytest
 from hypothesis import settings, strategies as st
@@ -77,7 +77,10 @@
             return Err(Failure(ErrorKind.PEER_UNREACHABLE))
         self.machine.deliver(peer, self.id)
         self.machine.deliver(self.id, peer)
-        other.origins._handle_ask(PeerMessage(self.id, 1, body))
+        if body.with_history:
+            await other.origins._tell_history(PeerMessage(self.id, 1, body))
+        else:
+            other.origins._handle_ask(PeerMessage(self.id, 1, body))
         return Success(other.answered)
 
     def answer(self, request, body):
@@ -102,6 +105,7 @@
         self.serving = frozenset({"v1"})
         self.streams = []
         self.numbers = iter(range(10**6))
+        self.incarnations = Counter()
         for id in INSTANCES:
             self.start(id)
         self.now = 100.0
@@ -111,11 +115,15 @@
     def start(self, id):
         self.cut_from_store.discard(id)
         self.nodes[id] = Node(self, id)
+        self.incarnations[id] += 1
         self.update_catalog(id)
         self.update_members()
 
     def update_members(self):
-        members = {id: Member(id, "", INSTANCES[id], 1) for id in self.nodes}
+        members = {
+            id: Member(id, "", INSTANCES[id], self.incarnations[id])
+            for id in self.nodes
+        }
         for node in self.nodes.values():
             node.origins._handle_members(MemberView(members))
 
@@ -171,14 +179,28 @@
         found = asyncio.run(node.origins.find("r", stream, SERVICE, STREAM_LASTS_S))
         assert found in (None, origin), (found, origin)
 
-    @rule(at=MANY)
-    def end_and_start(self, at):
+    @rule(at=MANY, is_noticed=st.booleans())
+    def end_and_start(self, at, is_noticed=True):
         id = self.pick(at)
         self.forget_messages(id)
         del self.nodes[id]
-        self.update_members()
+        if is_noticed:
+            self.update_members()
         self.start(id)
 
+    @rule(at=MANY, number=MANY)
+    def learn_history(self, at, number):
+        """Ask a few peers what they saw before this instance watched."""
+        node = self.nodes[self.pick(at)]
+        asyncio.run(node.origins.learn_history_once(number))
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0]), is_noticed=st.booleans())
+    def restart_in_turn(self, seconds, is_noticed):
+        for at in range(len(INSTANCES)):
+            self.end_and_start(at, is_noticed)
+            self.learn_history(at, 0)
+            self.pass_time(seconds)
+
     def forget_messages(self, id):
         for pair in list(self.queues):
             if id in pair:
@@ -278,3 +300,64 @@
         machine.begin_stream(at=2, choice=0)
         assert machine.streams
         machine.take_up(at=0, which=0)
+
+
+def take_up_everywhere(machine, stream):
+    """Return what each instance finds out about a stream."""
+    return [
+        asyncio.run(node.origins.find("r", stream, SERVICE, STREAM_LASTS_S))
+        for node in machine.nodes.values()
+    ]
+
+
+class TestRollingRestart:
+    # Guards against streams that nobody can take up since all instances are
+    # younger than they: killed or stopped, noticed or not, with or without
+    # the name of the first attempt.
+    @pytest.mark.parametrize("is_noticed", [True, False])
+    @pytest.mark.parametrize("seconds", [0.1, 1.0, 10.0])
+    @pytest.mark.parametrize("is_named", [True, False])
+    def test_streams_go_on_at_one_version(self, seconds, is_noticed, is_named):
+        machine = OriginsMachine()
+        machine.restart_in_turn(seconds, is_noticed)
+        machine.begin_stream(at=2, choice=0)
+        ((stream, origin, _),) = machine.streams
+        machine.end_and_start(2, is_noticed)
+        found = take_up_everywhere(machine, stream if is_named else "")
+        assert set(found) == {origin}
+
+    # Guards against homes that keep their place among those that were told,
+    # though they have started again and forgotten it.
+    @pytest.mark.parametrize("is_noticed", [True, False])
+    def test_streams_go_on_while_two_versions_serve(self, is_noticed):
+        machine = OriginsMachine()
+        machine.release(which={"v1", "v2"}, after_s=7.0)
+        machine.begin_stream(at=2, choice=1)
+        ((stream, origin, _),) = machine.streams
+        machine.pass_time(0.1)
+        for at in (0, 1, 3, 4):
+            machine.end_and_start(at, is_noticed)
+            machine.pass_time(0.1)
+        machine.end_and_start(2, is_noticed)
+        assert set(take_up_everywhere(machine, stream)) == {origin}
+
+    # Guards against a version that an instance takes for the only one, since
+    # it has learned nothing of what went before it started.
+    def test_a_version_that_has_gone_is_passed_on(self):
+        machine = OriginsMachine()
+        machine.release(which={"v1", "v2"}, after_s=7.0)
+        machine.begin_stream(at=0, choice=0)
+        machine.release(which={"v2"}, after_s=0.1)
+        machine.restart_in_turn(0.1, False)
+        assert set(take_up_everywhere(machine, "")) == {None}
+
+    # Guards against a peer that was cut off while another version served.
+    def test_a_stale_peer_tells_nothing(self):
+        machine = OriginsMachine()
+        machine.partition(side={"i0"})
+        machine.pass_time(100.0)
+        machine.end_most(left={"i0"})
+        machine.cut_peers.clear()
+        for at in range(len(INSTANCES)):
+            machine.learn_history(at, 0)
+        assert set(take_up_everywhere(machine, "")) == {None}
