Decide in one place what the status line of a response is

An endpoint's answer with the status 000 was passed to callers of the completions interface as HTTP/1.1 0, and 600 to 999 to callers of both; an idempotent request with such an answer counted as served.

A reply to an order with an unknown status such as 500 frees no place any more.

The test of the dialect that took 500 for "not accepted" asks for more: only 408, 429 and 503 promise that.

--- a/fescuekeel/helpers/dialect.py
+++ b/fescuekeel/helpers/dialect.py
@@ -269,8 +269,8 @@
     def make_order(self, order: WeightOrder) -> HttpCall:
         """Build the call that sends an order."""
 
-    def read_order_reply(self, status: int) -> OrderReply:
-        """Parse the reply to an order."""
+    def read_order_reply(self, status: int) -> OrderReply | None:
+        """Parse the reply to an order; ``None`` if it tells nothing."""
 
     def make_report_call(self, endpoint: str) -> HttpCall:
         """Build the call that reads an endpoint's report."""
--- a/fescuekeel/helpers/http.py
+++ b/fescuekeel/helpers/http.py
@@ -3,7 +3,6 @@
 import asyncio
 import sys
 from collections.abc import Awaitable
-from http import HTTPStatus
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
@@ -13,6 +12,7 @@
 
 from fescuekeel.helpers.event_stream import EventTracker
 from fescuekeel.helpers.loop_turns import TURN_BYTES, WorkMeter, get_loop_turns
+from fescuekeel.helpers.status_line import find_status_line_defect, is_interim
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
     Framing,
@@ -24,6 +24,7 @@
 __all__ = ["HttpClient", "IncompleteAnswerError", "begin_fetch", "read_bearer"]
 
 BEARER_PREFIX = "bearer "
+VERSION_PREFIX = "HTTP/"
 
 
 class IncompleteAnswerError(OSError):
@@ -52,10 +53,15 @@
         first_line: ResponseStartLine | RequestStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Follow the events of a stream."""
-        await super().headers_received(first_line, headers)
+        """Follow the events of a stream; fail the call if this is no head."""
         assert isinstance(first_line, ResponseStartLine)
-        if first_line.code < HTTPStatus.OK:
+        version = first_line.version.removeprefix(VERSION_PREFIX)
+        defect = find_status_line_defect(version, first_line.code)
+        if defect:
+            self._fail(defect)
+            return
+        await super().headers_received(first_line, headers)
+        if is_interim(first_line.code):
             await self._begin_work(TURN_BYTES)
         if is_event_stream(first_line.code, headers.get("Content-Type", "")):
             self._tracker = EventTracker()
@@ -99,6 +105,9 @@
         if not defect:
             super().finish()
             return
+        self._fail(defect)
+
+    def _fail(self, defect: str) -> None:
         try:
             raise IncompleteAnswerError(defect)
         except IncompleteAnswerError:
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -23,6 +23,7 @@
 from fescuekeel.helpers.listen import split_address
 from fescuekeel.helpers.logging import log_event
 from fescuekeel.helpers.loop_turns import TURN_BYTES, WorkMeter, get_loop_turns
+from fescuekeel.helpers.status_line import find_status_line_defect
 from fescuekeel.helpers.whole_answer import (
     BodyEnd,
     Framing,
@@ -333,6 +334,7 @@
         interim = 0
         while True:
             event = await self._next_event()
+            _check_status_line(event)
             if isinstance(event, h11.InformationalResponse):
                 interim += 1
                 if interim > MAX_INTERIM_RESPONSES:
@@ -496,6 +498,15 @@
         self._transport.abort()
 
 
+def _check_status_line(event: object) -> None:
+    """Raise ``IncompleteResponseError`` unless a head is one of HTTP/1."""
+    if isinstance(event, h11.InformationalResponse | h11.Response):
+        version = event.http_version.decode("latin-1")
+        defect = find_status_line_defect(version, event.status_code)
+        if defect:
+            raise IncompleteResponseError(defect)
+
+
 def _make_parser() -> h11.Connection:
     return h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -253,7 +253,9 @@
         read = DIALECT.read_order_reply
         assert read(202) is OrderReply.ACCEPTED
         assert read(412) is OrderReply.FENCED
-        assert read(500) is OrderReply.UNAVAILABLE
+        assert read(503) is OrderReply.UNAVAILABLE
+        # Only some statuses promise that an order was not accepted.
+        assert read(500) is None
 
     def test_report_is_parsed(self):
         body = json.dumps(
