Ask an endpoint which start answers unless that one has just answered

Cause: which start answers was asked only in an instance's first minute and while several versions had served. Now it is known only from bytes on a connection to that start, within half a second and with no connection lost since; otherwise the endpoint is asked before a resumable stream is sent.

TestOneVersionSoFar fails before in both forms, none now.

--- a/fescuekeel/components/endpoints/load.py
+++ b/fescuekeel/components/endpoints/load.py
@@ -165,11 +165,13 @@
     wait for their first chunk, and ``running`` counts its open requests. The
     ``reported`` fields are this instance's last report to the holder, whose
     totals include it. ``is_relayed`` says that the endpoint is reached through
-    a peer.
+    a peer. ``identified_at`` is when bytes last came on a connection that is
+    known to lead to this incarnation, with no connection lost since.
     """
 
     health: EndpointHealth = field(default_factory=EndpointHealth)
     is_relayed: bool = False
+    identified_at: float = float("-inf")
     pending_tokens: int = 0
     running: int = 0
     prefill_token_s: float = DEFAULT_PREFILL_TOKEN_S
--- a/fescuekeel/components/forward/component.py
+++ b/fescuekeel/components/forward/component.py
@@ -460,6 +460,7 @@
         except NotConnectedError as error:
             now = self.instance.now()
             health.record_unreachable(now)
+            self.get_load(endpoint).identified_at = float("-inf")
             self._reachability.record_connect_failed(endpoint)
             log_event(
                 "endpoint_unreachable",
--- a/fescuekeel/components/forward/const.py
+++ b/fescuekeel/components/forward/const.py
@@ -73,9 +73,11 @@
 # How long to wait for another endpoint of a stream's software version: one
 # that restarts registers again within this time.
 VERSION_WAIT_S: Final = 2.0
-# An endpoint may restart with another version if its service had several
-# within this time.
+# If a service had several versions within this time, each connection is asked
+# for the incarnation of its endpoint.
 VERSIONS_WITHIN_S: Final = 60.0
+# No endpoint ends and serves again within this time.
+MIN_RESTART_S: Final = 0.5
 INCARNATION_TIMEOUT_S: Final = 0.5
 # Callers choose these ids; longer ones are cut in the details of errors.
 MAX_DETAIL_CHARS: Final = 64
--- a/fescuekeel/components/forward/exchange.py
+++ b/fescuekeel/components/forward/exchange.py
@@ -17,6 +17,7 @@
     MAX_RELAYED_IDLE_S,
     MAX_SAMPLE_WAIT_S,
     MAX_UNSAFE_IDLE_S,
+    MIN_RESTART_S,
     VERSIONS_WITHIN_S,
 )
 from fescuekeel.helpers.dialect import (
@@ -86,6 +87,8 @@
                     return AttemptEnd.MISDIRECTED
             except (IncompleteResponseError, NotConnectedError, ValueError):
                 return AttemptEnd.UNSENT
+        elif self._goes_by_incarnation():
+            connection.incarnation = self.attempt.endpoint
         if self._needs_own_word():
             try:
                 if not await self._ask_for_own_word(connection):
@@ -121,6 +124,7 @@
     def _record_broken(self, connection: Connection, error: Exception) -> None:
         now = self.forwarder.instance.now()
         attempt = self.attempt
+        self.forwarder.get_load(attempt.endpoint).identified_at = float("-inf")
         log_event(
             "answer_broken",
             request_id=self.request.metadata.request_id,
@@ -199,15 +203,22 @@
         """Return whether to check which start of the endpoint has answered.
 
         An endpoint that keeps its name may have restarted with another
-        software version, and the catalog may not show it yet.
+        software version, and the catalog may not show it yet. It has not if
+        it answered on a connection to the chosen incarnation just now.
         """
         endpoint = self.attempt.endpoint
-        if Incarnation.parse(endpoint).born_ms == UNKNOWN_BORN_MS:
-            return False
-        if connection.incarnation == endpoint or not self.request.route.resumable:
+        if connection.incarnation == endpoint or not self._goes_by_incarnation():
             return False
         origins = self.forwarder.origins
-        return origins.may_have_several(self.request.service, VERSIONS_WITHIN_S)
+        if origins.may_have_several(self.request.service, VERSIONS_WITHIN_S):
+            return True
+        identified_at = self.forwarder.get_load(endpoint).identified_at
+        return self.forwarder.instance.now() - identified_at > MIN_RESTART_S
+
+    def _goes_by_incarnation(self) -> bool:
+        """Return whether another start of the endpoint must not answer."""
+        born_ms = Incarnation.parse(self.attempt.endpoint).born_ms
+        return self.request.route.resumable and born_ms != UNKNOWN_BORN_MS
 
     async def _check_incarnation(self, connection: Connection) -> bool:
         """Return whether the connection leads to the chosen incarnation.
@@ -220,6 +231,7 @@
             report = self.forwarder.dialect.read_report(answer.body)
             if report.born_ms == Incarnation.parse(endpoint).born_ms:
                 connection.incarnation = endpoint
+                self._record_identified(connection)
                 response = self._read_response(answer)
                 self._has_just_left = response.leaving
                 self.forwarder.endpoints.record_response(endpoint, response)
@@ -492,6 +504,15 @@
         now = self.forwarder.instance.now()
         self.attempt.received_at = now
         self.forwarder.get_load(self.attempt.endpoint).health.record_received(now)
+        if self.attempt.connection is not None:
+            self._record_identified(self.attempt.connection)
+
+    def _record_identified(self, connection: Connection) -> None:
+        """Record that the chosen incarnation of the endpoint answers."""
+        endpoint = self.attempt.endpoint
+        if connection.incarnation == endpoint:
+            now = self.forwarder.instance.now()
+            self.forwarder.get_load(endpoint).identified_at = now
 
     def _record_chunk(self) -> None:
         attempt = self.attempt
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -9,6 +9,7 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 
+from fescuekeel.components.forward import exchange
 from fescuekeel.errors import RESPONSES_BY_KIND, ErrorKind
 from fescuekeel.helpers.published import Catalog
 from standins.fleet import free_addresses
@@ -367,6 +368,44 @@
         run(work)
 
 
+class TestOneVersionSoFar:
+    # Guards against the first endpoint that restarts with another version,
+    # which all instances that have watched for long take for the old one.
+    @pytest.mark.parametrize("down_s", [0.0, 0.3])
+    def test_a_restart_is_noticed(self, down_s, monkeypatch):
+        monkeypatch.setattr(exchange, "VERSIONS_WITHIN_S", 0.0)
+
+        async def work():
+            async with start_world(2) as world:
+                await add_endpoints(world, ENGINES, 2)
+                workers = world.platform.list_workers(ENGINES)
+                for worker in workers:
+                    worker.software, worker.names_software = "v1", True
+                    worker.events, worker.event_s = EVENTS, 0.02
+                    world.platform.publish_state(worker, "ready")
+                await asyncio.sleep(1.0)
+                running = [
+                    asyncio.ensure_future(
+                        run_stream(make_request(leaves_after=9), list_callers(world))
+                    )
+                    for _ in range(16)
+                ]
+                await asyncio.sleep(0.1)
+                for worker in workers[:2]:
+                    worker.restart()
+                    worker.software = "v1.1"
+                    await asyncio.sleep(down_s)
+                streams = await asyncio.gather(*running)
+                later = [
+                    run_stream(make_request(leaves_after=3), list_callers(world))
+                    for _ in range(8)
+                ]
+                streams += await asyncio.gather(*later)
+                assert not any(stream.has_two_versions for stream in streams)
+
+        run(work)
+
+
 class TestStartedInstance:
     # Guards against an instance that trusts an entry of before its start,
     # though the endpoint has restarted with another version.
