Tell the possible holders of a lost data centre's endpoints who holds them

Cause: above 16 instances a holder tells its own data centre and the endpoints'. Without an instance there, the candidate may be of a third one that never heard of the claim. The holder group of such a data centre is told now; who is new in it gets the full state at the next tick.

TestLostDataCentre in test_publisher.py draws fleets and fails before.

--- a/fescuekeel/components/placement/publisher.py
+++ b/fescuekeel/components/placement/publisher.py
@@ -1,8 +1,9 @@
 """Send the state of the endpoints held here to the instances that need it."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
+from fescuekeel.components.placement.candidates import choose_holder_group
 from fescuekeel.components.placement.const import (
     MAX_UPDATE_BATCH_S,
     MAX_UPDATE_SLOWDOWN,
@@ -15,6 +16,7 @@
 from fescuekeel.helpers.peer_link import get_peer_link
 from fescuekeel.helpers.placement_view import PlacementView
 from fescuekeel.messages import (
+    Member,
     MemberView,
     PeerConnectionLost,
     PlacementNews,
@@ -34,6 +36,21 @@
     return len(view.members_by_id) <= SMALL_FLEET_INSTANCES
 
 
+def _list_holders_elsewhere(
+    centres: Iterable[str], members_by_id: Mapping[str, Member]
+) -> set[str]:
+    """Return who may hold the endpoints of data centres without an instance.
+
+    These are instances of any other data centre.
+    """
+    inhabited = {member.data_centre for member in members_by_id.values()}
+    return {
+        id
+        for centre in set(centres) - inhabited
+        for id in choose_holder_group(centre, members_by_id)
+    }
+
+
 class UpdatePublisher:
     """Decide when to send updates, and send them.
 
@@ -130,14 +147,16 @@
         the next holders and must know the current one. Guards against a second
         holder after the instances of a lost data centre return.
         """
-        view = self._read_view()
+        members = self._read_view().members_by_id
         centres = self._list_data_centres()
         centres.add(self._instance.settings.instance.data_centre)
-        to_all = sends_to_all(view)
+        to_all = sends_to_all(self._read_view())
+        others = _list_holders_elsewhere(centres, members)
         return {
             id: member.incarnation
-            for id, member in view.members_by_id.items()
-            if id != self._instance.id and (to_all or member.data_centre in centres)
+            for id, member in members.items()
+            if id != self._instance.id
+            and (to_all or member.data_centre in centres or id in others)
         }
 
     def _send_to_newcomers(self) -> None:
--- a/tests/components/placement/test_publisher.py
+++ b/tests/components/placement/test_publisher.py
@@ -2,12 +2,15 @@
 
 from types import SimpleNamespace
 
+from hypothesis import given, strategies as st
+
+from fescuekeel.components.placement.candidates import choose_candidate
 from fescuekeel.components.placement.const import SMALL_FLEET_INSTANCES
 from fescuekeel.components.placement.publisher import UpdatePublisher
 from fescuekeel.components.placement.updates import EndpointSnapshot
 from fescuekeel.core import Bus
 from fescuekeel.helpers.placement_view import PlacementView
-from fescuekeel.helpers.published import Weights
+from fescuekeel.helpers.published import EndpointRecord, Weights
 from fescuekeel.messages import Member, MemberView
 
 CENTRES = ("dc1", "dc2", "dc3")
@@ -71,6 +74,27 @@
         }
 
 
+class TestLostDataCentre:
+    # Guards against two holders: an instance of a third data centre becomes
+    # the candidate as others join or end, and has never heard of the claim.
+    @given(st.integers(17, 80), st.lists(st.integers(0, 99), max_size=4))
+    def test_all_candidates_are_told(self, size, joining):
+        world = World(size, "dc9")
+        for number in (-1, *joining):
+            members = dict(world.members)
+            if number in range(1, size):
+                members.pop(f"i{number}", None)
+            elif number >= 0:
+                members[f"n{number}"] = Member(f"n{number}", "", "dc2", 1)
+            world.set_members(members)
+            world.list_recipients()
+            told = world.publisher._list_recipients().keys()
+            for name in ("e1", "e2", "e3"):
+                record = EndpointRecord(name, "s", "a:1", "dc9", 8, False)
+                candidate = choose_candidate(record, members)
+                assert candidate in told | {"i0"}
+
+
 class TestRecipients:
     def test_small_fleet_gets_all_updates(self):
         world = World(SMALL_FLEET_INSTANCES)
