--- a/tests/platform/test_weight_memory.py
+++ b/tests/platform/test_weight_memory.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fescuekeel.errors import RESPONSES_BY_KIND, ErrorKind
 from standins.forwarding.platform import ENGINES, make_configuration, make_route
 from tests.common import eventually
 from tests.platform.test_path import LONG_TIMEOUT, run, start_world
@@ -65,7 +66,9 @@
                 began_at = time.monotonic()
                 answer, id = await world.send_stream_request("/patient/1")
                 assert time.monotonic() - began_at < 0.5
-                assert answer.code == 503
+                expected = RESPONSES_BY_KIND[ErrorKind.WEIGHTS_TOO_LARGE]
+                assert answer.code == expected.status
+                assert expected.text in answer.body.decode()
                 assert "Retry-After" not in answer.headers
                 assert world.count_runs(id) == 0
                 engines = world.platform.list_workers(ENGINES)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -54,6 +54,10 @@
         "platform/test_software_versions.py::TestUnknownStream::"
         "test_is_refused_at_once_while_two_versions_serve"
     ),
+    ErrorKind.WEIGHTS_TOO_LARGE: (
+        "platform/test_weight_memory.py::TestRoomForNone::"
+        "test_an_adapter_is_refused_at_once"
+    ),
     ErrorKind.STREAM_VERSION_GONE: (
         "platform/test_software_versions.py::TestLostVersion::"
         "test_a_stream_is_refused_at_once"
