Take fewer steps for a usual event of a stream

The search for events cost more than a look at each line where a read brings one event: 6.4 us instead of 3.5.

The tracker's state is the same in 150,000 drawn streams, and the tests of bounded turns pass.

--- a/fescuekeel/helpers/event_stream.py
+++ b/fescuekeel/helpers/event_stream.py
@@ -148,6 +148,8 @@
             self._end_events(text[:last_event_end])
             boundary = last_event_end - 1
             text = LINE_FEED + text[last_event_end:]
+        if text == LINE_FEED:
+            return boundary
         if not self._has_fields:
             before_fields = _find_field_line(text)
             boundary = max(boundary, 0) + before_fields - 1
@@ -164,7 +166,6 @@
 
     def _end_events(self, text: bytes) -> None:
         """Read events that are complete, with what began before ``text``."""
-        first_end = _find_event_end(text, 0)
         if not self.has_events:
             has_fields = _find_field_line(text) < len(text)
             self.has_events = self._has_fields or has_fields
@@ -174,20 +175,23 @@
             self._id = _read_id(text, at)
             data_from = _find_event_end(text, at)
         elif self._id is not None:
-            data_from = first_end
+            data_from = _find_event_end(text, 0)
         if self._id is not None:
             self.last_id = self._id
             self.id_is_last = is_header_value(self._id)
             self._has_data = False
-        rest = LINE_FEED + text[data_from:]
-        if self._has_data or _find_last_line(rest, DATA) != NOT_FOUND:
+        if self._has_data:
             self.id_is_last = False
+        elif data_from < len(text):
+            rest = LINE_FEED + text[data_from:]
+            if _find_last_line(rest, DATA) != NOT_FOUND:
+                self.id_is_last = False
         self._id = None
         self._has_fields = self._has_data = False
 
     def _read_open_event(self, text: bytes) -> None:
         """Read the lines of an event that is not complete."""
-        if not self._has_fields or text == LINE_FEED:
+        if not self._has_fields:
             return
         if _find_last_line(text, DATA) != NOT_FOUND:
             self._has_data = True
@@ -302,10 +306,12 @@
     7
     """
     before_line_feed, before_return = name
-    starts = before_line_feed
+    at = NOT_FOUND
+    for start in before_line_feed:
+        at = max(at, text.rfind(start))
     if CARRIAGE_RETURN in text:
-        starts += before_return
-    at = max(text.rfind(start) for start in starts)
+        for start in before_return:
+            at = max(at, text.rfind(start))
     return NOT_FOUND if at == NOT_FOUND else at + 1
 
 
--- a/fescuekeel/helpers/http_connection.py
+++ b/fescuekeel/helpers/http_connection.py
@@ -382,7 +382,9 @@
         Reading what has already arrived never waits by itself.
         """
         work_bytes = len(event.data) if isinstance(event, h11.Data) else 0
-        await get_loop_turns().begin(self._work, work_bytes)
+        turns = get_loop_turns()
+        if not turns.may_go_on(self._work, work_bytes):
+            await turns.begin(self._work, work_bytes)
 
     def _check_trailer(self) -> None:
         """Raise ``IncompleteResponseError`` if a trailer has too many lines.
